--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# The developer interface. Needs Go and make; everything else comes through Go modules.
+
+DEPLOYMENT ?= craigmhor
+LINT       := bin/golangci-lint
+LINT_AT    := v2.15.0
+MODULES    := . cmd/flamingod cmd/flamingoctl cmd/standin cmd/flamingobench
+ALL        := flamingorudder.example/...
+
+.PHONY: build test lint fmt tidy demo
+
+build:
+	go build -o bin/ ./cmd/flamingod ./cmd/flamingoctl ./cmd/standin ./cmd/flamingobench
+
+$(LINT):
+	GOWORK=off GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_AT)
+
+# Formats and lints every module; fmt changes files, lint only reports.
+fmt: $(LINT)
+	@for m in $(MODULES); do (cd $$m && $(CURDIR)/$(LINT) fmt) || exit 1; done
+
+lint: $(LINT)
+	@for m in $(MODULES); do (cd $$m && $(CURDIR)/$(LINT) fmt --diff && $(CURDIR)/$(LINT) run) || exit 1; done
+
+tidy:
+	@for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy) || exit 1; done
+
+test: lint
+	go vet $(ALL)
+	go test -race $(ALL)
+
+demo: build
+	DEPLOYMENT=$(DEPLOYMENT) scripts/demo
--- /dev/null
+++ b/cmd/flamingod/main.go
@@ -0,0 +1,52 @@
+// Command flamingod is the daemon: entry and control in one process.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/go-kratos/kratos/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/cli/v3"
+
+	"flamingorudder.example/internal/daemon"
+	"flamingorudder.example/internal/setting"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:      "flamingod",
+		Usage:     "serve callers and keep the model groups",
+		ArgsUsage: "SETTINGS.ini",
+		Flags:     []cli.Flag{&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"}},
+		Action:    run,
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(_ context.Context, c *cli.Command) error {
+	file := c.Args().First()
+	if file == "" {
+		return cli.Exit("name the file with the settings, for example: flamingod /etc/flamingod.ini", 2)
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	set, err := setting.ParseDaemon(file, text)
+	if err != nil {
+		return cli.Exit(err.Error(), 2)
+	}
+	if c.Bool("check") {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	log := hclog.New(&hclog.LoggerOptions{Name: set.Name, Level: hclog.LevelFromString(set.LogLevel), JSONFormat: set.LogFormat == "json"})
+	d, closeDaemon := daemon.New(set, log)
+	defer closeDaemon()
+	return kratos.New(kratos.Name("flamingod"), kratos.ID(set.Name), kratos.Server(d)).Run()
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,202 @@
+// Command standin runs the stand-ins of one deployment in one process: the platform, the model engines and the plain
+// services. It also chooses free ports for the daemons and writes their settings.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"flamingorudder.example/internal/ini"
+	"flamingorudder.example/internal/platform"
+	"flamingorudder.example/internal/standin"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:      "standin",
+		Usage:     "run the stand-ins of a deployment",
+		ArgsUsage: "FLEET.ini",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "dir", Usage: "folder for the addresses and the daemons' settings", Value: "run"},
+			&cli.DurationFlag{Name: "load", Usage: "time that an engine takes to load a model", Value: time.Second},
+			&cli.DurationFlag{Name: "first", Usage: "time to the first token", Value: 40 * time.Millisecond},
+			&cli.DurationFlag{Name: "token", Usage: "time between tokens", Value: 10 * time.Millisecond},
+		},
+		Action: run,
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := cmd.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// addresses is what the other programs of a run need to know.
+type addresses struct {
+	Platform netip.AddrPort   `json:"platform"`
+	Daemons  []daemonAddrs    `json:"daemons"`
+	Engines  []netip.AddrPort `json:"engines"`
+	Plains   []netip.AddrPort `json:"plains"`
+}
+
+type daemonAddrs struct {
+	Name     string         `json:"name"`
+	Settings string         `json:"settings"`
+	Caller   netip.AddrPort `json:"caller"`
+	Operator netip.AddrPort `json:"operator"`
+	Peer     netip.AddrPort `json:"peer"`
+}
+
+// fleet is the stand-ins of one deployment while they run.
+type fleet struct {
+	g        *errgroup.Group
+	ctx      context.Context
+	c        *cli.Command
+	platform *standin.Platform
+	addrs    addresses
+	fencing  bool
+	list     []platform.Instance
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	file := c.Args().First()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("read fleet: %w", err)
+	}
+	doc := ini.Parse(file, text)
+	head := doc.Section("fleet")
+	head.Require("name", "daemons")
+	head.Known("region")
+	daemons := head.Int("daemons", 7, 1, 64)
+	g, ctx := errgroup.WithContext(ctx)
+	f := &fleet{g: g, ctx: ctx, c: c, platform: standin.NewPlatform(500 * time.Millisecond), fencing: head.Choice("fencing", "yes", "yes", "no") == "yes"}
+	if f.addrs.Platform, err = f.serve(f.platform); err != nil {
+		return err
+	}
+	var centres []string
+	for _, s := range doc.Sections {
+		if name, ok := strings.CutPrefix(s.Name, "data-centre "); ok {
+			centres = append(centres, name)
+			if err := f.dataCentre(name, s); err != nil {
+				return err
+			}
+		}
+	}
+	if err := doc.Err(); err != nil {
+		return cli.Exit(err.Error(), 2)
+	}
+	if err := f.daemons(head.String("name", ""), daemons, centres); err != nil {
+		return err
+	}
+	f.platform.Add(f.list...)
+	b, err := json.MarshalIndent(f.addrs, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(c.String("dir"), "addresses.json"), b, 0o644); err != nil {
+		return fmt.Errorf("write addresses: %w", err)
+	}
+	fmt.Printf("stand-ins of %s are up: platform %s, %d engines, %d plain services\n", head.String("name", ""), f.addrs.Platform, len(f.addrs.Engines), len(f.addrs.Plains))
+	return g.Wait()
+}
+
+// serve serves a handler on a free port until the fleet stops.
+func (f *fleet) serve(h http.Handler) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("listen: %w", err)
+	}
+	s := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0))
+	s.HandlePrefix("/", h)
+	f.g.Go(func() error { return s.Start(f.ctx) })
+	f.g.Go(func() error {
+		<-f.ctx.Done()
+		return s.Close()
+	})
+	return netip.MustParseAddrPort(l.Addr().String()), nil
+}
+
+func (f *fleet) dataCentre(name string, s *ini.Section) error {
+	for k, text := range s.List("domains") {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 0 {
+			s.Fault("domains", fmt.Sprintf("%q is not a number of instances", text))
+			continue
+		}
+		for i := range n {
+			id := fmt.Sprintf("%s-%d-%02d", name, k+1, i+1)
+			a, err := f.serve(standin.NewEngine(standin.EngineSpec{ID: id, Slots: 16, First: f.c.Duration("first"), Token: f.c.Duration("token"), Load: f.c.Duration("load"), Fencing: f.fencing}))
+			if err != nil {
+				return err
+			}
+			f.addrs.Engines = append(f.addrs.Engines, a)
+			f.list = append(f.list, platform.Instance{ID: id, Addr: a, Kind: platform.KindEngine, DataCentre: name, Domain: fmt.Sprintf("%s-%d", name, k+1), Accelerators: 8, State: platform.Live})
+		}
+	}
+	service, count, _ := strings.Cut(s.String("plain", ""), " ")
+	n, err := strconv.Atoi(count)
+	if err != nil {
+		s.Fault("plain", "not SERVICE NUMBER")
+		return nil
+	}
+	for i := range n {
+		id := fmt.Sprintf("%s-%s-%d", service, name, i+1)
+		a, err := f.serve(standin.NewPlain(id, 5*time.Millisecond))
+		if err != nil {
+			return err
+		}
+		f.addrs.Plains = append(f.addrs.Plains, a)
+		f.list = append(f.list, platform.Instance{ID: id, Addr: a, Kind: platform.KindPlain, Service: service, DataCentre: name, State: platform.Live})
+	}
+	return nil
+}
+
+// daemons chooses free ports for the daemons and writes their settings.
+func (f *fleet) daemons(deployment string, n int, centres []string) error {
+	var hold []net.Listener
+	free := func() netip.AddrPort {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return netip.AddrPort{}
+		}
+		hold = append(hold, l)
+		return netip.MustParseAddrPort(l.Addr().String())
+	}
+	var peers []string
+	for i := range n {
+		d := daemonAddrs{Name: fmt.Sprintf("%s-%d", deployment, i+1), Caller: free(), Operator: free(), Peer: free()}
+		d.Settings = filepath.Join(f.c.String("dir"), d.Name+".ini")
+		f.addrs.Daemons = append(f.addrs.Daemons, d)
+		peers = append(peers, d.Peer.String())
+	}
+	for _, l := range hold {
+		_ = l.Close()
+	}
+	for i, d := range f.addrs.Daemons {
+		centre := centres[i%len(centres)]
+		text := fmt.Sprintf("[daemon]\nname = %s\ndata-centre = %s\nhold = 2s\n\n[listen]\ncaller = %s\noperator = %s\npeer = %s\n\n[platform]\naddress = %s\n\n[peers]\naddresses = %s\n\n[log]\nlevel = info\n",
+			d.Name, centre, d.Caller, d.Operator, d.Peer, f.addrs.Platform, strings.Join(peers, ", "))
+		if err := os.WriteFile(d.Settings, []byte(text), 0o644); err != nil {
+			return fmt.Errorf("write settings: %w", err)
+		}
+		f.list = append(f.list, platform.Instance{ID: d.Name, Addr: d.Caller, Kind: platform.KindDaemon, DataCentre: centre, State: platform.Live})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,360 @@
+// Package engine speaks to model engines: it holds the wire types of their protocol and a client.
+//
+// An attempt is bound to its answer by an attempt id, which the engine echoes in a header and in each chunk. The client
+// drops chunks that carry another id, counts them and closes the connection.
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// Headers of the engine protocol.
+const (
+	HeaderAttempt    = "X-Attempt"
+	HeaderPriority   = "X-Priority"
+	HeaderGroup      = "X-Group"
+	HeaderGeneration = "X-Generation"
+	HeaderDeadline   = "X-Deadline"
+)
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Chat is the body of a chat request.
+type Chat struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+	Stream    bool      `json:"stream,omitempty"`
+}
+
+// Chunk is one event of an answer.
+type Chunk struct {
+	// ID is the attempt that the chunk belongs to.
+	ID string `json:"id"`
+	// Index counts the tokens of the answer from 0, without gaps.
+	Index int    `json:"index"`
+	Text  string `json:"text"`
+	Done  bool   `json:"done,omitempty"`
+}
+
+// Load is an engine's report of its load. Member 0 of a group reports for the group.
+type Load struct {
+	Group      string `json:"group"`
+	Generation uint64 `json:"generation"`
+	// Present is whether member 0 sees every member of its group.
+	Present bool `json:"present"`
+	Running int  `json:"running"`
+	Waiting int  `json:"waiting"`
+	Slots   int  `json:"slots"`
+	// TokenMillis is the mean time between tokens of one stream, in milliseconds.
+	TokenMillis float64   `json:"token_ms"`
+	At          time.Time `json:"at"`
+}
+
+// State is an engine's own report of the order that it carried out last.
+type State struct {
+	Instance   string `json:"instance"`
+	Group      string `json:"group"`
+	Generation uint64 `json:"generation"`
+	Fence      uint64 `json:"fence"`
+	Index      int    `json:"index"`
+	Loaded     bool   `json:"loaded"`
+	Model      string `json:"model"`
+	Version    string `json:"version"`
+}
+
+// Op is what an order asks for.
+type Op string
+
+// Operations of an order.
+const (
+	OpLoad    Op = "load"
+	OpUnload  Op = "unload"
+	OpRole    Op = "role"
+	OpAdapter Op = "adapter"
+	OpVersion Op = "version"
+)
+
+// Order tells an engine what to be.
+type Order struct {
+	Op Op `json:"op"`
+	// Fence is the fencing token of the lease under which the order is given. An engine that checks it refuses an
+	// order whose token is lower than the highest it has seen.
+	Fence      uint64           `json:"fence"`
+	Group      string           `json:"group"`
+	Generation uint64           `json:"generation"`
+	Index      int              `json:"index"`
+	Members    []netip.AddrPort `json:"members,omitempty"`
+	Model      string           `json:"model,omitempty"`
+	Version    string           `json:"version,omitempty"`
+}
+
+// Fenced reports that an engine refused an order because it has seen a higher fencing token.
+type Fenced struct {
+	Fence uint64 `json:"fence"`
+}
+
+func (e *Fenced) Error() string { return fmt.Sprintf("engine has seen fencing token %d", e.Fence) }
+
+// Refused reports that the engine or plain service refused a request before it ran any of it.
+type Refused struct {
+	Status int    `json:"-"`
+	Reason string `json:"reason"`
+}
+
+func (e *Refused) Error() string { return fmt.Sprintf("refused with %d: %s", e.Status, e.Reason) }
+
+// NotSent reports that a request failed before any byte of it left, so it was not run.
+type NotSent struct{ Err error }
+
+func (e *NotSent) Error() string { return fmt.Sprintf("not sent: %v", e.Err) }
+func (e *NotSent) Unwrap() error { return e.Err }
+
+// Broken reports that a stream ended before its last chunk; the answer so far holds Tokens tokens.
+type Broken struct {
+	Tokens int
+	Err    error
+}
+
+func (e *Broken) Error() string {
+	return fmt.Sprintf("stream broke after %d tokens: %v", e.Tokens, e.Err)
+}
+func (e *Broken) Unwrap() error { return e.Err }
+
+// Misrouted reports an answer or chunk that belongs to another attempt.
+type Misrouted struct{ Want, Got string }
+
+func (e *Misrouted) Error() string {
+	return fmt.Sprintf("answer belongs to attempt %q, not %q", e.Got, e.Want)
+}
+
+// Attempt is one try of a request at one engine.
+type Attempt struct {
+	ID         string
+	Group      string
+	Generation uint64
+	Priority   int
+	// Deadline is zero when the request has none.
+	Deadline time.Time
+	Chat     Chat
+}
+
+// Client speaks to any number of engines. Its methods may be called from several goroutines.
+type Client struct {
+	http *http.Client
+	// foreign counts the chunks that belonged to another attempt.
+	foreign atomic.Uint64
+}
+
+// NewClient returns a client and a function that closes its idle connections.
+func NewClient() (*Client, func()) {
+	tr := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+	return &Client{http: &http.Client{Transport: tr}}, tr.CloseIdleConnections
+}
+
+// Foreign is the number of chunks dropped because they belonged to another attempt.
+func (c *Client) Foreign() uint64 { return c.foreign.Load() }
+
+// Stream is an open answer.
+type Stream struct {
+	c       *Client
+	attempt string
+	next    int
+	done    bool
+	body    io.ReadCloser
+	scan    *bufio.Scanner
+}
+
+// Send starts an attempt at the engine at addr. It fails with *NotSent or *Refused when the request was not run, and
+// with *Broken when it may have run.
+func (c *Client) Send(ctx context.Context, addr netip.AddrPort, a Attempt) (*Stream, error) {
+	a.Chat.Stream = true
+	body, err := json.Marshal(a.Chat)
+	if err != nil {
+		return nil, &NotSent{Err: err}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr.String()+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, &NotSent{Err: err}
+	}
+	// GetBody is cleared so that net/http never sends the request a second time on its own.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(HeaderAttempt, a.ID)
+	req.Header.Set(HeaderPriority, strconv.Itoa(a.Priority))
+	req.Header.Set(HeaderGroup, a.Group)
+	req.Header.Set(HeaderGeneration, strconv.FormatUint(a.Generation, 10))
+	if !a.Deadline.IsZero() {
+		req.Header.Set(HeaderDeadline, a.Deadline.Format(time.RFC3339Nano))
+	}
+	return c.open(req, a.ID, 0)
+}
+
+// Resume continues the answer of an earlier attempt from token from on, over any connection.
+func (c *Client) Resume(ctx context.Context, addr netip.AddrPort, attempt string, from int) (*Stream, error) {
+	url := "http://" + addr.String() + "/v1/stream?attempt=" + attempt + "&from=" + strconv.Itoa(from)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, &NotSent{Err: err}
+	}
+	return c.open(req, attempt, from)
+}
+
+func (c *Client) open(req *http.Request, attempt string, from int) (*Stream, error) {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		if dialFailed(err) {
+			return nil, &NotSent{Err: err}
+		}
+		return nil, &Broken{Tokens: from, Err: err}
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer func() { _ = resp.Body.Close() }()
+		if resp.StatusCode == http.StatusConflict || resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusNotFound {
+			r := &Refused{Status: resp.StatusCode}
+			if json.NewDecoder(io.LimitReader(resp.Body, 4096)).Decode(r) == nil && r.Reason != "" {
+				return nil, r
+			}
+		}
+		return nil, &Broken{Tokens: from, Err: &Refused{Status: resp.StatusCode, Reason: "unexpected status"}}
+	}
+	if got := resp.Header.Get(HeaderAttempt); got != attempt {
+		_ = resp.Body.Close()
+		c.foreign.Add(1)
+		return nil, &Broken{Tokens: from, Err: &Misrouted{Want: attempt, Got: got}}
+	}
+	s := &Stream{c: c, attempt: attempt, next: from, body: resp.Body, scan: bufio.NewScanner(resp.Body)}
+	s.scan.Buffer(make([]byte, 0, 4096), 1<<20)
+	return s, nil
+}
+
+var dataPrefix = []byte("data: ")
+
+// Next returns the next chunk, io.EOF after the last one, or *Broken.
+func (s *Stream) Next() (Chunk, error) {
+	if s.done {
+		return Chunk{}, io.EOF
+	}
+	for s.scan.Scan() {
+		line := s.scan.Bytes()
+		if !bytes.HasPrefix(line, dataPrefix) {
+			continue
+		}
+		var k Chunk
+		if err := json.Unmarshal(line[len(dataPrefix):], &k); err != nil {
+			return Chunk{}, &Broken{Tokens: s.next, Err: err}
+		}
+		if k.ID != s.attempt {
+			s.c.foreign.Add(1)
+			return Chunk{}, &Broken{Tokens: s.next, Err: &Misrouted{Want: s.attempt, Got: k.ID}}
+		}
+		if k.Index < s.next {
+			continue
+		}
+		if k.Index > s.next {
+			return Chunk{}, &Broken{Tokens: s.next, Err: &Gap{Want: s.next, Got: k.Index}}
+		}
+		s.next++
+		s.done = k.Done
+		return k, nil
+	}
+	err := s.scan.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return Chunk{}, &Broken{Tokens: s.next, Err: err}
+}
+
+// Close ends the stream. Closing before the last chunk also closes its connection.
+func (s *Stream) Close() { _ = s.body.Close() }
+
+// Gap reports that a token is missing from a stream.
+type Gap struct{ Want, Got int }
+
+func (e *Gap) Error() string { return fmt.Sprintf("token %d follows where %d was due", e.Got, e.Want) }
+
+// Cancel stops an attempt at the engine.
+func (c *Client) Cancel(ctx context.Context, addr netip.AddrPort, attempt string) error {
+	return c.call(ctx, http.MethodPost, addr, "/v1/cancel", map[string]string{"attempt": attempt}, nil)
+}
+
+// Load returns the engine's load report.
+func (c *Client) Load(ctx context.Context, addr netip.AddrPort) (Load, error) {
+	var l Load
+	err := c.call(ctx, http.MethodGet, addr, "/load", nil, &l)
+	return l, err
+}
+
+// State returns the engine's own report of its assignment.
+func (c *Client) State(ctx context.Context, addr netip.AddrPort) (State, error) {
+	var s State
+	err := c.call(ctx, http.MethodGet, addr, "/state", nil, &s)
+	return s, err
+}
+
+// Order gives an order. It fails with *Fenced when the engine has seen a higher fencing token.
+func (c *Client) Order(ctx context.Context, addr netip.AddrPort, o Order) error {
+	return c.call(ctx, http.MethodPost, addr, "/order", o, nil)
+}
+
+func (c *Client) call(ctx context.Context, method string, addr netip.AddrPort, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return &NotSent{Err: err}
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, body)
+	if err != nil {
+		return &NotSent{Err: err}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("%s %s at %s: %w", method, path, addr, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		f := &Fenced{}
+		if err := json.NewDecoder(resp.Body).Decode(f); err != nil {
+			return fmt.Errorf("%s %s at %s: decode: %w", method, path, addr, err)
+		}
+		return f
+	case resp.StatusCode != http.StatusOK:
+		return &Refused{Status: resp.StatusCode, Reason: path}
+	case out == nil:
+		return nil
+	}
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return fmt.Errorf("%s %s at %s: decode: %w", method, path, addr, err)
+	}
+	return nil
+}
+
+func dialFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,278 @@
+// Package platform speaks to the platform that the deployment runs: the transactional table service, the object store
+// and the list of instances.
+//
+// The package keeps no state besides its HTTP connections. Everything that has to last lives in the platform; rows are
+// owned by the part of the daemon whose key prefix they carry (see docs/design.md, section 8).
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+)
+
+// Row is one row of the table service.
+type Row struct {
+	Key string `json:"key"`
+	// Version is the commit number that wrote the row; 0 means that the row is absent.
+	Version uint64 `json:"version"`
+	// Op is the operation number of the transaction that wrote the row.
+	Op    string `json:"op"`
+	Value []byte `json:"value,omitempty"`
+}
+
+// Check makes a transaction conditional: the row must still be at Version (0: absent).
+type Check struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+// Write sets or deletes one row.
+type Write struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value,omitempty"`
+	Delete bool   `json:"delete,omitempty"`
+}
+
+// Txn is a transaction: every check holds and every write takes effect, or nothing happens.
+type Txn struct {
+	// Op identifies the operation across repeats. It is unique for each logical operation.
+	Op     string  `json:"op"`
+	Checks []Check `json:"checks,omitempty"`
+	Writes []Write `json:"writes,omitempty"`
+}
+
+// Conflict reports that a check of a transaction failed; nothing was written.
+type Conflict struct {
+	Key string `json:"key"`
+	// Version is the version of the row that was found.
+	Version uint64 `json:"version"`
+}
+
+func (e *Conflict) Error() string {
+	return fmt.Sprintf("row %q is at version %d, not at the one the transaction checked", e.Key, e.Version)
+}
+
+// Unavailable reports that the platform refused the operation or could not be reached; nothing was written.
+type Unavailable struct{ Err error }
+
+func (e *Unavailable) Error() string { return fmt.Sprintf("platform is unavailable: %v", e.Err) }
+func (e *Unavailable) Unwrap() error { return e.Err }
+
+// Unknown reports that a write was sent and its answer was lost: it may or may not have taken effect.
+type Unknown struct {
+	Op  string
+	Err error
+}
+
+func (e *Unknown) Error() string {
+	return fmt.Sprintf("outcome of operation %s is unknown: %v", e.Op, e.Err)
+}
+func (e *Unknown) Unwrap() error { return e.Err }
+
+// StatusError is an answer of the platform with an unexpected status.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
+
+// InstanceState tells whether the platform keeps an instance or is taking it away.
+type InstanceState string
+
+// States of an instance in the platform's list.
+const (
+	Live    InstanceState = "live"
+	Leaving InstanceState = "leaving"
+)
+
+// Kinds of instances in the platform's list.
+const (
+	KindDaemon = "daemon"
+	KindEngine = "engine"
+	KindPlain  = "plain"
+)
+
+// Instance is one entry of the platform's list of instances.
+type Instance struct {
+	ID   string         `json:"id"`
+	Addr netip.AddrPort `json:"addr"`
+	Kind string         `json:"kind"`
+	// Service is the plain service that the instance runs; empty for engines and daemons.
+	Service      string        `json:"service,omitempty"`
+	DataCentre   string        `json:"data_centre"`
+	Domain       string        `json:"domain,omitempty"`
+	Accelerators int           `json:"accelerators,omitempty"`
+	State        InstanceState `json:"state"`
+}
+
+// Roster is the platform's list of instances as it was at At. It lags behind the truth.
+type Roster struct {
+	At        time.Time  `json:"at"`
+	Instances []Instance `json:"instances"`
+}
+
+// Client is a client of the platform. Its methods may be called from several goroutines.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// Dial returns a client of the platform at addr and a function that closes its connections. It does not connect yet.
+func Dial(addr netip.AddrPort) (*Client, func()) {
+	tr := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: 8,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	c := &Client{base: "http://" + addr.String(), http: &http.Client{Transport: tr}}
+	return c, tr.CloseIdleConnections
+}
+
+// Commit runs a transaction and returns the commit number. It fails with *Conflict, *Unavailable or *Unknown.
+func (c *Client) Commit(ctx context.Context, t Txn) (uint64, error) {
+	body, err := json.Marshal(t)
+	if err != nil {
+		return 0, fmt.Errorf("encode transaction %s: %w", t.Op, err)
+	}
+	resp, err := c.send(ctx, http.MethodPost, "/table/txn", body)
+	if err != nil {
+		if refused(err) {
+			return 0, &Unavailable{Err: err}
+		}
+		return 0, &Unknown{Op: t.Op, Err: err}
+	}
+	switch resp.status {
+	case http.StatusOK:
+		var v struct {
+			Version uint64 `json:"version"`
+		}
+		if err := json.Unmarshal(resp.body, &v); err != nil {
+			return 0, &Unknown{Op: t.Op, Err: err}
+		}
+		return v.Version, nil
+	case http.StatusConflict:
+		var k Conflict
+		if err := json.Unmarshal(resp.body, &k); err != nil {
+			return 0, &Unknown{Op: t.Op, Err: err}
+		}
+		return 0, &k
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return 0, &Unavailable{Err: resp.fault()}
+	}
+	return 0, &Unknown{Op: t.Op, Err: resp.fault()}
+}
+
+// Read returns one row; an absent row has version 0.
+func (c *Client) Read(ctx context.Context, key string) (Row, error) {
+	rows, err := c.rows(ctx, "key", key)
+	if err != nil || len(rows) == 0 {
+		return Row{Key: key}, err
+	}
+	return rows[0], nil
+}
+
+// Scan returns the rows whose keys start with prefix, in order of their keys.
+func (c *Client) Scan(ctx context.Context, prefix string) ([]Row, error) {
+	return c.rows(ctx, "prefix", prefix)
+}
+
+func (c *Client) rows(ctx context.Context, param, value string) ([]Row, error) {
+	var v struct {
+		Rows []Row `json:"rows"`
+	}
+	if err := c.get(ctx, "/table/read?"+param+"="+url.QueryEscape(value), &v); err != nil {
+		return nil, err
+	}
+	return v.Rows, nil
+}
+
+// Roster returns the platform's list of instances.
+func (c *Client) Roster(ctx context.Context) (Roster, error) {
+	var r Roster
+	err := c.get(ctx, "/roster", &r)
+	return r, err
+}
+
+// PutObject stores an object under a name, replacing an earlier one.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	resp, err := c.send(ctx, http.MethodPut, "/object/"+url.PathEscape(name), data)
+	if err != nil {
+		return &Unavailable{Err: err}
+	}
+	if resp.status != http.StatusOK {
+		return &Unavailable{Err: resp.fault()}
+	}
+	return nil
+}
+
+// GetObject returns an object. An absent one is nil without an error.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
+	resp, err := c.send(ctx, http.MethodGet, "/object/"+url.PathEscape(name), nil)
+	if err != nil {
+		return nil, &Unavailable{Err: err}
+	}
+	switch resp.status {
+	case http.StatusOK:
+		return resp.body, nil
+	case http.StatusNotFound:
+		return nil, nil
+	}
+	return nil, &Unavailable{Err: resp.fault()}
+}
+
+func (c *Client) get(ctx context.Context, path string, into any) error {
+	resp, err := c.send(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return &Unavailable{Err: err}
+	}
+	if resp.status != http.StatusOK {
+		return &Unavailable{Err: resp.fault()}
+	}
+	if err := json.Unmarshal(resp.body, into); err != nil {
+		return &Unavailable{Err: err}
+	}
+	return nil
+}
+
+type response struct {
+	status int
+	body   []byte
+}
+
+func (r response) fault() error { return &StatusError{Status: r.status, Body: string(r.body)} }
+
+// maxBody bounds an answer of the platform, so that a fault there cannot exhaust the daemon's memory.
+const maxBody = 64 << 20
+
+func (c *Client) send(ctx context.Context, method, path string, body []byte) (response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return response{}, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return response{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return response{}, err
+	}
+	return response{status: resp.StatusCode, body: b}, nil
+}
+
+// refused tells whether a request failed before any byte of it could leave.
+func refused(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
