Add the protocol between daemons and the spread of revisions

Cause: daemons learn of each other only through the platform, which has outages; lending, configuration and lost members need a path of their own. Ruled out: streams for demand and grant, because a lost packet would hold up newer ones that replace it. Conclusion: not wired into the daemon yet.

--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,197 @@
+package peer
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"flamingorudder.example/internal/identity"
+	"flamingorudder.example/internal/note"
+	"flamingorudder.example/internal/timeline"
+)
+
+var addr = netip.MustParseAddrPort("10.0.0.1:9000")
+
+func samples() []Message {
+	return []Message{
+		&Hello{Boot: 7, DataCentre: "stirling", Addr: addr, Revision: 3, Leaving: true},
+		&Demand{Number: 4, Service: "model-desk", Revision: 3, Groups: []Wanted{{Group: "model-desk/g1", Generation: 2, Lines: []Line{{Rank: note.RankLive, Org: 1, Waiting: 2, Running: 3}}}}},
+		&Grant{Number: 4, Lent: []Lent{{Group: "model-desk/g1", Generation: 2, Caps: [3]int{4, 2, 1}, Millis: 1500}}},
+		&Gone{Group: "model-desk/g1", Generation: 2, Instance: "stirling-1-01"},
+		&Rev{Number: 3, Digest: []byte{1, 2}, Body: []byte("body"), Hops: 1},
+		&Pull{Have: 2},
+		&Tell{Since: 9, Events: []timeline.Event{{Kind: timeline.Send, Request: "r", Attempt: "r.1"}}, Next: 10, Lost: 1},
+	}
+}
+
+// Guards against a field that one daemon sends and another does not read back.
+func TestEncodeDecode(t *testing.T) {
+	at := timeline.Stamp{Wall: 12, Count: 3}
+	for _, m := range samples() {
+		b, err := Encode(m, at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, stamp, err := Decode(b)
+		if err != nil || stamp != at || !reflect.DeepEqual(got, m) {
+			t.Errorf("%s: got %+v at %v, error %v; want %+v", m.kind(), got, stamp, err, m)
+		}
+	}
+}
+
+// fullDemand is what a daemon asks one home for in an overload: every organisation at every rank.
+func fullDemand(groups, orgs int) *Demand {
+	d := &Demand{Number: 1 << 20, Service: "asistente-tallas", Revision: 40_000}
+	for g := range groups {
+		w := Wanted{Group: fmt.Sprintf("asistente-tallas/%d", g), Generation: 1000}
+		for r := range note.Ranks {
+			for o := range orgs {
+				w.Lines = append(w.Lines, Line{Rank: note.Rank(r), Org: o, Waiting: 200, Running: 12})
+			}
+		}
+		d.Groups = append(d.Groups, w)
+	}
+	return d
+}
+
+// Guards against messages that outgrow their budget. A daemon uses 6 groups; at 370 daemons and 75 groups their homes
+// are 6 different daemons, so a demand holds one group; with 7 daemons it holds two at most of the time.
+func TestMessageBudget(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		m    Message
+		max  int
+	}{
+		{"demand for one group, 10 organisations at 3 ranks", fullDemand(1, 10), 280},
+		{"demand for two groups, 10 organisations at 3 ranks", fullDemand(2, 10), 520},
+		{"grant of one group", &Grant{Number: 1 << 20, Lent: []Lent{{Group: "asistente-tallas/1", Generation: 1000, Caps: [3]int{128, 128, 128}, Millis: 1500}}}, 80},
+		{"hello", &Hello{Boot: 1 << 62, DataCentre: "rosario-a", Addr: addr, Revision: 40_000}, 80},
+		{"gone", &Gone{Group: "asistente-tallas/rosario-a-1-01", Generation: 1000, Instance: "rosario-a-1-01"}, 100},
+	} {
+		b, err := Encode(c.m, timeline.Stamp{Wall: time.Date(2028, 1, 1, 0, 0, 0, 0, time.UTC).UnixMicro(), Count: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%s: %d bytes", c.name, len(b))
+		if len(b) > c.max {
+			t.Errorf("%s takes %d bytes, budget %d", c.name, len(b), c.max)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range samples() {
+		b, err := Encode(m, timeline.Stamp{Wall: 1})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, at, err := Decode(b)
+		if err != nil {
+			return
+		}
+		out, err := Encode(m, at)
+		if err != nil {
+			t.Fatalf("decoded message cannot be encoded: %v", err)
+		}
+		again, _, err := Decode(out)
+		if err != nil {
+			t.Fatalf("encoded message cannot be decoded: %v", err)
+		}
+		out2, _ := Encode(again, at)
+		if !bytes.Equal(out, out2) {
+			t.Fatalf("%x and %x differ", out, out2)
+		}
+	})
+}
+
+type inbox struct {
+	got    chan Message
+	from   chan From
+	answer Message
+}
+
+func (i *inbox) Receive(f From, m Message)        { i.from <- f; i.got <- m }
+func (i *inbox) Answer(_ From, _ Message) Message { return i.answer }
+
+func newInbox() *inbox { return &inbox{got: make(chan Message, 16), from: make(chan From, 16)} }
+
+func node(t *testing.T, ca *identity.Authority, name string, h Handler) *Node {
+	t.Helper()
+	dir := t.TempDir()
+	f := identity.Files{Authority: filepath.Join(dir, "ca.pem"), Certificate: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem")}
+	if err := ca.Issue(f, name); err != nil {
+		t.Fatal(err)
+	}
+	id, err := identity.Load(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, stop, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), id, &timeline.Clock{}, hclog.NewNullLogger(), h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	return n
+}
+
+func authority(t *testing.T) *identity.Authority {
+	t.Helper()
+	ca, err := identity.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ca
+}
+
+// Guards against messages that do not arrive, arrive under a wrong name, or stop after a connection was reset.
+func TestSendAndReset(t *testing.T) {
+	ca, in := authority(t), newInbox()
+	a, b := node(t, ca, "a", newInbox()), node(t, ca, "b", in)
+	for _, m := range []Message{&Pull{Have: 1}, &Rev{Number: 2, Body: make([]byte, 4*MaxDatagram)}} {
+		a.Send(b.Addr(), m)
+		if got := <-in.got; !reflect.DeepEqual(got, m) {
+			t.Fatalf("got %+v", got)
+		}
+		if f := <-in.from; f.Name != "a" || f.Addr != a.Addr() {
+			t.Fatalf("message came from %+v", f)
+		}
+	}
+	a.Reset(b.Addr())
+	a.Send(b.Addr(), &Pull{Have: 3})
+	if got := (<-in.got).(*Pull); got.Have != 3 {
+		t.Fatalf("got %+v after the reset", got)
+	}
+}
+
+// Guards against a question that is answered with another message or not at all.
+func TestAsk(t *testing.T) {
+	ca, in := authority(t), newInbox()
+	in.answer = &Rev{Number: 5, Body: bytes.Repeat([]byte("x"), 100_000)}
+	a, b := node(t, ca, "a", newInbox()), node(t, ca, "b", in)
+	got, err := a.Ask(t.Context(), b.Addr(), &Pull{})
+	if err != nil || !reflect.DeepEqual(got, in.answer) {
+		t.Fatalf("got %T, error %v", got, err)
+	}
+	silent := node(t, ca, "c", newInbox())
+	if got, err := a.Ask(t.Context(), silent.Addr(), &Pull{}); got != nil || err != nil {
+		t.Fatalf("got %v, error %v, want neither", got, err)
+	}
+}
+
+// Guards against a daemon of another deployment, whose certificates come from another authority, joining this one.
+func TestOtherAuthorityIsRefused(t *testing.T) {
+	in := newInbox()
+	a, b := node(t, authority(t), "a", newInbox()), node(t, authority(t), "b", in)
+	if got, err := a.Ask(t.Context(), b.Addr(), &Pull{}); err == nil {
+		t.Fatalf("got %v from a daemon with a certificate of another authority", got)
+	}
+}
