--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	@for m in $(MODULES); do (cd $$m && $(CURDIR)/$(LINT) fmt) || exit 1; done
 
 lint: $(LINT)
-	@for m in $(MODULES); do (cd $$m && $(CURDIR)/$(LINT) fmt --diff && $(CURDIR)/$(LINT) run) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && $(CURDIR)/$(LINT) fmt --diff && $(CURDIR)/$(LINT) run --allow-parallel-runners) || exit 1; done
 
 tidy:
 	@for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy) || exit 1; done
--- a/internal/ini/ini.go
+++ b/internal/ini/ini.go
@@ -79,10 +79,11 @@
 // Parse splits a file into sections. Syntax faults are kept and come out of Err with the rest.
 func Parse(name string, text []byte) *File {
 	f := &File{Name: name}
-	if _, err := ini.LoadSources(ini.LoadOptions{AllowNonUniqueSections: true, IgnoreInlineComment: false}, text); err != nil {
-		f.add(Fault{Msg: err.Error()})
-	}
 	f.index(text)
+	// The pass above names the line; the parser's own message is only needed for what that pass does not see.
+	if _, err := ini.LoadSources(ini.LoadOptions{AllowNonUniqueSections: true}, text); err != nil && len(f.faults) == 0 {
+		f.add(Fault{Msg: strings.TrimSpace(err.Error())})
+	}
 	return f
 }
 
--- a/internal/note/note.go
+++ b/internal/note/note.go
@@ -414,3 +414,114 @@
 	sum := sha256.Sum256([]byte(key))
 	return hex.EncodeToString(sum[:])
 }
+
+// Change is one difference between two configurations.
+type Change struct {
+	Verb Verb   `json:"verb"`
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	// Fields lists what differs, for a changed item, as "field: old -> new".
+	Fields []string `json:"fields,omitempty"`
+}
+
+func (c Change) String() string {
+	s := fmt.Sprintf("%s %s %s", c.Verb, c.Kind, c.Name)
+	if len(c.Fields) > 0 {
+		s += ": " + strings.Join(c.Fields, ", ")
+	}
+	return s
+}
+
+// Diff lists what is added, changed and withdrawn between two configurations, in order of kind and name. Keys of
+// organisations are not shown.
+func Diff(a, b Config) []Change {
+	return slices.Concat(
+		diff(KindModel, a.Models, b.Models, ModelService.fields),
+		diff(KindPlain, a.Plains, b.Plains, PlainService.fields),
+		diff(KindOrganisation, a.Organisations, b.Organisations, Organisation.fields),
+		diff(KindWork, a.Works, b.Works, Work.fields),
+	)
+}
+
+// field is a value of an item as it is shown.
+type field struct{ name, value string }
+
+func (m ModelService) fields() []field {
+	return []field{
+		{"model", m.Model},
+		{"version", m.Version},
+		{"adapters", strings.Join(m.Adapters, " ")},
+		{"copies", fmt.Sprint(m.Copies)},
+		{"instances", fmt.Sprint(m.Instances)},
+		{"data-centres", strings.Join(m.DataCentres, " ")},
+		{"slots", fmt.Sprint(m.Slots)},
+	}
+}
+
+func (p PlainService) fields() []field {
+	var once, repeatable []string
+	for _, r := range p.Routes {
+		if r.Repeatable {
+			repeatable = append(repeatable, r.Method+" "+r.Path)
+		} else {
+			once = append(once, r.Method+" "+r.Path)
+		}
+	}
+	return []field{
+		{"once", strings.Join(once, " ")},
+		{"repeatable", strings.Join(repeatable, " ")},
+		{"data-centres", strings.Join(p.DataCentres, " ")},
+		{"slots", fmt.Sprint(p.Slots)},
+	}
+}
+
+func (o Organisation) fields() []field {
+	return []field{
+		{"keys", fmt.Sprintf("%d with digest %.8s", len(o.Keys), HashKey(strings.Join(o.Keys, " ")))},
+		{"weight", fmt.Sprint(o.Weight)},
+		{"services", strings.Join(o.Services, " ")},
+		{"queue", fmt.Sprint(o.Queue)},
+	}
+}
+
+func (w Work) fields() []field {
+	return []field{
+		{"service", w.Service},
+		{"rank", w.Rank.String()},
+		{"deadline", w.Deadline.String()},
+		{"floor", fmt.Sprint(w.Floor)},
+	}
+}
+
+func diff[T any](kind string, a, b map[string]T, fields func(T) []field) []Change {
+	names := slices.Collect(maps.Keys(a))
+	for n := range b {
+		if _, ok := a[n]; !ok {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names)
+	var out []Change
+	for _, n := range names {
+		x, inA := a[n]
+		y, inB := b[n]
+		switch {
+		case !inA:
+			out = append(out, Change{Verb: Added, Kind: kind, Name: n})
+		case !inB:
+			out = append(out, Change{Verb: Withdrawn, Kind: kind, Name: n})
+		default:
+			var changed []string
+			old := fields(x)
+			for i, f := range fields(y) {
+				if f.value != old[i].value {
+					changed = append(changed, fmt.Sprintf("%s: %s -> %s", f.name, old[i].value, f.value))
+				}
+			}
+			if len(changed) > 0 {
+				out = append(out, Change{Verb: Changed, Kind: kind, Name: n, Fields: changed})
+			}
+		}
+	}
+	return out
+}
