Keep the configuration by revisions that spread between daemons

Cause: a daemon read the configuration only from the table, so an outage kept fresh or cut-off daemons without it, and a lost answer left an operator without knowing whether the note was accepted. Conclusion: not wired into the daemon yet; that follows when group control has moved out of it.

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,282 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"flamingorudder.example/internal/note"
+	"flamingorudder.example/internal/peer"
+	"flamingorudder.example/internal/platform"
+	"flamingorudder.example/internal/timeline"
+	"flamingorudder.example/internal/timer"
+)
+
+// fakeTable is a table service whose answers can be lost after or before the effect.
+type fakeTable struct {
+	mu      sync.Mutex
+	version uint64
+	rows    map[string]platform.Row
+	down    bool
+	// loseAfter and loseBefore count commits whose answers are lost, with and without effect.
+	loseAfter, loseBefore int
+	// beforeCommit runs before each commit, to let a racing operator in.
+	beforeCommit func()
+}
+
+func (f *fakeTable) Read(_ context.Context, key string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Row{}, &platform.Unavailable{Err: context.DeadlineExceeded}
+	}
+	return f.rows[key], nil
+}
+
+func (f *fakeTable) Scan(_ context.Context, prefix string) ([]platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []platform.Row
+	for _, k := range slices.Sorted(maps.Keys(f.rows)) {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, f.rows[k])
+		}
+	}
+	return out, nil
+}
+
+func (f *fakeTable) Commit(_ context.Context, t platform.Txn) (uint64, error) {
+	if hook := f.beforeCommit; hook != nil {
+		f.beforeCommit = nil
+		hook()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return 0, &platform.Unavailable{Err: context.DeadlineExceeded}
+	}
+	if f.loseBefore > 0 {
+		f.loseBefore--
+		return 0, &platform.Unknown{Op: t.Op, Err: context.DeadlineExceeded}
+	}
+	for _, c := range t.Checks {
+		if have := f.rows[c.Key].Version; have != c.Version {
+			return 0, &platform.Conflict{Key: c.Key, Version: have}
+		}
+	}
+	f.version++
+	for _, w := range t.Writes {
+		f.rows[w.Key] = platform.Row{Key: w.Key, Version: f.version, Op: t.Op, Value: w.Value}
+	}
+	if f.loseAfter > 0 {
+		f.loseAfter--
+		return 0, &platform.Unknown{Op: t.Op, Err: context.DeadlineExceeded}
+	}
+	return f.version, nil
+}
+
+// network carries messages between keepers; a cut daemon is not reached.
+type network struct {
+	mu      sync.Mutex
+	keepers map[netip.AddrPort]*Keeper
+	cut     map[netip.AddrPort]bool
+}
+
+type port struct {
+	n    *network
+	self netip.AddrPort
+}
+
+func (p port) at(to netip.AddrPort) *Keeper {
+	p.n.mu.Lock()
+	defer p.n.mu.Unlock()
+	if p.n.cut[to] || p.n.cut[p.self] {
+		return nil
+	}
+	return p.n.keepers[to]
+}
+
+func (p port) Send(to netip.AddrPort, m peer.Message) {
+	if k := p.at(to); k != nil {
+		k.Receive(peer.From{Addr: p.self}, m)
+	}
+}
+
+func (p port) Ask(_ context.Context, to netip.AddrPort, m peer.Message) (peer.Message, error) {
+	if k := p.at(to); k != nil {
+		return k.Answer(m.(*peer.Pull)), nil
+	}
+	return nil, &platform.Unavailable{Err: context.DeadlineExceeded}
+}
+
+func fleet(t *testing.T, table *fakeTable, n int) (*network, []*Keeper) {
+	t.Helper()
+	net := &network{keepers: map[netip.AddrPort]*Keeper{}, cut: map[netip.AddrPort]bool{}}
+	var ks []*Keeper
+	var all []netip.AddrPort
+	for i := range n {
+		all = append(all, addrOf(i))
+	}
+	for i := range n {
+		self := addrOf(i)
+		k := New(Deps{
+			Table: table, Peers: port{net, self},
+			Others: func() []netip.AddrPort {
+				return slices.DeleteFunc(slices.Clone(all), func(a netip.AddrPort) bool { return a == self })
+			},
+			Hello: func() peer.Hello { return peer.Hello{Addr: self} },
+			Apply: func(note.Config) {},
+			Log:   hclog.NewNullLogger(), Line: timeline.NewLog("test", 1024),
+			Random: rand.New(rand.NewPCG(1, uint64(i))),
+		})
+		net.keepers[self] = k
+		ks = append(ks, k)
+	}
+	return net, ks
+}
+
+func addrOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 9000)
+}
+
+func newTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+
+func noteText(base int, service string) []byte {
+	return fmt.Appendf(nil, "[note]\nbase = %d\nabout = add %s\n\n[added model-service %s]\nmodel = m\nversion = 1\ncopies = 1\ninstances = 1\n", base, service, service)
+}
+
+// run starts keepers and returns a function that stops them.
+func run(t *testing.T, ks ...*Keeper) func() {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	g, ctx := errgroup.WithContext(ctx)
+	for _, k := range ks {
+		g.Go(func() error { return k.Run(ctx) })
+	}
+	return func() {
+		cancel()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func applied(k *Keeper) uint64 {
+	_, n := k.Numbers()
+	return n
+}
+
+// Guards against a note that is accepted twice, or reported as failed though it was accepted, when the table loses
+// the answer of the transaction before or after its effect.
+func TestLostAnswer(t *testing.T) {
+	for name, table := range map[string]*fakeTable{"after": newTable(), "before": newTable()} {
+		synctest.Test(t, func(t *testing.T) {
+			if name == "after" {
+				table.loseAfter = 1
+			} else {
+				table.loseBefore = 2
+			}
+			_, ks := fleet(t, table, 1)
+			got, err := ks[0].Accept(t.Context(), "op-1", noteText(0, "a"))
+			if err != nil || got != 1 {
+				t.Fatalf("%s: revision %d, error %v", name, got, err)
+			}
+			// The operator repeats the call because its own connection broke.
+			got, err = ks[0].Accept(t.Context(), "op-1", noteText(0, "a"))
+			if err != nil || got != 1 {
+				t.Fatalf("%s: repeat gave revision %d, error %v", name, got, err)
+			}
+			if h, _ := ks[0].History(t.Context()); len(h) != 1 {
+				t.Fatalf("%s: %d notes were accepted, want 1", name, len(h))
+			}
+		})
+	}
+}
+
+// Guards against one of two racing operators overwriting the other's note; the loser must be told what changed.
+func TestRace(t *testing.T) {
+	table := newTable()
+	_, ks := fleet(t, table, 2)
+	table.beforeCommit = func() {
+		if _, err := ks[1].Accept(t.Context(), "op-2", noteText(0, "winner")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_, err := ks[0].Accept(t.Context(), "op-1", noteText(0, "loser"))
+	var raced *Raced
+	if !errors.As(err, &raced) || raced.Current != 1 || raced.About != "add winner" || len(raced.Changes) != 1 || raced.Changes[0].Name != "winner" {
+		t.Fatalf("error %v", err)
+	}
+	if c, _, _ := ks[0].Head(t.Context()); len(c.Models) != 1 || c.Models["winner"].Model != "m" {
+		t.Fatalf("configuration %+v", c)
+	}
+}
+
+// Guards against daemons that do not hear of a revision: the target is 2 s at 7 daemons.
+func TestInForceEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, ks := fleet(t, newTable(), 7)
+		defer run(t, ks...)()
+		if _, err := ks[0].Accept(t.Context(), "op", noteText(0, "a")); err != nil {
+			t.Fatal(err)
+		}
+		pass(t, 2*time.Second)
+		for i, k := range ks {
+			if applied(k) != 1 {
+				t.Errorf("daemon %d has revision %d in force", i, applied(k))
+			}
+		}
+	})
+}
+
+// Guards against a daemon that stays on an old revision after it was cut off while the table is down, and against a
+// fresh daemon that cannot start without the table.
+func TestTableDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newTable()
+		net, ks := fleet(t, table, 4)
+		late := addrOf(3)
+		net.cut[late] = true
+		stop := run(t, ks[:3]...)
+		defer stop()
+		if _, err := ks[0].Accept(t.Context(), "op", noteText(0, "a")); err != nil {
+			t.Fatal(err)
+		}
+		pass(t, 2*time.Second)
+		table.mu.Lock()
+		table.down = true
+		table.mu.Unlock()
+		defer run(t, ks[3])()
+		pass(t, time.Second)
+		if _, ok := ks[3].Config(); ok {
+			t.Fatal("a daemon without table and peers has a configuration")
+		}
+		net.mu.Lock()
+		net.cut[late] = false
+		net.mu.Unlock()
+		pass(t, 2*time.Second)
+		if applied(ks[3]) != 1 {
+			t.Fatalf("revision %d from peers, want 1", applied(ks[3]))
+		}
+	})
+}
+
+// pass lets the time of the bubble go on.
+func pass(t *testing.T, d time.Duration) {
+	t.Helper()
+	if err := timer.Wait(t.Context(), d); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,61 @@
+package registry
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// Guards against a dead daemon that keeps duties, and against one that came back and never gets them again.
+func TestSuspectAndReturn(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := New(Entry{Name: "a"})
+	r.Learn(Entry{Name: "b", Boot: 1})
+	r.Learn(Entry{Name: "c", Boot: 1})
+	if !r.Suspect("b", now) || r.Suspect("b", now) {
+		t.Error("only the first suspicion is news")
+	}
+	if got := r.Live(now); !slices.Equal(got, []string{"a", "c"}) {
+		t.Errorf("live %v while b is suspect", got)
+	}
+	if got := r.Live(now.Add(SuspectTime)); !slices.Equal(got, []string{"a", "b", "c"}) {
+		t.Errorf("live %v after the suspicion ran out", got)
+	}
+	r.Suspect("b", now)
+	r.Heard("b", 0)
+	if got := r.Live(now); !slices.Contains(got, "b") {
+		t.Errorf("live %v after b was heard", got)
+	}
+	r.Suspect("b", now)
+	r.Learn(Entry{Name: "b", Boot: 2})
+	if got := r.Live(now); !slices.Contains(got, "b") {
+		t.Errorf("live %v after b restarted", got)
+	}
+}
+
+// Guards against an entry of an earlier start that overwrites the present one, which would send messages to an address
+// that somebody else may have by now.
+func TestOldEntryIsIgnored(t *testing.T) {
+	r := New(Entry{Name: "a"})
+	r.Learn(Entry{Name: "b", Boot: 2, DataCentre: "new"})
+	r.Learn(Entry{Name: "b", Boot: 1, DataCentre: "old"})
+	if e, _ := r.Entry("b"); e.DataCentre != "new" {
+		t.Errorf("entry %+v", e)
+	}
+}
+
+// Guards against an empty list, a fault of the platform, that makes every daemon its own fleet.
+func TestListOfInstances(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := New(Entry{Name: "a"})
+	r.Learn(Entry{Name: "b"})
+	r.Learn(Entry{Name: "c", Leaving: true})
+	r.Present(nil)
+	if got := r.Live(now); !slices.Equal(got, []string{"a", "b"}) {
+		t.Errorf("live %v after an empty list", got)
+	}
+	r.Present([]string{"a"})
+	if got := r.Live(now); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("live %v after b left the list", got)
+	}
+}
