Add the missing calls to the engine client

Change: Client.Cache, ExportKV and ImportKV; Prefixes defines the hashes of a prompt's prefixes once for engines and daemons; NewClientOver takes a transport, for tests over a network in memory. A 409 with a reason is *Refused. State and Order carry role and adapter. The attempt id is escaped in the address of Resume, whose doc comment states that *Refused there does not mean that the attempt was not run.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -15,9 +15,12 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Headers of the engine protocol.
@@ -77,6 +80,52 @@
 	Loaded     bool   `json:"loaded"`
 	Model      string `json:"model"`
 	Version    string `json:"version"`
+	Role       string `json:"role,omitempty"`
+	Adapter    string `json:"adapter,omitempty"`
+}
+
+// CacheOp is what happened to a cached prefix.
+type CacheOp string
+
+// Operations of a cache event.
+const (
+	CacheAdd  CacheOp = "add"
+	CacheDrop CacheOp = "drop"
+)
+
+// CacheEvent reports a change of an engine's prefix cache. Seq counts events from 1; a gap in it means that events were
+// lost.
+type CacheEvent struct {
+	Seq uint64  `json:"seq"`
+	Op  CacheOp `json:"op"`
+	// Prefix is one of the hashes of Prefixes. It is a string in JSON because not every decoder keeps 64 bits of a number.
+	Prefix uint64 `json:"prefix,string"`
+}
+
+// CacheEvents are the events from a sequence number on; Next is the number to ask from the next time.
+type CacheEvents struct {
+	Next   uint64       `json:"next"`
+	Events []CacheEvent `json:"events"`
+}
+
+// prefixBlock is the length of the blocks, in bytes, at whose ends prefixes of a prompt are cached.
+const prefixBlock = 64
+
+// Prefixes returns the hashes of a prompt's prefixes at growing lengths, shortest first. Each covers the model and a
+// whole number of blocks of the messages.
+func Prefixes(c Chat) []uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(c.Model + "\x00")
+	var text []byte
+	for _, m := range c.Messages {
+		text = append(append(append(append(text, m.Role...), 0), m.Content...), 0)
+	}
+	out := make([]uint64, 0, len(text)/prefixBlock)
+	for ; len(text) >= prefixBlock; text = text[prefixBlock:] {
+		_, _ = d.Write(text[:prefixBlock])
+		out = append(out, d.Sum64())
+	}
+	return out
 }
 
 // Op is what an order asks for.
@@ -103,6 +152,8 @@
 	Members    []netip.AddrPort `json:"members,omitempty"`
 	Model      string           `json:"model,omitempty"`
 	Version    string           `json:"version,omitempty"`
+	Role       string           `json:"role,omitempty"`
+	Adapter    string           `json:"adapter,omitempty"`
 }
 
 // Fenced reports that an engine refused an order because it has seen a higher fencing token.
@@ -173,6 +224,9 @@
 	return &Client{http: &http.Client{Transport: tr}}, tr.CloseIdleConnections
 }
 
+// NewClientOver returns a client that sends over a transport of the caller's.
+func NewClientOver(rt http.RoundTripper) *Client { return &Client{http: &http.Client{Transport: rt}} }
+
 // Foreign is the number of chunks dropped because they belonged to another attempt.
 func (c *Client) Foreign() uint64 { return c.foreign.Load() }
 
@@ -211,10 +265,12 @@
 	return c.open(req, a.ID, 0)
 }
 
-// Resume continues the answer of an earlier attempt from token from on, over any connection.
+// Resume continues the answer of an earlier attempt from token from on, over any connection. Here *Refused means only
+// that the engine cannot continue the attempt, not that the attempt was not run; its reason is "attempt" (unknown),
+// "cancelled", "deadline" or "lost".
 func (c *Client) Resume(ctx context.Context, addr netip.AddrPort, attempt string, from int) (*Stream, error) {
-	url := "http://" + addr.String() + "/v1/stream?attempt=" + attempt + "&from=" + strconv.Itoa(from)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	target := "http://" + addr.String() + "/v1/stream?attempt=" + url.QueryEscape(attempt) + "&from=" + strconv.Itoa(from)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return nil, &NotSent{Err: err}
 	}
@@ -313,7 +369,32 @@
 	return s, err
 }
 
-// Order gives an order. It fails with *Fenced when the engine has seen a higher fencing token.
+// Cache returns the events of the engine's prefix cache from sequence number since on.
+func (c *Client) Cache(ctx context.Context, addr netip.AddrPort, since uint64) (CacheEvents, error) {
+	var v CacheEvents
+	err := c.call(ctx, http.MethodGet, addr, "/cache?since="+strconv.FormatUint(since, 10), nil, &v)
+	return v, err
+}
+
+// ExportKV returns the KV cache of a prefix as a blob that ImportKV of another engine takes.
+func (c *Client) ExportKV(ctx context.Context, addr netip.AddrPort, prefix uint64) ([]byte, error) {
+	var blob json.RawMessage
+	err := c.call(ctx, http.MethodPost, addr, "/kv/export", KV{Prefix: prefix}, &blob)
+	return blob, err
+}
+
+// ImportKV puts the KV cache of a prefix into an engine.
+func (c *Client) ImportKV(ctx context.Context, addr netip.AddrPort, blob []byte) error {
+	return c.call(ctx, http.MethodPost, addr, "/kv/import", json.RawMessage(blob), nil)
+}
+
+// KV names a cached prefix.
+type KV struct {
+	Prefix uint64 `json:"prefix,string"`
+}
+
+// Order gives an order. It fails with *Fenced when the engine has seen a higher fencing token, and with *Refused when
+// an order that changes a loaded engine names another group or generation.
 func (c *Client) Order(ctx context.Context, addr netip.AddrPort, o Order) error {
 	return c.call(ctx, http.MethodPost, addr, "/order", o, nil)
 }
@@ -338,11 +419,17 @@
 	defer func() { _ = resp.Body.Close() }()
 	switch {
 	case resp.StatusCode == http.StatusConflict:
-		f := &Fenced{}
-		if err := json.NewDecoder(resp.Body).Decode(f); err != nil {
+		var f struct {
+			Fenced
+			Reason string `json:"reason"`
+		}
+		if err := json.NewDecoder(resp.Body).Decode(&f); err != nil {
 			return fmt.Errorf("%s %s at %s: decode: %w", method, path, addr, err)
 		}
-		return f
+		if f.Reason != "" {
+			return &Refused{Status: resp.StatusCode, Reason: f.Reason}
+		}
+		return &f.Fenced
 	case resp.StatusCode != http.StatusOK:
 		return &Refused{Status: resp.StatusCode, Reason: path}
 	case out == nil:
