Complete the stand-ins and put them under one control address

Weights come from the platform's rate-limited store. Ports fail as those of real instances do: silent, dark, killed. Every stand-in has the same faults under /control/fault and records runs and loaded intervals; cmd/standin serves all of them at one address, "control" in addresses.json. NewEngine returns a clean-up function.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -33,9 +33,17 @@
 		ArgsUsage: "FLEET.ini",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "dir", Usage: "folder for the addresses and the daemons' settings", Value: "run"},
-			&cli.DurationFlag{Name: "load", Usage: "time that an engine takes to load a model", Value: time.Second},
+			&cli.DurationFlag{Name: "load", Usage: "time that the weight store takes for one load", Value: time.Second},
+			&cli.IntFlag{Name: "loads", Usage: "number of loads that the weight store serves at a time", Value: 64},
 			&cli.DurationFlag{Name: "first", Usage: "time to the first token", Value: 40 * time.Millisecond},
 			&cli.DurationFlag{Name: "token", Usage: "time between tokens", Value: 10 * time.Millisecond},
+			&cli.FloatFlag{Name: "growth", Usage: "part by which each further running request lengthens the time between tokens"},
+			&cli.IntFlag{Name: "slots", Usage: "requests that an engine runs at a time", Value: 16},
+			&cli.IntFlag{Name: "queue", Usage: "requests that wait at an engine before it is busy", Value: 16},
+			&cli.IntFlag{Name: "cache", Usage: "prompt prefixes that an engine caches", Value: 512},
+			&cli.DurationFlag{Name: "lag", Usage: "age of load reports and cache events", Value: 100 * time.Millisecond},
+			&cli.Uint64Flag{Name: "gap", Usage: "every how many cache events one is lost; 0 loses none", Value: 50},
+			&cli.DurationFlag{Name: "roster-lag", Usage: "age of the list of instances", Value: 500 * time.Millisecond},
 		},
 		Action: run,
 	}
@@ -49,10 +57,12 @@
 
 // addresses is what the other programs of a run need to know.
 type addresses struct {
-	Platform netip.AddrPort   `json:"platform"`
-	Daemons  []daemonAddrs    `json:"daemons"`
-	Engines  []netip.AddrPort `json:"engines"`
-	Plains   []netip.AddrPort `json:"plains"`
+	Platform netip.AddrPort `json:"platform"`
+	// Control serves the faults and records of all stand-ins.
+	Control netip.AddrPort   `json:"control"`
+	Daemons []daemonAddrs    `json:"daemons"`
+	Engines []netip.AddrPort `json:"engines"`
+	Plains  []netip.AddrPort `json:"plains"`
 }
 
 type daemonAddrs struct {
@@ -69,9 +79,12 @@
 	ctx      context.Context
 	c        *cli.Command
 	platform *standin.Platform
+	control  *standin.Fleet
 	addrs    addresses
 	fencing  bool
-	list     []platform.Instance
+	// stops are the clean-up functions of the engines.
+	stops []func()
+	list  []platform.Instance
 }
 
 func run(ctx context.Context, c *cli.Command) error {
@@ -86,8 +99,18 @@
 	head.Known("region")
 	daemons := head.Int("daemons", 7, 1, 64)
 	g, ctx := errgroup.WithContext(ctx)
-	f := &fleet{g: g, ctx: ctx, c: c, platform: standin.NewPlatform(500 * time.Millisecond), fencing: head.Choice("fencing", "yes", "yes", "no") == "yes"}
-	if f.addrs.Platform, err = f.serve(f.platform); err != nil {
+	p := standin.NewPlatform(c.Duration("roster-lag"))
+	p.SetWeights(c.Duration("load"), max(c.Int("loads"), 1))
+	f := &fleet{g: g, ctx: ctx, c: c, platform: p, control: standin.NewFleet(p), fencing: head.Choice("fencing", "yes", "yes", "no") == "yes"}
+	defer func() {
+		for _, stop := range f.stops {
+			stop()
+		}
+	}()
+	if f.addrs.Platform, err = f.serve(f.platform, p.Control()); err != nil {
+		return err
+	}
+	if f.addrs.Control, err = f.serve(f.control, nil); err != nil {
 		return err
 	}
 	var centres []string
@@ -105,6 +128,7 @@
 	if err := f.daemons(head.String("name", ""), daemons, centres); err != nil {
 		return err
 	}
+	// The instances join the list together, so that no daemon meets a list of a part of them.
 	f.platform.Add(f.list...)
 	b, err := json.MarshalIndent(f.addrs, "", "  ")
 	if err != nil {
@@ -113,16 +137,24 @@
 	if err := os.WriteFile(filepath.Join(c.String("dir"), "addresses.json"), b, 0o644); err != nil {
 		return fmt.Errorf("write addresses: %w", err)
 	}
-	fmt.Printf("stand-ins of %s are up: platform %s, %d engines, %d plain services\n", head.String("name", ""), f.addrs.Platform, len(f.addrs.Engines), len(f.addrs.Plains))
+	fmt.Printf("stand-ins of %s are up: platform %s, control %s, %d engines, %d plain services\n", head.String("name", ""), f.addrs.Platform, f.addrs.Control, len(f.addrs.Engines), len(f.addrs.Plains))
 	return g.Wait()
 }
 
-// serve serves a handler on a free port until the fleet stops.
-func (f *fleet) serve(h http.Handler) (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func (f *fleet) add(i platform.Instance, s standin.Instance) {
+	f.list = append(f.list, i)
+	f.control.Add(i, s)
+}
+
+// serve serves a handler on a free port until the fleet stops. The port follows the faults of c, if there is one.
+func (f *fleet) serve(h http.Handler, c *standin.Control) (netip.AddrPort, error) {
+	l, err := standin.Listen()
 	if err != nil {
 		return netip.AddrPort{}, fmt.Errorf("listen: %w", err)
 	}
+	if c != nil {
+		c.Attach(l)
+	}
 	s := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0))
 	s.HandlePrefix("/", h)
 	f.g.Go(func() error { return s.Start(f.ctx) })
@@ -142,12 +174,17 @@
 		}
 		for i := range n {
 			id := fmt.Sprintf("%s-%d-%02d", name, k+1, i+1)
-			a, err := f.serve(standin.NewEngine(standin.EngineSpec{ID: id, Slots: 16, First: f.c.Duration("first"), Token: f.c.Duration("token"), Load: f.c.Duration("load"), Fencing: f.fencing}))
+			e, stop := standin.NewEngine(standin.EngineSpec{
+				ID: id, Slots: f.c.Int("slots"), Queue: f.c.Int("queue"), First: f.c.Duration("first"), Token: f.c.Duration("token"), Growth: f.c.Float("growth"),
+				Platform: f.addrs.Platform, Fencing: f.fencing, Cache: f.c.Int("cache"), Gap: f.c.Uint64("gap"), Lag: f.c.Duration("lag"),
+			})
+			f.stops = append(f.stops, stop)
+			a, err := f.serve(e, e.Control())
 			if err != nil {
 				return err
 			}
 			f.addrs.Engines = append(f.addrs.Engines, a)
-			f.list = append(f.list, platform.Instance{ID: id, Addr: a, Kind: platform.KindEngine, DataCentre: name, Domain: fmt.Sprintf("%s-%d", name, k+1), Accelerators: 8, State: platform.Live})
+			f.add(platform.Instance{ID: id, Addr: a, Kind: platform.KindEngine, DataCentre: name, Domain: fmt.Sprintf("%s-%d", name, k+1), Accelerators: 8, State: platform.Live}, e)
 		}
 	}
 	service, count, _ := strings.Cut(s.String("plain", ""), " ")
@@ -158,12 +195,13 @@
 	}
 	for i := range n {
 		id := fmt.Sprintf("%s-%s-%d", service, name, i+1)
-		a, err := f.serve(standin.NewPlain(id, 5*time.Millisecond))
+		s := standin.NewPlain(id, 5*time.Millisecond)
+		a, err := f.serve(s, s.Control())
 		if err != nil {
 			return err
 		}
 		f.addrs.Plains = append(f.addrs.Plains, a)
-		f.list = append(f.list, platform.Instance{ID: id, Addr: a, Kind: platform.KindPlain, Service: service, DataCentre: name, State: platform.Live})
+		f.add(platform.Instance{ID: id, Addr: a, Kind: platform.KindPlain, Service: service, DataCentre: name, State: platform.Live}, s)
 	}
 	return nil
 }
@@ -196,7 +234,7 @@
 		if err := os.WriteFile(d.Settings, []byte(text), 0o644); err != nil {
 			return fmt.Errorf("write settings: %w", err)
 		}
-		f.list = append(f.list, platform.Instance{ID: d.Name, Addr: d.Caller, Kind: platform.KindDaemon, DataCentre: centre, State: platform.Live})
+		f.add(platform.Instance{ID: d.Name, Addr: d.Caller, Kind: platform.KindDaemon, DataCentre: centre, State: platform.Live}, nil)
 	}
 	return nil
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -26,9 +26,15 @@
 	// roster is the truth; shown is what callers get, which lags by Lag.
 	roster map[string]platform.Instance
 	shown  []snapshot
-	lag    time.Duration
-	faults PlatformFaults
-	mux    *http.ServeMux
+	// gone holds the instances that are left out of the list.
+	gone    map[string]bool
+	lag     time.Duration
+	commits []Commit
+	// weights holds a token for each load that is being served.
+	weights    chan struct{}
+	weightTime time.Duration
+	control    Control
+	mux        *http.ServeMux
 }
 
 type snapshot struct {
@@ -36,29 +42,44 @@
 	list []platform.Instance
 }
 
-// PlatformFaults is what the control port can make go wrong.
-type PlatformFaults struct {
-	// Down refuses every call with 503.
-	Down bool `json:"down"`
-	// Slow delays every call, in milliseconds.
-	Slow int `json:"slow_ms"`
-	// Lose drops the answers of that many transactions after they took effect.
-	Lose int `json:"lose"`
-}
+// PlatformFaults are the faults of a platform.
+type PlatformFaults = Faults
 
 // NewPlatform returns an empty platform whose list of instances lags by lag.
 func NewPlatform(lag time.Duration) *Platform {
-	p := &Platform{rows: map[string]platform.Row{}, objects: map[string][]byte{}, roster: map[string]platform.Instance{}, lag: lag, mux: http.NewServeMux()}
+	p := &Platform{rows: map[string]platform.Row{}, objects: map[string][]byte{}, roster: map[string]platform.Instance{}, gone: map[string]bool{}, lag: lag, mux: http.NewServeMux()}
+	p.SetWeights(0, 1)
+	p.control.effect = func(r *http.Request) (bool, bool) {
+		write := r.Method != http.MethodGet
+		return write, write
+	}
 	p.mux.HandleFunc("POST /table/txn", p.txn)
 	p.mux.HandleFunc("GET /table/read", p.read)
 	p.mux.HandleFunc("GET /roster", p.list)
 	p.mux.HandleFunc("PUT /object/{name}", p.put)
 	p.mux.HandleFunc("GET /object/{name}", p.get)
-	p.mux.HandleFunc("POST /control/faults", p.setFaults)
+	p.mux.HandleFunc("GET /weights/{model}/{version}", p.getWeights)
 	p.mux.HandleFunc("POST /control/instance", p.setInstance)
+	p.mux.HandleFunc("GET /control/runs", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, p.Record()) })
 	return p
 }
 
+// SetWeights sets the rate of the weight store: how long one load takes, and how many are served at a time while the
+// others wait. It is called before the platform serves.
+func (p *Platform) SetWeights(took time.Duration, loads int) {
+	p.weightTime, p.weights = took, make(chan struct{}, loads)
+}
+
+// Control returns the faults of the platform.
+func (p *Platform) Control() *Control { return &p.control }
+
+// Record returns the transactions that took effect.
+func (p *Platform) Record() Record {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Record{Runs: []Run{}, Spans: []Span{}, Commits: copied(p.commits)}
+}
+
 // Add puts instances on the list at once.
 func (p *Platform) Add(list ...platform.Instance) {
 	p.mu.Lock()
@@ -70,34 +91,41 @@
 }
 
 // SetFaults replaces the faults in force.
-func (p *Platform) SetFaults(f PlatformFaults) {
+func (p *Platform) SetFaults(f PlatformFaults) { _ = p.control.Set(f) }
+
+// mark shows an instance as leaving, or takes it off the list.
+func (p *Platform) mark(id string, leaving, gone bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.faults = f
+	i, ok := p.roster[id]
+	if !ok {
+		return
+	}
+	i.State = platform.Live
+	if leaving {
+		i.State = platform.Leaving
+	}
+	p.roster[id], p.gone[id] = i, gone
+	p.snap()
 }
 
 func (p *Platform) snap() {
-	list := slices.Collect(maps.Values(p.roster))
+	list := []platform.Instance{}
+	for _, i := range p.roster {
+		if !p.gone[i.ID] {
+			list = append(list, i)
+		}
+	}
 	slices.SortFunc(list, func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
 	p.shown = append(p.shown, snapshot{at: time.Now(), list: list})
-}
-
-func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !strings.HasPrefix(r.URL.Path, "/control/") {
-		p.mu.Lock()
-		f := p.faults
-		p.mu.Unlock()
-		if f.Slow > 0 && timer.Wait(r.Context(), time.Duration(f.Slow)*time.Millisecond) != nil {
-			return
-		}
-		if f.Down {
-			http.Error(w, "down", http.StatusServiceUnavailable)
-			return
-		}
+	// A list older than any lag in use is not needed again.
+	if len(p.shown) > 1024 {
+		p.shown = slices.Delete(p.shown, 0, 512)
 	}
-	p.mux.ServeHTTP(w, r)
 }
 
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.control.serve(w, r, p.mux) }
+
 func (p *Platform) txn(w http.ResponseWriter, r *http.Request) {
 	var t platform.Txn
 	if !decode(w, r, &t) {
@@ -112,17 +140,16 @@
 		}
 	}
 	p.version++
+	done := Commit{Op: t.Op, Version: p.version, At: now()}
 	for _, x := range t.Writes {
+		done.Keys = append(done.Keys, x.Key)
 		if x.Delete {
 			delete(p.rows, x.Key)
 			continue
 		}
 		p.rows[x.Key] = platform.Row{Key: x.Key, Version: p.version, Op: t.Op, Value: x.Value}
 	}
-	if p.faults.Lose > 0 {
-		p.faults.Lose--
-		panic(http.ErrAbortHandler)
-	}
+	p.commits = append(p.commits, done)
 	reply(w, http.StatusOK, map[string]uint64{"version": p.version})
 }
 
@@ -143,12 +170,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	for len(p.shown) > 1 && now.Sub(p.shown[1].at) >= p.lag {
-		p.shown = p.shown[1:]
+	lag := p.lag + time.Duration(p.control.Faults().Lag)*time.Millisecond
+	i := 0
+	for i+1 < len(p.shown) && now.Sub(p.shown[i+1].at) >= lag {
+		i++
 	}
 	out := platform.Roster{At: now, Instances: []platform.Instance{}}
 	if len(p.shown) > 0 {
-		out.At, out.Instances = p.shown[0].at, p.shown[0].list
+		out.At, out.Instances = p.shown[i].at, p.shown[i].list
 	}
 	reply(w, http.StatusOK, out)
 }
@@ -175,10 +204,15 @@
 	_, _ = w.Write(b)
 }
 
-func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f PlatformFaults
-	if decode(w, r, &f) {
-		p.SetFaults(f)
+func (p *Platform) getWeights(w http.ResponseWriter, r *http.Request) {
+	select {
+	case p.weights <- struct{}{}:
+		defer func() { <-p.weights }()
+	case <-r.Context().Done():
+		return
+	}
+	if timer.Wait(r.Context(), p.weightTime) == nil {
+		reply(w, http.StatusOK, map[string]string{"model": r.PathValue("model"), "version": r.PathValue("version")})
 	}
 }
 
