Keep late timers from stretching a stand-in's streams

Cause: each token was due one token time after the last one was ready. On a busy machine every timer is late, so that a stream of 100 tokens took about 9% longer than set, which experiments would have taken for queueing.

Change: a token is due one token time after the last one was due. Delays of more than a token, as after a pause, are not made up for.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -294,12 +294,19 @@
 	return slices.DeleteFunc(list, func(k *job) bool { return k == j })
 }
 
-// turn produces the tokens of an attempt while it holds a slot.
+// turn produces the tokens of an attempt while it holds a slot. Each token is due a fixed time after the last one was
+// due, not after it was ready, so that late timers of a busy machine do not add up. What is later than a whole token, as
+// after a pause, is not made up for.
 func (e *Engine) turn(ctx context.Context, j *job, wait time.Duration) {
+	due := time.Now()
 	for {
-		if timer.Wait(ctx, wait) != nil || e.control.hold(ctx) != nil {
+		due = due.Add(wait)
+		if timer.Wait(ctx, time.Until(due)) != nil || e.control.hold(ctx) != nil {
 			return
 		}
+		if t := time.Now(); t.Sub(due) > wait {
+			due = t
+		}
 		e.mu.Lock()
 		if ctx.Err() != nil {
 			e.mu.Unlock()
