Audit the promises from events, records and answers

Cause: the promises were stated and nothing checked them after a run. Change: internal/audit checks each of the eight promises from the daemons' events, the stand-ins' records and what callers received, and says which were not checked for lack of data. Figures (go test ./internal/audit): 15 traces with one broken promise each are caught and named; the clean trace and the allowed one give no violation. Conclusion: not yet run on a fleet.

--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,142 @@
+package audit
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"flamingorudder.example/internal/caller"
+	"flamingorudder.example/internal/standin"
+	"flamingorudder.example/internal/timeline"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func event(d time.Duration, proc string, k timeline.Kind, fill func(*timeline.Event)) timeline.Event {
+	e := timeline.Event{At: timeline.Stamp{Wall: at(d).UnixMicro()}, Proc: proc, Kind: k}
+	if fill != nil {
+		fill(&e)
+	}
+	return e
+}
+
+func form(d time.Duration, group string, generation uint64, members ...string) timeline.Event {
+	return event(d, "d1", timeline.Form, func(e *timeline.Event) { e.Group, e.Generation, e.Members = group, generation, members })
+}
+
+// clean is a trace in which every promise was checked and kept.
+func clean() Trace {
+	var t Trace
+	for _, p := range []string{"d1", "d2"} {
+		t.Events = append(t.Events, event(0, p, timeline.Begin, nil))
+		for n := range uint64(2) {
+			apply := func(e *timeline.Event) { e.Revision = n + 1 }
+			if p == "d1" {
+				t.Events = append(t.Events, event(time.Duration(n+1)*time.Second, p, timeline.Note, apply))
+			}
+			t.Events = append(t.Events, event(time.Duration(n+1)*time.Second+time.Millisecond, p, timeline.Apply, apply))
+		}
+		t.Events = append(t.Events, event(time.Minute, p, timeline.Drain, nil))
+	}
+	t.Events = append(t.Events, form(time.Second, "g1", 1, "a", "b"), form(time.Second, "g2", 1, "c", "d"))
+	for i, m := range []string{"a", "b"} {
+		t.Record.Spans = append(t.Record.Spans, standin.Span{Instance: m, Group: "g1", Generation: 1, Index: i, Start: at(2 * time.Second)})
+	}
+	t.Events = append(t.Events, event(10*time.Second, "d1", timeline.Leave, func(e *timeline.Event) { e.Instance = "a" }))
+	t.Record.Runs = []standin.Run{
+		{Attempt: "r1.1", Instance: "a", Group: "g1", Generation: 1, Start: at(5 * time.Second)},
+		{Attempt: "r2.1", Instance: "p1", Start: at(6 * time.Second), Key: "k1"},
+		{Attempt: "r4.1", Instance: "a", Group: "g1", Generation: 1, Start: at(12 * time.Second)},
+	}
+	t.Answers = []Answer{
+		{Request: "r1", Daemon: "d1", Status: 200, Outcome: caller.Run, Whole: true, Own: true},
+		{Request: "r2", Daemon: "d2", Org: "tiree", Status: 200, Outcome: caller.Run, Once: true, Key: "k1", Whole: true, Own: true},
+		{Request: "r3", Daemon: "d2", Status: 429, Outcome: caller.NotRun},
+		{Request: "r4", Daemon: "d1", Status: 200, Outcome: caller.Run, Whole: true, Own: true},
+	}
+	return t
+}
+
+// Guards against an audit that reports a clean run as broken, or that checked nothing.
+func TestCleanTrace(t *testing.T) {
+	r := Check(clean(), Targets)
+	if len(r.Violations) > 0 {
+		t.Fatal(r)
+	}
+	for p := 1; p <= 8; p++ {
+		if r.Checked[p] == 0 {
+			t.Errorf("promise %d was not checked", p)
+		}
+	}
+}
+
+// Guards against an audit that misses a broken promise: each case breaks one promise in the clean trace.
+func TestBrokenTraceIsCaught(t *testing.T) {
+	cases := []struct {
+		promise int
+		name    string
+		spoil   func(*Trace)
+	}{
+		{1, "member unloaded before the run", func(t *Trace) { t.Record.Spans[1].End = at(4 * time.Second) }},
+		{1, "member never loaded", func(t *Trace) { t.Record.Spans = t.Record.Spans[:1] }},
+		{1, "generation that nobody formed", func(t *Trace) { t.Record.Runs[0].Generation = 9 }},
+		{2, "claimed by two groups", func(t *Trace) { t.Events = append(t.Events, form(3*time.Second, "g2", 2, "b", "c")) }},
+		{2, "loaded for two groups", func(t *Trace) {
+			t.Record.Spans = append(t.Record.Spans, standin.Span{Instance: "b", Group: "g2", Generation: 1, Start: at(20 * time.Second)})
+		}},
+		{3, "content of another caller", func(t *Trace) { t.Answers[0].Own = false }},
+		{3, "part of an answer", func(t *Trace) { t.Answers[0].Whole = false }},
+		{4, "refused but run", func(t *Trace) {
+			t.Record.Runs = append(t.Record.Runs, standin.Run{Attempt: "r3.1", Instance: "p1", Start: at(time.Second)})
+		}},
+		{4, "refused but run, known from the daemon's event", func(t *Trace) {
+			t.Events = append(t.Events, event(7*time.Second, "d1", timeline.Reply, func(e *timeline.Event) { e.Request, e.Outcome = "r1", "not-run" }))
+		}},
+		{5, "second attempt of a booking", func(t *Trace) {
+			t.Record.Runs = append(t.Record.Runs, standin.Run{Attempt: "r2.2", Instance: "p2", Start: at(7 * time.Second)})
+		}},
+		{5, "repeat of a booking under its key", func(t *Trace) {
+			t.Answers = append(t.Answers, Answer{Request: "r5", Daemon: "d1", Org: "tiree", Status: 200, Outcome: caller.Run, Once: true, Key: "k1", Whole: true, Own: true})
+			t.Record.Runs = append(t.Record.Runs, standin.Run{Attempt: "r5.1", Instance: "p2", Start: at(8 * time.Second)})
+		}},
+		{6, "new work for a leaving member", func(t *Trace) { t.Record.Runs[2].Start = at(13*time.Second + time.Millisecond) }},
+		{7, "connection cut off by a graceful stop", func(t *Trace) { t.Answers[0].Broken = true }},
+		{8, "revision went back", func(t *Trace) {
+			t.Events = append(t.Events, event(9*time.Second, "d2", timeline.Apply, func(e *timeline.Event) { e.Revision = 1 }))
+		}},
+		{8, "revision not in force in time", func(t *Trace) {
+			t.Events = slices.DeleteFunc(t.Events, func(e timeline.Event) bool {
+				return e.Proc == "d2" && e.Kind == timeline.Apply && e.Revision == 2
+			})
+		}},
+	}
+	for _, c := range cases {
+		tr := clean()
+		c.spoil(&tr)
+		r := Check(tr, Targets)
+		if len(r.Violations) == 0 {
+			t.Errorf("%s: not caught", c.name)
+		}
+		for _, v := range r.Violations {
+			if v.Promise != c.promise {
+				t.Errorf("%s: reported as %v, want promise %d", c.name, v, c.promise)
+			}
+		}
+	}
+}
+
+// Guards against violations that are no faults: a member freed before another group claims it, and a connection that
+// broke because the run killed the daemon.
+func TestAllowedTraces(t *testing.T) {
+	tr := clean()
+	tr.Events = append(tr.Events,
+		event(15*time.Second, "d1", timeline.Free, func(e *timeline.Event) { e.Group, e.Generation, e.Members = "g1", 1, []string{"a", "b"} }),
+		form(16*time.Second, "g2", 2, "b", "c"))
+	tr.Killed = []string{"d1"}
+	tr.Answers[0].Broken, tr.Answers[0].Whole = true, false
+	if r := Check(tr, Targets); len(r.Violations) > 0 {
+		t.Fatal(r)
+	}
+}
