Let urgent requests take the queue places of less urgent ones

Cause: a queue full of overnight requests turned away a live one with busy while all slots ran live work. After an engine was killed its cache events started at 1 again, and a client that asked for a higher number waited for nothing.

Change: when too many requests wait, the least urgent that has not started gets the 503 busy, and it has no record. A client ahead of the cache events gets them from 1 on, which shows it the restart. The straggle factor also applies to plain services.

No speed is measured.

Conclusion: an engine's queue follows the priorities that its slots follow.

--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -30,7 +30,7 @@
 	Parts []string `json:"parts"`
 	// Pause freezes the stand-in: it accepts connections and does and answers nothing until Pause is false again.
 	Pause bool `json:"pause"`
-	// Straggle multiplies the time to the first token and between tokens; 0 counts as 1.
+	// Straggle multiplies the time to the first token and between tokens, or of a plain call; 0 counts as 1.
 	Straggle float64 `json:"straggle"`
 	// Lag is added to the lag of load reports, cache events or the list of instances, in milliseconds.
 	Lag int `json:"lag_ms"`
@@ -131,6 +131,14 @@
 	return err
 }
 
+// straggle returns a time of work lengthened by the straggle factor.
+func (c *Control) straggle(d time.Duration) time.Duration {
+	if s := c.Faults().Straggle; s > 0 {
+		return time.Duration(float64(d) * s)
+	}
+	return d
+}
+
 // hold blocks while the stand-in is paused.
 func (c *Control) hold(ctx context.Context) error {
 	for {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -231,15 +231,8 @@
 	})
 }
 
-func (e *Engine) straggle(d time.Duration) time.Duration {
-	if s := e.control.Faults().Straggle; s > 0 {
-		return time.Duration(float64(d) * s)
-	}
-	return d
-}
-
 func (e *Engine) tokenTime() time.Duration {
-	return e.straggle(time.Duration(float64(e.spec.Token) * (1 + e.spec.Growth*float64(max(len(e.running)-1, 0)))))
+	return e.control.straggle(time.Duration(float64(e.spec.Token) * (1 + e.spec.Growth*float64(max(len(e.running)-1, 0)))))
 }
 
 func (e *Engine) firstTime(j *job) time.Duration {
@@ -247,7 +240,7 @@
 	if n := len(j.prefixes); n > 0 {
 		first -= first * cachedPercent * time.Duration(e.cache.hit(j.prefixes)) / time.Duration(100*n)
 	}
-	return e.straggle(first)
+	return e.control.straggle(first)
 }
 
 func (e *Engine) end(j *job, why string) {
@@ -360,18 +353,24 @@
 	e.seq++
 	e.waiting = append(e.waiting, j)
 	e.schedule()
-	fresh := 0
+	// When too many wait, the least urgent of those that have not started gives way, so that less urgent work in the
+	// queue cannot turn away more urgent work.
+	var fresh []*job
 	for _, k := range e.waiting {
 		if k.run < 0 {
-			fresh++
+			fresh = append(fresh, k)
 		}
 	}
-	if j.run < 0 && fresh > e.spec.Queue {
-		e.waiting = without(e.waiting, j)
-		e.note()
-		e.mu.Unlock()
-		reply(w, http.StatusServiceUnavailable, engine.Refused{Reason: "busy"})
-		return
+	if len(fresh) > e.spec.Queue {
+		last := slices.MaxFunc(fresh, compare)
+		if last == j {
+			e.waiting = without(e.waiting, j)
+			e.note()
+			e.mu.Unlock()
+			reply(w, http.StatusServiceUnavailable, engine.Refused{Reason: endBusy})
+			return
+		}
+		e.end(last, endBusy)
 	}
 	e.jobs[j.id] = j
 	if left > 0 {
@@ -747,6 +746,11 @@
 	at := time.Now().Add(-e.lag())
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	// The numbers start again at 1 when the engine was killed. A client that is ahead gets lower numbers than it asked
+	// for, which tells it that its view is void.
+	if since > e.cache.seq+1 {
+		since = 1
+	}
 	out := engine.CacheEvents{Next: since, Events: []engine.CacheEvent{}}
 	for _, v := range e.cache.events {
 		if v.at.After(at) {
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -52,7 +52,7 @@
 	p.runs = append(p.runs, Run{Attempt: id, Instance: p.id, Start: now(), Call: r.Method + " " + r.URL.Path, Key: r.Header.Get("Idempotency-Key")})
 	p.mu.Unlock()
 	// The call runs to its end even when its client has left.
-	err = timer.Wait(r.Context(), p.took)
+	err = timer.Wait(r.Context(), p.control.straggle(p.took))
 	p.mu.Lock()
 	p.runs[n].End, p.runs[n].Ended = now(), EndDone
 	p.mu.Unlock()
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -24,6 +24,8 @@
 	EndLost = "lost"
 	// EndKilled is a run whose instance was killed.
 	EndKilled = "killed"
+	// endBusy ends a waiting request that gave way to a more urgent one. It has no record, because it did not run.
+	endBusy = "busy"
 )
 
 // Run is the record of one request that an engine or plain service ran.
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -221,31 +221,37 @@
 	})
 }
 
-// Guards against an unbounded queue and against a refused request that ran all the same.
+// Guards against an unbounded queue, against a refused request that ran all the same, and against less urgent work in the
+// queue that turns away more urgent work.
 func TestQueueBound(t *testing.T) {
 	run(t, func(t *testing.T, w *world) {
 		e, a := w.ready(EngineSpec{Queue: 1})
 		first := w.send(a, attempt("1", 1, 5))
 		var g errgroup.Group
-		g.Go(func() error {
-			s, err := w.client.Send(w.ctx, a, attempt("2", 1, 5))
-			if err == nil {
-				_, err = drain(s)
-			}
-			return err
-		})
-		synctest.Wait()
-		if _, err := w.client.Send(w.ctx, a, attempt("3", 1, 5)); refusal(err) != "503 busy" {
-			t.Errorf("third request: %v", err)
+		results := map[string]string{}
+		var mu sync.Mutex
+		for _, at := range []engine.Attempt{attempt("2", 2, 5), attempt("3", 2, 5), attempt("4", 1, 5)} {
+			g.Go(func() error {
+				s, err := w.client.Send(w.ctx, a, at)
+				if err == nil {
+					_, err = drain(s)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				results[at.ID] = refusal(err)
+				return nil
+			})
+			synctest.Wait()
 		}
 		if _, err := drain(first); err != nil {
 			t.Error(err)
 		}
-		if err := g.Wait(); err != nil {
-			t.Error(err)
+		_ = g.Wait()
+		if results["2"] != "503 busy" || results["3"] != "503 busy" || results["4"] != "<nil>" {
+			t.Errorf("results %v", results)
 		}
-		if n := len(e.Record().Runs); n != 2 {
-			t.Errorf("%d requests ran, want 2", n)
+		if r := e.Record().Runs; len(r) != 2 || r[1].Attempt != "4" {
+			t.Errorf("record %+v", r)
 		}
 	})
 }
@@ -586,12 +592,10 @@
 		if err != nil || other != cold || v.Next != 9 {
 			t.Errorf("events %+v, %v", v, err)
 		}
-		cached := map[uint64]bool{}
 		for _, x := range v.Events {
 			if x.Seq%3 == 0 {
 				t.Errorf("event %d was to be lost", x.Seq)
 			}
-			cached[x.Prefix] = x.Op == engine.CacheAdd
 		}
 		c := engine.Chat{Messages: []engine.Message{{Role: "user", Content: strings.Repeat("y", 200)}}}
 		p := engine.Prefixes(c)
@@ -606,6 +610,12 @@
 		if got, err := w.client.ExportKV(w.ctx, b, p[len(p)-1]); err != nil || string(got) != string(blob) {
 			t.Errorf("imported %s, %v; want %s", got, err, blob)
 		}
+		w.patch(e.Control(), `{"kill": true}`)
+		w.patch(e.Control(), `{"revive": true}`)
+		w.tr.CloseIdleConnections()
+		if v, err := w.client.Cache(w.ctx, a, 9); err != nil || v.Next != 1 {
+			t.Errorf("events of an engine that restarted: %+v, %v; want next 1", v, err)
+		}
 	})
 }
 
