Join the daemons by QUIC and give operators mutual TLS

Cause: configuration spread, registry and the operator interface existed as packages and the daemon used none of them. Change: the daemon loads an identity, listens for peers, registers itself in the table, keeps its configuration by revisions and serves operators with mutual TLS; flamingoctl and the stand-ins follow. Conclusion: the peers' messages for lending and lost members have no receivers yet.

--- a/cmd/flamingoctl/main.go
+++ b/cmd/flamingoctl/main.go
@@ -2,16 +2,17 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
-	"net/http"
+	"net/netip"
 	"os"
 
+	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 
+	"flamingorudder.example/internal/identity"
 	"flamingorudder.example/internal/note"
+	"flamingorudder.example/internal/operator"
 )
 
 func main() {
@@ -19,7 +20,12 @@
 		Name:                  "flamingoctl",
 		Usage:                 "drive a fleet by its release notes",
 		EnableShellCompletion: true,
-		Flags:                 []cli.Flag{&cli.StringFlag{Name: "daemon", Usage: "operator address of any daemon", Value: "127.0.0.1:9443"}},
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "daemon", Usage: "operator address of any daemon", Value: "127.0.0.1:9443", Sources: cli.EnvVars("FLAMINGO_DAEMON")},
+			&cli.StringFlag{Name: "authority", Usage: "PEM file of the deployment's certificate authority", Sources: cli.EnvVars("FLAMINGO_AUTHORITY")},
+			&cli.StringFlag{Name: "certificate", Usage: "PEM file of the operator's certificate", Sources: cli.EnvVars("FLAMINGO_CERTIFICATE")},
+			&cli.StringFlag{Name: "key", Usage: "PEM file of the certificate's key", Sources: cli.EnvVars("FLAMINGO_KEY")},
+		},
 		Commands: []*cli.Command{
 			{Name: "check", Usage: "check a release note without a fleet", ArgsUsage: "NOTE.ini", Action: check},
 			{Name: "apply", Usage: "make a release note the configuration of the fleet", ArgsUsage: "NOTE.ini", Action: apply},
@@ -51,28 +57,35 @@
 	return nil
 }
 
+// dial connects to the daemon that the flags name.
+func dial(c *cli.Command) (*operator.Client, func(), error) {
+	addr, err := netip.ParseAddrPort(c.String("daemon"))
+	if err != nil {
+		return nil, nil, fmt.Errorf("--daemon: %w", err)
+	}
+	id, err := identity.Load(identity.Files{Authority: c.String("authority"), Certificate: c.String("certificate"), Key: c.String("key")})
+	if err != nil {
+		return nil, nil, err
+	}
+	client, closeClient := operator.Dial(addr, id.Client("http/1.1"))
+	return client, closeClient, nil
+}
+
 func apply(ctx context.Context, c *cli.Command) error {
 	file := c.Args().First()
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return fmt.Errorf("read release note: %w", err)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.String("daemon")+"/note", bytes.NewReader(text))
+	client, closeClient, err := dial(c)
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	defer closeClient()
+	revision, err := client.Apply(ctx, uuid.NewString(), text)
 	if err != nil {
 		return fmt.Errorf("apply %s: %w", file, err)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return fmt.Errorf("apply %s: %w", file, err)
-	}
-	if resp.StatusCode != http.StatusOK {
-		return cli.Exit(string(b), 3)
-	}
-	fmt.Print(string(b))
+	fmt.Printf("accepted as revision %d\n", revision)
 	return nil
 }
--- a/cmd/flamingod/main.go
+++ b/cmd/flamingod/main.go
@@ -46,7 +46,10 @@
 		return nil
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: set.Name, Level: hclog.LevelFromString(set.LogLevel), JSONFormat: set.LogFormat == "json"})
-	d, closeDaemon := daemon.New(set, log)
+	d, closeDaemon, err := daemon.New(set, log)
+	if err != nil {
+		return err
+	}
 	defer closeDaemon()
 	return kratos.New(kratos.Name("flamingod"), kratos.ID(set.Name), kratos.Server(d)).Run()
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,6 +21,7 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
+	"flamingorudder.example/internal/identity"
 	"flamingorudder.example/internal/ini"
 	"flamingorudder.example/internal/platform"
 	"flamingorudder.example/internal/standin"
@@ -208,6 +209,17 @@
 
 // daemons chooses free ports for the daemons and writes their settings.
 func (f *fleet) daemons(deployment string, n int, centres []string) error {
+	ca, err := identity.NewAuthority()
+	if err != nil {
+		return err
+	}
+	dir := f.c.String("dir")
+	files := func(name string) identity.Files {
+		return identity.Files{Authority: filepath.Join(dir, "authority.pem"), Certificate: filepath.Join(dir, name+".pem"), Key: filepath.Join(dir, name+".key")}
+	}
+	if err := ca.Issue(files("operator"), "operator"); err != nil {
+		return err
+	}
 	var hold []net.Listener
 	free := func() netip.AddrPort {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -229,8 +241,12 @@
 	}
 	for i, d := range f.addrs.Daemons {
 		centre := centres[i%len(centres)]
-		text := fmt.Sprintf("[daemon]\nname = %s\ndata-centre = %s\nhold = 2s\n\n[listen]\ncaller = %s\noperator = %s\npeer = %s\n\n[platform]\naddress = %s\n\n[peers]\naddresses = %s\n\n[log]\nlevel = info\n",
-			d.Name, centre, d.Caller, d.Operator, d.Peer, f.addrs.Platform, strings.Join(peers, ", "))
+		id := files(d.Name)
+		if err := ca.Issue(id, d.Name, d.Peer.Addr()); err != nil {
+			return err
+		}
+		text := fmt.Sprintf("[daemon]\nname = %s\ndata-centre = %s\nhold = 2s\n\n[listen]\ncaller = %s\noperator = %s\npeer = %s\n\n[platform]\naddress = %s\n\n[identity]\nauthority = %s\ncertificate = %s\nkey = %s\n\n[peers]\naddresses = %s\n\n[log]\nlevel = info\n",
+			d.Name, centre, d.Caller, d.Operator, d.Peer, f.addrs.Platform, id.Authority, id.Certificate, id.Key, strings.Join(peers, ", "))
 		if err := os.WriteFile(d.Settings, []byte(text), 0o644); err != nil {
 			return fmt.Errorf("write settings: %w", err)
 		}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -54,6 +54,9 @@
 
 // Limits are the times that the promises allow.
 type Limits struct {
+	// Loss is how long member 0 of a group may take to notice that a member is missing; until then it takes requests,
+	// which it must not finish.
+	Loss time.Duration
 	// Leaving is how long a leaving backend server may still receive new work after a daemon saw its notice.
 	Leaving time.Duration
 	// InForce is how long an accepted revision may take to be in force in every daemon.
@@ -61,7 +64,7 @@
 }
 
 // Targets are the limits that the design states.
-var Targets = Limits{Leaving: 3 * time.Second, InForce: 2 * time.Second}
+var Targets = Limits{Loss: 600 * time.Millisecond, Leaving: 3 * time.Second, InForce: 2 * time.Second}
 
 // Violation is a broken promise.
 type Violation struct {
@@ -86,8 +89,13 @@
 func details(e timeline.Event) string {
 	var parts []string
 	for _, f := range []struct{ name, value string }{
-		{"request", e.Request}, {"attempt", e.Attempt}, {"group", e.Group}, {"instance", e.Instance}, {"service", e.Service},
-		{"outcome", e.Outcome}, {"reason", e.Reason},
+		{"request", e.Request},
+		{"attempt", e.Attempt},
+		{"group", e.Group},
+		{"instance", e.Instance},
+		{"service", e.Service},
+		{"outcome", e.Outcome},
+		{"reason", e.Reason},
 	} {
 		if f.value != "" {
 			parts = append(parts, f.name+"="+f.value)
@@ -152,13 +160,10 @@
 func Check(t Trace, l Limits) Report {
 	t.Events = timeline.Merge(t.Events)
 	r := Report{Lost: t.Lost}
-	for p, check := range []func(Trace, Limits, *Report){1: wholeGroups, 2: oneGroup, 3: ownAnswers, 4: notRun, 5: once, 6: leaving, 7: graceful, 8: inForce} {
-		if check != nil {
-			check(t, l, &r)
-		}
-		slices.SortStableFunc(r.Violations, func(a, b Violation) int { return cmp.Compare(a.Promise, b.Promise) })
-		_ = p
+	for _, check := range []func(Trace, Limits, *Report){wholeGroups, oneGroup, ownAnswers, notRun, once, leaving, graceful, inForce} {
+		check(t, l, &r)
 	}
+	slices.SortStableFunc(r.Violations, func(a, b Violation) int { return cmp.Compare(a.Promise, b.Promise) })
 	return r
 }
 
@@ -188,8 +193,9 @@
 	return !s.Start.After(at) && (s.End.IsZero() || !s.End.Before(at))
 }
 
-// wholeGroups checks that each run of a group started while every member was loaded for the same generation.
-func wholeGroups(t Trace, _ Limits, r *Report) {
+// wholeGroups checks that each run of a group started while every member was loaded for the same generation, and that
+// every run that gave a whole answer also ended so. A run that started just after a loss has to have failed.
+func wholeGroups(t Trace, l Limits, r *Report) {
 	formed := forms(t)
 	spans := map[generation]map[string][]standin.Span{}
 	for _, s := range t.Record.Spans {
@@ -214,8 +220,20 @@
 		}
 		r.Checked[1]++
 		for _, m := range form.Members {
-			if !slices.ContainsFunc(spans[g][m], func(s standin.Span) bool { return covers(s, run.Start) }) {
+			present := func(at time.Time, late time.Duration) bool {
+				return slices.ContainsFunc(spans[g][m], func(s standin.Span) bool {
+					return !s.Start.After(at) && (s.End.IsZero() || !s.End.Add(late).Before(at))
+				})
+			}
+			late := time.Duration(0)
+			if run.Ended != "" && run.Ended != standin.EndDone {
+				late = l.Loss
+			}
+			switch {
+			case !present(run.Start, late):
 				r.broken(1, run.Attempt, fmt.Sprintf("started on %s generation %d while its member %s was not loaded for it", g.group, g.number, m), form)
+			case run.Ended == standin.EndDone && !present(run.End, l.Loss):
+				r.broken(1, run.Attempt, fmt.Sprintf("was finished by %s generation %d after its member %s was lost", g.group, g.number, m), form)
 			}
 		}
 	}
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -80,6 +80,11 @@
 		spoil   func(*Trace)
 	}{
 		{1, "member unloaded before the run", func(t *Trace) { t.Record.Spans[1].End = at(4 * time.Second) }},
+		{1, "finished after a member was lost", func(t *Trace) {
+			t.Record.Spans[1].End = at(6 * time.Second)
+			t.Record.Runs[0].Ended, t.Record.Runs[0].End = standin.EndDone, at(7*time.Second)
+			t.Record.Runs = t.Record.Runs[:2]
+		}},
 		{1, "member never loaded", func(t *Trace) { t.Record.Spans = t.Record.Spans[:1] }},
 		{1, "generation that nobody formed", func(t *Trace) { t.Record.Runs[0].Generation = 9 }},
 		{2, "claimed by two groups", func(t *Trace) { t.Events = append(t.Events, form(3*time.Second, "g2", 2, "b", "c")) }},
@@ -127,13 +132,15 @@
 	}
 }
 
-// Guards against violations that are no faults: a member freed before another group claims it, and a connection that
+// Guards against violations that are no faults: a request that member 0 took before it noticed a loss and then failed, a member freed before another group claims it, and a connection that
 // broke because the run killed the daemon.
 func TestAllowedTraces(t *testing.T) {
 	tr := clean()
 	tr.Events = append(tr.Events,
 		event(15*time.Second, "d1", timeline.Free, func(e *timeline.Event) { e.Group, e.Generation, e.Members = "g1", 1, []string{"a", "b"} }),
 		form(16*time.Second, "g2", 2, "b", "c"))
+	tr.Record.Spans[1].End = at(12*time.Second - 500*time.Millisecond)
+	tr.Record.Runs[2].Ended = standin.EndLost
 	tr.Killed = []string{"d1"}
 	tr.Answers[0].Broken, tr.Answers[0].Whole = true, false
 	if r := Check(tr, Targets); len(r.Violations) > 0 {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -22,12 +23,18 @@
 	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/caller"
+	"flamingorudder.example/internal/config"
 	"flamingorudder.example/internal/dispatch"
 	"flamingorudder.example/internal/engine"
+	"flamingorudder.example/internal/identity"
+	"flamingorudder.example/internal/metric"
 	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/operator"
+	"flamingorudder.example/internal/peer"
 	"flamingorudder.example/internal/platform"
+	"flamingorudder.example/internal/registry"
 	"flamingorudder.example/internal/setting"
+	"flamingorudder.example/internal/timeline"
 	"flamingorudder.example/internal/timer"
 )
 
@@ -35,27 +42,64 @@
 type Daemon struct {
 	set      setting.Daemon
 	log      hclog.Logger
+	line     *timeline.Log
 	platform *platform.Client
 	engine   *engine.Client
 	dispatch *dispatch.Dispatcher
+	identity *identity.Identity
+	node     *peer.Node
+	registry *registry.Registry
+	keeper   *config.Keeper
+	metrics  *metric.Set
+	// self is how other daemons know this one.
+	self registry.Entry
 
-	mu  sync.Mutex
-	cfg note.Config
-	// accepted is whether a configuration has been received.
-	accepted bool
-	roster   platform.Roster
-	cancel   context.CancelFunc
+	mu     sync.Mutex
+	roster platform.Roster
+	cancel context.CancelFunc
 }
 
-// New returns a daemon and a function that frees its connections.
-func New(s setting.Daemon, log hclog.Logger) (*Daemon, func()) {
+// timelineSize is how many events a daemon keeps: about ten minutes at 100 requests/s.
+const timelineSize = 1 << 18
+
+// New returns a daemon and a function that frees what it holds. The daemon listens for its peers from now on and for
+// callers and operators from Start on.
+func New(s setting.Daemon, log hclog.Logger) (*Daemon, func(), error) {
+	id, err := identity.Load(s.Identity)
+	if err != nil {
+		return nil, nil, err
+	}
+	metrics, closeMetrics, err := metric.New()
+	if err != nil {
+		return nil, nil, err
+	}
 	p, closePlatform := platform.Dial(s.Platform)
 	e, closeEngine := engine.NewClient()
-	d := &Daemon{set: s, log: log, platform: p, engine: e, dispatch: dispatch.New()}
-	return d, func() {
+	boot := uint64(time.Now().UnixNano())
+	d := &Daemon{
+		set: s, log: log, line: timeline.NewLog(s.Name, timelineSize), platform: p, engine: e, dispatch: dispatch.New(), identity: id, metrics: metrics,
+		self: registry.Entry{Name: s.Name, Peer: s.Peer, Caller: s.Caller, DataCentre: s.DataCentre, Boot: boot},
+	}
+	d.registry = registry.New(d.self)
+	free := func() {
 		closePlatform()
 		closeEngine()
+		closeMetrics()
 	}
+	node, closeNode, err := peer.Listen(s.Peer, id, d.line.Clock(), log.Named("peer"), d)
+	if err != nil {
+		free()
+		return nil, nil, err
+	}
+	d.node = node
+	d.keeper = config.New(config.Deps{
+		Table: p, Peers: node, Others: d.others, Hello: d.hello, Apply: func(note.Config) {},
+		Log: log.Named("config"), Line: d.line, Random: rand.New(rand.NewPCG(boot, 0)),
+	})
+	return d, func() {
+		closeNode()
+		free()
+	}, nil
 }
 
 // Start serves until ctx ends, Stop is called or a duty fails. With Stop it makes the daemon a server of a kratos
@@ -66,11 +110,12 @@
 	d.mu.Lock()
 	d.cancel = cancel
 	d.mu.Unlock()
+	d.line.Add(timeline.Event{Kind: timeline.Begin})
 	g, ctx := errgroup.WithContext(ctx)
 	callers := http.NewServer(http.Address(d.set.Caller.String()), http.Timeout(0))
-	callers.HandlePrefix("/", caller.New(d, d.dispatch, d, d.engine))
-	operators := http.NewServer(http.Address(d.set.Operator.String()), http.Timeout(0))
-	operators.HandlePrefix("/", operator.New(d))
+	callers.HandlePrefix("/", caller.New(d.keeper, d.dispatch, d, d.engine))
+	operators := http.NewServer(http.Address(d.set.Operator.String()), http.Timeout(0), http.TLSConfig(d.identity.Server("h2", "http/1.1")))
+	operators.HandlePrefix("/", operator.New(d, d.metrics.Handler()))
 	for _, s := range []*http.Server{callers, operators} {
 		g.Go(func() error { return s.Start(ctx) })
 		g.Go(func() error {
@@ -78,9 +123,12 @@
 			return s.Stop(context.WithoutCancel(ctx))
 		})
 	}
+	g.Go(func() error { return d.keeper.Run(ctx) })
+	g.Go(func() error { return d.register(ctx) })
+	g.Go(func() error { return d.identity.Watch(ctx, certificatePeriod, d.log.Named("identity")) })
 	g.Go(func() error { return d.watch(ctx) })
 	g.Go(func() error { return d.form(ctx) })
-	d.log.Info("daemon started", "name", d.set.Name, "caller", d.set.Caller, "operator", d.set.Operator)
+	d.log.Info("daemon started", "name", d.set.Name, "caller", d.set.Caller, "operator", d.set.Operator, "peer", d.set.Peer)
 	return g.Wait()
 }
 
@@ -94,68 +142,20 @@
 	return nil
 }
 
-// Config returns the configuration in force and whether there is one.
-func (d *Daemon) Config() (note.Config, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.cfg, d.accepted
-}
+// certificatePeriod is how often the certificate's files are looked at.
+const certificatePeriod = 10 * time.Second
 
 // Addresses returns the caller addresses to use and for how long the answer holds.
 func (d *Daemon) Addresses() ([]netip.AddrPort, time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	list := []netip.AddrPort{d.set.Caller}
-	for _, i := range d.roster.Instances {
-		if i.Kind == platform.KindDaemon && i.State == platform.Live && i.Addr != d.set.Caller {
-			list = append(list, i.Addr)
+	for _, name := range d.registry.Live(time.Now()) {
+		if e, ok := d.registry.Entry(name); ok && name != d.set.Name {
+			list = append(list, e.Caller)
 		}
 	}
 	return list, d.set.Hold
 }
 
-// Rows of the table that belong to the configuration.
-const (
-	keyHead    = "config/head"
-	prefixNote = "config/"
-)
-
-// Apply accepts a release note in one transaction and returns the new revision.
-func (d *Daemon) Apply(ctx context.Context, text []byte) (uint64, error) {
-	n, err := note.Parse("note", text)
-	if err != nil {
-		return 0, err
-	}
-	head, err := d.platform.Read(ctx, keyHead)
-	if err != nil {
-		return 0, err
-	}
-	var cur note.Config
-	if head.Version > 0 {
-		if err := json.Unmarshal(head.Value, &cur); err != nil {
-			return 0, fmt.Errorf("decode %s: %w", keyHead, err)
-		}
-	}
-	next, err := cur.Apply(n)
-	if err != nil {
-		return 0, err
-	}
-	body, err := json.Marshal(next)
-	if err != nil {
-		return 0, fmt.Errorf("encode revision %d: %w", next.Revision, err)
-	}
-	_, err = d.platform.Commit(ctx, platform.Txn{
-		Op:     uuid.NewString(),
-		Checks: []platform.Check{{Key: keyHead, Version: head.Version}},
-		Writes: []platform.Write{{Key: keyHead, Value: body}, {Key: fmt.Sprintf("%s%012d", prefixNote, next.Revision), Value: text}},
-	})
-	if err != nil {
-		return 0, err
-	}
-	d.log.Info("release note accepted", "revision", next.Revision, "about", n.About)
-	return next.Revision, nil
-}
-
 const watchPeriod = 500 * time.Millisecond
 
 // watch keeps the view of the platform up to date. What cannot be read stays as it was.
@@ -175,22 +175,6 @@
 }
 
 func (d *Daemon) refresh(ctx context.Context) error {
-	head, err := d.platform.Read(ctx, keyHead)
-	if err != nil {
-		return err
-	}
-	if head.Version > 0 {
-		var c note.Config
-		if err := json.Unmarshal(head.Value, &c); err != nil {
-			return fmt.Errorf("decode %s: %w", keyHead, err)
-		}
-		d.mu.Lock()
-		if c.Revision > d.cfg.Revision {
-			d.cfg, d.accepted = c, true
-			d.log.Info("configuration in force", "revision", c.Revision)
-		}
-		d.mu.Unlock()
-	}
 	roster, err := d.platform.Roster(ctx)
 	if err != nil {
 		return err
@@ -201,8 +185,8 @@
 	}
 	d.mu.Lock()
 	d.roster = roster
-	cfg := d.cfg
 	d.mu.Unlock()
+	cfg, _ := d.keeper.Config()
 	var targets []dispatch.Target
 	for _, r := range rows {
 		var g groupRow
@@ -255,7 +239,7 @@
 }
 
 func (d *Daemon) formOnce(ctx context.Context) error {
-	cfg, ok := d.Config()
+	cfg, ok := d.keeper.Config()
 	if !ok {
 		return nil
 	}
--- /dev/null
+++ b/internal/daemon/fleet.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"flamingorudder.example/internal/config"
+	"flamingorudder.example/internal/note"
+	"flamingorudder.example/internal/operator"
+	"flamingorudder.example/internal/platform"
+	"flamingorudder.example/internal/timeline"
+)
+
+// Accept makes a release note the configuration of the fleet.
+func (d *Daemon) Accept(ctx context.Context, op string, text []byte) (uint64, error) {
+	return d.keeper.Accept(ctx, op, text)
+}
+
+// Head returns the configuration that was accepted last.
+func (d *Daemon) Head(ctx context.Context) (note.Config, platform.Row, error) {
+	return d.keeper.Head(ctx)
+}
+
+// History returns the accepted notes.
+func (d *Daemon) History(ctx context.Context) ([]config.Past, error) { return d.keeper.History(ctx) }
+
+// Status returns the state of the fleet as this daemon sees it.
+func (d *Daemon) Status() operator.Status {
+	s := operator.Status{Daemon: d.set.Name, Leaving: d.entry().Leaving, Daemons: d.registry.All(time.Now())}
+	s.Received, s.Applied = d.keeper.Numbers()
+	return s
+}
+
+// Events returns this daemon's events from a sequence number on.
+func (d *Daemon) Events(since uint64) operator.Events {
+	events, next, lost := d.line.Since(since)
+	return operator.Events{Daemon: d.set.Name, Events: events, Next: next, Lost: lost}
+}
+
+// Drain makes the daemon leave.
+func (d *Daemon) Drain() {
+	d.mu.Lock()
+	d.self.Leaving = true
+	d.mu.Unlock()
+	d.line.Add(timeline.Event{Kind: timeline.Drain})
+}
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -6,8 +6,10 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
+	"flamingorudder.example/internal/identity"
 	"flamingorudder.example/internal/ini"
 )
 
@@ -25,10 +27,15 @@
 	Peers []netip.AddrPort
 	// Hold is how long callers may keep an answer of /v1/addresses.
 	Hold time.Duration
+	// Identity names the files of the daemon's certificate, for peers and operators.
+	Identity identity.Files
 	// LogLevel and LogFormat choose what is logged and how.
 	LogLevel, LogFormat string
 }
 
+// sections lists the sections of a daemon's settings.
+var sections = []string{"daemon", "listen", "platform", "identity", "log", "peers"}
+
 // ParseDaemon reads the settings of a daemon. It fails with *ini.Faults.
 func ParseDaemon(file string, text []byte) (Daemon, error) {
 	f := ini.Parse(file, text)
@@ -46,6 +53,10 @@
 	p.Require("address")
 	d.Platform = p.Addr("address", d.Platform)
 
+	id := f.Section("identity")
+	id.Require("authority", "certificate", "key")
+	d.Identity = identity.Files{Authority: id.String("authority", ""), Certificate: id.String("certificate", ""), Key: id.String("key", "")}
+
 	g := f.Section("log")
 	d.LogLevel = g.Choice("level", "info", "trace", "debug", "info", "warn", "error")
 	d.LogFormat = g.Choice("format", "text", "text", "json")
@@ -60,10 +71,8 @@
 		d.Peers = append(d.Peers, ap)
 	}
 	for _, sec := range f.Sections {
-		switch sec.Name {
-		case "daemon", "listen", "platform", "log", "peers":
-		default:
-			sec.Fault("", "unknown section"+ini.Hint(sec.Name, []string{"daemon", "listen", "platform", "log", "peers"}))
+		if !slices.Contains(sections, sec.Name) {
+			sec.Fault("", "unknown section"+ini.Hint(sec.Name, sections))
 		}
 	}
 	return d, f.Err()
