Claim idempotency keys in batches, and split engine connections by engine

Cause: calls with an idempotency key were passed on without a claim, so a repeat ran twice; the engine client had one pool of connections and no way to notice or leave a silent one. The engine client keeps a pool per engine, drops it with Renew, probes over a new connection and ends a stream with *Silent after a progress deadline.

--- /dev/null
+++ b/internal/claim/keeper_test.go
@@ -0,0 +1,209 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"flamingorudder.example/internal/platform"
+	"flamingorudder.example/internal/timer"
+)
+
+// table is an in-memory table service whose answers can be lost and which can be down.
+type table struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	version uint64
+	commits int
+	down    bool
+	// lose is the number of answers to lose after the write took effect, drop before it.
+	lose, drop int
+}
+
+func (s *table) Commit(_ context.Context, t platform.Txn) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commits++
+	switch {
+	case s.down:
+		return 0, &platform.Unavailable{Err: errors.New("down")}
+	case s.drop > 0:
+		s.drop--
+		return 0, &platform.Unknown{Op: t.Op, Err: errors.New("lost")}
+	}
+	for _, c := range t.Checks {
+		if have := s.rows[c.Key].Version; have != c.Version {
+			return 0, &platform.Conflict{Key: c.Key, Version: have}
+		}
+	}
+	s.version++
+	for _, w := range t.Writes {
+		s.rows[w.Key] = platform.Row{Key: w.Key, Version: s.version, Op: t.Op, Value: w.Value}
+	}
+	if s.lose > 0 {
+		s.lose--
+		return 0, &platform.Unknown{Op: t.Op, Err: errors.New("lost")}
+	}
+	return s.version, nil
+}
+
+func (s *table) Read(_ context.Context, key string) (platform.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Row{}, &platform.Unavailable{Err: errors.New("down")}
+	}
+	r := s.rows[key]
+	r.Key = key
+	return r, nil
+}
+
+func (s *table) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// run runs f in a bubble with a keeper on a table.
+func run(t *testing.T, f func(t *testing.T, k *Keeper, s *table)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &table{rows: map[string]platform.Row{}}
+		n := 0
+		k := NewKeeper(s, func() string { n++; return fmt.Sprint("op", n) })
+		ctx, stop := context.WithCancel(t.Context())
+		var g errgroup.Group
+		g.Go(func() error { return k.Run(ctx) })
+		f(t, k, s)
+		stop()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// wait lets time of the bubble pass.
+func wait(t *testing.T, d time.Duration) {
+	t.Helper()
+	if err := timer.Wait(t.Context(), d); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func entry(request, hash string) Entry {
+	return Entry{Hash: hash, Request: request, Due: time.Now().Add(time.Minute)}
+}
+
+func want(t *testing.T, k *Keeper, e Entry, v Verdict) Claim {
+	t.Helper()
+	c, err := k.Take(t.Context(), "claim/org/k", e)
+	if err != nil || c.Verdict != v {
+		t.Fatalf("request %s: verdict %v, error %v; want %v", e.Request, c.Verdict, err, v)
+	}
+	return c
+}
+
+// Guards against a second run of a claimed call through each state of its row, and against a lost recorded answer.
+func TestClaimLife(t *testing.T) {
+	run(t, func(t *testing.T, k *Keeper, _ *table) {
+		c := want(t, k, entry("a", "h"), Mine)
+		want(t, k, entry("b", "h"), InProgress)
+		want(t, k, entry("c", "other"), Mismatch)
+		k.Release(c)
+		synctest.Wait()
+		c = want(t, k, entry("d", "h"), Mine)
+		wait(t, 2*time.Minute)
+		want(t, k, entry("e", "h"), Lost)
+		k.Record(c, Answer{Status: 201, Body: []byte("booked")})
+		synctest.Wait()
+		if c := want(t, k, entry("f", "h"), Replay); string(c.Entry.Answer.Body) != "booked" || c.Entry.Answer.Status != 201 {
+			t.Errorf("replayed %+v", c.Entry.Answer)
+		}
+	})
+}
+
+// Guards against a body without bound in the table.
+func TestLargeAnswer(t *testing.T) {
+	run(t, func(t *testing.T, k *Keeper, _ *table) {
+		k.Record(want(t, k, entry("a", "h"), Mine), Answer{Status: 200, Body: make([]byte, MaxBody+1)})
+		synctest.Wait()
+		if a := want(t, k, entry("b", "h"), Replay).Entry.Answer; !a.Partial || a.Body != nil {
+			t.Errorf("recorded %d bytes, partial %v", len(a.Body), a.Partial)
+		}
+	})
+}
+
+// Guards against a claim that is refused or taken twice because an answer of the table was lost, before or after the
+// write took effect.
+func TestLostAnswers(t *testing.T) {
+	run(t, func(t *testing.T, k *Keeper, s *table) {
+		s.set(func() { s.lose = 1 })
+		c := want(t, k, entry("a", "h"), Mine)
+		s.set(func() { s.lose = 1 })
+		k.Record(c, Answer{Status: 200})
+		synctest.Wait()
+		want(t, k, entry("b", "h"), Replay)
+		s.set(func() { s.drop = 1 })
+		if c, err := k.Take(t.Context(), "claim/org/other", entry("c", "h")); err != nil || c.Verdict != Mine {
+			t.Errorf("after a lost request: %v, %v", c.Verdict, err)
+		}
+	})
+}
+
+// Guards against one conflict that loses the other claims of its transaction, and against one transaction per claim.
+func TestBatch(t *testing.T) {
+	run(t, func(t *testing.T, k *Keeper, s *table) {
+		want(t, k, entry("a", "h"), Mine)
+		s.set(func() { s.commits = 0 })
+		var g errgroup.Group
+		got := make([]Verdict, 40)
+		for i := range got {
+			g.Go(func() error {
+				key := "claim/org/k" // The first of them is taken already.
+				if i > 0 {
+					key = fmt.Sprint("claim/org/", i)
+				}
+				c, err := k.Take(t.Context(), key, entry(fmt.Sprint("r", i), "h"))
+				got[i] = c.Verdict
+				return err
+			})
+		}
+		if err := g.Wait(); err != nil {
+			t.Fatal(err)
+		}
+		for i, v := range got {
+			if (i == 0 && v != InProgress) || (i > 0 && v != Mine) {
+				t.Errorf("claim %d: %v", i, v)
+			}
+		}
+		if s.commits > 10 {
+			t.Errorf("%d transactions for 40 claims", s.commits)
+		}
+	})
+}
+
+// Guards against a call that is sent, or a caller that waits, while the table is down, and against an outcome that is
+// forgotten because the table was down when it came.
+func TestTableDown(t *testing.T) {
+	run(t, func(t *testing.T, k *Keeper, s *table) {
+		c := want(t, k, entry("a", "h"), Mine)
+		s.set(func() { s.down = true })
+		var u *Unavailable
+		if _, err := k.Take(t.Context(), "claim/org/new", entry("b", "h")); !errors.As(err, &u) {
+			t.Errorf("claim while the table is down: %v", err)
+		}
+		k.Record(c, Answer{Status: 200})
+		wait(t, time.Minute)
+		s.set(func() { s.down = false })
+		wait(t, 30*time.Second)
+		want(t, k, entry("c", "h"), Replay)
+		if c, err := k.Take(t.Context(), "claim/org/new", entry("d", "h")); err != nil || c.Verdict != Mine {
+			t.Errorf("key refused as not run cannot be claimed later: %v, %v", c.Verdict, err)
+		}
+	})
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -15,9 +15,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"flamingorudder.example/internal/timer"
 )
 
 // Headers of the engine protocol.
@@ -152,25 +156,104 @@
 	Priority   int
 	// Deadline is zero when the request has none.
 	Deadline time.Time
-	Chat     Chat
+	// First is the progress deadline of the first token; 0 sets none.
+	First time.Duration
+	Chat  Chat
+}
+
+// Silent reports that nothing arrived within the progress deadline; the answer so far holds Tokens tokens. The
+// connection has been closed. The engine may have run the request.
+type Silent struct {
+	Tokens int
+	After  time.Duration
+}
+
+func (e *Silent) Error() string {
+	return fmt.Sprintf("nothing arrived for %v after %d tokens", e.After, e.Tokens)
 }
 
 // Client speaks to any number of engines. Its methods may be called from several goroutines.
 type Client struct {
-	http *http.Client
+	dial Dial
+	mu   sync.Mutex
+	// pools holds the connections to each engine apart, so that those to one engine can be dropped at once.
+	pools map[netip.AddrPort]*http.Transport
+	// fresh opens a connection for each request.
+	fresh *http.Transport
 	// foreign counts the chunks that belonged to another attempt.
 	foreign atomic.Uint64
 }
 
+// Dial opens a connection, as net.Dialer.DialContext does. Its failures are *net.OpError with Op "dial".
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // NewClient returns a client and a function that closes its idle connections.
 func NewClient() (*Client, func()) {
-	tr := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext,
+	return NewClientWith((&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext)
+}
+
+// NewClientWith is NewClient with a way to open connections.
+func NewClientWith(dial Dial) (*Client, func()) {
+	c := &Client{dial: dial, pools: map[netip.AddrPort]*http.Transport{}}
+	c.fresh = c.newTransport()
+	c.fresh.DisableKeepAlives = true
+	return c, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, tr := range c.pools {
+			tr.CloseIdleConnections()
+		}
+	}
+}
+
+func (c *Client) newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         c.dial,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
 	}
-	return &Client{http: &http.Client{Transport: tr}}, tr.CloseIdleConnections
+}
+
+// maxPools bounds the engines whose connections are kept; a daemon uses a small subset of the fleet.
+const maxPools = 1024
+
+func (c *Client) pool(addr netip.AddrPort) *http.Transport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tr := c.pools[addr]
+	if tr == nil {
+		for a, old := range c.pools {
+			if len(c.pools) < maxPools {
+				break
+			}
+			old.CloseIdleConnections()
+			delete(c.pools, a)
+		}
+		tr = c.newTransport()
+		c.pools[addr] = tr
+	}
+	return tr
+}
+
+// Renew drops the connections to an engine: idle ones are closed, busy ones are not used again after their answer, and
+// later calls open new ones. A connection that went silent without an error is rarely the only one.
+func (c *Client) Renew(addr netip.AddrPort) {
+	c.mu.Lock()
+	old := c.pools[addr]
+	delete(c.pools, addr)
+	c.mu.Unlock()
+	if old != nil {
+		// Connections that become idle after this call are closed by the transport's own idle mark.
+		old.CloseIdleConnections()
+	}
+}
+
+// Probe reads the engine's state over a new connection. Its success tells a silent connection from a lost engine.
+func (c *Client) Probe(ctx context.Context, addr netip.AddrPort) (State, error) {
+	var s State
+	err := c.do(ctx, c.fresh, http.MethodGet, addr, "/state", nil, &s)
+	return s, err
 }
 
 // Foreign is the number of chunks dropped because they belonged to another attempt.
@@ -184,6 +267,11 @@
 	done    bool
 	body    io.ReadCloser
 	scan    *bufio.Scanner
+	// cancel closes the connection; its cause is *Silent when the progress deadline passed.
+	cancel context.CancelCauseFunc
+	ctx    context.Context
+	// first is what the head of the answer has left of the progress deadline of the first chunk; 0 sets none.
+	first time.Time
 }
 
 // Send starts an attempt at the engine at addr. It fails with *NotSent or *Refused when the request was not run, and
@@ -208,26 +296,52 @@
 	if !a.Deadline.IsZero() {
 		req.Header.Set(HeaderDeadline, a.Deadline.Format(time.RFC3339Nano))
 	}
-	return c.open(req, a.ID, 0)
+	return c.open(c.pool(addr), req, a.ID, 0, a.First)
 }
 
-// Resume continues the answer of an earlier attempt from token from on, over any connection.
-func (c *Client) Resume(ctx context.Context, addr netip.AddrPort, attempt string, from int) (*Stream, error) {
-	url := "http://" + addr.String() + "/v1/stream?attempt=" + attempt + "&from=" + strconv.Itoa(from)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+// Resume continues the answer of an earlier attempt from token from on, over a new connection. limit is the progress
+// deadline of the first chunk; 0 sets none.
+func (c *Client) Resume(ctx context.Context, addr netip.AddrPort, attempt string, from int, limit time.Duration) (*Stream, error) {
+	query := url.Values{"attempt": {attempt}, "from": {strconv.Itoa(from)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+"/v1/stream?"+query.Encode(), nil)
 	if err != nil {
 		return nil, &NotSent{Err: err}
 	}
-	return c.open(req, attempt, from)
+	return c.open(c.fresh, req, attempt, from, limit)
+}
+
+// watch cancels with *Silent after a progress deadline, unless the returned function is called first.
+func watch(cancel context.CancelCauseFunc, limit, total time.Duration, tokens int) (stop func()) {
+	return timer.After(limit, func() { cancel(&Silent{Tokens: tokens, After: total}) })
 }
 
-func (c *Client) open(req *http.Request, attempt string, from int) (*Stream, error) {
-	resp, err := c.http.Do(req)
+// fault names the failure of a stream: *Silent when its progress deadline ended it, else *Broken.
+func fault(ctx context.Context, tokens int, err error) error {
+	var silent *Silent
+	if errors.As(context.Cause(ctx), &silent) {
+		return silent
+	}
+	return &Broken{Tokens: tokens, Err: err}
+}
+
+func (c *Client) open(tr http.RoundTripper, req *http.Request, attempt string, from int, limit time.Duration) (_ *Stream, err error) {
+	ctx, cancel := context.WithCancelCause(req.Context())
+	defer func() {
+		if err != nil {
+			cancel(err)
+		}
+	}()
+	var first time.Time
+	if limit > 0 {
+		first = time.Now().Add(limit)
+		defer watch(cancel, limit, limit, from)()
+	}
+	resp, err := tr.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		if dialFailed(err) {
 			return nil, &NotSent{Err: err}
 		}
-		return nil, &Broken{Tokens: from, Err: err}
+		return nil, fault(ctx, from, err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer func() { _ = resp.Body.Close() }()
@@ -237,14 +351,18 @@
 				return nil, r
 			}
 		}
+		if resp.StatusCode == http.StatusNotFound {
+			return nil, &Refused{Status: resp.StatusCode, Reason: "not found"}
+		}
 		return nil, &Broken{Tokens: from, Err: &Refused{Status: resp.StatusCode, Reason: "unexpected status"}}
 	}
 	if got := resp.Header.Get(HeaderAttempt); got != attempt {
-		_ = resp.Body.Close()
 		c.foreign.Add(1)
+		cancel(nil)
+		_ = resp.Body.Close()
 		return nil, &Broken{Tokens: from, Err: &Misrouted{Want: attempt, Got: got}}
 	}
-	s := &Stream{c: c, attempt: attempt, next: from, body: resp.Body, scan: bufio.NewScanner(resp.Body)}
+	s := &Stream{c: c, attempt: attempt, next: from, body: resp.Body, scan: bufio.NewScanner(resp.Body), cancel: cancel, ctx: ctx, first: first}
 	s.scan.Buffer(make([]byte, 0, 4096), 1<<20)
 	return s, nil
 }
@@ -252,10 +370,22 @@
 var dataPrefix = []byte("data: ")
 
 // Next returns the next chunk, io.EOF after the last one, or *Broken.
-func (s *Stream) Next() (Chunk, error) {
+func (s *Stream) Next() (Chunk, error) { return s.NextWithin(0) }
+
+// NextWithin is Next with a progress deadline, after which it fails with *Silent; 0 sets none. For the first chunk the
+// deadline that the stream was opened with holds in place of limit.
+func (s *Stream) NextWithin(limit time.Duration) (Chunk, error) {
 	if s.done {
 		return Chunk{}, io.EOF
 	}
+	left := limit
+	if !s.first.IsZero() {
+		left = max(time.Until(s.first), time.Nanosecond)
+		s.first = time.Time{}
+	}
+	if left > 0 {
+		defer watch(s.cancel, left, max(limit, left), s.next)()
+	}
 	for s.scan.Scan() {
 		line := s.scan.Bytes()
 		if !bytes.HasPrefix(line, dataPrefix) {
@@ -283,11 +413,23 @@
 	if err == nil {
 		err = io.ErrUnexpectedEOF
 	}
-	return Chunk{}, &Broken{Tokens: s.next, Err: err}
+	return Chunk{}, fault(s.ctx, s.next, err)
 }
 
-// Close ends the stream. Closing before the last chunk also closes its connection.
-func (s *Stream) Close() { _ = s.body.Close() }
+// Close ends the stream. Closing before the last chunk also closes its connection. After the last chunk the rest of the
+// body, which holds nothing, is read so that the connection can be used again.
+func (s *Stream) Close() {
+	if s.done {
+		stop := watch(s.cancel, drainLimit, drainLimit, s.next)
+		_, _ = io.CopyN(io.Discard, s.body, 4096)
+		stop()
+	}
+	_ = s.body.Close()
+	s.cancel(nil)
+}
+
+// drainLimit bounds the wait for the end of a body whose last chunk has been read.
+const drainLimit = 10 * time.Millisecond
 
 // Gap reports that a token is missing from a stream.
 type Gap struct{ Want, Got int }
@@ -319,6 +461,10 @@
 }
 
 func (c *Client) call(ctx context.Context, method string, addr netip.AddrPort, path string, in, out any) error {
+	return c.do(ctx, c.pool(addr), method, addr, path, in, out)
+}
+
+func (c *Client) do(ctx context.Context, tr http.RoundTripper, method string, addr netip.AddrPort, path string, in, out any) error {
 	var body io.Reader
 	if in != nil {
 		b, err := json.Marshal(in)
@@ -331,7 +477,7 @@
 	if err != nil {
 		return &NotSent{Err: err}
 	}
-	resp, err := c.http.Do(req)
+	resp, err := tr.RoundTrip(req)
 	if err != nil {
 		return fmt.Errorf("%s %s at %s: %w", method, path, addr, err)
 	}
