Serve callers with retries, resumption, claims and a graceful end

Cause: a request was sent once and any failure was reported as unknown; SIGTERM cut off requests in flight, because they inherited the daemon's context and kratos stops after 10 s; unknown paths were answered by a router without our headers. Change: internal/caller is split by subject. Chats are resumed on a new connection after a progress deadline and a probe, or run again while the caller has no token; calls that must not be repeated use a fresh connection and are sent once; keyed ones are claimed first. Slow callers are cut off after 5 s. The daemon leaves in order (Drain, Hold, Wait) and orders addresses. [tls] adds a certificate that is reloaded.

--- a/cmd/flamingod/main.go
+++ b/cmd/flamingod/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/go-kratos/kratos/v2"
 	"github.com/hashicorp/go-hclog"
@@ -28,6 +29,10 @@
 	}
 }
 
+// stopLimit bounds a graceful stop after the hold. It is above the longest deadline of a request, an hour; kratos'
+// default of 10 s would cut requests off.
+const stopLimit = time.Hour + time.Minute
+
 func run(_ context.Context, c *cli.Command) error {
 	file := c.Args().First()
 	if file == "" {
@@ -48,5 +53,5 @@
 	log := hclog.New(&hclog.LoggerOptions{Name: set.Name, Level: hclog.LevelFromString(set.LogLevel), JSONFormat: set.LogFormat == "json"})
 	d, closeDaemon := daemon.New(set, log)
 	defer closeDaemon()
-	return kratos.New(kratos.Name("flamingod"), kratos.ID(set.Name), kratos.Server(d)).Run()
+	return kratos.New(kratos.Name("flamingod"), kratos.ID(set.Name), kratos.Server(d), kratos.StopTimeout(set.Hold+stopLimit)).Run()
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -1,8 +1,11 @@
 // Package caller is the HTTP interface towards callers.
 //
 // It owns each request from its first byte to its last: it authenticates the organisation, finds the kind of work,
-// asks for a slot, sends the attempt and relays the answer. Every response names the request and says whether it was
-// run. No state outlives a request.
+// asks for a slot, sends the attempts and relays the answer. Every response names the request and says whether it was
+// run. No state outlives a request, but for the retry budget and the learnt speed of backend servers.
+//
+// chat.go holds chats, plain.go calls of plain services, claims.go calls that may run only once, drain.go the list of
+// addresses and the end of the server, tls.go the certificate.
 package caller
 
 import (
@@ -12,9 +15,9 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"net/netip"
-	"path"
 	"slices"
 	"strconv"
 	"strings"
@@ -22,9 +25,12 @@
 
 	"github.com/google/uuid"
 
+	"flamingorudder.example/internal/claim"
 	"flamingorudder.example/internal/dispatch"
 	"flamingorudder.example/internal/engine"
 	"flamingorudder.example/internal/note"
+	"flamingorudder.example/internal/retry"
+	"flamingorudder.example/internal/timeline"
 )
 
 // Outcome tells whether a request was run.
@@ -37,6 +43,10 @@
 	Unknown Outcome = "unknown"
 )
 
+func outcome(v retry.Verdict) Outcome {
+	return [...]Outcome{retry.NotRun: NotRun, retry.Unknown: Unknown, retry.Run: Run}[v]
+}
+
 // Headers towards callers.
 const (
 	HeaderRequest  = "X-Request-Id"
@@ -44,10 +54,20 @@
 	HeaderWork     = "X-Work"
 	HeaderDeadline = "X-Deadline"
 	HeaderKey      = "Idempotency-Key"
+	// HeaderReplayed marks an answer that was recorded for an earlier request with the same key: "true", or
+	// "status-only" when the recorded body was too large to keep.
+	HeaderReplayed = "Idempotent-Replayed"
 )
 
-// maxBody bounds the body of a request.
-const maxBody = 1 << 20
+const (
+	// maxBody bounds a body that is held in memory, maxStreamed one that is passed on as it arrives.
+	maxBody     = 1 << 20
+	maxStreamed = 64 << 20
+	// maxDeadline bounds a caller's deadline, and with it the time that a leaving daemon waits for its requests.
+	maxDeadline = time.Hour
+	// stall is how long a caller may take to send more of its body, or to take more of its answer.
+	stall = 5 * time.Second
+)
 
 // Failure is an answer other than success.
 type Failure struct {
@@ -56,44 +76,93 @@
 	Message    string
 	RetryAfter time.Duration
 	Outcome    Outcome
+	// Allow lists the methods of the route, for status 405.
+	Allow []string
 }
 
 func (e *Failure) Error() string { return fmt.Sprintf("%s: %s", e.Type, e.Message) }
 
+// Gone reports that the caller has closed its connection or no longer takes its answer.
+type Gone struct{ Err error }
+
+func (e *Gone) Error() string { return fmt.Sprintf("caller is gone: %v", e.Err) }
+func (e *Gone) Unwrap() error { return e.Err }
+
 type configs interface{ Config() (note.Config, bool) }
 
-type dispatcher interface {
-	Acquire(ctx context.Context, q dispatch.Request) (dispatch.Slot, error)
+// Slot is permission to send one attempt to a target. Release must be called once.
+type Slot struct {
+	Target  dispatch.Target
+	Release func(dispatch.Result)
+}
+
+type slots interface {
+	// Acquire waits for a slot. It fails with *dispatch.Refusal, or when ctx ends.
+	Acquire(ctx context.Context, q dispatch.Request) (Slot, error)
+}
+
+// Slots hands out the slots of a dispatcher.
+type Slots struct{ From *dispatch.Dispatcher }
+
+// Acquire waits for a slot.
+func (s Slots) Acquire(ctx context.Context, q dispatch.Request) (Slot, error) {
+	slot, err := s.From.Acquire(ctx, q)
+	return Slot{Target: slot.Target, Release: slot.Release}, err
 }
 
 type addresses interface {
 	Addresses() ([]netip.AddrPort, time.Duration)
 }
 
+type claims interface {
+	Take(ctx context.Context, key string, e claim.Entry) (claim.Claim, error)
+	Record(c claim.Claim, a claim.Answer)
+	Release(c claim.Claim)
+}
+
+// Options is what a server is made of. Config, Slots, Addresses, Engine, Claims and Log are required.
+type Options struct {
+	Config    configs
+	Slots     slots
+	Addresses addresses
+	Engine    *engine.Client
+	Claims    claims
+	Log       *timeline.Log
+	// Self is the server's own address towards callers.
+	Self netip.AddrPort
+	// Dial opens connections to plain services; nil means TCP.
+	Dial engine.Dial
+	// IDs returns a new request id for each call; nil means random UUIDs.
+	IDs func() string
+	// Now is the clock of what callers are shown; nil means time.Now.
+	Now func() time.Time
+}
+
 // Server answers callers.
 type Server struct {
-	config configs
-	slots  dispatcher
-	addrs  addresses
-	engine *engine.Client
-	plain  *http.Client
-	mux    *http.ServeMux
+	Options
+	budget budget
+	speeds speeds
+	plains plains
+	drain  drain
 }
 
 // New returns a server.
-func New(c configs, d dispatcher, a addresses, e *engine.Client) *Server {
-	s := &Server{config: c, slots: d, addrs: a, engine: e, plain: &http.Client{}, mux: http.NewServeMux()}
-	s.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
-	s.mux.HandleFunc("GET /readyz", s.ready)
-	s.mux.HandleFunc("GET /v1/addresses", s.addresses)
-	s.mux.HandleFunc("GET /v1/models", s.handle(s.models))
-	s.mux.HandleFunc("POST /v1/chat/completions", s.handle(s.chat))
-	s.mux.HandleFunc("/", s.handle(s.call))
+func New(o Options) *Server {
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext
+	}
+	if o.IDs == nil {
+		o.IDs = uuid.NewString
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	s := &Server{Options: o, plains: newPlains(o.Dial)}
+	s.budget.b = retry.NewBudget()
 	return s
 }
 
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
-
 // request is what is known of a caller's request.
 type request struct {
 	id  string
@@ -101,23 +170,61 @@
 	cfg note.Config
 }
 
-func (s *Server) handle(f func(w http.ResponseWriter, r *http.Request, q request) error) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		q := request{id: uuid.NewString()}
-		w.Header().Set(HeaderRequest, q.id)
-		err := s.admit(r, &q)
-		if err == nil {
-			err = f(w, r, q)
-		}
-		if err != nil {
-			fail(w, err)
-		}
+// ServeHTTP answers a request. The headers that every response carries are set first, so that no path leaves them out;
+// until an attempt is sent, the outcome is "not run".
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer s.drain.enter()()
+	q := request{id: s.IDs()}
+	h := w.Header()
+	h.Set(HeaderRequest, q.id)
+	h.Set(HeaderOutcome, string(NotRun))
+	if s.drain.leaving() {
+		// The caller's next request opens a connection, which the list of addresses takes elsewhere.
+		h.Set("Connection", "close")
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(time.Time{}) // The last response on this connection may have left one.
+	if err := s.route(w, r, &q); err != nil {
+		s.fail(w, q, err)
 	}
 }
 
+// route finds what answers a request.
+func (s *Server) route(w http.ResponseWriter, r *http.Request, q *request) error {
+	fixed := map[string]struct {
+		method string
+		open   bool
+		f      func(w http.ResponseWriter, r *http.Request, q request) error
+	}{
+		"/healthz":             {http.MethodGet, true, s.healthy},
+		"/readyz":              {http.MethodGet, true, s.ready},
+		"/v1/addresses":        {http.MethodGet, true, s.addresses},
+		"/v1/models":           {http.MethodGet, false, s.models},
+		"/v1/chat/completions": {http.MethodPost, false, s.chat},
+	}
+	f, ok := fixed[r.URL.Path]
+	switch {
+	case ok && f.method != r.Method && (f.method != http.MethodGet || r.Method != http.MethodHead):
+		return notAllowed(r, f.method)
+	case ok && f.open:
+		return f.f(w, r, *q)
+	}
+	if err := s.admit(r, q); err != nil {
+		return err
+	}
+	if ok {
+		return f.f(w, r, *q)
+	}
+	return s.plain(w, r, *q)
+}
+
+func notAllowed(r *http.Request, allow ...string) error {
+	return &Failure{Status: http.StatusMethodNotAllowed, Type: "method_not_allowed", Message: fmt.Sprintf("%s is not a method of %s", r.Method, r.URL.Path), Outcome: NotRun, Allow: allow}
+}
+
 // admit finds the organisation of a request.
 func (s *Server) admit(r *http.Request, q *request) error {
-	cfg, ok := s.config.Config()
+	cfg, ok := s.Config.Config()
 	if !ok {
 		return &Failure{Status: http.StatusServiceUnavailable, Type: "not_ready", Message: "no configuration has been received yet; use another address", RetryAfter: time.Second, Outcome: NotRun}
 	}
@@ -136,49 +243,84 @@
 	return &Failure{Status: http.StatusUnauthorized, Type: "unknown_key", Message: "the bearer key belongs to no organisation", Outcome: NotRun}
 }
 
-func fail(w http.ResponseWriter, err error) {
+// failure gives an error the form in which the caller sees it.
+func failure(err error) *Failure {
 	var f *Failure
 	var refusal *dispatch.Refusal
 	switch {
 	case errors.As(err, &f):
+		return f
 	case errors.As(err, &refusal):
-		f = &Failure{Status: http.StatusServiceUnavailable, Type: "refused", Message: refusal.Reason, RetryAfter: refusal.RetryAfter, Outcome: NotRun}
-	default:
-		f = &Failure{Status: http.StatusBadGateway, Type: "backend", Message: err.Error(), Outcome: Unknown}
+		return &Failure{Status: http.StatusServiceUnavailable, Type: "refused", Message: refusal.Reason, RetryAfter: refusal.RetryAfter, Outcome: NotRun}
 	}
+	return &Failure{Status: http.StatusServiceUnavailable, Type: "internal", Message: "the request could not be handled", RetryAfter: time.Second, Outcome: Unknown}
+}
+
+// body is the JSON form of a failure.
+func (e *Failure) body() any {
+	type fault struct {
+		Type       string `json:"type"`
+		Message    string `json:"message"`
+		RetryAfter int64  `json:"retry_after_ms,omitempty"`
+	}
+	return map[string]fault{"error": {e.Type, e.Message, e.RetryAfter.Milliseconds()}}
+}
+
+func (s *Server) fail(w http.ResponseWriter, q request, err error) {
+	var gone *Gone
+	if errors.As(err, &gone) {
+		return
+	}
+	f := failure(err)
 	h := w.Header()
 	h.Set(HeaderOutcome, string(f.Outcome))
 	if f.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
 	}
-	var body struct {
-		Error struct {
-			Type       string `json:"type"`
-			Message    string `json:"message"`
-			RetryAfter int64  `json:"retry_after_ms,omitempty"`
-		} `json:"error"`
+	if len(f.Allow) > 0 {
+		h.Set("Allow", strings.Join(f.Allow, ", "))
 	}
-	body.Error.Type, body.Error.Message, body.Error.RetryAfter = f.Type, f.Message, f.RetryAfter.Milliseconds()
-	reply(w, f.Status, body)
+	if f.Status == http.StatusRequestTimeout {
+		h.Set("Connection", "close") // The rest of the body would be read as the next request.
+	}
+	if q.org != "" {
+		if f.Outcome == NotRun {
+			s.Log.Add(timeline.Event{Kind: timeline.Refuse, Request: q.id, Org: q.org, Reason: f.Type})
+		}
+		s.replied(q, f.Outcome, f.Type)
+	}
+	reply(w, f.Status, f.body())
+}
+
+// replied records that the caller gets its final answer.
+func (s *Server) replied(q request, o Outcome, reason string) {
+	s.Log.Add(timeline.Event{Kind: timeline.Reply, Request: q.id, Org: q.org, Outcome: string(o), Reason: reason})
 }
 
+// reply writes a whole JSON answer within the time that a caller has to take it.
 func reply(w http.ResponseWriter, status int, v any) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(stall))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
-	if _, ok := s.config.Config(); !ok {
-		http.Error(w, "no configuration", http.StatusServiceUnavailable)
-		return
-	}
-	_, _ = io.WriteString(w, "ready\n")
+func (s *Server) healthy(w http.ResponseWriter, _ *http.Request, _ request) error {
+	w.Header().Set(HeaderOutcome, string(Run))
+	_, _ = io.WriteString(w, "ok\n")
+	return nil
 }
 
-func (s *Server) addresses(w http.ResponseWriter, _ *http.Request) {
-	list, hold := s.addrs.Addresses()
-	reply(w, http.StatusOK, map[string]any{"addresses": list, "hold_seconds": int(hold.Seconds())})
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request, _ request) error {
+	if s.drain.leaving() {
+		return &Failure{Status: http.StatusServiceUnavailable, Type: "leaving", Message: "the daemon is leaving; use another address", Outcome: NotRun}
+	}
+	if _, ok := s.Config.Config(); !ok {
+		return &Failure{Status: http.StatusServiceUnavailable, Type: "not_ready", Message: "no configuration has been received yet", RetryAfter: time.Second, Outcome: NotRun}
+	}
+	w.Header().Set(HeaderOutcome, string(Run))
+	_, _ = io.WriteString(w, "ready\n")
+	return nil
 }
 
 func (s *Server) models(w http.ResponseWriter, _ *http.Request, q request) error {
@@ -198,188 +340,135 @@
 	return nil
 }
 
-// work finds the kind of work of a request to a service: the one the caller names, else the most urgent of the service.
-func (q request) work(r *http.Request, service string) (note.Work, error) {
+// job is a request that has been accepted: what it is for and when it is due.
+type job struct {
+	request
+	service string
+	work    note.Work
+	due     time.Time
+	cost    int
+	call    retry.Call
+}
+
+// accept finds the kind of work of a request to a service, the one that the caller names or else the most urgent of
+// the service, and its deadline.
+func (s *Server) accept(r *http.Request, q request, service string, cost int) (*job, error) {
 	if !slices.Contains(q.cfg.Organisations[q.org].Services, service) {
-		return note.Work{}, &Failure{Status: http.StatusForbidden, Type: "not_assigned", Message: fmt.Sprintf("organisation %s is not assigned to service %q", q.org, service), Outcome: NotRun}
+		return nil, &Failure{Status: http.StatusForbidden, Type: "not_assigned", Message: fmt.Sprintf("organisation %s is not assigned to service %q", q.org, service), Outcome: NotRun}
 	}
+	work := note.Work{Rank: note.RankOvernight, Deadline: time.Minute}
 	if name := r.Header.Get(HeaderWork); name != "" {
 		w, ok := q.cfg.Works[name]
 		if !ok || w.Service != service {
-			return note.Work{}, &Failure{Status: http.StatusBadRequest, Type: "unknown_work", Message: fmt.Sprintf("service %q has no kind of work %q", service, name), Outcome: NotRun}
+			return nil, &Failure{Status: http.StatusBadRequest, Type: "unknown_work", Message: fmt.Sprintf("service %q has no kind of work %q", service, name), Outcome: NotRun}
 		}
-		return w, nil
-	}
-	best := note.Work{Rank: note.RankOvernight, Deadline: time.Minute}
-	for _, w := range q.cfg.Works {
-		if w.Service == service && w.Rank <= best.Rank {
-			best = w
+		work = w
+	} else {
+		for _, w := range q.cfg.Works {
+			if w.Service == service && w.Rank <= work.Rank {
+				work = w
+			}
 		}
 	}
-	return best, nil
+	due, err := deadline(r, s.Now(), work.Deadline)
+	if err != nil {
+		return nil, err
+	}
+	s.budget.earn()
+	s.Log.Add(timeline.Event{Kind: timeline.Accept, Request: q.id, Org: q.org, Service: service, Rank: work.Rank.String()})
+	return &job{request: q, service: service, work: work, due: due, cost: cost, call: retry.Call{Deadline: due}}, nil
 }
 
 func deadline(r *http.Request, now time.Time, def time.Duration) (time.Time, error) {
+	latest := now.Add(maxDeadline)
 	text := r.Header.Get(HeaderDeadline)
 	if text == "" {
-		return now.Add(def), nil
+		return now.Add(min(def, maxDeadline)), nil
 	}
 	if d, err := time.ParseDuration(text); err == nil && d > 0 {
-		return now.Add(d), nil
+		return now.Add(min(d, maxDeadline)), nil
 	}
-	if t, err := time.Parse(time.RFC3339Nano, text); err == nil {
-		return t, nil
-	}
-	return time.Time{}, &Failure{Status: http.StatusBadRequest, Type: "bad_deadline", Message: HeaderDeadline + " is neither a duration such as 1500ms nor a time as in RFC 3339", Outcome: NotRun}
+	t, err := time.Parse(time.RFC3339Nano, text)
+	switch {
+	case err != nil:
+		return time.Time{}, &Failure{Status: http.StatusBadRequest, Type: "bad_deadline", Message: HeaderDeadline + " is neither a duration such as 1500ms nor a time as in RFC 3339", Outcome: NotRun}
+	case !t.After(now):
+		return time.Time{}, late(NotRun)
+	case t.After(latest):
+		return latest, nil
+	}
+	return t, nil
 }
 
-func (s *Server) chat(w http.ResponseWriter, r *http.Request, q request) error {
-	var c engine.Chat
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&c); err != nil {
-		var tooLong *http.MaxBytesError
-		if errors.As(err, &tooLong) {
-			return &Failure{Status: http.StatusRequestEntityTooLarge, Type: "too_large", Message: fmt.Sprintf("the body is over %d bytes", tooLong.Limit), Outcome: NotRun}
-		}
-		return &Failure{Status: http.StatusBadRequest, Type: "bad_body", Message: "the body is not a chat request: " + err.Error(), Outcome: NotRun}
-	}
-	if _, ok := q.cfg.Models[c.Model]; !ok {
-		return &Failure{Status: http.StatusNotFound, Type: "unknown_model", Message: fmt.Sprintf("there is no model service %q", c.Model), Outcome: NotRun}
-	}
-	work, err := q.work(r, c.Model)
-	if err != nil {
-		return err
-	}
-	due, err := deadline(r, time.Now(), work.Deadline)
-	if err != nil {
-		return err
-	}
-	slot, err := s.slots.Acquire(r.Context(), dispatch.Request{ID: q.id, Service: c.Model, Rank: work.Rank, Organisation: q.org, Cost: cost(c), Deadline: due})
-	if err != nil {
-		return err
-	}
-	var res dispatch.Result
-	defer func() { slot.Release(res) }()
-	t := slot.Target
-	stream, err := s.engine.Send(r.Context(), t.Addr, engine.Attempt{ID: q.id, Group: t.Group, Generation: t.Generation, Priority: int(work.Rank), Deadline: due, Chat: c})
-	if err != nil {
-		res.Failed = true
-		return err
-	}
-	defer stream.Close()
-	return relay(w, stream, c, q.id)
+func late(o Outcome) *Failure {
+	return &Failure{Status: http.StatusGatewayTimeout, Type: "deadline", Message: "the deadline passed before the answer was complete", Outcome: o}
 }
 
-// cost estimates the work of a chat in tokens: about four bytes of prompt to a token, and the expected answer.
-func cost(c engine.Chat) int {
-	n := c.MaxTokens
-	for _, m := range c.Messages {
-		n += len(m.Content) / 4
-	}
-	return max(n, 1)
+// acquire waits for a slot. Its failure is the caller's final answer.
+func (s *Server) acquire(ctx context.Context, r *http.Request, j *job) (Slot, error) {
+	slot, err := s.Slots.Acquire(ctx, dispatch.Request{ID: j.id, Service: j.service, Rank: j.work.Rank, Organisation: j.org, Cost: j.cost, Deadline: j.due})
+	if err == nil {
+		return slot, nil
+	}
+	if stopped := s.stopped(ctx, r, j, ""); stopped != nil {
+		return slot, stopped
+	}
+	f := *failure(err)
+	if v := j.call.Verdict(); v != retry.NotRun {
+		f.Outcome = outcome(v) // An earlier attempt may have run.
+	} else {
+		f.Outcome = NotRun // The request never left.
+	}
+	return slot, &f
 }
 
-func relay(w http.ResponseWriter, s *engine.Stream, c engine.Chat, id string) error {
-	var text strings.Builder
-	h := w.Header()
-	for first := true; ; first = false {
-		k, err := s.Next()
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			if c.Stream && !first {
-				return nil // The status has been sent; ending without [DONE] tells the caller that the answer is not whole.
-			}
-			return err
-		}
-		if !c.Stream {
-			text.WriteString(k.Text)
-			continue
-		}
-		if first {
-			h.Set(HeaderOutcome, string(Run))
-			h.Set("Content-Type", "text/event-stream")
-			h.Set("Cache-Control", "no-store")
-		}
-		finish := ""
-		if k.Done {
-			finish = "stop"
-		}
-		b, _ := json.Marshal(completion(id, c.Model, "chat.completion.chunk", "delta", k.Text, finish))
-		if _, err := fmt.Fprintf(w, "data: %s\n\n", b); err != nil {
-			return nil
-		}
-		_ = http.NewResponseController(w).Flush()
-	}
-	if c.Stream {
-		_, _ = io.WriteString(w, "data: [DONE]\n\n")
-		return nil
+// stopped tells why a request ends before its answer: the caller left or the deadline passed. It is nil when neither
+// has happened.
+func (s *Server) stopped(ctx context.Context, r *http.Request, j *job, attempt string) error {
+	switch {
+	case r.Context().Err() != nil:
+		s.Log.Add(timeline.Event{Kind: timeline.Cancel, Request: j.id, Attempt: attempt})
+		return &Gone{Err: r.Context().Err()}
+	case ctx.Err() != nil:
+		return late(outcome(j.call.Verdict()))
 	}
-	h.Set(HeaderOutcome, string(Run))
-	reply(w, http.StatusOK, completion(id, c.Model, "chat.completion", "message", text.String(), "stop"))
 	return nil
 }
 
-func completion(id, model, object, field, text, finish string) map[string]any {
-	choice := map[string]any{"index": 0, field: engine.Message{Role: "assistant", Content: text}, "finish_reason": nil}
-	if finish != "" {
-		choice["finish_reason"] = finish
-	}
-	return map[string]any{"id": id, "object": object, "created": time.Now().Unix(), "model": model, "choices": []any{choice}}
-}
-
-// call passes a call on to a plain service.
-func (s *Server) call(w http.ResponseWriter, r *http.Request, q request) error {
-	service, _, ok := q.route(r)
-	if !ok {
-		return &Failure{Status: http.StatusNotFound, Type: "unknown_route", Message: fmt.Sprintf("no service declares %s %s", r.Method, r.URL.Path), Outcome: NotRun}
-	}
-	work, err := q.work(r, service)
-	if err != nil {
-		return err
-	}
-	due, err := deadline(r, time.Now(), work.Deadline)
-	if err != nil {
-		return err
-	}
-	slot, err := s.slots.Acquire(r.Context(), dispatch.Request{ID: q.id, Service: service, Rank: work.Rank, Organisation: q.org, Cost: 1, Deadline: due})
-	if err != nil {
-		return err
-	}
-	var res dispatch.Result
-	defer func() { slot.Release(res) }()
-	ctx, stop := context.WithDeadline(r.Context(), due)
-	defer stop()
-	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+slot.Target.Addr.String()+r.URL.RequestURI(), http.MaxBytesReader(w, r.Body, maxBody))
-	if err != nil {
-		return err
-	}
-	out.Header.Set(engine.HeaderAttempt, q.id)
-	out.Header.Set("Content-Type", r.Header.Get("Content-Type"))
-	out.Header.Set(HeaderKey, r.Header.Get(HeaderKey))
-	resp, err := s.plain.Do(out)
-	if err != nil {
-		res.Failed = true
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if got := resp.Header.Get(engine.HeaderAttempt); got != q.id {
-		return &engine.Misrouted{Want: q.id, Got: got}
+// gaveUp is the failure of a request whose attempts have failed.
+func (j *job) gaveUp(o retry.Outcome) *Failure {
+	f := &Failure{Status: http.StatusServiceUnavailable, Type: "backend_" + strings.ReplaceAll(o.String(), "-", "_"), Outcome: outcome(j.call.Verdict())}
+	switch f.Outcome {
+	case NotRun:
+		f.Message, f.RetryAfter = "no backend server took the request; it was not run", time.Second
+	case Unknown:
+		f.Message = "the backend server did not answer; the request may have been run"
+	default:
+		f.Message = "the request was run, but its answer is not complete"
 	}
-	w.Header().Set(HeaderOutcome, string(Run))
-	w.Header().Set("Content-Type", resp.Header.Get("Content-Type"))
-	w.WriteHeader(resp.StatusCode)
-	_, _ = io.Copy(w, resp.Body)
-	return nil
+	return f
 }
 
-func (q request) route(r *http.Request) (service string, rt note.Route, ok bool) {
-	for name, p := range q.cfg.Plains {
-		for _, rt := range p.Routes {
-			if match, _ := path.Match(rt.Path, r.URL.Path); match && rt.Method == r.Method {
-				return name, rt, true
-			}
-		}
-	}
-	return "", note.Route{}, false
+// classify names the end of an attempt.
+func classify(err error) retry.Outcome {
+	var refused *engine.Refused
+	var notSent *engine.NotSent
+	var silent *engine.Silent
+	var misrouted *engine.Misrouted
+	var broken *engine.Broken
+	switch {
+	case err == nil:
+		return retry.Done
+	case errors.As(err, &misrouted):
+		return retry.Misrouted
+	case errors.As(err, &silent):
+		return retry.Silent
+	case errors.As(err, &broken):
+		return retry.Broken
+	case errors.As(err, &refused):
+		return retry.Refused
+	case errors.As(err, &notSent):
+		return retry.NotSent
+	}
+	return retry.Broken
 }
--- /dev/null
+++ b/internal/caller/chat.go
@@ -0,0 +1,333 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"flamingorudder.example/internal/dispatch"
+	"flamingorudder.example/internal/engine"
+	"flamingorudder.example/internal/retry"
+	"flamingorudder.example/internal/timeline"
+)
+
+// chat answers a chat, whole or streamed. A chat may be run again as long as the caller has seen no token of it.
+func (s *Server) chat(w http.ResponseWriter, r *http.Request, q request) error {
+	b, err := readBody(w, r)
+	if err != nil {
+		return err
+	}
+	var c engine.Chat
+	if err := json.Unmarshal(b, &c); err != nil {
+		return &Failure{Status: http.StatusBadRequest, Type: "bad_body", Message: "the body is not a chat request: " + err.Error(), Outcome: NotRun}
+	}
+	if _, ok := q.cfg.Models[c.Model]; !ok {
+		return &Failure{Status: http.StatusNotFound, Type: "unknown_model", Message: fmt.Sprintf("there is no model service %q", c.Model), Outcome: NotRun}
+	}
+	j, err := s.accept(r, q, c.Model, cost(c))
+	if err != nil {
+		return err
+	}
+	j.call.Repeatable, j.call.Resumable = true, true
+	ctx, stop := context.WithDeadline(r.Context(), j.due)
+	defer stop()
+	x := &exchange{Server: s, job: j, r: r, chat: c, out: answer{w: w, id: q.id, model: c.Model, stream: c.Stream, created: s.Now().Unix()}}
+	for again := true; again; {
+		slot, err := s.acquire(ctx, r, j)
+		if err != nil {
+			return x.end(err)
+		}
+		again, err = x.attempt(ctx, slot)
+		if err != nil {
+			return x.end(err)
+		}
+	}
+	return x.end(nil)
+}
+
+// readBody reads a whole body from a caller that keeps sending.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(stall))
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLong *http.MaxBytesError
+	switch {
+	case err == nil:
+		return b, nil
+	case errors.As(err, &tooLong):
+		return nil, &Failure{Status: http.StatusRequestEntityTooLarge, Type: "too_large", Message: fmt.Sprintf("the body is over %d bytes", tooLong.Limit), Outcome: NotRun}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, &Failure{Status: http.StatusRequestTimeout, Type: "slow_body", Message: fmt.Sprintf("the body did not arrive within %v", stall), Outcome: NotRun}
+	}
+	return nil, &Failure{Status: http.StatusBadRequest, Type: "bad_body", Message: "the body could not be read", Outcome: NotRun}
+}
+
+// cost estimates the work of a chat in tokens: about four bytes of prompt to a token, and the expected answer.
+func cost(c engine.Chat) int {
+	n := c.MaxTokens
+	for _, m := range c.Messages {
+		n += len(m.Content) / 4
+	}
+	return max(n, 1)
+}
+
+// exchange is one chat from the first attempt to the end of the answer.
+type exchange struct {
+	*Server
+	*job
+	r    *http.Request
+	chat engine.Chat
+	out  answer
+
+	// The current attempt: its id, the tokens that have arrived, and when it was sent and gave its first token.
+	id          string
+	tokens      int
+	sent, first time.Time
+	// fruitless counts the resumptions since the last token, broken those of them that failed at once.
+	fruitless, broken int
+	forgotten         bool
+}
+
+// maxBroken is how many resumptions in a row may fail at once before the attempt counts as forgotten.
+const maxBroken = 3
+
+// attempt sends the chat once and resumes its stream as often as that helps. It reports whether another attempt is to
+// be made.
+func (x *exchange) attempt(ctx context.Context, slot Slot) (again bool, err error) {
+	t := slot.Target
+	x.id = x.call.Next(x.request.id)
+	x.tokens, x.fruitless, x.broken, x.forgotten = 0, 0, 0, false
+	x.sent, x.first = time.Now(), time.Time{}
+	x.out.reset()
+	v := x.speeds.get(t.Addr)
+	x.Log.Add(timeline.Event{Kind: timeline.Send, Request: x.request.id, Attempt: x.id, Group: t.Group, Generation: t.Generation, Instance: t.Addr.String()})
+	reason := retry.Done.String()
+	defer func() {
+		x.Log.Add(timeline.Event{Kind: timeline.End, Request: x.request.id, Attempt: x.id, Reason: reason})
+		slot.Release(x.result(reason != retry.Done.String()))
+	}()
+
+	stream, err := x.Engine.Send(ctx, t.Addr, engine.Attempt{ID: x.id, Group: t.Group, Generation: t.Generation, Priority: int(x.work.Rank), Deadline: x.due, First: v.firstLimit(), Chat: x.chat})
+	for {
+		if err == nil {
+			err = x.read(stream, v.gapLimit())
+			stream.Close()
+		}
+		if err == nil {
+			x.call.End(retry.Result{Outcome: retry.Done})
+			x.learn(t)
+			return false, nil
+		}
+		var gone *Gone
+		if errors.As(err, &gone) || ctx.Err() != nil {
+			reason = "cancelled"
+			x.call.End(x.failed(classify(err), false))
+			x.cancel(ctx, t)
+			if gone != nil {
+				x.Log.Add(timeline.Event{Kind: timeline.Cancel, Request: x.request.id, Attempt: x.id})
+				return false, gone
+			}
+			return false, x.stopped(ctx, x.r, x.job, x.id)
+		}
+		out := classify(err)
+		d, alive := x.decide(ctx, t, out)
+		if d.Action != retry.Resume {
+			reason = out.String()
+			if alive {
+				x.cancel(ctx, t)
+			}
+			if d.Action == retry.Again {
+				return true, nil
+			}
+			return false, x.gaveUp(out)
+		}
+		x.Log.Add(timeline.Event{Kind: timeline.Resume, Request: x.request.id, Attempt: x.id, Reason: out.String()})
+		x.fruitless++
+		stream, err = x.Engine.Resume(ctx, t.Addr, x.id, x.tokens, x.patience(v))
+		var refused *engine.Refused
+		if errors.As(err, &refused) {
+			// The engine no longer knows the attempt. What ended it before is what counts.
+			x.forgotten = true
+			err = &engine.Broken{Tokens: x.tokens, Err: refused}
+		}
+	}
+}
+
+// decide judges a failed attempt, after a probe of the engine where the answer may still be had. It also reports
+// whether the engine answered; one that does not cannot be told to cancel.
+func (x *exchange) decide(ctx context.Context, t dispatch.Target, out retry.Outcome) (d retry.Decision, alive bool) {
+	switch out {
+	case retry.Silent:
+		x.Engine.Renew(t.Addr)
+		fallthrough
+	case retry.Broken, retry.Misrouted:
+		if out != retry.Silent {
+			x.broken++
+		}
+		probe, stop := context.WithTimeout(ctx, probeLimit)
+		defer stop()
+		st, err := x.Engine.Probe(probe, t.Addr)
+		alive = err == nil && st.Generation == t.Generation
+	}
+	if x.broken > maxBroken {
+		x.forgotten = true
+	}
+	return x.budget.decide(&x.call, time.Now(), x.failed(out, alive)), alive
+}
+
+func (x *exchange) failed(out retry.Outcome, alive bool) retry.Result {
+	return retry.Result{Outcome: out, Tokens: x.tokens, Given: x.out.given, Alive: alive, Forgotten: x.forgotten}
+}
+
+// patience is the progress deadline of a resumed stream.
+func (x *exchange) patience(v speed) time.Duration {
+	limit := v.firstLimit()
+	if x.tokens > 0 {
+		limit = v.gapLimit()
+	}
+	return min(limit<<min(x.fruitless, 6), maxPatience)
+}
+
+// read relays the chunks of a stream until its end.
+func (x *exchange) read(s *engine.Stream, limit time.Duration) error {
+	for {
+		k, err := s.NextWithin(limit)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if x.tokens++; x.tokens == 1 {
+			x.first = time.Now()
+		}
+		x.fruitless, x.broken = 0, 0
+		if err := x.out.add(k); err != nil {
+			return err
+		}
+	}
+}
+
+// cancel stops the attempt at the engine. It goes on when the caller has left, for a short time.
+func (x *exchange) cancel(ctx context.Context, t dispatch.Target) {
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelLimit)
+	defer stop()
+	// A failure leaves the engine to notice the closed connection by itself.
+	_ = x.Engine.Cancel(ctx, t.Addr, x.id)
+}
+
+func (x *exchange) result(failed bool) dispatch.Result {
+	r := dispatch.Result{Tokens: x.tokens, Total: time.Since(x.sent), Failed: failed}
+	if !x.first.IsZero() {
+		r.First = x.first.Sub(x.sent)
+	}
+	return r
+}
+
+func (x *exchange) learn(t dispatch.Target) {
+	var gap time.Duration
+	if x.tokens > 1 {
+		gap = time.Since(x.first) / time.Duration(x.tokens-1)
+	}
+	x.speeds.learn(t.Addr, x.first.Sub(x.sent), gap)
+}
+
+// end gives the caller its final answer. A stream that has begun ends with an error event and without [DONE].
+func (x *exchange) end(err error) error {
+	var gone *Gone
+	switch {
+	case errors.As(err, &gone):
+		x.replied(x.request, outcome(x.call.Verdict()), "caller left")
+		return err
+	case err == nil:
+		x.replied(x.request, Run, "done")
+		x.out.finish()
+		return nil
+	case x.out.given > 0:
+		f := failure(err)
+		x.replied(x.request, f.Outcome, f.Type)
+		x.out.breakOff(f)
+		return nil
+	}
+	return err
+}
+
+// answer writes a chat's answer to the caller: at once when it is streamed, else when it is complete.
+type answer struct {
+	w         http.ResponseWriter
+	id, model string
+	stream    bool
+	created   int64
+	text      strings.Builder
+	// given is how many tokens the caller has been sent.
+	given int
+}
+
+// reset forgets what has been kept of an earlier attempt.
+func (a *answer) reset() { a.text.Reset() }
+
+func (a *answer) add(k engine.Chunk) error {
+	if !a.stream {
+		a.text.WriteString(k.Text)
+		return nil
+	}
+	if a.given == 0 {
+		h := a.w.Header()
+		h.Set(HeaderOutcome, string(Run))
+		h.Set("Content-Type", "text/event-stream")
+		h.Set("Cache-Control", "no-store")
+	}
+	a.given++
+	finish := ""
+	if k.Done {
+		finish = "stop"
+	}
+	return a.event(a.completion("chat.completion.chunk", "delta", k.Text, finish))
+}
+
+// event sends one event. It fails with *Gone when the caller does not take it in time.
+func (a *answer) event(v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode an event: %w", err)
+	}
+	return a.line(string(b))
+}
+
+func (a *answer) line(data string) error {
+	rc := http.NewResponseController(a.w)
+	_ = rc.SetWriteDeadline(time.Now().Add(stall))
+	if _, err := io.WriteString(a.w, "data: "+data+"\n\n"); err != nil {
+		return &Gone{Err: err}
+	}
+	if err := rc.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return &Gone{Err: err}
+	}
+	return nil
+}
+
+func (a *answer) finish() {
+	if a.stream {
+		_ = a.line("[DONE]")
+		return
+	}
+	a.w.Header().Set(HeaderOutcome, string(Run))
+	reply(a.w, http.StatusOK, a.completion("chat.completion", "message", a.text.String(), "stop"))
+}
+
+func (a *answer) breakOff(f *Failure) { _ = a.event(f.body()) }
+
+func (a *answer) completion(object, field, text, finish string) map[string]any {
+	choice := map[string]any{"index": 0, field: engine.Message{Role: "assistant", Content: text}, "finish_reason": nil}
+	if finish != "" {
+		choice["finish_reason"] = finish
+	}
+	return map[string]any{"id": a.id, "object": object, "created": a.created, "model": a.model, "choices": []any{choice}}
+}
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -144,7 +144,11 @@
 		case <-ctx.Done():
 			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 			defer cancel()
-			k.round(last, nil, nil)
+			for _, it := range k.late {
+				it.next = time.Time{}
+			}
+			for k.round(last, nil, nil) > 0 && last.Err() == nil {
+			}
 			return nil
 		case it := <-k.claims.C():
 			k.round(ctx, it, nil)
@@ -158,8 +162,8 @@
 	}
 }
 
-// round writes one batch: the claims that wait, then records as far as there is room.
-func (k *Keeper) round(ctx context.Context, claim, record *item) {
+// round writes one batch, the claims that wait and then records as far as there is room, and returns its size.
+func (k *Keeper) round(ctx context.Context, claim, record *item) (size int) {
 	now := time.Now()
 	var batch []*item
 	add := func(it *item) {
@@ -197,21 +201,23 @@
 			more = false
 		}
 	}
+	size = len(batch)
 	// A transaction holds each row once; further items of the same row go into the next one.
 	for len(batch) > 0 {
 		seen := map[string]bool{}
-		var now, later []*item
+		var first, later []*item
 		for _, it := range batch {
 			if seen[it.change.Key] {
 				later = append(later, it)
 				continue
 			}
 			seen[it.change.Key] = true
-			now = append(now, it)
+			first = append(first, it)
 		}
-		k.write(ctx, now)
+		k.write(ctx, first)
 		batch = later
 	}
+	return size
 }
 
 // commitLimit bounds one call of the table, so that a slow table holds a batch up for a bounded time.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	stdhttp "net/http"
 	"net/netip"
 	"slices"
 	"strings"
@@ -22,12 +23,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/caller"
+	"flamingorudder.example/internal/claim"
 	"flamingorudder.example/internal/dispatch"
 	"flamingorudder.example/internal/engine"
 	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/operator"
 	"flamingorudder.example/internal/platform"
 	"flamingorudder.example/internal/setting"
+	"flamingorudder.example/internal/timeline"
 	"flamingorudder.example/internal/timer"
 )
 
@@ -38,6 +41,9 @@
 	platform *platform.Client
 	engine   *engine.Client
 	dispatch *dispatch.Dispatcher
+	claims   *claim.Keeper
+	timeline *timeline.Log
+	callers  *caller.Server
 
 	mu  sync.Mutex
 	cfg note.Config
@@ -47,12 +53,18 @@
 	cancel   context.CancelFunc
 }
 
+// timelineSize is how many events the timeline keeps.
+const timelineSize = 65536
+
 // New returns a daemon and a function that frees its connections.
 func New(s setting.Daemon, log hclog.Logger) (*Daemon, func()) {
 	p, closePlatform := platform.Dial(s.Platform)
 	e, closeEngine := engine.NewClient()
-	d := &Daemon{set: s, log: log, platform: p, engine: e, dispatch: dispatch.New()}
+	d := &Daemon{set: s, log: log, platform: p, engine: e, dispatch: dispatch.New(), timeline: timeline.NewLog(s.Name, timelineSize)}
+	d.claims = claim.NewKeeper(p, uuid.NewString)
+	d.callers = caller.New(caller.Options{Config: d, Slots: caller.Slots{From: d.dispatch}, Addresses: d, Engine: e, Claims: d.claims, Log: d.timeline, Self: s.Caller})
 	return d, func() {
+		d.callers.Close()
 		closePlatform()
 		closeEngine()
 	}
@@ -67,14 +79,31 @@
 	d.cancel = cancel
 	d.mu.Unlock()
 	g, ctx := errgroup.WithContext(ctx)
-	callers := http.NewServer(http.Address(d.set.Caller.String()), http.Timeout(0))
-	callers.HandlePrefix("/", caller.New(d, d.dispatch, d, d.engine))
+	// The filter takes the place of the router, whose own answers (redirects, 404) lack the headers of section 7.1.
+	options := []http.ServerOption{http.Address(d.set.Caller.String()), http.Timeout(0), http.Filter(func(stdhttp.Handler) stdhttp.Handler { return d.callers })}
+	if d.set.Certificate != "" {
+		cert, err := caller.LoadCertificate(d.set.Certificate, d.set.Key)
+		if err != nil {
+			return err
+		}
+		options = append(options, http.TLSConfig(cert.Config()))
+		g.Go(func() error { return cert.Watch(ctx, d.log) })
+	}
+	callers := http.NewServer(options...)
+	callers.ReadHeaderTimeout, callers.IdleTimeout = headerLimit, idleLimit
 	operators := http.NewServer(http.Address(d.set.Operator.String()), http.Timeout(0))
 	operators.HandlePrefix("/", operator.New(d))
+	// Requests and claims do not inherit the end of ctx, which would cut off those in flight.
+	serving, served := context.WithCancel(context.WithoutCancel(ctx))
+	defer served()
+	g.Go(func() error { return d.claims.Run(serving) })
 	for _, s := range []*http.Server{callers, operators} {
-		g.Go(func() error { return s.Start(ctx) })
+		g.Go(func() error { return s.Start(context.WithoutCancel(ctx)) })
 		g.Go(func() error {
 			<-ctx.Done()
+			if s == callers {
+				defer served()
+			}
 			return s.Stop(context.WithoutCancel(ctx))
 		})
 	}
@@ -84,14 +113,30 @@
 	return g.Wait()
 }
 
-// Stop makes Start return once the requests in flight have ended.
-func (d *Daemon) Stop(context.Context) error {
+const (
+	// headerLimit bounds the time in which a caller sends its headers, idleLimit that between its requests.
+	headerLimit = 5 * time.Second
+	idleLimit   = 2 * time.Minute
+	// leaveSpread is the time that other daemons take to see that this one is leaving.
+	leaveSpread = 3 * time.Second
+)
+
+// Stop leaves and then makes Start return: the daemon accepts requests until no caller can know it from a valid list of
+// addresses, and ends when none is in flight. When ctx ends first, Stop returns its error.
+func (d *Daemon) Stop(ctx context.Context) error {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.cancel != nil {
-		d.cancel()
+	cancel := d.cancel
+	d.mu.Unlock()
+	if cancel == nil {
+		return nil
 	}
-	return nil
+	defer cancel()
+	d.log.Info("daemon is leaving", "hold", d.set.Hold)
+	d.callers.Drain()
+	if err := d.callers.Hold(ctx, leaveSpread); err != nil {
+		return err
+	}
+	return d.callers.Wait(ctx)
 }
 
 // Config returns the configuration in force and whether there is one.
@@ -105,13 +150,17 @@
 func (d *Daemon) Addresses() ([]netip.AddrPort, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := []netip.AddrPort{d.set.Caller}
+	near, far := []netip.AddrPort{d.set.Caller}, []netip.AddrPort(nil)
 	for _, i := range d.roster.Instances {
-		if i.Kind == platform.KindDaemon && i.State == platform.Live && i.Addr != d.set.Caller {
-			list = append(list, i.Addr)
+		switch {
+		case i.Kind != platform.KindDaemon || i.State != platform.Live || i.Addr == d.set.Caller:
+		case i.DataCentre == d.set.DataCentre:
+			near = append(near, i.Addr)
+		default:
+			far = append(far, i.Addr)
 		}
 	}
-	return list, d.set.Hold
+	return caller.Spread(near, far), d.set.Hold
 }
 
 // Rows of the table that belong to the configuration.
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -65,6 +65,9 @@
 	Verdict Verdict
 }
 
+// MaxAttempts bounds the attempts of one request, so that one that is refused everywhere does not use up the budget.
+const MaxAttempts = 3
+
 // MinLeft is the time that must be left until the deadline for another attempt to be worth sending.
 const MinLeft = 20 * time.Millisecond
 
@@ -102,15 +105,16 @@
 	Forgotten bool
 }
 
-// Decide returns what follows an attempt. A new attempt is taken from the budget; to resume one is free, because the
-// backend server runs nothing twice for it.
+// End takes in the end of an attempt after which nothing is to be decided.
+func (c *Call) End(r Result) {
+	c.ran = c.ran || r.Outcome.mayHaveRun()
+	c.answered = c.answered || r.Tokens > 0 || r.Outcome == Done
+}
+
+// Decide takes in the end of an attempt and returns what follows. A new attempt is taken from the budget; to resume one
+// is free, because the backend server runs nothing twice for it.
 func (c *Call) Decide(now time.Time, r Result, b *Budget) Decision {
-	if r.Outcome.mayHaveRun() {
-		c.ran = true
-	}
-	if r.Tokens > 0 || r.Outcome == Done {
-		c.answered = true
-	}
+	c.End(r)
 	if r.Outcome == Done {
 		return Decision{Action: GiveUp, Verdict: Run}
 	}
@@ -125,7 +129,7 @@
 		return c.giveUp()
 	case c.ran && !c.Repeatable:
 		return c.giveUp()
-	case !b.Take():
+	case c.attempts >= MaxAttempts || !b.Take():
 		return c.giveUp()
 	}
 	return Decision{Action: Again}
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"flamingorudder.example/internal/ini"
@@ -25,6 +26,8 @@
 	Peers []netip.AddrPort
 	// Hold is how long callers may keep an answer of /v1/addresses.
 	Hold time.Duration
+	// Certificate and Key are the files, in PEM, of the TLS certificate shown to callers; both are empty without TLS.
+	Certificate, Key string
 	// LogLevel and LogFormat choose what is logged and how.
 	LogLevel, LogFormat string
 }
@@ -50,6 +53,12 @@
 	d.LogLevel = g.Choice("level", "info", "trace", "debug", "info", "warn", "error")
 	d.LogFormat = g.Choice("format", "text", "text", "json")
 
+	if slices.ContainsFunc(f.Sections, func(s *ini.Section) bool { return s.Name == "tls" }) {
+		t := f.Section("tls")
+		t.Require("certificate", "key")
+		d.Certificate, d.Key = t.String("certificate", ""), t.String("key", "")
+	}
+
 	r := f.Section("peers")
 	for _, a := range r.List("addresses") {
 		ap, err := netip.ParseAddrPort(a)
@@ -59,11 +68,10 @@
 		}
 		d.Peers = append(d.Peers, ap)
 	}
+	known := []string{"daemon", "listen", "platform", "log", "peers", "tls"}
 	for _, sec := range f.Sections {
-		switch sec.Name {
-		case "daemon", "listen", "platform", "log", "peers":
-		default:
-			sec.Fault("", "unknown section"+ini.Hint(sec.Name, []string{"daemon", "listen", "platform", "log", "peers"}))
+		if !slices.Contains(known, sec.Name) {
+			sec.Fault("", "unknown section"+ini.Hint(sec.Name, known))
 		}
 	}
 	return d, f.Err()
