--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -32,8 +32,9 @@
 		f.send("GET", "/v1/models", "", "Authorization", "")
 		f.send("GET", "/v1/models", "", "Authorization", "Bearer other")
 		f.send("POST", "/v1/chat/completions", "{")
-		f.send("POST", "/v1/chat/completions", `{"model":"none"}`)
-		f.send("POST", "/v1/chat/completions", `{"model":"other"}`)
+		f.send("POST", "/v1/chat/completions", `{"model":"none","messages":[{}]}`)
+		f.send("POST", "/v1/chat/completions", `{"model":"desk","messages":[]}`)
+		f.send("POST", "/v1/chat/completions", `{"model":"other","messages":[{}]}`)
 		f.send("POST", "/v1/chat/completions", chatBody(false), HeaderWork, "hire")
 		f.send("POST", "/v1/chat/completions", chatBody(false), HeaderDeadline, "soon")
 		f.send("POST", "/v1/chat/completions", chatBody(false), HeaderDeadline, "1999-01-01T00:00:00Z")
@@ -84,6 +85,23 @@
 	})
 }
 
+// Guards against a token of another attempt, or one that is missing, in a caller's answer (P3).
+func TestForeignChunk(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		chunk := func(text string) http.HandlerFunc {
+			return func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, "data: "+text+"\n\n")
+			}
+		}
+		f.steps(engines[0],
+			tokens(0, 1, false, chunk(`{"id":"r9.1","index":1,"text":"foreign"}`)),
+			tokens(1, 2, false, chunk(`{"id":"r1.1","index":3,"text":"after a gap"}`)),
+			tokens(2, 4, true, nil))
+		f.send("POST", "/v1/chat/completions", chatBody(false))
+		f.golden("foreign")
+	})
+}
+
 // Guards against two answers joined into one, and against a broken stream that looks complete: after tokens were given,
 // an engine that is lost ends the stream with an error event, while an answer that is held back is run again.
 func TestEngineLost(t *testing.T) {
@@ -209,6 +227,27 @@
 	})
 }
 
+// Guards against a claimed booking that is cut off when its caller leaves, so that its outcome is never known.
+func TestClaimedBookingOutlivesCaller(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		f.steps(ledgers[0], func(w http.ResponseWriter, r *http.Request) {
+			if timer.Wait(r.Context(), time.Second) == nil {
+				answered(201, "booked")(w, r)
+			}
+		})
+		c, err := f.net.dial(t.Context(), "tcp", self.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(c, "POST /bookings HTTP/1.1\r\nHost: d\r\nAuthorization: Bearer secret-bearer\r\nIdempotency-Key: secret-key\r\nContent-Length: 3\r\n\r\nvan")
+		synctest.Wait()
+		_ = c.Close()
+		_ = timer.Wait(t.Context(), 2*time.Second)
+		f.send("POST", "/bookings", "van", HeaderKey, "secret-key")
+		f.golden("booking-caller-left")
+	})
+}
+
 // Guards against an answer of another attempt that reaches a caller (P3), and against a repeatable call that is lost
 // with a silent connection.
 func TestPlainFaults(t *testing.T) {
--- a/internal/claim/keeper_test.go
+++ b/internal/claim/keeper_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -207,3 +209,36 @@
 		}
 	})
 }
+
+// Guards against two daemons that both hold a claim when repeats reach them at once and the table loses answers.
+func TestTwoDaemons(t *testing.T) {
+	for seed := range uint64(200) {
+		run(t, func(t *testing.T, k *Keeper, s *table) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			s.lose, s.drop = random.IntN(3), random.IntN(3)
+			n := 0
+			other := NewKeeper(s, func() string { n++; return fmt.Sprint("other", n) })
+			ctx, stop := context.WithCancel(t.Context())
+			var duty, repeats errgroup.Group
+			duty.Go(func() error { return other.Run(ctx) })
+			var mine atomic.Int32
+			for i := range 6 {
+				at := time.Duration(random.IntN(3)) * time.Millisecond
+				keeper := []*Keeper{k, other}[i%2]
+				repeats.Go(func() error {
+					_ = timer.Wait(ctx, at)
+					if c, err := keeper.Take(ctx, "claim/org/k", entry(fmt.Sprint("r", i), "h")); err == nil && c.Verdict == Mine {
+						mine.Add(1)
+					}
+					return nil
+				})
+			}
+			_ = repeats.Wait()
+			stop()
+			_ = duty.Wait()
+			if mine.Load() > 1 {
+				t.Errorf("seed %d: %d requests hold the claim", seed, mine.Load())
+			}
+		})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,10 +74,16 @@
 // application.
 func (d *Daemon) Start(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	d.mu.Lock()
-	d.cancel = cancel
-	d.mu.Unlock()
+	set := func(f context.CancelFunc) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.cancel = f
+	}
+	set(cancel)
+	defer func() {
+		set(nil) // Stop has nothing to wait for when a duty has failed.
+		cancel()
+	}()
 	g, ctx := errgroup.WithContext(ctx)
 	// The filter takes the place of the router, whose own answers (redirects, 404) lack the headers of section 7.1.
 	options := []http.ServerOption{http.Address(d.set.Caller.String()), http.Timeout(0), http.Filter(func(stdhttp.Handler) stdhttp.Handler { return d.callers })}
