Answer no request with a status when its caller or upload is lost

Cause: when an upload stalled, net/http ended the request's context, the handler took the caller to be gone and returned, and the caller got an empty 200 with X-Outcome: not-run for a call that may have run. A streamed upload could also set a read deadline after its handler had returned, and counted as a silent backend server while its caller was slow. Change: a lost caller ends the connection without a status; a stalled upload gets 408 with the outcome; uploads are stopped with their handler and have no progress deadline. Cancel calls use a new connection. Measured: go test -race -count=3 ./internal/caller passes; TestUpload failed before with '200 not-run after 5s'. Conclusion: no path of the caller server sends a status that it has not decided on.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -269,7 +269,9 @@
 func (s *Server) fail(w http.ResponseWriter, q request, err error) {
 	var gone *Gone
 	if errors.As(err, &gone) {
-		return
+		// A handler that just returned would send status 200. The server may also end a request's context because of a
+		// timeout, with the caller still there.
+		panic(http.ErrAbortHandler)
 	}
 	f := failure(err)
 	h := w.Header()
@@ -400,6 +402,10 @@
 	return t, nil
 }
 
+func slow(o Outcome) *Failure {
+	return &Failure{Status: http.StatusRequestTimeout, Type: "slow_body", Message: fmt.Sprintf("the body did not arrive, or stopped for %v", stall), Outcome: o}
+}
+
 func late(o Outcome) *Failure {
 	return &Failure{Status: http.StatusGatewayTimeout, Type: "deadline", Message: "the deadline passed before the answer was complete", Outcome: o}
 }
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -172,6 +172,36 @@
 	})
 }
 
+// Guards against an upload that stalls with a slot, and against a read deadline left on the connection of one that did
+// not.
+func TestUpload(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		head := "POST /bookings HTTP/1.1\r\nHost: d\r\nAuthorization: Bearer secret-bearer\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nvan\r\n"
+		f.steps(ledgers[0], answered(200, "first"))
+		f.steps(ledgers[1], answered(200, "second"))
+		c, _ := f.net.dial(t.Context(), "tcp", self.String())
+		in := bufio.NewReader(c)
+		for i, want := range []string{"200 run first", "200 run second", "408 unknown"} {
+			_, _ = io.WriteString(c, head)
+			if i < 2 {
+				_, _ = io.WriteString(c, "0\r\n\r\n")
+			}
+			start := time.Now()
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b, _ := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			if got := fmt.Sprint(resp.StatusCode, " ", resp.Header.Get(HeaderOutcome), " ", string(b)); !strings.HasPrefix(got, want) || time.Since(start) > stall {
+				t.Errorf("upload %d: %s after %v", i, got, time.Since(start))
+			}
+			_ = timer.Wait(t.Context(), 2*stall) // The connection is idle for longer than a caller may stall.
+		}
+		_ = c.Close()
+	})
+}
+
 // Guards against a booking that is sent twice, by this server or by net/http, when its connection breaks after the call
 // was read; against one that is reported as not run then; and against one that is not sent again when it proved not
 // run. The empty body and the key are what makes net/http send a POST again.
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -67,7 +67,7 @@
 	case errors.As(err, &tooLong):
 		return nil, &Failure{Status: http.StatusRequestEntityTooLarge, Type: "too_large", Message: fmt.Sprintf("the body is over %d bytes", tooLong.Limit), Outcome: NotRun}
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &Failure{Status: http.StatusRequestTimeout, Type: "slow_body", Message: fmt.Sprintf("the body did not arrive within %v", stall), Outcome: NotRun}
+		return nil, slow(NotRun)
 	}
 	return nil, &Failure{Status: http.StatusBadRequest, Type: "bad_body", Message: "the body could not be read", Outcome: NotRun}
 }
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -11,9 +11,11 @@
 	"net/http"
 	"net/textproto"
 	"net/url"
+	"os"
 	"path"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"flamingorudder.example/internal/claim"
@@ -96,6 +98,7 @@
 		return &Failure{Status: http.StatusRequestEntityTooLarge, Type: "too_large", Message: fmt.Sprintf("the body is over %d bytes", maxStreamed), Outcome: NotRun}
 	} else {
 		f.streamed = &upload{r: http.MaxBytesReader(w, r.Body, maxStreamed), rc: http.NewResponseController(w)}
+		defer f.streamed.stop()
 	}
 	j, err := s.accept(r, q, service, 1)
 	if err != nil {
@@ -141,24 +144,57 @@
 	headed bool
 }
 
-// upload reads a caller's body as it arrives, as long as it does not stall.
+// upload reads a caller's body as it arrives, as long as it does not stall. The transport may go on reading it after
+// the answer has come, so stop must be called before the handler returns: a read deadline that was set later would hit
+// the connection's next request.
 type upload struct {
 	r  io.Reader
 	rc *http.ResponseController
-	// read is whether the backend server may have been sent a part, so that the body cannot be sent again.
-	read bool
+
+	mu                              sync.Mutex
+	started, ended, stalled, closed bool
 }
 
 func (u *upload) Read(b []byte) (int, error) {
-	u.read = true
+	u.mu.Lock()
+	if u.closed {
+		u.mu.Unlock()
+		return 0, http.ErrBodyReadAfterClose
+	}
+	u.started = true
 	_ = u.rc.SetReadDeadline(time.Now().Add(stall))
+	u.mu.Unlock()
 	n, err := u.r.Read(b)
 	if err != nil {
-		_ = u.rc.SetReadDeadline(time.Time{})
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.ended, u.stalled = true, errors.Is(err, os.ErrDeadlineExceeded)
+		if !u.closed {
+			_ = u.rc.SetReadDeadline(time.Time{})
+		}
 	}
 	return n, err
 }
 
+// used tells whether the backend server may have been sent a part of the body, so that it cannot be sent again, and
+// whether the caller stopped sending it.
+func (u *upload) used() (started, stalled bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.started, u.stalled
+}
+
+// stop ends a read in progress and prevents others. The server then closes the connection of a body that was not read
+// to its end.
+func (u *upload) stop() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closed = true
+	if u.started && !u.ended {
+		_ = u.rc.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // end gives the caller the final answer of a failed call. Once the status has been sent, only the end of the
 // connection can show that the body is not whole.
 func (f *forward) end(err error) error {
@@ -205,8 +241,15 @@
 	out := classify(err)
 	reason = out.String()
 	res := retry.Result{Outcome: out}
-	if f.streamed != nil && f.streamed.read {
-		res.Given = 1 // A body that was passed on as it arrived cannot be sent again, whatever became of it.
+	if f.streamed != nil {
+		started, stalled := f.streamed.used()
+		if started {
+			res.Given = 1 // A body that was passed on as it arrived cannot be sent again, whatever became of it.
+		}
+		if stalled {
+			f.call.End(res)
+			return false, slow(outcome(f.call.Verdict()))
+		}
 	}
 	if ctx.Err() != nil {
 		f.call.End(res)
@@ -256,7 +299,8 @@
 			tr = f.plains.fresh // The first connection may have been one that went silent.
 		}
 		// The last attempt that the deadline allows has no progress deadline of its own: a slow answer beats none.
-		if limit := f.speeds.get(t.Addr).firstLimit() << (f.call.Attempts() - 1); time.Until(f.due) > 2*limit {
+		// An upload takes as long as its caller does, so it has none either.
+		if limit := f.speeds.get(t.Addr).firstLimit() << (f.call.Attempts() - 1); f.streamed == nil && time.Until(f.due) > 2*limit {
 			defer timer.After(limit, func() { cancel(&engine.Silent{After: limit}) })()
 		}
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -436,9 +436,10 @@
 
 func (e *Gap) Error() string { return fmt.Sprintf("token %d follows where %d was due", e.Got, e.Want) }
 
-// Cancel stops an attempt at the engine.
+// Cancel stops an attempt at the engine, over a new connection, since the attempt's own may be one of several that went
+// silent.
 func (c *Client) Cancel(ctx context.Context, addr netip.AddrPort, attempt string) error {
-	return c.call(ctx, http.MethodPost, addr, "/v1/cancel", map[string]string{"attempt": attempt}, nil)
+	return c.do(ctx, c.fresh, http.MethodPost, addr, "/v1/cancel", map[string]string{"attempt": attempt}, nil)
 }
 
 // Load returns the engine's load report.
