--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	stdhttp "net/http"
 	"net/netip"
 	"slices"
 	"strings"
@@ -23,6 +24,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/caller"
+	"flamingorudder.example/internal/claim"
 	"flamingorudder.example/internal/config"
 	"flamingorudder.example/internal/dispatch"
 	"flamingorudder.example/internal/engine"
@@ -52,7 +54,9 @@
 	keeper   *config.Keeper
 	metrics  *metric.Set
 	// self is how other daemons know this one.
-	self registry.Entry
+	self    registry.Entry
+	claims  *claim.Keeper
+	callers *caller.Server
 
 	mu     sync.Mutex
 	roster platform.Roster
@@ -81,6 +85,7 @@
 		self: registry.Entry{Name: s.Name, Peer: s.Peer, Caller: s.Caller, DataCentre: s.DataCentre, Boot: boot},
 	}
 	d.registry = registry.New(d.self)
+	d.claims = claim.NewKeeper(p, uuid.NewString)
 	free := func() {
 		closePlatform()
 		closeEngine()
@@ -96,7 +101,9 @@
 		Table: p, Peers: node, Others: d.others, Hello: d.hello, Apply: func(note.Config) {},
 		Log: log.Named("config"), Line: d.line, Random: rand.New(rand.NewPCG(boot, 0)),
 	})
+	d.callers = caller.New(caller.Options{Config: d.keeper, Slots: caller.Slots{From: d.dispatch}, Addresses: d, Engine: e, Claims: d.claims, Log: d.line, Self: s.Caller})
 	return d, func() {
+		d.callers.Close()
 		closeNode()
 		free()
 	}, nil
@@ -106,20 +113,43 @@
 // application.
 func (d *Daemon) Start(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	d.mu.Lock()
-	d.cancel = cancel
-	d.mu.Unlock()
+	set := func(f context.CancelFunc) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.cancel = f
+	}
+	set(cancel)
+	defer func() {
+		set(nil) // Stop has nothing to wait for when a duty has failed.
+		cancel()
+	}()
 	d.line.Add(timeline.Event{Kind: timeline.Begin})
 	g, ctx := errgroup.WithContext(ctx)
-	callers := http.NewServer(http.Address(d.set.Caller.String()), http.Timeout(0))
-	callers.HandlePrefix("/", caller.New(d.keeper, d.dispatch, d, d.engine))
+	// The filter takes the place of the router, whose own answers (redirects, 404) lack the headers of section 7.1.
+	options := []http.ServerOption{http.Address(d.set.Caller.String()), http.Timeout(0), http.Filter(func(stdhttp.Handler) stdhttp.Handler { return d.callers })}
+	if d.set.Certificate != "" {
+		cert, err := caller.LoadCertificate(d.set.Certificate, d.set.Key)
+		if err != nil {
+			return err
+		}
+		options = append(options, http.TLSConfig(cert.Config()))
+		g.Go(func() error { return cert.Watch(ctx, d.log) })
+	}
+	callers := http.NewServer(options...)
+	callers.ReadHeaderTimeout, callers.IdleTimeout = headerLimit, idleLimit
 	operators := http.NewServer(http.Address(d.set.Operator.String()), http.Timeout(0), http.TLSConfig(d.identity.Server("h2", "http/1.1")))
 	operators.HandlePrefix("/", operator.New(d, d.metrics.Handler()))
+	// Requests and claims do not inherit the end of ctx, which would cut off those in flight.
+	serving, served := context.WithCancel(context.WithoutCancel(ctx))
+	defer served()
+	g.Go(func() error { return d.claims.Run(serving) })
 	for _, s := range []*http.Server{callers, operators} {
-		g.Go(func() error { return s.Start(ctx) })
+		g.Go(func() error { return s.Start(context.WithoutCancel(ctx)) })
 		g.Go(func() error {
 			<-ctx.Done()
+			if s == callers {
+				defer served()
+			}
 			return s.Stop(context.WithoutCancel(ctx))
 		})
 	}
@@ -132,14 +162,30 @@
 	return g.Wait()
 }
 
-// Stop makes Start return once the requests in flight have ended.
-func (d *Daemon) Stop(context.Context) error {
+const (
+	// headerLimit bounds the time in which a caller sends its headers, idleLimit that between its requests.
+	headerLimit = 5 * time.Second
+	idleLimit   = 2 * time.Minute
+	// leaveSpread is the time that other daemons take to see that this one is leaving.
+	leaveSpread = 3 * time.Second
+)
+
+// Stop leaves and then makes Start return: the daemon accepts requests until no caller can know it from a valid list of
+// addresses, and ends when none is in flight. When ctx ends first, Stop returns its error.
+func (d *Daemon) Stop(ctx context.Context) error {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.cancel != nil {
-		d.cancel()
+	cancel := d.cancel
+	d.mu.Unlock()
+	if cancel == nil {
+		return nil
 	}
-	return nil
+	defer cancel()
+	d.log.Info("daemon is leaving", "hold", d.set.Hold)
+	d.Drain()
+	if err := d.callers.Hold(ctx, leaveSpread); err != nil {
+		return err
+	}
+	return d.callers.Wait(ctx)
 }
 
 // certificatePeriod is how often the certificate's files are looked at.
@@ -147,13 +193,18 @@
 
 // Addresses returns the caller addresses to use and for how long the answer holds.
 func (d *Daemon) Addresses() ([]netip.AddrPort, time.Duration) {
-	list := []netip.AddrPort{d.set.Caller}
+	near, far := []netip.AddrPort{d.set.Caller}, []netip.AddrPort(nil)
 	for _, name := range d.registry.Live(time.Now()) {
-		if e, ok := d.registry.Entry(name); ok && name != d.set.Name {
-			list = append(list, e.Caller)
+		e, ok := d.registry.Entry(name)
+		switch {
+		case !ok || name == d.set.Name:
+		case e.DataCentre == d.set.DataCentre:
+			near = append(near, e.Caller)
+		default:
+			far = append(far, e.Caller)
 		}
 	}
-	return list, d.set.Hold
+	return caller.Spread(near, far), d.set.Hold
 }
 
 const watchPeriod = 500 * time.Millisecond
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -37,10 +37,19 @@
 	return operator.Events{Daemon: d.set.Name, Events: events, Next: next, Lost: lost}
 }
 
-// Drain makes the daemon leave.
+// Drain makes the daemon leave: other daemons no longer name it to callers, and it takes no new duties.
 func (d *Daemon) Drain() {
 	d.mu.Lock()
+	was := d.self.Leaving
 	d.self.Leaving = true
 	d.mu.Unlock()
+	if was {
+		return
+	}
+	d.callers.Drain()
+	hello := d.hello()
+	for _, to := range d.others() {
+		d.node.Send(to, &hello)
+	}
 	d.line.Add(timeline.Event{Kind: timeline.Drain})
 }
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -29,12 +29,14 @@
 	Hold time.Duration
 	// Identity names the files of the daemon's certificate, for peers and operators.
 	Identity identity.Files
+	// Certificate and Key are the files, in PEM, of the TLS certificate shown to callers; both are empty without TLS.
+	Certificate, Key string
 	// LogLevel and LogFormat choose what is logged and how.
 	LogLevel, LogFormat string
 }
 
 // sections lists the sections of a daemon's settings.
-var sections = []string{"daemon", "listen", "platform", "identity", "log", "peers"}
+var sections = []string{"daemon", "listen", "platform", "identity", "tls", "log", "peers"}
 
 // ParseDaemon reads the settings of a daemon. It fails with *ini.Faults.
 func ParseDaemon(file string, text []byte) (Daemon, error) {
@@ -61,6 +63,12 @@
 	d.LogLevel = g.Choice("level", "info", "trace", "debug", "info", "warn", "error")
 	d.LogFormat = g.Choice("format", "text", "text", "json")
 
+	if slices.ContainsFunc(f.Sections, func(s *ini.Section) bool { return s.Name == "tls" }) {
+		t := f.Section("tls")
+		t.Require("certificate", "key")
+		d.Certificate, d.Key = t.String("certificate", ""), t.String("key", "")
+	}
+
 	r := f.Section("peers")
 	for _, a := range r.List("addresses") {
 		ap, err := netip.ParseAddrPort(a)
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -272,7 +272,7 @@
 		read("a")
 		read("b")
 		w.sleep(500 * time.Millisecond)
-		s, err := w.client.Resume(w.ctx, a, "a", 5)
+		s, err := w.client.Resume(w.ctx, a, "a", 5, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -283,7 +283,7 @@
 		if took := b.End.Sub(b.Start); !b.Cancelled || took != 1140*time.Millisecond {
 			t.Errorf("abandoned attempt: %+v after %v, want cancelled 1s after its connection broke", b, took)
 		}
-		if _, err := w.client.Resume(w.ctx, a, "b", 5); refusal(err) != "404 cancelled" {
+		if _, err := w.client.Resume(w.ctx, a, "b", 5, 0); refusal(err) != "404 cancelled" {
 			t.Errorf("resume of a cancelled attempt: %v", err)
 		}
 		c := w.send(a, attempt("c", 0, 500))
@@ -332,7 +332,7 @@
 			return nil
 		})
 		w.sleep(time.Minute)
-		r, err := w.client.Resume(w.ctx, a, "a", 1)
+		r, err := w.client.Resume(w.ctx, a, "a", 1, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
