Divide the slots of a group by lending from its home

A rotation that reset its credit when a rank had no slots in a turn starved three of five borrowers; TestRotation guards against it.

--- /dev/null
+++ b/internal/share/share_test.go
@@ -0,0 +1,320 @@
+package share
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"flamingorudder.example/internal/note"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+const orgs = 4
+
+// drawn turns random numbers into the demands of some borrowers; ranks hold 0 to most requests per organisation.
+func drawn(ns []int, most int) []*borrower {
+	var bs []*borrower
+	for len(ns) >= orgs*int(note.Ranks) {
+		b := &borrower{name: string(rune('a' + len(bs)))}
+		for i, n := range ns[:orgs*note.Ranks] {
+			if n = n % (most + 1); n > 0 {
+				b.demand.Lines = append(b.demand.Lines, Line{Rank: note.Rank(i / orgs), Org: i % orgs, Waiting: n})
+			}
+		}
+		bs, ns = append(bs, b), ns[orgs*note.Ranks:]
+	}
+	return bs
+}
+
+func demandOf(bs []*borrower) (d [note.Ranks]int) {
+	for _, b := range bs {
+		for _, l := range b.demand.Lines {
+			d[l.Rank] += l.Waiting + l.Running
+		}
+	}
+	return d
+}
+
+func orgParts(r note.Rank, slots int, p Policy, bs []*borrower) (out [orgs]float64) {
+	for o := range orgs {
+		// Each organisation alone at a borrower of its own makes its part visible.
+		var split []*borrower
+		for _, b := range bs {
+			own, rest := &borrower{}, &borrower{}
+			for _, l := range b.demand.Lines {
+				if l.Org == o {
+					own.demand.Lines = append(own.demand.Lines, l)
+				} else {
+					rest.demand.Lines = append(rest.demand.Lines, l)
+				}
+			}
+			split = append(split, own, rest)
+		}
+		for i, x := range organisations(r, slots, p, split) {
+			if i%2 == 0 {
+				out[o] += x
+			}
+		}
+	}
+	return out
+}
+
+// Guards the arithmetic of the division against slots that are invented, lost, or taken from a floor.
+func TestDivisionProperties(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(7)
+	params.MinSuccessfulTests = 1000
+	ps := gopter.NewProperties(params)
+	numbers := gen.SliceOfN(6*orgs*note.Ranks, gen.IntRange(0, 1000))
+	fractions := gen.SliceOfN(note.Ranks, gen.Float64Range(0, 0.6))
+	weights := gen.SliceOfN(orgs, gen.Float64Range(0.1, 10))
+
+	ps.Property("caps add up for every rank, floors hold, no slot idles", prop.ForAll(
+		func(slots, most, turn int, ns []int, fs, ws []float64) bool {
+			p := Policy{Weights: ws}
+			copy(p.Floors[:], fs)
+			bs := drawn(ns, most)
+			demand := demandOf(bs)
+			d := divide(slots, p, &rotation{turn: turn}, bs)
+			exact := exactFloors(slots, p.Floors)
+			whole, up := floors(slots, p.Floors, [note.Ranks]float64{}), 0
+			for _, x := range exact {
+				up += int(math.Ceil(x - epsilon))
+			}
+			var sum [note.Ranks]int
+			used := 0
+			for r := range note.Ranks {
+				rank := 0
+				for i := range bs {
+					sum[r] += d.caps[i][r]
+					if d.caps[i][r] < 0 {
+						return false
+					}
+					own := 0
+					for _, l := range bs[i].demand.Lines {
+						if l.Rank == note.Rank(r) {
+							own += l.Waiting
+						}
+					}
+					rank += min(own, d.caps[i][r])
+				}
+				floor := min(float64(demand[r]), exact[r])
+				if up > slots {
+					floor = min(float64(demand[r]), float64(whole[r]))
+				}
+				if sum[r] != d.totals[r] || rank < d.parts[r] || float64(d.parts[r]) < 0.95*floor {
+					return false
+				}
+				used += d.parts[r]
+			}
+			other := min(demand[1], whole[1]) + min(demand[2], whole[2])
+			return used == min(slots, demand[0]+demand[1]+demand[2]) && sum[0] == slots-other &&
+				sum[2] == slots-d.parts[0]-d.parts[1]
+		}, gen.IntRange(1, 64), gen.IntRange(0, 20), gen.IntRange(0, 20), numbers, fractions, weights))
+
+	ps.Property("a larger weight never gets a smaller part", prop.ForAll(
+		func(slots int, ns []int, ws []float64, o int, factor float64) bool {
+			bs, before := drawn(ns, 10), Policy{Weights: ws}
+			after := Policy{Weights: slices.Clone(ws)}
+			after.Weights[o] *= factor
+			slots = min(slots, demandOf(bs)[0])
+			return orgParts(0, slots, after, bs)[o] >= orgParts(0, slots, before, bs)[o]-epsilon
+		}, gen.IntRange(1, 64), numbers, weights, gen.IntRange(0, orgs-1), gen.Float64Range(1, 5)))
+
+	ps.Property("equal organisations get equal slots within one", prop.ForAll(
+		func(slots, n, depth int, carry []float64) bool {
+			var bs []*borrower
+			for o := range n {
+				b := &borrower{name: string(rune('a' + o))}
+				b.carry[2] = carry[o]
+				b.demand.Lines = []Line{{Rank: 2, Org: o, Waiting: slots * depth}}
+				bs = append(bs, b)
+			}
+			d := divide(slots, Policy{}, &rotation{}, bs)
+			lo, hi := slots, 0
+			for _, c := range d.caps {
+				lo, hi = min(lo, c[2]), max(hi, c[2])
+			}
+			return hi-lo <= 1
+		}, gen.IntRange(1, 64), gen.IntRange(1, 12), gen.IntRange(1, 20), gen.SliceOfN(12, gen.Float64Range(-1, 1))))
+	ps.TestingRun(t)
+}
+
+// Guards floors whose whole slots don't fit, and borrowers beyond the number of slots, against starvation by rounding.
+func TestRotation(t *testing.T) {
+	h := &Home{}
+	h.Step(start, Policy{Floors: [note.Ranks]float64{0.3, 0.3, 0.3}})
+	h.Step(start, Group{Name: "g", Generation: 1, Slots: 2, Present: true})
+	var got [5][note.Ranks]int
+	const turns = 500
+	for i := range turns {
+		for k := range 6 {
+			now := start.Add(time.Duration(i+2)*Term + time.Duration(k)*Period)
+			for b := range got {
+				// All requests end between two reports.
+				d := Demand{Daemon: string(rune('a' + b)), Group: "g", Generation: 1, Seq: uint64(now.UnixNano()), Turn: h.turn}
+				for r := range note.Ranks {
+					d.Lines = append(d.Lines, Line{Rank: note.Rank(r), Waiting: 5})
+				}
+				for _, a := range h.Step(now, d) {
+					if k == 5 && a.To == d.Daemon {
+						for r, c := range a.Grant.Caps {
+							got[b][r] += c
+						}
+					}
+				}
+			}
+		}
+	}
+	sum := [note.Ranks]int{}
+	for b := range got {
+		for r, n := range got[b] {
+			sum[r] += n
+			if n < turns*2*3/10/len(got)*9/10 {
+				t.Errorf("borrower %d got %d slot turns of rank %d", b, n, r)
+			}
+		}
+	}
+	for r, n := range sum {
+		if float64(n) < 0.95*0.3*2*turns {
+			t.Errorf("rank %d got %d slot turns, below 95%% of its floor", r, n)
+		}
+	}
+}
+
+// Guards P1 and the strict rule for overnight work with random demands, presence, generations and lost grants: nothing
+// is granted for an absent group or an old generation, and new overnight caps never add to an excess.
+func TestHomeHistories(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(11)
+	params.MinSuccessfulTests = 300
+	params.MaxShrinkCount = 0
+	ps := gopter.NewProperties(params)
+	ps.Property("histories", prop.ForAll(func(ns []int) bool {
+		h, now, g := &Home{}, start, Group{Name: "g", Generation: 1, Slots: 9, Present: true}
+		type held struct {
+			cap   int
+			until time.Time
+			gen   uint64
+		}
+		grants, latest := map[string][]held{}, map[string]Grant{}
+		h.Step(now, Policy{Floors: [note.Ranks]float64{0, 0.2, 0.2}})
+		h.Step(now, g)
+		most := func() (n int) {
+			for _, hs := range grants {
+				m := 0
+				for _, x := range hs {
+					if x.gen == g.Generation && now.Before(x.until) {
+						m = max(m, x.cap)
+					}
+				}
+				n += m
+			}
+			return n
+		}
+		for _, n := range ns {
+			now = now.Add(time.Duration(n%97) * 4 * time.Millisecond)
+			before := most()
+			var out []Action
+			switch who := string(rune('a' + n%5)); {
+			case n%23 == 0:
+				g.Present = !g.Present
+				out = h.Step(now, g)
+			case n%29 == 0:
+				g.Generation++
+				out = h.Step(now, g)
+			default:
+				d := Demand{Daemon: who, Group: "g", Generation: g.Generation - uint64(n/31%7/6), Seq: uint64(now.UnixNano())}
+				// A third of the grants is lost, so the borrower goes on with the older one.
+				if n%3 > 0 {
+					d.Turn = latest[who].Turn
+					grants[who] = slices.DeleteFunc(grants[who], func(x held) bool { return x.cap > latest[who].Caps[2] })
+				}
+				for r := range note.Ranks {
+					d.Lines = append(d.Lines, Line{Rank: note.Rank(r), Org: n % 3, Waiting: n / (r + 7) % 5})
+				}
+				out = h.Step(now, d)
+			}
+			for _, a := range out {
+				if a.Grant == nil {
+					continue
+				}
+				if !g.Present || a.Grant.Generation != g.Generation {
+					return false
+				}
+				latest[a.To] = *a.Grant
+				grants[a.To] = append(grants[a.To], held{a.Grant.Caps[2], time.Unix(0, int64(a.Grant.Seq)).Add(Term), g.Generation})
+			}
+			if _, total := h.Lent(); most() > max(before, total) {
+				return false
+			}
+		}
+		return true
+	}, gen.SliceOfN(200, gen.IntRange(0, 1_000_000))))
+	ps.TestingRun(t)
+}
+
+// Guards acceptance: late, repeated, foreign and expired grants, a lost home, and base shares without proof.
+func TestBorrower(t *testing.T) {
+	b := &Borrower{Self: "a", Group: "g"}
+	b.Serve(3, 8)
+	b.Homes([]string{"h1", "h2"})
+	b.Want(start, 1, []Line{{Waiting: 2}})
+	first, ok := b.Step(start)
+	if !ok || first.To != "h1" {
+		t.Fatalf("first report %+v %v", first, ok)
+	}
+	g := Grant{Group: "g", Generation: 3, Caps: [3]int{2, 1, 1}, For: Term, Seq: first.Demand.Seq, Turn: 5, Borrowers: 4}
+	old := g
+	old.Generation = 2
+	at := start.Add(10 * time.Millisecond)
+	if b.Accept(at, "h1", old) || b.Accept(at, "h2", g) || !b.Accept(at, "h1", g) || b.Accept(at, "h1", g) {
+		t.Error("acceptance by generation, sender and turn")
+	}
+	if _, ok := b.Caps(start.Add(Term)); ok {
+		t.Error("the grant outlives Term from when the demand was sent")
+	}
+	// Turns from met to unmet: reported at once, but not within MinPeriod of the last report.
+	b.Want(at, 1, []Line{{Waiting: 1, Running: 2}})
+	if _, ok := b.Step(at); ok || !b.Due().Equal(start.Add(MinPeriod)) {
+		t.Error("reported within MinPeriod, or due at", b.Due().Sub(start))
+	}
+	second, _ := b.Step(start.Add(MinPeriod))
+	if b.Accept(start.Add(Term+time.Millisecond), "h1", Grant{Group: "g", Generation: 3, For: Term, Seq: first.Demand.Seq, Turn: 9}) {
+		t.Error("accepted an answer to an expired demand")
+	}
+	if second.Demand.Turn != 5 || second.Demand.Borrowers != 4 {
+		t.Errorf("second report %+v", second.Demand)
+	}
+	// No answer: the next daemon is asked after Silence.
+	now := start.Add(MinPeriod)
+	for to := ""; to != "h2"; {
+		now = b.Due()
+		if r, ok := b.Step(now); ok {
+			to = r.To
+		}
+	}
+	if d := now.Sub(start.Add(MinPeriod)); d < Silence || d > Silence+MinPeriod {
+		t.Errorf("asked the next daemon after %v", d)
+	}
+	now = start.Add(Term)
+	if _, ok := b.Caps(now); ok {
+		t.Error("base share without proof of presence")
+	}
+	b.Proved(now, 2)
+	b.Proved(now, 3)
+	if caps, ok := b.Caps(now); !ok || caps != [3]int{2, 2, 0} {
+		t.Errorf("base share %v %v", caps, ok)
+	}
+	if _, ok := b.Caps(now.Add(Term)); ok {
+		t.Error("the proof does not age")
+	}
+	b.Withdraw(now, "h2", Withdrawn{Group: "g", Generation: 3})
+	if _, ok := b.Caps(now); ok {
+		t.Error("used after withdrawal")
+	}
+}
