--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,274 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func fifty() (*Picker, []Candidate, Query) {
+	p, cs := &Picker{}, []Candidate{}
+	q := Query{DataCentre: "perth"}
+	for i := range uint64(16) {
+		q.Prefix = append(q.Prefix, i*7919)
+	}
+	for i := range 50 {
+		c := Candidate{Group: fmt.Sprintf("model-desk/%d", i), DataCentre: []string{"stirling", "perth", "lanark"}[i%3], Slots: 8, Free: 2}
+		cs = append(cs, c)
+		p.Report(start, c.Group, Load{Generation: 1, Running: 2 + i%5, Token: 50 * time.Millisecond, At: start})
+		p.Sent(start, c.Group, Query{Prefix: q.Prefix[:i%8]})
+	}
+	for h := range uint64(maxPrefixes * 3 / 2) {
+		p.Cache(start, cs[h%50].Group, 1, 1+h/50, []CacheEvent{{Seq: h / 50, Prefix: h << 20}})
+	}
+	return p, cs, q
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, kind := range []string{"cached", "unknown"} {
+		b.Run(kind, func(b *testing.B) {
+			p, cs, q := fifty()
+			if kind == "unknown" {
+				for i := range q.Prefix {
+					q.Prefix[i] += 1 << 60
+				}
+			}
+			r := rand.New(rand.NewPCG(1, 2))
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Pick(q, cs, r.Uint64())
+			}
+		})
+	}
+}
+
+// Guards the target of no allocation for each choice.
+func TestPickAllocations(t *testing.T) {
+	p, cs, q := fifty()
+	if n := testing.AllocsPerRun(1000, func() { p.Pick(q, cs, 1<<63) }); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
+
+// Guards the order of preferences: cached prefix within the bound, data centre, load of this daemon's own requests.
+func TestPick(t *testing.T) {
+	p := &Picker{}
+	cs := []Candidate{{"a", "x", 8, 0, 1}, {"b", "y", 8, 0, 1}, {"c", "y", 8, 0, 0}}
+	for _, c := range cs {
+		p.Report(start, c.Group, Load{Generation: 1, Running: 3, At: start})
+	}
+	q := Query{Prefix: []uint64{1, 2, 3}, DataCentre: "x"}
+	if i := p.Pick(q, cs, 1<<63); i != 0 {
+		t.Error("not in the same data centre:", i)
+	}
+	p.Cache(start, "a", 1, 1, []CacheEvent{{Seq: 0, Prefix: 1}})
+	p.Cache(start, "b", 1, 2, []CacheEvent{{Seq: 0, Prefix: 1}, {Seq: 1, Prefix: 2}})
+	p.Cache(start, "c", 1, 1, []CacheEvent{{Seq: 0, Prefix: 3}})
+	if i := p.Pick(q, cs, 0); i != 1 {
+		t.Error("not the longest cached prefix that is free:", i)
+	}
+	for range 3 {
+		p.Sent(start.Add(2*time.Millisecond), "b", Query{})
+	}
+	if i := p.Pick(q, cs, 0); i != 0 {
+		t.Error("a group above the bound of the mean is chosen:", i)
+	}
+	// A report from before the requests were sent does not include them.
+	p.Report(start.Add(3*time.Millisecond), "b", Load{Generation: 1, Running: 3, At: start.Add(time.Millisecond)})
+	if got := p.groups["b"].estimate(0); got != 6 {
+		t.Error("load corrected to", got)
+	}
+	p.Report(start.Add(4*time.Millisecond), "b", Load{Generation: 1, Running: 4, At: start.Add(4 * time.Millisecond)})
+	if got := p.groups["b"].estimate(0); got != 4 {
+		t.Error("load corrected to", got)
+	}
+	p.Ended(start.Add(5*time.Millisecond), "b")
+	if got := p.groups["b"].estimate(0); got != 3 {
+		t.Error("load corrected to", got)
+	}
+	if i := (&Picker{}).Pick(q, cs[2:], 0); i != -1 {
+		t.Error("chose a group without free slots:", i)
+	}
+}
+
+// Guards the cache view after gaps, repeated events and restarts, and its bound.
+func TestCache(t *testing.T) {
+	p := &Picker{}
+	cs := []Candidate{{"a", "x", 8, 0, 1}, {"b", "x", 8, 0, 1}}
+	knows := func(h uint64) bool {
+		return p.Pick(Query{Prefix: []uint64{h}}, cs, 0) == 1 && p.Pick(Query{Prefix: []uint64{h}}, cs, 1<<63) == 1
+	}
+	p.Report(start, "a", Load{})
+	p.Cache(start, "b", 1, 2, []CacheEvent{{0, 10, false}, {1, 11, false}})
+	p.Cache(start, "b", 1, 2, []CacheEvent{{0, 12, false}})
+	if !knows(10) || !knows(11) || knows(12) {
+		t.Error("events are lost, or repeated events are applied")
+	}
+	p.Cache(start, "b", 1, 5, []CacheEvent{{3, 13, false}, {4, 14, false}})
+	if knows(10) || knows(11) || !knows(13) {
+		t.Error("the view before a gap is kept, or the one after it lost")
+	}
+	p.Cache(start, "b", 1, 6, []CacheEvent{{5, 13, true}})
+	if knows(13) || !knows(14) {
+		t.Error("a dropped prefix is kept")
+	}
+	p.Cache(start, "b", 1, 9, nil)
+	if knows(14) {
+		t.Error("the view before a gap at the end is kept")
+	}
+	p.Cache(start, "b", 1, 10, []CacheEvent{{9, 15, false}})
+	p.Cache(start, "b", 2, 0, nil)
+	if knows(15) {
+		t.Error("the view of an older generation is kept")
+	}
+	for h := range uint64(5 * maxPrefixes) {
+		p.Sent(start, fmt.Sprint(h%(2*maxGroups)), Query{Prefix: []uint64{h}})
+	}
+	if len(p.young)+len(p.old) > 2*maxPrefixes || len(p.groups) > maxGroups {
+		t.Errorf("%d prefixes, %d groups", len(p.young)+len(p.old), len(p.groups))
+	}
+	for _, g := range p.groups {
+		if len(g.changes) > maxSent {
+			t.Errorf("%d changes", len(g.changes))
+		}
+	}
+	p.Retain(nil)
+	if len(p.young)+len(p.old)+len(p.groups) != 0 {
+		t.Error("Retain forgets not everything")
+	}
+}
+
+// Guards the rule for stragglers: three reports in a row, one request in 20 meanwhile, back below 1.5 times the median.
+func TestStraggler(t *testing.T) {
+	p, cs := &Picker{}, []Candidate{{"a", "x", 8, 0, 1}, {"b", "x", 8, 0, 1}, {"c", "x", 8, 0, 1}}
+	r := rand.New(rand.NewPCG(1, 1))
+	now := start
+	share := func(ms ...int) int {
+		for _, n := range ms {
+			now = now.Add(time.Second)
+			for i, c := range cs {
+				p.Report(now, c.Group, Load{Token: time.Duration([]int{50, 50, n}[i]) * time.Millisecond, At: now})
+			}
+		}
+		n := 0
+		for range 2000 {
+			if p.Pick(Query{}, cs, r.Uint64()) == 2 {
+				n++
+			}
+		}
+		return n
+	}
+	for i, c := range []struct {
+		ms       []int
+		straggle bool
+	}{{[]int{150, 150}, false}, {[]int{90, 150, 150}, false}, {[]int{150}, true}, {[]int{80}, true}, {[]int{70}, false}} {
+		if n := share(c.ms...); (n == 2000/probeEvery) != c.straggle {
+			t.Errorf("step %d: %d of 2000 requests", i, n)
+		}
+	}
+	if i := p.Pick(Query{}, cs[2:], 0); i != 0 {
+		t.Error("the only group is not used:", i)
+	}
+}
+
+// trial returns the 99th percentile of the wait for a slot with 7 daemons, 50 groups of 8 slots and load reports that
+// become late after 20 s, from then on. least chooses by the least reported load.
+func trial(seed uint64, late time.Duration, least bool) time.Duration {
+	const daemons, groups, slots, service = 7, 50, 8, 500 * time.Millisecond
+	type end struct {
+		at     time.Time
+		daemon int
+	}
+	type sample struct {
+		at   time.Time
+		load Load
+	}
+	r := rand.New(rand.NewPCG(seed, 5))
+	pickers := make([]Picker, daemons)
+	reported := make([][]sample, groups)
+	running := make([][]end, groups)
+	free := make([][slots]time.Time, groups)
+	cs := make([]Candidate, groups)
+	for i := range cs {
+		cs[i] = Candidate{Group: fmt.Sprint(i), Slots: slots, Free: 100}
+	}
+	var waits []time.Duration
+	rate := 0.85 * groups * slots / service.Seconds()
+	now, next, fault, warm := start, start, start.Add(20*time.Second), 0
+	for next.Before(fault.Add(20 * time.Second)) {
+		if now.Before(fault) {
+			warm = len(waits)
+		}
+		now = now.Add(5 * time.Millisecond)
+		for g := range groups {
+			running[g] = slices.DeleteFunc(running[g], func(e end) bool {
+				if e.at.After(now) {
+					return false
+				}
+				pickers[e.daemon].Ended(now, cs[g].Group)
+				return true
+			})
+			if (now.Sub(start).Milliseconds()+int64(g)*10)%500 != 0 {
+				continue
+			}
+			reported[g] = append(reported[g], sample{now, Load{Running: len(running[g]), At: now}})
+			for len(reported[g]) > 0 && (now.Before(fault) || now.Sub(reported[g][0].at) >= late) {
+				cs[g].Running = reported[g][0].load.Running
+				for d := range daemons {
+					pickers[d].Report(now, cs[g].Group, reported[g][0].load)
+				}
+				reported[g] = reported[g][1:]
+			}
+		}
+		for ; next.Before(now); next = next.Add(time.Duration(r.ExpFloat64() / rate * 1e9)) {
+			d, g := r.IntN(daemons), 0
+			if least {
+				for i := range cs {
+					if cs[i].Running < cs[g].Running {
+						g = i
+					}
+				}
+			} else {
+				g = pickers[d].Pick(Query{}, cs, r.Uint64())
+			}
+			pickers[d].Sent(now, cs[g].Group, Query{})
+			k := 0
+			for i, at := range free[g] {
+				if at.Before(free[g][k]) {
+					k = i
+				}
+			}
+			from := now
+			if free[g][k].After(now) {
+				from = free[g][k]
+			}
+			free[g][k] = from.Add(time.Duration((0.5 + r.Float64()) * float64(service)))
+			waits = append(waits, from.Sub(now))
+			running[g] = append(running[g], end{free[g][k], d})
+		}
+	}
+	waits = waits[warm:]
+	slices.Sort(waits)
+	return waits[len(waits)*99/100].Round(time.Millisecond)
+}
+
+// Guards the choice against late load reports: it must stay within 1.5 times the wait without delay, and beat the least
+// reported load, which sends everything to one group until the next report.
+func TestLateReports(t *testing.T) {
+	for _, seed := range []uint64{5, 6, 7} {
+		at, late := trial(seed, 0, false), trial(seed, 2*time.Second, false)
+		t.Logf("seed %d: p99 of the wait with reports at once %v, 2 s late %v", seed, at, late)
+		if float64(late) > 1.5*float64(at) {
+			t.Errorf("seed %d: reports 2 s late make the wait %.2f times as long", seed, float64(late)/float64(at))
+		}
+	}
+	at, late := trial(5, 0, true), trial(5, 2*time.Second, true)
+	t.Logf("least reported load: at once %v, 2 s late %v", at, late)
+	if trial(5, 2*time.Second, false) >= late {
+		t.Error("no better than the least reported load")
+	}
+}
