--- a/internal/share/borrower.go
+++ b/internal/share/borrower.go
@@ -214,6 +214,9 @@
 
 // Due returns when Step is to be called next if nothing else happens before.
 func (b *Borrower) Due() time.Time {
+	if len(b.homes) == 0 || b.generation == 0 {
+		return b.lastStep.Add(IdlePeriod)
+	}
 	t := b.due()
 	if !b.waitSince.IsZero() && b.waitSince.Add(Silence).Before(t) {
 		t = b.waitSince.Add(Silence)
--- a/internal/share/compare_test.go
+++ b/internal/share/compare_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,6 +39,8 @@
 	served   [daemons]int
 	overMost int
 	overSum  int
+	// demand replaces what daemons report, if set.
+	demand func(i int) []Line
 }
 
 type job struct {
@@ -53,6 +56,9 @@
 }
 
 func (f *fleet) lines(i int) []Line {
+	if f.demand != nil {
+		return f.demand(i)
+	}
 	if len(f.waiting[i])+f.running[i] == 0 {
 		return nil
 	}
@@ -127,7 +133,7 @@
 	reply  *Action
 }
 
-func newLending(f *fleet) *lending {
+func newLending(f *fleet, slots int, p Policy) *lending {
 	l := &lending{}
 	for i := range daemons {
 		l.names = append(l.names, fmt.Sprintf("daemon-%d", i))
@@ -135,9 +141,10 @@
 	for i := range daemons {
 		b := &l.borrowers[i]
 		b.Self, b.Group = l.names[i], "group"
-		b.Serve(1, groupSize)
+		b.Serve(1, slots)
 		b.Homes(member.Order("group", l.names))
-		l.homes[i].Step(f.now, Group{Name: "group", Generation: 1, Slots: groupSize, Present: true})
+		l.homes[i].Step(f.now, Group{Name: "group", Generation: 1, Slots: slots, Present: true})
+		l.homes[i].Step(f.now, p)
 	}
 	return l
 }
@@ -251,7 +258,7 @@
 func newFleet(kind string, rank note.Rank, seed uint64) *fleet {
 	f := &fleet{now: start, rnd: rand.New(rand.NewPCG(seed, 1)), rank: rank}
 	if f.sharing = scheme(&gossip{}); kind == "lending" {
-		f.sharing = newLending(f)
+		f.sharing = newLending(f, groupSize, Policy{})
 	}
 	f.run(3 * time.Second)
 	return f
@@ -334,6 +341,59 @@
 	}
 }
 
+// Guards the floors in motion, where slots move between borrowers and ranks: bookings and overnight work keep at least
+// 95% of their floors while live work floods at 5 times the capacity through every daemon.
+func TestFloorsUnderFlood(t *testing.T) {
+	for _, slots := range []int{8, groupSize} {
+		f := &fleet{now: start, rnd: rand.New(rand.NewPCG(3, 1))}
+		p := Policy{Floors: [note.Ranks]float64{0, 0.2, 0.1}}
+		l := newLending(f, slots, p)
+		var running, sum [note.Ranks]int
+		var ends [daemons][note.Ranks][]time.Time
+		f.demand = func(i int) (ls []Line) {
+			for r, es := range ends[i] {
+				ls = append(ls, Line{Rank: note.Rank(r), Org: i % 3, Waiting: 5 * slots / daemons, Running: len(es)})
+			}
+			return ls
+		}
+		const from, to = 5000, 35000
+		most := 0
+		for ms := range to {
+			for i := range daemons {
+				for r := range note.Ranks {
+					es := slices.DeleteFunc(ends[i][r], func(e time.Time) bool { return !e.After(f.now) })
+					running[r] += len(es) - len(ends[i][r])
+					ends[i][r] = es
+				}
+			}
+			l.step(f)
+			for i := range daemons {
+				caps, _ := l.borrowers[i].Caps(f.now)
+				for r := range note.Ranks {
+					for ; len(ends[i][r]) < caps[r]; running[r]++ {
+						ends[i][r] = append(ends[i][r], f.now.Add(time.Duration((0.5+f.rnd.Float64())*float64(service))))
+					}
+					if ms >= from {
+						sum[r] += running[r]
+					}
+				}
+			}
+			if ms >= from {
+				most = max(most, running[0]+running[1]+running[2])
+			}
+			f.now = f.now.Add(time.Millisecond)
+		}
+		for r, n := range sum {
+			mean, floor := float64(n)/(to-from)/daemons, p.Floors[r]*float64(slots)
+			t.Logf("%d slots: %v runs %.2f on average, floor %.1f", slots, note.Rank(r), mean, floor)
+			if mean < 0.95*floor {
+				t.Errorf("%d slots: %v is below its floor", slots, note.Rank(r))
+			}
+		}
+		t.Logf("%d slots: at most %d at once", slots, most)
+	}
+}
+
 // Guards the size of messages: it reports bytes per second and fails when they grow beyond what the page states.
 func TestBytes(t *testing.T) {
 	enc := func(v any) int {
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -318,3 +318,46 @@
 		t.Error("used after withdrawal")
 	}
 }
+
+// Guards against borrowers that stay at different homes after a fault: they return to the first in order.
+func TestBorrowerReturns(t *testing.T) {
+	b := &Borrower{Self: "a", Group: "g"}
+	if b.Step(start); !b.Due().After(start) {
+		t.Error("due at once without a daemon to ask")
+	}
+	b.Serve(1, 8)
+	b.Homes([]string{"h1", "h2"})
+	b.Want(start, 1, []Line{{Waiting: 1}})
+	asked := map[string]int{}
+	for now := start; now.Before(start.Add(time.Minute)); now = b.Due() {
+		r, ok := b.Step(now)
+		if !ok {
+			continue
+		}
+		// The first daemon is away for 20 s.
+		if r.To == "h2" || now.Sub(start) > 20*time.Second {
+			b.Accept(now, r.To, Grant{Group: "g", Generation: 1, Caps: [3]int{1, 1, 1}, For: Term, Seq: r.Demand.Seq, Turn: 1})
+		}
+		if _, ok := b.Caps(now); !ok && now.Sub(start) > Silence && now.Sub(start) < 4*time.Second {
+			t.Errorf("no grant at %v", now.Sub(start))
+		}
+		asked[r.To]++
+	}
+	if b.Home() != "h1" || asked["h2"] == 0 {
+		t.Errorf("asks %s, reports %v", b.Home(), asked)
+	}
+}
+
+func BenchmarkHome(b *testing.B) {
+	h := &Home{}
+	h.Step(start, Group{Name: "g", Generation: 1, Slots: 16, Present: true})
+	now := start
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(Period / 30)
+		d := Demand{Daemon: string(rune('A' + i%30)), Group: "g", Generation: 1, Seq: uint64(now.UnixNano())}
+		for o := range 10 {
+			d.Lines = append(d.Lines, Line{Rank: note.Rank(o % 3), Org: o, Waiting: (i + o) % 5})
+		}
+		h.Step(now, d)
+	}
+}
