--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -160,7 +160,7 @@
 	if i := p.cached(q, cs, float64(sum+1)/float64(max(1, slots))); i >= 0 {
 		return i
 	}
-	// Half a millisecond to another data centre is less than any wait, so full groups are no choice there is.
+	// The way to another data centre takes less time than a wait for a slot in this one.
 	from := p.local
 	if len(from) == 0 {
 		from = p.any
--- a/internal/share/compare_test.go
+++ b/internal/share/compare_test.go
@@ -213,7 +213,7 @@
 }
 
 // gossip is (b): each daemon has an even part, and takes from or leaves to others by the usage heard from them, which
-// is up to 250 ms plus one way old when it arrives.
+// is 125 to 375 ms old when the next one replaces it.
 type gossip struct {
 	heard [daemons][daemons]struct {
 		want int
