Carry demands and grants between daemons

Cause: the homes and borrowers of package share had no way to reach each other. Change: internal/loan drives the homes of this daemon's groups and carries demands, grants and withdrawals; the peer messages hold the fields of package share, several groups to a packet.

--- /dev/null
+++ b/internal/loan/loan.go
@@ -0,0 +1,280 @@
+// Package loan lends and borrows the slots of model groups over the protocol between daemons.
+//
+// It owns the share.Home of each group whose home this daemon is. One goroutine, Run, drives them; demands reach it
+// through a bounded ring. A demand that finds the ring full is dropped, which is safe because borrowers repeat theirs.
+// The borrowers' side (share.Borrower) is owned by package dispatch; this package only carries its messages.
+package loan
+
+import (
+	"context"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"flamingorudder.example/internal/note"
+	"flamingorudder.example/internal/peer"
+	"flamingorudder.example/internal/ring"
+	"flamingorudder.example/internal/share"
+	"flamingorudder.example/internal/timeline"
+	"flamingorudder.example/internal/timer"
+)
+
+// Group is a group whose home this daemon is.
+type Group struct {
+	share.Group
+	Service string
+}
+
+// Borrowers is the part of the dispatcher that receives what homes answer.
+type Borrowers interface {
+	Grant(from string, g share.Grant)
+	Withdraw(from string, w share.Withdrawn)
+}
+
+// Deps is what a Lender works with.
+type Deps struct {
+	// Self is the daemon's own name.
+	Self string
+	// Homed returns the groups whose home this daemon is now.
+	Homed func() []Group
+	// Config returns the configuration in force.
+	Config func() (note.Config, bool)
+	// Addr returns where a daemon can be reached.
+	Addr func(name string) (netip.AddrPort, bool)
+	// Send sends a message to another daemon without blocking.
+	Send func(to netip.AddrPort, m peer.Message)
+	// Borrowers receives the answers for this daemon.
+	Borrowers Borrowers
+	Line      *timeline.Log
+}
+
+// Lender lends the slots of the groups homed here. Its methods may be called from several goroutines.
+type Lender struct {
+	d       Deps
+	in      *ring.Queue[share.Demand]
+	changed chan struct{}
+	homes   map[string]*home
+}
+
+type home struct {
+	share.Home
+	group Group
+	// revision is the configuration whose policy the home has.
+	revision uint64
+}
+
+// inbox holds the demands of a quarter of a second from 60 borrowers of 10 groups each.
+const inbox = 1024
+
+// New returns a lender without groups.
+func New(d Deps) *Lender {
+	return &Lender{d: d, in: ring.NewQueue[share.Demand](inbox), changed: make(chan struct{}, 1), homes: map[string]*home{}}
+}
+
+// Dropped is the number of demands that found the ring full.
+func (l *Lender) Dropped() uint64 { return l.in.Refused() }
+
+// Changed tells that a group became present or absent, so that the lender acts before its next tick.
+func (l *Lender) Changed() {
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Run lends until ctx ends.
+func (l *Lender) Run(ctx context.Context) error {
+	tick, stop := timer.Every(share.Period/2, 0)
+	defer stop()
+	for {
+		out := outgoing{}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick:
+			l.refresh(out)
+		case <-l.changed:
+			l.refresh(out)
+		case d := <-l.in.C():
+			if h := l.homes[d.Group]; h != nil {
+				out.add(h.Step(time.Now(), d))
+			}
+		}
+		l.flush(out)
+	}
+}
+
+// refresh brings the homes up to date with the groups homed here and with the configuration, and lets time pass.
+func (l *Lender) refresh(out outgoing) {
+	now := time.Now()
+	cfg, _ := l.d.Config()
+	homed := map[string]bool{}
+	for _, g := range l.d.Homed() {
+		homed[g.Name] = true
+		h := l.homes[g.Name]
+		if h == nil {
+			h = &home{}
+			l.homes[g.Name] = h
+		}
+		if h.revision != cfg.Revision {
+			h.revision = cfg.Revision
+			out.add(h.Step(now, PolicyOf(cfg, g.Service)))
+		}
+		if h.group != g {
+			h.group = g
+			kind, reason := timeline.Serve, ""
+			if !g.Present {
+				kind, reason = timeline.Stop, "a member is not present"
+			}
+			l.d.Line.Add(timeline.Event{Kind: kind, Group: g.Name, Generation: g.Generation, Service: g.Service, Reason: reason})
+			out.add(h.Step(now, g.Group))
+		}
+		out.add(h.Step(now, share.Tick{}))
+	}
+	// Grants of a group that has another home now run out by themselves.
+	maps.DeleteFunc(l.homes, func(name string, _ *home) bool { return !homed[name] })
+}
+
+// PolicyOf returns what the configuration says about dividing a service: its floors by rank and the organisations'
+// weights, whose indexes follow the sorted names.
+func PolicyOf(c note.Config, service string) share.Policy {
+	p := share.Policy{Revision: c.Revision}
+	for _, w := range c.Works {
+		if w.Service == service {
+			p.Floors[w.Rank] = min(1, p.Floors[w.Rank]+w.Floor)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Organisations)) {
+		p.Weights = append(p.Weights, c.Organisations[name].Weight)
+	}
+	return p
+}
+
+// outgoing collects what goes to each daemon, so that one packet carries it.
+type outgoing map[string][]share.Action
+
+func (o outgoing) add(list []share.Action) {
+	for _, a := range list {
+		o[a.To] = append(o[a.To], a)
+	}
+}
+
+func (l *Lender) flush(out outgoing) {
+	for to, list := range out {
+		if to == l.d.Self {
+			for _, a := range list {
+				if a.Grant != nil {
+					l.d.Borrowers.Grant(to, *a.Grant)
+				} else {
+					l.d.Borrowers.Withdraw(to, *a.Withdrawn)
+				}
+			}
+			continue
+		}
+		addr, ok := l.d.Addr(to)
+		if !ok {
+			continue
+		}
+		var grants peer.Grant
+		for _, a := range list {
+			if a.Grant == nil {
+				l.d.Send(addr, &peer.Gone{Group: a.Withdrawn.Group, Generation: a.Withdrawn.Generation})
+				continue
+			}
+			grants.Groups = append(grants.Groups, lent(*a.Grant))
+			if len(grants.Groups) == perMessage {
+				l.d.Send(addr, &peer.Grant{Groups: grants.Groups})
+				grants.Groups = nil
+			}
+		}
+		if len(grants.Groups) > 0 {
+			l.d.Send(addr, &grants)
+		}
+	}
+}
+
+// perMessage is how many grants fit into one packet.
+const perMessage = 10
+
+// Report sends demands of this daemon to the homes that they name.
+func (l *Lender) Report(list []share.Report) {
+	by := map[string]*peer.Demand{}
+	size := map[string]int{}
+	for _, r := range list {
+		if r.To == l.d.Self {
+			l.in.Offer(r.Demand)
+			continue
+		}
+		m := by[r.To]
+		if m == nil {
+			m = &peer.Demand{}
+			by[r.To] = m
+		}
+		if size[r.To] > 0 && size[r.To]+len(r.Demand.Lines) > linesPerMessage {
+			l.send(r.To, m)
+			m.Groups, size[r.To] = nil, 0
+		}
+		m.Groups = append(m.Groups, wanted(r.Demand))
+		size[r.To] += len(r.Demand.Lines) + linesPerGroup
+	}
+	for to, m := range by {
+		l.send(to, m)
+	}
+}
+
+// A packet holds about 1,150 bytes; a line takes up to 8 bytes and the rest of a demand for a group about as much as 10
+// lines.
+const (
+	linesPerMessage = 120
+	linesPerGroup   = 10
+)
+
+func (l *Lender) send(to string, m *peer.Demand) {
+	if addr, ok := l.d.Addr(to); ok {
+		l.d.Send(addr, &peer.Demand{Groups: m.Groups})
+	}
+}
+
+// Receive takes in a message of another daemon and reports whether it was for this package.
+func (l *Lender) Receive(from peer.From, m peer.Message) bool {
+	switch m := m.(type) {
+	case *peer.Demand:
+		for _, w := range m.Groups {
+			l.in.Offer(demand(from.Name, w))
+		}
+	case *peer.Grant:
+		for _, g := range m.Groups {
+			l.d.Borrowers.Grant(from.Name, grant(g))
+		}
+	case *peer.Gone:
+		l.d.Borrowers.Withdraw(from.Name, share.Withdrawn{Group: m.Group, Generation: m.Generation})
+	default:
+		return false
+	}
+	return true
+}
+
+func wanted(d share.Demand) peer.Wanted {
+	w := peer.Wanted{Group: d.Group, Generation: d.Generation, Revision: d.Revision, Seq: d.Seq, Turn: d.Turn, Borrowers: d.Borrowers}
+	for _, x := range d.Lines {
+		w.Lines = append(w.Lines, peer.Line{Rank: x.Rank, Org: x.Org, Waiting: x.Waiting, Running: x.Running})
+	}
+	return w
+}
+
+func demand(from string, w peer.Wanted) share.Demand {
+	d := share.Demand{Daemon: from, Group: w.Group, Generation: w.Generation, Revision: w.Revision, Seq: w.Seq, Turn: w.Turn, Borrowers: w.Borrowers}
+	for _, x := range w.Lines {
+		d.Lines = append(d.Lines, share.Line{Rank: x.Rank, Org: x.Org, Waiting: x.Waiting, Running: x.Running})
+	}
+	return d
+}
+
+func lent(g share.Grant) peer.Lent {
+	return peer.Lent{Group: g.Group, Generation: g.Generation, Caps: g.Caps, Millis: uint32(g.For.Milliseconds()), Seq: g.Seq, Turn: g.Turn, Borrowers: g.Borrowers, Slots: g.Slots}
+}
+
+func grant(g peer.Lent) share.Grant {
+	return share.Grant{Group: g.Group, Generation: g.Generation, Caps: g.Caps, For: time.Duration(g.Millis) * time.Millisecond, Seq: g.Seq, Turn: g.Turn, Borrowers: g.Borrowers, Slots: g.Slots}
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -60,40 +60,42 @@
 	Running int
 }
 
-// Demand asks a home for slots of its groups. One message carries all groups of a service that have the same home.
+// Demand asks a home for slots of its groups. One message carries all that one daemon asks of another at a time.
 type Demand struct {
-	// Number grows with each demand of the sender; the grant repeats it.
-	Number   uint64   `cbor:"1,keyasint"`
-	Service  string   `cbor:"2,keyasint"`
-	Revision uint64   `cbor:"3,keyasint"`
-	Groups   []Wanted `cbor:"4,keyasint"`
+	Groups []Wanted `cbor:"1,keyasint"`
 }
 
-// Wanted is the demand for one group.
+// Wanted is the demand for one group; see share.Demand.
 type Wanted struct {
 	_          struct{} `cbor:",toarray"`
 	Group      string
 	Generation uint64
+	Revision   uint64
+	Seq, Turn  uint64
+	Borrowers  int
 	Lines      []Line
 }
 
-// Grant answers a demand.
+// Grant answers demands.
 type Grant struct {
-	Number uint64 `cbor:"1,keyasint"`
-	Lent   []Lent `cbor:"2,keyasint"`
+	Groups []Lent `cbor:"1,keyasint"`
 }
 
-// Lent is what is lent of one group.
+// Lent is what is lent of one group; see share.Grant.
 type Lent struct {
 	_          struct{} `cbor:",toarray"`
 	Group      string
 	Generation uint64
 	Caps       [note.Ranks]int
 	// Millis is how long the grant lasts from when the demand was sent, in milliseconds.
-	Millis uint32
+	Millis    uint32
+	Seq, Turn uint64
+	Borrowers int
+	Slots     int
 }
 
-// Gone tells that a group may no longer serve: an instance of it was found missing.
+// Gone tells that a generation of a group may no longer be used, because a member was found missing or because the
+// sender is its home and lends it no more.
 type Gone struct {
 	Group      string `cbor:"1,keyasint"`
 	Generation uint64 `cbor:"2,keyasint"`
