--- a/cmd/flamingobench/main.go
+++ b/cmd/flamingobench/main.go
@@ -21,6 +21,8 @@
 				&cli.DurationFlag{Name: "wait", Usage: "how long to wait for the fleet", Value: 20e9},
 				&cli.IntFlag{Name: "requests", Usage: "requests for each kind of work", Value: 100},
 			},
+		}, {
+			Name: "overload", Usage: "compare useful work under overload with the baseline, in handed-in time", Action: overloadTable,
 		}},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
