--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,12 +81,15 @@
 	e, closeEngine := engine.NewClient()
 	boot := uint64(time.Now().UnixNano())
 	d := &Daemon{
-		set: s, log: log, line: timeline.NewLog(s.Name, timelineSize), platform: p, engine: e, dispatch: dispatch.New(), identity: id, metrics: metrics,
+		set: s, log: log, line: timeline.NewLog(s.Name, timelineSize), platform: p, engine: e, identity: id, metrics: metrics,
 		self: registry.Entry{Name: s.Name, Peer: s.Peer, Caller: s.Caller, DataCentre: s.DataCentre, Boot: boot},
 	}
 	d.registry = registry.New(d.self)
 	d.claims = claim.NewKeeper(p, uuid.NewString)
+	var closeDispatch func()
+	d.dispatch, closeDispatch = dispatch.New(dispatch.Options{Daemon: s.Name, DataCentre: s.DataCentre, Local: true})
 	free := func() {
+		closeDispatch()
 		closePlatform()
 		closeEngine()
 		closeMetrics()
@@ -98,7 +101,7 @@
 	}
 	d.node = node
 	d.keeper = config.New(config.Deps{
-		Table: p, Peers: node, Others: d.others, Hello: d.hello, Apply: func(note.Config) {},
+		Table: p, Peers: node, Others: d.others, Hello: d.hello, Apply: d.dispatch.Configure,
 		Log: log.Named("config"), Line: d.line, Random: rand.New(rand.NewPCG(boot, 0)),
 	})
 	d.callers = caller.New(caller.Options{Config: d.keeper, Slots: caller.Slots{From: d.dispatch}, Addresses: d, Engine: e, Claims: d.claims, Log: d.line, Self: s.Caller})
@@ -251,7 +254,7 @@
 	}
 	for _, i := range roster.Instances {
 		if p, ok := cfg.Plains[i.Service]; ok && i.Kind == platform.KindPlain && i.State == platform.Live {
-			targets = append(targets, dispatch.Target{Service: i.Service, Group: i.ID, Addr: i.Addr, DataCentre: i.DataCentre, Slots: p.Slots})
+			targets = append(targets, dispatch.Target{Service: i.Service, Group: i.ID, Addr: i.Addr, DataCentre: i.DataCentre, Slots: p.Slots, Fixed: true})
 		}
 	}
 	d.dispatch.SetTargets(targets)
