Let the borrowers of package share decide what a daemon may use

Cause: the dispatch core kept grants and the periods of demands in a simple way of its own, which lacked the numbers that a home needs to lend slots again, and what to do when a home is lost stood in two places. Change: each group of a core holds a share.Borrower; grants, withdrawals and proofs of presence reach it as messages, and reports name the daemon to ask. Conclusion: one owner for permission to use a group.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -257,7 +257,7 @@
 			targets = append(targets, dispatch.Target{Service: i.Service, Group: i.ID, Addr: i.Addr, DataCentre: i.DataCentre, Slots: p.Slots, Fixed: true})
 		}
 	}
-	d.dispatch.SetTargets(targets)
+	d.dispatch.SetTargets(targets, nil)
 	return nil
 }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -12,7 +12,8 @@
 	"flamingorudder.example/internal/share"
 )
 
-// Message is something that happened: one of Submit, Withdraw, Done, Granted, Base, Revoked, Targets, Configured, Tick.
+// Message is something that happened: one of Submit, Withdraw, Done, Granted, Withdrawn, Proved,
+// Revoked, Targets, Configured, Tick.
 type Message interface{ message() }
 
 // Submit asks for a slot. Key is unique among the requests that have not ended.
@@ -30,21 +31,23 @@
 	Result Result
 }
 
-// Granted is a home's answer to a demand that was sent at Sent by this daemon's clock.
+// Granted is a grant from a home.
 type Granted struct {
+	From  string
 	Grant share.Grant
-	Sent  time.Time
 }
 
-// Base permits the use of a group without a grant, because its home is lost and this daemon's own probe, sent at Sent,
-// says that all members are present.
-type Base struct {
+// Withdrawn is a home's word that it lends a generation of a group no more.
+type Withdrawn struct {
+	From string
+	Lent share.Withdrawn
+}
+
+// Proved says that this daemon's own probe found every member of a generation present at the time At.
+type Proved struct {
 	Group      string
 	Generation uint64
-	Caps       [note.Ranks]int
-	Sent       time.Time
-	// For is how long the permission lasts from Sent.
-	For time.Duration
+	At         time.Time
 }
 
 // Revoked says that a member of a group was lost. This generation is never used again.
@@ -54,7 +57,11 @@
 }
 
 // Targets replaces the targets of the service.
-type Targets struct{ List []Target }
+type Targets struct {
+	List []Target
+	// Homes holds, by group, the daemons to ask for slots, in order; the first is the group's home.
+	Homes map[string][]string
+}
 
 // Configured replaces what the core uses of the configuration.
 type Configured struct {
@@ -73,7 +80,8 @@
 func (Withdraw) message()   {}
 func (Done) message()       {}
 func (Granted) message()    {}
-func (Base) message()       {}
+func (Withdrawn) message()  {}
+func (Proved) message()     {}
 func (Revoked) message()    {}
 func (Targets) message()    {}
 func (Configured) message() {}
@@ -86,7 +94,7 @@
 const (
 	Start  Verb = iota + 1 // the request has a slot [Key, Target]
 	Refuse                 // it was not run and won't be [Key, Refusal]
-	Report                 // send the demand to the home of its group [Demand]
+	Report                 // send the demand to the daemon that it names [Report]
 	Cancel                 // stop a request that runs without a caller [Key, Target]
 )
 
@@ -96,40 +104,27 @@
 	Key     uint64
 	Target  Target
 	Refusal *Refusal
-	Demand  share.Demand
+	Report  share.Report
 }
 
 // trimPeriod is how often the queue is checked for entries that became late because the service became slower. The
 // check takes time in the square of the number of organisations, so it isn't made for every message.
 const trimPeriod = 20 * time.Millisecond
 
-// permit is permission to use a generation of a group.
-type permit struct {
-	caps  [note.Ranks]int
-	sent  time.Time
-	until time.Time
-}
-
 // group is a target and what is known of this generation of it.
 type group struct {
-	target      Target
-	grant, base permit
-	running     [note.Ranks]int
-	total       int
-	rate        rates
-	// sent is when the last demand was sent, due when the next one is.
-	sent, due time.Time
+	target Target
+	// loan holds the permission to use the group; fixed targets need none.
+	loan    share.Borrower
+	running [note.Ranks]int
+	total   int
+	rate    rates
 }
 
-// caps is what the group may run at now; nothing without a permit in force.
+// caps is what the group may run at now; nothing without permission.
 func (g *group) caps(now time.Time) [note.Ranks]int {
-	switch {
-	case now.Before(g.grant.until):
-		return g.grant.caps
-	case now.Before(g.base.until):
-		return g.base.caps
-	}
-	return [note.Ranks]int{}
+	caps, _ := g.loan.Caps(now)
+	return caps
 }
 
 // job is a started request.
@@ -161,10 +156,13 @@
 	// fill is the part of the expected answer that is really generated; callers name an upper bound.
 	fill average
 	// miss is the mean relative error of the expected service time.
-	miss     average
-	conf     Configured
-	orgs     map[string]int
-	unmet    [note.Ranks]bool
+	miss  average
+	conf  Configured
+	orgs  map[string]int
+	unmet [note.Ranks]bool
+	// changed is whether waiting or running requests changed since the demands were counted at counted.
+	changed  bool
+	counted  time.Time
 	trimmed  time.Time
 	out      []Action
 	choices  []placement.Candidate
@@ -197,13 +195,21 @@
 	case Done:
 		c.done(m)
 	case Granted:
-		c.permit(m.Grant.Group, m.Grant.Generation, m.Grant.Caps, m.Sent, m.Grant.For, false)
-	case Base:
-		c.permit(m.Group, m.Generation, m.Caps, m.Sent, m.For, true)
+		if g := c.find(m.Grant.Group, m.Grant.Generation); g != nil {
+			g.loan.Accept(now, m.From, m.Grant)
+		}
+	case Withdrawn:
+		if g := c.find(m.Lent.Group, m.Lent.Generation); g != nil {
+			g.loan.Withdraw(now, m.From, m.Lent)
+		}
+	case Proved:
+		if g := c.find(m.Group, m.Generation); g != nil {
+			g.loan.Proved(m.At, m.Generation)
+		}
 	case Revoked:
 		c.revoke(m)
 	case Targets:
-		c.targets(now, m.List)
+		c.targets(m)
 	case Configured:
 		c.configure(m)
 	}
@@ -224,9 +230,12 @@
 	}
 	for _, g := range c.groups {
 		if !g.target.Fixed {
-			earlier(g.due)
+			earlier(g.loan.Due())
 		}
 	}
+	if c.changed {
+		earlier(c.counted.Add(countPeriod))
+	}
 	if len(c.waiting) > 0 {
 		earlier(c.trimmed.Add(trimPeriod))
 	}
@@ -251,9 +260,11 @@
 		return
 	}
 	c.waiting[m.Key] = wanted{q.Prefix, out}
+	c.changed = true
 }
 
 func (c *Core) refuse(key uint64, r *Refusal) {
+	c.changed = true
 	delete(c.waiting, key)
 	c.out = append(c.out, Action{Verb: Refuse, Key: key, Refusal: r})
 }
@@ -262,6 +273,7 @@
 	switch c.queue.Withdraw(key) {
 	case admission.Queued:
 		delete(c.waiting, key)
+		c.changed = true
 	case admission.Started:
 		c.out = append(c.out, Action{Verb: Cancel, Key: key, Target: c.running[key].group.target})
 	}
@@ -273,6 +285,7 @@
 		return
 	}
 	delete(c.running, m.Key)
+	c.changed = true
 	j.group.running[j.rank]--
 	j.group.total--
 	r := m.Result
@@ -294,22 +307,6 @@
 	}
 }
 
-// permit takes in a grant or base. One that answers an older demand than the last is ignored, and so is one for another
-// generation than the group's.
-func (c *Core) permit(name string, generation uint64, caps [note.Ranks]int, sent time.Time, d time.Duration, base bool) {
-	g := c.find(name, generation)
-	if g == nil {
-		return
-	}
-	p := &g.grant
-	if base {
-		p = &g.base
-	}
-	if !sent.Before(p.sent) {
-		*p = permit{caps, sent, sent.Add(d)}
-	}
-}
-
 func (c *Core) find(name string, generation uint64) *group {
 	for _, g := range c.groups {
 		if g.target.Group == name && g.target.Generation == generation {
@@ -330,19 +327,23 @@
 	return ok && t.Generation <= last
 }
 
-// targets replaces the groups. A group keeps its permits, counts and rates while its generation stays; requests that
+// targets replaces the groups. A group keeps its permission, counts and rates while its generation stays; requests that
 // run on an earlier generation no longer count.
-func (c *Core) targets(now time.Time, list []Target) {
+func (c *Core) targets(m Targets) {
 	var next []*group
-	for _, t := range list {
+	for _, t := range m.List {
 		if c.dead(t) {
 			continue
 		}
 		g := c.find(t.Group, t.Generation)
 		if g == nil {
-			g = &group{due: now}
+			g = &group{loan: share.Borrower{Self: c.daemon, Group: t.Group}}
 		}
 		g.target = t
+		if !t.Fixed {
+			g.loan.Serve(t.Generation, t.Slots)
+			g.loan.Homes(m.Homes[t.Group])
+		}
 		next = append(next, g)
 	}
 	c.groups = next
@@ -453,34 +454,30 @@
 	return n
 }
 
-// report sends the demands that are due: each share.Period while something waits, each share.IdlePeriod otherwise, and
-// at once, but not within share.MinPeriod of the last, when a rank turns from met to unmet.
+// countPeriod bounds how often demands are counted while requests come and go: counting passes over all running requests.
+// A demand that turns from met to unmet is counted at once, so that it is reported at once.
+const countPeriod = share.MinPeriod / 2
+
+// report sends the demands that are due. The borrowers decide when that is.
 func (c *Core) report(now time.Time) {
-	unmet, turned := false, false
+	turned := false
 	for r := range c.unmet {
 		w := c.queue.Waiting(note.Rank(r)) > 0
 		turned = turned || w && !c.unmet[r]
-		unmet = unmet || w
 		c.unmet[r] = w
 	}
-	period := share.IdlePeriod
-	if unmet {
-		period = share.Period
+	count := turned || c.changed && now.Sub(c.counted) >= countPeriod
+	if count {
+		c.changed, c.counted = false, now
 	}
 	for _, g := range c.groups {
-		if g.target.Fixed {
+		if g.target.Fixed || !count && now.Before(g.loan.Due()) {
 			continue
 		}
-		if soon := g.sent.Add(share.MinPeriod); turned && soon.Before(g.due) {
-			g.due = soon
-		}
-		if now.Before(g.due) {
-			continue
+		g.loan.Want(now, c.conf.Revision, c.lines(g))
+		if r, ok := g.loan.Step(now); ok {
+			c.out = append(c.out, Action{Verb: Report, Report: r})
 		}
-		g.sent, g.due = now, now.Add(period)
-		c.out = append(c.out, Action{Verb: Report, Demand: share.Demand{
-			Daemon: c.daemon, Group: g.target.Group, Generation: g.target.Generation, Revision: c.conf.Revision, Lines: c.lines(g),
-		}})
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -83,9 +83,9 @@
 	Daemon, DataCentre string
 	// Local gives every group its slots as a fixed cap, without grants. For daemons that don't share groups.
 	Local bool
-	// Demand sends a demand to the home of its group. It is called on the goroutine of the service and must not block.
+	// Report sends demands to the daemons that they name. It is called on the goroutine of a service and must not block.
 	// nil drops demands.
-	Demand func(share.Demand)
+	Report func([]share.Report)
 	// Size is the number of requests that the ring of each service holds; 0 for 1024.
 	Size int
 }
@@ -129,7 +129,7 @@
 // service is the duty that serves one service.
 type service struct {
 	core   *Core
-	demand func(share.Demand)
+	report func([]share.Report)
 	closed chan struct{}
 	// requests holds what callers send; orders holds what a flood must neither delay nor crowd out: ends of requests,
 	// grants, revocations, targets.
@@ -151,7 +151,7 @@
 		return s
 	}
 	s := &service{
-		core: NewCore(d.opts.Daemon, d.opts.DataCentre, rand.Uint64()), demand: d.opts.Demand, closed: d.closed,
+		core: NewCore(d.opts.Daemon, d.opts.DataCentre, rand.Uint64()), report: d.opts.Report, closed: d.closed,
 		requests: ring.NewQueue[Message](d.opts.Size), orders: ring.NewQueue[Message](d.opts.Size),
 		wake: make(chan struct{}, 1), disarm: func() {}, waiters: map[uint64]chan<- Action{},
 	}
@@ -163,8 +163,8 @@
 	return s
 }
 
-// SetTargets replaces the targets of all services.
-func (d *Dispatcher) SetTargets(ts []Target) {
+// SetTargets replaces the targets of all services. homes holds, by group, the daemons to ask for slots, in order.
+func (d *Dispatcher) SetTargets(ts []Target, homes map[string][]string) {
 	lists := map[string][]Target{}
 	for _, t := range ts {
 		t.Fixed = t.Fixed || d.opts.Local
@@ -181,7 +181,7 @@
 	services := maps.Clone(d.services)
 	d.mu.Unlock()
 	for name, s := range services {
-		s.order(Targets{lists[name]})
+		s.order(Targets{lists[name], homes})
 	}
 }
 
@@ -209,13 +209,18 @@
 	return m
 }
 
-// Grant takes in a home's answer to the demand that was sent at the given time.
-func (d *Dispatcher) Grant(g share.Grant, sent time.Time) { d.tell(g.Group, Granted{g, sent}) }
+// Grant takes in a grant from a home.
+func (d *Dispatcher) Grant(from string, g share.Grant) { d.tell(g.Group, Granted{from, g}) }
 
-// Base permits the use of a group whose home is lost.
-func (d *Dispatcher) Base(b Base) { d.tell(b.Group, b) }
+// Withdraw takes in a home's word that it lends a generation of a group no more.
+func (d *Dispatcher) Withdraw(from string, w share.Withdrawn) { d.tell(w.Group, Withdrawn{from, w}) }
 
-// tell hands an order to the service of a group. One for a group that is in no list of targets is dropped.
+// Proved tells that this daemon's own probe found every member of a generation of a group present.
+func (d *Dispatcher) Proved(group string, generation uint64, at time.Time) {
+	d.tell(group, Proved{group, generation, at})
+}
+
+// tell hands a message to the service that has the group.
 func (d *Dispatcher) tell(group string, m Message) {
 	d.mu.Lock()
 	s := d.owner[group]
@@ -325,6 +330,7 @@
 func (s *service) step(m Message) {
 	now := time.Now()
 	var unused []uint64
+	var reports []share.Report
 	for _, a := range s.core.Step(now, m) {
 		switch a.Verb {
 		case Start, Refuse:
@@ -334,12 +340,13 @@
 				unused = append(unused, a.Key)
 			}
 		case Report:
-			if s.demand != nil {
-				s.demand(a.Demand)
-			}
+			reports = append(reports, a.Report)
 		case Cancel: // Only a request that no call of Acquire waits for is withdrawn, and a slot for it goes back below.
 		}
 	}
+	if len(reports) > 0 && s.report != nil {
+		s.report(reports)
+	}
 	for _, k := range unused {
 		s.step(Done{k, Result{Failed: true}})
 	}
