Keep organisations from being served far ahead of their share

Advancing the virtual time by estimates alone would in turn starve newcomers beside overstated costs. Change: only flows whose head would have started by now are eligible; the virtual time advances by the cost served and is corrected with the real one. A regression test holds the second fault.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -97,6 +97,8 @@
 	running bool
 	// end is when a running entry is expected to end, in seconds since the queue's epoch.
 	end float64
+	// sum is the weight of all flows that were active at its start.
+	sum float64
 }
 
 // flow is the backlog of one organisation in one rank, first in, first out.
@@ -299,7 +301,7 @@
 	q.spare = append(q.spare, x)
 }
 
-// advance moves the virtual time to that of the active flow that is furthest behind.
+// advance moves the virtual time to that of the active flow that is furthest behind, if all of them are ahead of it.
 func (l *level) advance() {
 	if len(l.active) == 0 {
 		return
@@ -312,11 +314,16 @@
 }
 
 // first is the flow whose head would finish first if all active flows were served at once in proportion to their
-// weights; among equals the one that arrived first.
+// weights, among those whose head would have started by now; among equals the one that arrived first. Without the second
+// condition a flow can be served far ahead of its share, which the others then wait for after it pauses.
 func (l *level) first() *flow {
+	l.advance()
 	var best *flow
 	var end float64
 	for _, f := range l.active {
+		if f.at > l.now {
+			continue
+		}
 		e := f.at + float64(f.head.Cost)/f.weight()
 		if best == nil || e < end || e == end && f.head.ID < best.head.ID {
 			best, end = f, e
@@ -343,14 +350,15 @@
 		return Entry{}, false
 	}
 	x := f.head
+	sum := 0.0
+	for _, o := range l.active {
+		sum += o.weight()
+	}
 	q.unlink(x)
-	start := f.at
 	f.at += float64(x.Cost) / f.weight()
-	l.last = max(l.last, f.at)
-	if len(l.active) == 0 {
-		l.now = max(l.now, start)
-	}
-	l.advance()
+	l.now += float64(x.Cost) / sum
+	x.sum = sum
+	l.last = max(l.last, f.at, l.now)
 	x.running = true
 	x.end = now.Sub(q.epoch).Seconds() + x.Service.Seconds()
 	f.running++
@@ -374,6 +382,7 @@
 	l.ends -= x.end
 	if cost >= 0 {
 		f.at += float64(cost-x.Cost) / f.weight()
+		l.now += float64(cost-x.Cost) / x.sum
 		l.last = max(l.last, f.at)
 	}
 	if l.running == 0 {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -218,6 +218,33 @@
 	}
 }
 
+// Guards against a virtual time that advances by estimates which are never corrected: a newcomer then waits for all that
+// the others were charged too much.
+func TestNewcomerAmongOverstated(t *testing.T) {
+	var q Queue
+	got := 0
+	for id := range uint64(3000) {
+		org := string(rune('a' + id%2))
+		if id >= 2000 {
+			org = "new"
+		}
+		if r := q.Submit(epoch, Entry{ID: id, Organisation: org, Cost: 100}); r != nil {
+			t.Fatal(r)
+		}
+		if id < 1000 || id >= 2000 && id%2 == 0 {
+			continue // The others keep something waiting.
+		}
+		e, _ := q.Start(epoch, 0)
+		q.Done(e.ID, 10)
+		if e.Organisation == "new" {
+			got++
+		}
+	}
+	if got < 166-10 || got > 167+10 {
+		t.Errorf("the newcomer got %d of 500, want a third", got)
+	}
+}
+
 // Guards against a flood that takes the place of others: only the flooding organisation is refused, its newest entries
 // first, and a small one's requests still are served in time.
 func TestFloodHitsOnlyItsSender(t *testing.T) {
