--- /dev/null
+++ b/internal/member/view_test.go
@@ -0,0 +1,58 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"flamingorudder.example/internal/platform"
+)
+
+// Guards against an instance that counts as live after 3 failed probes, while leaving or missing, or before it has
+// passed 2 probes again, and against a lagging list that overrides a newer one.
+func TestView(t *testing.T) {
+	var v View
+	at := time.Unix(1000, 0)
+	list := func(state platform.InstanceState, ids ...string) {
+		at = at.Add(time.Second)
+		r := platform.Roster{At: at}
+		for _, id := range ids {
+			r.Instances = append(r.Instances, platform.Instance{ID: id, Kind: platform.KindEngine, State: state})
+		}
+		v.List(r)
+	}
+	list(platform.Live, "a", "b")
+	steps := []struct {
+		name string
+		do   func()
+		want State
+	}{
+		{"listed", func() {}, Live},
+		{"1 failure", func() { v.Probe("a", false) }, Suspect},
+		{"2 failures", func() { v.Probe("a", false) }, Suspect},
+		{"a good probe", func() { v.Probe("a", true) }, Live},
+		{"3 failures", func() { v.Probe("a", false); v.Probe("a", false); v.Probe("a", false) }, Gone},
+		{"still listed", func() { list(platform.Live, "a", "b") }, Gone},
+		{"1 good probe", func() { v.Probe("a", true) }, Gone},
+		{"2 good probes", func() { v.Probe("a", true) }, Live},
+		{"leaving", func() { list(platform.Leaving, "a", "b") }, Leaving},
+		{"older list", func() {
+			v.List(platform.Roster{At: at.Add(-time.Second), Instances: []platform.Instance{{ID: "a", State: platform.Live}}})
+		}, Leaving},
+		{"missing", func() { list(platform.Live, "b") }, Gone},
+		{"empty list", func() { list(platform.Live) }, Gone},
+		{"returned", func() { list(platform.Live, "a", "b") }, Gone},
+		{"returned, 2 probes", func() { v.Probe("a", true); v.Probe("a", true) }, Live},
+		{"reported", func() { v.Report("a") }, Gone},
+		{"reported, 2 probes", func() { v.Probe("a", true); v.Probe("a", true) }, Live},
+	}
+	for _, s := range steps {
+		s.do()
+		if got := v.State("a"); got != s.want {
+			t.Errorf("after %q: %v, want %v", s.name, got, s.want)
+		}
+	}
+	if v.State("b") != Live || v.State("c") != Gone {
+		t.Error("another instance changed: ", fmt.Sprint(v.State("b"), v.State("c")))
+	}
+}
