group: add the planner of model groups

Cause: groups were claimed by whichever daemon came first, under generation 1 for ever, and were never healed, drained or released. Change: package group decides, from the table rows and the engines own states, on one transaction at a time: claim, heal, serve, break, drain, release. platform.CommitSure finds out what became of a write whose answer was lost. Package control runs leases, planners and probes, and replaces form, formOnce, claimGroup and the group part of refresh in the daemon.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,18 +1,15 @@
 // Package daemon composes a daemon: it starts the duties and joins them.
 //
-// Duties of this version: watch (reads the configuration, the list of instances and the groups from the platform),
-// form (forms groups by transactional claims) and the two HTTP servers. Each runs on a goroutine of one group; Run
-// returns when all have stopped.
+// Duties of this version: watch (reads the configuration and the list of instances from the platform), control (package
+// control: forms and heals groups and knows which are present), follow (passes changes of groups to the dispatcher) and
+// the two HTTP servers. Each runs on a goroutine of one group; Start returns when all have stopped.
 package daemon
 
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/netip"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,12 +19,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/caller"
+	"flamingorudder.example/internal/control"
 	"flamingorudder.example/internal/dispatch"
 	"flamingorudder.example/internal/engine"
 	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/operator"
 	"flamingorudder.example/internal/platform"
 	"flamingorudder.example/internal/setting"
+	"flamingorudder.example/internal/timeline"
 	"flamingorudder.example/internal/timer"
 )
 
@@ -38,6 +37,12 @@
 	platform *platform.Client
 	engine   *engine.Client
 	dispatch *dispatch.Dispatcher
+	control  *control.Control
+	timeline *timeline.Log
+	// changes holds a token when groups have changed since the dispatcher was told.
+	changes chan struct{}
+	// targeting keeps an older set of targets from replacing a newer one.
+	targeting sync.Mutex
 
 	mu  sync.Mutex
 	cfg note.Config
@@ -47,11 +52,26 @@
 	cancel   context.CancelFunc
 }
 
+// timelineSize is how many events a daemon keeps.
+const timelineSize = 1 << 15
+
 // New returns a daemon and a function that frees its connections.
 func New(s setting.Daemon, log hclog.Logger) (*Daemon, func()) {
 	p, closePlatform := platform.Dial(s.Platform)
 	e, closeEngine := engine.NewClient()
-	d := &Daemon{set: s, log: log, platform: p, engine: e, dispatch: dispatch.New()}
+	d := &Daemon{
+		set: s, log: log, platform: p, engine: e, dispatch: dispatch.New(),
+		timeline: timeline.NewLog(s.Name, timelineSize), changes: make(chan struct{}, 1),
+	}
+	d.control = control.New(control.Options{
+		Name: s.Name, Boot: uuid.NewString(), Platform: p, Engine: e, Daemons: d, Config: d.Config, Log: log.Named("control"), Timeline: d.timeline,
+		Changed: func(control.Change) {
+			select {
+			case d.changes <- struct{}{}:
+			default:
+			}
+		},
+	})
 	return d, func() {
 		closePlatform()
 		closeEngine()
@@ -79,7 +99,8 @@
 		})
 	}
 	g.Go(func() error { return d.watch(ctx) })
-	g.Go(func() error { return d.form(ctx) })
+	g.Go(func() error { return d.control.Run(ctx) })
+	g.Go(func() error { return d.follow(ctx) })
 	d.log.Info("daemon started", "name", d.set.Name, "caller", d.set.Caller, "operator", d.set.Operator)
 	return g.Wait()
 }
@@ -195,135 +216,56 @@
 	if err != nil {
 		return err
 	}
-	rows, err := d.platform.Scan(ctx, prefixGroup)
-	if err != nil {
-		return err
-	}
 	d.mu.Lock()
 	d.roster = roster
-	cfg := d.cfg
 	d.mu.Unlock()
-	var targets []dispatch.Target
-	for _, r := range rows {
-		var g groupRow
-		if err := json.Unmarshal(r.Value, &g); err != nil {
-			return fmt.Errorf("decode %s: %w", r.Key, err)
-		}
-		if st, err := d.engine.State(ctx, g.Members[0]); err != nil || !st.Loaded || st.Generation != g.Generation {
-			continue
-		}
-		targets = append(targets, dispatch.Target{Service: g.Service, Group: g.ID, Generation: g.Generation, Addr: g.Members[0], DataCentre: g.DataCentre, Slots: cfg.Models[g.Service].Slots})
-	}
-	for _, i := range roster.Instances {
-		if p, ok := cfg.Plains[i.Service]; ok && i.Kind == platform.KindPlain && i.State == platform.Live {
-			targets = append(targets, dispatch.Target{Service: i.Service, Group: i.ID, Addr: i.Addr, DataCentre: i.DataCentre, Slots: p.Slots})
-		}
-	}
-	d.dispatch.SetTargets(targets)
+	d.control.List(roster)
+	d.retarget()
 	return nil
 }
 
-const (
-	prefixGroup    = "group/"
-	prefixInstance = "instance/"
-)
-
-// groupRow is a model group as the table keeps it.
-type groupRow struct {
-	ID         string           `json:"id"`
-	Service    string           `json:"service"`
-	Generation uint64           `json:"generation"`
-	DataCentre string           `json:"data_centre"`
-	Domain     string           `json:"domain"`
-	Members    []netip.AddrPort `json:"members"`
-}
-
-// form forms missing groups from unclaimed instances of one fabric domain.
-func (d *Daemon) form(ctx context.Context) error {
-	tick, stop := timer.Every(2*watchPeriod, 0.5)
-	defer stop()
+// follow passes changes of groups on to the dispatcher at once.
+func (d *Daemon) follow(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-tick:
-		}
-		if err := d.formOnce(ctx); err != nil && ctx.Err() == nil {
-			d.log.Warn("groups could not be formed", "error", err)
+		case <-d.changes:
+			d.retarget()
 		}
 	}
 }
 
-func (d *Daemon) formOnce(ctx context.Context) error {
-	cfg, ok := d.Config()
-	if !ok {
-		return nil
-	}
-	groups, err := d.platform.Scan(ctx, prefixGroup)
-	if err != nil {
-		return err
-	}
-	claimed, err := d.platform.Scan(ctx, prefixInstance)
-	if err != nil {
-		return err
-	}
+// retarget tells the dispatcher which groups are present and which plain backend servers are live.
+func (d *Daemon) retarget() {
+	d.targeting.Lock()
+	defer d.targeting.Unlock()
 	d.mu.Lock()
-	roster := d.roster
+	cfg, roster := d.cfg, d.roster
 	d.mu.Unlock()
-	free := map[string][]platform.Instance{}
-	for _, i := range roster.Instances {
-		taken := slices.ContainsFunc(claimed, func(r platform.Row) bool { return r.Key == prefixInstance+i.ID })
-		if i.Kind == platform.KindEngine && i.State == platform.Live && !taken {
-			free[i.Domain] = append(free[i.Domain], i)
+	var targets []dispatch.Target
+	for _, g := range d.control.Groups() {
+		if g.Present {
+			targets = append(targets, dispatch.Target{Service: g.Service, Group: g.Group, Generation: g.Generation, Addr: g.Addr, DataCentre: g.DataCentre, Slots: g.Slots})
 		}
 	}
-	for name, m := range cfg.Models {
-		have := 0
-		for _, r := range groups {
-			if strings.HasPrefix(r.Key, prefixGroup+name+"/") {
-				have++
-			}
-		}
-		for domain, list := range free {
-			for have < m.Copies && len(list) >= m.Instances {
-				if err := d.claimGroup(ctx, name, m, list[:m.Instances]); err != nil {
-					var c *platform.Conflict
-					if errors.As(err, &c) {
-						return nil // Another daemon claimed one of them; the next round sees it.
-					}
-					return err
-				}
-				list = list[m.Instances:]
-				have++
-			}
-			free[domain] = list
+	for _, i := range roster.Instances {
+		if p, ok := cfg.Plains[i.Service]; ok && i.Kind == platform.KindPlain && i.State == platform.Live {
+			targets = append(targets, dispatch.Target{Service: i.Service, Group: i.ID, Addr: i.Addr, DataCentre: i.DataCentre, Slots: p.Slots})
 		}
 	}
-	return nil
+	d.dispatch.SetTargets(targets)
 }
 
-func (d *Daemon) claimGroup(ctx context.Context, service string, m note.ModelService, members []platform.Instance) error {
-	g := groupRow{ID: service + "/" + members[0].ID, Service: service, Generation: 1, DataCentre: members[0].DataCentre, Domain: members[0].Domain}
-	t := platform.Txn{Op: uuid.NewString(), Checks: []platform.Check{{Key: prefixGroup + g.ID}}}
-	for _, i := range members {
-		g.Members = append(g.Members, i.Addr)
-		t.Checks = append(t.Checks, platform.Check{Key: prefixInstance + i.ID})
-		t.Writes = append(t.Writes, platform.Write{Key: prefixInstance + i.ID, Value: []byte(g.ID)})
-	}
-	body, err := json.Marshal(g)
-	if err != nil {
-		return fmt.Errorf("encode group %s: %w", g.ID, err)
-	}
-	t.Writes = append(t.Writes, platform.Write{Key: prefixGroup + g.ID, Value: body})
-	if _, err := d.platform.Commit(ctx, t); err != nil {
-		return err
-	}
-	for i, a := range g.Members {
-		o := engine.Order{Op: engine.OpLoad, Fence: 1, Group: g.ID, Generation: g.Generation, Index: i, Members: g.Members, Model: m.Model, Version: m.Version}
-		if err := d.engine.Order(ctx, a, o); err != nil {
-			return err
+// Daemons returns the names of the live daemons by the platform's list, and this one.
+func (d *Daemon) Daemons() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := []string{d.set.Name}
+	for _, i := range d.roster.Instances {
+		if i.Kind == platform.KindDaemon && i.State == platform.Live && i.ID != d.set.Name {
+			list = append(list, i.ID)
 		}
 	}
-	d.log.Info("group formed", "group", g.ID, "members", len(g.Members))
-	return nil
+	return list
 }
--- /dev/null
+++ b/internal/group/rows.go
@@ -0,0 +1,225 @@
+package group
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"flamingorudder.example/internal/engine"
+	"flamingorudder.example/internal/platform"
+)
+
+// Prefixes of the rows that this package owns.
+const (
+	PrefixGroup    = "group/"
+	PrefixInstance = "instance/"
+	PrefixCounter  = "counter/"
+)
+
+// Phase is where a group is in its life.
+type Phase string
+
+// Phases of a group.
+const (
+	// Loading groups have claimed their members, which are ordered to load.
+	Loading Phase = "loading"
+	// Serving groups may get requests while all members are present.
+	Serving Phase = "serving"
+	// Broken groups lost a member and wait for a spare or for a turn to load.
+	Broken Phase = "broken"
+	// Draining groups get no new requests and finish those in flight.
+	Draining Phase = "draining"
+	// Releasing groups unload their members, which are free afterwards.
+	Releasing Phase = "releasing"
+)
+
+// Causes of draining; they decide what follows.
+const (
+	CauseSurplus = "surplus"
+	CauseVersion = "version"
+	CauseLeaving = "leaving"
+)
+
+// Member is an instance of a group.
+type Member struct {
+	ID   string         `json:"id"`
+	Addr netip.AddrPort `json:"addr"`
+}
+
+// Row is the value of a group's row. The service is a prefix of the ID.
+type Row struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	// Generation is unique among all groups of the service, also after groups have been released.
+	Generation uint64 `json:"generation"`
+	DataCentre string `json:"data_centre"`
+	Domain     string `json:"domain"`
+	// Members are ordered by index; member 0 receives the requests.
+	Members []Member `json:"members"`
+	Model   string   `json:"model"`
+	Version string   `json:"version"`
+	Phase   Phase    `json:"phase"`
+	// Cause tells why a group drains, is broken or is released.
+	Cause string `json:"cause,omitempty"`
+	// Token is the fencing token under which the row was written.
+	Token uint64 `json:"token"`
+}
+
+// Addrs returns the addresses of the members by index.
+func (r Row) Addrs() []netip.AddrPort {
+	out := make([]netip.AddrPort, len(r.Members))
+	for i, m := range r.Members {
+		out[i] = m.Addr
+	}
+	return out
+}
+
+// Names returns the instances by index.
+func (r Row) Names() []string {
+	out := make([]string, len(r.Members))
+	for i, m := range r.Members {
+		out[i] = m.ID
+	}
+	return out
+}
+
+// Matches is whether an engine's own state is that of member index of the row, loaded.
+func (r Row) Matches(index int, s engine.State) bool { return s.Loaded && r.assigned(index, s) }
+
+// assigned is whether the engine has accepted the order to load.
+func (r Row) assigned(index int, s engine.State) bool {
+	return s.Group == r.ID && s.Generation == r.Generation && s.Index == index && s.Model == r.Model && s.Version == r.Version
+}
+
+// Seat is the value of an instance's row: the group that has claimed it.
+type Seat struct {
+	Group      string `json:"group"`
+	Generation uint64 `json:"generation"`
+}
+
+// Counter is the value of a service's counter row. Every transaction on the service's groups writes the row, so its
+// version also tells whether any of them has changed.
+type Counter struct {
+	// Last is the highest generation given out.
+	Last uint64 `json:"last"`
+}
+
+// Table is the part of the table service that a planner works on, as last read.
+type Table struct {
+	Groups   map[string]Row
+	Seats    map[string]Seat
+	Counters map[string]Counter
+	// Versions holds the versions of all rows by key; an absent key is an absent row.
+	Versions map[string]uint64
+}
+
+// BadRow reports a row that cannot be read.
+type BadRow struct {
+	Key string
+	Err error
+}
+
+func (e *BadRow) Error() string { return fmt.Sprintf("row %q cannot be read: %v", e.Key, e.Err) }
+func (e *BadRow) Unwrap() error { return e.Err }
+
+// Decode reads rows of the three prefixes. It fails with *BadRow.
+func Decode(rows ...[]platform.Row) (Table, error) {
+	t := Table{Groups: map[string]Row{}, Seats: map[string]Seat{}, Counters: map[string]Counter{}, Versions: map[string]uint64{}}
+	for _, r := range slices.Concat(rows...) {
+		if err := t.set(r.Key, r.Value); err != nil {
+			return t, err
+		}
+		t.Versions[r.Key] = r.Version
+	}
+	return t, nil
+}
+
+func (t *Table) set(key string, value []byte) error {
+	var err error
+	switch {
+	case strings.HasPrefix(key, PrefixGroup):
+		var r Row
+		if err = json.Unmarshal(value, &r); err == nil {
+			t.Groups[strings.TrimPrefix(key, PrefixGroup)] = r
+		}
+	case strings.HasPrefix(key, PrefixInstance):
+		var s Seat
+		if err = json.Unmarshal(value, &s); err == nil {
+			t.Seats[strings.TrimPrefix(key, PrefixInstance)] = s
+		}
+	case strings.HasPrefix(key, PrefixCounter):
+		var c Counter
+		if err = json.Unmarshal(value, &c); err == nil {
+			t.Counters[strings.TrimPrefix(key, PrefixCounter)] = c
+		}
+	}
+	if err != nil {
+		return &BadRow{Key: key, Err: err}
+	}
+	return nil
+}
+
+// Apply takes in the effect of a transaction that was committed as version, which saves reading all rows again.
+func (t *Table) Apply(x platform.Txn, version uint64) error {
+	for _, w := range x.Writes {
+		if !w.Delete {
+			if err := t.set(w.Key, w.Value); err != nil {
+				return err
+			}
+			t.Versions[w.Key] = version
+			continue
+		}
+		delete(t.Versions, w.Key)
+		delete(t.Groups, strings.TrimPrefix(w.Key, PrefixGroup))
+		delete(t.Seats, strings.TrimPrefix(w.Key, PrefixInstance))
+	}
+	return nil
+}
+
+// txn builds the transaction that replaces the group row old (nil: none) by next (nil: none). It holds only under the
+// token in force and on the rows as they were read. Rows of members that stay in the group are written too, so that
+// each names the generation.
+func (t *Table) txn(service string, token uint64, old, next *Row) (platform.Txn, error) {
+	var x platform.Txn
+	check := func(key string) { x.Checks = append(x.Checks, platform.Check{Key: key, Version: t.Versions[key]}) }
+	var fail error
+	write := func(key string, v any) {
+		b, err := json.Marshal(v)
+		if err != nil {
+			fail = fmt.Errorf("encode %s: %w", key, err)
+		}
+		x.Writes = append(x.Writes, platform.Write{Key: key, Value: b})
+	}
+	x.Checks = append(x.Checks, platform.Check{Key: "token/" + service, Version: token})
+	counter := PrefixCounter + service
+	check(counter)
+	c := t.Counters[service]
+	seats := map[string]bool{}
+	if next != nil {
+		c.Last = max(c.Last, next.Generation)
+		check(PrefixGroup + next.ID)
+		write(PrefixGroup+next.ID, next)
+		if old == nil || old.Generation != next.Generation {
+			for _, m := range next.Members {
+				seats[m.ID] = true
+				check(PrefixInstance + m.ID)
+				write(PrefixInstance+m.ID, Seat{Group: next.ID, Generation: next.Generation})
+			}
+		}
+	} else {
+		check(PrefixGroup + old.ID)
+		x.Writes = append(x.Writes, platform.Write{Key: PrefixGroup + old.ID, Delete: true})
+	}
+	if old != nil && (next == nil || old.Generation != next.Generation) {
+		for _, m := range old.Members {
+			if !seats[m.ID] {
+				check(PrefixInstance + m.ID)
+				x.Writes = append(x.Writes, platform.Write{Key: PrefixInstance + m.ID, Delete: true})
+			}
+		}
+	}
+	write(counter, c)
+	return x, fail
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -172,6 +172,61 @@
 	return 0, &Unknown{Op: t.Op, Err: resp.fault()}
 }
 
+// CommitSure runs a transaction like Commit, but finds out what became of it when the answer is lost: it reads back the
+// first row that the transaction writes and checks. If the row has the operation number, the transaction took effect;
+// if it is still at the checked version, the same transaction is sent again; otherwise it is a *Conflict. A later
+// transaction may have overwritten that row, so after a *Conflict the caller reads its rows again before it decides
+// anything. It fails with *Conflict, *Unavailable, or with *Unknown when ctx ends first; retry waits between
+// attempts, which it is given the number of.
+func (c *Client) CommitSure(ctx context.Context, t Txn, retry func(ctx context.Context, n int) error) (uint64, error) {
+	key, checked, ok := t.witness()
+	v, err := c.Commit(ctx, t)
+	for n := 0; ; n++ {
+		var lost *Unknown
+		if !errors.As(err, &lost) || !ok {
+			return v, err
+		}
+		if retry(ctx, n) != nil {
+			return 0, lost
+		}
+		row, rerr := c.Read(ctx, key)
+		switch {
+		case rerr != nil:
+			continue
+		case row.Version > 0 && row.Op == t.Op:
+			return row.Version, nil
+		case row.Version != checked:
+			return 0, &Conflict{Key: key, Version: row.Version}
+		}
+		v, err = c.Commit(ctx, t)
+		var down *Unavailable
+		var conflict *Conflict
+		switch {
+		case errors.As(err, &down):
+			err = lost // The first sending may still take effect.
+		case errors.As(err, &conflict):
+			// The first sending may have taken effect between the read and the second one.
+			if row, rerr := c.Read(ctx, key); rerr != nil {
+				err = lost
+			} else if row.Version > 0 && row.Op == t.Op {
+				return row.Version, nil
+			}
+		}
+	}
+}
+
+// witness returns a row that shows whether the transaction took effect, and the version that it had before.
+func (t Txn) witness() (key string, version uint64, ok bool) {
+	for _, w := range t.Writes {
+		for _, c := range t.Checks {
+			if c.Key == w.Key && !w.Delete {
+				return w.Key, c.Version, true
+			}
+		}
+	}
+	return "", 0, false
+}
+
 // Read returns one row; an absent row has version 0.
 func (c *Client) Read(ctx context.Context, key string) (Row, error) {
 	rows, err := c.rows(ctx, "key", key)
