--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -13,21 +13,21 @@
 
 // Accept makes a release note the configuration of the fleet.
 func (d *Daemon) Accept(ctx context.Context, op string, text []byte) (uint64, error) {
-	return d.keeper.Accept(ctx, op, text)
+	return d.config.Accept(ctx, op, text)
 }
 
 // Head returns the configuration that was accepted last.
 func (d *Daemon) Head(ctx context.Context) (note.Config, platform.Row, error) {
-	return d.keeper.Head(ctx)
+	return d.config.Head(ctx)
 }
 
 // History returns the accepted notes.
-func (d *Daemon) History(ctx context.Context) ([]config.Past, error) { return d.keeper.History(ctx) }
+func (d *Daemon) History(ctx context.Context) ([]config.Past, error) { return d.config.History(ctx) }
 
 // Status returns the state of the fleet as this daemon sees it.
 func (d *Daemon) Status() operator.Status {
 	s := operator.Status{Daemon: d.set.Name, Leaving: d.entry().Leaving, Daemons: d.registry.All(time.Now())}
-	s.Received, s.Applied = d.keeper.Numbers()
+	s.Received, s.Applied = d.config.Numbers()
 	return s
 }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -13,7 +13,7 @@
 )
 
 // Message is something that happened: one of Submit, Withdraw, Done, Granted, Withdrawn, Proved,
-// Revoked, Targets, Configured, Tick.
+// Loaded, Cached, Revoked, Targets, Configured, Tick.
 type Message interface{ message() }
 
 // Submit asks for a slot. Key is unique among the requests that have not ended.
@@ -50,6 +50,20 @@
 	At         time.Time
 }
 
+// Loaded is a load report of a group.
+type Loaded struct {
+	Group string
+	Load  placement.Load
+}
+
+// Cached is cache events of a group; Next is the number after the last one that its engine has.
+type Cached struct {
+	Group      string
+	Generation uint64
+	Next       uint64
+	Events     []placement.CacheEvent
+}
+
 // Revoked says that a member of a group was lost. This generation is never used again.
 type Revoked struct {
 	Group      string
@@ -82,6 +96,8 @@
 func (Granted) message()    {}
 func (Withdrawn) message()  {}
 func (Proved) message()     {}
+func (Loaded) message()     {}
+func (Cached) message()     {}
 func (Revoked) message()    {}
 func (Targets) message()    {}
 func (Configured) message() {}
@@ -147,6 +163,8 @@
 	picker     placement.Picker
 	random     *rand.PCG
 	groups     []*group
+	// names holds the names of groups while their targets are replaced.
+	names []string
 	// revoked is the last generation of a group that lost a member. Entries stay, since a list of targets may lag; there
 	// are no more than groups that ever broke.
 	revoked map[string]uint64
@@ -193,7 +211,7 @@
 	case Withdraw:
 		c.withdraw(m.Key)
 	case Done:
-		c.done(m)
+		c.done(now, m)
 	case Granted:
 		if g := c.find(m.Grant.Group, m.Grant.Generation); g != nil {
 			g.loan.Accept(now, m.From, m.Grant)
@@ -206,6 +224,12 @@
 		if g := c.find(m.Group, m.Generation); g != nil {
 			g.loan.Proved(m.At, m.Generation)
 		}
+	case Loaded:
+		c.picker.Report(now, m.Group, m.Load)
+		return nil
+	case Cached:
+		c.picker.Cache(now, m.Group, m.Generation, m.Next, m.Events)
+		return nil
 	case Revoked:
 		c.revoke(m)
 	case Targets:
@@ -279,7 +303,7 @@
 	}
 }
 
-func (c *Core) done(m Done) {
+func (c *Core) done(now time.Time, m Done) {
 	j, ok := c.running[m.Key]
 	if !ok {
 		return
@@ -288,6 +312,7 @@
 	c.changed = true
 	j.group.running[j.rank]--
 	j.group.total--
+	c.picker.Ended(now, j.group.target.Group)
 	r := m.Result
 	cost := -1
 	if r.Tokens > 0 || r.Failed {
@@ -347,6 +372,11 @@
 		next = append(next, g)
 	}
 	c.groups = next
+	c.names = c.names[:0]
+	for _, g := range next {
+		c.names = append(c.names, g.target.Group)
+	}
+	c.picker.Retain(c.names)
 }
 
 func (c *Core) configure(m Configured) {
@@ -404,6 +434,7 @@
 				break
 			}
 			c.queue.Start(now, r)
+			c.picker.Sent(now, g.target.Group, placement.Query{Prefix: c.waiting[e.ID].prefix, DataCentre: c.dataCentre})
 			c.running[e.ID] = job{g, r, e.Organisation, e.Cost, c.waiting[e.ID].output, e.Service}
 			delete(c.waiting, e.ID)
 			g.running[r]++
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 
 	"flamingorudder.example/internal/admission"
 	"flamingorudder.example/internal/note"
+	"flamingorudder.example/internal/placement"
 	"flamingorudder.example/internal/ring"
 	"flamingorudder.example/internal/share"
 	"flamingorudder.example/internal/timer"
@@ -220,6 +221,12 @@
 	d.tell(group, Proved{group, generation, at})
 }
 
+// Loaded takes in a load report of a group.
+func (d *Dispatcher) Loaded(group string, l placement.Load) { d.tell(group, Loaded{group, l}) }
+
+// Cached takes in cache events of a group.
+func (d *Dispatcher) Cached(c Cached) { d.tell(c.Group, c) }
+
 // tell hands a message to the service that has the group.
 func (d *Dispatcher) tell(group string, m Message) {
 	d.mu.Lock()
--- a/internal/loan/loan.go
+++ b/internal/loan/loan.go
@@ -46,7 +46,9 @@
 	Send func(to netip.AddrPort, m peer.Message)
 	// Borrowers receives the answers for this daemon.
 	Borrowers Borrowers
-	Line      *timeline.Log
+	// Misdirected is told of groups that another daemon asks for though their home is not here. It must not block.
+	Misdirected func(group string)
+	Line        *timeline.Log
 }
 
 // Lender lends the slots of the groups homed here. Its methods may be called from several goroutines.
@@ -99,6 +101,8 @@
 		case d := <-l.in.C():
 			if h := l.homes[d.Group]; h != nil {
 				out.add(h.Step(time.Now(), d))
+			} else {
+				l.d.Misdirected(d.Group)
 			}
 		}
 		l.flush(out)
