--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -114,7 +114,9 @@
 	table := httptest.NewServer(f.platform)
 	for i := range engines {
 		id := fmt.Sprintf("e%d", i)
-		s := httptest.NewServer(standin.NewEngine(standin.EngineSpec{ID: id, Slots: 4, Load: 300 * time.Millisecond, Fencing: fencing}))
+		engine, closeEngine := standin.NewEngine(standin.EngineSpec{ID: id, Slots: 4, Load: 300 * time.Millisecond, Fencing: fencing})
+		t.Cleanup(closeEngine)
+		s := httptest.NewServer(engine)
 		f.servers[id] = s
 		f.all = append(f.all, platform.Instance{ID: id, Addr: addr(s), Kind: platform.KindEngine, DataCentre: "c", Domain: "d", Accelerators: 8, State: platform.Live})
 	}
@@ -246,12 +248,17 @@
 				return f.present(0) == 2 && !slices.Contains(f.members(), leaving)
 			})
 
-			holder := slices.IndexFunc(f.cs, func(c *Control) bool {
-				c.mu.Lock()
-				s := c.services["s"]
-				c.mu.Unlock()
-				_, ok := s.holding()
-				return ok
+			// The lease may be passing from one daemon to another just now.
+			holder := -1
+			f.until(10*time.Second, "a daemon holds the lease", func() bool {
+				holder = slices.IndexFunc(f.cs, func(c *Control) bool {
+					c.mu.Lock()
+					s := c.services["s"]
+					c.mu.Unlock()
+					_, ok := s.holding()
+					return ok
+				})
+				return holder >= 0
 			})
 			f.stop[holder]()
 			f.mu.Lock()
