Serve what operators ask of several daemons

Cause: an operator's tool could not find the other daemons, a timeline of 262144 events came in one answer, and a conflict that could not be settled by reading back was reported as "nothing was changed" although the call's own transaction may have caused it.

Change: an entry of the registry and the hello message carry the operator address; an entry without one keeps what is known of the same start. GET /timeline takes filters (request, instance, group, service, revision, from, until) and a page size; the client reads page by page up to the newest event at its first answer. An unsettled conflict is reported as unknown. Status fills in the daemon's own operator address.

The daemon does not send its operator address yet; that takes three lines in internal/daemon/daemon.go and peers.go.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -28,6 +28,11 @@
 func (d *Daemon) Status() operator.Status {
 	s := operator.Status{Daemon: d.set.Name, Leaving: d.entry().Leaving, Daemons: d.registry.All(time.Now())}
 	s.Received, s.Applied = d.keeper.Numbers()
+	for i := range s.Daemons {
+		if s.Daemons[i].Name == d.set.Name {
+			s.Daemons[i].Operator, s.Daemons[i].Leaving, s.Daemons[i].Revision = d.set.Operator, s.Leaving, s.Applied
+		}
+	}
 	return s
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -85,6 +85,8 @@
 	// Next is the sequence number to go on from; Lost counts events that were overwritten before they were read.
 	Next uint64 `json:"next"`
 	Lost uint64 `json:"lost"`
+	// Head is the number that follows the newest event; above Next when the answer was cut to a page.
+	Head uint64 `json:"head"`
 }
 
 // Fleet is what the server needs of the daemon.
@@ -201,7 +203,12 @@
 		reply(w, http.StatusBadRequest, &Fault{Kind: FaultRequest, Text: "since is not a whole number"})
 		return
 	}
-	reply(w, http.StatusOK, s.fleet.Events(since))
+	filter, fault := parseFilter(r.URL.Query())
+	if fault != nil {
+		reply(w, http.StatusBadRequest, fault)
+		return
+	}
+	reply(w, http.StatusOK, filter.page(s.fleet.Events(since)))
 }
 
 func fail(w http.ResponseWriter, err error) {
@@ -209,6 +216,7 @@
 	var stale *note.Stale
 	var raced *config.Raced
 	var unknown *platform.Unknown
+	var conflict *platform.Conflict
 	f := &Fault{Status: http.StatusServiceUnavailable, Kind: FaultPlatform, Text: err.Error()}
 	switch {
 	case errors.As(err, &faults):
@@ -217,7 +225,8 @@
 		f.Status, f.Kind = http.StatusConflict, FaultStale
 	case errors.As(err, &raced):
 		f.Status, f.Kind = http.StatusConflict, FaultRaced
-	case errors.As(err, &unknown):
+	case errors.As(err, &unknown), errors.As(err, &conflict):
+		// A conflict that was not settled by reading back may stem from the call's own first transaction.
 		f.Kind = FaultUnknown
 	}
 	reply(w, f.Status, f)
@@ -242,7 +251,15 @@
 	if tls != nil {
 		scheme = "https://"
 	}
-	return &Client{base: scheme + addr.String(), http: &http.Client{Transport: tr, Timeout: 30 * time.Second}}, tr.CloseIdleConnections
+	return NewClient(scheme+addr.String(), tr), tr.CloseIdleConnections
+}
+
+// callTime bounds one call, answer included.
+const callTime = 30 * time.Second
+
+// NewClient returns a client that sends its calls for the base URL through a transport.
+func NewClient(base string, tr http.RoundTripper) *Client {
+	return &Client{base: base, http: &http.Client{Transport: tr, Timeout: callTime}}
 }
 
 // Apply makes a note the configuration of the fleet and returns its revision. op identifies the call across repeats.
@@ -289,6 +306,28 @@
 	return v, err
 }
 
+// Timeline returns the events that pass a filter. Without one it reads page by page up to the newest event at the
+// first answer, so that a busy daemon does not keep it reading.
+func (c *Client) Timeline(ctx context.Context, f Filter) (Events, error) {
+	var all Events
+	q := f.query()
+	for head := uint64(1); all.Next < head; {
+		q.Set("since", strconv.FormatUint(all.Next, 10))
+		var page Events
+		if err := c.call(ctx, http.MethodGet, "/timeline?"+q.Encode(), "", nil, &page); err != nil {
+			return all, err
+		}
+		if all.Next == 0 {
+			head = page.Head
+		}
+		all = Events{Daemon: page.Daemon, Events: append(all.Events, page.Events...), Next: page.Next, Lost: all.Lost + page.Lost, Head: head}
+		if page.Next == 0 {
+			break // The daemon has no event yet.
+		}
+	}
+	return all, nil
+}
+
 // Drain makes the daemon leave: it is no longer named to callers, finishes what it has, and takes no new duties.
 func (c *Client) Drain(ctx context.Context) error {
 	return c.call(ctx, http.MethodPost, "/drain", "", nil, nil)
@@ -304,7 +343,11 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return fmt.Errorf("%s %s: %w", method, path, err)
+		var u *url.Error
+		if errors.As(err, &u) {
+			err = u.Err // The method and the address are named already, here and by the caller.
+		}
+		return fmt.Errorf("%s %s: %w", method, req.URL.Path, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode >= http.StatusBadRequest {
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,139 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"testing"
+	"time"
+
+	"flamingorudder.example/internal/config"
+	"flamingorudder.example/internal/ini"
+	"flamingorudder.example/internal/note"
+	"flamingorudder.example/internal/platform"
+	"flamingorudder.example/internal/timeline"
+)
+
+// stub is a Fleet with one answer for each call.
+type stub struct {
+	err  error
+	line *timeline.Log
+}
+
+func (s stub) Accept(context.Context, string, []byte) (uint64, error) { return 0, s.err }
+func (s stub) Head(context.Context) (note.Config, platform.Row, error) {
+	return note.Config{}, platform.Row{}, s.err
+}
+func (s stub) History(context.Context) ([]config.Past, error) { return nil, s.err }
+func (s stub) Status() Status                                 { return Status{} }
+func (s stub) Drain()                                         {}
+func (s stub) Events(since uint64) Events {
+	e, next, lost := s.line.Since(since)
+	return Events{Daemon: "a", Events: e, Next: next, Lost: lost}
+}
+
+// direct hands requests to a handler without a connection.
+type direct struct{ h http.Handler }
+
+func (d direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	d.h.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+func client(s stub) *Client { return NewClient("http://a", direct{New(s, http.NotFoundHandler())}) }
+
+// Guards against an error whose kind leads the operator to the wrong next step: above all an outcome that is unknown
+// and reported as "nothing was changed".
+func TestFaultKinds(t *testing.T) {
+	down := &platform.Unavailable{Err: errors.New("down")}
+	for _, c := range []struct {
+		err    error
+		kind   string
+		status int
+	}{
+		{&ini.Faults{All: []ini.Fault{{Msg: "x"}}}, FaultNote, 400},
+		{&note.Stale{Base: 2, Current: 1}, FaultStale, 409},
+		{&config.Raced{Current: 2}, FaultRaced, 409},
+		{down, FaultPlatform, 503},
+		{&platform.Unknown{Op: "1", Err: down}, FaultUnknown, 503},
+		{errors.Join(&platform.Unknown{Op: "1", Err: down}, down), FaultUnknown, 503},
+		// The second transaction meets the effect of the first, whose answer was lost, and cannot read back.
+		{errors.Join(&platform.Conflict{Key: "config/head"}, down), FaultUnknown, 503},
+	} {
+		_, err := client(stub{err: c.err}).Apply(t.Context(), "1", nil)
+		var f *Fault
+		if !errors.As(err, &f) || f.Kind != c.kind || f.Status != c.status {
+			t.Errorf("%v is reported as %#v, want kind %s with status %d", c.err, err, c.kind, c.status)
+		}
+	}
+}
+
+// Guards against a timeline that misses or repeats events where one page ends and the next begins, and against lost
+// events that are not counted.
+func TestTimelinePages(t *testing.T) {
+	line := timeline.NewLog("a", 2*pageSize+10)
+	for i := range 2*pageSize + 15 {
+		line.Add(timeline.Event{Kind: timeline.Accept, Request: fmt.Sprint(i)})
+	}
+	got, err := client(stub{line: line}).Timeline(t.Context(), Filter{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(got.Events) != 2*pageSize+10 || got.Lost != 5 || got.Next != 2*pageSize+15 {
+		t.Fatalf("%d events, %d lost, next %d", len(got.Events), got.Lost, got.Next)
+	}
+	for i, e := range got.Events {
+		if e.Request != fmt.Sprint(i+5) {
+			t.Fatalf("event %d is of request %s", i, e.Request)
+		}
+	}
+	if got, err := client(stub{line: timeline.NewLog("a", 4)}).Timeline(t.Context(), Filter{}); err != nil || len(got.Events) != 0 {
+		t.Errorf("empty timeline: %v, error %v", got, err)
+	}
+}
+
+// Guards against filters that the server does not get as the client means them, and against a service's view without
+// the decisions that name only the request.
+func TestTimelineFilter(t *testing.T) {
+	line := timeline.NewLog("a", 64)
+	for _, e := range []timeline.Event{
+		{Kind: timeline.Accept, Request: "r1", Service: "desk"},
+		{Kind: timeline.Accept, Request: "r2", Service: "ledger"},
+		{Kind: timeline.Refuse, Request: "r1", Reason: "late"},
+		{Kind: timeline.Serve, Group: "desk/g1", Generation: 2},
+		{Kind: timeline.Form, Group: "desk/g1", Members: []string{"i1", "i2"}},
+		{Kind: timeline.Apply, Revision: 3},
+		{Kind: timeline.Lose, Instance: "i2"},
+	} {
+		line.Add(e)
+	}
+	all, _, _ := line.Since(0)
+	for name, c := range map[string]struct {
+		f    Filter
+		want []int
+	}{
+		"request":  {Filter{Request: "r1"}, []int{0, 2}},
+		"service":  {Filter{Service: "desk"}, []int{0, 2, 3, 4}},
+		"group":    {Filter{Group: "desk/g1"}, []int{3, 4}},
+		"instance": {Filter{Instance: "i2"}, []int{4, 6}},
+		"revision": {Filter{Revision: 3}, []int{5}},
+		"until":    {Filter{Until: all[0].At.Time().Add(-time.Second)}, nil},
+		"since":    {Filter{Since: all[0].At.Time(), Until: all[6].At.Time().Add(time.Second)}, []int{0, 1, 2, 3, 4, 5, 6}},
+	} {
+		got, err := client(stub{line: line}).Timeline(t.Context(), c.f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var want []timeline.Event
+		for _, i := range c.want {
+			want = append(want, all[i])
+		}
+		if !reflect.DeepEqual(got.Events, want) {
+			t.Errorf("%s: got %v, want %v", name, got.Events, want)
+		}
+	}
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -49,6 +49,8 @@
 	Revision uint64 `cbor:"4,keyasint"`
 	// Leaving is whether the daemon is draining.
 	Leaving bool `cbor:"5,keyasint,omitempty"`
+	// Operator is where operators reach the daemon.
+	Operator netip.AddrPort `cbor:"6,keyasint,omitzero"`
 }
 
 // Line is the demand of an organisation at a rank; see share.Line.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -20,7 +20,7 @@
 
 func samples() []Message {
 	return []Message{
-		&Hello{Boot: 7, DataCentre: "stirling", Addr: addr, Revision: 3, Leaving: true},
+		&Hello{Boot: 7, DataCentre: "stirling", Addr: addr, Revision: 3, Leaving: true, Operator: addr},
 		&Demand{Number: 4, Service: "model-desk", Revision: 3, Groups: []Wanted{{Group: "model-desk/g1", Generation: 2, Lines: []Line{{Rank: note.RankLive, Org: 1, Waiting: 2, Running: 3}}}}},
 		&Grant{Number: 4, Lent: []Lent{{Group: "model-desk/g1", Generation: 2, Caps: [3]int{4, 2, 1}, Millis: 1500}}},
 		&Gone{Group: "model-desk/g1", Generation: 2, Instance: "stirling-1-01"},
@@ -71,7 +71,7 @@
 		{"demand for one group, 10 organisations at 3 ranks", fullDemand(1, 10), 280},
 		{"demand for two groups, 10 organisations at 3 ranks", fullDemand(2, 10), 520},
 		{"grant of one group", &Grant{Number: 1 << 20, Lent: []Lent{{Group: "asistente-tallas/1", Generation: 1000, Caps: [3]int{128, 128, 128}, Millis: 1500}}}, 80},
-		{"hello", &Hello{Boot: 1 << 62, DataCentre: "rosario-a", Addr: addr, Revision: 40_000}, 80},
+		{"hello", &Hello{Boot: 1 << 62, DataCentre: "rosario-a", Addr: addr, Operator: addr, Revision: 40_000}, 80},
 		{"gone", &Gone{Group: "asistente-tallas/rosario-a-1-01", Generation: 1000, Instance: "rosario-a-1-01"}, 100},
 	} {
 		b, err := Encode(c.m, timeline.Stamp{Wall: time.Date(2028, 1, 1, 0, 0, 0, 0, time.UTC).UnixMicro(), Count: 1})
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -16,9 +16,11 @@
 
 // Entry is one daemon.
 type Entry struct {
-	Name       string         `json:"name"`
-	Peer       netip.AddrPort `json:"peer"`
-	Caller     netip.AddrPort `json:"caller"`
+	Name   string         `json:"name"`
+	Peer   netip.AddrPort `json:"peer"`
+	Caller netip.AddrPort `json:"caller"`
+	// Operator is where operators reach the daemon; the zero value when it is not known.
+	Operator   netip.AddrPort `json:"operator,omitzero"`
 	DataCentre string         `json:"data_centre"`
 	// Boot differs each time that the daemon starts, and grows.
 	Boot uint64 `json:"boot"`
@@ -67,6 +69,9 @@
 		if e.Boot > k.Boot {
 			k.suspect = time.Time{} // A restarted daemon is a new one.
 		}
+		if !e.Operator.IsValid() && e.Boot == k.Boot {
+			e.Operator = k.Operator // A message of an earlier version does not carry it.
+		}
 		k.Entry = e
 	}
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -59,3 +60,18 @@
 		t.Errorf("live %v after b left the list", got)
 	}
 }
+
+// Guards against an operator address that a greeting of an earlier version erases during a rolling upgrade.
+func TestLearnKeepsOperator(t *testing.T) {
+	r := New(Entry{Name: "a"})
+	at := netip.MustParseAddrPort("10.0.0.2:9443")
+	r.Learn(Entry{Name: "b", Boot: 1, Operator: at})
+	r.Learn(Entry{Name: "b", Boot: 1, Leaving: true})
+	if e, _ := r.Entry("b"); e.Operator != at || !e.Leaving {
+		t.Errorf("entry after a greeting without operator address: %+v", e)
+	}
+	r.Learn(Entry{Name: "b", Boot: 2})
+	if e, _ := r.Entry("b"); e.Operator.IsValid() {
+		t.Errorf("a restarted daemon keeps the old operator address %s", e.Operator)
+	}
+}
