Send the lines of kratos through hclog and limit repeats

Cause: kratos and net/http wrote their own lines to standard error in formats of their own, and a lasting fault (platform that does not answer) warned twice a second.

Change: internal/logging adapts hclog to kratos' logger, takes over the standard library's logger, and passes a warning of one kind once in 5 s with the count of those left out; the last of them is logged, so none goes uncounted. flamingod and standin use it. standin logs from warn on (--log).

Conclusion: log volume of a lasting fault is bounded by its kinds.

--- a/cmd/flamingod/main.go
+++ b/cmd/flamingod/main.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"flamingorudder.example/internal/daemon"
+	"flamingorudder.example/internal/logging"
 	"flamingorudder.example/internal/setting"
 )
 
@@ -46,10 +47,12 @@
 		return nil
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: set.Name, Level: hclog.LevelFromString(set.LogLevel), JSONFormat: set.LogFormat == "json"})
+	log = logging.Limit(log, logging.Period)
+	logging.Adopt(log)
 	d, closeDaemon, err := daemon.New(set, log)
 	if err != nil {
 		return err
 	}
 	defer closeDaemon()
-	return kratos.New(kratos.Name("flamingod"), kratos.ID(set.Name), kratos.Server(d)).Run()
+	return kratos.New(kratos.Name("flamingod"), kratos.ID(set.Name), kratos.Logger(logging.Kratos(log.Named("kratos"))), kratos.Server(d)).Run()
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -18,11 +18,13 @@
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/identity"
 	"flamingorudder.example/internal/ini"
+	"flamingorudder.example/internal/logging"
 	"flamingorudder.example/internal/platform"
 	"flamingorudder.example/internal/standin"
 )
@@ -45,6 +47,7 @@
 			&cli.DurationFlag{Name: "lag", Usage: "age of load reports and cache events", Value: 100 * time.Millisecond},
 			&cli.Uint64Flag{Name: "gap", Usage: "every how many cache events one is lost; 0 loses none", Value: 50},
 			&cli.DurationFlag{Name: "roster-lag", Usage: "age of the list of instances", Value: 500 * time.Millisecond},
+			&cli.StringFlag{Name: "log", Usage: "lowest level that is logged: trace, debug, info, warn, error", Value: "warn"},
 		},
 		Action: run,
 	}
@@ -89,6 +92,7 @@
 }
 
 func run(ctx context.Context, c *cli.Command) error {
+	logging.Adopt(logging.Limit(hclog.New(&hclog.LoggerOptions{Name: "standin", Level: hclog.LevelFromString(c.String("log"))}), logging.Period))
 	file := c.Args().First()
 	text, err := os.ReadFile(file)
 	if err != nil {
