--- a/cmd/flamingoctl/fleet.go
+++ b/cmd/flamingoctl/fleet.go
@@ -6,9 +6,11 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net"
 	"net/http/httptrace"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,6 +94,13 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}), &sent
 }
 
+// refused reports whether the daemon refused the operator's certificate. In TLS 1.3 it does so after the client's part of
+// the handshake, when the request is on its way already; it never reads that request.
+func refused(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "remote error" && strings.Contains(op.Err.Error(), "certificate")
+}
+
 // apply applies a note under one operation number, going round the daemons while the outcome is unknown. Only a call
 // that certainly did nothing at every daemon is reported as failed.
 func (f *fleet) apply(ctx context.Context, op string, text []byte, limit time.Duration) (uint64, error) {
@@ -111,7 +120,7 @@
 			var fault *operator.Fault
 			switch {
 			case !errors.As(err, &fault):
-				unknown = unknown || sent.Load()
+				unknown = unknown || sent.Load() && !refused(err)
 			case fault.Kind == operator.FaultUnknown:
 				unknown = true
 			case fault.Kind != operator.FaultPlatform:
@@ -141,12 +150,20 @@
 	Applied  uint64 `json:"applied"`
 	// Heard is whether the revision comes from another daemon, because this one was not asked or did not answer.
 	Heard bool `json:"heard,omitempty"`
-	// Lags is whether a newer revision has been accepted than the daemon has in force.
+	// Lags is whether a newer revision has been accepted than the daemon has in force. It is false for a daemon that has
+	// left the list and for an address from the flags that answers to no known name.
 	Lags bool `json:"lags"`
 	// Fault is why the daemon did not answer.
 	Fault string `json:"fault,omitempty"`
 }
 
+// counts tells whether the daemon is one of those that should have the revision in force. An address that does not answer
+// may belong to a daemon that is listed under its name as well, so it is not counted a second time.
+func (d Daemon) counts() bool {
+	_, err := netip.ParseAddrPort(d.Name)
+	return d.State != "absent" && err != nil
+}
+
 // Service is a service of the release note next to what serves it.
 type Service struct {
 	Name string `json:"name"`
@@ -282,7 +299,7 @@
 		rows[name] = r
 	}
 	for name, r := range rows {
-		r.Lags = r.State != "absent" && r.Applied < number
+		r.Lags = r.counts() && r.Applied < number
 		rows[name] = r
 	}
 	return slices.SortedFunc(maps.Values(rows), func(a, b Daemon) int { return cmp.Compare(a.Name, b.Name) })
--- a/cmd/flamingoctl/print.go
+++ b/cmd/flamingoctl/print.go
@@ -154,7 +154,7 @@
 	have, all := 0, 0
 	var late []string
 	for _, d := range rows {
-		if d.State == "absent" {
+		if !d.counts() {
 			continue
 		}
 		all++
@@ -208,14 +208,17 @@
 		stranded = append(stranded, []string{d, fmt.Sprint(r.Stranded[d])})
 	}
 	daemons := [][]string{{"\nDAEMON", "DATA CENTRE", "STATE", "RECEIVED", "APPLIED", "REMARKS"}}
-	lagging := 0
+	lagging, all := 0, 0
 	for _, d := range r.Daemons {
+		if d.counts() {
+			all++
+		}
 		var remarks []string
 		if d.Lags {
 			lagging++
 			remarks = append(remarks, "lags")
 		}
-		if d.Heard && d.State != "absent" {
+		if d.Heard && d.counts() {
 			remarks = append(remarks, "revision as heard by other daemons")
 		}
 		if d.Fault != "" {
@@ -231,5 +234,5 @@
 			return err
 		}
 	}
-	return printf(w, "\n%d of %d daemons lag\n", lagging, len(r.Daemons))
+	return printf(w, "\n%d of %d daemons lag\n", lagging, all)
 }
--- a/cmd/flamingoctl/session_test.go
+++ b/cmd/flamingoctl/session_test.go
@@ -396,6 +396,14 @@
 		s.note("the platform is down")
 		s.table.down = true
 		s.want(0, "status")
+		s.note("daemon 2 is down and its operator address is not known: it counts once, under its name")
+		s.table.down = false
+		s.members["10.0.0.2:9443"].dead = true
+		for i := range all {
+			all[i].Operator = netip.AddrPort{}
+		}
+		s.want(0, "status")
+		s.want(exitTimeout, "wait --limit 1s 1")
 		s.golden("status")
 	})
 }
