--- a/cmd/flamingoctl/fleet.go
+++ b/cmd/flamingoctl/fleet.go
@@ -151,17 +151,18 @@
 	// Heard is whether the revision comes from another daemon, because this one was not asked or did not answer.
 	Heard bool `json:"heard,omitempty"`
 	// Lags is whether a newer revision has been accepted than the daemon has in force. It is false for a daemon that has
-	// left the list and for an address from the flags that answers to no known name.
+	// left the list, one that was leaving and does not answer, and an address from the flags that has no known name.
 	Lags bool `json:"lags"`
 	// Fault is why the daemon did not answer.
 	Fault string `json:"fault,omitempty"`
 }
 
 // counts tells whether the daemon is one of those that should have the revision in force. An address that does not answer
-// may belong to a daemon that is listed under its name as well, so it is not counted a second time.
+// may belong to a daemon that is listed under its name as well, so it is not counted a second time. A daemon that was
+// leaving and does not answer has most likely ended; the platform's list may name it for long after that.
 func (d Daemon) counts() bool {
 	_, err := netip.ParseAddrPort(d.Name)
-	return d.State != "absent" && err != nil
+	return err != nil && d.State != "absent" && (d.State != "leaving" || !d.Heard)
 }
 
 // Service is a service of the release note next to what serves it.
@@ -289,7 +290,10 @@
 		r := rows[name]
 		r.Name = name
 		if a.err != nil {
-			r.State, r.Heard, r.Fault = "silent", true, a.err.Error()
+			r.Heard, r.Fault = true, a.err.Error()
+			if r.State != "leaving" {
+				r.State = "silent"
+			}
 		} else {
 			r.State, r.Heard, r.Received, r.Applied = "live", false, a.status.Received, a.status.Applied
 			if a.status.Leaving {
--- a/cmd/flamingoctl/print.go
+++ b/cmd/flamingoctl/print.go
@@ -218,7 +218,7 @@
 			lagging++
 			remarks = append(remarks, "lags")
 		}
-		if d.Heard && d.counts() {
+		if d.Heard && d.State != "absent" && d.DataCentre != "" {
 			remarks = append(remarks, "revision as heard by other daemons")
 		}
 		if d.Fault != "" {
--- a/cmd/flamingoctl/session_test.go
+++ b/cmd/flamingoctl/session_test.go
@@ -404,6 +404,11 @@
 		}
 		s.want(0, "status")
 		s.want(exitTimeout, "wait --limit 1s 1")
+		s.note("daemons 2 to 4 were leaving and have ended: nobody waits for them")
+		for i := range 3 {
+			all[i+1].Leaving = true
+		}
+		s.want(0, "wait --limit 1s 1")
 		s.golden("status")
 	})
 }
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -8,7 +8,6 @@
 	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/operator"
 	"flamingorudder.example/internal/platform"
-	"flamingorudder.example/internal/timeline"
 )
 
 // Accept makes a release note the configuration of the fleet.
@@ -56,5 +55,4 @@
 	for _, to := range d.others() {
 		d.node.Send(to, &hello)
 	}
-	d.line.Add(timeline.Event{Kind: timeline.Drain})
 }
