--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,20 +1,26 @@
 // Package daemon composes a daemon: it starts the duties and joins them.
 //
-// Duties of this version: watch (reads the configuration, the list of instances and the groups from the platform),
-// form (forms groups by transactional claims) and the two HTTP servers. Each runs on a goroutine of one group; Run
-// returns when all have stopped.
+// Each duty runs on goroutines of one group and owns its own state; they are joined by bounded rings and by small
+// interfaces:
+//
+//	callers    HTTP towards callers; asks dispatch for slots and claims for idempotency keys
+//	operators  HTTP towards operators
+//	peers      the protocol between daemons; hands messages to config, loan and control
+//	config     keeps the configuration by revisions
+//	control    leases, model groups, probes; tells which groups are present
+//	loan       lends the slots of groups whose home this daemon is
+//	dispatch   decides which request gets a slot; borrows from homes
+//	observe    load reports and cache events of the groups in use
+//	register   this daemon's row in the table and the others'
+//	watch      the platform's list of instances
 package daemon
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"math/rand/v2"
 	stdhttp "net/http"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -26,16 +32,20 @@
 	"flamingorudder.example/internal/caller"
 	"flamingorudder.example/internal/claim"
 	"flamingorudder.example/internal/config"
+	"flamingorudder.example/internal/control"
 	"flamingorudder.example/internal/dispatch"
 	"flamingorudder.example/internal/engine"
+	"flamingorudder.example/internal/group"
 	"flamingorudder.example/internal/identity"
+	"flamingorudder.example/internal/loan"
+	"flamingorudder.example/internal/member"
 	"flamingorudder.example/internal/metric"
-	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/operator"
 	"flamingorudder.example/internal/peer"
 	"flamingorudder.example/internal/platform"
 	"flamingorudder.example/internal/registry"
 	"flamingorudder.example/internal/setting"
+	"flamingorudder.example/internal/share"
 	"flamingorudder.example/internal/timeline"
 	"flamingorudder.example/internal/timer"
 )
@@ -47,23 +57,33 @@
 	line     *timeline.Log
 	platform *platform.Client
 	engine   *engine.Client
-	dispatch *dispatch.Dispatcher
 	identity *identity.Identity
-	node     *peer.Node
-	registry *registry.Registry
-	keeper   *config.Keeper
 	metrics  *metric.Set
-	// self is how other daemons know this one.
-	self    registry.Entry
-	claims  *claim.Keeper
-	callers *caller.Server
 
-	mu     sync.Mutex
+	registry *registry.Registry
+	node     *peer.Node
+	config   *config.Keeper
+	control  *control.Control
+	loan     *loan.Lender
+	dispatch *dispatch.Dispatcher
+	claims   *claim.Keeper
+	callers  *caller.Server
+	doubts   *doubts
+	views    *views
+
+	// changes holds a token when groups or daemons have changed since the dispatcher was told.
+	changes chan struct{}
+	// targeting keeps an older set of targets from replacing a newer one.
+	targeting sync.Mutex
+
+	mu sync.Mutex
+	// self is how other daemons know this one.
+	self   registry.Entry
 	roster platform.Roster
 	cancel context.CancelFunc
 }
 
-// timelineSize is how many events a daemon keeps: about ten minutes at 100 requests/s.
+// timelineSize is how many events a daemon keeps: some ten minutes at 100 requests/s, in about 80 MB when full.
 const timelineSize = 1 << 18
 
 // New returns a daemon and a function that frees what it holds. The daemon listens for its peers from now on and for
@@ -81,12 +101,17 @@
 	e, closeEngine := engine.NewClient()
 	boot := uint64(time.Now().UnixNano())
 	d := &Daemon{
-		set: s, log: log, line: timeline.NewLog(s.Name, timelineSize), platform: p, engine: e, dispatch: dispatch.New(), identity: id, metrics: metrics,
-		self: registry.Entry{Name: s.Name, Peer: s.Peer, Caller: s.Caller, DataCentre: s.DataCentre, Boot: boot},
+		set: s, log: log, line: timeline.NewLog(s.Name, timelineSize), platform: p, engine: e, identity: id, metrics: metrics,
+		self:    registry.Entry{Name: s.Name, Peer: s.Peer, Caller: s.Caller, DataCentre: s.DataCentre, Boot: boot},
+		changes: make(chan struct{}, 1),
+		doubts:  newDoubts(),
+		views:   newViews(),
 	}
 	d.registry = registry.New(d.self)
-	d.claims = claim.NewKeeper(p, uuid.NewString)
+	var closeDispatch func()
+	d.dispatch, closeDispatch = dispatch.New(dispatch.Options{Daemon: s.Name, DataCentre: s.DataCentre, Report: d.report})
 	free := func() {
+		closeDispatch()
 		closePlatform()
 		closeEngine()
 		closeMetrics()
@@ -97,11 +122,26 @@
 		return nil, nil, err
 	}
 	d.node = node
-	d.keeper = config.New(config.Deps{
-		Table: p, Peers: node, Others: d.others, Hello: d.hello, Apply: func(note.Config) {},
+	d.config = config.New(config.Deps{
+		Table: p, Peers: node, Others: d.others, Hello: d.hello, Apply: d.dispatch.Configure,
 		Log: log.Named("config"), Line: d.line, Random: rand.New(rand.NewPCG(boot, 0)),
 	})
-	d.callers = caller.New(caller.Options{Config: d.keeper, Slots: caller.Slots{From: d.dispatch}, Addresses: d, Engine: e, Claims: d.claims, Log: d.line, Self: s.Caller})
+	d.control = control.New(control.Options{
+		Name: s.Name, Boot: uuid.NewString(), Platform: p, Engine: e, Daemons: d, Config: d.config.Config,
+		Log: log.Named("control"), Timeline: d.line, Uses: d.views.uses, Changed: func(control.Change) { d.changed() },
+	})
+	d.loan = loan.New(loan.Deps{
+		Self: s.Name, Homed: d.homed, Config: d.config.Config, Addr: d.peerAddr, Send: node.Send, Borrowers: d.dispatch,
+		Misdirected: d.misdirected, Line: d.line,
+	})
+	d.claims = claim.NewKeeper(p, uuid.NewString)
+	d.callers = caller.New(caller.Options{Config: d.config, Slots: caller.Slots{From: d.dispatch}, Addresses: d, Engine: e, Claims: d.claims, Log: d.line, Self: s.Caller})
+	if err := d.gauges(); err != nil {
+		d.callers.Close()
+		closeNode()
+		free()
+		return nil, nil, err
+	}
 	return d, func() {
 		d.callers.Close()
 		closeNode()
@@ -109,6 +149,28 @@
 	}, nil
 }
 
+// gauges declares the metrics that are read from the duties when they are asked for.
+func (d *Daemon) gauges() error {
+	for _, g := range []struct {
+		name, unit, description string
+		read                    func() int64
+	}{
+		{"config_revision", "{revision}", "Revision of the configuration in force", func() int64 { _, n := d.config.Numbers(); return int64(n) }},
+		{"groups_present", "{group}", "Model groups that this daemon may use, by its own view", func() int64 { return int64(d.views.present()) }},
+		{"peer_bytes_sent", "By", "Payload sent to other daemons since the start", func() int64 { return int64(d.node.Stats().BytesOut) }},
+		{"peer_bytes_received", "By", "Payload received from other daemons since the start", func() int64 { return int64(d.node.Stats().BytesIn) }},
+		{"peer_messages_dropped", "{message}", "Messages to other daemons that could not be sent", func() int64 { return int64(d.node.Stats().Dropped) }},
+		{"demands_dropped", "{message}", "Demands that found the ring of the lender full", func() int64 { return int64(d.loan.Dropped()) }},
+		{"foreign_chunks", "{chunk}", "Chunks of engines that belonged to another attempt", func() int64 { return int64(d.engine.Foreign()) }},
+		{"daemons_live", "{daemon}", "Daemons that this one takes to be alive", func() int64 { return int64(len(d.registry.Live(time.Now()))) }},
+	} {
+		if err := d.metrics.Gauge(g.name, g.unit, g.description, g.read); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Start serves until ctx ends, Stop is called or a duty fails. With Stop it makes the daemon a server of a kratos
 // application.
 func (d *Daemon) Start(ctx context.Context) error {
@@ -153,11 +215,14 @@
 			return s.Stop(context.WithoutCancel(ctx))
 		})
 	}
-	g.Go(func() error { return d.keeper.Run(ctx) })
-	g.Go(func() error { return d.register(ctx) })
-	g.Go(func() error { return d.identity.Watch(ctx, certificatePeriod, d.log.Named("identity")) })
-	g.Go(func() error { return d.watch(ctx) })
-	g.Go(func() error { return d.form(ctx) })
+	for _, duty := range []func(context.Context) error{
+		d.config.Run, d.control.Run, d.loan.Run, d.register, d.watch, d.follow, d.observe, d.checkDoubts,
+		func(ctx context.Context) error {
+			return d.identity.Watch(ctx, certificatePeriod, d.log.Named("identity"))
+		},
+	} {
+		g.Go(func() error { return duty(ctx) })
+	}
 	d.log.Info("daemon started", "name", d.set.Name, "caller", d.set.Caller, "operator", d.set.Operator, "peer", d.set.Peer)
 	return g.Wait()
 }
@@ -168,6 +233,8 @@
 	idleLimit   = 2 * time.Minute
 	// leaveSpread is the time that other daemons take to see that this one is leaving.
 	leaveSpread = 3 * time.Second
+	// certificatePeriod is how often the certificate's files are looked at.
+	certificatePeriod = 10 * time.Second
 )
 
 // Stop leaves and then makes Start return: the daemon accepts requests until no caller can know it from a valid list of
@@ -188,9 +255,6 @@
 	return d.callers.Wait(ctx)
 }
 
-// certificatePeriod is how often the certificate's files are looked at.
-const certificatePeriod = 10 * time.Second
-
 // Addresses returns the caller addresses to use and for how long the answer holds.
 func (d *Daemon) Addresses() ([]netip.AddrPort, time.Duration) {
 	near, far := []netip.AddrPort{d.set.Caller}, []netip.AddrPort(nil)
@@ -209,14 +273,28 @@
 
 const watchPeriod = 500 * time.Millisecond
 
-// watch keeps the view of the platform up to date. What cannot be read stays as it was.
+// watch keeps the view of the platform's list up to date. A list that cannot be read stays as it was.
 func (d *Daemon) watch(ctx context.Context) error {
 	tick, stop := timer.Every(watchPeriod, 0.2)
 	defer stop()
+	failing := false
 	for {
-		if err := d.refresh(ctx); err != nil && ctx.Err() == nil {
-			d.log.Warn("platform could not be read", "error", err)
+		roster, err := d.platform.Roster(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case err == nil:
+			d.take(roster)
+			if failing {
+				d.log.Info("platform answers again")
+				d.line.Add(timeline.Event{Kind: timeline.Store, Reason: "answers again"})
+			}
+		case !failing:
+			d.log.Warn("platform's list of instances cannot be read; the last one stays in use", "error", err)
+			d.line.Add(timeline.Event{Kind: timeline.Store, Reason: "list of instances cannot be read"})
 		}
+		failing = err != nil
+		d.retarget()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -225,140 +303,94 @@
 	}
 }
 
-func (d *Daemon) refresh(ctx context.Context) error {
-	roster, err := d.platform.Roster(ctx)
-	if err != nil {
-		return err
-	}
-	rows, err := d.platform.Scan(ctx, prefixGroup)
-	if err != nil {
-		return err
-	}
+func (d *Daemon) take(r platform.Roster) {
 	d.mu.Lock()
-	d.roster = roster
+	d.roster = r
 	d.mu.Unlock()
-	cfg, _ := d.keeper.Config()
-	var targets []dispatch.Target
-	for _, r := range rows {
-		var g groupRow
-		if err := json.Unmarshal(r.Value, &g); err != nil {
-			return fmt.Errorf("decode %s: %w", r.Key, err)
-		}
-		if st, err := d.engine.State(ctx, g.Members[0]); err != nil || !st.Loaded || st.Generation != g.Generation {
-			continue
+	var daemons []string
+	for _, i := range r.Instances {
+		if i.Kind == platform.KindDaemon {
+			daemons = append(daemons, i.ID)
 		}
-		targets = append(targets, dispatch.Target{Service: g.Service, Group: g.ID, Generation: g.Generation, Addr: g.Members[0], DataCentre: g.DataCentre, Slots: cfg.Models[g.Service].Slots})
 	}
-	for _, i := range roster.Instances {
-		if p, ok := cfg.Plains[i.Service]; ok && i.Kind == platform.KindPlain && i.State == platform.Live {
-			targets = append(targets, dispatch.Target{Service: i.Service, Group: i.ID, Addr: i.Addr, DataCentre: i.DataCentre, Slots: p.Slots})
-		}
-	}
-	d.dispatch.SetTargets(targets)
-	return nil
+	d.registry.Present(daemons)
+	d.control.List(r)
 }
 
-const (
-	prefixGroup    = "group/"
-	prefixInstance = "instance/"
-)
-
-// groupRow is a model group as the table keeps it.
-type groupRow struct {
-	ID         string           `json:"id"`
-	Service    string           `json:"service"`
-	Generation uint64           `json:"generation"`
-	DataCentre string           `json:"data_centre"`
-	Domain     string           `json:"domain"`
-	Members    []netip.AddrPort `json:"members"`
+// changed makes follow tell the dispatcher and the lender about changes of groups or daemons.
+func (d *Daemon) changed() {
+	select {
+	case d.changes <- struct{}{}:
+	default:
+	}
 }
 
-// form forms missing groups from unclaimed instances of one fabric domain.
-func (d *Daemon) form(ctx context.Context) error {
-	tick, stop := timer.Every(2*watchPeriod, 0.5)
-	defer stop()
+// follow passes changes on at once.
+func (d *Daemon) follow(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-tick:
-		}
-		if err := d.formOnce(ctx); err != nil && ctx.Err() == nil {
-			d.log.Warn("groups could not be formed", "error", err)
+		case <-d.changes:
+			d.retarget()
+			d.loan.Changed()
 		}
 	}
 }
 
-func (d *Daemon) formOnce(ctx context.Context) error {
-	cfg, ok := d.keeper.Config()
-	if !ok {
-		return nil
-	}
-	groups, err := d.platform.Scan(ctx, prefixGroup)
-	if err != nil {
-		return err
-	}
-	claimed, err := d.platform.Scan(ctx, prefixInstance)
-	if err != nil {
-		return err
-	}
+// retarget tells the dispatcher which groups are present, who lends their slots, and which plain backend servers are
+// live.
+func (d *Daemon) retarget() {
+	d.targeting.Lock()
+	defer d.targeting.Unlock()
+	cfg, _ := d.config.Config()
 	d.mu.Lock()
 	roster := d.roster
 	d.mu.Unlock()
-	free := map[string][]platform.Instance{}
-	for _, i := range roster.Instances {
-		taken := slices.ContainsFunc(claimed, func(r platform.Row) bool { return r.Key == prefixInstance+i.ID })
-		if i.Kind == platform.KindEngine && i.State == platform.Live && !taken {
-			free[i.Domain] = append(free[i.Domain], i)
+	daemons := d.Daemons()
+	groups := d.control.Groups()
+	d.views.choose(d.set.Name, d.set.DataCentre, groups)
+	var targets []dispatch.Target
+	homes := map[string][]string{}
+	for _, g := range groups {
+		if g.Phase != group.Serving || !g.Present || !d.views.uses(g.Group) {
+			continue
 		}
+		targets = append(targets, dispatch.Target{Service: g.Service, Group: g.Group, Generation: g.Generation, Addr: g.Addr, DataCentre: g.DataCentre, Slots: g.Slots})
+		homes[g.Group] = member.Order(g.Group, daemons)
 	}
-	for name, m := range cfg.Models {
-		have := 0
-		for _, r := range groups {
-			if strings.HasPrefix(r.Key, prefixGroup+name+"/") {
-				have++
-			}
+	for _, i := range roster.Instances {
+		if p, ok := cfg.Plains[i.Service]; ok && i.Kind == platform.KindPlain && i.State == platform.Live {
+			targets = append(targets, dispatch.Target{Service: i.Service, Group: i.ID, Addr: i.Addr, DataCentre: i.DataCentre, Slots: max(1, p.Slots/len(daemons)), Fixed: true})
 		}
-		for domain, list := range free {
-			for have < m.Copies && len(list) >= m.Instances {
-				if err := d.claimGroup(ctx, name, m, list[:m.Instances]); err != nil {
-					var c *platform.Conflict
-					if errors.As(err, &c) {
-						return nil // Another daemon claimed one of them; the next round sees it.
-					}
-					return err
-				}
-				list = list[m.Instances:]
-				have++
-			}
-			free[domain] = list
+	}
+	d.dispatch.SetTargets(targets, homes)
+	for _, g := range groups {
+		if g.Present && d.views.uses(g.Group) {
+			d.dispatch.Proved(g.Group, g.Generation, g.Proof)
 		}
 	}
-	return nil
 }
 
-func (d *Daemon) claimGroup(ctx context.Context, service string, m note.ModelService, members []platform.Instance) error {
-	g := groupRow{ID: service + "/" + members[0].ID, Service: service, Generation: 1, DataCentre: members[0].DataCentre, Domain: members[0].Domain}
-	t := platform.Txn{Op: uuid.NewString(), Checks: []platform.Check{{Key: prefixGroup + g.ID}}}
-	for _, i := range members {
-		g.Members = append(g.Members, i.Addr)
-		t.Checks = append(t.Checks, platform.Check{Key: prefixInstance + i.ID})
-		t.Writes = append(t.Writes, platform.Write{Key: prefixInstance + i.ID, Value: []byte(g.ID)})
-	}
-	body, err := json.Marshal(g)
-	if err != nil {
-		return fmt.Errorf("encode group %s: %w", g.ID, err)
-	}
-	t.Writes = append(t.Writes, platform.Write{Key: prefixGroup + g.ID, Value: body})
-	if _, err := d.platform.Commit(ctx, t); err != nil {
-		return err
-	}
-	for i, a := range g.Members {
-		o := engine.Order{Op: engine.OpLoad, Fence: 1, Group: g.ID, Generation: g.Generation, Index: i, Members: g.Members, Model: m.Model, Version: m.Version}
-		if err := d.engine.Order(ctx, a, o); err != nil {
-			return err
+// homed returns the groups whose home this daemon is.
+func (d *Daemon) homed() []loan.Group {
+	daemons := d.Daemons()
+	var out []loan.Group
+	for _, g := range d.control.Groups() {
+		if g.Phase != group.Serving || member.Order(g.Group, daemons)[0] != d.set.Name {
+			continue
 		}
+		out = append(out, loan.Group{Service: g.Service, Group: share.Group{Name: g.Group, Generation: g.Generation, Slots: g.Slots, Present: g.Present}})
 	}
-	d.log.Info("group formed", "group", g.ID, "members", len(g.Members))
-	return nil
+	return out
+}
+
+// Daemons returns the names of the daemons that take duties: the live ones, and this one unless it is leaving and there
+// are others.
+func (d *Daemon) Daemons() []string {
+	live := d.registry.Live(time.Now())
+	if d.entry().Leaving && len(live) > 1 {
+		live = slices.DeleteFunc(live, func(n string) bool { return n == d.set.Name })
+	}
+	return live
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -3,13 +3,21 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
+	"flamingorudder.example/internal/member"
 	"flamingorudder.example/internal/peer"
 	"flamingorudder.example/internal/platform"
 	"flamingorudder.example/internal/registry"
+	"flamingorudder.example/internal/ring"
+	"flamingorudder.example/internal/share"
+	"flamingorudder.example/internal/timeline"
 	"flamingorudder.example/internal/timer"
 )
 
@@ -107,20 +115,123 @@
 	return slices.DeleteFunc(slices.Clone(d.set.Peers), func(a netip.AddrPort) bool { return a == d.set.Peer })
 }
 
+// peerAddr returns where a daemon can be reached.
+func (d *Daemon) peerAddr(name string) (netip.AddrPort, bool) {
+	e, ok := d.registry.Entry(name)
+	return e.Peer, ok && e.Peer.IsValid()
+}
+
+// report passes demands on to the daemons that they name. A demand that goes to another daemon than the group's home
+// means that the home did not answer.
+func (d *Daemon) report(list []share.Report) {
+	for _, r := range list {
+		if order := member.Order(r.Demand.Group, d.Daemons()); order[0] != r.To {
+			d.doubts.add(order[0])
+		}
+	}
+	d.loan.Report(list)
+}
+
+// misdirected takes in that another daemon asks this one for a group whose home is elsewhere: it found that home silent.
+func (d *Daemon) misdirected(group string) {
+	if home := member.Order(group, d.Daemons())[0]; home != d.set.Name {
+		d.doubts.add(home)
+	}
+}
+
+// doubts holds the names of daemons that seem silent and have to be asked.
+type doubts struct {
+	mu      sync.Mutex
+	pending map[string]bool
+	names   *ring.Queue[string]
+}
+
+func newDoubts() *doubts {
+	return &doubts{pending: map[string]bool{}, names: ring.NewQueue[string](64)}
+}
+
+// add asks for a check of a daemon, unless one is under way.
+func (q *doubts) add(name string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.pending[name] && q.names.Offer(name) {
+		q.pending[name] = true
+	}
+}
+
+func (q *doubts) done(name string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.pending, name)
+}
+
+// answerLimit is how long a daemon may take to answer before it counts as silent.
+const answerLimit = 500 * time.Millisecond
+
+// checkDoubts asks daemons that seem silent. One that does not answer is suspect for a while: its duties pass on to the
+// next in order. Its connection is reset, because it may be the connection that is dead and not the daemon.
+func (d *Daemon) checkDoubts(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return g.Wait()
+		case name := <-d.doubts.names.C():
+			g.Go(func() error {
+				defer d.doubts.done(name)
+				d.check(ctx, name)
+				return nil
+			})
+		}
+	}
+}
+
+func (d *Daemon) check(ctx context.Context, name string) {
+	addr, ok := d.peerAddr(name)
+	if !ok || name == d.set.Name {
+		return
+	}
+	ask := func() error {
+		ctx, stop := context.WithTimeout(ctx, answerLimit)
+		defer stop()
+		_, err := d.node.Ask(ctx, addr, &peer.Pull{Have: math.MaxUint64})
+		return err
+	}
+	if ask() == nil {
+		d.registry.Heard(name, 0)
+		return
+	}
+	d.node.Reset(addr)
+	err := ask()
+	if err == nil {
+		d.registry.Heard(name, 0)
+		return
+	}
+	if ctx.Err() == nil && d.registry.Suspect(name, time.Now()) {
+		d.log.Warn("daemon does not answer; its duties pass on", "daemon", name, "error", err)
+		d.line.Add(timeline.Event{Kind: timeline.Peer, Instance: name, Reason: "does not answer"})
+		d.changed()
+	}
+}
+
 // Receive takes in a message of another daemon.
 func (d *Daemon) Receive(from peer.From, m peer.Message) {
+	if d.loan.Receive(from, m) {
+		d.registry.Heard(from.Name, 0)
+		return
+	}
 	if h, ok := m.(*peer.Hello); ok {
 		d.registry.Learn(registry.Entry{Name: from.Name, Peer: from.Addr, Caller: h.Addr, DataCentre: h.DataCentre, Boot: h.Boot, Leaving: h.Leaving})
 		d.registry.Heard(from.Name, h.Revision)
 	}
-	d.keeper.Receive(from, m)
+	d.config.Receive(from, m)
 }
 
 // Answer answers a question of another daemon.
 func (d *Daemon) Answer(_ peer.From, m peer.Message) peer.Message {
 	switch m := m.(type) {
 	case *peer.Pull:
-		return d.keeper.Answer(m)
+		return d.config.Answer(m)
 	case *peer.Tell:
 		events, next, lost := d.line.Since(m.Since)
 		return &peer.Tell{Events: events, Next: next, Lost: lost}
