--- a/cmd/flamingoctl/main.go
+++ b/cmd/flamingoctl/main.go
@@ -178,7 +178,7 @@
 					&cli.StringFlag{Name: "since", Usage: "from this time on: RFC 3339, or a duration before now"},
 					&cli.StringFlag{Name: "until", Usage: "up to this time: RFC 3339, or a duration before now"},
 				},
-				Description: "Daemons keep a bounded number of events; the output counts those that were overwritten.\n\nExamples:\n  flamingoctl timeline --request 7f3c9d52-64b5-4f5e-8f5c-2f4a0de0a7b1\n  flamingoctl timeline --since 5m --group model-desk/stirling-1-01 --html trace.html",
+				Description: "Daemons keep a bounded number of events; the output counts those that were overwritten.\n\nExamples:\n  flamingoctl timeline --request 7f3c9d52-64b5-4f5e-8f5c-2f4a0de0a7b1\n  flamingoctl timeline --since 5m --group model-desk/1 --html trace.html",
 			},
 			{
 				Name: "drain", Usage: "make a daemon leave", ArgsUsage: "DAEMON", Action: t.drain,
