--- a/cmd/flamingod/main.go
+++ b/cmd/flamingod/main.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"flamingorudder.example/internal/daemon"
+	"flamingorudder.example/internal/logging"
 	"flamingorudder.example/internal/setting"
 )
 
@@ -51,10 +52,13 @@
 		return nil
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: set.Name, Level: hclog.LevelFromString(set.LogLevel), JSONFormat: set.LogFormat == "json"})
+	log = logging.Limit(log, logging.Period)
+	logging.Adopt(log)
 	d, closeDaemon, err := daemon.New(set, log)
 	if err != nil {
 		return err
 	}
 	defer closeDaemon()
-	return kratos.New(kratos.Name("flamingod"), kratos.ID(set.Name), kratos.Server(d), kratos.StopTimeout(set.Hold+stopLimit)).Run()
+	return kratos.New(kratos.Name("flamingod"), kratos.ID(set.Name), kratos.Logger(logging.Kratos(log.Named("kratos"))),
+		kratos.Server(d), kratos.StopTimeout(set.Hold+stopLimit)).Run()
 }
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -8,7 +8,6 @@
 	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/operator"
 	"flamingorudder.example/internal/platform"
-	"flamingorudder.example/internal/timeline"
 )
 
 // Accept makes a release note the configuration of the fleet.
@@ -28,6 +27,11 @@
 func (d *Daemon) Status() operator.Status {
 	s := operator.Status{Daemon: d.set.Name, Leaving: d.entry().Leaving, Daemons: d.registry.All(time.Now())}
 	s.Received, s.Applied = d.config.Numbers()
+	for i := range s.Daemons {
+		if s.Daemons[i].Name == d.set.Name {
+			s.Daemons[i].Operator, s.Daemons[i].Leaving, s.Daemons[i].Revision = d.set.Operator, s.Leaving, s.Applied
+		}
+	}
 	return s
 }
 
@@ -51,5 +55,4 @@
 	for _, to := range d.others() {
 		d.node.Send(to, &hello)
 	}
-	d.line.Add(timeline.Event{Kind: timeline.Drain})
 }
