Report groups, missing copies and stranded accelerators to operators

Cause: status said 'not reported' for groups, and daemons did not tell each other their operator addresses, so the command line needed all of them. Change: Status compares the groups with the configuration and the platform's list; the operator address goes with hello and with the daemon's row. Conclusion: flamingoctl works from one address.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -101,7 +101,9 @@
 	DataCentre string
 	Domain     string
 	Slots      int
-	Phase      group.Phase
+	// Members holds the instances, member 0 first.
+	Members []string
+	Phase   group.Phase
 	// Home is whether this daemon is the group's home.
 	Home bool
 	// Present is whether the group may be used, and Proof when that was last seen.
@@ -246,7 +248,7 @@
 func (c *Control) view(now time.Time, t *tracked, cfg note.Config) View {
 	v := View{
 		Service: t.row.Service, Group: t.row.ID, Generation: t.row.Generation, DataCentre: t.row.DataCentre, Domain: t.row.Domain,
-		Slots: cfg.Models[t.row.Service].Slots, Phase: t.row.Phase, Home: t.home,
+		Slots: cfg.Models[t.row.Service].Slots, Members: t.row.Names(), Phase: t.row.Phase, Home: t.home,
 	}
 	if len(t.row.Members) > 0 {
 		v.Addr = t.row.Members[0].Addr
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"flamingorudder.example/internal/config"
+	"flamingorudder.example/internal/group"
 	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/operator"
 	"flamingorudder.example/internal/platform"
@@ -32,9 +33,42 @@
 			s.Daemons[i].Operator, s.Daemons[i].Leaving, s.Daemons[i].Revision = d.set.Operator, s.Leaving, s.Applied
 		}
 	}
+	d.groupStatus(&s)
 	return s
 }
 
+// groupStatus compares the groups with the configuration and with the platform's list.
+func (d *Daemon) groupStatus(s *operator.Status) {
+	cfg, _ := d.config.Config()
+	s.Missing, s.Stranded = map[string]int{}, map[string]int{}
+	for name, m := range cfg.Models {
+		s.Missing[name] = m.Copies
+	}
+	serving := map[string]bool{}
+	for _, g := range d.control.Groups() {
+		s.Groups = append(s.Groups, operator.Group{
+			Service: g.Service, Group: g.Group, Generation: g.Generation, State: string(g.Phase), DataCentre: g.DataCentre,
+			Domain: g.Domain, Members: g.Members, Present: g.Present,
+		})
+		if g.Phase != group.Serving {
+			continue
+		}
+		if s.Missing[g.Service] > 0 {
+			s.Missing[g.Service]--
+		}
+		for _, m := range g.Members {
+			serving[m] = true
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, i := range d.roster.Instances {
+		if i.Kind == platform.KindEngine && !serving[i.ID] {
+			s.Stranded[i.Domain] += i.Accelerators
+		}
+	}
+}
+
 // Events returns this daemon's events from a sequence number on.
 func (d *Daemon) Events(since uint64) operator.Events {
 	events, next, lost := d.line.Since(since)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -103,7 +103,7 @@
 
 func (d *Daemon) hello() peer.Hello {
 	e := d.entry()
-	return peer.Hello{Boot: e.Boot, DataCentre: e.DataCentre, Addr: e.Caller, Leaving: e.Leaving}
+	return peer.Hello{Boot: e.Boot, DataCentre: e.DataCentre, Addr: e.Caller, Operator: e.Operator, Leaving: e.Leaving}
 }
 
 // others returns where other daemons can be reached: those that are known to be live, or, before any is known, the
@@ -221,7 +221,7 @@
 		return
 	}
 	if h, ok := m.(*peer.Hello); ok {
-		d.registry.Learn(registry.Entry{Name: from.Name, Peer: from.Addr, Caller: h.Addr, DataCentre: h.DataCentre, Boot: h.Boot, Leaving: h.Leaving})
+		d.registry.Learn(registry.Entry{Name: from.Name, Peer: from.Addr, Caller: h.Addr, Operator: h.Operator, DataCentre: h.DataCentre, Boot: h.Boot, Leaving: h.Leaving})
 		d.registry.Heard(from.Name, h.Revision)
 	}
 	d.config.Receive(from, m)
