Add load, experiments, trace collection and audit to flamingobench

Cause: the demo sent requests one by one and nothing measured the targets of the design or audited the promises after a run. Conclusion: promises 2, 4 and 6 are not checked until the daemons record the events that they need.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 MODULES    := . cmd/flamingod cmd/flamingoctl cmd/standin cmd/flamingobench
 ALL        := flamingorudder.example/...
 
-.PHONY: build test lint fmt tidy demo
+.PHONY: build test lint fmt tidy demo up bench
 
 build:
 	go build -o bin/ ./cmd/flamingod ./cmd/flamingoctl ./cmd/standin ./cmd/flamingobench
@@ -30,3 +30,10 @@
 
 demo: build
 	DEPLOYMENT=$(DEPLOYMENT) scripts/demo
+
+up: build
+	DEPLOYMENT=$(DEPLOYMENT) scripts/up
+
+# All experiments; ONLY="NAME NAME" runs some, SEED=N draws other arrivals.
+bench: build
+	DEPLOYMENT=$(DEPLOYMENT) ONLY="$(ONLY)" SEED="$(SEED)" scripts/bench
--- a/cmd/flamingobench/demo.go
+++ b/cmd/flamingobench/demo.go
@@ -1,178 +1,239 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"maps"
-	"net/http"
-	"net/netip"
-	"os"
+	"path/filepath"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
-	"flamingorudder.example/internal/caller"
-	"flamingorudder.example/internal/engine"
+	"flamingorudder.example/internal/audit"
 	"flamingorudder.example/internal/note"
-	"flamingorudder.example/internal/standin"
 	"flamingorudder.example/internal/timer"
 )
 
-// addresses is the part of the stand-ins' file that the demo needs.
-type addresses struct {
-	Daemons []struct {
-		Caller netip.AddrPort `json:"caller"`
-	} `json:"daemons"`
+// session is a fleet with the load and the collector of its trace.
+type session struct {
+	*fleet
+	client    *client
+	collector *collector
+	// serial numbers the runs of the session.
+	serial int
 }
 
-// Failed reports a run that did not meet its checks.
-type Failed struct{ Msg string }
-
-func (e *Failed) Error() string { return e.Msg }
-
-// tally is what came back for one kind of work.
-type tally struct {
-	mu      sync.Mutex
-	took    *hdrhistogram.Histogram
-	ok, bad int
-	reason  string
-}
-
-func (t *tally) add(took time.Duration, err error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if err != nil {
-		t.bad++
-		t.reason = err.Error()
-		return
-	}
-	t.ok++
-	_ = t.took.RecordValue(took.Microseconds())
-}
-
-func demo(ctx context.Context, c *cli.Command) error {
-	var addrs addresses
-	b, err := os.ReadFile(c.String("addresses"))
+// withSession opens the fleet that the flags name, waits until it answers and calls f while the trace is collected.
+func withSession(ctx context.Context, c *cli.Command, f func(context.Context, *session) error) error {
+	fl, closeFleet, err := openFleet(c.String("dir"), c.String("note"), speeds{First: c.Duration("first"), Token: c.Duration("token"), Load: c.Duration("load"), RosterLag: c.Duration("roster-lag")})
 	if err != nil {
-		return fmt.Errorf("read addresses: %w", err)
+		return err
 	}
-	if err := json.Unmarshal(b, &addrs); err != nil {
-		return fmt.Errorf("decode addresses: %w", err)
+	defer closeFleet()
+	cl, closeClient := newClient(fl)
+	defer closeClient()
+	s := &session{fleet: fl, client: cl, collector: newCollector(fl)}
+	if err := s.waitReady(ctx, c.Duration("wait")); err != nil {
+		return err
 	}
-	text, err := os.ReadFile(c.String("note"))
-	if err != nil {
-		return fmt.Errorf("read release note: %w", err)
+	var g errgroup.Group
+	polling, stop := context.WithCancel(ctx)
+	g.Go(func() error { return s.collector.run(polling) })
+	err = f(ctx, s)
+	stop()
+	if e := g.Wait(); err == nil {
+		err = e
 	}
-	n, err := note.Parse(c.String("note"), text)
+	return err
+}
+
+// run runs a load and keeps its answers for the audit.
+func (s *session) run(ctx context.Context, l load) (result, error) {
+	s.serial++
+	l.serial = s.serial
+	r, err := s.client.run(ctx, l)
+	s.collector.addAnswers(r)
+	return r, err
+}
+
+// finish saves the trace of the session, audits it and prints the report.
+func (s *session) finish(ctx context.Context) (audit.Report, string, error) {
+	t, err := s.collector.trace(ctx)
 	if err != nil {
-		return err
+		return audit.Report{}, "", err
 	}
-	cfg, err := note.Config{}.Apply(n)
-	if err != nil {
-		return err
+	file := filepath.Join(s.dir, "trace.json.gz")
+	if err := saveTrace(file, t); err != nil {
+		return audit.Report{}, "", err
 	}
-	if err := waitReady(ctx, c.Duration("wait"), addrs, cfg); err != nil {
-		return err
+	fmt.Printf("trace of %d events, %d runs and %d answers saved as %s\n", len(t.Events), len(t.Record.Runs), len(t.Answers), file)
+	return audit.Check(t, audit.Targets), file, nil
+}
+
+// waitReady waits until every daemon answers a request of every kind of work, and every group has formed.
+func (s *session) waitReady(ctx context.Context, limit time.Duration) error {
+	ctx, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	org := s.orgs()[0]
+	_, m := s.model()
+	for {
+		if n := len(s.groups(ctx)); n >= m.Copies {
+			break
+		} else if timer.Wait(ctx, 200*time.Millisecond) != nil {
+			return failed("fleet is not ready after %v: %d of %d groups are loaded", limit, n, m.Copies)
+		}
 	}
-	orgs := slices.Sorted(maps.Keys(cfg.Organisations))
-	fmt.Printf("%-12s %-18s %-10s %6s %6s %9s %9s\n", "work", "service", "rank", "ok", "bad", "p50 ms", "p95 ms")
-	total := 0
-	for _, name := range slices.Sorted(maps.Keys(cfg.Works)) {
-		t := &tally{took: hdrhistogram.New(1, 120_000_000, 3)}
-		g, gctx := errgroup.WithContext(ctx)
-		g.SetLimit(32)
-		for i := range c.Int("requests") {
+	var g errgroup.Group
+	for _, d := range s.addrs.Daemons {
+		for _, name := range slices.Sorted(maps.Keys(s.cfg.Works)) {
 			g.Go(func() error {
-				start := time.Now()
-				err := send(gctx, addrs.Daemons[i%len(addrs.Daemons)].Caller, orgs[i%len(orgs)], name, cfg, i)
-				t.add(time.Since(start), err)
-				return nil
+				for n := 0; ; n++ {
+					l := load{name: "ready", streams: []stream{{Org: org, Work: name, Via: d.Name}}}
+					o := s.client.send(ctx, l, arrival{Number: n}, time.Now())
+					if o.class == good {
+						return nil
+					}
+					if timer.Wait(ctx, 100*time.Millisecond) != nil {
+						return failed("fleet is not ready after %v: %s answers %s with status %d: %s", limit, d.Name, name, o.answer.Status, o.reason)
+					}
+				}
 			})
 		}
-		if err := g.Wait(); err != nil {
-			return err
+	}
+	return g.Wait()
+}
+
+// usual is the everyday load: every organisation sends each kind of work, by its weight. chats is the part of the
+// groups' slots that chats of each rank take; plains is the rate of plain calls.
+func (s *session) usual(chats [note.Ranks]float64, plains float64) []stream {
+	total := 0.0
+	for _, o := range s.cfg.Organisations {
+		total += o.Weight
+	}
+	var out []stream
+	for _, name := range slices.Sorted(maps.Keys(s.cfg.Works)) {
+		w := s.cfg.Works[name]
+		rate := plains
+		if _, plain := s.cfg.Plains[w.Service]; !plain {
+			rate = s.rate(w.Rank, chats[w.Rank])
 		}
-		w := cfg.Works[name]
-		fmt.Printf("%-12s %-18s %-10s %6d %6d %9.1f %9.1f\n", name, w.Service, w.Rank, t.ok, t.bad, float64(t.took.ValueAtQuantile(50))/1e3, float64(t.took.ValueAtQuantile(95))/1e3)
-		if t.bad > 0 {
-			return &Failed{Msg: fmt.Sprintf("%d requests of %s failed: %s", t.bad, name, t.reason)}
+		for _, org := range s.orgs() {
+			out = append(out, stream{Org: org, Work: name, Rate: rate * s.cfg.Organisations[org].Weight / total})
 		}
-		total += t.ok
 	}
-	fmt.Printf("%d requests answered, each with the whole answer to its own request\n", total)
-	return nil
+	return out
 }
 
-// waitReady waits until every daemon answers a chat of every model service.
-func waitReady(ctx context.Context, limit time.Duration, addrs addresses, cfg note.Config) error {
-	ctx, stop := context.WithTimeout(ctx, limit)
-	defer stop()
-	org := slices.Sorted(maps.Keys(cfg.Organisations))[0]
-	for _, d := range addrs.Daemons {
-		for name := range cfg.Works {
-			for {
-				err := send(ctx, d.Caller, org, name, cfg, 0)
-				if err == nil {
+// rate is the number of chats of a rank per second that take a part of the groups' slots.
+func (s *session) rate(r note.Rank, part float64) float64 {
+	return part * float64(s.slots()) / s.speeds.work(shapes[r].Tokens).Seconds()
+}
+
+func demo(ctx context.Context, c *cli.Command) error {
+	return withSession(ctx, c, func(ctx context.Context, s *session) error {
+		length := c.Duration("length")
+		fmt.Printf("sending the everyday load for %v: %d organisations, %d kinds of work, %d daemons\n", length, len(s.cfg.Organisations), len(s.cfg.Works), len(s.addrs.Daemons))
+		r, err := s.run(ctx, load{name: "demo", streams: s.usual([note.Ranks]float64{0.3, 0.1, 0.1}, 20), seed: c.Uint64("seed"), length: length})
+		if err != nil {
+			return err
+		}
+		rows := r.rows()
+		printRows(c.Root().Writer, rows)
+		fmt.Println("one answer of each kind of work:")
+		for _, name := range slices.Sorted(maps.Keys(s.cfg.Works)) {
+			for _, o := range r.outcomes {
+				if o.stream.Work == name && o.class == good {
+					fmt.Printf("  %-10s %-10s for %-14s by %-12s in %4d ms: %s\n", name, o.rank, o.stream.Org, o.answer.Daemon, o.whole.Milliseconds(), clip(o.text, 60))
 					break
 				}
-				if timer.Wait(ctx, 100*time.Millisecond) != nil {
-					return fmt.Errorf("fleet is not ready: %w", err)
-				}
 			}
 		}
+		rep, file, err := s.finish(ctx)
+		if err != nil {
+			return err
+		}
+		if err := printAudit(rep, file); err != nil {
+			return err
+		}
+		return s.checkDemo(r)
+	})
+}
+
+// checkDemo fails when a request of a fleet without faults was not answered in time.
+func (s *session) checkDemo(r result) error {
+	bad := 0
+	for _, o := range r.outcomes {
+		if o.class != good {
+			if bad++; bad <= maxShown {
+				fmt.Printf("%s of %s was %s: status %d: %s\n", o.stream.Work, o.stream.Org, o.class, o.answer.Status, clip(o.reason, 120))
+			}
+		}
+	}
+	if bad > 0 || r.unsent > 0 || len(r.outcomes) == 0 {
+		return failed("%d of %d requests were not answered in time, %d were not sent", bad, len(r.outcomes), r.unsent)
 	}
+	fmt.Printf("%d requests answered in time, each with the whole answer to its own request\n", len(r.outcomes))
 	return nil
 }
 
-// send sends one request and checks its answer.
-func send(ctx context.Context, addr netip.AddrPort, org, work string, cfg note.Config, i int) error {
-	w := cfg.Works[work]
-	path, body, want := "/v1/chat/completions", "", ""
-	if _, ok := cfg.Models[w.Service]; ok {
-		chat := engine.Chat{Model: w.Service, Messages: []engine.Message{{Role: "user", Content: fmt.Sprintf("summary of bull %s-%s-%d", org, work, i)}}, MaxTokens: 8}
-		b, err := json.Marshal(chat)
+// loadCommand sends the everyday load and reports what came back.
+func loadCommand(ctx context.Context, c *cli.Command) error {
+	return withSession(ctx, c, func(ctx context.Context, s *session) error {
+		f := c.Float("fill")
+		r, err := s.run(ctx, load{name: "load", streams: s.usual([note.Ranks]float64{0.5 * f, 0.2 * f, 0.3 * f}, c.Float("plains")), seed: c.Uint64("seed"), warm: c.Duration("warm"), length: c.Duration("length")})
 		if err != nil {
 			return err
 		}
-		body, want = string(b), strings.TrimSpace(standin.Answer(chat))
-	} else {
-		for _, r := range cfg.Plains[w.Service].Routes {
-			if r.Method == http.MethodPost {
-				path = r.Path
+		rows := r.rows()
+		printRows(c.Root().Writer, rows)
+		if r.unsent > 0 || r.redials > 0 {
+			fmt.Printf("%d requests were not sent because %d were in flight; %d connections were refused and tried elsewhere\n", r.unsent, maxInFlight, r.redials)
+		}
+		if file := c.String("json"); file != "" {
+			if err := writeJSON(file, map[string]any{"name": r.name, "start": r.start, "end": r.end, "unsent": r.unsent, "redials": r.redials, "rows": rows}); err != nil {
+				return err
 			}
 		}
-		body = fmt.Sprintf("%s-%s-%d", org, work, i)
-		want = body
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr.String()+path, bytes.NewReader([]byte(body)))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Authorization", "Bearer "+org+"-demo-key")
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(caller.HeaderWork, work)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(resp.Body)
+		rep, file, err := s.finish(ctx)
+		if err != nil {
+			return err
+		}
+		return printAudit(rep, file)
+	})
+}
+
+// up prints what a person needs to use a fleet that is left running.
+func up(_ context.Context, c *cli.Command) error {
+	s, closeFleet, err := openFleet(c.String("dir"), c.String("note"), speeds{})
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode != http.StatusOK {
-		return &Failed{Msg: fmt.Sprintf("status %d, outcome %s: %s", resp.StatusCode, resp.Header.Get(caller.HeaderOutcome), b)}
+	defer closeFleet()
+	fmt.Println("callers:")
+	for _, d := range s.addrs.Daemons {
+		fmt.Printf("  %-14s http://%s\n", d.Name, d.Caller)
 	}
-	if !bytes.Contains(b, []byte(want)) {
-		return &Failed{Msg: fmt.Sprintf("answer %s does not hold %q", b, want)}
+	fmt.Println("keys:")
+	for _, org := range s.orgs() {
+		key := org + "-demo-key"
+		if !slices.Contains(s.cfg.Organisations[org].Keys, note.HashKey(key)) {
+			return failed("release note has no working key of %s", org)
+		}
+		fmt.Printf("  %-18s Authorization: Bearer %s\n", org, key)
 	}
+	id := s.operatorFiles()
+	fmt.Printf("operators:\n  export FLAMINGO_DAEMON=%s FLAMINGO_AUTHORITY=%s FLAMINGO_CERTIFICATE=%s FLAMINGO_KEY=%s\n", s.addrs.Daemons[0].Operator, id.Authority, id.Certificate, id.Key)
+	fmt.Printf("faults and records of the stand-ins:\n  http://%s/control/fault  http://%s/control/records\n", s.addrs.Control, s.addrs.Control)
 	return nil
 }
+
+func clip(s string, n int) string {
+	s = strings.Join(strings.Fields(s), " ")
+	if len(s) > n {
+		return s[:n] + "..."
+	}
+	return s
+}
