--- a/cmd/flamingobench/overload.go
+++ b/cmd/flamingobench/overload.go
@@ -78,9 +78,9 @@
 	Next() (time.Time, bool)
 }
 
-// overload runs 4 targets of 4 slots for 140 s of handed-in time at a multiple of their capacity, and returns the tokens
+// handedOverload runs 4 targets of 4 slots for 140 s of handed-in time at a multiple of their capacity, and returns the tokens
 // per second of answers that were complete in time, and the parts of started live work that were.
-func overload(d decider, load float64) (goodput, inTime float64) {
+func handedOverload(d decider, load float64) (goodput, inTime float64) {
 	r := rand.New(rand.NewPCG(7, 7))
 	const first, token = 0.1, 0.01 // Seconds.
 	type request struct {
@@ -161,7 +161,7 @@
 
 func overloadRuns(d func() decider) (runs []overloadRun) {
 	for _, load := range []float64{1, 2, 5, 10} {
-		goodput, live := overload(d(), load)
+		goodput, live := handedOverload(d(), load)
 		runs = append(runs, overloadRun{load, goodput, live})
 	}
 	return runs
