Choose the fleet's ports outside the range of outgoing connections

Cause: the stand-ins chose free ports for the daemons in the ephemeral range and released them; in one demo of three an outgoing connection held a daemon's UDP port, and the fleet was not ready after 20 s. Change: ports from 10,000 to 32,000 that are free for TCP and UDP, from a place that depends on the process; the stand-ins listen there too, so that a revived one finds its port free. Conclusion: two fleets on one machine no longer take each other's ports by chance, only by starting at the same place.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -79,6 +78,7 @@
 
 // fleet is the stand-ins of one deployment while they run.
 type fleet struct {
+	ports    *ports
 	g        *errgroup.Group
 	ctx      context.Context
 	c        *cli.Command
@@ -106,7 +106,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	p := standin.NewPlatform(c.Duration("roster-lag"))
 	p.SetWeights(c.Duration("load"), max(c.Int("loads"), 1))
-	f := &fleet{g: g, ctx: ctx, c: c, platform: p, control: standin.NewFleet(p), fencing: head.Choice("fencing", "yes", "yes", "no") == "yes"}
+	f := &fleet{ports: newPorts(), g: g, ctx: ctx, c: c, platform: p, control: standin.NewFleet(p), fencing: head.Choice("fencing", "yes", "yes", "no") == "yes"}
 	defer func() {
 		for _, stop := range f.stops {
 			stop()
@@ -153,7 +153,11 @@
 
 // serve serves a handler on a free port until the fleet stops. The port follows the faults of c, if there is one.
 func (f *fleet) serve(h http.Handler, c *standin.Control) (netip.AddrPort, error) {
-	l, err := standin.Listen()
+	at, err := f.ports.choose()
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	l, err := standin.ListenOn(at)
 	if err != nil {
 		return netip.AddrPort{}, fmt.Errorf("listen: %w", err)
 	}
@@ -224,25 +228,18 @@
 	if err := ca.Issue(files("operator"), "operator"); err != nil {
 		return err
 	}
-	var hold []net.Listener
-	free := func() netip.AddrPort {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return netip.AddrPort{}
-		}
-		hold = append(hold, l)
-		return netip.MustParseAddrPort(l.Addr().String())
-	}
 	var peers []string
 	for i := range n {
-		d := daemonAddrs{Name: fmt.Sprintf("%s-%d", deployment, i+1), Caller: free(), Operator: free(), Peer: free()}
+		d := daemonAddrs{Name: fmt.Sprintf("%s-%d", deployment, i+1)}
+		for _, a := range []*netip.AddrPort{&d.Caller, &d.Operator, &d.Peer} {
+			if *a, err = f.ports.choose(); err != nil {
+				return err
+			}
+		}
 		d.Settings = filepath.Join(f.c.String("dir"), d.Name+".ini")
 		f.addrs.Daemons = append(f.addrs.Daemons, d)
 		peers = append(peers, d.Peer.String())
 	}
-	for _, l := range hold {
-		_ = l.Close()
-	}
 	for i, d := range f.addrs.Daemons {
 		centre := centres[i%len(centres)]
 		id := files(d.Name)
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -267,8 +268,11 @@
 }
 
 // Listen opens a port on a free TCP port of the loopback interface.
-func Listen() (*Port, error) {
-	addr := "127.0.0.1:0"
+func Listen() (*Port, error) { return ListenOn(netip.MustParseAddrPort("127.0.0.1:0")) }
+
+// ListenOn is Listen on a given address.
+func ListenOn(at netip.AddrPort) (*Port, error) {
+	addr := at.String()
 	return NewPort(func() (net.Listener, error) {
 		l, err := net.Listen("tcp", addr)
 		if err == nil {
