dispatch: leave out targets that failed a request or cannot be reached

A retry could get the target that had just refused it, because a request for a slot did not say what had been tried.

Request.Avoid names the generations that failed the request; the core does not choose them for it. A request that waits for another target is passed over, so that it does not hold up others of its rank (Queue.PeekPast, StartEntry). When every target has failed the request it is refused at once. Result.Unreachable leaves a target out for everybody for 250 ms, doubled up to 2 s; then a single request tries it, or the daemon's own probe brings it back. With every target unreachable none is left out.

Refusals state the numbers of their decision.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -8,6 +8,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"slices"
 	"time"
 
 	"flamingorudder.example/internal/note"
@@ -202,7 +203,7 @@
 	if b := f.limit.Queue; b > 0 && f.n > 0 && f.cost+e.Cost > b {
 		over := min(f.cost, f.cost+e.Cost-b)
 		after := q.wait(now, e.Rank, f, float64(over), f.service*float64(over)/float64(f.cost))
-		return &Refusal{Kind: Crowded, Reason: "the organisation has as much work waiting as its queue bound allows", RetryAfter: later(after, e.Service)}
+		return &Refusal{Kind: Crowded, Reason: fmt.Sprintf("the organisation has as much work waiting as its queue bound allows: cost %d waits, %d is new, the bound is %d", f.cost, e.Cost, b), RetryAfter: later(after, e.Service)}
 	}
 	wait := q.wait(now, e.Rank, f, float64(f.cost+e.Cost), f.service)
 	need := e.Service
@@ -210,7 +211,7 @@
 		need = e.Slow
 	}
 	if left := e.Deadline.Sub(now); !e.Deadline.IsZero() && (left <= 0 || wait+need > left) {
-		r := &Refusal{Kind: Late, Reason: "the answer could not be complete before its deadline"}
+		r := &Refusal{Kind: Late, Reason: "the answer could not be complete before its deadline: it needs " + needs(wait, need, left)}
 		switch {
 		case left < e.Service || left <= 0 || wait == 0:
 			// The same request with the same time allowed would not fit on an idle fleet either.
@@ -225,6 +226,15 @@
 	return nil
 }
 
+// needs states the numbers of a decision on a deadline.
+func needs(wait, service, left time.Duration) string {
+	ms := func(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+	if wait <= 0 {
+		return fmt.Sprintf("%v, %v left", ms(service), ms(left))
+	}
+	return fmt.Sprintf("%v after a wait of %v, %v left", ms(service), ms(wait), ms(left))
+}
+
 // later is when to come back for a queue that has to become d shorter. When the running requests started together, the
 // queue becomes shorter only once in a service time, so that is added. The result is above 0, which would mean that
 // waiting does not help.
@@ -316,40 +326,66 @@
 // first is the flow whose head would finish first if all active flows were served at once in proportion to their
 // weights, among those whose head would have started by now; among equals the one that arrived first. Without the second
 // condition a flow can be served far ahead of its share, which the others then wait for after it pauses.
-func (l *level) first() *flow {
+//
+// Entries named in skip are passed over, at most once each. When that leaves none whose flow would have started by now,
+// the condition is dropped: the virtual time stands still as long as a passed-over flow is behind.
+func (l *level) first(skip []uint64) *entry {
 	l.advance()
-	var best *flow
-	var end float64
-	for _, f := range l.active {
-		if f.at > l.now {
-			continue
+	for _, all := range []bool{false, true} {
+		var best *entry
+		var end float64
+		for _, f := range l.active {
+			if f.at > l.now && !all {
+				continue
+			}
+			x := f.head
+			for len(skip) > 0 && x != nil && slices.Contains(skip, x.ID) {
+				x = x.next
+			}
+			if x == nil {
+				continue
+			}
+			e := f.at + float64(x.Cost)/f.weight()
+			if best == nil || e < end || e == end && x.ID < best.ID {
+				best, end = x, e
+			}
 		}
-		e := f.at + float64(f.head.Cost)/f.weight()
-		if best == nil || e < end || e == end && f.head.ID < best.head.ID {
-			best, end = f, e
+		if best != nil || len(skip) == 0 {
+			return best
 		}
 	}
-	return best
+	return nil
 }
 
 // Peek returns the entry of a rank that is served next.
-func (q *Queue) Peek(r note.Rank) (Entry, bool) {
-	f := q.levels[r].first()
-	if f == nil {
+func (q *Queue) Peek(r note.Rank) (Entry, bool) { return q.PeekPast(r, nil) }
+
+// PeekPast is Peek without the entries in skip, which wait for something that others do not.
+func (q *Queue) PeekPast(r note.Rank, skip []uint64) (Entry, bool) {
+	x := q.levels[r].first(skip)
+	if x == nil {
 		return Entry{}, false
 	}
-	return f.head.Entry, true
+	return x.Entry, true
 }
 
 // Start takes the entry that Peek shows out of the queue; it runs until Done. Call Expire first, so that it can still
 // finish in time.
 func (q *Queue) Start(now time.Time, r note.Rank) (Entry, bool) {
-	l := &q.levels[r]
-	f := l.first()
-	if f == nil {
+	x := q.levels[r].first(nil)
+	if x == nil {
 		return Entry{}, false
 	}
-	x := f.head
+	return x.Entry, q.StartEntry(now, x.ID)
+}
+
+// StartEntry is Start for an entry that PeekPast shows. It reports whether the entry was waiting.
+func (q *Queue) StartEntry(now time.Time, id uint64) bool {
+	x := q.entries[id]
+	if x == nil || x.running {
+		return false
+	}
+	f, l := x.flow, &q.levels[x.Rank]
 	sum := 0.0
 	for _, o := range l.active {
 		sum += o.weight()
@@ -365,7 +401,7 @@
 	l.running++
 	l.busy += x.Service.Seconds()
 	l.ends += x.end
-	return x.Entry, true
+	return true
 }
 
 // Done ends a running entry. cost is what it really cost in tokens, below 0 when that is not known; the organisation is
@@ -435,7 +471,7 @@
 	for len(q.due) > 0 && now.After(q.due[0].latest) {
 		x := q.due[0]
 		f := x.flow
-		r := &Refusal{Kind: Expired, Reason: "the answer can no longer be complete before its deadline"}
+		r := &Refusal{Kind: Expired, Reason: "the answer can no longer be complete before its deadline: it needs " + needs(0, x.Deadline.Sub(x.latest), x.Deadline.Sub(now))}
 		q.unlink(x)
 		r.RetryAfter = later(q.wait(now, x.Rank, f, float64(f.cost+x.Cost), f.service), x.Service)
 		q.drops = append(q.drops, Drop{x.Entry, r})
@@ -464,7 +500,7 @@
 					break
 				}
 				q.unlink(x)
-				q.drops = append(q.drops, Drop{x.Entry, &Refusal{Kind: Displaced, Reason: "the queue became slower and the newest requests of the organisation can't be served in time", RetryAfter: later(over, x.Service)}})
+				q.drops = append(q.drops, Drop{x.Entry, &Refusal{Kind: Displaced, Reason: "the queue became slower and the newest requests of the organisation can't be served in time: this one needs " + needs(wait, x.Service, x.Deadline.Sub(now)), RetryAfter: later(over, x.Service)}})
 				q.forget(x)
 			}
 		}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -135,8 +136,33 @@
 	running [note.Ranks]int
 	total   int
 	rate    rates
+	// lost counts the attempts in a row that could not reach the target. While it is above 0, no request is sent there
+	// until retry, and then a single one.
+	lost          int
+	failed, retry time.Time
 }
 
+// A target that could not be reached is left out for lostFirst, doubled with each failure up to lostMost, so that it is
+// back in use within about that time of its return. A request that tries it again keeps others away for lostMost, unless
+// it ends before.
+const (
+	lostFirst = 250 * time.Millisecond
+	lostMost  = 2 * time.Second
+)
+
+// reached takes in whether an attempt reached the target.
+func (g *group) reached(now time.Time, ok bool) {
+	if ok {
+		g.lost = 0
+		return
+	}
+	g.failed = now
+	g.retry = now.Add(min(lostFirst<<min(g.lost, 8), lostMost))
+	g.lost++
+}
+
+func (g *group) leftOut(now time.Time) bool { return g.lost > 0 && now.Before(g.retry) }
+
 // caps is what the group may run at now; nothing without permission.
 func (g *group) caps(now time.Time) [note.Ranks]int {
 	caps, _ := g.loan.Caps(now)
@@ -150,6 +176,7 @@
 	org    string
 	cost   int
 	output int
+	at     time.Time
 	// expected is the service time that was expected at the start.
 	expected time.Duration
 }
@@ -185,12 +212,17 @@
 	out      []Action
 	choices  []placement.Candidate
 	position []*group
+	// passed holds the requests that this step has passed over because only targets that failed them have room.
+	passed []uint64
+	// at is the time of the last step.
+	at time.Time
 }
 
 // wanted is what the queue doesn't keep of a waiting request.
 type wanted struct {
 	prefix []uint64
 	output int
+	avoid  []Tried
 }
 
 // NewCore returns the core of a service, without targets. seed seeds its random numbers.
@@ -203,7 +235,7 @@
 
 // Step takes in a message and returns what to do, in order. The result is valid until the next call.
 func (c *Core) Step(now time.Time, m Message) []Action {
-	c.out = c.out[:0]
+	c.out, c.at = c.out[:0], now
 	switch m := m.(type) {
 	case Submit:
 		c.measure(now)
@@ -223,6 +255,9 @@
 	case Proved:
 		if g := c.find(m.Group, m.Generation); g != nil {
 			g.loan.Proved(m.At, m.Generation)
+			if g.lost > 0 && m.At.After(g.failed) {
+				g.reached(now, true)
+			}
 		}
 	case Loaded:
 		c.picker.Report(now, m.Group, m.Load)
@@ -261,6 +296,11 @@
 		earlier(c.counted.Add(countPeriod))
 	}
 	if len(c.waiting) > 0 {
+		for _, g := range c.groups {
+			if g.lost > 0 && g.retry.After(c.at) {
+				earlier(g.retry)
+			}
+		}
 		earlier(c.trimmed.Add(trimPeriod))
 	}
 	return next, ok
@@ -272,6 +312,10 @@
 		c.refuse(m.Key, &Refusal{Kind: admission.Absent, Reason: "no group of the service is serving", RetryAfter: time.Second})
 		return
 	}
+	if !slices.ContainsFunc(c.groups, func(g *group) bool { return !slices.Contains(q.Avoid, g.target.tried()) }) {
+		c.refuse(m.Key, &Refusal{Kind: admission.Absent, Reason: fmt.Sprintf("each of the %d targets of the service has failed the request", len(c.groups)), RetryAfter: time.Second})
+		return
+	}
 	out := q.Output
 	if out <= 0 {
 		out = q.Cost
@@ -283,7 +327,7 @@
 		c.refuse(m.Key, r)
 		return
 	}
-	c.waiting[m.Key] = wanted{q.Prefix, out}
+	c.waiting[m.Key] = wanted{q.Prefix, out, q.Avoid}
 	c.changed = true
 }
 
@@ -314,6 +358,10 @@
 	j.group.total--
 	c.picker.Ended(now, j.group.target.Group)
 	r := m.Result
+	// What started before the last failure tells nothing of the target since then.
+	if g := j.group; (r.Unreachable || !r.Failed) && (g.lost == 0 || j.at.After(g.failed)) {
+		g.reached(now, !r.Unreachable)
+	}
 	cost := -1
 	if r.Tokens > 0 || r.Failed {
 		cost = max(0, j.cost-j.output+r.Tokens)
@@ -391,7 +439,11 @@
 // measure tells the queue how much the service can run at once.
 func (c *Core) measure(now time.Time) {
 	var p admission.Capacity
+	open := c.anyOpen(now)
 	for _, g := range c.groups {
+		if open && g.leftOut(now) {
+			continue
+		}
 		caps := g.caps(now)
 		for r := range p.Slots {
 			if !g.target.Fixed {
@@ -424,18 +476,26 @@
 // start gives slots to waiting requests, urgent ones first, each rank within its caps.
 func (c *Core) start(now time.Time) {
 	for r := range note.Rank(note.Ranks) {
+		c.passed = c.passed[:0]
 		for {
-			e, ok := c.queue.Peek(r)
+			e, ok := c.queue.PeekPast(r, c.passed)
 			if !ok {
 				break
 			}
-			g := c.choose(now, r, c.waiting[e.ID].prefix)
+			g := c.choose(now, r, c.waiting[e.ID])
+			if g == nil && len(c.waiting[e.ID].avoid) > 0 {
+				c.passed = append(c.passed, e.ID)
+				continue
+			}
 			if g == nil {
 				break
 			}
-			c.queue.Start(now, r)
+			if g.lost > 0 {
+				g.retry = now.Add(lostMost)
+			}
+			c.queue.StartEntry(now, e.ID)
 			c.picker.Sent(now, g.target.Group, placement.Query{Prefix: c.waiting[e.ID].prefix, DataCentre: c.dataCentre})
-			c.running[e.ID] = job{g, r, e.Organisation, e.Cost, c.waiting[e.ID].output, e.Service}
+			c.running[e.ID] = job{g, r, e.Organisation, e.Cost, c.waiting[e.ID].output, now, e.Service}
 			delete(c.waiting, e.ID)
 			g.running[r]++
 			g.total++
@@ -444,10 +504,20 @@
 	}
 }
 
-// choose picks a group with room for a rank, nil if there is none.
-func (c *Core) choose(now time.Time, r note.Rank, prefix []uint64) *group {
+// anyOpen tells whether there is a target that is not left out. Without one, none is left out: a request that fails at
+// once is better than one that waits for a target that may not return.
+func (c *Core) anyOpen(now time.Time) bool {
+	return slices.ContainsFunc(c.groups, func(g *group) bool { return !g.leftOut(now) })
+}
+
+// choose picks a group with room for a request, nil if there is none.
+func (c *Core) choose(now time.Time, r note.Rank, w wanted) *group {
 	c.choices, c.position = c.choices[:0], c.position[:0]
+	open := c.anyOpen(now)
 	for _, g := range c.groups {
+		if open && g.leftOut(now) || slices.Contains(w.avoid, g.target.tried()) {
+			continue
+		}
 		if free := c.free(now, g, r); free > 0 {
 			c.choices = append(c.choices, placement.Candidate{Group: g.target.Group, DataCentre: g.target.DataCentre, Slots: g.target.Slots, Running: g.total, Free: free})
 			c.position = append(c.position, g)
@@ -456,7 +526,7 @@
 	if len(c.choices) == 0 {
 		return nil
 	}
-	i := c.picker.Pick(placement.Query{Prefix: prefix, DataCentre: c.dataCentre}, c.choices, c.random.Uint64())
+	i := c.picker.Pick(placement.Query{Prefix: w.prefix, DataCentre: c.dataCentre}, c.choices, c.random.Uint64())
 	if i < 0 {
 		return nil
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -37,10 +37,18 @@
 	Output int
 	// Prefix holds the hashes of the prompt's prefixes at growing lengths, shortest first; nil if there are none.
 	Prefix []uint64
+	// Avoid holds the targets that must not be chosen again because they failed this request.
+	Avoid []Tried
 	// Deadline is when the answer is worth nothing any more.
 	Deadline time.Time
 }
 
+// Tried names a generation of a target.
+type Tried struct {
+	Group      string
+	Generation uint64
+}
+
 // Target is something that can run requests of a service: a model group, by its member 0, or a backend server of a
 // plain service.
 type Target struct {
@@ -48,6 +56,8 @@
 	Group      string
 	Generation uint64
 	Addr       netip.AddrPort
+	// Instance is the id of the instance at Addr; empty if not known.
+	Instance   string
 	DataCentre string
 	// Slots is how many requests the target runs at once.
 	Slots int
@@ -55,6 +65,8 @@
 	Fixed bool
 }
 
+func (t Target) tried() Tried { return Tried{t.Group, t.Generation} }
+
 // Refusal tells why a request gets no slot. The request was not run.
 type Refusal = admission.Refusal
 
@@ -67,6 +79,8 @@
 	First  time.Duration
 	Total  time.Duration
 	Failed bool
+	// Unreachable is whether no connection to the target could be opened. Failed is set then too.
+	Unreachable bool
 }
 
 // Slot is permission to send one request to a target. Release must be called once.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -205,7 +205,7 @@
 	c := benchCore()
 	b.ReportAllocs()
 	for b.Loop() {
-		if c.choose(epoch, note.RankLive, nil) == nil {
+		if c.choose(epoch, note.RankLive, wanted{}) == nil {
 			b.Fatal("no group")
 		}
 	}
