caller: pass prompts and results to dispatch, count requests, map refusals

Placement got no prefixes and no length of the answer, metric.Set.Count was never called, every refusal was a 503 of type "refused", and the timeline named addresses.

Requests for slots carry Output, Prefix and Avoid; results say whether the target was reachable. Every accepted request is counted once, also when its connection is cut off. Refusals by the organisation's own bound (crowded, displaced) are 429, those of the service (absent, full, stopped) 503. Late and expired requests are 503 with Retry-After, since clients and proxies commonly take 504 for a request that may have been run; 504 is left for a deadline that is too short even for an idle fleet, where there is no time to retry. A refusal after an attempt that may have run keeps the failure of that attempt. The type in the body is the kind of refusal, and retry_after_ms is at least 1.

Events carry the instance's id, Start is recorded, and Refuse gives the numbers of the decision.

The fake hands out slots as the dispatcher does, without avoided targets.

No behaviour is measured. TestMeasured and TestRefusals fail without the avoided targets and with one status for all refusals.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -25,9 +25,11 @@
 
 	"github.com/google/uuid"
 
+	"flamingorudder.example/internal/admission"
 	"flamingorudder.example/internal/claim"
 	"flamingorudder.example/internal/dispatch"
 	"flamingorudder.example/internal/engine"
+	"flamingorudder.example/internal/metric"
 	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/retry"
 	"flamingorudder.example/internal/timeline"
@@ -78,6 +80,8 @@
 	Outcome    Outcome
 	// Allow lists the methods of the route, for status 405.
 	Allow []string
+	// Numbers holds the numbers of a decision of this server; it goes into the timeline, so it has no text of the caller.
+	Numbers string
 }
 
 func (e *Failure) Error() string { return fmt.Sprintf("%s: %s", e.Type, e.Message) }
@@ -120,6 +124,8 @@
 	Release(c claim.Claim)
 }
 
+type metrics interface{ Count(metric.Request) }
+
 // Options is what a server is made of. Config, Slots, Addresses, Engine, Claims and Log are required.
 type Options struct {
 	Config    configs
@@ -130,6 +136,8 @@
 	Log       *timeline.Log
 	// Self is the server's own address towards callers.
 	Self netip.AddrPort
+	// Metrics counts the requests; nil counts none.
+	Metrics metrics
 	// Dial opens connections to plain services; nil means TCP.
 	Dial engine.Dial
 	// IDs returns a new request id for each call; nil means random UUIDs.
@@ -168,13 +176,19 @@
 	id  string
 	org string
 	cfg note.Config
+	// seen is what the metrics are told when the request ends; its service is empty until the request is accepted.
+	seen     *metric.Request
+	accepted time.Time
 }
 
 // ServeHTTP answers a request. The headers that every response carries are set first, so that no path leaves them out;
 // until an attempt is sent, the outcome is "not run".
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer s.drain.enter()()
-	q := request{id: s.IDs()}
+	q := request{id: s.IDs(), seen: &metric.Request{}, accepted: time.Now()}
+	if s.Metrics != nil {
+		defer s.count(&q) // A handler may end with a panic, which cuts off the connection.
+	}
 	h := w.Header()
 	h.Set(HeaderRequest, q.id)
 	h.Set(HeaderOutcome, string(NotRun))
@@ -189,6 +203,15 @@
 	}
 }
 
+// count tells the metrics of a request that was accepted.
+func (s *Server) count(q *request) {
+	if q.seen.Service == "" {
+		return
+	}
+	q.seen.Total = time.Since(q.accepted)
+	s.Metrics.Count(*q.seen)
+}
+
 // route finds what answers a request.
 func (s *Server) route(w http.ResponseWriter, r *http.Request, q *request) error {
 	fixed := map[string]struct {
@@ -251,11 +274,27 @@
 	case errors.As(err, &f):
 		return f
 	case errors.As(err, &refusal):
-		return &Failure{Status: http.StatusServiceUnavailable, Type: "refused", Message: refusal.Reason, RetryAfter: refusal.RetryAfter, Outcome: NotRun}
+		return refused(refusal)
 	}
 	return &Failure{Status: http.StatusServiceUnavailable, Type: "internal", Message: "the request could not be handled", RetryAfter: time.Second, Outcome: Unknown}
 }
 
+// refused is the answer to a request that got no slot. Status 429 says that the organisation itself has to send less,
+// 503 that the service cannot take the request now, and 504 that its deadline is too short at any time, so that there is
+// no time to retry. A request that is late only because the service is busy gets 503 rather than 504, which clients and
+// proxies commonly take for a request that may have been run.
+func refused(r *dispatch.Refusal) *Failure {
+	f := &Failure{Status: http.StatusServiceUnavailable, Type: string(r.Kind), Message: r.Reason, RetryAfter: r.RetryAfter, Outcome: NotRun, Numbers: r.Reason}
+	switch {
+	case r.Kind == admission.Crowded || r.Kind == admission.Displaced:
+		f.Status = http.StatusTooManyRequests
+		f.RetryAfter = max(f.RetryAfter, time.Millisecond)
+	case r.Kind == admission.Late && r.RetryAfter <= 0:
+		f.Status = http.StatusGatewayTimeout
+	}
+	return f
+}
+
 // body is the JSON form of a failure.
 func (e *Failure) body() any {
 	type fault struct {
@@ -263,7 +302,7 @@
 		Message    string `json:"message"`
 		RetryAfter int64  `json:"retry_after_ms,omitempty"`
 	}
-	return map[string]fault{"error": {e.Type, e.Message, e.RetryAfter.Milliseconds()}}
+	return map[string]fault{"error": {e.Type, e.Message, max(0, int64(math.Ceil(float64(e.RetryAfter)/float64(time.Millisecond))))}}
 }
 
 func (s *Server) fail(w http.ResponseWriter, q request, err error) {
@@ -287,7 +326,11 @@
 	}
 	if q.org != "" {
 		if f.Outcome == NotRun {
-			s.Log.Add(timeline.Event{Kind: timeline.Refuse, Request: q.id, Org: q.org, Reason: f.Type})
+			reason := f.Type
+			if f.Numbers != "" {
+				reason += ": " + f.Numbers
+			}
+			s.Log.Add(timeline.Event{Kind: timeline.Refuse, Request: q.id, Org: q.org, Reason: reason})
 		}
 		s.replied(q, f.Outcome, f.Type)
 	}
@@ -296,6 +339,7 @@
 
 // replied records that the caller gets its final answer.
 func (s *Server) replied(q request, o Outcome, reason string) {
+	q.seen.Outcome = string(o)
 	s.Log.Add(timeline.Event{Kind: timeline.Reply, Request: q.id, Org: q.org, Outcome: string(o), Reason: reason})
 }
 
@@ -348,8 +392,40 @@
 	service string
 	work    note.Work
 	due     time.Time
-	cost    int
-	call    retry.Call
+	// cost and output are the tokens of the whole request and of its answer, as far as they can be told; prefix holds
+	// the hashes of its prompt's prefixes.
+	cost, output int
+	prefix       []uint64
+	call         retry.Call
+	// avoid holds the targets that failed the request in a way that another attempt there would not mend.
+	avoid []dispatch.Tried
+	// last is how the last attempt failed.
+	last retry.Outcome
+}
+
+// shun leaves a target out of the choice for further attempts when it refused the request, could not be reached or went
+// silent. A broken or misrouted answer is a fault of one connection, so it does not rule out the target.
+func (j *job) shun(t dispatch.Target, out retry.Outcome) {
+	j.last = out
+	if out == retry.Refused || out == retry.NotSent || out == retry.Silent {
+		j.avoid = append(j.avoid, dispatch.Tried{Group: t.Group, Generation: t.Generation})
+	}
+}
+
+// sending counts and records that an attempt is about to be sent.
+func (j *job) sending(log *timeline.Log, t dispatch.Target) (id string) {
+	id = j.call.Next(j.id)
+	j.seen.Attempts = j.call.Attempts()
+	log.Add(timeline.Event{Kind: timeline.Send, Request: j.id, Attempt: id, Group: t.Group, Generation: t.Generation, Instance: instance(t)})
+	return id
+}
+
+// instance names the instance of a target: by its id, or its address when the id is not known.
+func instance(t dispatch.Target) string {
+	if t.Instance != "" {
+		return t.Instance
+	}
+	return t.Addr.String()
 }
 
 // accept finds the kind of work of a request to a service, the one that the caller names or else the most urgent of
@@ -378,6 +454,7 @@
 	}
 	s.budget.earn()
 	s.Log.Add(timeline.Event{Kind: timeline.Accept, Request: q.id, Org: q.org, Service: service, Rank: work.Rank.String()})
+	q.seen.Service, q.seen.Org, q.seen.Rank = service, q.org, work.Rank
 	return &job{request: q, service: service, work: work, due: due, cost: cost, call: retry.Call{Deadline: due}}, nil
 }
 
@@ -412,19 +489,20 @@
 
 // acquire waits for a slot. Its failure is the caller's final answer.
 func (s *Server) acquire(ctx context.Context, r *http.Request, j *job) (Slot, error) {
-	slot, err := s.Slots.Acquire(ctx, dispatch.Request{ID: j.id, Service: j.service, Rank: j.work.Rank, Organisation: j.org, Cost: j.cost, Deadline: j.due})
+	slot, err := s.Slots.Acquire(ctx, dispatch.Request{ID: j.id, Service: j.service, Rank: j.work.Rank, Organisation: j.org, Cost: j.cost, Output: j.output, Prefix: j.prefix, Avoid: j.avoid, Deadline: j.due})
 	if err == nil {
+		t := slot.Target
+		s.Log.Add(timeline.Event{Kind: timeline.Start, Request: j.id, Group: t.Group, Generation: t.Generation})
 		return slot, nil
 	}
 	if stopped := s.stopped(ctx, r, j, ""); stopped != nil {
 		return slot, stopped
 	}
-	f := *failure(err)
-	if v := j.call.Verdict(); v != retry.NotRun {
-		f.Outcome = outcome(v) // An earlier attempt may have run.
-	} else {
-		f.Outcome = NotRun // The request never left.
+	if j.call.Verdict() != retry.NotRun {
+		return slot, j.gaveUp(j.last) // An earlier attempt may have run, so a refusal would say too much.
 	}
+	f := *failure(err)
+	f.Outcome = NotRun // The request never left.
 	return slot, &f
 }
 
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		return err
 	}
+	j.output, j.prefix = c.MaxTokens, engine.Prefixes(c)
 	j.call.Repeatable, j.call.Resumable = true, true
 	ctx, stop := context.WithDeadline(r.Context(), j.due)
 	defer stop()
@@ -105,16 +106,18 @@
 // be made.
 func (x *exchange) attempt(ctx context.Context, slot Slot) (again bool, err error) {
 	t := slot.Target
-	x.id = x.call.Next(x.request.id)
+	x.id = x.sending(x.Log, t)
 	x.tokens, x.fruitless, x.broken, x.forgotten = 0, 0, 0, false
 	x.sent, x.first = time.Now(), time.Time{}
 	x.out.reset()
+	if x.out.given == 0 {
+		x.seen.First = 0 // What an earlier attempt delivered was not given to the caller.
+	}
 	v := x.speeds.get(t.Addr)
-	x.Log.Add(timeline.Event{Kind: timeline.Send, Request: x.request.id, Attempt: x.id, Group: t.Group, Generation: t.Generation, Instance: t.Addr.String()})
 	reason := retry.Done.String()
 	defer func() {
 		x.Log.Add(timeline.Event{Kind: timeline.End, Request: x.request.id, Attempt: x.id, Reason: reason})
-		slot.Release(x.result(reason != retry.Done.String()))
+		slot.Release(x.result(reason))
 	}()
 
 	stream, err := x.Engine.Send(ctx, t.Addr, engine.Attempt{ID: x.id, Group: t.Group, Generation: t.Generation, Priority: int(x.work.Rank), Deadline: x.due, First: v.firstLimit(), Chat: x.chat})
@@ -143,6 +146,7 @@
 		d, alive := x.decide(ctx, t, out)
 		if d.Action != retry.Resume {
 			reason = out.String()
+			x.shun(t, out)
 			if alive {
 				x.cancel(ctx, t)
 			}
@@ -210,6 +214,7 @@
 		}
 		if x.tokens++; x.tokens == 1 {
 			x.first = time.Now()
+			x.seen.First = x.first.Sub(x.accepted)
 		}
 		x.fruitless, x.broken = 0, 0
 		if err := x.out.add(k); err != nil {
@@ -226,8 +231,9 @@
 	_ = x.Engine.Cancel(ctx, t.Addr, x.id)
 }
 
-func (x *exchange) result(failed bool) dispatch.Result {
-	r := dispatch.Result{Tokens: x.tokens, Total: time.Since(x.sent), Failed: failed}
+// result is what the slot's owner learns from. Reason is how the attempt ended.
+func (x *exchange) result(reason string) dispatch.Result {
+	r := dispatch.Result{Tokens: x.tokens, Total: time.Since(x.sent), Failed: reason != retry.Done.String(), Unreachable: reason == retry.NotSent.String()}
 	if !x.first.IsZero() {
 		r.First = x.first.Sub(x.sent)
 	}
@@ -245,6 +251,10 @@
 // end gives the caller its final answer. A stream that has begun ends with an error event and without [DONE].
 func (x *exchange) end(err error) error {
 	var gone *Gone
+	x.seen.Tokens = x.out.given
+	if err == nil {
+		x.seen.Tokens = x.tokens // An answer that is not streamed is given at its end.
+	}
 	switch {
 	case errors.As(err, &gone):
 		x.replied(x.request, outcome(x.call.Verdict()), "caller left")
--- a/internal/caller/fake_test.go
+++ b/internal/caller/fake_test.go
@@ -21,9 +21,11 @@
 	"github.com/sebdah/goldie/v2"
 	"golang.org/x/sync/errgroup"
 
+	"flamingorudder.example/internal/admission"
 	"flamingorudder.example/internal/claim"
 	"flamingorudder.example/internal/dispatch"
 	"flamingorudder.example/internal/engine"
+	"flamingorudder.example/internal/metric"
 	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/platform"
 	"flamingorudder.example/internal/timeline"
@@ -178,6 +180,12 @@
 	next int
 	held int
 	cfg  bool
+	// asked and results are what passed through the slots, counted what was told to the metrics. refusal takes the place
+	// of every slot when it is set.
+	asked   []dispatch.Request
+	results []dispatch.Result
+	counted []metric.Request
+	refusal *dispatch.Refusal
 	// down is whether the table fails.
 	down bool
 	out  bytes.Buffer
@@ -214,14 +222,32 @@
 	if q.Service == "ledger" {
 		list = ledgers
 	}
-	a := list[f.next%len(list)]
-	f.next++
-	f.held++
-	return Slot{Target: dispatch.Target{Service: q.Service, Group: "g", Generation: 1, Addr: a}, Release: func(dispatch.Result) {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.held--
-	}}, nil
+	if f.refusal != nil {
+		return Slot{}, f.refusal
+	}
+	f.asked = append(f.asked, q)
+	for range list {
+		i := f.next % len(list)
+		f.next++
+		group := fmt.Sprint("g", i+1)
+		if slices.Contains(q.Avoid, dispatch.Tried{Group: group, Generation: 1}) {
+			continue
+		}
+		f.held++
+		return Slot{Target: dispatch.Target{Service: q.Service, Group: group, Generation: 1, Addr: list[i], Instance: fmt.Sprint(q.Service, "-", i+1)}, Release: func(r dispatch.Result) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.held--
+			f.results = append(f.results, r)
+		}}, nil
+	}
+	return Slot{}, &dispatch.Refusal{Kind: admission.Absent, Reason: "each target failed the request", RetryAfter: time.Second}
+}
+
+func (f *fleet) Count(r metric.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counted = append(f.counted, r)
 }
 
 func (f *fleet) Commit(_ context.Context, t platform.Txn) (uint64, error) {
@@ -261,7 +287,7 @@
 		f.group.Go(func() error { return keeper.Run(ctx) })
 		eng, closeEngine := engine.NewClientWith(f.net.dial)
 		f.server = New(Options{
-			Config: f, Slots: f, Addresses: f, Engine: eng, Claims: keeper, Log: f.log, Self: self, Dial: f.net.dial, Now: time.Now,
+			Config: f, Slots: f, Addresses: f, Engine: eng, Claims: keeper, Log: f.log, Metrics: f, Self: self, Dial: f.net.dial, Now: time.Now,
 			IDs: func() string { f.mu.Lock(); defer f.mu.Unlock(); ids++; return fmt.Sprint("r", ids) },
 		})
 		var servers []*http.Server
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -212,12 +212,11 @@
 // attempt sends the call once and relays its answer. It reports whether another attempt is to be made.
 func (f *forward) attempt(ctx context.Context, slot Slot) (again bool, err error) {
 	t := slot.Target
-	id := f.call.Next(f.id)
+	id := f.sending(f.Log, t)
 	sent, reason := time.Now(), retry.Done.String()
-	f.Log.Add(timeline.Event{Kind: timeline.Send, Request: f.id, Attempt: id, Group: t.Group, Generation: t.Generation, Instance: t.Addr.String()})
 	defer func() {
 		f.Log.Add(timeline.Event{Kind: timeline.End, Request: f.id, Attempt: id, Reason: reason})
-		slot.Release(dispatch.Result{Total: time.Since(sent), Failed: reason != retry.Done.String()})
+		slot.Release(dispatch.Result{Total: time.Since(sent), Failed: reason != retry.Done.String(), Unreachable: reason == retry.NotSent.String()})
 	}()
 	if f.held != nil {
 		// A claimed call goes on without its caller, so that a repeat can be given the outcome.
@@ -259,6 +258,7 @@
 	if out == retry.Silent {
 		f.plains.pooled.CloseIdleConnections()
 	}
+	f.shun(t, out)
 	d := f.budget.decide(&f.call, time.Now(), res)
 	if d.Action == retry.Again {
 		return true, nil
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -135,7 +135,7 @@
 		Misdirected: d.misdirected, Line: d.line,
 	})
 	d.claims = claim.NewKeeper(p, uuid.NewString)
-	d.callers = caller.New(caller.Options{Config: d.config, Slots: caller.Slots{From: d.dispatch}, Addresses: d, Engine: e, Claims: d.claims, Log: d.line, Self: s.Caller})
+	d.callers = caller.New(caller.Options{Config: d.config, Slots: caller.Slots{From: d.dispatch}, Addresses: d, Engine: e, Claims: d.claims, Log: d.line, Metrics: metrics, Self: s.Caller})
 	if err := d.gauges(); err != nil {
 		d.callers.Close()
 		closeNode()
@@ -356,12 +356,12 @@
 		if g.Phase != group.Serving || !g.Present || !d.views.uses(g.Group) {
 			continue
 		}
-		targets = append(targets, dispatch.Target{Service: g.Service, Group: g.Group, Generation: g.Generation, Addr: g.Addr, DataCentre: g.DataCentre, Slots: g.Slots})
+		targets = append(targets, dispatch.Target{Service: g.Service, Group: g.Group, Generation: g.Generation, Addr: g.Addr, Instance: first(g.Members), DataCentre: g.DataCentre, Slots: g.Slots})
 		homes[g.Group] = member.Order(g.Group, daemons)
 	}
 	for _, i := range roster.Instances {
 		if p, ok := cfg.Plains[i.Service]; ok && i.Kind == platform.KindPlain && i.State == platform.Live {
-			targets = append(targets, dispatch.Target{Service: i.Service, Group: i.ID, Addr: i.Addr, DataCentre: i.DataCentre, Slots: max(1, p.Slots/len(daemons)), Fixed: true})
+			targets = append(targets, dispatch.Target{Service: i.Service, Group: i.ID, Addr: i.Addr, Instance: i.ID, DataCentre: i.DataCentre, Slots: max(1, p.Slots/len(daemons)), Fixed: true})
 		}
 	}
 	d.dispatch.SetTargets(targets, homes)
@@ -372,6 +372,14 @@
 	}
 }
 
+// first returns the id of a group's member 0; empty when the members are not known.
+func first(members []string) string {
+	if len(members) == 0 {
+		return ""
+	}
+	return members[0]
+}
+
 // homed returns the groups whose home this daemon is.
 func (d *Daemon) homed() []loan.Group {
 	daemons := d.Daemons()
