caller: answer chats as clients of the OpenAI API expect

Fields that the daemon does not know (temperature, stop, tools) were dropped, messages with a list of parts were refused, answers had no usage, every chunk named the role, an answer cut at max_tokens said "stop", and there was no GET /v1/models/{id}.

The engine is sent the caller's own fields, with values unchanged byte for byte but for white space; only stream is set and stream_options, which the daemon carries out itself, is taken out. Fields are found by their exact names: encoding/json also takes "MODEL" for the model, and an engine could then run another model than the caller was admitted to. max_completion_tokens stands in for max_tokens. The prompt's tokens in usage are an estimate of four bytes each, because the engine protocol does not report them. finish_reason is "length" when the last token is number max_tokens, also when the engine stopped there of its own accord, which its protocol cannot tell. A stream that fails ends with "event: error", without [DONE].

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -226,6 +226,9 @@
 		"/v1/chat/completions": {http.MethodPost, false, s.chat},
 	}
 	f, ok := fixed[r.URL.Path]
+	if strings.HasPrefix(r.URL.Path, pathModel) {
+		f.method, f.f, ok = http.MethodGet, s.model, true
+	}
 	switch {
 	case ok && f.method != r.Method && (f.method != http.MethodGet || r.Method != http.MethodHead):
 		return notAllowed(r, f.method)
@@ -369,18 +372,41 @@
 	return nil
 }
 
-func (s *Server) models(w http.ResponseWriter, _ *http.Request, q request) error {
-	type model struct {
-		ID     string `json:"id"`
-		Object string `json:"object"`
-		Owner  string `json:"owned_by"`
-	}
+// pathModel is the path of one model service, up to its name.
+const pathModel = "/v1/models/"
+
+// model is how a model service is shown to a caller.
+type model struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	Owner  string `json:"owned_by"`
+}
+
+// visible returns the model services of the caller's organisation.
+func (q request) visible() []model {
 	list := []model{}
 	for _, name := range q.cfg.Organisations[q.org].Services {
 		if _, ok := q.cfg.Models[name]; ok {
 			list = append(list, model{ID: name, Object: "model", Owner: "flamingorudder"})
 		}
 	}
+	return list
+}
+
+func (s *Server) model(w http.ResponseWriter, r *http.Request, q request) error {
+	name := strings.TrimPrefix(r.URL.Path, pathModel)
+	for _, m := range q.visible() {
+		if m.ID == name {
+			w.Header().Set(HeaderOutcome, string(Run))
+			reply(w, http.StatusOK, m)
+			return nil
+		}
+	}
+	return &Failure{Status: http.StatusNotFound, Type: "unknown_model", Message: fmt.Sprintf("the organisation has no model service %q", name), Outcome: NotRun}
+}
+
+func (s *Server) models(w http.ResponseWriter, _ *http.Request, q request) error {
+	list := q.visible()
 	w.Header().Set(HeaderOutcome, string(Run))
 	reply(w, http.StatusOK, map[string]any{"object": "list", "data": list})
 	return nil
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -23,17 +24,18 @@
 	if err != nil {
 		return err
 	}
-	var c engine.Chat
-	if err := json.Unmarshal(b, &c); err != nil {
+	p, err := parseChat(b)
+	if err != nil {
 		return &Failure{Status: http.StatusBadRequest, Type: "bad_body", Message: "the body is not a chat request: " + err.Error(), Outcome: NotRun}
 	}
+	c := p.Chat
 	if len(c.Messages) == 0 || c.MaxTokens < 0 {
 		return &Failure{Status: http.StatusBadRequest, Type: "bad_body", Message: "send at least one message, and no max_tokens below 0", Outcome: NotRun}
 	}
 	if _, ok := q.cfg.Models[c.Model]; !ok {
 		return &Failure{Status: http.StatusNotFound, Type: "unknown_model", Message: fmt.Sprintf("there is no model service %q", c.Model), Outcome: NotRun}
 	}
-	j, err := s.accept(r, q, c.Model, cost(c))
+	j, err := s.accept(r, q, c.Model, max(1, promptTokens(c)+c.MaxTokens))
 	if err != nil {
 		return err
 	}
@@ -41,7 +43,7 @@
 	j.call.Repeatable, j.call.Resumable = true, true
 	ctx, stop := context.WithDeadline(r.Context(), j.due)
 	defer stop()
-	x := &exchange{Server: s, job: j, r: r, chat: c, out: answer{w: w, id: q.id, model: c.Model, stream: c.Stream, created: s.Now().Unix()}}
+	x := &exchange{Server: s, job: j, r: r, chat: p, out: answer{w: w, id: q.id, chat: p, created: s.Now().Unix()}}
 	for again := true; again; {
 		slot, err := s.acquire(ctx, r, j)
 		if err != nil {
@@ -73,13 +75,90 @@
 	return nil, &Failure{Status: http.StatusBadRequest, Type: "bad_body", Message: "the body could not be read", Outcome: NotRun}
 }
 
-// cost estimates the work of a chat in tokens: about four bytes of prompt to a token, and the expected answer.
-func cost(c engine.Chat) int {
-	n := c.MaxTokens
+// prompt is a chat request as the caller sent it.
+type prompt struct {
+	// Chat holds what this server uses of the request.
+	engine.Chat
+	// usage is whether a stream ends with the counts of tokens.
+	usage bool
+	// body is what the engine is sent: the caller's fields, known or not, with an answer that is always streamed.
+	body []byte
+}
+
+// parseChat reads a chat request. Fields are found by their exact names, as an engine finds them: encoding/json would
+// also take "MODEL" for the model, and the engine could run another one than the caller was admitted to.
+func parseChat(b []byte) (prompt, error) {
+	var p prompt
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(b, &fields); err != nil {
+		return p, err
+	}
+	var messages []map[string]json.RawMessage
+	var options struct {
+		Usage bool `json:"include_usage"`
+	}
+	for _, f := range []struct {
+		name string
+		to   any
+	}{
+		{"model", &p.Model},
+		{"messages", &messages},
+		{"max_completion_tokens", &p.MaxTokens},
+		{"max_tokens", &p.MaxTokens},
+		{"stream", &p.Stream},
+		{"stream_options", &options},
+	} {
+		v, ok := fields[f.name]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(v, f.to); err != nil {
+			return p, fmt.Errorf("%s: %w", f.name, err)
+		}
+	}
+	p.usage = options.Usage
+	for _, m := range messages {
+		var role string
+		_ = json.Unmarshal(m["role"], &role) // The engine judges what it is sent.
+		p.Messages = append(p.Messages, engine.Message{Role: role, Content: content(m["content"])})
+	}
+	if fields == nil {
+		return p, nil
+	}
+	fields["stream"] = json.RawMessage("true")
+	delete(fields, "stream_options")
+	var out bytes.Buffer
+	enc := json.NewEncoder(&out)
+	enc.SetEscapeHTML(false) // The caller's values are passed on unchanged.
+	if err := enc.Encode(fields); err != nil {
+		return p, err
+	}
+	p.body = bytes.TrimSpace(out.Bytes())
+	return p, nil
+}
+
+// content is the text of a message, which is a string or a list of parts.
+func content(v json.RawMessage) string {
+	var text string
+	if json.Unmarshal(v, &text) == nil {
+		return text
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	_ = json.Unmarshal(v, &parts)
+	for _, p := range parts {
+		text += p.Text
+	}
+	return text
+}
+
+// promptTokens estimates the length of a prompt in tokens, at about four bytes each; engines don't report it.
+func promptTokens(c engine.Chat) (n int) {
 	for _, m := range c.Messages {
 		n += len(m.Content) / 4
 	}
-	return max(n, 1)
+	return n
 }
 
 // exchange is one chat from the first attempt to the end of the answer.
@@ -87,7 +166,7 @@
 	*Server
 	*job
 	r    *http.Request
-	chat engine.Chat
+	chat prompt
 	out  answer
 
 	// The current attempt: its id, the tokens that have arrived, and when it was sent and gave its first token.
@@ -120,7 +199,7 @@
 		slot.Release(x.result(reason))
 	}()
 
-	stream, err := x.Engine.Send(ctx, t.Addr, engine.Attempt{ID: x.id, Group: t.Group, Generation: t.Generation, Priority: int(x.work.Rank), Deadline: x.due, First: v.firstLimit(), Chat: x.chat})
+	stream, err := x.Engine.Send(ctx, t.Addr, engine.Attempt{ID: x.id, Group: t.Group, Generation: t.Generation, Priority: int(x.work.Rank), Deadline: x.due, First: v.firstLimit(), Chat: x.chat.Chat, Body: x.chat.body})
 	for {
 		if err == nil {
 			err = x.read(stream, v.gapLimit())
@@ -274,20 +353,31 @@
 
 // answer writes a chat's answer to the caller: at once when it is streamed, else when it is complete.
 type answer struct {
-	w         http.ResponseWriter
-	id, model string
-	stream    bool
-	created   int64
-	text      strings.Builder
-	// given is how many tokens the caller has been sent.
-	given int
+	w       http.ResponseWriter
+	id      string
+	chat    prompt
+	created int64
+	text    strings.Builder
+	// given is how many tokens the caller has been sent, length how many the answer has, and reason why it ended.
+	given, length int
+	reason        string
 }
 
 // reset forgets what has been kept of an earlier attempt.
-func (a *answer) reset() { a.text.Reset() }
+func (a *answer) reset() {
+	a.text.Reset()
+	a.length, a.reason = 0, ""
+}
 
 func (a *answer) add(k engine.Chunk) error {
-	if !a.stream {
+	a.length++
+	if k.Done {
+		a.reason = "stop"
+		if a.chat.MaxTokens > 0 && a.length >= a.chat.MaxTokens {
+			a.reason = "length"
+		}
+	}
+	if !a.chat.Stream {
 		a.text.WriteString(k.Text)
 		return nil
 	}
@@ -297,12 +387,22 @@
 		h.Set("Content-Type", "text/event-stream")
 		h.Set("Cache-Control", "no-store")
 	}
+	d := delta{Content: k.Text}
+	if a.given == 0 {
+		d.Role = "assistant"
+	}
 	a.given++
-	finish := ""
-	if k.Done {
-		finish = "stop"
+	v := a.completion("chat.completion.chunk", a.choice("delta", d))
+	if a.chat.usage {
+		v["usage"] = nil
 	}
-	return a.event(a.completion("chat.completion.chunk", "delta", k.Text, finish))
+	return a.event(v)
+}
+
+// delta is the part of a message that a chunk adds; only the first one names the role.
+type delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
 }
 
 // event sends one event. It fails with *Gone when the caller does not take it in time.
@@ -311,13 +411,14 @@
 	if err != nil {
 		return fmt.Errorf("encode an event: %w", err)
 	}
-	return a.line(string(b))
+	return a.line("data: " + string(b))
 }
 
-func (a *answer) line(data string) error {
+// line sends the lines of one event.
+func (a *answer) line(text string) error {
 	rc := http.NewResponseController(a.w)
 	_ = rc.SetWriteDeadline(time.Now().Add(stall))
-	if _, err := io.WriteString(a.w, "data: "+data+"\n\n"); err != nil {
+	if _, err := io.WriteString(a.w, text+"\n\n"); err != nil {
 		return &Gone{Err: err}
 	}
 	if err := rc.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
@@ -327,20 +428,43 @@
 }
 
 func (a *answer) finish() {
-	if a.stream {
-		_ = a.line("[DONE]")
+	if a.chat.Stream {
+		if a.chat.usage {
+			v := a.completion("chat.completion.chunk")
+			v["usage"] = a.usage()
+			_ = a.event(v)
+		}
+		_ = a.line("data: [DONE]")
 		return
 	}
 	a.w.Header().Set(HeaderOutcome, string(Run))
-	reply(a.w, http.StatusOK, a.completion("chat.completion", "message", a.text.String(), "stop"))
+	v := a.completion("chat.completion", a.choice("message", engine.Message{Role: "assistant", Content: a.text.String()}))
+	v["usage"] = a.usage()
+	reply(a.w, http.StatusOK, v)
+}
+
+// breakOff ends a stream that has begun with an error event in place of [DONE].
+func (a *answer) breakOff(f *Failure) {
+	b, err := json.Marshal(f.body())
+	if err == nil {
+		_ = a.line("event: error\ndata: " + string(b))
+	}
 }
 
-func (a *answer) breakOff(f *Failure) { _ = a.event(f.body()) }
+func (a *answer) completion(object string, choices ...any) map[string]any {
+	return map[string]any{"id": a.id, "object": object, "created": a.created, "model": a.chat.Model, "choices": append([]any{}, choices...)}
+}
 
-func (a *answer) completion(object, field, text, finish string) map[string]any {
-	choice := map[string]any{"index": 0, field: engine.Message{Role: "assistant", Content: text}, "finish_reason": nil}
-	if finish != "" {
-		choice["finish_reason"] = finish
+func (a *answer) choice(field string, v any) map[string]any {
+	choice := map[string]any{"index": 0, field: v, "finish_reason": nil}
+	if a.reason != "" {
+		choice["finish_reason"] = a.reason
 	}
-	return map[string]any{"id": a.id, "object": object, "created": a.created, "model": a.model, "choices": []any{choice}}
+	return choice
+}
+
+// usage counts the tokens; those of the prompt are an estimate.
+func (a *answer) usage() map[string]int {
+	p := promptTokens(a.chat.Chat)
+	return map[string]int{"prompt_tokens": p, "completion_tokens": a.length, "total_tokens": p + a.length}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -209,6 +209,9 @@
 	// First is the progress deadline of the first token; 0 sets none.
 	First time.Duration
 	Chat  Chat
+	// Body takes the place of Chat when it is set: a chat request as JSON, which may hold fields that Chat lacks. It must
+	// ask for a stream.
+	Body []byte
 }
 
 // Silent reports that nothing arrived within the progress deadline; the answer so far holds Tokens tokens. The
@@ -336,10 +339,13 @@
 // Send starts an attempt at the engine at addr. It fails with *NotSent or *Refused when the request was not run, and
 // with *Broken when it may have run.
 func (c *Client) Send(ctx context.Context, addr netip.AddrPort, a Attempt) (*Stream, error) {
-	a.Chat.Stream = true
-	body, err := json.Marshal(a.Chat)
-	if err != nil {
-		return nil, &NotSent{Err: err}
+	body := a.Body
+	if body == nil {
+		a.Chat.Stream = true
+		var err error
+		if body, err = json.Marshal(a.Chat); err != nil {
+			return nil, &NotSent{Err: err}
+		}
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr.String()+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
