caller: probe the backend server of a plain call that waits

A once-only call on a connection that went silent waited until its deadline even when its server was gone, and any plain answer that paused for 5 s was cut off, as was a repeatable one whose first byte took longer than the progress deadline at each of its targets.

While a plain call waits, for the head or for more of the body, a TCP connection of its own to the same address tells every 600 ms whether the server is there. After two failed probes in a row, at most 1.6 s after the loss, the call ends; one that may not be repeated is reported with the outcome unknown. While the server takes connections, the call waits until its deadline: the answer may still come, and an early "unknown" does not help a caller who must not send the booking again. Only the first attempt of a repeatable call, which may be on an idle connection, keeps a progress deadline. A target that went silent is chosen again when no other one is left.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -425,16 +425,23 @@
 	call         retry.Call
 	// avoid holds the targets that failed the request in a way that another attempt there would not mend.
 	avoid []dispatch.Tried
+	// silent holds those of them that went silent.
+	silent []dispatch.Tried
 	// last is how the last attempt failed.
 	last retry.Outcome
 }
 
 // shun leaves a target out of the choice for further attempts when it refused the request, could not be reached or went
-// silent. A broken or misrouted answer is a fault of one connection, so it does not rule out the target.
+// silent. A broken or misrouted answer is a fault of one connection, so it does not rule out the target. One that went
+// silent is chosen again only when no other is left.
 func (j *job) shun(t dispatch.Target, out retry.Outcome) {
 	j.last = out
+	tried := dispatch.Tried{Group: t.Group, Generation: t.Generation}
 	if out == retry.Refused || out == retry.NotSent || out == retry.Silent {
-		j.avoid = append(j.avoid, dispatch.Tried{Group: t.Group, Generation: t.Generation})
+		j.avoid = append(j.avoid, tried)
+	}
+	if out == retry.Silent {
+		j.silent = append(j.silent, tried)
 	}
 }
 
@@ -524,6 +531,13 @@
 	if stopped := s.stopped(ctx, r, j, ""); stopped != nil {
 		return slot, stopped
 	}
+	var refusal *dispatch.Refusal
+	if errors.As(err, &refusal) && refusal.Kind == admission.Absent && len(j.silent) > 0 {
+		// No other target is left. A new connection to one that went silent may work.
+		j.avoid = slices.DeleteFunc(j.avoid, func(t dispatch.Tried) bool { return slices.Contains(j.silent, t) })
+		j.silent = nil
+		return s.acquire(ctx, r, j)
+	}
 	if j.call.Verdict() != retry.NotRun {
 		return slot, j.gaveUp(j.last) // An earlier attempt may have run, so a refusal would say too much.
 	}
--- a/internal/caller/fake_test.go
+++ b/internal/caller/fake_test.go
@@ -37,6 +37,8 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	dials     int
+	// refuse is how many of the next connections are refused.
+	refuse int
 }
 
 type listener struct {
@@ -61,6 +63,10 @@
 	n.mu.Lock()
 	l := n.listeners[addr]
 	n.dials++
+	if n.refuse > 0 {
+		n.refuse--
+		l = nil
+	}
 	n.mu.Unlock()
 	refused := &net.OpError{Op: "dial", Err: errors.New("connection refused")}
 	if l == nil {
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -18,6 +18,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"flamingorudder.example/internal/claim"
 	"flamingorudder.example/internal/dispatch"
 	"flamingorudder.example/internal/engine"
@@ -212,11 +214,12 @@
 // attempt sends the call once and relays its answer. It reports whether another attempt is to be made.
 func (f *forward) attempt(ctx context.Context, slot Slot) (again bool, err error) {
 	t := slot.Target
+	lost := false
 	id := f.sending(f.Log, t)
 	sent, reason := time.Now(), retry.Done.String()
 	defer func() {
 		f.Log.Add(timeline.Event{Kind: timeline.End, Request: f.id, Attempt: id, Reason: reason})
-		slot.Release(dispatch.Result{Total: time.Since(sent), Failed: reason != retry.Done.String(), Unreachable: reason == retry.NotSent.String()})
+		slot.Release(dispatch.Result{Total: time.Since(sent), Failed: reason != retry.Done.String(), Unreachable: reason == retry.NotSent.String() || lost})
 	}()
 	if f.held != nil {
 		// A claimed call goes on without its caller, so that a repeat can be given the outcome.
@@ -226,12 +229,14 @@
 	}
 	run, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	unwatch := f.watch(run, cancel, t)
+	defer func() { lost = unwatch() }()
 	resp, err := f.send(run, cancel, t, id)
 	if err == nil {
 		f.speeds.learn(t.Addr, time.Since(sent), 0)
 		f.call.End(retry.Result{Outcome: retry.Done})
 		defer func() { _ = resp.Body.Close() }()
-		err = f.relay(cancel, resp)
+		err = f.relay(resp)
 		if err != nil {
 			reason = retry.Broken.String()
 		}
@@ -266,6 +271,56 @@
 	return false, f.gaveUp(out)
 }
 
+const (
+	// watchPeriod is the pause between two probes of the backend server of a call. The server counts as gone after
+	// watchTries failed ones in a row, at most probeLimit each, which together is less than 2 s.
+	watchPeriod = 600 * time.Millisecond
+	watchTries  = 2
+)
+
+// watch ends an attempt with *engine.Silent when its backend server is gone, which a silent connection does not show.
+// It returns a function that ends the watch and reports whether the server was found gone.
+//
+// A probe is a TCP connection of its own to the same address. While the server takes connections the call waits until
+// its deadline, whether nothing has come yet or the answer has paused: the answer may still come, and a call that must
+// not run again is not helped by an early "unknown". A server that can't be reached will not deliver it.
+func (f *forward) watch(ctx context.Context, cancel context.CancelCauseFunc, t dispatch.Target) (stop func() bool) {
+	ctx, end := context.WithCancel(ctx)
+	var g errgroup.Group
+	gone := false
+	g.Go(func() error {
+		started := time.Now()
+		for failed := 0; failed < watchTries; {
+			if failed == 0 && timer.Wait(ctx, watchPeriod) != nil {
+				return nil
+			}
+			probe, done := context.WithTimeout(ctx, probeLimit)
+			c, err := f.Dial(probe, "tcp", t.Addr.String())
+			done()
+			switch {
+			case ctx.Err() != nil:
+				if err == nil {
+					_ = c.Close()
+				}
+				return nil
+			case err == nil:
+				_ = c.Close()
+				failed = 0
+			default:
+				failed++
+			}
+		}
+		gone = true
+		cancel(&engine.Silent{After: time.Since(started)})
+		return nil
+	})
+	return func() bool {
+		end()
+		_ = g.Wait()
+		return gone
+	}
+}
+
 // send makes the HTTP call of an attempt and returns an answer that belongs to it.
 func (f *forward) send(ctx context.Context, cancel context.CancelCauseFunc, t dispatch.Target, id string) (*http.Response, error) {
 	u := url.URL{Scheme: "http", Host: t.Addr.String(), Path: f.r.URL.Path, RawPath: f.r.URL.RawPath, RawQuery: f.r.URL.RawQuery}
@@ -298,9 +353,9 @@
 		if f.call.Attempts() > 1 {
 			tr = f.plains.fresh // The first connection may have been one that went silent.
 		}
-		// The last attempt that the deadline allows has no progress deadline of its own: a slow answer beats none.
-		// An upload takes as long as its caller does, so it has none either.
-		if limit := f.speeds.get(t.Addr).firstLimit() << (f.call.Attempts() - 1); f.streamed == nil && time.Until(f.due) > 2*limit {
+		// Only the first attempt, on a connection that was idle, has a progress deadline: a slow answer to a later one
+		// beats none. An upload takes as long as its caller does, so it has none either.
+		if limit := f.speeds.get(t.Addr).firstLimit(); f.call.Attempts() == 1 && f.streamed == nil && time.Until(f.due) > 2*limit {
 			defer timer.After(limit, func() { cancel(&engine.Silent{After: limit}) })()
 		}
 	}
@@ -324,8 +379,9 @@
 	return resp, nil
 }
 
-// relay passes an answer on as it arrives, and keeps what a claim records.
-func (f *forward) relay(cancel context.CancelCauseFunc, resp *http.Response) error {
+// relay passes an answer on as it arrives, and keeps what a claim records. A plain service's answer may pause for any
+// time within the deadline of its call.
+func (f *forward) relay(resp *http.Response) error {
 	h := f.w.Header()
 	own := []string{HeaderRequest, HeaderOutcome, HeaderReplayed, engine.HeaderAttempt}
 	header := endToEnd(resp.Header)
@@ -351,9 +407,7 @@
 	var gone error
 	buf := make([]byte, 32<<10)
 	for {
-		stop := timer.After(stall, func() { cancel(&engine.Silent{After: stall}) })
 		n, err := resp.Body.Read(buf)
-		stop()
 		if f.held != nil && len(kept) <= claim.MaxBody {
 			kept = append(kept, buf[:n]...)
 		}
