--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -228,6 +228,9 @@
 		"/v1/chat/completions": {http.MethodPost, false, s.chat},
 	}
 	f, ok := fixed[r.URL.Path]
+	if strings.HasPrefix(r.URL.Path, pathModel) {
+		f.method, f.f, ok = http.MethodGet, s.model, true
+	}
 	switch {
 	case ok && f.method != r.Method && (f.method != http.MethodGet || r.Method != http.MethodHead):
 		return notAllowed(r, f.method)
@@ -371,18 +374,41 @@
 	return nil
 }
 
-func (s *Server) models(w http.ResponseWriter, _ *http.Request, q request) error {
-	type model struct {
-		ID     string `json:"id"`
-		Object string `json:"object"`
-		Owner  string `json:"owned_by"`
-	}
+// pathModel is the path of one model service, up to its name.
+const pathModel = "/v1/models/"
+
+// model is how a model service is shown to a caller.
+type model struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	Owner  string `json:"owned_by"`
+}
+
+// visible returns the model services of the caller's organisation.
+func (q request) visible() []model {
 	list := []model{}
 	for _, name := range q.cfg.Organisations[q.org].Services {
 		if _, ok := q.cfg.Models[name]; ok {
 			list = append(list, model{ID: name, Object: "model", Owner: "flamingorudder"})
 		}
 	}
+	return list
+}
+
+func (s *Server) model(w http.ResponseWriter, r *http.Request, q request) error {
+	name := strings.TrimPrefix(r.URL.Path, pathModel)
+	for _, m := range q.visible() {
+		if m.ID == name {
+			w.Header().Set(HeaderOutcome, string(Run))
+			reply(w, http.StatusOK, m)
+			return nil
+		}
+	}
+	return &Failure{Status: http.StatusNotFound, Type: "unknown_model", Message: fmt.Sprintf("the organisation has no model service %q", name), Outcome: NotRun}
+}
+
+func (s *Server) models(w http.ResponseWriter, _ *http.Request, q request) error {
+	list := q.visible()
 	w.Header().Set(HeaderOutcome, string(Run))
 	reply(w, http.StatusOK, map[string]any{"object": "list", "data": list})
 	return nil
@@ -401,16 +427,23 @@
 	call         retry.Call
 	// avoid holds the targets that failed the request in a way that another attempt there would not mend.
 	avoid []dispatch.Tried
+	// silent holds those of them that went silent.
+	silent []dispatch.Tried
 	// last is how the last attempt failed.
 	last retry.Outcome
 }
 
 // shun leaves a target out of the choice for further attempts when it refused the request, could not be reached or went
-// silent. A broken or misrouted answer is a fault of one connection, so it does not rule out the target.
+// silent. A broken or misrouted answer is a fault of one connection, so it does not rule out the target. One that went
+// silent is chosen again only when no other is left.
 func (j *job) shun(t dispatch.Target, out retry.Outcome) {
 	j.last = out
+	tried := dispatch.Tried{Group: t.Group, Generation: t.Generation}
 	if out == retry.Refused || out == retry.NotSent || out == retry.Silent {
-		j.avoid = append(j.avoid, dispatch.Tried{Group: t.Group, Generation: t.Generation})
+		j.avoid = append(j.avoid, tried)
+	}
+	if out == retry.Silent {
+		j.silent = append(j.silent, tried)
 	}
 }
 
@@ -500,6 +533,13 @@
 	if stopped := s.stopped(ctx, r, j, ""); stopped != nil {
 		return slot, stopped
 	}
+	var refusal *dispatch.Refusal
+	if errors.As(err, &refusal) && refusal.Kind == admission.Absent && len(j.silent) > 0 {
+		// No other target is left. A new connection to one that went silent may work.
+		j.avoid = slices.DeleteFunc(j.avoid, func(t dispatch.Tried) bool { return slices.Contains(j.silent, t) })
+		j.silent = nil
+		return s.acquire(ctx, r, j)
+	}
 	if j.call.Verdict() != retry.NotRun {
 		return slot, j.gaveUp(j.last) // An earlier attempt may have run, so a refusal would say too much.
 	}
