Leave out stragglers by the requests that wait on them

Change: the first token of each request is reported to the dispatch core; a group on which two urgent requests wait longer than 2.5 times the mean is a straggler until a load report shows otherwise, unless a quarter of the groups is late or left out; urgent requests probe a straggler only once in 200.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -99,7 +99,9 @@
 	Target dispatch.Target
 	// Priority is the attempt's priority at an engine, 0 the most urgent.
 	Priority int
-	Release  func(dispatch.Result)
+	// Began is told when the first token has arrived; nil where nobody wants to know.
+	Began   func()
+	Release func(dispatch.Result)
 }
 
 type slots interface {
@@ -113,7 +115,7 @@
 // Acquire waits for a slot.
 func (s Slots) Acquire(ctx context.Context, q dispatch.Request) (Slot, error) {
 	slot, err := s.From.Acquire(ctx, q)
-	return Slot{Target: slot.Target, Priority: slot.Priority, Release: slot.Release}, err
+	return Slot{Target: slot.Target, Priority: slot.Priority, Began: slot.Began, Release: slot.Release}, err
 }
 
 type addresses interface {
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -173,6 +173,8 @@
 	id          string
 	tokens      int
 	sent, first time.Time
+	// began is told of the first token; nil where nobody wants to know.
+	began func()
 	// fruitless counts the resumptions since the last token, broken those of them that failed at once.
 	fruitless, broken int
 	forgotten         bool
@@ -187,7 +189,7 @@
 	t := slot.Target
 	x.id = x.sending(x.Log, t)
 	x.tokens, x.fruitless, x.broken, x.forgotten = 0, 0, 0, false
-	x.sent, x.first = time.Now(), time.Time{}
+	x.sent, x.first, x.began = time.Now(), time.Time{}, slot.Began
 	x.out.reset()
 	if x.out.given == 0 {
 		x.seen.First = 0 // What an earlier attempt delivered was not given to the caller.
@@ -294,6 +296,9 @@
 		if x.tokens++; x.tokens == 1 {
 			x.first = time.Now()
 			x.seen.First = x.first.Sub(x.accepted)
+			if x.began != nil {
+				x.began()
+			}
 		}
 		x.fruitless, x.broken = 0, 0
 		if err := x.out.add(k); err != nil {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -14,7 +14,7 @@
 )
 
 // Message is something that happened: one of Submit, Withdraw, Done, Granted, Withdrawn, Proved,
-// Loaded, Cached, Revoked, Targets, Configured, Tick.
+// Began, Loaded, Cached, Revoked, Targets, Configured, Tick.
 type Message interface{ message() }
 
 // Submit asks for a slot. Key is unique among the requests that have not ended.
@@ -51,6 +51,9 @@
 	At         time.Time
 }
 
+// Began says that the first token of a started request has arrived.
+type Began struct{ Key uint64 }
+
 // Loaded is a load report of a group.
 type Loaded struct {
 	Group string
@@ -97,6 +100,7 @@
 func (Granted) message()    {}
 func (Withdrawn) message()  {}
 func (Proved) message()     {}
+func (Began) message()      {}
 func (Loaded) message()     {}
 func (Cached) message()     {}
 func (Revoked) message()    {}
@@ -164,6 +168,8 @@
 	loan    share.Borrower
 	running [note.Ranks]int
 	total   int
+	// late is how many urgent requests wait for their first token for too long; see watch.
+	late int
 	// within is how many of running were started within their rank's floor.
 	within [note.Ranks]int
 	rate   rates
@@ -210,6 +216,8 @@
 	at     time.Time
 	// within is whether it was started within its rank's floor.
 	within bool
+	// began is whether its first token has arrived; urgent whether the engine pauses it for nothing.
+	began, urgent bool
 	// expected is the service time that was expected at the start.
 	expected time.Duration
 }
@@ -242,6 +250,7 @@
 	changed  bool
 	counted  time.Time
 	trimmed  time.Time
+	watched  time.Time
 	out      []Action
 	choices  []placement.Candidate
 	position []*group
@@ -292,6 +301,12 @@
 				g.reached(now, true)
 			}
 		}
+	case Began:
+		if j, ok := c.running[m.Key]; ok {
+			j.began = true
+			c.running[m.Key] = j
+		}
+		return nil
 	case Loaded:
 		c.picker.Report(now, m.Group, m.Load)
 		return nil
@@ -306,12 +321,57 @@
 		c.configure(m)
 	}
 	c.measure(now)
+	c.watch(now)
 	c.expire(now)
 	c.start(now)
 	c.report(now)
 	return c.out
 }
 
+const (
+	// watchPeriod is how often requests without a first token are looked at. Load reports show a straggler only after
+	// three of them, which is too late for one live request in a hundred.
+	watchPeriod = 50 * time.Millisecond
+	// lateRatio is how many times the mean time to the first token a request may wait for it, and lateLeast bounds that
+	// time from below, where means are short and noise is not.
+	lateRatio = 2.5
+	lateLeast = 100 * time.Millisecond
+	// lateCount is how many such requests make their group a straggler. One alone may have a long prompt.
+	lateCount = 2
+)
+
+// watch finds groups on which urgent requests wait for their first token while most other groups have none that wait.
+func (c *Core) watch(now time.Time) {
+	if now.Sub(c.watched) < watchPeriod || len(c.running) == 0 || !c.all.first.some {
+		return
+	}
+	c.watched = now
+	limit := max(lateLeast, time.Duration(lateRatio*float64(seconds(c.all.first))))
+	for _, g := range c.groups {
+		g.late = 0
+	}
+	for _, j := range c.running {
+		if j.urgent && !j.began && now.Sub(j.at) > limit {
+			j.group.late++
+		}
+	}
+	late := 0
+	for _, g := range c.groups {
+		if g.late > 0 || c.picker.Straggling(g.target.Group) {
+			late++
+		}
+	}
+	// Where many groups are late the service is overloaded, and leaving them out would only load the rest.
+	if 4*late > len(c.groups) {
+		return
+	}
+	for _, g := range c.groups {
+		if g.late >= lateCount && !g.target.Fixed {
+			c.picker.Slow(g.target.Group)
+		}
+	}
+}
+
 // Next is when Step has to be called next, if nothing else happens before.
 func (c *Core) Next() (time.Time, bool) {
 	next, ok := c.queue.Next()
@@ -535,11 +595,12 @@
 			if within {
 				g.within[r]++
 			}
-			c.running[e.ID] = job{g, r, e.Organisation, e.Cost, c.waiting[e.ID].output, now, within, e.Service}
+			p := priority(r, c.queue.Backlog(r, e.Organisation) > 0, within)
+			c.running[e.ID] = job{g, r, e.Organisation, e.Cost, c.waiting[e.ID].output, now, within, false, p <= priorityFloor, e.Service}
 			delete(c.waiting, e.ID)
 			g.running[r]++
 			g.total++
-			c.out = append(c.out, Action{Verb: Start, Key: e.ID, Target: g.target, Priority: priority(r, c.queue.Backlog(r, e.Organisation) > 0, within)})
+			c.out = append(c.out, Action{Verb: Start, Key: e.ID, Target: g.target, Priority: p})
 		}
 	}
 }
@@ -566,7 +627,7 @@
 	if len(c.choices) == 0 {
 		return nil
 	}
-	i := c.picker.Pick(placement.Query{Prefix: w.prefix, DataCentre: c.dataCentre}, c.choices, c.random.Uint64())
+	i := c.picker.Pick(placement.Query{Prefix: w.prefix, DataCentre: c.dataCentre, Urgent: r == note.RankLive}, c.choices, c.random.Uint64())
 	if i < 0 {
 		return nil
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -88,9 +88,13 @@
 	Target Target
 	// Priority is the request's priority at an engine, 0 the most urgent.
 	Priority int
+	began    func()
 	release  func(Result)
 }
 
+// Began tells that the first token has arrived.
+func (s Slot) Began() { s.began() }
+
 // Release returns the slot.
 func (s Slot) Release(r Result) { s.release(r) }
 
@@ -292,7 +296,7 @@
 			return Slot{}, a.Refusal
 		}
 		start := time.Now()
-		return Slot{Target: a.Target, Priority: a.Priority, release: func(r Result) {
+		return Slot{Target: a.Target, Priority: a.Priority, began: func() { s.order(Began{key}) }, release: func(r Result) {
 			if r.Total <= 0 {
 				r.Total = time.Since(start)
 			}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,6 +17,8 @@
 	Prefix []uint64
 	// DataCentre is where the daemon runs.
 	DataCentre string
+	// Urgent is whether somebody waits for the answer, so that it should not be used to probe a straggler.
+	Urgent bool
 }
 
 // Candidate is a group that may run the request.
@@ -55,6 +57,9 @@
 	slowRatio, fastRatio = 2, 1.5
 	slowReports          = 3
 	probeEvery           = 20
+	// urgentProbeEvery is probeEvery where only urgent requests come: one request in 200 keeps their 99th percentile
+	// clear of the straggler.
+	urgentProbeEvery = 200
 
 	// halfTold is the age at which a report and the mean of those before it count the same. In the trial of
 	// TestLateReports 250 ms and more made groups that looked empty a while ago overshoot. Very old reports count at
@@ -135,7 +140,11 @@
 				if slow < 0 || load < p.loads[slow] {
 					slow = i
 				}
-				if g.skipped++; due < 0 && g.skipped >= probeEvery {
+				every := probeEvery
+				if q.Urgent {
+					every = urgentProbeEvery
+				}
+				if g.skipped++; due < 0 && g.skipped >= every {
 					due = i
 				}
 			}
@@ -267,6 +276,20 @@
 	}
 }
 
+// Slow takes in that requests wait for their first token on a group far longer than on others. The group is a straggler
+// from now on, until a report shows otherwise.
+func (p *Picker) Slow(name string) {
+	if g := p.groups[name]; g != nil && !g.straggle {
+		g.slow, g.straggle, g.skipped = slowReports, true, 0
+	}
+}
+
+// Straggling tells whether a group is taken for a straggler.
+func (p *Picker) Straggling(name string) bool {
+	g := p.groups[name]
+	return g != nil && g.straggle
+}
+
 // median is the lower median, so that one of two groups can be a straggler.
 func (p *Picker) median() time.Duration {
 	var ts []time.Duration
