control: run the fleet test in a bubble over an in-memory network

Cause: TestFleet ran in real time over loopback sockets for about 29 s, with bounds that a busy machine can miss; detection was allowed 2.5 s.

Change: package memnet is the in-memory network of standin's tests, now shared. platform.DialWith takes a dial function.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -129,8 +129,13 @@
 
 // Dial returns a client of the platform at addr and a function that closes its connections. It does not connect yet.
 func Dial(addr netip.AddrPort) (*Client, func()) {
+	return DialWith(addr, (&net.Dialer{Timeout: time.Second}).DialContext)
+}
+
+// DialWith is Dial with a way to open connections, whose failures are *net.OpError with Op "dial".
+func DialWith(addr netip.AddrPort, dial func(ctx context.Context, network, addr string) (net.Conn, error)) (*Client, func()) {
 	tr := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     30 * time.Second,
 	}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -19,73 +19,27 @@
 	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/engine"
+	"flamingorudder.example/internal/memnet"
 	"flamingorudder.example/internal/platform"
 	"flamingorudder.example/internal/timer"
 )
 
-// world is a network in memory, so that the stand-ins, their ports and real HTTP clients run in one synctest bubble.
+// world is stand-ins, their ports and real HTTP clients on a network in memory, in one synctest bubble.
 type world struct {
 	t      *testing.T
 	ctx    context.Context
-	mu     sync.Mutex
-	open   map[string]*listener
+	net    memnet.Network
 	g      errgroup.Group
 	stops  []func()
 	tr     *http.Transport
 	client *engine.Client
 }
 
-type listener struct {
-	w     *world
-	addr  netip.AddrPort
-	conns chan net.Conn
-	done  chan struct{}
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *listener) Close() error {
-	l.w.mu.Lock()
-	defer l.w.mu.Unlock()
-	if l.w.open[l.addr.String()] == l {
-		delete(l.w.open, l.addr.String())
-		close(l.done)
-	}
-	return nil
-}
-func (l *listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.addr) }
-
-func (w *world) dial(ctx context.Context, _, addr string) (net.Conn, error) {
-	w.mu.Lock()
-	l := w.open[addr]
-	w.mu.Unlock()
-	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
-	if l == nil {
-		return nil, refused
-	}
-	a, b := net.Pipe()
-	select {
-	case l.conns <- b:
-		return a, nil
-	case <-l.done:
-		return nil, refused
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 // run runs a test in a bubble with a network of its own.
 func run(t *testing.T, f func(t *testing.T, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{t: t, ctx: t.Context(), open: map[string]*listener{}}
-		w.tr = &http.Transport{DialContext: w.dial, DisableCompression: true}
+		w := &world{t: t, ctx: t.Context()}
+		w.tr = &http.Transport{DialContext: w.net.Dial, DisableCompression: true}
 		w.client = engine.NewClientOver(w.tr)
 		f(t, w)
 		w.tr.CloseIdleConnections()
@@ -96,23 +50,9 @@
 	})
 }
 
-var next struct {
-	sync.Mutex
-	port uint16
-}
-
 func (w *world) serve(h http.Handler, c *Control) netip.AddrPort {
-	next.Lock()
-	next.port++
-	a := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), next.port)
-	next.Unlock()
-	p, err := NewPort(func() (net.Listener, error) {
-		l := &listener{w: w, addr: a, conns: make(chan net.Conn), done: make(chan struct{})}
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.open[a.String()] = l
-		return l, nil
-	})
+	a := w.net.Addr()
+	p, err := NewPort(func() (net.Listener, error) { return w.net.Listen(a) })
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -124,7 +64,7 @@
 }
 
 func (w *world) engine(s EngineSpec) (*Engine, netip.AddrPort) {
-	s.Dial = w.dial
+	s.Dial = w.net.Dial
 	e, stop := NewEngine(s)
 	a := w.serve(e, e.Control())
 	w.stops = append(w.stops, stop)
