flamingobench: measure what a daemon costs by the size of the fleet

Connections of daemons count their bytes (internal/traffic), the platform's stand-in counts its calls.

--- a/cmd/flamingobench/main.go
+++ b/cmd/flamingobench/main.go
@@ -25,6 +25,7 @@
 			Name: "overload", Usage: "compare useful work under overload with the baseline, in handed-in time", Action: overloadTable,
 		}},
 	}
+	cmd.Commands = append(cmd.Commands, capacityCommand())
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -102,7 +102,7 @@
 	head := doc.Section("fleet")
 	head.Require("name", "daemons")
 	head.Known("region")
-	daemons := head.Int("daemons", 7, 1, 64)
+	daemons := head.Int("daemons", 7, 1, 512)
 	g, ctx := errgroup.WithContext(ctx)
 	p := standin.NewPlatform(c.Duration("roster-lag"))
 	p.SetWeights(c.Duration("load"), max(c.Int("loads"), 1))
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -8,7 +8,9 @@
 	"flamingorudder.example/internal/group"
 	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/operator"
+	"flamingorudder.example/internal/peer"
 	"flamingorudder.example/internal/platform"
+	"flamingorudder.example/internal/traffic"
 )
 
 // Accept makes a release note the configuration of the fleet.
@@ -69,6 +71,22 @@
 	}
 }
 
+// Traffic is what a daemon has exchanged since it started.
+type Traffic struct {
+	Peer peer.Stats
+	// Platform and Engine hold the bytes of HTTP connections; those to engines include the streams of requests.
+	Platform, Engine traffic.Stats
+	// EngineCalls counts the calls to engines other than streams.
+	EngineCalls uint64
+}
+
+// Traffic returns what the daemon has exchanged so far.
+func (d *Daemon) Traffic() Traffic {
+	t := Traffic{Peer: d.node.Stats(), Platform: d.platform.Traffic()}
+	t.Engine, t.EngineCalls = d.engine.Traffic()
+	return t
+}
+
 // Events returns this daemon's events from a sequence number on.
 func (d *Daemon) Events(since uint64) operator.Events {
 	events, next, lost := d.line.Since(since)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -24,6 +24,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"flamingorudder.example/internal/timer"
+	"flamingorudder.example/internal/traffic"
 )
 
 // Headers of the engine protocol.
@@ -234,6 +235,9 @@
 	over http.RoundTripper
 	// foreign counts the chunks that belonged to another attempt.
 	foreign atomic.Uint64
+	// calls counts the calls other than streams, and traffic the bytes of all.
+	calls   atomic.Uint64
+	traffic traffic.Counter
 }
 
 // Dial opens a connection, as net.Dialer.DialContext does. Its failures are *net.OpError with Op "dial".
@@ -246,7 +250,8 @@
 
 // NewClientWith is NewClient with a way to open connections.
 func NewClientWith(dial Dial) (*Client, func()) {
-	c := &Client{dial: dial, pools: map[netip.AddrPort]*http.Transport{}}
+	c := &Client{pools: map[netip.AddrPort]*http.Transport{}}
+	c.dial = c.traffic.Dial(dial)
 	fresh := c.newTransport()
 	fresh.DisableKeepAlives = true
 	c.fresh = fresh
@@ -315,6 +320,9 @@
 // NewClientOver returns a client that sends over a transport of the caller's.
 func NewClientOver(rt http.RoundTripper) *Client { return &Client{over: rt, fresh: rt} }
 
+// Traffic returns the connections and bytes so far, streams included, and the number of calls other than streams.
+func (c *Client) Traffic() (s traffic.Stats, calls uint64) { return c.traffic.Stats(), c.calls.Load() }
+
 // Foreign is the number of chunks dropped because they belonged to another attempt.
 func (c *Client) Foreign() uint64 { return c.foreign.Load() }
 
@@ -551,6 +559,7 @@
 }
 
 func (c *Client) do(ctx context.Context, tr http.RoundTripper, method string, addr netip.AddrPort, path string, in, out any) error {
+	c.calls.Add(1)
 	var body io.Reader
 	if in != nil {
 		b, err := json.Marshal(in)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -63,6 +63,9 @@
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*link
+	// open holds the connections that are read, and ended the bytes on the wire of those that are not any more.
+	open  map[*quic.Conn]struct{}
+	ended Wire
 
 	sent, received, bytesOut, bytesIn, dropped atomic.Uint64
 }
@@ -82,6 +85,20 @@
 	Sent, Received, BytesOut, BytesIn uint64
 	// Dropped counts messages that found their peer's queue full or its connection closed.
 	Dropped uint64
+	Wire    Wire
+}
+
+// Wire counts what connections cost in bytes of UDP packets, handshakes and acknowledgements included.
+type Wire struct {
+	// Opened counts connections of either side, Out and In bytes with 28 for the IP and UDP headers of each packet.
+	Opened, Out, In uint64
+}
+
+func (w *Wire) add(c *quic.Conn) {
+	const headers = 28
+	s := c.ConnectionStats()
+	w.Out += s.BytesSent + headers*s.PacketsSent
+	w.In += s.BytesReceived + headers*s.PacketsReceived
 }
 
 // Listen starts a node on an address and returns it with a function that stops it.
@@ -98,7 +115,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g, ctx := errgroup.WithContext(ctx)
-	n := &Node{addr: netip.MustParseAddrPort(udp.LocalAddr().String()), id: id, clock: clock, log: log, handler: h, tr: tr, group: g, ctx: ctx, peers: map[netip.AddrPort]*link{}}
+	n := &Node{addr: netip.MustParseAddrPort(udp.LocalAddr().String()), id: id, clock: clock, log: log, handler: h, tr: tr, group: g, ctx: ctx, peers: map[netip.AddrPort]*link{}, open: map[*quic.Conn]struct{}{}}
 	g.Go(func() error { return n.accept(l) })
 	return n, func() {
 		cancel()
@@ -125,7 +142,13 @@
 
 // Stats returns the counts so far.
 func (n *Node) Stats() Stats {
-	return Stats{Sent: n.sent.Load(), Received: n.received.Load(), BytesOut: n.bytesOut.Load(), BytesIn: n.bytesIn.Load(), Dropped: n.dropped.Load()}
+	n.mu.Lock()
+	w := n.ended
+	for c := range n.open {
+		w.add(c)
+	}
+	n.mu.Unlock()
+	return Stats{Sent: n.sent.Load(), Received: n.received.Load(), BytesOut: n.bytesOut.Load(), BytesIn: n.bytesIn.Load(), Dropped: n.dropped.Load(), Wire: w}
 }
 
 // Send sends a message that has no answer. It does not block, and the message may be lost.
@@ -314,6 +337,16 @@
 
 // read takes in what comes over one connection until it closes.
 func (n *Node) read(c *quic.Conn) error {
+	n.mu.Lock()
+	n.open[c] = struct{}{}
+	n.ended.Opened++
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.open, c)
+		n.ended.add(c)
+	}()
 	from := From{Name: identity.Name(tlsState(c)), Addr: netip.MustParseAddrPort(c.RemoteAddr().String())}
 	g, ctx := errgroup.WithContext(n.ctx)
 	g.Go(func() error {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -17,6 +17,8 @@
 	"net/netip"
 	"net/url"
 	"time"
+
+	"flamingorudder.example/internal/traffic"
 )
 
 // Row is one row of the table service.
@@ -123,21 +125,26 @@
 
 // Client is a client of the platform. Its methods may be called from several goroutines.
 type Client struct {
-	base string
-	http *http.Client
+	base    string
+	http    *http.Client
+	traffic traffic.Counter
 }
 
 // Dial returns a client of the platform at addr and a function that closes its connections. It does not connect yet.
 func Dial(addr netip.AddrPort) (*Client, func()) {
+	c := &Client{base: "http://" + addr.String()}
 	tr := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         c.traffic.Dial((&net.Dialer{Timeout: time.Second}).DialContext),
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     30 * time.Second,
 	}
-	c := &Client{base: "http://" + addr.String(), http: &http.Client{Transport: tr}}
+	c.http = &http.Client{Transport: tr}
 	return c, tr.CloseIdleConnections
 }
 
+// Traffic returns the connections and bytes so far.
+func (c *Client) Traffic() traffic.Stats { return c.traffic.Stats() }
+
 // Commit runs a transaction and returns the commit number. It fails with *Conflict, *Unavailable or *Unknown.
 func (c *Client) Commit(ctx context.Context, t Txn) (uint64, error) {
 	body, err := json.Marshal(t)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -30,6 +30,7 @@
 	gone    map[string]bool
 	lag     time.Duration
 	commits []Commit
+	counts  PlatformCounts
 	// weights holds a token for each load that is being served.
 	weights    chan struct{}
 	weightTime time.Duration
@@ -37,6 +38,14 @@
 	mux        *http.ServeMux
 }
 
+// PlatformCounts is what a platform was asked for so far.
+type PlatformCounts struct {
+	// Reads and Writes count calls of the table service, Lists those of the list of instances.
+	Reads, Writes, Lists uint64
+	// Same counts reads and lists that were answered as not modified.
+	Same uint64
+}
+
 type snapshot struct {
 	at   time.Time
 	list []platform.Instance
@@ -60,6 +69,11 @@
 	p.mux.HandleFunc("GET /object/{name}", p.get)
 	p.mux.HandleFunc("GET /weights/{model}/{version}", p.getWeights)
 	p.mux.HandleFunc("POST /control/instance", p.setInstance)
+	p.mux.HandleFunc("GET /control/counts", func(w http.ResponseWriter, _ *http.Request) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		reply(w, http.StatusOK, p.counts)
+	})
 	p.mux.HandleFunc("GET /control/runs", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, p.Record()) })
 	return p
 }
@@ -133,6 +147,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.counts.Writes++
 	for _, c := range t.Checks {
 		if have := p.rows[c.Key].Version; have != c.Version {
 			reply(w, http.StatusConflict, platform.Conflict{Key: c.Key, Version: have})
@@ -157,6 +172,7 @@
 	key, prefix := r.URL.Query().Get("key"), r.URL.Query().Get("prefix")
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.counts.Reads++
 	rows := []platform.Row{}
 	for _, k := range slices.Sorted(maps.Keys(p.rows)) {
 		if (key != "" && k == key) || (key == "" && strings.HasPrefix(k, prefix)) {
@@ -169,6 +185,7 @@
 func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.counts.Lists++
 	now := time.Now()
 	lag := p.lag + time.Duration(p.control.Faults().Lag)*time.Millisecond
 	i := 0
