share: repeat a steady unmet demand at Renew instead of Period

Change: 750 ms while no rank's demand moves by an eighth; 250 ms otherwise and while an answer is outstanding. Conclusion: steady unmet demand costs what met demand costs; a flood on all 6 groups still exceeds 5 KB/s.

--- a/internal/share/borrower.go
+++ b/internal/share/borrower.go
@@ -44,8 +44,9 @@
 	revision uint64
 	lines    []Line
 	unmet    bool
-	// reported is the sum of waiting and running requests in the last report.
+	// reported is the sum of waiting and running requests in the last report, and levels that of each rank.
 	reported int
+	levels   [note.Ranks]int
 
 	seq       uint64
 	sent      [remembered]sentDemand
@@ -205,7 +206,7 @@
 	}
 	b.sent[b.next] = sentDemand{b.seq, now, b.asked()}
 	b.next = (b.next + 1) % remembered
-	b.lastSent, b.urgent, b.reported = now, false, total(b.lines)
+	b.lastSent, b.urgent, b.reported, b.levels = now, false, total(b.lines), levels(b.lines)
 	if b.waitSince.IsZero() {
 		b.waitSince = now
 	}
@@ -235,8 +236,9 @@
 		return time.Time{}
 	case b.urgent:
 		wait = MinPeriod
-	case b.unmet || !b.waitSince.IsZero() || b.reported-total(b.lines) >= max(1, b.reported/8):
-		// Slots that are free again are worth a report as much as slots that are wanted.
+	case !b.waitSince.IsZero() || b.unmet && b.moved() || b.reported-total(b.lines) >= max(1, b.reported/8):
+		// Slots that are free again are worth a report as much as slots that are wanted. A demand that stays as it is
+		// is repeated at Renew: the home keeps it for a Term, and the share of a borrower changes little meanwhile.
 		wait = Period
 	case len(b.lines) > 0:
 		wait = Renew
@@ -244,6 +246,16 @@
 	return b.lastSent.Add(wait)
 }
 
+// moved is whether the demand of some rank differs from the last report by an eighth or more.
+func (b *Borrower) moved() bool {
+	for r, n := range levels(b.lines) {
+		if d := n - b.levels[r]; max(d, -d) >= max(1, b.levels[r]/8) {
+			return true
+		}
+	}
+	return false
+}
+
 // Home returns the daemon that is asked at present, or "" without any.
 func (b *Borrower) Home() string { return b.asked() }
 
@@ -263,18 +275,21 @@
 }
 
 func (b *Borrower) over(caps [note.Ranks]int) bool {
-	var n [note.Ranks]int
-	for _, l := range b.lines {
-		n[l.Rank] += l.Waiting + l.Running
-	}
-	for r := range n {
-		if n[r] > caps[r] {
+	for r, n := range levels(b.lines) {
+		if n > caps[r] {
 			return true
 		}
 	}
 	return false
 }
 
+func levels(lines []Line) (n [note.Ranks]int) {
+	for _, l := range lines {
+		n[l.Rank] += l.Waiting + l.Running
+	}
+	return n
+}
+
 func total(lines []Line) int {
 	n := 0
 	for _, l := range lines {
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -361,3 +361,39 @@
 		h.Step(now, d)
 	}
 }
+
+// Guards against a borrower that repeats a demand which cannot be met each Period though nothing has changed (3 times the
+// bytes on the day that every group is full), and against one that is late to report a change or a lost answer.
+func TestSteadyDemandIsRenewed(t *testing.T) {
+	for _, x := range []struct {
+		name        string
+		grow        int
+		answer      bool
+		least, most int
+	}{
+		{"steady", 0, true, 13, 15},
+		{"growing", 2, true, 38, 42},
+		{"no answer", 0, false, 38, 42},
+	} {
+		b := Borrower{Self: "d", Group: "g"}
+		b.Serve(1, 8)
+		b.Homes([]string{"h"})
+		waiting, reports := 8, 0
+		now := time.Unix(1_800_000_000, 0)
+		for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+			b.Want(now, 1, []Line{{Rank: note.RankLive, Waiting: waiting, Running: 4}})
+			r, ok := b.Step(now)
+			if !ok {
+				continue
+			}
+			reports++
+			waiting += x.grow * waiting / 8
+			if x.answer {
+				b.Accept(now, "h", Grant{Group: "g", Generation: 1, Caps: [note.Ranks]int{4, 0, 0}, For: Term, Seq: r.Demand.Seq, Turn: uint64(reports), Borrowers: 2, Slots: 8})
+			}
+		}
+		if reports < x.least || reports > x.most {
+			t.Errorf("%s: %d reports in 10 s, want %d to %d", x.name, reports, x.least, x.most)
+		}
+	}
+}
