--- /dev/null
+++ b/internal/snapshot/snapshot_test.go
@@ -0,0 +1,115 @@
+package snapshot
+
+import (
+	"errors"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"flamingorudder.example/internal/member"
+	"flamingorudder.example/internal/platform"
+	"flamingorudder.example/internal/registry"
+)
+
+func sample(revision uint64) Snapshot {
+	addr := netip.MustParseAddrPort("10.0.0.1:9000")
+	return Snapshot{
+		Revision: revision, Body: []byte(`{"revision":7}`),
+		Groups:  []platform.Row{{Key: "group/model-desk/1", Version: 12, Op: "x", Value: []byte("row")}},
+		Daemons: []registry.Entry{{Name: "craigmhor-1", Peer: addr, Caller: addr, DataCentre: "stirling", Boot: 1 << 60}},
+	}
+}
+
+// Guards against a daemon that starts from a snapshot which was damaged in the store or has another format.
+func TestDecodeRefuses(t *testing.T) {
+	s := sample(7)
+	b, err := s.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := Decode(b); err != nil || !reflect.DeepEqual(got, s) {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+	var damaged *Damaged
+	var other *OtherVersion
+	for i := range b {
+		for _, flip := range []byte{1, 0x80} {
+			c := append([]byte(nil), b...)
+			c[i] ^= flip
+			if _, err := Decode(c); !errors.As(err, &damaged) && !errors.As(err, &other) {
+				t.Fatalf("byte %d changed: %v", i, err)
+			}
+		}
+		if _, err := Decode(b[:i]); !errors.As(err, &damaged) {
+			t.Fatalf("cut to %d bytes: %v", i, err)
+		}
+	}
+	next, err := cbor.Marshal(envelope{Version: Version + 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Decode(next); !errors.As(err, &other) || other.Version != Version+1 {
+		t.Fatalf("next version: %v", err)
+	}
+}
+
+// Guards against a writer that replaces a newer snapshot, writes without a change or without a configuration, or never
+// repairs a damaged one.
+func TestWriter(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	stored, err := sample(7).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct {
+		name   string
+		s      Snapshot
+		stored []byte
+		writes bool
+		older  bool
+	}{
+		{"first", sample(7), nil, true, false},
+		{"no configuration", Snapshot{}, nil, false, false},
+		{"same", sample(7), stored, false, false},
+		{"newer", sample(8), stored, true, false},
+		{"older", sample(6), stored, false, true},
+		{"other daemons", Snapshot{Revision: 7, Body: []byte("x")}, stored, true, false},
+		{"damaged", sample(6), stored[:20], true, false},
+	} {
+		var w Writer
+		var older *Older
+		b, err := w.Write(now, x.s, x.stored)
+		if (b != nil) != x.writes || errors.As(err, &older) != x.older {
+			t.Errorf("%s: %d bytes, %v", x.name, len(b), err)
+		}
+		if b == nil {
+			continue
+		}
+		w.Wrote(x.s)
+		if b, err := w.Write(now, x.s, b); b != nil || err != nil {
+			t.Errorf("%s: written again: %v", x.name, err)
+		}
+	}
+}
+
+// Guards against several daemons writing, or one writing more often than once in Period.
+func TestTurn(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	daemons := []string{"a", "b", "c", "d"}
+	first := member.Order(Name, daemons)[0]
+	for _, self := range daemons {
+		var w Writer
+		if w.Due(now, self, daemons) != (self == first) {
+			t.Errorf("%s is due: %v, first is %s", self, w.Due(now, self, daemons), first)
+		}
+		if _, err := w.Write(now, sample(1), nil); err != nil {
+			t.Fatal(err)
+		}
+		if w.Due(now.Add(Period-1), self, daemons) || w.Due(now.Add(Period), self, daemons) != (self == first) {
+			t.Errorf("%s is due at a wrong time after a write", self)
+		}
+	}
+}
