--- a/cmd/flamingobench/main.go
+++ b/cmd/flamingobench/main.go
@@ -62,6 +62,7 @@
 			},
 		},
 	}
+	cmd.Commands = append(cmd.Commands, capacityCommand())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := cmd.Run(ctx, os.Args); err != nil {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -24,6 +24,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"flamingorudder.example/internal/timer"
+	"flamingorudder.example/internal/traffic"
 )
 
 // Headers of the engine protocol.
@@ -237,6 +238,10 @@
 	over http.RoundTripper
 	// foreign counts the chunks that belonged to another attempt.
 	foreign atomic.Uint64
+	// calls counts the calls other than streams, and traffic the bytes of all.
+	calls   atomic.Uint64
+	loaded  atomic.Pointer[func(l Load, asked time.Time)]
+	traffic traffic.Counter
 }
 
 // Dial opens a connection, as net.Dialer.DialContext does. Its failures are *net.OpError with Op "dial".
@@ -249,7 +254,8 @@
 
 // NewClientWith is NewClient with a way to open connections.
 func NewClientWith(dial Dial) (*Client, func()) {
-	c := &Client{dial: dial, pools: map[netip.AddrPort]*http.Transport{}}
+	c := &Client{pools: map[netip.AddrPort]*http.Transport{}}
+	c.dial = c.traffic.Dial(dial)
 	fresh := c.newTransport()
 	fresh.DisableKeepAlives = true
 	c.fresh = fresh
@@ -318,6 +324,9 @@
 // NewClientOver returns a client that sends over a transport of the caller's.
 func NewClientOver(rt http.RoundTripper) *Client { return &Client{over: rt, fresh: rt} }
 
+// Traffic returns the connections and bytes so far, streams included, and the number of calls other than streams.
+func (c *Client) Traffic() (s traffic.Stats, calls uint64) { return c.traffic.Stats(), c.calls.Load() }
+
 // Foreign is the number of chunks dropped because they belonged to another attempt.
 func (c *Client) Foreign() uint64 { return c.foreign.Load() }
 
@@ -511,10 +520,17 @@
 // Load returns the engine's load report.
 func (c *Client) Load(ctx context.Context, addr netip.AddrPort) (Load, error) {
 	var l Load
+	asked := time.Now()
 	err := c.call(ctx, http.MethodGet, addr, "/load", nil, &l)
+	if f := c.loaded.Load(); err == nil && f != nil {
+		(*f)(l, asked)
+	}
 	return l, err
 }
 
+// OnLoad makes f see each load report, whoever asked for it, with the time of asking.
+func (c *Client) OnLoad(f func(l Load, asked time.Time)) { c.loaded.Store(&f) }
+
 // State returns the engine's own report of its assignment.
 func (c *Client) State(ctx context.Context, addr netip.AddrPort) (State, error) {
 	var s State
@@ -557,6 +573,7 @@
 }
 
 func (c *Client) do(ctx context.Context, tr http.RoundTripper, method string, addr netip.AddrPort, path string, in, out any) error {
+	c.calls.Add(1)
 	var body io.Reader
 	if in != nil {
 		b, err := json.Marshal(in)
@@ -569,6 +586,8 @@
 	if err != nil {
 		return &NotSent{Err: err}
 	}
+	// Calls are short and many, so each byte of a header counts; this one tells the engine nothing.
+	req.Header.Set("User-Agent", "")
 	resp, err := tr.RoundTrip(req)
 	if err != nil {
 		return fmt.Errorf("%s %s at %s: %w", method, path, addr, err)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -63,11 +63,15 @@
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*link
+	// open holds the connections that are read, and ended the bytes on the wire of those that are not any more.
+	open  map[*quic.Conn]struct{}
+	ended Wire
 
 	sent, received, bytesOut, bytesIn, dropped atomic.Uint64
 }
 
-// link is the connection to one peer, with the messages that wait for it.
+// link is the connection to one peer, with the messages that wait for it. Either side may have opened the connection;
+// sharing it lets an answer carry the acknowledgement of what it answers.
 type link struct {
 	out *ring.Queue[Message]
 	// reset tells the sender to open a new connection.
@@ -75,6 +79,8 @@
 	conn  atomic.Pointer[quic.Conn]
 	// dial is held while a connection is opened, so that there is at most one.
 	dial sync.Mutex
+	// dialed is when this side last opened a connection, in Unix nanoseconds.
+	dialed atomic.Int64
 }
 
 // Stats counts what a node sent and received, in messages and bytes of payload.
@@ -82,6 +88,20 @@
 	Sent, Received, BytesOut, BytesIn uint64
 	// Dropped counts messages that found their peer's queue full or its connection closed.
 	Dropped uint64
+	Wire    Wire
+}
+
+// Wire counts what connections cost in bytes of UDP packets, handshakes and acknowledgements included.
+type Wire struct {
+	// Opened counts connections of either side, Out and In bytes with 28 for the IP and UDP headers of each packet.
+	Opened, Out, In uint64
+}
+
+func (w *Wire) add(c *quic.Conn) {
+	const headers = 28
+	s := c.ConnectionStats()
+	w.Out += s.BytesSent + headers*s.PacketsSent
+	w.In += s.BytesReceived + headers*s.PacketsReceived
 }
 
 // Listen starts a node on an address and returns it with a function that stops it.
@@ -98,7 +118,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g, ctx := errgroup.WithContext(ctx)
-	n := &Node{addr: netip.MustParseAddrPort(udp.LocalAddr().String()), id: id, clock: clock, log: log, handler: h, tr: tr, group: g, ctx: ctx, peers: map[netip.AddrPort]*link{}}
+	n := &Node{addr: netip.MustParseAddrPort(udp.LocalAddr().String()), id: id, clock: clock, log: log, handler: h, tr: tr, group: g, ctx: ctx, peers: map[netip.AddrPort]*link{}, open: map[*quic.Conn]struct{}{}}
 	g.Go(func() error { return n.accept(l) })
 	return n, func() {
 		cancel()
@@ -125,7 +145,13 @@
 
 // Stats returns the counts so far.
 func (n *Node) Stats() Stats {
-	return Stats{Sent: n.sent.Load(), Received: n.received.Load(), BytesOut: n.bytesOut.Load(), BytesIn: n.bytesIn.Load(), Dropped: n.dropped.Load()}
+	n.mu.Lock()
+	w := n.ended
+	for c := range n.open {
+		w.add(c)
+	}
+	n.mu.Unlock()
+	return Stats{Sent: n.sent.Load(), Received: n.received.Load(), BytesOut: n.bytesOut.Load(), BytesIn: n.bytesIn.Load(), Dropped: n.dropped.Load(), Wire: w}
 }
 
 // Send sends a message that has no answer. It does not block, and the message may be lost.
@@ -183,17 +209,15 @@
 	}
 }
 
-// retire forgets an unused link, unless a message came in meanwhile.
+// retire forgets an unused link, unless a message came in meanwhile or the peer uses its connection, which closes by
+// itself when nobody does.
 func (n *Node) retire(to netip.AddrPort, p *link) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(p.out.C()) > 0 {
+	if c := p.conn.Load(); len(p.out.C()) > 0 || c != nil && c.Context().Err() == nil {
 		return false
 	}
 	delete(n.peers, to)
-	if c := p.conn.Swap(nil); c != nil {
-		_ = c.CloseWithError(0, "idle")
-	}
 	return true
 }
 
@@ -247,6 +271,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", to, err)
 	}
+	p.dialed.Store(time.Now().UnixNano())
 	p.conn.Store(c)
 	n.group.Go(func() error { return n.read(c) })
 	return c, nil
@@ -308,12 +333,39 @@
 		if err != nil {
 			return nil // The listener is closed when the node stops.
 		}
+		n.adopt(c)
 		n.group.Go(func() error { return n.read(c) })
 	}
 }
 
+// adopt sends what goes to a peer over the connection that it opened. The peer has opened it because it has no other one
+// or found that one silent, so it replaces an older one; when both sides have just opened one, that of the lower address
+// is used.
+func (n *Node) adopt(c *quic.Conn) {
+	from, err := netip.ParseAddrPort(c.RemoteAddr().String())
+	if err != nil {
+		return
+	}
+	p := n.link(from)
+	if old := p.conn.Load(); old != nil && old.Context().Err() == nil && n.addr.Compare(from) < 0 &&
+		time.Since(time.Unix(0, p.dialed.Load())) < handshake {
+		return
+	}
+	p.conn.Store(c)
+}
+
 // read takes in what comes over one connection until it closes.
 func (n *Node) read(c *quic.Conn) error {
+	n.mu.Lock()
+	n.open[c] = struct{}{}
+	n.ended.Opened++
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.open, c)
+		n.ended.add(c)
+	}()
 	from := From{Name: identity.Name(tlsState(c)), Addr: netip.MustParseAddrPort(c.RemoteAddr().String())}
 	g, ctx := errgroup.WithContext(n.ctx)
 	g.Go(func() error {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -4,15 +4,20 @@
 package standin
 
 import (
+	"compress/gzip"
 	"encoding/json"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"flamingorudder.example/internal/platform"
 	"flamingorudder.example/internal/timer"
 )
@@ -30,6 +35,7 @@
 	gone    map[string]bool
 	lag     time.Duration
 	commits []Commit
+	counts  PlatformCounts
 	// weights holds a token for each load that is being served.
 	weights    chan struct{}
 	weightTime time.Duration
@@ -37,6 +43,14 @@
 	mux        *http.ServeMux
 }
 
+// PlatformCounts is what a platform was asked for so far.
+type PlatformCounts struct {
+	// Reads and Writes count calls of the table service, Lists those of the list of instances.
+	Reads, Writes, Lists uint64
+	// Same counts reads and lists that were answered as not modified.
+	Same uint64
+}
+
 type snapshot struct {
 	at   time.Time
 	list []platform.Instance
@@ -60,6 +74,11 @@
 	p.mux.HandleFunc("GET /object/{name}", p.get)
 	p.mux.HandleFunc("GET /weights/{model}/{version}", p.getWeights)
 	p.mux.HandleFunc("POST /control/instance", p.setInstance)
+	p.mux.HandleFunc("GET /control/counts", func(w http.ResponseWriter, _ *http.Request) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		reply(w, http.StatusOK, p.counts)
+	})
 	p.mux.HandleFunc("GET /control/runs", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, p.Record()) })
 	return p
 }
@@ -133,6 +152,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.counts.Writes++
 	for _, c := range t.Checks {
 		if have := p.rows[c.Key].Version; have != c.Version {
 			reply(w, http.StatusConflict, platform.Conflict{Key: c.Key, Version: have})
@@ -157,18 +177,44 @@
 	key, prefix := r.URL.Query().Get("key"), r.URL.Query().Get("prefix")
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.counts.Reads++
 	rows := []platform.Row{}
 	for _, k := range slices.Sorted(maps.Keys(p.rows)) {
 		if (key != "" && k == key) || (key == "" && strings.HasPrefix(k, prefix)) {
 			rows = append(rows, p.rows[k])
 		}
 	}
-	reply(w, http.StatusOK, map[string]any{"rows": rows})
+	sum := xxhash.New()
+	for _, row := range rows {
+		_, _ = fmt.Fprintf(sum, "%s %d\n", row.Key, row.Version)
+	}
+	p.replyTagged(w, r, strconv.FormatUint(sum.Sum64(), 36), map[string]any{"rows": rows})
+}
+
+// replyTagged answers with an entity tag, or that the caller's copy is current. p.mu is held.
+func (p *Platform) replyTagged(w http.ResponseWriter, r *http.Request, tag string, v any) {
+	tag = strconv.Quote(tag)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		p.counts.Same++
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		reply(w, http.StatusOK, v)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Encoding", "gzip")
+	z := gzip.NewWriter(w)
+	_ = json.NewEncoder(z).Encode(v)
+	_ = z.Close()
 }
 
-func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.counts.Lists++
 	now := time.Now()
 	lag := p.lag + time.Duration(p.control.Faults().Lag)*time.Millisecond
 	i := 0
@@ -179,7 +225,7 @@
 	if len(p.shown) > 0 {
 		out.At, out.Instances = p.shown[i].at, p.shown[i].list
 	}
-	reply(w, http.StatusOK, out)
+	p.replyTagged(w, r, strconv.FormatInt(out.At.UnixNano(), 36), out)
 }
 
 func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
