--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -176,6 +177,8 @@
 	// fruitless counts the resumptions since the last token, broken those of them that failed at once.
 	fruitless, broken int
 	forgotten         bool
+	// gone is whether the last probe could not reach the engine.
+	gone bool
 }
 
 // maxBroken is how many resumptions in a row may fail at once before the attempt counts as forgotten.
@@ -186,7 +189,7 @@
 func (x *exchange) attempt(ctx context.Context, slot Slot) (again bool, err error) {
 	t := slot.Target
 	x.id = x.sending(x.Log, t)
-	x.tokens, x.fruitless, x.broken, x.forgotten = 0, 0, 0, false
+	x.tokens, x.fruitless, x.broken, x.forgotten, x.gone = 0, 0, 0, false, false
 	x.sent, x.first = time.Now(), time.Time{}
 	x.out.reset()
 	if x.out.given == 0 {
@@ -226,6 +229,9 @@
 		if d.Action != retry.Resume {
 			reason = out.String()
 			x.shun(t, out)
+			if x.gone && out == retry.Broken {
+				x.avoid = append(x.avoid, dispatch.Tried{Group: t.Group, Generation: t.Generation})
+			}
 			if alive {
 				x.cancel(ctx, t)
 			}
@@ -261,6 +267,8 @@
 		defer stop()
 		st, err := x.Engine.Probe(probe, t.Addr)
 		alive = err == nil && st.Generation == t.Generation
+		var op *net.OpError
+		x.gone = errors.As(err, &op) && op.Op == "dial" && ctx.Err() == nil
 	}
 	if x.broken > maxBroken {
 		x.forgotten = true
@@ -312,7 +320,7 @@
 
 // result is what the slot's owner learns from. Reason is how the attempt ended.
 func (x *exchange) result(reason string) dispatch.Result {
-	r := dispatch.Result{Tokens: x.tokens, Total: time.Since(x.sent), Failed: reason != retry.Done.String(), Unreachable: reason == retry.NotSent.String()}
+	r := dispatch.Result{Tokens: x.tokens, Total: time.Since(x.sent), Failed: reason != retry.Done.String(), Unreachable: x.gone || reason == retry.NotSent.String()}
 	if !x.first.IsZero() {
 		r.First = x.first.Sub(x.sent)
 	}
