--- a/internal/caller/tls_test.go
+++ b/internal/caller/tls_test.go
@@ -5,11 +5,17 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"encoding/pem"
+	"errors"
+	"io"
 	"math/big"
+	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,3 +88,77 @@
 		_ = g.Wait()
 	})
 }
+
+// Guards against a new certificate that cuts off open connections, is not shown to new ones, or is shown without its own
+// key, in handshakes that verify it.
+func TestCertificateReplacedUnderConnections(t *testing.T) {
+	dir := t.TempDir()
+	cert, key := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+	run(t, func(t *testing.T, f *fleet) {
+		writeCertificate(t, cert, key, 1)
+		c, err := LoadCertificate(cert, key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		f.group.Go(func() error { return c.Watch(ctx, hclog.NewNullLogger()) })
+		secure := netip.MustParseAddrPort("10.0.0.1:443")
+		srv := &http.Server{Handler: f.server}
+		f.servers[secure] = srv
+		l := tls.NewListener(f.net.listen(secure.String()), c.Config())
+		f.group.Go(func() error { _ = srv.Serve(l); return nil })
+		// trust returns a client that accepts the certificate as it is in the file now, and no other.
+		trust := func() *http.Client {
+			b, err := os.ReadFile(cert)
+			if err != nil {
+				t.Fatal(err)
+			}
+			roots := x509.NewCertPool()
+			roots.AppendCertsFromPEM(b)
+			tr := &http.Transport{DialContext: f.net.dial, TLSClientConfig: &tls.Config{RootCAs: roots, ServerName: "daemon", MinVersion: tls.VersionTLS12}}
+			t.Cleanup(tr.CloseIdleConnections)
+			return &http.Client{Transport: tr}
+		}
+		chat := func(client *http.Client) (serial int64, text string, err error) {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "https://"+secure.String()+"/v1/chat/completions", strings.NewReader(chatBody(true)))
+			if err != nil {
+				return 0, "", err
+			}
+			req.Header.Set("Authorization", "Bearer secret-bearer")
+			req.Header.Set(HeaderDeadline, "30s")
+			resp, err := client.Do(req)
+			if err != nil {
+				return 0, "", err
+			}
+			defer func() { _ = resp.Body.Close() }()
+			b, err := io.ReadAll(resp.Body)
+			return resp.TLS.PeerCertificates[0].SerialNumber.Int64(), string(b), err
+		}
+		f.steps(engines[0], tokens(0, 600, true, nil), tokens(0, 2, true, nil))
+		f.steps(engines[1], tokens(0, 2, true, nil))
+		old := trust()
+		f.group.Go(func() error {
+			serial, text, err := chat(old)
+			if err != nil || serial != 1 || !strings.Contains(text, "w599") || !strings.Contains(text, "[DONE]") {
+				t.Errorf("stream across the change: serial %d, %v, %d bytes", serial, err, len(text))
+			}
+			return nil
+		})
+		_ = timer.Wait(t.Context(), time.Second)
+		writeCertificate(t, cert, key, 2)
+		_ = timer.Wait(t.Context(), 2*reloadPeriod)
+		if serial, text, err := chat(trust()); err != nil || serial != 2 || !strings.Contains(text, "[DONE]") {
+			t.Errorf("new connection: serial %d, %v: %s", serial, err, text)
+		}
+		_ = timer.Wait(t.Context(), 5*time.Second)
+		if serial, text, err := chat(old); err != nil || serial != 1 || !strings.Contains(text, "[DONE]") {
+			t.Errorf("kept connection: serial %d, %v: %s", serial, err, text)
+		}
+		old.CloseIdleConnections()
+		var unknown *tls.CertificateVerificationError
+		if _, _, err := chat(old); !errors.As(err, &unknown) {
+			t.Errorf("a client that trusts only the old certificate: %v", err)
+		}
+	})
+}
