control: test whole failure stories and mend what they found

Cause: the fleet test followed one loss and one outage.

Change: a time limit for each call. A home reports a loss only of a generation that it has seen whole, or after probing for 2 s; the holder probes a reported member itself before it heals, since a report can be late or its sender's own network can be down; a new holder forgets old losses. group.Spread (3 s) between two groups of a version change. A refused connection counts as a loss at once. The home sends gone with the instance to the daemons that may hold the lease and to borrowers, and Receive hands it to control. Members of loading groups are asked every 250 ms. A far daemon reads the lease at once when its rank becomes near.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,11 +14,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -26,6 +28,7 @@
 
 	"flamingorudder.example/internal/engine"
 	"flamingorudder.example/internal/group"
+	"flamingorudder.example/internal/lease"
 	"flamingorudder.example/internal/member"
 	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/platform"
@@ -45,6 +48,9 @@
 	// awayPeriod is how often a daemon that is not a group's home asks its member 0, and awayMax how long that counts.
 	awayPeriod = time.Second
 	awayMax    = 2*awayPeriod + member.ProbeTimeout
+	// loadingPeriod is how often members of a loading group are asked, since the group is out of service until the last
+	// one has loaded.
+	loadingPeriod = member.ProbePeriod / 2
 	// probes bounds the requests under way, so that a domain that does not answer cannot hold up the others.
 	probes = 256
 	// tableTimeout and orderTimeout bound one call. group.Settle is twice the latter.
@@ -87,6 +93,9 @@
 	Uses func(id string) bool
 	// Changed is called for each change, in order. It must not block or call the Control. May be nil.
 	Changed func(Change)
+	// Lost is called once for each generation whose home this daemon is and that lost a member. It must not block or call
+	// the Control. May be nil.
+	Lost func(v View, instance string)
 	// Loads bounds the groups of one service that load at once; 0 stands for group.DefaultLoads.
 	Loads int
 }
@@ -123,6 +132,8 @@
 	rows     map[string]*tracked
 	states   map[string]group.Observed
 	interest map[string][]group.Member
+	// doubts holds the members that were reported missing and have not been asked since.
+	doubts map[string]group.Member
 	// reported holds the generations whose loss has been reported.
 	reported map[string]uint64
 	services map[string]*service
@@ -132,10 +143,15 @@
 type tracked struct {
 	row  group.Row
 	home bool
+	// sure is from when on the home may report a loss of this generation.
+	sure time.Time
+	// told is the lost member that Options.Lost was called for.
+	told string
 	// seen holds, at the home, when each member's own state was last the right one.
 	seen []time.Time
-	// wrong is the member whose own state is another one, empty when there is none.
-	wrong string
+	// wrong is the member whose own state is another one, and doubt the one that another daemon reported missing; empty
+	// when there is none.
+	wrong, doubt string
 	// away is when member 0 last reported, to a daemon that is not the home, that all members are present; idle is
 	// when it last reported no request in flight.
 	away, asked, idle time.Time
@@ -147,7 +163,7 @@
 func New(o Options) *Control {
 	return &Control{
 		o: o, kickProbe: make(chan struct{}, 1), kickWatch: make(chan struct{}, 1), rows: map[string]*tracked{},
-		states: map[string]group.Observed{}, interest: map[string][]group.Member{}, reported: map[string]uint64{}, services: map[string]*service{},
+		states: map[string]group.Observed{}, interest: map[string][]group.Member{}, doubts: map[string]group.Member{}, reported: map[string]uint64{}, services: map[string]*service{},
 	}
 }
 
@@ -222,18 +238,41 @@
 	return t.present && now.Before(until), at
 }
 
-// Report takes in that another daemon found a member of a generation missing.
+// Report takes in that another daemon found a member of a generation missing. The group stops being present here until
+// it is seen whole again, and the member is asked at once; it counts as lost only if it does not answer this daemon
+// either. A report may be late, or its sender may have lost its own network, and then no other members would help.
 func (c *Control) Report(id string, generation uint64, instance string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t := c.rows[id]; t != nil && t.row.Generation == generation {
-		c.changed(c.members.Report(instance))
-		if !t.home {
-			t.wrong, t.away = instance, time.Time{}
+	t := c.rows[id]
+	if t == nil || t.row.Generation != generation {
+		return
+	}
+	for _, m := range t.row.Members {
+		if m.ID == instance {
+			t.doubt, t.away = instance, time.Time{}
+			c.doubts[instance] = m
+			c.evaluate(time.Now())
+			kick(c.kickProbe)
 		}
-		c.evaluate(time.Now())
 	}
-	kick(c.kickProbe)
+}
+
+// Missing returns the member that this daemon, as the home, found missing from a generation, or nothing.
+func (c *Control) Missing(id string, generation uint64) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.rows[id]; t != nil && t.row.Generation == generation {
+		return t.told
+	}
+	return ""
+}
+
+// LeaseOrder returns the live daemons that read a service's lease at the short period, the one that normally holds it
+// first.
+func LeaseOrder(service string, daemons []string) []string {
+	order := member.Order("lease/"+service, daemons)
+	return order[:min(lease.Near, len(order))]
 }
 
 // List takes in the platform's list of instances.
@@ -292,6 +331,11 @@
 func (c *Control) evaluate(now time.Time) {
 	for _, t := range c.rows {
 		reason := c.missing(now, t)
+		if reason == "" && t.home {
+			// All members have been seen here, so another loss is a new one.
+			t.sure, t.told = time.Time{}, ""
+			delete(c.reported, t.row.ID)
+		}
 		if (reason == "") == t.present {
 			t.reason = reason
 			continue
@@ -318,6 +362,8 @@
 	switch {
 	case t.wrong != "":
 		return "instance " + t.wrong + " is in another state"
+	case t.doubt != "":
+		return "instance " + t.doubt + " was reported missing"
 	}
 	if _, until := t.proof(); !now.Before(until) {
 		return "members have not been seen"
@@ -397,7 +443,11 @@
 	names := c.o.Daemons.Daemons()
 	for id, t := range c.rows {
 		order := member.Order(id, names)
-		t.home = len(order) > 0 && order[0] == c.o.Name
+		home := len(order) > 0 && order[0] == c.o.Name
+		if home && !t.home {
+			t.sure = time.Now().Add(proofMax)
+		}
+		t.home = home
 	}
 }
 
@@ -442,9 +492,7 @@
 
 // readRows returns the versions of the counter rows, and the group rows if those have changed or all is set.
 func (c *Control) readRows(ctx context.Context, versions map[string]uint64, all bool) (map[string]uint64, map[string]group.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
-	counters, err := c.o.Platform.Scan(ctx, group.PrefixCounter)
+	counters, err := c.scan(ctx, group.PrefixCounter)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -458,7 +506,7 @@
 		return next, nil, nil
 	}
 	// The groups are read after the counters, so a change in between shows again at the next read.
-	rows, err := c.o.Platform.Scan(ctx, group.PrefixGroup)
+	rows, err := c.scan(ctx, group.PrefixGroup)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -469,6 +517,30 @@
 	return next, t.Groups, nil
 }
 
+// scan and commit are one call of the table service each. The time limit is for a call and not for several, so that a
+// service that answers slowly is slow and not unavailable.
+func (c *Control) scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	return c.o.Platform.Scan(ctx, prefix)
+}
+
+func (c *Control) commit(ctx context.Context, x platform.Txn) error {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	_, err := c.o.Platform.Commit(ctx, x)
+	return err
+}
+
+// recheck forgets which instances seemed lost.
+func (c *Control) recheck() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changed(c.members.Recheck())
+	c.evaluate(time.Now())
+	kick(c.kickProbe)
+}
+
 // pause waits for d, a kick or the end of ctx, whose error it returns.
 func (c *Control) pause(ctx context.Context, d time.Duration, kicked <-chan struct{}) error {
 	wait := make(chan struct{})
@@ -498,25 +570,26 @@
 // probe asks engines for their states. A round starts every period, or at once when there is more to ask; an instance
 // that is still being asked is left out of it.
 func (c *Control) probe(ctx context.Context) error {
-	tick, stop := timer.Every(member.ProbePeriod, 0.1)
+	tick, stop := timer.Every(loadingPeriod, 0.1)
 	defer stop()
 	g, gctx := errgroup.WithContext(ctx)
 	g.SetLimit(probes)
 	var mu sync.Mutex
 	busy := map[string]bool{}
-	last := map[string]time.Time{}
-	ask := func(key string, f func(context.Context)) {
+	last, counted := map[string]time.Time{}, map[string]time.Time{}
+	ask := func(key string, period time.Duration, f func(ctx context.Context, counts bool)) {
 		mu.Lock()
 		defer mu.Unlock()
-		// A kick must not make probes of the same instance follow each other faster: three failures in a row are to
-		// span the time in which a loss is found.
-		if busy[key] || time.Since(last[key]) < member.ProbePeriod*4/5 {
+		if busy[key] || time.Since(last[key]) < period*4/5 {
 			return
 		}
+		// Neither a kick nor the shorter period while loading may make the failures that count follow each other faster:
+		// three in a row are to span the time in which a loss is found.
+		counts := time.Since(counted[key]) >= member.ProbePeriod*4/5
 		started := g.TryGo(func() error {
 			pctx, cancel := context.WithTimeout(gctx, member.ProbeTimeout)
 			defer cancel()
-			f(pctx)
+			f(pctx, counts)
 			mu.Lock()
 			defer mu.Unlock()
 			delete(busy, key)
@@ -524,22 +597,30 @@
 		})
 		if started {
 			busy[key], last[key] = true, time.Now()
+			if counts {
+				counted[key] = time.Now()
+			}
 		}
 	}
 	for {
-		states, loads := c.targets(time.Now())
+		states, loads, loading := c.targets(time.Now())
 		mu.Lock()
 		for key, at := range last {
 			if time.Since(at) > time.Minute {
 				delete(last, key)
+				delete(counted, key)
 			}
 		}
 		mu.Unlock()
 		for _, m := range states {
-			ask(m.ID, func(ctx context.Context) { c.askState(ctx, m) })
+			period := member.ProbePeriod
+			if loading[m.ID] {
+				period = loadingPeriod
+			}
+			ask(m.ID, period, func(ctx context.Context, counts bool) { c.askState(ctx, m, counts) })
 		}
 		for _, r := range loads {
-			ask("load "+r.ID, func(ctx context.Context) { c.askLoad(ctx, r) })
+			ask("load "+r.ID, member.ProbePeriod, func(ctx context.Context, _ bool) { c.askLoad(ctx, r) })
 		}
 		c.mu.Lock()
 		c.evaluate(time.Now())
@@ -554,10 +635,11 @@
 	}
 }
 
-// targets returns the instances to ask for their states and the groups to ask for their load.
-func (c *Control) targets(now time.Time) (states []group.Member, loads []group.Row) {
+// targets returns the instances to ask for their states, the groups to ask for their load, and which instances load.
+func (c *Control) targets(now time.Time) (states []group.Member, loads []group.Row, loading map[string]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	loading = map[string]bool{}
 	seen := map[string]bool{}
 	add := func(list []group.Member) {
 		for _, m := range list {
@@ -568,6 +650,11 @@
 		}
 	}
 	for _, t := range c.rows {
+		if t.row.Phase == group.Loading {
+			for _, m := range t.row.Members {
+				loading[m.ID] = true
+			}
+		}
 		if t.home && (t.row.Phase == group.Serving || t.row.Phase == group.Loading) {
 			add(t.row.Members)
 		}
@@ -580,10 +667,12 @@
 	for _, list := range c.interest {
 		add(list)
 	}
-	return states, loads
+	add(slices.Collect(maps.Values(c.doubts)))
+	return states, loads, loading
 }
 
-func (c *Control) askState(ctx context.Context, m group.Member) {
+// askState asks a member for its state. counts is whether a failure counts as a failed probe.
+func (c *Control) askState(ctx context.Context, m group.Member, counts bool) {
 	asked := time.Now()
 	s, err := c.o.Engine.State(ctx, m.Addr)
 	now := time.Now()
@@ -592,7 +681,17 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.changed(c.members.Probe(m.ID, err == nil))
+	_, doubted := c.doubts[m.ID]
+	delete(c.doubts, m.ID)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		c.changed(c.members.Refuse(m.ID))
+	case err != nil && doubted:
+		c.changed(c.members.Report(m.ID))
+	case err != nil && !counts:
+	default:
+		c.changed(c.members.Probe(m.ID, err == nil))
+	}
 	if err == nil {
 		c.states[m.ID] = group.Observed{State: s, At: asked}
 		for _, t := range c.rows {
@@ -604,6 +703,9 @@
 				if t.wrong == m.ID {
 					t.wrong = ""
 				}
+				if t.doubt == m.ID {
+					t.doubt = ""
+				}
 			case t.row.Phase == group.Serving:
 				t.wrong = m.ID
 			}
@@ -635,7 +737,7 @@
 	case err != nil:
 		// The proof ages, and the group is not present when it is awayMax old.
 	case l.Group == r.ID && l.Generation == r.Generation && l.Present:
-		t.away, t.wrong = asked, ""
+		t.away, t.wrong, t.doubt = asked, "", ""
 	default:
 		t.wrong = r.Members[0].ID
 	}
@@ -643,12 +745,15 @@
 }
 
 // reportLosses tells the lease holders, through the table service, of the groups whose home this daemon is and that
-// lost a member. It goes on until the group has another generation.
+// lost a member. It goes on until the group has another generation. A daemon that has just become the home, or that
+// could not reach the table service, may have lost its own network meanwhile: it first probes for long enough to see
+// the members again.
 func (c *Control) reportLosses(ctx context.Context, g *errgroup.Group) {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, t := range c.rows {
-		if !t.home || t.present || t.row.Phase != group.Serving || c.reported[id] == t.row.Generation {
+		if !t.home || t.present || t.row.Phase != group.Serving || c.reported[id] == t.row.Generation || now.Before(t.sure) {
 			continue
 		}
 		rep := group.Report{Generation: t.row.Generation, Instance: t.wrong}
@@ -661,6 +766,11 @@
 			continue
 		}
 		c.reported[id] = rep.Generation
+		if rep.Missing && c.o.Lost != nil && t.told != rep.Instance {
+			t.told = rep.Instance
+			cfg, _ := c.o.Config()
+			c.o.Lost(c.view(now, t, cfg), rep.Instance)
+		}
 		started := g.TryGo(func() error {
 			if err := c.report(ctx, id, rep); err != nil && ctx.Err() == nil {
 				c.o.Log.Warn("loss could not be reported", "group", id, "instance", rep.Instance, "error", err)
@@ -669,6 +779,7 @@
 				if c.reported[id] == rep.Generation {
 					delete(c.reported, id)
 				}
+				t.sure = time.Now().Add(proofMax)
 			}
 			return nil
 		})
@@ -683,9 +794,6 @@
 	if err != nil {
 		return fmt.Errorf("encode report on %s: %w", id, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
 	// The write has no conditions and can be repeated, so a lost answer is answered by another report.
-	_, err = c.o.Platform.Commit(ctx, x)
-	return err
+	return c.commit(ctx, x)
 }
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -44,6 +44,8 @@
 	load, lag time.Duration
 	// period is the time between two requests of a daemon to a group.
 	period time.Duration
+	// apart is whether each daemon takes itself for the only one.
+	apart bool
 }
 
 // fleet is the control and configuration parts of several daemons, with their real clients and timers, over stand-ins
@@ -119,7 +121,7 @@
 			Table: p, Peers: d, Others: d.others, Hello: func() peer.Hello { return peer.Hello{Boot: 1} }, Apply: func(note.Config) {},
 			Log: hclog.NewNullLogger(), Line: d.line, Random: rand.New(rand.NewPCG(uint64(k), 1)),
 		})
-		d.Control = New(Options{Name: d.name, Boot: "1", Platform: p, Engine: e, Daemons: f, Config: d.config.Config, Log: hclog.NewNullLogger(), Timeline: d.line})
+		d.Control = New(Options{Name: d.name, Boot: "1", Platform: p, Engine: e, Daemons: d, Config: d.config.Config, Log: hclog.NewNullLogger(), Timeline: d.line, Lost: d.lost})
 		d.run = func(ctx context.Context) error {
 			defer closePlatform()
 			defer closeEngine()
@@ -182,21 +184,24 @@
 	for _, stop := range slices.Backward(f.stops) {
 		stop()
 	}
+	f.net.Close()
 	if err := f.servers.Wait(); err != nil {
 		f.t.Error(err)
 	}
 }
 
-// Daemons returns the daemons that are not cut off, as the registry of each daemon knows them soon.
-func (f *fleet) Daemons() []string {
+// Daemons returns the daemons that this one takes to be alive: those that it reaches.
+func (d *daemon) Daemons() []string {
+	f := d.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []string
-	for _, d := range f.daemons {
-		if !f.cut[d.name] {
-			out = append(out, d.name)
+	out := []string{d.name}
+	for _, o := range f.daemons {
+		if o != d && !f.spec.apart && !f.cut[d.name] && !f.cut[o.name] {
+			out = append(out, o.name)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
 
@@ -238,6 +243,18 @@
 	return nil, context.DeadlineExceeded
 }
 
+// lost tells the daemons that may hold the lease, as package daemon does.
+func (d *daemon) lost(v View, instance string) {
+	for _, o := range d.f.daemons {
+		if o != d && slices.Contains(LeaseOrder(v.Service, d.Daemons()), o.name) && d.reach(o.peer) != nil {
+			d.wait.Go(func() error {
+				o.Report(v.Group, v.Generation, instance)
+				return nil
+			})
+		}
+	}
+}
+
 // watchList reads the platform's list as package daemon does.
 func (d *daemon) watchList(ctx context.Context, p *platform.Client) error {
 	tick, stop := timer.Every(500*time.Millisecond, 0.2)
@@ -421,6 +438,10 @@
 func (f *fleet) until(limit time.Duration, what string, ok func() bool) time.Duration {
 	f.t.Helper()
 	start := time.Now()
+	step := 10 * time.Millisecond
+	if limit <= 2*time.Second {
+		step = time.Millisecond // A detection is timed.
+	}
 	for !ok() {
 		if time.Since(start) > limit {
 			for _, d := range f.daemons {
@@ -428,7 +449,7 @@
 			}
 			f.t.Fatalf("not within %v: %s", limit, what)
 		}
-		f.sleep(time.Millisecond)
+		f.sleep(step)
 	}
 	return time.Since(start)
 }
@@ -436,7 +457,7 @@
 // throughout checks a condition for a time.
 func (f *fleet) throughout(d time.Duration, what string, ok func() bool) {
 	f.t.Helper()
-	for start := time.Now(); time.Since(start) < d; f.sleep(10 * time.Millisecond) {
+	for start := time.Now(); time.Since(start) < d; f.sleep(max(10*time.Millisecond, d/1000)) {
 		if !ok() {
 			f.t.Fatalf("after %v no longer: %s", time.Since(start), what)
 		}
@@ -475,6 +496,12 @@
 	return least
 }
 
+// form waits until all copies are present.
+func (f *fleet) form() time.Duration {
+	f.t.Helper()
+	return f.until(time.Minute+f.spec.load, "all copies present everywhere", func() bool { return f.present() == f.spec.copies })
+}
+
 // used is whether any live daemon counts a generation of a group as present.
 func (f *fleet) used(g View) bool {
 	return slices.ContainsFunc(f.live(), func(d *daemon) bool {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -167,7 +167,7 @@
 
 // plan runs the planner while the lease is held.
 func (s *service) plan(ctx context.Context) error {
-	p := &planning{service: s, planner: group.Planner{Service: s.name, Loads: s.c.o.Loads}}
+	p := &planning{service: s, seen: map[string]uint64{}, planner: group.Planner{Service: s.name, Loads: s.c.o.Loads}}
 	fails := 0
 	for {
 		wait := planTick
@@ -204,7 +204,10 @@
 	token   uint64
 	table   group.Table
 	read    time.Time
+	// reports holds those on members in another state, and seen the versions of those on missing members, which are
+	// checked by a probe once each.
 	reports map[string]group.Report
+	seen    map[string]uint64
 	// lost is when the reports were read.
 	lost time.Time
 }
@@ -215,6 +218,12 @@
 		if err := p.scan(ctx); err != nil {
 			return err
 		}
+		if held.Token != p.token {
+			// What is lost now is in the homes' reports, which are read next.
+			p.c.recheck()
+			p.lost = time.Time{}
+			clear(p.seen)
+		}
 		p.token, p.read = held.Token, now
 	}
 	if now.Sub(p.lost) >= 2*planTick*9/10 {
@@ -244,11 +253,9 @@
 }
 
 func (p *planning) scan(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
 	var all [][]platform.Row
 	for _, prefix := range []string{group.PrefixGroup, group.PrefixInstance, group.PrefixCounter} {
-		rows, err := p.c.o.Platform.Scan(ctx, prefix)
+		rows, err := p.c.scan(ctx, prefix)
 		if err != nil {
 			return err
 		}
@@ -264,9 +271,7 @@
 
 // readReports reads what homes have reported, and deletes reports on groups that are gone.
 func (p *planning) readReports(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
-	rows, err := p.c.o.Platform.Scan(ctx, prefixLost+p.name+"/")
+	rows, err := p.c.scan(ctx, prefixLost+p.name+"/")
 	if err != nil {
 		return err
 	}
@@ -280,7 +285,7 @@
 				return err
 			}
 			x.Checks = []platform.Check{{Key: r.Key, Version: r.Version}}
-			if _, err := p.c.o.Platform.Commit(ctx, x); err != nil {
+			if err := p.c.commit(ctx, x); err != nil {
 				p.c.o.Log.Debug("report could not be deleted", "group", id, "error", err)
 			}
 			continue
@@ -289,8 +294,10 @@
 		if json.Unmarshal(r.Value, &rep) != nil || rep.Generation != g.Generation {
 			continue
 		}
-		p.reports[id] = rep
-		if rep.Missing {
+		if !rep.Missing {
+			p.reports[id] = rep
+		} else if p.seen[id] != r.Version {
+			p.seen[id] = r.Version
 			p.c.Report(id, rep.Generation, rep.Instance)
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,10 +129,11 @@
 	d.control = control.New(control.Options{
 		Name: s.Name, Boot: uuid.NewString(), Platform: p, Engine: e, Daemons: d, Config: d.config.Config,
 		Log: log.Named("control"), Timeline: d.line, Uses: d.views.uses, Changed: func(control.Change) { d.changed() },
+		Lost: d.lost,
 	})
 	d.loan = loan.New(loan.Deps{
 		Self: s.Name, Homed: d.homed, Config: d.config.Config, Addr: d.peerAddr, Send: node.Send, Borrowers: d.dispatch,
-		Misdirected: d.misdirected, Line: d.line,
+		Missing: d.control.Missing, Misdirected: d.misdirected, Line: d.line,
 	})
 	d.claims = claim.NewKeeper(p, uuid.NewString)
 	d.callers = caller.New(caller.Options{Config: d.config, Slots: caller.Slots{From: d.dispatch}, Addresses: d, Engine: e, Claims: d.claims, Log: d.line, Self: s.Caller})
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"flamingorudder.example/internal/control"
 	"flamingorudder.example/internal/member"
 	"flamingorudder.example/internal/peer"
 	"flamingorudder.example/internal/platform"
@@ -214,8 +215,21 @@
 	}
 }
 
+// lost tells the daemons that may hold the lease of a service that a group lost a member, so that they need not wait for
+// the next read of the home's report. The borrowers are told by the lender.
+func (d *Daemon) lost(v control.View, instance string) {
+	for _, name := range control.LeaseOrder(v.Service, d.Daemons()) {
+		if addr, ok := d.peerAddr(name); ok && name != d.set.Name {
+			d.node.Send(addr, &peer.Gone{Group: v.Group, Generation: v.Generation, Instance: instance})
+		}
+	}
+}
+
 // Receive takes in a message of another daemon.
 func (d *Daemon) Receive(from peer.From, m peer.Message) {
+	if gone, ok := m.(*peer.Gone); ok && gone.Instance != "" {
+		d.control.Report(gone.Group, gone.Generation, gone.Instance)
+	}
 	if d.loan.Receive(from, m) {
 		d.registry.Heard(from.Name, 0)
 		return
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -50,6 +50,9 @@
 	DrainLimit = 10 * time.Minute
 	// LeaveLimit bounds how long a group with a leaving member drains, since it is out of service meanwhile.
 	LeaveLimit = 30 * time.Second
+	// Spread is how long all groups serve before the next one is taken out of service for a change of version: the time
+	// in which every daemon has read that a group serves (1.2 s with 370 daemons) and has asked its member 0 (1 s).
+	Spread = 3 * time.Second
 	// DefaultLoads is how many groups of a service load at once when the caller sets no bound.
 	DefaultLoads = 4
 )
@@ -128,6 +131,8 @@
 	since  time.Time
 	orders map[string]sent
 	drains map[string]time.Time
+	// whole is since when all groups serve while some have an old version.
+	whole time.Time
 }
 
 type sent struct {
@@ -154,7 +159,7 @@
 func (p *Planner) Step(now time.Time, in Input) []Decision {
 	if p.orders == nil || in.Token != p.token {
 		p.token, p.since = in.Token, now
-		p.orders, p.drains = map[string]sent{}, map[string]time.Time{}
+		p.orders, p.drains, p.whole = map[string]sent{}, map[string]time.Time{}, time.Time{}
 	}
 	s := &plan{Planner: p, Input: in, now: now}
 	for _, r := range in.Table.Groups {
@@ -353,7 +358,7 @@
 	return n
 }
 
-// roll changes the model version group by group: the next one starts when all others serve.
+// roll changes the model version group by group: the next one starts when all others have served for Spread.
 func (s *plan) roll() {
 	if s.done || !s.Wanted {
 		return
@@ -373,7 +378,12 @@
 			whole = false
 		}
 	}
-	if old != nil && whole {
+	switch {
+	case old == nil || !whole:
+		s.whole = time.Time{}
+	case s.whole.IsZero():
+		s.whole = s.now
+	case s.now.Sub(s.whole) >= Spread:
 		s.move(Drain, *old, Draining, CauseVersion)
 	}
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -198,6 +198,10 @@
 	}
 	switch m := m.(type) {
 	case Tick:
+		if m.Rank < Near && l.rank >= Near && now.Before(l.pollAt) {
+			// The daemons that came first do not answer any more.
+			l.pollAt = now
+		}
 		l.rank, l.jitter = m.Rank, m.Jitter
 		if a := l.tick(now, m.Op); a != nil {
 			out = append(out, a)
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -441,3 +441,46 @@
 		t.Errorf("token row: %+v, %v", r, err)
 	}
 }
+
+// Guards against a far daemon that waits for its long period although the near ones are known to be silent, as it is
+// told by its rank.
+func TestFarTakeover(t *testing.T) {
+	for wait := range 30 {
+		w := held(t)
+		rank, n := Near+2, 0
+		tick := func() {
+			n++
+			d := &w.ds[1]
+			for m := Message(Tick{Op: strconv.Itoa(n), Rank: rank, Jitter: 0.5}); m != nil; {
+				w.step(1, m, nil)
+				m = nil
+				switch a := d.ask.(type) {
+				case Read:
+					m = Row{Row: w.store.rows[a.Key]}
+				case Commit:
+					m = w.store.commit(a.Txn)
+				}
+			}
+		}
+		for range 10 * (wait + 1) {
+			w.now = w.now.Add(100 * time.Millisecond)
+			w.run(0)
+			tick()
+		}
+		stopped := w.now
+		for {
+			w.now = w.now.Add(100 * time.Millisecond)
+			if w.now.Sub(stopped) >= 2*time.Second {
+				rank = 0
+			}
+			tick()
+			took := w.now.Sub(stopped)
+			if _, ok := w.ds[1].Holding(w.now); ok {
+				break
+			}
+			if took > 2*time.Second+TTL+Margin+500*time.Millisecond {
+				t.Fatalf("%d s after the last read: not taken %v after the near daemons stopped", wait, took)
+			}
+		}
+	}
+}
--- a/internal/loan/loan.go
+++ b/internal/loan/loan.go
@@ -46,6 +46,8 @@
 	Send func(to netip.AddrPort, m peer.Message)
 	// Borrowers receives the answers for this daemon.
 	Borrowers Borrowers
+	// Missing returns the member that was found missing from a generation, or nothing.
+	Missing func(group string, generation uint64) string
 	// Misdirected is told of groups that another daemon asks for though their home is not here. It must not block.
 	Misdirected func(group string)
 	Line        *timeline.Log
@@ -183,7 +185,10 @@
 		var grants peer.Grant
 		for _, a := range list {
 			if a.Grant == nil {
-				l.d.Send(addr, &peer.Gone{Group: a.Withdrawn.Group, Generation: a.Withdrawn.Generation})
+				l.d.Send(addr, &peer.Gone{
+					Group: a.Withdrawn.Group, Generation: a.Withdrawn.Generation,
+					Instance: l.d.Missing(a.Withdrawn.Group, a.Withdrawn.Generation),
+				})
 				continue
 			}
 			grants.Groups = append(grants.Groups, lent(*a.Grant))
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -134,6 +134,15 @@
 	return v.settle(nil, id, "does not answer probes")
 }
 
+// Refuse takes in that a probe was refused: nothing listens at the instance's address, so its process is gone at once
+// and not only silent.
+func (v *View) Refuse(id string) []Change {
+	if e := v.all[id]; e != nil {
+		e.bad = Losses - 1
+	}
+	return v.Probe(id, false)
+}
+
 // Report takes in that another daemon found the instance missing. It counts again after probes of this daemon.
 func (v *View) Report(id string) []Change {
 	e := v.all[id]
@@ -144,6 +153,17 @@
 	return v.settle(nil, id, "reported missing")
 }
 
+// Recheck forgets what probes and reports have shown. A daemon probes an instance only while it has to do with it, so
+// what it learnt then, perhaps while its own network was down, must not count when it has to do with it again.
+func (v *View) Recheck() []Change {
+	var out []Change
+	for id, e := range v.all {
+		e.lost, e.bad, e.good = false, 0, 0
+		out = v.settle(out, id, "is checked again")
+	}
+	return out
+}
+
 // State returns the state of an instance; one that was never listed is Gone.
 func (v *View) State(id string) State {
 	if e := v.all[id]; e != nil {
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -16,6 +16,20 @@
 	mu   sync.Mutex
 	open map[netip.AddrPort]*listener
 	last uint16
+	// conns holds the connections opened, so that Close ends those that both sides forgot.
+	conns  []net.Conn
+	closed bool
+}
+
+// Close closes all connections and refuses new ones. In a synctest bubble a connection that a client was still opening
+// when it was closed would otherwise keep goroutines.
+func (n *Network) Close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closed = true
+	for _, c := range n.conns {
+		_ = c.Close()
+	}
 }
 
 // Addr returns an address that was not returned before.
@@ -57,6 +71,13 @@
 	near, far := net.Pipe()
 	select {
 	case l.conns <- far:
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.closed {
+			_ = near.Close()
+			return nil, refused
+		}
+		n.conns = append(n.conns, near)
 		return near, nil
 	case <-l.done:
 		return nil, refused
