--- a/internal/loan/loan_test.go
+++ b/internal/loan/loan_test.go
@@ -69,7 +69,7 @@
 			Send: func(to netip.AddrPort, m peer.Message) {
 				timer.After(oneWay, func() { f.deliver(peer.From{Name: name, Addr: addrOf(f.names, name)}, f.names[to.Port()-1], m) })
 			},
-			Borrowers: d.dispatch, Misdirected: func(string) {}, Line: timeline.NewLog(name, 1024),
+			Borrowers: d.dispatch, Misdirected: func(string) {}, Missing: func(string, uint64) string { return "" }, Line: timeline.NewLog(name, 1024),
 		})
 		_ = i
 	}
--- a/internal/platform/sure_test.go
+++ b/internal/platform/sure_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"flamingorudder.example/internal/platform"
@@ -16,19 +17,20 @@
 // flaky breaks connections before or after the platform has handled a transaction.
 type flaky struct {
 	p *standin.Platform
-	// before and after are how many transactions lose their request or their answer.
-	before, after int
+	// before and after are how many transactions lose their request or their answer. Connections run on goroutines of
+	// their own.
+	before, after atomic.Int32
 	// between runs after a lost answer, in place of other writers.
 	between func()
 }
 
 func (f *flaky) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if strings.HasSuffix(r.URL.Path, "/txn") && f.before > 0 {
-		f.before--
+	if strings.HasSuffix(r.URL.Path, "/txn") && f.before.Load() > 0 {
+		f.before.Add(-1)
 		panic(http.ErrAbortHandler)
 	}
-	if strings.HasSuffix(r.URL.Path, "/txn") && f.after > 0 {
-		f.after--
+	if strings.HasSuffix(r.URL.Path, "/txn") && f.after.Load() > 0 {
+		f.after.Add(-1)
 		f.p.ServeHTTP(httptest.NewRecorder(), r)
 		if f.between != nil {
 			f.between()
@@ -43,7 +45,7 @@
 	now := func(context.Context, int) error { return nil }
 	for _, x := range []struct {
 		name          string
-		before, after int
+		before, after int32
 		between, want bool
 	}{
 		{name: "no fault", want: true},
@@ -63,7 +65,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.before, f.after = x.before, x.after
+		f.before.Store(x.before)
+		f.after.Store(x.after)
 		if x.between {
 			f.between = func() { _, _ = c.Commit(context.Background(), direct) }
 		}
