Use one in-memory table in the tests of three packages

Cause: config, claim and flamingoctl each had a fake table service of their own, and the stand-in platform a fourth copy of its transactions. Change: standin.Table serves all four, with faults set as one value.

--- a/cmd/flamingoctl/session_test.go
+++ b/cmd/flamingoctl/session_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,9 +13,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 
@@ -28,68 +25,11 @@
 	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/operator"
 	"flamingorudder.example/internal/peer"
-	"flamingorudder.example/internal/platform"
 	"flamingorudder.example/internal/registry"
+	"flamingorudder.example/internal/standin"
 	"flamingorudder.example/internal/timeline"
 )
 
-// store is a table service in memory that all daemons of a session share.
-type store struct {
-	mu   sync.Mutex
-	rows map[string]platform.Row
-	seq  uint64
-	// down makes every call fail; lose makes so many commits take effect and lose their answer, after which reads fail.
-	down bool
-	lose int
-}
-
-func (t *store) Read(_ context.Context, key string) (platform.Row, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.down {
-		return platform.Row{}, &platform.Unavailable{Err: errors.New("connection refused")}
-	}
-	return t.rows[key], nil
-}
-
-func (t *store) Scan(_ context.Context, prefix string) ([]platform.Row, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.down {
-		return nil, &platform.Unavailable{Err: errors.New("connection refused")}
-	}
-	var out []platform.Row
-	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
-		if strings.HasPrefix(key, prefix) {
-			out = append(out, t.rows[key])
-		}
-	}
-	return out, nil
-}
-
-func (t *store) Commit(_ context.Context, x platform.Txn) (uint64, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.down {
-		return 0, &platform.Unavailable{Err: errors.New("connection refused")}
-	}
-	for _, c := range x.Checks {
-		if v := t.rows[c.Key].Version; v != c.Version {
-			return 0, &platform.Conflict{Key: c.Key, Version: v}
-		}
-	}
-	t.seq++
-	for _, w := range x.Writes {
-		t.rows[w.Key] = platform.Row{Key: w.Key, Version: t.seq, Op: x.Op, Value: w.Value}
-	}
-	if t.lose > 0 {
-		t.lose--
-		t.down = true
-		return 0, &platform.Unknown{Op: x.Op, Err: errors.New("connection reset")}
-	}
-	return t.seq, nil
-}
-
 type nobody struct{}
 
 func (nobody) Send(netip.AddrPort, peer.Message) {}
@@ -127,7 +67,7 @@
 type session struct {
 	t       *testing.T
 	dir     string
-	table   *store
+	table   *standin.Table
 	members map[string]*member
 	ops     int
 	log     bytes.Buffer
@@ -136,7 +76,7 @@
 func addr(i int) netip.AddrPort { return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:9443", i)) }
 
 func newSession(t *testing.T, daemons int) *session {
-	s := &session{t: t, dir: t.TempDir(), table: &store{rows: map[string]platform.Row{}}, members: map[string]*member{}}
+	s := &session{t: t, dir: t.TempDir(), table: &standin.Table{}, members: map[string]*member{}}
 	var all []registry.Status
 	for i := range daemons {
 		all = append(all, registry.Status{Entry: registry.Entry{Name: fmt.Sprintf("craigmhor-%d", i+1), DataCentre: []string{"stirling", "perth", "lanark"}[i%3], Operator: addr(i + 1)}})
@@ -352,14 +292,14 @@
 		s.want(exitFailed, "apply more.ini")
 		one.dead, two.dead = false, false
 		s.note("the platform does not answer: certainly not accepted")
-		s.table.down = true
+		s.table.Set(standin.TableFaults{Down: true})
 		s.want(exitFailed, "apply more.ini")
-		s.table.down = false
+		s.table.Set(standin.TableFaults{})
 		s.note("the platform loses the answer of the transaction and stays down")
-		s.table.lose = 1
+		s.table.Set(standin.TableFaults{LoseAfter: 1, DownAfterLoss: true})
 		s.want(exitUnknown, "apply --limit 4s more.ini")
 		s.note("the platform is back")
-		s.table.down = false
+		s.table.Set(standin.TableFaults{})
 		s.want(0, "apply --operation op-4 more.ini")
 		s.want(0, "history")
 		s.golden("lost")
@@ -394,10 +334,10 @@
 		s.want(exitInput, "drain craigmhor-6")
 		s.want(exitInput, "drain craigmhor-9")
 		s.note("the platform is down")
-		s.table.down = true
+		s.table.Set(standin.TableFaults{Down: true})
 		s.want(0, "status")
 		s.note("daemon 2 is down and its operator address is not known: it counts once, under its name")
-		s.table.down = false
+		s.table.Set(standin.TableFaults{})
 		s.members["10.0.0.2:9443"].dead = true
 		for i := range all {
 			all[i].Operator = netip.AddrPort{}
--- a/internal/claim/keeper_test.go
+++ b/internal/claim/keeper_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,69 +12,14 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"flamingorudder.example/internal/platform"
+	"flamingorudder.example/internal/standin"
 	"flamingorudder.example/internal/timer"
 )
 
-// table is an in-memory table service whose answers can be lost and which can be down.
-type table struct {
-	mu      sync.Mutex
-	rows    map[string]platform.Row
-	version uint64
-	commits int
-	down    bool
-	// lose is the number of answers to lose after the write took effect, drop before it.
-	lose, drop int
-}
-
-func (s *table) Commit(_ context.Context, t platform.Txn) (uint64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.commits++
-	switch {
-	case s.down:
-		return 0, &platform.Unavailable{Err: errors.New("down")}
-	case s.drop > 0:
-		s.drop--
-		return 0, &platform.Unknown{Op: t.Op, Err: errors.New("lost")}
-	}
-	for _, c := range t.Checks {
-		if have := s.rows[c.Key].Version; have != c.Version {
-			return 0, &platform.Conflict{Key: c.Key, Version: have}
-		}
-	}
-	s.version++
-	for _, w := range t.Writes {
-		s.rows[w.Key] = platform.Row{Key: w.Key, Version: s.version, Op: t.Op, Value: w.Value}
-	}
-	if s.lose > 0 {
-		s.lose--
-		return 0, &platform.Unknown{Op: t.Op, Err: errors.New("lost")}
-	}
-	return s.version, nil
-}
-
-func (s *table) Read(_ context.Context, key string) (platform.Row, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		return platform.Row{}, &platform.Unavailable{Err: errors.New("down")}
-	}
-	r := s.rows[key]
-	r.Key = key
-	return r, nil
-}
-
-func (s *table) set(f func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f()
-}
-
 // run runs f in a bubble with a keeper on a table.
-func run(t *testing.T, f func(t *testing.T, k *Keeper, s *table)) {
+func run(t *testing.T, f func(t *testing.T, k *Keeper, s *standin.Table)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &table{rows: map[string]platform.Row{}}
+		s := &standin.Table{}
 		n := 0
 		k := NewKeeper(s, func() string { n++; return fmt.Sprint("op", n) })
 		ctx, stop := context.WithCancel(t.Context())
@@ -112,7 +56,7 @@
 
 // Guards against a second run of a claimed call through each state of its row, and against a lost recorded answer.
 func TestClaimLife(t *testing.T) {
-	run(t, func(t *testing.T, k *Keeper, _ *table) {
+	run(t, func(t *testing.T, k *Keeper, _ *standin.Table) {
 		c := want(t, k, entry("a", "h"), Mine)
 		want(t, k, entry("b", "h"), InProgress)
 		want(t, k, entry("c", "other"), Mismatch)
@@ -131,7 +75,7 @@
 
 // Guards against a body without bound in the table.
 func TestLargeAnswer(t *testing.T) {
-	run(t, func(t *testing.T, k *Keeper, _ *table) {
+	run(t, func(t *testing.T, k *Keeper, _ *standin.Table) {
 		k.Record(want(t, k, entry("a", "h"), Mine), Answer{Status: 200, Body: make([]byte, MaxBody+1)})
 		synctest.Wait()
 		if a := want(t, k, entry("b", "h"), Replay).Entry.Answer; !a.Partial || a.Body != nil {
@@ -143,14 +87,14 @@
 // Guards against a claim that is refused or taken twice because an answer of the table was lost, before or after the
 // write took effect.
 func TestLostAnswers(t *testing.T) {
-	run(t, func(t *testing.T, k *Keeper, s *table) {
-		s.set(func() { s.lose = 1 })
+	run(t, func(t *testing.T, k *Keeper, s *standin.Table) {
+		s.Set(standin.TableFaults{LoseAfter: 1})
 		c := want(t, k, entry("a", "h"), Mine)
-		s.set(func() { s.lose = 1 })
+		s.Set(standin.TableFaults{LoseAfter: 1})
 		k.Record(c, Answer{Status: 200})
 		synctest.Wait()
 		want(t, k, entry("b", "h"), Replay)
-		s.set(func() { s.drop = 1 })
+		s.Set(standin.TableFaults{LoseBefore: 1})
 		if c, err := k.Take(t.Context(), "claim/org/other", entry("c", "h")); err != nil || c.Verdict != Mine {
 			t.Errorf("after a lost request: %v, %v", c.Verdict, err)
 		}
@@ -159,9 +103,9 @@
 
 // Guards against one conflict that loses the other claims of its transaction, and against one transaction per claim.
 func TestBatch(t *testing.T) {
-	run(t, func(t *testing.T, k *Keeper, s *table) {
+	run(t, func(t *testing.T, k *Keeper, s *standin.Table) {
 		want(t, k, entry("a", "h"), Mine)
-		s.set(func() { s.commits = 0 })
+		before := s.Commits()
 		var g errgroup.Group
 		got := make([]Verdict, 40)
 		for i := range got {
@@ -183,8 +127,8 @@
 				t.Errorf("claim %d: %v", i, v)
 			}
 		}
-		if s.commits > 10 {
-			t.Errorf("%d transactions for 40 claims", s.commits)
+		if n := s.Commits() - before; n > 10 {
+			t.Errorf("%d transactions for 40 claims", n)
 		}
 	})
 }
@@ -192,16 +136,16 @@
 // Guards against a call that is sent, or a caller that waits, while the table is down, and against an outcome that is
 // forgotten because the table was down when it came.
 func TestTableDown(t *testing.T) {
-	run(t, func(t *testing.T, k *Keeper, s *table) {
+	run(t, func(t *testing.T, k *Keeper, s *standin.Table) {
 		c := want(t, k, entry("a", "h"), Mine)
-		s.set(func() { s.down = true })
+		s.Set(standin.TableFaults{Down: true})
 		var u *Unavailable
 		if _, err := k.Take(t.Context(), "claim/org/new", entry("b", "h")); !errors.As(err, &u) {
 			t.Errorf("claim while the table is down: %v", err)
 		}
 		k.Record(c, Answer{Status: 200})
 		wait(t, time.Minute)
-		s.set(func() { s.down = false })
+		s.Set(standin.TableFaults{})
 		wait(t, 30*time.Second)
 		want(t, k, entry("c", "h"), Replay)
 		if c, err := k.Take(t.Context(), "claim/org/new", entry("d", "h")); err != nil || c.Verdict != Mine {
@@ -213,9 +157,9 @@
 // Guards against two daemons that both hold a claim when repeats reach them at once and the table loses answers.
 func TestTwoDaemons(t *testing.T) {
 	for seed := range uint64(200) {
-		run(t, func(t *testing.T, k *Keeper, s *table) {
+		run(t, func(t *testing.T, k *Keeper, s *standin.Table) {
 			random := rand.New(rand.NewPCG(seed, 0))
-			s.lose, s.drop = random.IntN(3), random.IntN(3)
+			s.Set(standin.TableFaults{LoseAfter: random.IntN(3), LoseBefore: random.IntN(3)})
 			n := 0
 			other := NewKeeper(s, func() string { n++; return fmt.Sprint("other", n) })
 			ctx, stop := context.WithCancel(t.Context())
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,11 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -20,76 +18,11 @@
 	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/peer"
 	"flamingorudder.example/internal/platform"
+	"flamingorudder.example/internal/standin"
 	"flamingorudder.example/internal/timeline"
 	"flamingorudder.example/internal/timer"
 )
 
-// fakeTable is a table service whose answers can be lost after or before the effect.
-type fakeTable struct {
-	mu      sync.Mutex
-	version uint64
-	rows    map[string]platform.Row
-	down    bool
-	// loseAfter and loseBefore count commits whose answers are lost, with and without effect.
-	loseAfter, loseBefore int
-	// beforeCommit runs before each commit, to let a racing operator in.
-	beforeCommit func()
-}
-
-func (f *fakeTable) Read(_ context.Context, key string) (platform.Row, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.down {
-		return platform.Row{}, &platform.Unavailable{Err: context.DeadlineExceeded}
-	}
-	return f.rows[key], nil
-}
-
-func (f *fakeTable) Scan(_ context.Context, prefix string) ([]platform.Row, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.down {
-		return nil, &platform.Unavailable{Err: context.DeadlineExceeded}
-	}
-	var out []platform.Row
-	for _, k := range slices.Sorted(maps.Keys(f.rows)) {
-		if strings.HasPrefix(k, prefix) {
-			out = append(out, f.rows[k])
-		}
-	}
-	return out, nil
-}
-
-func (f *fakeTable) Commit(_ context.Context, t platform.Txn) (uint64, error) {
-	if hook := f.beforeCommit; hook != nil {
-		f.beforeCommit = nil
-		hook()
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.down {
-		return 0, &platform.Unavailable{Err: context.DeadlineExceeded}
-	}
-	if f.loseBefore > 0 {
-		f.loseBefore--
-		return 0, &platform.Unknown{Op: t.Op, Err: context.DeadlineExceeded}
-	}
-	for _, c := range t.Checks {
-		if have := f.rows[c.Key].Version; have != c.Version {
-			return 0, &platform.Conflict{Key: c.Key, Version: have}
-		}
-	}
-	f.version++
-	for _, w := range t.Writes {
-		f.rows[w.Key] = platform.Row{Key: w.Key, Version: f.version, Op: t.Op, Value: w.Value}
-	}
-	if f.loseAfter > 0 {
-		f.loseAfter--
-		return 0, &platform.Unknown{Op: t.Op, Err: context.DeadlineExceeded}
-	}
-	return f.version, nil
-}
-
 // network carries messages between keepers; a cut daemon is not reached.
 type network struct {
 	mu      sync.Mutex
@@ -124,7 +57,7 @@
 	return nil, &platform.Unavailable{Err: context.DeadlineExceeded}
 }
 
-func fleet(t *testing.T, table *fakeTable, n int) (*network, []*Keeper) {
+func fleet(t *testing.T, table *standin.Table, n int) (*network, []*Keeper) {
 	t.Helper()
 	net := &network{keepers: map[netip.AddrPort]*Keeper{}, cut: map[netip.AddrPort]bool{}}
 	var ks []*Keeper
@@ -154,8 +87,6 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 9000)
 }
 
-func newTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
-
 func noteText(base int, service string) []byte {
 	return fmt.Appendf(nil, "[note]\nbase = %d\nabout = add %s\n\n[added model-service %s]\nmodel = m\nversion = 1\ncopies = 1\ninstances = 1\n", base, service, service)
 }
@@ -184,12 +115,12 @@
 // Guards against a note that is accepted twice, or reported as failed though it was accepted, when the table loses
 // the answer of the transaction before or after its effect.
 func TestLostAnswer(t *testing.T) {
-	for name, table := range map[string]*fakeTable{"after": newTable(), "before": newTable()} {
+	for name, table := range map[string]*standin.Table{"after": {}, "before": {}} {
 		synctest.Test(t, func(t *testing.T) {
 			if name == "after" {
-				table.loseAfter = 1
+				table.Set(standin.TableFaults{LoseAfter: 1})
 			} else {
-				table.loseBefore = 2
+				table.Set(standin.TableFaults{LoseBefore: 2})
 			}
 			_, ks := fleet(t, table, 1)
 			got, err := ks[0].Accept(t.Context(), "op-1", noteText(0, "a"))
@@ -210,13 +141,13 @@
 
 // Guards against one of two racing operators overwriting the other's note; the loser must be told what changed.
 func TestRace(t *testing.T) {
-	table := newTable()
+	table := &standin.Table{}
 	_, ks := fleet(t, table, 2)
-	table.beforeCommit = func() {
+	table.BeforeCommit(func() {
 		if _, err := ks[1].Accept(t.Context(), "op-2", noteText(0, "winner")); err != nil {
 			t.Fatal(err)
 		}
-	}
+	})
 	_, err := ks[0].Accept(t.Context(), "op-1", noteText(0, "loser"))
 	var raced *Raced
 	if !errors.As(err, &raced) || raced.Current != 1 || raced.About != "add winner" || len(raced.Changes) != 1 || raced.Changes[0].Name != "winner" {
@@ -230,7 +161,7 @@
 // Guards against daemons that do not hear of a revision: the target is 2 s at 7 daemons.
 func TestInForceEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		_, ks := fleet(t, newTable(), 7)
+		_, ks := fleet(t, &standin.Table{}, 7)
 		defer run(t, ks...)()
 		if _, err := ks[0].Accept(t.Context(), "op", noteText(0, "a")); err != nil {
 			t.Fatal(err)
@@ -248,7 +179,7 @@
 // fresh daemon that cannot start without the table.
 func TestTableDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := newTable()
+		table := &standin.Table{}
 		net, ks := fleet(t, table, 4)
 		late := addrOf(3)
 		net.cut[late] = true
@@ -258,9 +189,7 @@
 			t.Fatal(err)
 		}
 		pass(t, 2*time.Second)
-		table.mu.Lock()
-		table.down = true
-		table.mu.Unlock()
+		table.Set(standin.TableFaults{Down: true})
 		defer run(t, ks[3])()
 		pass(t, time.Second)
 		if _, ok := ks[3].Config(); ok {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -6,9 +6,9 @@
 import (
 	"compress/gzip"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -24,9 +24,8 @@
 
 // Platform is an in-memory platform: table service, object store and list of instances.
 type Platform struct {
+	table   Table
 	mu      sync.Mutex
-	version uint64
-	rows    map[string]platform.Row
 	objects map[string][]byte
 	// roster is the truth; shown is what callers get, which lags by Lag.
 	roster map[string]platform.Instance
@@ -61,7 +60,7 @@
 
 // NewPlatform returns an empty platform whose list of instances lags by lag.
 func NewPlatform(lag time.Duration) *Platform {
-	p := &Platform{rows: map[string]platform.Row{}, objects: map[string][]byte{}, roster: map[string]platform.Instance{}, gone: map[string]bool{}, lag: lag, mux: http.NewServeMux()}
+	p := &Platform{objects: map[string][]byte{}, roster: map[string]platform.Instance{}, gone: map[string]bool{}, lag: lag, mux: http.NewServeMux()}
 	p.SetWeights(0, 1)
 	p.control.effect = func(r *http.Request) (bool, bool) {
 		write := r.Method != http.MethodGet
@@ -153,24 +152,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.Writes++
-	for _, c := range t.Checks {
-		if have := p.rows[c.Key].Version; have != c.Version {
-			reply(w, http.StatusConflict, platform.Conflict{Key: c.Key, Version: have})
-			return
-		}
+	version, err := p.table.Commit(r.Context(), t)
+	var conflict *platform.Conflict
+	if errors.As(err, &conflict) {
+		reply(w, http.StatusConflict, conflict)
+		return
 	}
-	p.version++
-	done := Commit{Op: t.Op, Version: p.version, At: now()}
+	done := Commit{Op: t.Op, Version: version, At: now()}
 	for _, x := range t.Writes {
 		done.Keys = append(done.Keys, x.Key)
-		if x.Delete {
-			delete(p.rows, x.Key)
-			continue
-		}
-		p.rows[x.Key] = platform.Row{Key: x.Key, Version: p.version, Op: t.Op, Value: x.Value}
 	}
 	p.commits = append(p.commits, done)
-	reply(w, http.StatusOK, map[string]uint64{"version": p.version})
+	reply(w, http.StatusOK, map[string]uint64{"version": version})
 }
 
 func (p *Platform) read(w http.ResponseWriter, r *http.Request) {
@@ -178,12 +171,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.Reads++
-	rows := []platform.Row{}
-	for _, k := range slices.Sorted(maps.Keys(p.rows)) {
-		if (key != "" && k == key) || (key == "" && strings.HasPrefix(k, prefix)) {
-			rows = append(rows, p.rows[k])
+	rows, _ := p.table.Scan(r.Context(), prefix)
+	if key != "" {
+		rows = rows[:0]
+		if row, _ := p.table.Read(r.Context(), key); row.Version > 0 {
+			rows = append(rows, row)
 		}
 	}
+	if rows == nil {
+		rows = []platform.Row{}
+	}
 	sum := xxhash.New()
 	for _, row := range rows {
 		_, _ = fmt.Fprintf(sum, "%s %d\n", row.Key, row.Version)
