registry: keep daemons sorted, and let a measured fleet settle

Cause: the names of the live daemons are asked for some 30 times a second, and were sorted each time. The capacity tool measured connections of the start: nearly all of those that it saw were in the first windows. Change: entries are kept sorted by name; flamingobench capacity waits 8 s before the windows of a phase instead of 3 s (--settle).

--- a/cmd/flamingobench/capacity.go
+++ b/cmd/flamingobench/capacity.go
@@ -43,6 +43,7 @@
 			&cli.StringFlag{Name: "out", Usage: "file that each window is appended to", Value: "run/capacity/windows.jsonl"},
 			&cli.IntFlag{Name: "windows", Usage: "measured windows for each phase", Value: 3},
 			&cli.DurationFlag{Name: "window", Usage: "length of a window", Value: 5 * time.Second},
+			&cli.DurationFlag{Name: "settle", Usage: "time before the windows of a phase, in which connections of the start end", Value: 8 * time.Second},
 			&cli.BoolFlag{Name: "drive", Usage: "send requests while the measured process is in its phase with load"},
 			&cli.FloatFlag{Name: "rate", Usage: "requests per second for each daemon", Value: 4},
 			&cli.BoolFlag{Name: "fit", Usage: "print the table and the slopes of the file named by out"},
@@ -235,7 +236,7 @@
 		if err := os.WriteFile(filepath.Join(c.String("dir"), "phase"), []byte(phase), 0o644); err != nil {
 			return fmt.Errorf("write phase: %w", err)
 		}
-		if err := timer.Wait(run, 3*time.Second); err != nil {
+		if err := timer.Wait(run, c.Duration("settle")); err != nil {
 			return err
 		}
 		for range c.Int("windows") {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -10,6 +10,7 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -46,11 +47,14 @@
 	self string
 	mu   sync.Mutex
 	all  map[string]*known
+	// sorted holds the same by name: the live ones are asked for some 30 times a second.
+	sorted []*known
 }
 
 // New returns a registry that holds the daemon itself.
 func New(self Entry) *Registry {
-	return &Registry{self: self.Name, all: map[string]*known{self.Name: {Entry: self}}}
+	k := &known{Entry: self}
+	return &Registry{self: self.Name, all: map[string]*known{self.Name: k}, sorted: []*known{k}}
 }
 
 // Learn takes in what is known of a daemon. An entry of an earlier start of the daemon is ignored.
@@ -63,7 +67,10 @@
 	k := r.all[e.Name]
 	switch {
 	case k == nil:
-		r.all[e.Name] = &known{Entry: e}
+		k = &known{Entry: e}
+		r.all[e.Name] = k
+		i, _ := slices.BinarySearchFunc(r.sorted, e.Name, func(k *known, name string) int { return strings.Compare(k.Name, name) })
+		r.sorted = slices.Insert(r.sorted, i, k)
 	case e.Boot < k.Boot:
 	default:
 		if e.Boot > k.Boot {
@@ -122,13 +129,12 @@
 func (r *Registry) Live(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var names []string
-	for name, k := range r.all {
-		if name == r.self || (!k.absent && !k.Leaving && !k.suspect.After(now)) {
-			names = append(names, name)
+	names := make([]string, 0, len(r.sorted))
+	for _, k := range r.sorted {
+		if k.Name == r.self || (!k.absent && !k.Leaving && !k.suspect.After(now)) {
+			names = append(names, k.Name)
 		}
 	}
-	slices.Sort(names)
 	return names
 }
 
@@ -156,15 +162,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Status
-	for _, k := range r.all {
+	for _, k := range r.sorted {
 		out = append(out, Status{Entry: k.Entry, Suspect: k.suspect.After(now), Absent: k.absent, Revision: k.revision})
 	}
-	slices.SortFunc(out, func(a, b Status) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
 	return out
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
@@ -75,3 +76,31 @@
 		t.Errorf("a restarted daemon keeps the old operator address %s", e.Operator)
 	}
 }
+
+// Guards against names out of order, from which daemons would derive different homes, and against daemons that are lost
+// or doubled when they are learnt in any order.
+func TestLiveIsSorted(t *testing.T) {
+	r := New(Entry{Name: "m"})
+	var want []string
+	for i := range 26 {
+		name := string(rune('a' + i))
+		want = append(want, name)
+		r.Learn(Entry{Name: string(rune('a' + i*7%26)), Boot: 1})
+	}
+	if got := r.Live(time.Unix(100, 0)); !slices.Equal(got, want) {
+		t.Errorf("live %v", got)
+	}
+	if all := r.All(time.Unix(100, 0)); len(all) != len(want) || all[0].Name != "a" || all[25].Name != "z" {
+		t.Errorf("all %v", all)
+	}
+}
+
+func BenchmarkLive(b *testing.B) {
+	r := New(Entry{Name: "craigmhor-0"})
+	for i := range 370 {
+		r.Learn(Entry{Name: fmt.Sprintf("craigmhor-%d", i*7919%370), Boot: 1})
+	}
+	for b.Loop() {
+		r.Live(time.Unix(100, 0))
+	}
+}
