--- a/cmd/flamingobench/capacity.go
+++ b/cmd/flamingobench/capacity.go
@@ -14,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"runtime/pprof"
 	"slices"
 	"strings"
 	"syscall"
@@ -44,6 +45,7 @@
 			&cli.IntFlag{Name: "windows", Usage: "measured windows for each phase", Value: 3},
 			&cli.DurationFlag{Name: "window", Usage: "length of a window", Value: 5 * time.Second},
 			&cli.DurationFlag{Name: "settle", Usage: "time before the windows of a phase, in which connections of the start end", Value: 8 * time.Second},
+			&cli.StringFlag{Name: "profile", Usage: "file for a processor profile of the windows"},
 			&cli.BoolFlag{Name: "drive", Usage: "send requests while the measured process is in its phase with load"},
 			&cli.FloatFlag{Name: "rate", Usage: "requests per second for each daemon", Value: 4},
 			&cli.BoolFlag{Name: "fit", Usage: "print the table and the slopes of the file named by out"},
@@ -239,6 +241,15 @@
 		if err := timer.Wait(run, c.Duration("settle")); err != nil {
 			return err
 		}
+		if file := c.String("profile"); file != "" {
+			f, err := os.Create(file + "-" + phase)
+			if err != nil {
+				return fmt.Errorf("write profile: %w", err)
+			}
+			if err := pprof.StartCPUProfile(f); err != nil {
+				return fmt.Errorf("write profile: %w", err)
+			}
+		}
 		for range c.Int("windows") {
 			w, err := measure(run, c, platform, all, phase)
 			if err != nil {
@@ -248,6 +259,7 @@
 				return fmt.Errorf("write windows: %w", err)
 			}
 		}
+		pprof.StopCPUProfile()
 	}
 	return os.WriteFile(filepath.Join(c.String("dir"), "phase"), []byte("end"), 0o644)
 }
