group: limit the time that a member may take to load

Cause: an engine that answers but never finishes loading kept one of the turns to load for good.

Change: after group.LoadLimit (10 min) in one generation, members that have not loaded are barred from groups for 1 min, doubling to 10 min each time, and the group is healed with spares or released. A new holder starts the limit afresh.

Conclusion: one stuck instance costs its group 10 min at most where there is a spare.

--- a/internal/group/explore_test.go
+++ b/internal/group/explore_test.go
@@ -161,7 +161,8 @@
 	b.addrs(r.Addrs())
 }
 
-// key is a hash of everything that the future of a state depends on.
+// key is a hash of everything that the future of a state depends on. It leaves out since when groups load, which matters
+// only after LoadLimit, longer than any schedule here.
 func (w *world) key() uint64 {
 	b := make(coder, 0, 2048)
 	b.at(w.now)
@@ -243,6 +244,7 @@
 		x.input(&in)
 	}
 	h.planner.orders, h.planner.drains = maps.Clone(h.planner.orders), maps.Clone(h.planner.drains)
+	h.planner.begun, h.planner.bars = maps.Clone(h.planner.begun), maps.Clone(h.planner.bars)
 	h.out = h.planner.Step(w.now, in)
 	for k := range h.out {
 		if x.txn != nil {
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -50,6 +50,14 @@
 	DrainLimit = 10 * time.Minute
 	// LeaveLimit bounds how long a group with a leaving member drains, since it is out of service meanwhile.
 	LeaveLimit = 30 * time.Second
+	// LoadLimit is how long a group may load before members that have not finished are taken for stuck: an engine that
+	// answers but never finishes would otherwise keep a turn to load for good. It has to be longer than any load that
+	// succeeds, including the wait for the weight store.
+	LoadLimit = 10 * time.Minute
+	// barFirst and barMax bound how long a stuck instance joins no group; the time doubles each time that it is stuck.
+	// They are short beside LoadLimit, since an outage of the weight store makes every loading instance look stuck.
+	barFirst = time.Minute
+	barMax   = 10 * time.Minute
 	// Spread is how long all groups serve before the next one is taken out of service for a change of version: the time
 	// in which every daemon has read that a group serves (1.2 s with 370 daemons) and has asked its member 0 (1 s).
 	Spread = 3 * time.Second
@@ -131,10 +139,24 @@
 	since  time.Time
 	orders map[string]sent
 	drains map[string]time.Time
+	// begun is when loading was first seen of each generation, and bars holds the instances that did not finish.
+	begun map[string]begun
+	bars  map[string]bar
 	// whole is since when all groups serve while some have an old version.
 	whole time.Time
 }
 
+type begun struct {
+	generation uint64
+	at         time.Time
+}
+
+// bar is until when an instance joins no group, and for how long that was.
+type bar struct {
+	until time.Time
+	took  time.Duration
+}
+
 type sent struct {
 	generation uint64
 	op         engine.Op
@@ -160,6 +182,7 @@
 	if p.orders == nil || in.Token != p.token {
 		p.token, p.since = in.Token, now
 		p.orders, p.drains, p.whole = map[string]sent{}, map[string]time.Time{}, time.Time{}
+		p.begun, p.bars = map[string]begun{}, map[string]bar{}
 	}
 	s := &plan{Planner: p, Input: in, now: now}
 	for _, r := range in.Table.Groups {
@@ -171,6 +194,7 @@
 		}
 	}
 	slices.SortFunc(s.rows, func(a, b Row) int { return cmp.Compare(a.Generation, b.Generation) })
+	s.stuck()
 	s.losses()
 	s.progress()
 	s.size()
@@ -179,6 +203,32 @@
 	return s.out
 }
 
+// stuck finds members that have not loaded in time and bars them. losses then replaces them.
+func (s *plan) stuck() {
+	loading := map[string]bool{}
+	for _, r := range s.rows {
+		if r.Phase != Loading {
+			continue
+		}
+		loading[r.ID] = true
+		if b := s.begun[r.ID]; b.generation != r.Generation {
+			s.begun[r.ID] = begun{r.Generation, s.now}
+			continue
+		} else if s.now.Sub(b.at) < LoadLimit {
+			continue
+		}
+		for i, m := range r.Members {
+			if o := s.States[m.ID]; !s.barred(m.ID) && (!s.fresh(m.ID) || !r.Matches(i, o.State)) {
+				took := min(max(2*s.bars[m.ID].took, barFirst), barMax)
+				s.bars[m.ID] = bar{until: s.now.Add(took), took: took}
+			}
+		}
+	}
+	maps.DeleteFunc(s.begun, func(id string, _ begun) bool { return !loading[id] })
+}
+
+func (s *plan) barred(id string) bool { return s.now.Before(s.bars[id].until) }
+
 // losses handles groups that lost a member, before anything else, since a serving one is down.
 func (s *plan) losses() {
 	for _, r := range s.rows {
@@ -196,6 +246,8 @@
 				leaving = true
 			case !st.Works():
 				cause = m.ID + " is gone"
+			case r.Phase == Loading && s.barred(m.ID):
+				cause = m.ID + " does not finish loading"
 			case s.Reports[r.ID].Generation == r.Generation && s.Reports[r.ID].Instance == m.ID:
 				cause = m.ID + " was reported"
 			case r.Phase == Serving && s.fresh(m.ID) && !r.Matches(i, s.States[m.ID].State):
@@ -232,7 +284,7 @@
 	for i, m := range r.Members {
 		rep := s.Reports[r.ID]
 		reported := rep.Missing && rep.Generation == r.Generation && rep.Instance == m.ID
-		if s.Member(m.ID).Works() && !reported {
+		if s.Member(m.ID).Works() && !reported && !s.barred(m.ID) {
 			continue
 		}
 		if len(spares) > 0 {
@@ -476,7 +528,7 @@
 func (s *plan) free(at place) (out []platform.Instance, unseen bool) {
 	for _, i := range s.Instances {
 		_, taken := s.Table.Versions[PrefixInstance+i.ID]
-		if i.Domain != at.domain || i.DataCentre != at.centre || taken || s.Member(i.ID) != member.Live || !s.allowed(i.DataCentre) {
+		if i.Domain != at.domain || i.DataCentre != at.centre || taken || s.Member(i.ID) != member.Live || s.barred(i.ID) || !s.allowed(i.DataCentre) {
 			continue
 		}
 		if !s.fresh(i.ID) {
--- a/internal/group/plan_test.go
+++ b/internal/group/plan_test.go
@@ -245,6 +245,56 @@
 	}
 }
 
+// Guards against an engine that answers but never finishes loading: it must give its place to a spare, or its group's
+// turn to load to another group, and must not be tried again and again at once.
+func TestLoadLimit(t *testing.T) {
+	for _, spares := range []int{0, 1} {
+		w := fleet(2, 2, slices.Repeat([]int{8}, 2+spares), []int{8, 8})
+		w.holders[0].planner.Loads = 1
+		stuck := ""
+		tried := map[uint64]bool{}
+		run := func(d time.Duration) {
+			for end := w.now.Add(d); w.now.Before(end); {
+				w.now = w.now.Add(500 * time.Millisecond)
+				w.observe(0)
+				w.plan(0, breaks{})
+				for len(w.holders[0].out) > 0 {
+					w.run(0)
+				}
+				for k := range w.machines {
+					m := &w.machines[k]
+					if stuck == "" && m.state.Group != "" {
+						stuck = m.ID
+					}
+					if m.state.Loaded = m.state.Group != "" && m.ID != stuck; m.ID == stuck && m.state.Group != "" {
+						tried[m.state.Generation] = true
+					}
+				}
+			}
+		}
+		serving := func() (n int) {
+			for _, g := range w.truth.Groups {
+				if g.Phase == Serving {
+					n++
+				}
+			}
+			return n
+		}
+		run(LoadLimit - time.Second)
+		if n := serving(); n != 0 {
+			t.Fatalf("%d spares: %d groups serve before the limit, the stuck one has the only turn", spares, n)
+		}
+		run(30 * time.Second)
+		if n := serving(); n != 1+spares {
+			t.Errorf("%d spares: %d groups serve after the limit, want %d", spares, n, 1+spares)
+		}
+		run(3 * LoadLimit)
+		if n := serving(); n != 1+spares || len(tried) > 4 {
+			t.Errorf("%d spares: %d groups serve in the end, want %d; the stuck instance was tried %d times", spares, n, 1+spares, len(tried))
+		}
+	}
+}
+
 // Guards against a group with a leaving member that goes on serving or that loses its other members.
 func TestLeaving(t *testing.T) {
 	w := fleet(1, 2, []int{8, 8, 8})
