--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -262,12 +262,23 @@
 func (c *Control) Missing(id string, generation uint64) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t := c.rows[id]; t != nil && t.row.Generation == generation {
-		return t.told
+	if t := c.rows[id]; t != nil && t.row.Generation == generation && t.home && !t.present {
+		return c.lostMember(t)
 	}
 	return ""
 }
 
+// lostMember returns a member that probes found missing although the list shows it, or nothing. c.mu is held.
+func (c *Control) lostMember(t *tracked) string {
+	lost := ""
+	for _, m := range t.row.Members {
+		if c.members.State(m.ID) == member.Gone && c.members.Listed(m.ID) == member.Live {
+			lost = m.ID
+		}
+	}
+	return lost
+}
+
 // LeaseOrder returns the live daemons that read a service's lease at the short period, the one that normally holds it
 // first.
 func LeaseOrder(service string, daemons []string) []string {
@@ -712,6 +723,9 @@
 		}
 	}
 	c.evaluate(now)
+	if err != nil {
+		kick(c.kickProbe) // A loss is reported at once.
+	}
 	for _, s := range c.services {
 		kick(s.kick)
 	}
@@ -757,10 +771,8 @@
 			continue
 		}
 		rep := group.Report{Generation: t.row.Generation, Instance: t.wrong}
-		for _, m := range t.row.Members {
-			if c.members.State(m.ID) == member.Gone && c.members.Listed(m.ID) == member.Live {
-				rep.Instance, rep.Missing = m.ID, true
-			}
+		if lost := c.lostMember(t); lost != "" {
+			rep.Instance, rep.Missing = lost, true
 		}
 		if rep.Instance == "" {
 			continue
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -185,6 +185,8 @@
 		stop()
 	}
 	f.net.Close()
+	// A server does not wait for its handlers, which may be in the delay of a slow stand-in.
+	_ = timer.Wait(context.Background(), 2*time.Second)
 	if err := f.servers.Wait(); err != nil {
 		f.t.Error(err)
 	}
--- a/internal/member/view_test.go
+++ b/internal/member/view_test.go
@@ -56,3 +56,24 @@
 		t.Error("another instance changed: ", fmt.Sprint(v.State("b"), v.State("c")))
 	}
 }
+
+// Guards against an instance that refuses connections and counts on until three probes have failed, and against losses
+// that a daemon found earlier, while its own network was down, and that a new lease holder takes for true.
+func TestRefuseAndRecheck(t *testing.T) {
+	var v View
+	now := time.Unix(1_000_000, 0)
+	v.List(platform.Roster{At: now, Instances: []platform.Instance{{ID: "a", State: platform.Live}, {ID: "b", State: platform.Leaving}}})
+	if v.Refuse("a"); v.State("a") != Gone {
+		t.Errorf("refused: %v", v.State("a"))
+	}
+	if v.Probe("a", true); v.State("a") != Gone {
+		t.Errorf("after one good probe: %v", v.State("a"))
+	}
+	if v.Recheck(); v.State("a") != Live || v.State("b") != Leaving {
+		t.Errorf("checked again: %v and %v", v.State("a"), v.State("b"))
+	}
+	v.Probe("a", false)
+	if v.Probe("a", false); v.State("a") != Suspect {
+		t.Errorf("after two failed probes: %v", v.State("a"))
+	}
+}
