Remember the homes of groups in control

Change: control keeps a member.Homes, as the lender's side does. Conclusion: same homes, found once for each list of daemons.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -128,6 +128,7 @@
 
 	mu       sync.Mutex
 	members  member.View
+	order    member.Homes
 	engines  []platform.Instance
 	rows     map[string]*tracked
 	states   map[string]group.Observed
@@ -451,10 +452,9 @@
 
 // homes finds the groups whose home this daemon is. c.mu is held.
 func (c *Control) homes() {
-	names := c.o.Daemons.Daemons()
+	c.order.Set(c.o.Daemons.Daemons())
 	for id, t := range c.rows {
-		order := member.Order(id, names)
-		home := len(order) > 0 && order[0] == c.o.Name
+		home := c.order.First(id) == c.o.Name
 		if home && !t.home {
 			t.sure = time.Now().Add(proofMax)
 		}
