Count used capacity by the rank of requests and plot shares

The bench's own kept connections were silenced with the daemons' and made groups look incomplete. Change: the rank of a run is that of its request, engines are asked over connections of their own, refusals are printed by reason, the page shows each organisation's share, and legends no longer cover bars.

--- a/cmd/flamingobench/bench.go
+++ b/cmd/flamingobench/bench.go
@@ -223,8 +223,8 @@
 	e.Candidate = r.rows()
 	count := map[string]int{}
 	for _, o := range r.outcomes {
-		if !o.warm && (o.class == broken || o.class == wrong) {
-			count[fmt.Sprintf("%s %s: status %d: %s", o.rank, o.class, o.answer.Status, clip(address.ReplaceAllString(o.reason, "ADDR"), 140))]++
+		if !o.warm && (o.class == broken || o.class == wrong || o.class == refused) {
+			count[fmt.Sprintf("%s %s: status %d: %s", o.rank, o.class, o.answer.Status, clip(differing.ReplaceAllString(o.reason, "N"), 140))]++
 		}
 	}
 	reasons := slices.SortedFunc(maps.Keys(count), func(x, y string) int { return cmp.Or(count[y]-count[x], strings.Compare(x, y)) })
@@ -236,8 +236,8 @@
 	}
 }
 
-// address matches what differs between failures of the same kind: addresses and ids.
-var address = regexp.MustCompile(`[0-9.]+:[0-9]+|[0-9a-f]{8}-[0-9a-f-]{27}`)
+// differing matches what differs between failures of the same kind: ids, addresses, times and numbers.
+var differing = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f-]{27}|[0-9][0-9a-zµ.:]*`)
 
 // settle waits until every group is complete again.
 func (b *bench) settle(ctx context.Context, e *entry) error {
--- a/cmd/flamingobench/experiments.go
+++ b/cmd/flamingobench/experiments.go
@@ -91,11 +91,18 @@
 func (b *bench) everyday() []stream { return b.usual(everyday, everydayPlains) }
 
 // used is the part of the slots that did useful work in a run, by rank. A run counts with the time that its tokens take
-// on an engine of its own, so that time lost by pauses does not count.
+// on an engine of its own, so that time lost by pauses does not count. Its rank is that of its request: the priority at
+// the engine may differ. Requests whose callers got no response count only in the sum.
 func (b *bench) used(rec standin.Record, r result) (all float64, by [note.Ranks]float64) {
+	rank := map[string]note.Rank{}
+	for _, o := range r.outcomes {
+		if o.answer.Request != "" {
+			rank[o.answer.Request] = o.rank
+		}
+	}
 	room := float64(b.slots()) * r.end.Sub(r.start).Seconds()
 	for _, x := range rec.Runs {
-		if x.Group == "" || x.Tokens == 0 || x.Priority < 0 || x.Priority >= note.Ranks {
+		if x.Group == "" || x.Tokens == 0 {
 			continue
 		}
 		end := x.End
@@ -111,12 +118,13 @@
 		}
 		if took := end.Sub(x.Start).Seconds(); hi.After(lo) && took > 0 {
 			useful := min(b.speeds.work(x.Tokens).Seconds(), took)
-			by[x.Priority] += useful * hi.Sub(lo).Seconds() / took / room
+			share := useful * hi.Sub(lo).Seconds() / took / room
+			all += share
+			if k, ok := rank[requestOf(x.Attempt)]; ok {
+				by[k] += share
+			}
 		}
 	}
-	for _, v := range by {
-		all += v
-	}
 	return all, by
 }
 
@@ -131,6 +139,14 @@
 	return n
 }
 
+// requestOf is the request of an attempt: attempts are named request.number.
+func requestOf(attempt string) string {
+	if i := strings.LastIndexByte(attempt, '.'); i >= 0 {
+		return attempt[:i]
+	}
+	return attempt
+}
+
 func isOnce(o outcome) bool { return o.answer.Once }
 
 // duplicated counts the bookings, by request or idempotency key, that ran more than once since a moment.
@@ -140,10 +156,7 @@
 		if x.Group != "" || x.Start.Before(from) {
 			continue
 		}
-		name := x.Attempt
-		if i := strings.LastIndexByte(name, '.'); i >= 0 {
-			name = name[:i]
-		}
+		name := requestOf(x.Attempt)
 		if x.Key != "" {
 			name = "key " + x.Key
 		}
--- a/cmd/flamingobench/fleet.go
+++ b/cmd/flamingobench/fleet.go
@@ -107,9 +107,8 @@
 		f.operators[d.Name] = c
 		closers = append(closers, closeClient)
 	}
-	e, closeEngine := engine.NewClient()
-	f.engine = e
-	closers = append(closers, closeEngine)
+	// Each question to an engine opens a connection of its own: a kept one may be among those that went silent.
+	f.engine = engine.NewClientOver(&http.Transport{DisableKeepAlives: true})
 	return f, func() {
 		for _, c := range closers {
 			c()
--- a/cmd/flamingobench/load_test.go
+++ b/cmd/flamingobench/load_test.go
@@ -142,18 +142,21 @@
 	}
 }
 
-// Guards against capacity figures that count pauses, or work outside the run, as used.
+// Guards against capacity figures that count pauses, or work outside the run, as used, and against taking the priority at
+// the engine for the rank.
 func TestUsedCapacity(t *testing.T) {
 	s := speeds{First: 100 * time.Millisecond, Token: 100 * time.Millisecond}
 	b := &bench{session: &session{fleet: &fleet{speeds: s, cfg: note.Config{Models: map[string]note.ModelService{"m": {Copies: 1, Slots: 2}}}}}}
 	at := func(d time.Duration) time.Time { return time.Unix(100, 0).Add(d) }
 	rec := standin.Record{Runs: []standin.Run{
-		{Group: "g", Priority: 0, Tokens: 10, Start: at(0), End: at(time.Second)},
-		{Group: "g", Priority: 2, Tokens: 10, Start: at(0), End: at(2 * time.Second)},
+		{Attempt: "live.1", Group: "g", Priority: 4, Tokens: 10, Start: at(0), End: at(time.Second)},
+		{Attempt: "night.2", Group: "g", Priority: 1, Tokens: 10, Start: at(0), End: at(2 * time.Second)},
 		{Group: "g", Priority: 1, Tokens: 10, Start: at(-time.Second), End: at(0)},
 		{Priority: 0, Tokens: 10, Start: at(0), End: at(time.Second)},
 	}}
-	all, by := b.used(rec, result{start: at(0), end: at(2 * time.Second)})
+	all, by := b.used(rec, result{start: at(0), end: at(2 * time.Second), outcomes: []outcome{
+		{rank: note.RankLive, answer: audit.Answer{Request: "live"}}, {rank: note.RankOvernight, answer: audit.Answer{Request: "night"}},
+	}})
 	if math.Abs(all-0.5) > 1e-9 || by[0] != 0.25 || by[1] != 0 || by[2] != 0.25 {
 		t.Errorf("used %v, by rank %v, want 0.5 and [0.25 0 0.25]", all, by)
 	}
--- a/cmd/flamingobench/report.go
+++ b/cmd/flamingobench/report.go
@@ -123,9 +123,11 @@
 // draw returns the chart as SVG for a page.
 func (b bars) draw() (template.HTML, error) {
 	p := plot.New()
-	p.Title.Text, p.Y.Label.Text, p.Y.Min = b.title, b.unit, 0
+	p.Title.Text, p.Y.Label.Text, p.Y.Min, p.Y.Max = b.title, b.unit, 0, 0
 	width := vg.Points(14)
 	for i, values := range b.values {
+		// The legend stands above the highest bar.
+		p.Y.Max = max(p.Y.Max, 1.3*slices.Max(append(values, 0)))
 		c, err := plotter.NewBarChart(plotter.Values(values), width)
 		if err != nil {
 			return "", err
@@ -138,6 +140,7 @@
 		}
 	}
 	p.Legend.Top = true
+	p.Y.Max = max(p.Y.Max, 1e-9)
 	p.NominalX(b.names...)
 	if len(b.names) > 4 {
 		p.X.Tick.Label.Rotation, p.X.Tick.Label.XAlign = 0.6, -1
@@ -196,6 +199,17 @@
 		}
 		add("first token, p95, by rank", "ms", "rank", func(r row) float64 { return r.First.P95 })
 		add("whole answer, p99, by rank", "ms", "rank", func(r row) float64 { return r.Whole.P99 })
+		names, shares := pick("org", func(r row) float64 { return float64(r.Good) }, lists...)
+		for _, values := range shares {
+			total := 0.0
+			for _, v := range values {
+				total += v
+			}
+			for k := range values {
+				values[k] = 100 * part(values[k], total)
+			}
+		}
+		list = append(list, bars{title: "share of the answers in time, by organisation", unit: "%", names: names, series: series, values: shares})
 		add("deadlines met, by organisation", "%", "org", func(r row) float64 { return 100 * r.met() })
 	}
 	if len(e.Downtimes) > 0 {
