--- a/internal/claim/keeper_test.go
+++ b/internal/claim/keeper_test.go
@@ -26,11 +26,21 @@
 	down    bool
 	// lose is the number of answers to lose after the write took effect, drop before it.
 	lose, drop int
+	// took is how long each transaction takes.
+	took time.Duration
 }
 
-func (s *table) Commit(_ context.Context, t platform.Txn) (uint64, error) {
+func (s *table) Commit(ctx context.Context, t platform.Txn) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.took > 0 {
+		s.mu.Unlock()
+		err := timer.Wait(ctx, s.took)
+		s.mu.Lock()
+		if err != nil {
+			return 0, &platform.Unavailable{Err: err}
+		}
+	}
 	s.commits++
 	switch {
 	case s.down:
@@ -161,7 +171,8 @@
 func TestBatch(t *testing.T) {
 	run(t, func(t *testing.T, k *Keeper, s *table) {
 		want(t, k, entry("a", "h"), Mine)
-		s.set(func() { s.commits = 0 })
+		// With a table that takes no time, the scheduler would decide how many claims wait at once.
+		s.set(func() { s.commits, s.took = 0, time.Millisecond })
 		var g errgroup.Group
 		got := make([]Verdict, 40)
 		for i := range got {
