--- a/internal/claim/keeper_test.go
+++ b/internal/claim/keeper_test.go
@@ -105,6 +105,8 @@
 func TestBatch(t *testing.T) {
 	run(t, func(t *testing.T, k *Keeper, s *standin.Table) {
 		want(t, k, entry("a", "h"), Mine)
+		// With a table that takes no time, the scheduler would decide how many claims wait at once.
+		s.Set(standin.TableFaults{Took: time.Millisecond})
 		before := s.Commits()
 		var g errgroup.Group
 		got := make([]Verdict, 40)
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -6,8 +6,10 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"flamingorudder.example/internal/platform"
+	"flamingorudder.example/internal/timer"
 )
 
 // TableFaults is what can go wrong with a Table.
@@ -18,6 +20,8 @@
 	LoseBefore, LoseAfter int
 	// DownAfterLoss takes the table down once an answer was lost after its effect.
 	DownAfterLoss bool
+	// Took is how long each commit takes.
+	Took time.Duration
 }
 
 // Table is an in-memory table service that is called without a network. The zero value is an empty table. Its methods
@@ -62,11 +66,16 @@
 }
 
 // Commit runs a transaction, as platform.Client.Commit does.
-func (t *Table) Commit(_ context.Context, x platform.Txn) (uint64, error) {
+func (t *Table) Commit(ctx context.Context, x platform.Txn) (uint64, error) {
 	t.mu.Lock()
-	before := t.before
+	before, took := t.before, t.faults.Took
 	t.before = nil
 	t.mu.Unlock()
+	if took > 0 {
+		if err := timer.Wait(ctx, took); err != nil {
+			return 0, &platform.Unavailable{Err: err}
+		}
+	}
 	if before != nil {
 		before()
 	}
