--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -359,18 +359,8 @@
 		start := time.Now()
 		var inFlight string
 		f.group.Go(func() error {
-			req, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+self.String()+"/v1/chat/completions", strings.NewReader(chatBody(false)))
-			if err != nil {
-				return err
-			}
-			req.Header.Set("Authorization", "Bearer secret-bearer")
-			resp, err := f.client.Do(req)
-			if err != nil {
-				return err
-			}
-			defer func() { _ = resp.Body.Close() }()
-			b, err := io.ReadAll(resp.Body)
-			inFlight = fmt.Sprint(resp.StatusCode, string(b))
+			a, err := f.ask(self, "/v1/chat/completions", strings.NewReader(chatBody(false)))
+			inFlight = fmt.Sprint(a.status, a.text)
 			return err
 		})
 		synctest.Wait()
--- a/internal/caller/fake_test.go
+++ b/internal/caller/fake_test.go
@@ -46,69 +46,42 @@
 // line is a connection that can go silent without an error: what is sent is lost and nothing arrives.
 type line struct {
 	net.Conn
-	mu             sync.Mutex
-	silent, closed chan struct{}
+	silent, closed context.Context
+	silence, end   context.CancelFunc
 }
 
-func (l *line) cut() bool {
-	select {
-	case <-l.silent:
-		return true
-	default:
-		return false
-	}
-}
-
-func (l *line) Read(b []byte) (int, error) {
-	n, err := 0, error(nil)
-	if !l.cut() {
+func (l *line) Read(b []byte) (n int, err error) {
+	if l.silent.Err() == nil {
 		n, err = l.Conn.Read(b)
 	}
-	if l.cut() {
-		<-l.closed
+	if l.silent.Err() != nil {
+		<-l.closed.Done()
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
 func (l *line) Write(b []byte) (int, error) {
-	if l.cut() {
+	if l.silent.Err() != nil {
 		return len(b), nil
 	}
 	return l.Conn.Write(b)
 }
 
 func (l *line) Close() error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	select {
-	case <-l.closed:
-		return nil
-	default:
-		close(l.closed)
-	}
+	l.end()
 	return l.Conn.Close()
 }
 
 // silence makes every second connection that is open to a backend server go silent, and returns how many did.
-func (n *network) silence() (count int) {
+func (n *network) silence() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.open = slices.DeleteFunc(n.open, func(l *line) bool {
-		select {
-		case <-l.closed:
-			return true
-		default:
-			return false
-		}
-	})
-	for i, l := range n.open {
-		if i%2 == 0 && !l.cut() {
-			close(l.silent)
-			count++
-		}
+	n.open = slices.DeleteFunc(n.open, func(l *line) bool { return l.closed.Err() != nil })
+	for i := 0; i < len(n.open); i += 2 {
+		n.open[i].silence()
 	}
-	return count
+	return (len(n.open) + 1) / 2
 }
 
 type listener struct {
@@ -148,7 +121,9 @@
 		if addr == self.String() {
 			return a, nil
 		}
-		c := &line{Conn: a, silent: make(chan struct{}), closed: make(chan struct{})}
+		c := &line{Conn: a}
+		c.silent, c.silence = context.WithCancel(context.Background())
+		c.closed, c.end = context.WithCancel(context.Background())
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.open = append(n.open, c)
--- a/internal/caller/fuzz_test.go
+++ b/internal/caller/fuzz_test.go
@@ -14,15 +14,6 @@
 	"time"
 )
 
-// compact removes white space outside of strings.
-func compact(t *testing.T, v json.RawMessage) string {
-	var b bytes.Buffer
-	if err := json.Compact(&b, v); err != nil {
-		t.Fatal(err)
-	}
-	return b.String()
-}
-
 // Guards against a body that ends the daemon, a field that an engine gets changed or not at all, and a request of which
 // the engine sees something else than what this server has checked.
 func FuzzChatBody(f *testing.F) {
@@ -52,7 +43,8 @@
 			t.Errorf("%q has other fields than %q", p.body, b)
 		}
 		for k, v := range in {
-			if compact(t, v) != compact(t, out[k]) {
+			var want bytes.Buffer
+			if json.Compact(&want, v) != nil || want.String() != string(out[k]) {
 				t.Errorf("field %q: engine gets %q for %q", k, out[k], v)
 			}
 		}
@@ -74,10 +66,8 @@
 		r := &http.Request{Header: http.Header{HeaderDeadline: {text}}}
 		due, err := deadline(r, now, max(1, time.Duration(def)))
 		var failed *Failure
-		switch {
-		case err == nil && due.After(now) && !due.After(now.Add(maxDeadline)):
-		case errors.As(err, &failed) && failed.Outcome == NotRun && (failed.Status == http.StatusBadRequest || failed.Status == http.StatusGatewayTimeout):
-		default:
+		inTime := err == nil && due.After(now) && !due.After(now.Add(maxDeadline))
+		if !inTime && (!errors.As(err, &failed) || failed.Outcome != NotRun || failed.Status != http.StatusBadRequest && failed.Status != http.StatusGatewayTimeout) {
 			t.Errorf("deadline %q: %v, %v", text, due, err)
 		}
 	})
--- a/internal/caller/story_test.go
+++ b/internal/caller/story_test.go
@@ -59,11 +59,21 @@
 	done       bool
 	failed     bool
 	gap, total time.Duration
+	// serial is that of the server's certificate, if it has one.
+	serial int64
 }
 
 // ask sends a request and reads its answer, whole or as a stream of events.
 func (f *fleet) ask(to netip.AddrPort, path string, body io.Reader, header ...string) (g got, err error) {
-	req, err := http.NewRequestWithContext(f.t.Context(), "POST", "http://"+to.String()+path, body)
+	return f.askBy(f.t.Context(), "POST", to, path, body, header...)
+}
+
+func (f *fleet) askBy(ctx context.Context, method string, to netip.AddrPort, path string, body io.Reader, header ...string) (g got, err error) {
+	scheme := "http://"
+	if to.Port() == 443 {
+		scheme = "https://"
+	}
+	req, err := http.NewRequestWithContext(ctx, method, scheme+to.String()+path, body)
 	if err != nil {
 		return g, err
 	}
@@ -78,6 +88,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	g.status, g.id, g.outcome = resp.StatusCode, resp.Header.Get(HeaderRequest), resp.Header.Get(HeaderOutcome)
+	if resp.TLS != nil {
+		g.serial = resp.TLS.PeerCertificates[0].SerialNumber.Int64()
+	}
 	type choice struct {
 		Delta, Message struct{ Content string }
 	}
@@ -246,10 +259,7 @@
 			}
 		}
 		for i, b := range booked {
-			body := "van"
-			if i < 2 {
-				body = strings.Repeat("u", 20)
-			}
+			body := []string{strings.Repeat("u", 20), "van"}[min(i/2, 1)]
 			if b.status != 201 || b.text != "booked "+body {
 				t.Errorf("booking %d: %d %q", i, b.status, b.text)
 			}
@@ -317,14 +327,12 @@
 				return nil
 			})
 		}
-		_ = timer.Wait(t.Context(), time.Second)
-		f.mu.Lock()
-		f.down = true
-		f.mu.Unlock()
-		_ = timer.Wait(t.Context(), time.Second)
-		f.mu.Lock()
-		f.down = false
-		f.mu.Unlock()
+		for _, down := range []bool{true, false} {
+			_ = timer.Wait(t.Context(), time.Second)
+			f.mu.Lock()
+			f.down = down
+			f.mu.Unlock()
+		}
 		if err := g.Wait(); err != nil {
 			t.Error(err)
 		}
--- a/internal/caller/tls_test.go
+++ b/internal/caller/tls_test.go
@@ -9,7 +9,7 @@
 	"crypto/x509"
 	"encoding/pem"
 	"errors"
-	"io"
+	"fmt"
 	"math/big"
 	"net/http"
 	"net/netip"
@@ -121,26 +121,16 @@
 			return &http.Client{Transport: tr}
 		}
 		chat := func(client *http.Client) (serial int64, text string, err error) {
-			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "https://"+secure.String()+"/v1/chat/completions", strings.NewReader(chatBody(true)))
-			if err != nil {
-				return 0, "", err
-			}
-			req.Header.Set("Authorization", "Bearer secret-bearer")
-			req.Header.Set(HeaderDeadline, "30s")
-			resp, err := client.Do(req)
-			if err != nil {
-				return 0, "", err
-			}
-			defer func() { _ = resp.Body.Close() }()
-			b, err := io.ReadAll(resp.Body)
-			return resp.TLS.PeerCertificates[0].SerialNumber.Int64(), string(b), err
+			f := &fleet{t: t, client: client}
+			a, err := f.ask(secure, "/v1/chat/completions", strings.NewReader(chatBody(true)), HeaderDeadline, "30s")
+			return a.serial, fmt.Sprint(a.text, a.done), err
 		}
 		f.steps(engines[0], tokens(0, 600, true, nil), tokens(0, 2, true, nil))
 		f.steps(engines[1], tokens(0, 2, true, nil))
 		old := trust()
 		f.group.Go(func() error {
 			serial, text, err := chat(old)
-			if err != nil || serial != 1 || !strings.Contains(text, "w599") || !strings.Contains(text, "[DONE]") {
+			if err != nil || serial != 1 || !strings.Contains(text, "w599") || !strings.Contains(text, "true") {
 				t.Errorf("stream across the change: serial %d, %v, %d bytes", serial, err, len(text))
 			}
 			return nil
@@ -148,11 +138,11 @@
 		_ = timer.Wait(t.Context(), time.Second)
 		writeCertificate(t, cert, key, 2)
 		_ = timer.Wait(t.Context(), 2*reloadPeriod)
-		if serial, text, err := chat(trust()); err != nil || serial != 2 || !strings.Contains(text, "[DONE]") {
+		if serial, text, err := chat(trust()); err != nil || serial != 2 || !strings.Contains(text, "true") {
 			t.Errorf("new connection: serial %d, %v: %s", serial, err, text)
 		}
 		_ = timer.Wait(t.Context(), 5*time.Second)
-		if serial, text, err := chat(old); err != nil || serial != 1 || !strings.Contains(text, "[DONE]") {
+		if serial, text, err := chat(old); err != nil || serial != 1 || !strings.Contains(text, "true") {
 			t.Errorf("kept connection: serial %d, %v: %s", serial, err, text)
 		}
 		old.CloseIdleConnections()
