Reload every certificate in one package

Cause: caller and identity each read certificate files again when they change, with the same passes and log lines of their own. Conclusion: one owner of certificate files.

--- a/internal/caller/tls_test.go
+++ b/internal/caller/certificate_test.go
@@ -23,9 +23,12 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
+	"flamingorudder.example/internal/identity"
 	"flamingorudder.example/internal/timer"
 )
 
+const reloadPeriod = 5 * time.Second
+
 // writeCertificate writes a certificate with a serial number, and its key.
 func writeCertificate(t *testing.T, cert, key string, serial int64) {
 	t.Helper()
@@ -58,21 +61,21 @@
 	dir := t.TempDir()
 	cert, key := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
 	synctest.Test(t, func(t *testing.T) {
-		if _, err := LoadCertificate(cert, key); err == nil {
+		if _, err := identity.Load(identity.Files{Certificate: cert, Key: key}); err == nil {
 			t.Error("missing files were accepted")
 		}
 		writeCertificate(t, cert, key, 1)
-		c, err := LoadCertificate(cert, key)
+		c, err := identity.Load(identity.Files{Certificate: cert, Key: key})
 		if err != nil {
 			t.Fatal(err)
 		}
 		ctx, stop := context.WithCancel(t.Context())
 		var g errgroup.Group
-		g.Go(func() error { return c.Watch(ctx, hclog.NewNullLogger()) })
+		g.Go(func() error { return c.Watch(ctx, reloadPeriod, hclog.NewNullLogger()) })
 		check := func(want int64) {
 			t.Helper()
 			_ = timer.Wait(t.Context(), 2*reloadPeriod)
-			pair, err := c.Config().GetCertificate(nil)
+			pair, err := c.Public().GetCertificate(nil)
 			if err != nil || pair.Leaf.SerialNumber.Int64() != want {
 				t.Errorf("serial number %v, %v; want %d", pair.Leaf.SerialNumber, err, want)
 			}
@@ -96,17 +99,17 @@
 	cert, key := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
 	run(t, func(t *testing.T, f *fleet) {
 		writeCertificate(t, cert, key, 1)
-		c, err := LoadCertificate(cert, key)
+		c, err := identity.Load(identity.Files{Certificate: cert, Key: key})
 		if err != nil {
 			t.Fatal(err)
 		}
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
-		f.group.Go(func() error { return c.Watch(ctx, hclog.NewNullLogger()) })
+		f.group.Go(func() error { return c.Watch(ctx, reloadPeriod, hclog.NewNullLogger()) })
 		secure := netip.MustParseAddrPort("10.0.0.1:443")
 		srv := &http.Server{Handler: f.server}
 		f.servers[secure] = srv
-		l := tls.NewListener(f.net.listen(secure.String()), c.Config())
+		l := tls.NewListener(f.net.listen(secure.String()), c.Public())
 		f.group.Go(func() error { _ = srv.Serve(l); return nil })
 		// trust returns a client that accepts the certificate as it is in the file now, and no other.
 		trust := func() *http.Client {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -201,12 +201,12 @@
 	// The filter takes the place of the router, whose own answers (redirects, 404) lack the headers of section 7.1.
 	options := []http.ServerOption{http.Address(d.set.Caller.String()), http.Timeout(0), http.Filter(func(stdhttp.Handler) stdhttp.Handler { return d.callers })}
 	if d.set.Certificate != "" {
-		cert, err := caller.LoadCertificate(d.set.Certificate, d.set.Key)
+		public, err := identity.Load(identity.Files{Certificate: d.set.Certificate, Key: d.set.Key})
 		if err != nil {
 			return err
 		}
-		options = append(options, http.TLSConfig(cert.Config()))
-		g.Go(func() error { return cert.Watch(ctx, d.log) })
+		options = append(options, http.TLSConfig(public.Public()))
+		g.Go(func() error { return public.Watch(ctx, certificatePeriod, d.log.Named("tls")) })
 	}
 	callers := http.NewServer(options...)
 	callers.ReadHeaderTimeout, callers.IdleTimeout = headerLimit, idleLimit
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -2,7 +2,8 @@
 // daemons and with operators.
 //
 // The files are read again when they change, so that certificates are renewed without a restart. A renewed pair that
-// does not load leaves the old one in use.
+// does not load, for example between the writes of its two files, leaves the old one in use. The certificate shown to
+// callers is kept the same way.
 package identity
 
 import (
@@ -29,7 +30,7 @@
 // Files names the PEM files of an identity.
 type Files struct {
 	// Authority holds the certificates of the deployment's certificate authority. More than one may stand in it while
-	// the authority is being replaced.
+	// the authority is being replaced. It is empty for a certificate that is only shown to the public.
 	Authority string
 	// Certificate and Key are the process's own.
 	Certificate, Key string
@@ -93,6 +94,9 @@
 func (id *Identity) reload() (changed bool, err error) {
 	stamp := ""
 	for _, f := range []string{id.files.Authority, id.files.Certificate, id.files.Key} {
+		if f == "" {
+			continue
+		}
 		st, err := os.Stat(f)
 		if err != nil {
 			return false, &BadFile{File: f, Err: err}
@@ -102,13 +106,15 @@
 	if have := id.now.Load(); have != nil && have.stamp == stamp {
 		return false, nil
 	}
-	ca, err := os.ReadFile(id.files.Authority)
-	if err != nil {
-		return false, &BadFile{File: id.files.Authority, Err: err}
-	}
 	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(ca) {
-		return false, &BadFile{File: id.files.Authority, Err: &NoCertificate{}}
+	if f := id.files.Authority; f != "" {
+		ca, err := os.ReadFile(f)
+		if err != nil {
+			return false, &BadFile{File: f, Err: err}
+		}
+		if !pool.AppendCertsFromPEM(ca) {
+			return false, &BadFile{File: f, Err: &NoCertificate{}}
+		}
 	}
 	cert, err := tls.LoadX509KeyPair(id.files.Certificate, id.files.Key)
 	if err != nil {
@@ -136,6 +142,14 @@
 	}
 }
 
+// Public returns a configuration for servers that ask their clients for no certificate.
+func (id *Identity) Public() *tls.Config {
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return &id.now.Load().cert, nil },
+	}
+}
+
 // Client returns a configuration for connections to servers of the deployment. The server is known by its authority and
 // not by its address, since instances are replaced and addresses reused.
 func (id *Identity) Client(protocols ...string) *tls.Config {
