Say which connections go silent in the experiment

Cause: the description named all backend servers; members other than 0 are left out. Change: the description.

--- a/cmd/flamingobench/experiments.go
+++ b/cmd/flamingobench/experiments.go
@@ -61,7 +61,7 @@
 		experiment{name: "store-slow", about: "table and object store take 2 s for a call", run: storeFault(phase, map[string]any{"slow_ms": 2000}), promises: true},
 		experiment{name: "store-lost", about: "answers of the table and object store are lost after the effect", run: storeFault(phase, map[string]any{"lose": -1}), promises: true},
 		experiment{name: "config", about: "a release note is applied under load", run: configInForce},
-		experiment{name: "silent", about: "half of the open connections to backend servers go silent", run: silent},
+		experiment{name: "silent", about: "half of the open connections to members 0 of groups and to plain servers go silent", run: silent},
 		experiment{name: "daemon-killed", about: "a daemon is killed under load", run: daemonKilled, promises: true},
 		experiment{name: "daemon-paused", about: "a daemon is paused for 30 s under load", run: daemonPaused, promises: true},
 		experiment{name: "rolling-restart", about: "all daemons are stopped by SIGTERM and started again, one after another, under load", run: rollingRestart},
