Let a small organisation's request exceed the caps at any daemon

The trace shows why: waits of 20 to 450 ms only at the daemon through which the flood came, where headroom was never given because the flooding organisation wanted more than its share. Change: headroom is a mark in the grant beside the caps, given to any borrower in turns; only an organisation with a single request waiting there can use it, and it is looked for when the head of the queue finds no slot.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -377,6 +377,21 @@
 	return x.Entry, true
 }
 
+// PeekAlone returns the entry of a rank whose organisation has no other entry waiting in it and has been served least for
+// its weight, without those in skip.
+func (q *Queue) PeekAlone(r note.Rank, skip []uint64) (Entry, bool) {
+	var best *flow
+	for _, f := range q.levels[r].active {
+		if f.n == 1 && (best == nil || f.at < best.at) && !slices.Contains(skip, f.head.ID) {
+			best = f
+		}
+	}
+	if best == nil {
+		return Entry{}, false
+	}
+	return best.head.Entry, true
+}
+
 // Start takes the entry that Peek shows out of the queue; it runs until Done. Call Expire first, so that it can still
 // finish in time.
 func (q *Queue) Start(now time.Time, r note.Rank) (Entry, bool) {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -569,7 +569,8 @@
 	}
 }
 
-// start gives slots to waiting requests, urgent ones first, each rank within its caps.
+// start gives slots to waiting requests, urgent ones first, each rank within its caps. Where a rank's caps are used up,
+// organisations with a single request waiting may use what their homes lend beyond the caps.
 func (c *Core) start(now time.Time) {
 	for r := range note.Rank(note.Ranks) {
 		c.passed = c.passed[:0]
@@ -578,7 +579,7 @@
 			if !ok {
 				break
 			}
-			g := c.choose(now, r, c.waiting[e.ID])
+			g := c.choose(now, r, c.waiting[e.ID], false)
 			if g == nil && len(c.waiting[e.ID].avoid) > 0 {
 				c.passed = append(c.passed, e.ID)
 				continue
@@ -586,40 +587,65 @@
 			if g == nil {
 				break
 			}
-			if g.lost > 0 {
-				g.retry = now.Add(lostMost)
+			c.begin(now, e, g)
+		}
+		c.passed = c.passed[:0]
+		for {
+			e, ok := c.queue.PeekAlone(r, c.passed)
+			if !ok {
+				break
 			}
-			c.queue.StartEntry(now, e.ID)
-			c.picker.Sent(now, g.target.Group, placement.Query{Prefix: c.waiting[e.ID].prefix, DataCentre: c.dataCentre})
-			within := g.within[r] < g.loan.Floors(now)[r]
-			if within {
-				g.within[r]++
+			if g := c.choose(now, r, c.waiting[e.ID], true); g != nil {
+				c.begin(now, e, g)
+				continue
 			}
-			p := priority(r, c.queue.Backlog(r, e.Organisation) > 0, within)
-			c.running[e.ID] = job{g, r, e.Organisation, e.Cost, c.waiting[e.ID].output, now, within, false, p <= priorityFloor, e.Service}
-			delete(c.waiting, e.ID)
-			g.running[r]++
-			g.total++
-			c.out = append(c.out, Action{Verb: Start, Key: e.ID, Target: g.target, Priority: p})
+			if len(c.waiting[e.ID].avoid) == 0 {
+				break
+			}
+			c.passed = append(c.passed, e.ID)
 		}
 	}
 }
 
+// begin gives a request a slot of a group.
+func (c *Core) begin(now time.Time, e admission.Entry, g *group) {
+	r := e.Rank
+	if g.lost > 0 {
+		g.retry = now.Add(lostMost)
+	}
+	c.queue.StartEntry(now, e.ID)
+	c.picker.Sent(now, g.target.Group, placement.Query{Prefix: c.waiting[e.ID].prefix, DataCentre: c.dataCentre})
+	within := g.within[r] < g.loan.Floors(now)[r]
+	if within {
+		g.within[r]++
+	}
+	p := priority(r, c.queue.Backlog(r, e.Organisation) > 0, within)
+	c.running[e.ID] = job{g, r, e.Organisation, e.Cost, c.waiting[e.ID].output, now, within, false, p <= priorityFloor, e.Service}
+	delete(c.waiting, e.ID)
+	g.running[r]++
+	g.total++
+	c.out = append(c.out, Action{Verb: Start, Key: e.ID, Target: g.target, Priority: p})
+}
+
 // anyOpen tells whether there is a target that is not left out. Without one, none is left out: a request that fails at
 // once is better than one that waits for a target that may not return.
 func (c *Core) anyOpen(now time.Time) bool {
 	return slices.ContainsFunc(c.groups, func(g *group) bool { return !g.leftOut(now) })
 }
 
-// choose picks a group with room for a request, nil if there is none.
-func (c *Core) choose(now time.Time, r note.Rank, w wanted) *group {
+// choose picks a group with room for a request, nil if there is none. extra counts what may exceed the caps.
+func (c *Core) choose(now time.Time, r note.Rank, w wanted, extra bool) *group {
 	c.choices, c.position = c.choices[:0], c.position[:0]
 	open := c.anyOpen(now)
 	for _, g := range c.groups {
 		if open && g.leftOut(now) || slices.Contains(w.avoid, g.target.tried()) {
 			continue
 		}
-		if free := c.free(now, g, r); free > 0 {
+		free := c.free(now, g, r)
+		if extra && !g.target.Fixed && g.loan.Extra(now)[r] {
+			free++
+		}
+		if free > 0 {
 			c.choices = append(c.choices, placement.Candidate{Group: g.target.Group, DataCentre: g.target.DataCentre, Slots: g.target.Slots, Running: g.total, Free: free})
 			c.position = append(c.position, g)
 		}
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -344,3 +344,53 @@
 		t.Errorf("demands %+v, want for g the lines %+v", got, lines)
 	}
 }
+
+// Guards against a small organisation that waits behind a flood at its own daemon, against a flood that uses what is lent
+// beyond the caps for others, and against priorities that let an engine pause the small one or a floor for the flood.
+func TestExtra(t *testing.T) {
+	c := NewCore("d1", "stirling", 1)
+	list := []Target{{Group: "g", Generation: 1, Slots: 8}}
+	g := grantFor(c.Step(epoch, Targets{list, homes(list)}), "g", [note.Ranks]int{2, 2, 2})
+	g.Grant.Extra, g.Grant.Floors = [note.Ranks]bool{true, true, false}, [note.Ranks]int{0, 1, 1}
+	c.Step(epoch, g)
+	key := uint64(0)
+	submit := func(org string, r note.Rank) (priorities []int) {
+		key++
+		for _, a := range c.Step(epoch, Submit{key, Request{Organisation: org, Rank: r, Cost: 1, Deadline: epoch.Add(time.Hour)}}) {
+			if a.Verb == Start {
+				priorities = append(priorities, a.Priority)
+			}
+		}
+		return priorities
+	}
+	for i, want := range []struct {
+		org  string
+		rank note.Rank
+		got  []int
+	}{
+		{"large", note.RankLive, []int{priorityLive}},
+		{"large", note.RankLive, []int{priorityLive}},
+		{"large", note.RankLive, []int{priorityLive}}, // It has nothing else waiting, so this one is extra.
+		{"large", note.RankLive, nil},
+		{"large", note.RankLive, nil},
+		{"small", note.RankLive, nil}, // The extra slot is taken.
+		{"small", note.RankBooking, []int{priorityFloor}},
+		{"small", note.RankBooking, []int{priorityBooking}},
+		{"small", note.RankOvernight, []int{priorityFloor}},
+	} {
+		if got := submit(want.org, want.rank); !slices.Equal(got, want.got) {
+			t.Errorf("request %d of %s at %v started at %v, want %v", i, want.org, want.rank, got, want.got)
+		}
+	}
+	// The extra slot goes to the small organisation although the large one has waited longer.
+	got := slices.Clone(c.Step(epoch, Done{1, Result{Total: time.Second}}))
+	if s := started(got); len(s) != 1 || s[0] != 6 {
+		t.Errorf("requests %v started in the place of the extra one, want 6", s)
+	}
+	// A slot within the caps goes to the flood, at a priority that gives way to small ones and floors.
+	for _, a := range c.Step(epoch, Done{2, Result{Total: time.Second}}) {
+		if a.Verb == Start && (a.Key != 4 || a.Priority != priorityLiveQueued) {
+			t.Errorf("request %d started at priority %d, want 4 at %d", a.Key, a.Priority, priorityLiveQueued)
+		}
+	}
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -205,7 +205,7 @@
 	c := benchCore()
 	b.ReportAllocs()
 	for b.Loop() {
-		if c.choose(epoch, note.RankLive, wanted{}) == nil {
+		if c.choose(epoch, note.RankLive, wanted{}, false) == nil {
 			b.Fatal("no group")
 		}
 	}
--- a/internal/loan/loan.go
+++ b/internal/loan/loan.go
@@ -281,9 +281,19 @@
 }
 
 func lent(g share.Grant) peer.Lent {
-	return peer.Lent{Group: g.Group, Generation: g.Generation, Caps: g.Caps, Floors: g.Floors, Millis: uint32(g.For.Milliseconds()), Seq: g.Seq, Turn: g.Turn, Borrowers: g.Borrowers}
+	var extra uint8
+	for r, ok := range g.Extra {
+		if ok {
+			extra |= 1 << r
+		}
+	}
+	return peer.Lent{Group: g.Group, Generation: g.Generation, Caps: g.Caps, Floors: g.Floors, Extra: extra, Millis: uint32(g.For.Milliseconds()), Seq: g.Seq, Turn: g.Turn, Borrowers: g.Borrowers}
 }
 
 func grant(g peer.Lent) share.Grant {
-	return share.Grant{Group: g.Group, Generation: g.Generation, Caps: g.Caps, Floors: g.Floors, For: time.Duration(g.Millis) * time.Millisecond, Seq: g.Seq, Turn: g.Turn, Borrowers: g.Borrowers}
+	var extra [note.Ranks]bool
+	for r := range extra {
+		extra[r] = g.Extra>>r&1 == 1
+	}
+	return share.Grant{Group: g.Group, Generation: g.Generation, Caps: g.Caps, Floors: g.Floors, Extra: extra, For: time.Duration(g.Millis) * time.Millisecond, Seq: g.Seq, Turn: g.Turn, Borrowers: g.Borrowers}
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -90,6 +90,8 @@
 	Generation uint64
 	Caps       [note.Ranks]int
 	Floors     [note.Ranks]int
+	// Extra has bit r set for each rank r that may exceed its cap by one.
+	Extra uint8
 	// Millis is how long the grant lasts from when the demand was sent, in milliseconds.
 	Millis    uint32
 	Seq, Turn uint64
--- a/internal/share/borrower.go
+++ b/internal/share/borrower.go
@@ -178,6 +178,14 @@
 	return [note.Ranks]int{}
 }
 
+// Extra returns which ranks may exceed their cap by one request now; see Grant.
+func (b *Borrower) Extra(now time.Time) [note.Ranks]bool {
+	if now.Before(b.until) {
+		return b.grant.Extra
+	}
+	return [note.Ranks]bool{}
+}
+
 // Step returns the demand to send now, if any.
 func (b *Borrower) Step(now time.Time) (Report, bool) {
 	if !b.lastStep.IsZero() && now.Sub(b.lastStep) > Silence && !b.waitSince.IsZero() {
--- a/internal/share/divide.go
+++ b/internal/share/divide.go
@@ -28,8 +28,8 @@
 	caps  [][note.Ranks]int
 	// within is how many slots each borrower has within each rank's floor.
 	within [][note.Ranks]int
-	// extra is what each borrower may start beyond its caps; see headroom.
-	extra [][note.Ranks]int
+	// extra is where each borrower may exceed its caps by one; see headroom.
+	extra [][note.Ranks]bool
 }
 
 // rotation carries what rounding owes from one turn to the next.
@@ -83,10 +83,9 @@
 		spare[r] = d.totals[r] - d.parts[r]
 	}
 
-	d.caps, d.within, d.extra = make([][note.Ranks]int, len(bs)), make([][note.Ranks]int, len(bs)), make([][note.Ranks]int, len(bs))
+	d.caps, d.within, d.extra = make([][note.Ranks]int, len(bs)), make([][note.Ranks]int, len(bs)), make([][note.Ranks]bool, len(bs))
 	for r := range note.Ranks {
-		var met []bool
-		d.exact[r], met = organisations(note.Rank(r), d.parts[r], p, bs)
+		d.exact[r] = organisations(note.Rank(r), d.parts[r], p, bs)
 		credit := make([]float64, len(bs))
 		for i, b := range bs {
 			credit[i] = b.carry[r]
@@ -96,7 +95,7 @@
 		}
 		d.protect(note.Rank(r))
 		if note.Rank(r) != note.RankOvernight && demand[r] > d.parts[r] {
-			d.headroom(note.Rank(r), slots, rot.turn, met)
+			d.headroom(note.Rank(r), slots, rot.turn)
 		}
 		for i := range bs {
 			d.caps[i][r] += spare[r] / len(bs)
@@ -123,18 +122,14 @@
 	}
 }
 
-// headroom lets borrowers whose organisations want no more than their share start one more request of a rank while
-// others want more, up to a part of the slots. Without it such a request waits until a request of a large organisation
-// has ended and its slot has been lent again; with it the engine pauses the large one's, which runs at a lower priority.
-// Borrowers take turns when there are more of them.
-func (d *division) headroom(r note.Rank, slots, turn int, met []bool) {
-	left := max(1, int(headroomPart*float64(slots)))
-	n := len(d.caps)
-	for k := range n {
-		if i := (k + turn) % n; met[i] && left > 0 {
-			d.extra[i][r]++
-			left--
-		}
+// headroom lets borrowers start one more request of a rank of which more is wanted than there is, for an organisation that
+// has nothing else waiting there, up to a part of the slots. Without it such a request waits until a request of a large
+// organisation has ended and its slot has been lent again; with it the engine pauses the large one's, which runs at a
+// lower priority. Borrowers take turns when there are more of them.
+func (d *division) headroom(r note.Rank, slots, turn int) {
+	n := len(d.extra)
+	for k := range min(n, max(1, int(headroomPart*float64(slots)))) {
+		d.extra[(k+turn)%n][r] = true
 	}
 }
 
@@ -177,9 +172,8 @@
 }
 
 // organisations divides a rank's slots by weighted max-min fairness over the organisations of all borrowers, and each
-// organisation's part between its borrowers in proportion to its demand there. met is which borrowers get all that they
-// want.
-func organisations(r note.Rank, slots int, p Policy, bs []*borrower) (parts []float64, met []bool) {
+// organisation's part between its borrowers in proportion to its demand there.
+func organisations(r note.Rank, slots int, p Policy, bs []*borrower) []float64 {
 	type org struct {
 		key            orgKey
 		weight, demand float64
@@ -220,18 +214,16 @@
 		left -= o.part
 		weights -= o.weight
 	}
-	parts, met = make([]float64, len(bs)), make([]bool, len(bs))
+	out := make([]float64, len(bs))
 	for i, b := range bs {
-		met[i] = true
 		for _, l := range b.demand.Lines {
 			if l.Rank == r && l.Waiting+l.Running > 0 {
 				o := orgs[index[key(b, l)]]
-				parts[i] += o.part * float64(l.Waiting+l.Running) / o.demand
-				met[i] = met[i] && o.part >= o.demand-epsilon
+				out[i] += o.part * float64(l.Waiting+l.Running) / o.demand
 			}
 		}
 	}
-	return parts, met
+	return out
 }
 
 // round turns parts into whole numbers that add up to total, each rounded down or up. The largest remainders, with the
--- a/internal/share/home.go
+++ b/internal/share/home.go
@@ -235,7 +235,7 @@
 		short = short || b.short
 	}
 	var out []Action
-	grant := func(b *borrower, caps, extra, within [note.Ranks]int) {
+	grant := func(b *borrower, caps, within [note.Ranks]int, extra [note.Ranks]bool) {
 		o := note.RankOvernight
 		want := caps[o]
 		caps[o] = max(0, min(want, d.totals[o]-(held-b.held())))
@@ -247,17 +247,14 @@
 		b.lent = append(b.lent, lent{h.turn, caps[o], b.heard.Add(Term + Margin)})
 		held += b.held()
 		b.caps, b.sent = caps, now
-		for r, n := range extra {
-			caps[r] += n
-		}
 		out = append(out, Action{To: b.name, Grant: &Grant{
-			Group: h.group.Name, Generation: h.group.Generation, Caps: caps, Floors: within, For: Term,
+			Group: h.group.Name, Generation: h.group.Generation, Caps: caps, Floors: within, Extra: extra, For: Term,
 			Seq: b.demand.Seq, Turn: h.turn, Borrowers: h.count(bs),
 		}})
 	}
 	for i, b := range bs {
 		if b.name == answer {
-			grant(b, d.caps[i], d.extra[i], d.within[i])
+			grant(b, d.caps[i], d.within[i], d.extra[i])
 		}
 	}
 	for i, b := range bs {
@@ -265,9 +262,9 @@
 		switch {
 		case b.name == answer:
 		case d.caps[i][o] < b.caps[o] && (short || held > d.totals[o]) && now.Sub(b.sent) >= Period:
-			grant(b, d.caps[i], d.extra[i], d.within[i])
+			grant(b, d.caps[i], d.within[i], d.extra[i])
 		case b.short && d.caps[i][o] > b.caps[o] && d.totals[o]-(held-b.held()) > b.caps[o] && now.Sub(b.sent) >= MinPeriod:
-			grant(b, d.caps[i], d.extra[i], d.within[i])
+			grant(b, d.caps[i], d.within[i], d.extra[i])
 		}
 	}
 	return out
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -73,6 +73,9 @@
 	// Floors is how many of the borrower's requests of each rank run within the rank's floor. Engines must not pause
 	// those for more urgent work that its organisation has queued up.
 	Floors [note.Ranks]int `cbor:"9,keyasint"`
+	// Extra is which ranks may exceed their cap by one request of an organisation that has no other request waiting at
+	// the borrower. Engines pause queued work of the rank for it.
+	Extra [note.Ranks]bool `cbor:"8,keyasint"`
 	// Borrowers gives the base share when the home is lost.
 	Borrowers int `cbor:"7,keyasint"`
 }
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -56,8 +56,7 @@
 			}
 			split = append(split, own, rest)
 		}
-		parts, _ := organisations(r, slots, p, split)
-		for i, x := range parts {
+		for i, x := range organisations(r, slots, p, split) {
 			if i%2 == 0 {
 				out[o] += x
 			}
@@ -92,7 +91,9 @@
 			for r := range note.Ranks {
 				rank, extra, within := 0, 0, 0
 				for i := range bs {
-					extra += d.extra[i][r]
+					if d.extra[i][r] {
+						extra++
+					}
 					within += d.within[i][r]
 				}
 				// Headroom exceeds the slots by a bounded part, and never with overnight work; floors are not given twice.
