Name suspects and unsettled writes by the terms of the field

Cause: fields named doubt stood for an instance reported missing and for a write whose outcome is unknown. Change: suspects and unsettled in control, lease and daemon. Conclusion: names say what is held.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -133,8 +133,8 @@
 	rows     map[string]*tracked
 	states   map[string]group.Observed
 	interest map[string][]group.Member
-	// doubts holds the members that were reported missing and have not been asked since.
-	doubts map[string]group.Member
+	// suspects holds the members that were reported missing and have not been asked since.
+	suspects map[string]group.Member
 	// reported holds the generations whose loss has been reported.
 	reported map[string]uint64
 	services map[string]*service
@@ -150,9 +150,9 @@
 	told string
 	// seen holds, at the home, when each member's own state was last the right one.
 	seen []time.Time
-	// wrong is the member whose own state is another one, and doubt the one that another daemon reported missing; empty
+	// wrong is the member whose own state is another one, and suspect the one that another daemon reported missing; empty
 	// when there is none.
-	wrong, doubt string
+	wrong, suspect string
 	// away is when member 0 last reported, to a daemon that is not the home, that all members are present; idle is
 	// when it last reported no request in flight.
 	away, asked, idle time.Time
@@ -164,7 +164,7 @@
 func New(o Options) *Control {
 	return &Control{
 		o: o, kickProbe: make(chan struct{}, 1), kickWatch: make(chan struct{}, 1), rows: map[string]*tracked{},
-		states: map[string]group.Observed{}, interest: map[string][]group.Member{}, doubts: map[string]group.Member{}, reported: map[string]uint64{}, services: map[string]*service{},
+		states: map[string]group.Observed{}, interest: map[string][]group.Member{}, suspects: map[string]group.Member{}, reported: map[string]uint64{}, services: map[string]*service{},
 	}
 }
 
@@ -251,8 +251,8 @@
 	}
 	for _, m := range t.row.Members {
 		if m.ID == instance {
-			t.doubt, t.away = instance, time.Time{}
-			c.doubts[instance] = m
+			t.suspect, t.away = instance, time.Time{}
+			c.suspects[instance] = m
 			c.evaluate(time.Now())
 			kick(c.kickProbe)
 		}
@@ -374,8 +374,8 @@
 	switch {
 	case t.wrong != "":
 		return "instance " + t.wrong + " is in another state"
-	case t.doubt != "":
-		return "instance " + t.doubt + " was reported missing"
+	case t.suspect != "":
+		return "instance " + t.suspect + " was reported missing"
 	}
 	if _, until := t.proof(); !now.Before(until) {
 		return "members have not been seen"
@@ -678,7 +678,7 @@
 	for _, list := range c.interest {
 		add(list)
 	}
-	add(slices.Collect(maps.Values(c.doubts)))
+	add(slices.Collect(maps.Values(c.suspects)))
 	return states, loads, loading
 }
 
@@ -692,12 +692,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, doubted := c.doubts[m.ID]
-	delete(c.doubts, m.ID)
+	_, suspected := c.suspects[m.ID]
+	delete(c.suspects, m.ID)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		c.changed(c.members.Refuse(m.ID))
-	case err != nil && doubted:
+	case err != nil && suspected:
 		c.changed(c.members.Report(m.ID))
 	case err != nil && !counts:
 	default:
@@ -714,8 +714,8 @@
 				if t.wrong == m.ID {
 					t.wrong = ""
 				}
-				if t.doubt == m.ID {
-					t.doubt = ""
+				if t.suspect == m.ID {
+					t.suspect = ""
 				}
 			case t.row.Phase == group.Serving:
 				t.wrong = m.ID
@@ -751,7 +751,7 @@
 	case err != nil:
 		// The proof ages, and the group is not present when it is awayMax old.
 	case l.Group == r.ID && l.Generation == r.Generation && l.Present:
-		t.away, t.wrong, t.doubt = asked, "", ""
+		t.away, t.wrong, t.suspect = asked, "", ""
 	default:
 		t.wrong = r.Members[0].ID
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,7 +69,7 @@
 	dispatch *dispatch.Dispatcher
 	claims   *claim.Keeper
 	callers  *caller.Server
-	doubts   *doubts
+	suspects *suspects
 	views    *views
 
 	// changes holds a token when groups or daemons have changed since the dispatcher was told.
@@ -111,10 +111,10 @@
 	boot := uint64(time.Now().UnixNano())
 	d := &Daemon{
 		set: s, log: log, line: timeline.NewLog(s.Name, timelineSize), platform: p, engine: e, identity: id, metrics: metrics,
-		self:    registry.Entry{Name: s.Name, Peer: s.Peer, Caller: s.Caller, Operator: s.Operator, DataCentre: s.DataCentre, Boot: boot},
-		changes: make(chan struct{}, 1),
-		doubts:  newDoubts(),
-		views:   newViews(),
+		self:     registry.Entry{Name: s.Name, Peer: s.Peer, Caller: s.Caller, Operator: s.Operator, DataCentre: s.DataCentre, Boot: boot},
+		changes:  make(chan struct{}, 1),
+		suspects: newSuspects(),
+		views:    newViews(),
 	}
 	d.registry = registry.New(d.self)
 	var closeDispatch func()
@@ -227,7 +227,7 @@
 		})
 	}
 	for _, duty := range []func(context.Context) error{
-		d.config.Run, d.control.Run, d.loan.Run, d.register, d.watch, d.follow, d.observe, d.checkDoubts, d.keepSnapshot, d.restore,
+		d.config.Run, d.control.Run, d.loan.Run, d.register, d.watch, d.follow, d.observe, d.checkSuspects, d.keepSnapshot, d.restore,
 		func(ctx context.Context) error {
 			return d.identity.Watch(ctx, certificatePeriod, d.log.Named("identity"))
 		},
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -145,7 +145,7 @@
 	daemons := d.Daemons()
 	for _, r := range list {
 		if home := d.home(r.Demand.Group, daemons); home != r.To {
-			d.doubts.add(home)
+			d.suspects.add(home)
 		}
 	}
 	d.loan.Report(list)
@@ -154,23 +154,23 @@
 // misdirected takes in that another daemon asks this one for a group whose home is elsewhere: it found that home silent.
 func (d *Daemon) misdirected(group string) {
 	if home := d.home(group, d.Daemons()); home != d.set.Name {
-		d.doubts.add(home)
+		d.suspects.add(home)
 	}
 }
 
-// doubts holds the names of daemons that seem silent and have to be asked.
-type doubts struct {
+// suspects holds the names of daemons that seem silent and have to be asked.
+type suspects struct {
 	mu      sync.Mutex
 	pending map[string]bool
 	names   *ring.Queue[string]
 }
 
-func newDoubts() *doubts {
-	return &doubts{pending: map[string]bool{}, names: ring.NewQueue[string](64)}
+func newSuspects() *suspects {
+	return &suspects{pending: map[string]bool{}, names: ring.NewQueue[string](64)}
 }
 
 // add asks for a check of a daemon, unless one is under way.
-func (q *doubts) add(name string) {
+func (q *suspects) add(name string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if !q.pending[name] && q.names.Offer(name) {
@@ -178,7 +178,7 @@
 	}
 }
 
-func (q *doubts) done(name string) {
+func (q *suspects) done(name string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.pending, name)
@@ -187,17 +187,17 @@
 // answerLimit is how long a daemon may take to answer before it counts as silent.
 const answerLimit = 500 * time.Millisecond
 
-// checkDoubts asks daemons that seem silent. One that does not answer is suspect for a while: its duties pass on to the
+// checkSuspects asks daemons that seem silent. One that does not answer is suspect for a while: its duties pass on to the
 // next in order. Its connection is reset, because it may be the connection that is dead and not the daemon.
-func (d *Daemon) checkDoubts(ctx context.Context) error {
+func (d *Daemon) checkSuspects(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return g.Wait()
-		case name := <-d.doubts.names.C():
+		case name := <-d.suspects.names.C():
 			g.Go(func() error {
-				defer d.doubts.done(name)
+				defer d.suspects.done(name)
 				d.check(ctx, name)
 				return nil
 			})
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -147,11 +147,11 @@
 	stopped bool
 
 	// txn is the transaction under way, sent first at sent, and next the record that it writes. busy is whether an
-	// answer is outstanding, doubt whether the answer to txn was lost.
-	txn         *platform.Txn
-	next        Record
-	sent        time.Time
-	busy, doubt bool
+	// answer is outstanding, unsettled whether the answer to txn was lost.
+	txn             *platform.Txn
+	next            Record
+	sent            time.Time
+	busy, unsettled bool
 
 	pollAt, retryAt, asked time.Time
 	retry                  time.Duration
@@ -185,7 +185,7 @@
 }
 
 // Settled is whether the store shows what Resign asked for.
-func (l *Lease) Settled() bool { return l.held.Token == 0 && !l.giving && !l.busy && !l.doubt }
+func (l *Lease) Settled() bool { return l.held.Token == 0 && !l.giving && !l.busy && !l.unsettled }
 
 // Step takes a message and returns what to do.
 func (l *Lease) Step(now time.Time, m Message) []Action {
@@ -213,12 +213,12 @@
 		l.retry = 0
 		out = append(out, l.done(now, m.Version)...)
 	case Conflict:
-		l.retry, l.txn, l.doubt = 0, nil, false
+		l.retry, l.txn, l.unsettled = 0, nil, false
 		out = append(out, l.look())
 	case Unknown:
-		l.doubt = true
+		l.unsettled = true
 	case Unavailable:
-		if !l.doubt {
+		if !l.unsettled {
 			l.txn = nil
 		}
 		l.retry = min(max(2*l.retry, retryFirst), retryMax)
@@ -247,7 +247,7 @@
 	switch {
 	case l.busy || now.Before(l.retryAt):
 		return nil
-	case l.doubt:
+	case l.unsettled:
 		return l.look()
 	case l.giving:
 		return l.send(now, op, Record{Token: l.row.Token, Next: l.row.Next})
@@ -311,8 +311,8 @@
 }
 
 func (l *Lease) read(now time.Time, r platform.Row) []Action {
-	if l.doubt {
-		l.doubt = false
+	if l.unsettled {
+		l.unsettled = false
 		switch {
 		case r.Version > 0 && r.Op == l.txn.Op:
 			return l.done(now, r.Version)
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -99,7 +99,7 @@
 		num(int64(d.ops), int64(l.version), int64(l.row.Token), int64(l.held.Token), int64(l.retry))
 		b = append(append(append(b, l.row.Holder...), '/'), l.row.Next...)
 		at(l.seen, l.last, l.held.Until, l.renewAt, l.sent, l.pollAt, l.retryAt, l.asked)
-		flag(l.known, l.moved, l.giving, l.busy, l.doubt)
+		flag(l.known, l.moved, l.giving, l.busy, l.unsettled)
 		txn(l.txn)
 		switch a := d.ask.(type) {
 		case Read:
