Recover from rates learnt in a pause, and forget daemons that are gone

Rows and entries of daemons that were replaced under new names stayed for good, and a daemon whose settings name daemons that are gone read the rows twice a second for ever. Change: rates by which no request could finish are dropped when nothing runs and nothing was learnt for 1 s; daemons that left the platform's list are forgotten after 10 min and their rows deleted by one of the others; the quick reads end after 1 min.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,19 +31,24 @@
 	// registerPeriod is how often a daemon reads the others' rows. At 370 daemons this is 37 reads/s of the table, nearly
 	// all answered as not modified.
 	registerPeriod = 10 * time.Second
-	// registerFirst is how often it tries until the first read has succeeded.
+	// registerFirst is how often it reads until it knows as many daemons as its settings name, for at most registerTry: a
+	// fleet that starts together finds itself soon, and settings may name daemons that are gone.
 	registerFirst = 500 * time.Millisecond
+	registerTry   = time.Minute
+	// forgetAfter is how long a daemon that has left the platform's list is remembered. The list lags and can be wrong for
+	// a while; a daemon that comes back writes its row again.
+	forgetAfter = 10 * time.Minute
 )
 
 // register writes the daemon's own row and reads the others'. The row is written again when it is lost or differs.
 func (d *Daemon) register(ctx context.Context) error {
-	period := registerFirst
+	period, start := registerFirst, time.Now()
 	for {
 		if err := d.registerOnce(ctx); err != nil {
 			if ctx.Err() == nil {
 				d.log.Debug("daemons could not be read from the table", "error", err)
 			}
-		} else if others := len(d.registry.All(time.Now())) - 1; others >= len(d.set.Peers)-1 {
+		} else if others := len(d.registry.All(time.Now())) - 1; others >= len(d.set.Peers)-1 || time.Since(start) > registerTry {
 			period = registerPeriod
 		}
 		if err := wait(ctx, period, 0.3); err != nil {
@@ -76,6 +82,9 @@
 		}
 		d.registry.Learn(e)
 	}
+	if err := d.forget(ctx, rows); err != nil {
+		return err
+	}
 	self := d.entry()
 	body, err := json.Marshal(self)
 	if err != nil {
@@ -91,6 +100,27 @@
 	return err
 }
 
+// forget drops daemons that left the platform's list long ago. One of the live daemons also deletes their rows.
+func (d *Daemon) forget(ctx context.Context, rows []platform.Row) error {
+	now := time.Now()
+	gone := d.registry.Forget(now, forgetAfter)
+	if len(gone) == 0 || member.First(prefixDaemon, d.registry.Live(now)) != d.set.Name {
+		return nil
+	}
+	t := platform.Txn{Op: d.set.Name + "/forget/" + now.UTC().Format(time.RFC3339Nano)}
+	for _, r := range rows {
+		if slices.Contains(gone, strings.TrimPrefix(r.Key, prefixDaemon)) {
+			t.Checks = append(t.Checks, platform.Check{Key: r.Key, Version: r.Version})
+			t.Writes = append(t.Writes, platform.Write{Key: r.Key, Delete: true})
+		}
+	}
+	if len(t.Writes) == 0 {
+		return nil
+	}
+	_, err := d.platform.Commit(ctx, t)
+	return err
+}
+
 // entry is how other daemons know this one now.
 func (d *Daemon) entry() registry.Entry {
 	d.mu.Lock()
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -247,10 +247,12 @@
 	orgs  map[string]int
 	unmet [note.Ranks]bool
 	// changed is whether waiting or running requests changed since the demands were counted at counted.
-	changed  bool
-	counted  time.Time
-	trimmed  time.Time
-	watched  time.Time
+	changed bool
+	counted time.Time
+	trimmed time.Time
+	watched time.Time
+	// learned is when a result last changed the rates.
+	learned  time.Time
 	out      []Action
 	choices  []placement.Candidate
 	position []*group
@@ -399,6 +401,11 @@
 	return next, ok
 }
 
+// staleAfter is how long rates are relied on that refuse every request. After a pause of the daemon they hold the time of
+// the pause; since nothing then runs, nothing would correct them. In a run, a daemon that had been paused for 30 s refused
+// 860 requests until it was restarted.
+const staleAfter = time.Second
+
 func (c *Core) submit(now time.Time, m Submit) {
 	q := m.Request
 	if len(c.groups) == 0 {
@@ -414,6 +421,9 @@
 		out = q.Cost
 	}
 	service := c.all.expect(float64(out) * c.fill.or(1))
+	if now.Add(service).After(q.Deadline) && len(c.running) == 0 && now.Sub(c.learned) >= staleAfter {
+		c.all, c.fill, c.miss, c.learned, service = rates{}, average{}, average{}, now, 0
+	}
 	slow := time.Duration(float64(service) * (1 + 2*min(c.miss.or(0), 1)))
 	e := admission.Entry{ID: m.Key, Rank: q.Rank, Organisation: q.Organisation, Cost: q.Cost, Deadline: q.Deadline, Service: service, Slow: slow}
 	if r := c.queue.Submit(now, e); r != nil {
@@ -468,6 +478,7 @@
 	}
 	j.group.rate.learn(r)
 	c.all.learn(r)
+	c.learned = now
 	if r.Tokens > 0 {
 		c.fill.add(float64(r.Tokens) / float64(j.output))
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -36,8 +36,9 @@
 	Entry
 	// suspect is until when the daemon is left out.
 	suspect time.Time
-	// absent is whether the platform's list no longer names the daemon.
+	// absent is whether the platform's list no longer names the daemon, and since when.
 	absent bool
+	since  time.Time
 	// revision is the configuration that the daemon said was in force there.
 	revision uint64
 }
@@ -109,7 +110,7 @@
 
 // Present takes in the names of daemons on the platform's list. Daemons that are not on it are left out; a list without
 // any daemon is taken for a fault of the list.
-func (r *Registry) Present(names []string) {
+func (r *Registry) Present(now time.Time, names []string) {
 	if len(names) == 0 {
 		return
 	}
@@ -120,10 +121,29 @@
 		here[name] = true
 	}
 	for name, k := range r.all {
-		k.absent = !here[name] && name != r.self
+		was := k.absent
+		if k.absent = !here[name] && name != r.self; k.absent && !was {
+			k.since = now
+		}
 	}
 }
 
+// Forget drops the daemons that have been absent for a while and returns their names. Instances are replaced under new
+// names, so entries would grow without end otherwise.
+func (r *Registry) Forget(now time.Time, age time.Duration) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var names []string
+	for name, k := range r.all {
+		if k.absent && now.Sub(k.since) >= age {
+			names = append(names, name)
+			delete(r.all, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Live returns the names of the daemons that are taken to be alive and not leaving, sorted. The daemon itself is always
 // one of them.
 func (r *Registry) Live(now time.Time) []string {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -52,14 +52,20 @@
 	r := New(Entry{Name: "a"})
 	r.Learn(Entry{Name: "b"})
 	r.Learn(Entry{Name: "c", Leaving: true})
-	r.Present(nil)
+	r.Present(now, nil)
 	if got := r.Live(now); !slices.Equal(got, []string{"a", "b"}) {
 		t.Errorf("live %v after an empty list", got)
 	}
-	r.Present([]string{"a"})
+	r.Present(now, []string{"a"})
 	if got := r.Live(now); !slices.Equal(got, []string{"a"}) {
 		t.Errorf("live %v after b left the list", got)
 	}
+	if got := r.Forget(now.Add(time.Minute-1), time.Minute); got != nil {
+		t.Errorf("forgot %v too early", got)
+	}
+	if got := r.Forget(now.Add(time.Minute), time.Minute); !slices.Equal(got, []string{"b", "c"}) || len(r.All(now)) != 1 {
+		t.Errorf("forgot %v, want the two that left the list", got)
+	}
 }
 
 // Guards against an operator address that a greeting of an earlier version erases during a rolling upgrade.
