--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -134,13 +134,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var names []string
-	for name, k := range r.all {
-		if k.absent && now.Sub(k.since) >= age {
-			names = append(names, name)
-			delete(r.all, name)
+	r.sorted = slices.DeleteFunc(r.sorted, func(k *known) bool {
+		old := k.absent && now.Sub(k.since) >= age
+		if old {
+			names = append(names, k.Name)
+			delete(r.all, k.Name)
 		}
-	}
-	slices.Sort(names)
+		return old
+	})
 	return names
 }
 
