Read floors and the order of organisations from the configuration in one place

Cause: a final read of the whole change found the floors of a service worked out twice and differently: the home of a group added the floors of several kinds of work of one rank, as the check of release notes does, and the queue of a plain service took the largest. The order of organisations, by which daemons name them to each other, also stood twice. The learnt rates of single groups and Core.Rates were used by nothing. Change: note.Config.Floors and OrganisationNames serve both; the unused rates are gone. A plain service with two kinds of work of one rank now keeps the sum of their floors; neither deployment's note has such a case. Conclusion: one owner for what both sides must agree on.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -172,7 +172,6 @@
 	late int
 	// within is how many of running were started within their rank's floor.
 	within [note.Ranks]int
-	rate   rates
 	// lost counts the attempts in a row that could not reach the target. While it is above 0, no request is sent there
 	// until retry, and then a single one.
 	lost          int
@@ -476,7 +475,6 @@
 	if r.Failed || r.Total <= 0 {
 		return
 	}
-	j.group.rate.learn(r)
 	c.all.learn(r)
 	c.learned = now
 	if r.Tokens > 0 {
@@ -787,7 +785,7 @@
 	return def
 }
 
-// rates is what has been learnt of the speed of a group or a service, in seconds.
+// rates is what has been learnt of the speed of a service, in seconds.
 type rates struct{ first, token average }
 
 // learn takes in a result. Without a count of tokens the whole time counts as the time to the first one, which is right
@@ -808,14 +806,4 @@
 	return time.Duration((s.first.or(0) + max(0, tokens-1)*s.token.or(0)) * float64(time.Second))
 }
 
-// Rates returns the learnt time to first token and time per token of a group, 0 when not known.
-func (c *Core) Rates(name string) (first, token time.Duration) {
-	for _, g := range c.groups {
-		if g.target.Group == name {
-			return seconds(g.rate.first), seconds(g.rate.token)
-		}
-	}
-	return 0, 0
-}
-
 func seconds(a average) time.Duration { return time.Duration(a.or(0) * float64(time.Second)) }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -10,7 +10,6 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -218,15 +217,10 @@
 }
 
 func configured(c note.Config, service string) Configured {
-	m := Configured{Revision: c.Revision, Organisations: slices.Sorted(maps.Keys(c.Organisations)), Limits: map[string]admission.Limit{}}
+	m := Configured{Revision: c.Revision, Organisations: c.OrganisationNames(), Floors: c.Floors(service), Limits: map[string]admission.Limit{}}
 	for name, o := range c.Organisations {
 		m.Limits[name] = admission.Limit{Weight: o.Weight, Queue: o.Queue}
 	}
-	for _, w := range c.Works {
-		if w.Service == service {
-			m.Floors[w.Rank] = max(m.Floors[w.Rank], w.Floor)
-		}
-	}
 	return m
 }
 
--- a/internal/loan/loan.go
+++ b/internal/loan/loan.go
@@ -9,7 +9,6 @@
 	"context"
 	"maps"
 	"net/netip"
-	"slices"
 	"time"
 
 	"flamingorudder.example/internal/note"
@@ -125,7 +124,7 @@
 		}
 		if h.revision != cfg.Revision {
 			h.revision = cfg.Revision
-			out.add(h.Step(now, PolicyOf(cfg, g.Service)))
+			out.add(h.Step(now, policy(cfg, g.Service)))
 		}
 		if h.group != g {
 			h.group = g
@@ -142,16 +141,10 @@
 	maps.DeleteFunc(l.homes, func(name string, _ *home) bool { return !homed[name] })
 }
 
-// PolicyOf returns what the configuration says about dividing a service: its floors by rank and the organisations'
-// weights, whose indexes follow the sorted names.
-func PolicyOf(c note.Config, service string) share.Policy {
-	p := share.Policy{Revision: c.Revision}
-	for _, w := range c.Works {
-		if w.Service == service {
-			p.Floors[w.Rank] = min(1, p.Floors[w.Rank]+w.Floor)
-		}
-	}
-	for _, name := range slices.Sorted(maps.Keys(c.Organisations)) {
+// policy returns what the configuration says about dividing a service.
+func policy(c note.Config, service string) share.Policy {
+	p := share.Policy{Revision: c.Revision, Floors: c.Floors(service)}
+	for _, name := range c.OrganisationNames() {
 		p.Weights = append(p.Weights, c.Organisations[name].Weight)
 	}
 	return p
--- a/internal/note/note.go
+++ b/internal/note/note.go
@@ -382,6 +382,20 @@
 	n.file.Section("note").Fault("", msg)
 }
 
+// OrganisationNames returns the names of the organisations in order. Messages between daemons name an organisation by
+// its index in this list at a revision.
+func (c Config) OrganisationNames() []string { return c.names(KindOrganisation) }
+
+// Floors returns the part of a service's capacity that each rank keeps; those of several kinds of work of one rank add up.
+func (c Config) Floors(service string) (floors [Ranks]float64) {
+	for _, w := range c.Works {
+		if w.Service == service {
+			floors[w.Rank] = min(1, floors[w.Rank]+w.Floor)
+		}
+	}
+	return floors
+}
+
 func (c Config) names(kind string) []string {
 	switch kind {
 	case KindModel:
--- a/internal/note/note_test.go
+++ b/internal/note/note_test.go
@@ -89,6 +89,16 @@
 	goldie.New(t).Assert(t, "diff", []byte(text.String()))
 }
 
+// Guards against the home of a group and the queue of a plain service keeping different floors for one rank.
+func TestFloorsAddUp(t *testing.T) {
+	c := Config{Works: map[string]Work{
+		"a": {Service: "s", Rank: RankBooking, Floor: 0.25}, "b": {Service: "s", Rank: RankBooking, Floor: 0.5}, "c": {Service: "t", Floor: 1},
+	}}
+	if got := c.Floors("s"); got != [Ranks]float64{0, 0.75, 0} {
+		t.Errorf("floors %v", got)
+	}
+}
+
 // Guards against two operators who overwrite each other's note.
 func TestStaleBase(t *testing.T) {
 	c := craigmhor(t)
