--- /dev/null
+++ b/cmd/flamingod/entry.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kratos/kratos/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/cli/v3"
+
+	"flamingorudder.example/internal/entry"
+	"flamingorudder.example/internal/logging"
+)
+
+// settingsVariable is the variable in which the users' platform names the settings file.
+const settingsVariable = "FLAMINGORUDDER_BOOT"
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "entry",
+		Usage:     "serve callers on the users' platform, with backend servers and configuration from its store",
+		ArgsUsage: "[SETTINGS.ini]",
+		Description: "Without an argument the settings file is the one that the variable " + settingsVariable + " names. " +
+			"docs/new-machines.md describes the daemon, deploy/entry.ini.tmpl its settings.",
+		Flags:  []cli.Flag{&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"}},
+		Action: runEntry,
+	}
+}
+
+func runEntry(_ context.Context, c *cli.Command) error {
+	file := c.Args().First()
+	if file == "" {
+		file = os.Getenv(settingsVariable)
+	}
+	if file == "" {
+		return cli.Exit("name the file with the settings, or set "+settingsVariable, 2)
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	set, err := entry.ParseSettings(file, text)
+	if err != nil {
+		return cli.Exit(err.Error(), 2)
+	}
+	if c.Bool("check") {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	out, flush := logging.Async(os.Stdout)
+	defer flush()
+	log := hclog.New(&hclog.LoggerOptions{Name: set.Name, Level: hclog.LevelFromString(set.LogLevel), JSONFormat: true, Output: out})
+	log = logging.Limit(log, logging.Period)
+	logging.Adopt(log)
+	d, closeDaemon, err := entry.New(set, log)
+	if err != nil {
+		log.Error("cannot start", "error", err)
+		return err
+	}
+	defer closeDaemon()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	d.Reload(hup, func() (entry.Settings, error) {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return entry.Settings{}, fmt.Errorf("read settings: %w", err)
+		}
+		return entry.ParseSettings(file, text)
+	})
+	return kratos.New(kratos.Name("flamingod"), kratos.ID(set.Name), kratos.Logger(logging.Kratos(log.Named("kratos"))),
+		kratos.Server(d), kratos.StopTimeout(set.Grace)).Run()
+}
--- a/cmd/flamingod/main.go
+++ b/cmd/flamingod/main.go
@@ -23,6 +23,7 @@
 		ArgsUsage: "SETTINGS.ini",
 		Flags:     []cli.Flag{&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"}},
 		Action:    run,
+		Commands:  []*cli.Command{entryCommand()},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/internal/entry/daemon.go
@@ -0,0 +1,341 @@
+// Package entry is the daemon on the users' platform: it serves callers, and one daemon at a time also gives the orders
+// that form and heal model groups.
+//
+// Its duties run on goroutines of one group. What they share is small: the configuration and the view of the backend
+// servers are immutable values that are swapped; the dispatcher and the set of other daemons are guarded by a lock each.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"os"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"flamingorudder.example/internal/backend"
+	"flamingorudder.example/internal/election"
+	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/internal/netopt"
+	"flamingorudder.example/internal/roster"
+	"flamingorudder.example/internal/route"
+	"flamingorudder.example/internal/timer"
+	"flamingorudder.example/platform"
+)
+
+const (
+	// memoryShare is the part of the memory limit at which the garbage collector works harder, in percent.
+	memoryShare = 70
+	// sweepPeriod is how often idle connections are looked through.
+	sweepPeriod = time.Second
+	// acceptPart is the part of the grace for which a leaving daemon takes new connections: callers keep the answer that
+	// named it for up to three times its time to live.
+	acceptPart = 0.36
+	// endPart is the part of the grace after which a leaving daemon ends although answers are outstanding.
+	endPart = 0.97
+)
+
+// Daemon is one daemon.
+type Daemon struct {
+	// current is the settings; a reload swaps them.
+	current atomic.Pointer[Settings]
+	log     hclog.Logger
+	boot    int64
+
+	store   *platform.Store
+	servers *platform.Servers
+	pool    *backend.Pool
+
+	config atomic.Pointer[route.Config]
+	view   atomic.Pointer[roster.View]
+	// leaving is set when the signal to stop has come, closing when new connections are no longer taken.
+	leaving, closing atomic.Bool
+	// inFlight counts requests of callers.
+	inFlight atomic.Int64
+	// served is set when the first request of a caller has come.
+	served atomic.Bool
+	// buffered is the bytes of request bodies in memory.
+	buffered atomic.Int64
+	// storeOK tells whether the last read of the store succeeded, storeSince since when it is as it is.
+	storeOK atomic.Bool
+
+	peersMu sync.Mutex
+	members *gossip.Members
+	vote    *election.Election
+
+	dispatch *dispatcher
+	plain    standings
+	budget   *budget
+	feed     *feeds
+	lead     *leader
+	metrics  *meters
+	udp      *net.UDPConn
+	servings []*khttp.Server
+	group    errgroup.Group
+	stop     context.CancelFunc
+	// ended is closed when the daemon stops.
+	ended chan struct{}
+}
+
+// ListenError reports an address that cannot be served.
+type ListenError struct {
+	What string
+	Addr netip.AddrPort
+	Err  error
+}
+
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("listen for %s on %s: %v", e.What, e.Addr, e.Err)
+}
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// New returns a daemon that listens, and a function that frees what it holds.
+func New(s Settings, log hclog.Logger) (*Daemon, func(), error) {
+	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryShare / 100)
+	d := &Daemon{log: log, boot: time.Now().UnixMilli(), members: gossip.NewMembers(s.Name), vote: election.New(s.Name), ended: make(chan struct{})}
+	d.current.Store(&s)
+	var cleanups []func()
+	cleanup := func() {
+		for i := len(cleanups) - 1; i >= 0; i-- {
+			cleanups[i]()
+		}
+	}
+	fail := func(err error) (*Daemon, func(), error) {
+		cleanup()
+		return nil, nil, err
+	}
+	var closeIdle func()
+	d.store, closeIdle = platform.NewStore(s.Store)
+	cleanups = append(cleanups, closeIdle)
+	d.servers, closeIdle = platform.NewServers()
+	cleanups = append(cleanups, closeIdle)
+	d.pool, closeIdle = backend.NewPool()
+	cleanups = append(cleanups, closeIdle)
+	meters, closeMeters, err := newMeters(d)
+	if err != nil {
+		return fail(err)
+	}
+	cleanups = append(cleanups, closeMeters)
+	d.metrics = meters
+	d.view.Store(&roster.View{})
+	d.dispatch = newDispatcher(d)
+	d.budget = &budget{}
+	d.feed = newFeeds(d)
+	d.lead = newLeader(d)
+
+	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Peer))
+	if err != nil {
+		return fail(&ListenError{"peers", s.Peer, err})
+	}
+	d.udp = udp
+	cleanups = append(cleanups, func() { _ = udp.Close() })
+	for _, l := range []struct {
+		what string
+		addr netip.AddrPort
+		h    http.Handler
+	}{
+		{"callers", s.Caller, http.HandlerFunc(d.serveCaller)},
+		{"readiness", s.Readiness, http.HandlerFunc(d.serveReadiness)},
+		{"directory", s.Directory, http.HandlerFunc(d.serveDirectory)},
+		{"peers", s.Peer, http.HandlerFunc(d.servePeer)},
+		{"metrics", s.Metrics, meters.handler()},
+	} {
+		if !l.addr.IsValid() {
+			continue
+		}
+		lis, err := net.Listen("tcp4", l.addr.String())
+		if err != nil {
+			return fail(&ListenError{l.what, l.addr, err})
+		}
+		// The endpoint is given because kratos would look for one among the network interfaces, which a confined process
+		// may not list.
+		srv := khttp.NewServer(khttp.Listener(lis), khttp.Endpoint(&url.URL{Scheme: "http", Host: l.addr.String()}), khttp.Timeout(0))
+		// The handler replaces kratos' router, which cleans paths; requests are passed on exactly as they came.
+		srv.Handler = l.h
+		srv.IdleTimeout = callerIdle
+		d.servings = append(d.servings, srv)
+		cleanups = append(cleanups, func() { _ = srv.Close() })
+	}
+	return d, cleanup, nil
+}
+
+// settings returns the settings in force.
+func (d *Daemon) settings() *Settings { return d.current.Load() }
+
+// Reload reads the settings anew at each signal. Addresses and names stay until the next start; bounds change at once.
+func (d *Daemon) Reload(signals <-chan os.Signal, read func() (Settings, error)) {
+	d.group.Go(func() error {
+		for {
+			select {
+			case <-d.ended:
+				return nil
+			case <-signals:
+			}
+			s, err := read()
+			if err != nil {
+				d.log.Error("settings were not read; the earlier ones stay", "error", err)
+				continue
+			}
+			old := d.settings()
+			s.Name, s.DataCentre, s.Caller, s.Readiness, s.Directory = old.Name, old.DataCentre, old.Caller, old.Readiness, old.Directory
+			s.Peer, s.Metrics, s.Store = old.Peer, old.Metrics, old.Store
+			d.current.Store(&s)
+			d.log.Info("settings read anew", "drain", s.Drain, "grace", s.Grace, "stall", s.Stall)
+		}
+	})
+}
+
+// callerIdle is how long a caller's connection may be idle. It is longer than any limit that operators set for callers,
+// so a caller who keeps to that limit never meets a close.
+const callerIdle = 3 * time.Minute
+
+// Start runs the daemon until Stop has ended it. It implements kratos' transport.Server.
+func (d *Daemon) Start(ctx context.Context) error {
+	ctx, d.stop = context.WithCancel(ctx)
+	d.log.Info("start", "data_centre", d.settings().DataCentre, "caller", d.settings().Caller, "first_start", d.settings().FirstStart, "boot", d.boot)
+	for _, srv := range d.servings {
+		d.group.Go(func() error {
+			err := srv.Start(ctx)
+			if err != nil {
+				// A daemon that serves only part of its addresses misleads callers.
+				d.log.Error("serving ended", "error", err)
+				d.stop()
+			}
+			return err
+		})
+	}
+	for _, duty := range []func(context.Context){
+		d.feed.watchConfig, d.feed.pollServers, d.feed.pollDaemons, d.feed.askPeers, d.receive, d.tell, d.lead.run, d.dispatch.run, d.sweep,
+	} {
+		d.group.Go(func() error {
+			duty(ctx)
+			return nil
+		})
+	}
+	return d.group.Wait()
+}
+
+// Stop lets the daemon leave: it is no longer named to callers, goes on taking requests until those who know it have
+// asked anew, and ends when the last answer has.
+func (d *Daemon) Stop(ctx context.Context) error {
+	began := time.Now()
+	d.leaving.Store(true)
+	d.lead.resign()
+	d.log.Info("leaving", "in_flight", d.inFlight.Load())
+	accept := time.Duration(float64(d.settings().Grace) * acceptPart)
+	end := began.Add(time.Duration(float64(d.settings().Grace) * endPart))
+	if err := timer.Wait(ctx, accept); err != nil {
+		d.log.Warn("stop was cut short", "error", err)
+	}
+	d.closing.Store(true)
+	// Idle connections close now; a request that crosses the close has not been read.
+	d.servings[0].SetKeepAlivesEnabled(false)
+	for time.Now().Before(end) && d.inFlight.Load() > 0 {
+		if err := timer.Wait(ctx, 20*time.Millisecond); err != nil {
+			break
+		}
+	}
+	d.log.Info("stop", "in_flight", d.inFlight.Load(), "after", time.Since(began))
+	close(d.ended)
+	d.stop()
+	for _, srv := range d.servings {
+		_ = srv.Close() // the process ends
+	}
+	return nil
+}
+
+func (d *Daemon) sweep(ctx context.Context) {
+	ticks, stop := timer.Every(sweepPeriod, 0)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticks:
+			d.pool.Sweep(now)
+		}
+	}
+}
+
+// steady is the clock of leases.
+func steady() time.Duration { return netopt.BootTime() }
+
+// live returns the other daemons heard of lately.
+func (d *Daemon) live(now time.Time) []*gossip.Member {
+	d.peersMu.Lock()
+	defer d.peersMu.Unlock()
+	return d.members.Live(now)
+}
+
+// ready tells whether the daemon takes new callers: it knows a configuration and the backend servers.
+func (d *Daemon) ready() bool {
+	return !d.leaving.Load() && d.config.Load() != nil && !d.view.Load().Read.IsZero()
+}
+
+func (d *Daemon) serveReadiness(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.ReadinessPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !d.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// serveDirectory tells a caller which daemons to use.
+func (d *Daemon) serveDirectory(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.ResolvePath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	var near, far []netip.AddrPort
+	dc := platform.ResolveDataCentre(r)
+	add := func(addr netip.AddrPort, at string) {
+		if at == dc {
+			near = append(near, addr)
+		} else {
+			far = append(far, addr)
+		}
+	}
+	if d.ready() {
+		add(d.settings().Caller, d.settings().DataCentre)
+	}
+	for _, m := range d.live(time.Now()) {
+		if m.Ready {
+			add(m.Caller, m.DataCentre)
+		}
+	}
+	addrs := append(near, far...)
+	addrs = addrs[:min(len(addrs), maxAddresses)]
+	if len(addrs) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	text, err := platform.EncodeAddresses(addrs, min(directoryHold, d.settings().Hold))
+	if err != nil {
+		d.log.Error("encode addresses", "error", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if _, err := w.Write(text); err != nil {
+		d.log.Debug("a caller left before it was told addresses", "error", err)
+	}
+}
+
+const (
+	// maxAddresses is the most that a caller takes.
+	maxAddresses = 64
+	// directoryHold is how long callers keep an answer. Some keep it for three times as long, which is the time for
+	// which a leaving daemon goes on taking connections.
+	directoryHold = 900 * time.Millisecond
+)
--- /dev/null
+++ b/internal/entry/dispatch.go
@@ -0,0 +1,388 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"flamingorudder.example/internal/balance"
+	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/internal/roster"
+	"flamingorudder.example/internal/route"
+	"flamingorudder.example/internal/timer"
+)
+
+// dispatchPeriod is how often waiting requests are looked at besides when something changes, and how often silent groups
+// are looked for.
+const dispatchPeriod = 25 * time.Millisecond
+
+// suspectFor is how long a group that was found silent gets no requests unless it makes progress.
+const suspectFor = 3 * time.Second
+
+// dispatcher joins the pure decisions on placement to the requests that wait for them.
+type dispatcher struct {
+	d       *Daemon
+	mu      sync.Mutex
+	models  map[modelKey]*model
+	own     map[string]balance.Load
+	silence *balance.Silence
+	// suspects are groups that were silent and are left out for a while.
+	suspects map[string]suspicion
+	// running holds the requests of each group.
+	running map[string]map[*seat]struct{}
+	ticket  uint64
+}
+
+// suspicion is until when a group is left out. Only what this daemon found itself is told to others.
+type suspicion struct {
+	until time.Time
+	own   bool
+}
+
+type modelKey struct{ service, model string }
+
+// model is what is kept for each model of a service.
+type model struct {
+	queue   balance.Queue
+	waiters map[uint64]*waiter
+	// topRank and topObjective are those of the most urgent work seen.
+	topRank      int
+	topObjective time.Duration
+	// routes is the configuration by which the two were worked out.
+	seen bool
+}
+
+type waiter struct {
+	request *balance.Waiter
+	exclude map[string]bool
+	// seat receives the place, nil when the request is turned away.
+	seat chan *seat
+}
+
+// seat is a request's place in a group.
+type seat struct {
+	d     *dispatcher
+	key   string
+	group *roster.Group
+	// ctx ends when the group is found silent.
+	ctx    context.Context
+	cancel context.CancelFunc
+	prompt int
+	first  bool
+	ended  bool
+}
+
+// RejectedError tells that a request got no place. It has not run.
+type RejectedError struct {
+	// ComeBack is when the caller should return.
+	ComeBack time.Duration
+	Reason   string
+}
+
+func (e *RejectedError) Error() string { return "no place: " + e.Reason }
+
+func newDispatcher(d *Daemon) *dispatcher {
+	return &dispatcher{
+		d: d, models: map[modelKey]*model{}, own: map[string]balance.Load{}, silence: balance.NewSilence(),
+		suspects: map[string]suspicion{}, running: map[string]map[*seat]struct{}{},
+	}
+}
+
+func groupKey(g *roster.Group) string { return fmt.Sprintf("%s/%d", g.Name, g.Epoch) }
+
+// acquire finds a place for a request, waiting for a short while. exclude holds groups that have failed it.
+func (p *dispatcher) acquire(ctx context.Context, service *route.Service, name, org string, r balance.Request, exclude map[string]bool) (*seat, error) {
+	now := time.Now()
+	p.mu.Lock()
+	m := p.model(modelKey{service.Name, name})
+	if !m.seen || r.Rank < m.topRank {
+		m.seen, m.topRank, m.topObjective = true, r.Rank, r.Objective
+	}
+	p.ticket++
+	w := &waiter{request: &balance.Waiter{Request: r, Organisation: org, Ticket: p.ticket}, exclude: exclude, seat: make(chan *seat, 1)}
+	if m.queue.Len() == 0 {
+		groups, loads := p.candidates(service, name, now)
+		if s := p.place(now, service, name, m, w, groups, loads); s != nil {
+			p.mu.Unlock()
+			return s, nil
+		}
+	}
+	if !m.queue.Add(now, w.request) {
+		p.mu.Unlock()
+		return nil, &RejectedError{balance.ComeBack(now, &r, rand.Float64), "queue"}
+	}
+	m.waiters[w.request.Ticket] = w
+	p.pump(now, service, name, m)
+	p.mu.Unlock()
+	select {
+	case s := <-w.seat:
+		if s == nil {
+			return nil, &RejectedError{balance.ComeBack(time.Now(), &r, rand.Float64), "waited"}
+		}
+		return s, nil
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	m.queue.Remove(w.request.Ticket)
+	delete(m.waiters, w.request.Ticket)
+	p.mu.Unlock()
+	select {
+	case s := <-w.seat:
+		if s != nil {
+			s.end()
+		}
+	default:
+	}
+	return nil, ctx.Err()
+}
+
+func (p *dispatcher) model(key modelKey) *model {
+	m := p.models[key]
+	if m == nil {
+		m = &model{waiters: map[uint64]*waiter{}}
+		p.models[key] = m
+	}
+	return m
+}
+
+// candidates returns the whole groups of a model and their loads.
+func (p *dispatcher) candidates(service *route.Service, name string, now time.Time) ([]*roster.Group, []balance.Group) {
+	v := p.d.view.Load()
+	others := gossip.Others(p.d.live(now))
+	var groups []*roster.Group
+	var loads []balance.Group
+	for _, g := range v.Groups[service.Name] {
+		if g.Model != name || !g.Whole() {
+			continue
+		}
+		key := groupKey(g)
+		groups = append(groups, g)
+		loads = append(loads, balance.Group{
+			Load: p.own[key].Add(others[key]), Near: g.Head.DataCentre == p.d.settings().DataCentre,
+			Suspect: now.Before(p.suspects[key].until), Slowness: 1,
+		})
+	}
+	return groups, loads
+}
+
+func (p *dispatcher) plan(service *route.Service, name string, m *model) *balance.Plan {
+	if service.Engine == nil {
+		return nil
+	}
+	spec := service.Engine.Model(name)
+	if spec == nil {
+		return nil
+	}
+	return &balance.Plan{Engine: service.Engine, Model: spec, TopRank: m.topRank, TopObjective: m.topObjective}
+}
+
+// place gives a request to a group now, if one takes it. It adds the request to the load that was handed in.
+func (p *dispatcher) place(now time.Time, service *route.Service, name string, m *model, w *waiter, groups []*roster.Group, loads []balance.Group) *seat {
+	plan := p.plan(service, name, m)
+	if plan == nil {
+		return nil
+	}
+	for range len(groups) + 1 {
+		i := plan.Choose(&w.request.Request, loads, rand.Float64)
+		if i < 0 {
+			return nil
+		}
+		key := groupKey(groups[i])
+		if w.exclude[key] {
+			// Left out for this request only.
+			rest := append([]balance.Group(nil), loads...)
+			rest[i].Suspect = true
+			loads = rest
+			continue
+		}
+		load := balance.Load{Requests: 1, Unread: w.request.Prompt}
+		loads[i].Load = loads[i].Load.Add(load)
+		p.own[key] = p.own[key].Add(load)
+		p.silence.Begin(now, key, plan.Limit())
+		m.queue.Used(now, w.request.Organisation, w.request.Prompt)
+		s := &seat{d: p, key: key, group: groups[i], prompt: w.request.Prompt}
+		s.ctx, s.cancel = context.WithCancel(context.Background())
+		if p.running[key] == nil {
+			p.running[key] = map[*seat]struct{}{}
+		}
+		p.running[key][s] = struct{}{}
+		return s
+	}
+	return nil
+}
+
+// maxTries bounds the requests that are looked at in one pass of the queue without a place being found.
+const maxTries = 8
+
+// pump gives places to waiting requests and turns away those that have waited for too long.
+func (p *dispatcher) pump(now time.Time, service *route.Service, name string, m *model) {
+	for _, w := range m.queue.Expire(now) {
+		p.hand(m, w.Ticket, nil)
+	}
+	if m.queue.Len() == 0 {
+		return
+	}
+	groups, loads := p.candidates(service, name, now)
+	tries := 0
+	for _, r := range m.queue.Order(now) {
+		w := m.waiters[r.Ticket]
+		s := p.place(now, service, name, m, w, groups, loads)
+		if s == nil {
+			if tries++; tries >= maxTries {
+				return
+			}
+			continue
+		}
+		m.queue.Remove(r.Ticket)
+		p.hand(m, r.Ticket, s)
+	}
+}
+
+func (p *dispatcher) hand(m *model, ticket uint64, s *seat) {
+	if w := m.waiters[ticket]; w != nil {
+		delete(m.waiters, ticket)
+		w.seat <- s
+	}
+}
+
+// update looks at all waiting requests, after the groups or their loads have changed.
+func (p *dispatcher) update() {
+	c := p.d.config.Load()
+	if c == nil {
+		return
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, m := range p.models {
+		if m.queue.Len() == 0 {
+			continue
+		}
+		if s := c.Service(key.service); s != nil {
+			p.pump(now, s, key.model, m)
+		}
+	}
+}
+
+// run looks for silent groups and for requests that have waited for too long.
+func (p *dispatcher) run(ctx context.Context) {
+	ticks, stop := timer.Every(dispatchPeriod, 0)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+		now := time.Now()
+		p.mu.Lock()
+		silent := p.silence.Tick(now)
+		for _, key := range silent {
+			p.suspect(now, key)
+		}
+		p.mu.Unlock()
+		for _, key := range silent {
+			p.d.log.Warn("group makes no progress", "group", key)
+			p.d.lead.suspect(key)
+		}
+		p.update()
+	}
+}
+
+// suspect leaves a group out for a while and frees its requests, which may go on elsewhere.
+func (p *dispatcher) suspect(now time.Time, key string) {
+	p.suspects[key] = suspicion{now.Add(suspectFor), true}
+	for s := range p.running[key] {
+		s.cancel()
+	}
+	for k, s := range p.suspects {
+		if now.After(s.until) {
+			delete(p.suspects, k)
+		}
+	}
+}
+
+// hear takes the suspects of another daemon. Groups that make progress here are not left out.
+func (p *dispatcher) hear(keys []string) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, key := range keys {
+		if len(p.running[key]) == 0 && !p.suspects[key].own {
+			p.suspects[key] = suspicion{until: now.Add(suspectFor)}
+		}
+	}
+}
+
+// work returns what this daemon has at each group, and the groups it suspects.
+func (p *dispatcher) work() (work []gossip.Work, suspects []string) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, l := range p.own {
+		work = append(work, gossip.Work{Group: key, Requests: l.Requests, Unread: l.Unread})
+	}
+	for key, s := range p.suspects {
+		if s.own && now.Before(s.until) {
+			suspects = append(suspects, key)
+		}
+	}
+	return work, suspects
+}
+
+// progress notes an event of the answer.
+func (s *seat) progress() {
+	now := time.Now()
+	s.d.mu.Lock()
+	defer s.d.mu.Unlock()
+	if s.ended {
+		return
+	}
+	if s.first {
+		s.d.silence.Progress(now, s.key)
+		return
+	}
+	s.first = true
+	s.d.silence.First(now, s.key)
+	s.d.shift(s.key, balance.Load{Unread: -s.prompt})
+}
+
+// end gives the place back.
+func (s *seat) end() {
+	s.d.mu.Lock()
+	if s.ended {
+		s.d.mu.Unlock()
+		return
+	}
+	s.ended = true
+	s.cancel()
+	s.d.silence.End(s.key, s.first)
+	load := balance.Load{Requests: -1}
+	if !s.first {
+		load.Unread = -s.prompt
+	}
+	s.d.shift(s.key, load)
+	delete(s.d.running[s.key], s)
+	if len(s.d.running[s.key]) == 0 {
+		delete(s.d.running, s.key)
+	}
+	waiting := false
+	for _, m := range s.d.models {
+		waiting = waiting || m.queue.Len() > 0
+	}
+	s.d.mu.Unlock()
+	if waiting {
+		s.d.update()
+	}
+}
+
+func (p *dispatcher) shift(key string, l balance.Load) {
+	l = p.own[key].Add(l)
+	if l.Requests <= 0 {
+		delete(p.own, key)
+		return
+	}
+	p.own[key] = l
+}
--- /dev/null
+++ b/internal/entry/feeds.go
@@ -0,0 +1,453 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/internal/roster"
+	"flamingorudder.example/internal/timer"
+	"flamingorudder.example/platform"
+)
+
+const (
+	// storeTimeout bounds a call to the store; slow answers take some hundred milliseconds.
+	storeTimeout = 1500 * time.Millisecond
+	// configWait is how long a read waits for a change of the configuration.
+	configWait = 10 * time.Second
+	// configSilence is added to configWait before a read counts as lost.
+	configSilence = time.Second
+	// serversPeriod is how often the entries of backend servers are read. It is well below the time after which a
+	// leaving one must get no new requests.
+	serversPeriod = 600 * time.Millisecond
+	// daemonsPeriod is how often the rows of daemons are read; presence comes with digests.
+	daemonsPeriod = 5 * time.Second
+	// rowPeriod is how often a daemon writes its own row.
+	rowPeriod = 10 * time.Second
+	// lapseGrace is how long backend servers have to register again after the store was away.
+	lapseGrace = 2 * time.Second
+	// retryFirst and retryMax bound the pause after a call that failed.
+	retryFirst = 100 * time.Millisecond
+	retryMax   = time.Second
+	// relayAfter is how long the store may fail before another daemon is asked for what it knows.
+	relayAfter = 700 * time.Millisecond
+	// relayPeriod is how often it is asked.
+	relayPeriod = 500 * time.Millisecond
+	// behindFor is how long another daemon may have a newer configuration before it is asked for it.
+	behindFor = 250 * time.Millisecond
+	maxRelay  = 16 << 20
+)
+
+const tableDaemons = "daemon"
+
+// feeds keeps what the daemon knows up to date with the store, or with another daemon while the store does not answer.
+type feeds struct {
+	d  *Daemon
+	mu sync.Mutex
+	// rawConfig is the newest configuration as it was stored, for daemons that the store turns away.
+	rawConfig []byte
+	// rawServers is the entries as they were stored.
+	rawServers map[string][]byte
+	tracker    *roster.Tracker
+	// readAt is when the entries were last read from the store, failing since when that fails.
+	failing time.Time
+}
+
+func newFeeds(d *Daemon) *feeds {
+	return &feeds{d: d, rawServers: map[string][]byte{}, tracker: roster.NewTracker(lapseGrace)}
+}
+
+// backOff waits longer after each failure.
+type backOff struct{ d time.Duration }
+
+func (b *backOff) wait(ctx context.Context) {
+	b.d = min(max(b.d*2, retryFirst), retryMax)
+	_ = timer.Wait(ctx, b.d) // the caller's loop ends with ctx
+}
+
+// watchConfig follows the operators' table.
+func (f *feeds) watchConfig(ctx context.Context) {
+	var pause backOff
+	after := int64(-1)
+	for ctx.Err() == nil {
+		var page platform.Page
+		var err error
+		if after < 0 {
+			page, err = call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
+				return f.d.store.Rows(ctx, platform.TableOperator)
+			})
+		} else {
+			page, err = call(ctx, configWait+configSilence, func(ctx context.Context) (platform.Page, error) {
+				return f.d.store.Feed(ctx, platform.TableOperator, after, configWait)
+			})
+		}
+		if err != nil {
+			if ctx.Err() == nil {
+				f.d.log.Warn("read configuration from the store", "error", err)
+			}
+			after = -1
+			pause.wait(ctx)
+			continue
+		}
+		pause = backOff{}
+		after = page.Version
+		for _, r := range page.Rows {
+			if r.Key == platform.ConfigKey && !r.Removed {
+				f.apply(r.Value, "store")
+			}
+		}
+	}
+}
+
+// call runs one call of the store under a time limit.
+func call[T any](ctx context.Context, limit time.Duration, f func(context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return f(ctx)
+}
+
+// apply puts a configuration in force unless a newer one is.
+func (f *feeds) apply(text []byte, source string) {
+	c, err := platform.DecodeConfig(text)
+	if err != nil {
+		f.d.log.Error("configuration cannot be used", "source", source, "error", err)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.d.config.Load()
+	if old != nil && old.Version >= c.Version {
+		return
+	}
+	f.rawConfig = text
+	f.d.config.Store(c)
+	was := int64(0)
+	if old != nil {
+		was = old.Version
+	}
+	f.d.log.Info("configuration in force", "version", c.Version, "before", was, "source", source, "routes", len(c.Routes))
+}
+
+// pollServers follows the entries of backend servers.
+func (f *feeds) pollServers(ctx context.Context) {
+	after := int64(-1)
+	var pause backOff
+	ticks, stop := timer.Every(serversPeriod, 0.1)
+	defer stop()
+	for {
+		err := f.readServers(ctx, &after)
+		f.note(err)
+		if err != nil {
+			pause.wait(ctx)
+			if ctx.Err() != nil {
+				return
+			}
+			continue
+		}
+		pause = backOff{}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+	}
+}
+
+func (f *feeds) readServers(ctx context.Context, after *int64) error {
+	page, err := call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
+		if *after < 0 {
+			return f.d.store.Rows(ctx, platform.TableServers)
+		}
+		return f.d.store.Feed(ctx, platform.TableServers, *after, 0)
+	})
+	var history *platform.HistoryError
+	if errors.As(err, &history) && *after >= 0 {
+		*after = -1
+		return f.readServers(ctx, after)
+	}
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.tracker.Back(time.Now())
+	f.mu.Unlock()
+	whole := *after < 0
+	*after = page.Version
+	rows := make([]entryRow, len(page.Rows))
+	for i, r := range page.Rows {
+		rows[i] = entryRow{ID: r.Key, Value: r.Value, Removed: r.Removed}
+	}
+	f.takeServers(rows, whole)
+	return nil
+}
+
+// note keeps whether the store answers.
+func (f *feeds) note(err error) {
+	ok := err == nil
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !ok {
+		f.tracker.Hold()
+		if f.failing.IsZero() {
+			f.failing = time.Now()
+		}
+	} else {
+		f.failing = time.Time{}
+	}
+	if f.d.storeOK.Swap(ok) != ok {
+		if ok {
+			f.d.log.Info("store answers")
+		} else {
+			f.d.log.Warn("store lost", "error", err)
+		}
+	}
+}
+
+// entryRow is the entry of a backend server as it was stored.
+type entryRow struct {
+	ID      string `cbor:"id"`
+	Value   []byte `cbor:"value"`
+	Removed bool   `cbor:"removed,omitempty"`
+}
+
+// takeServers takes changed entries, or with whole set all of them.
+func (f *feeds) takeServers(rows []entryRow, whole bool) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if whole {
+		clear(f.rawServers)
+	}
+	changes := make([]roster.Change, 0, len(rows))
+	var all []*roster.Server
+	for _, r := range rows {
+		if r.Removed {
+			delete(f.rawServers, r.ID)
+			changes = append(changes, roster.Change{ID: r.ID})
+			continue
+		}
+		f.rawServers[r.ID] = r.Value
+		s, err := platform.DecodeServer(r.ID, r.Value)
+		if err != nil {
+			// Another writer's entry names no backend server.
+			f.d.log.Warn("entry left out", "id", r.ID, "error", err)
+			changes = append(changes, roster.Change{ID: r.ID})
+			continue
+		}
+		all = append(all, s)
+		changes = append(changes, roster.Change{ID: r.ID, Server: s})
+	}
+	if whole {
+		f.tracker.Replace(now, all)
+	} else {
+		f.tracker.Apply(now, changes)
+	}
+	old := f.d.view.Load()
+	v := f.tracker.View(now, f.size)
+	f.d.view.Store(v)
+	f.logChanges(old, v)
+	f.d.dispatch.update()
+}
+
+// size is the roster.Size of the configuration in force.
+func (f *feeds) size(service, model string) int {
+	c := f.d.config.Load()
+	if c == nil {
+		return 0
+	}
+	s := c.Service(service)
+	if s == nil || s.Engine == nil {
+		return 0
+	}
+	if m := s.Engine.Model(model); m != nil {
+		return m.Size
+	}
+	return 0
+}
+
+func (f *feeds) logChanges(old, v *roster.View) {
+	for id, s := range v.Servers {
+		if o := old.Servers[id]; o == nil || o.State != s.State || o.Born != s.Born {
+			f.d.log.Info("backend server", "id", id, "service", s.Service, "state", s.State, "born", s.Born, "domain", s.Domain)
+		}
+	}
+	for id, s := range old.Servers {
+		if v.Servers[id] == nil {
+			f.d.log.Info("backend server gone", "id", id, "service", s.Service)
+		}
+	}
+}
+
+// pollDaemons writes this daemon's row and reads those of the others.
+func (f *feeds) pollDaemons(ctx context.Context) {
+	var wrote time.Time
+	var pause backOff
+	ticks, stop := timer.Every(daemonsPeriod, 0.2)
+	defer stop()
+	for {
+		err := f.exchangeDaemons(ctx, &wrote)
+		if err != nil && ctx.Err() == nil {
+			f.d.log.Warn("exchange rows of daemons with the store", "error", err)
+			pause.wait(ctx)
+			continue
+		}
+		pause = backOff{}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+	}
+}
+
+func (f *feeds) exchangeDaemons(ctx context.Context, wrote *time.Time) error {
+	if time.Since(*wrote) >= rowPeriod {
+		value, err := cbor.Marshal(f.d.digest())
+		if err != nil {
+			return fmt.Errorf("encode row: %w", err)
+		}
+		_, err = call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
+			return f.d.store.Do(ctx, platform.Tx{Write: []platform.Row{{Table: tableDaemons, Key: f.d.settings().Name, Value: value}}})
+		})
+		if err != nil {
+			return err
+		}
+		*wrote = time.Now()
+	}
+	page, err := call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
+		return f.d.store.Rows(ctx, tableDaemons)
+	})
+	if err != nil {
+		return err
+	}
+	f.d.peersMu.Lock()
+	defer f.d.peersMu.Unlock()
+	for _, r := range page.Rows {
+		m, err := gossip.Decode(r.Value)
+		if err != nil {
+			f.d.log.Warn("row of a daemon cannot be read", "key", r.Key, "error", err)
+			continue
+		}
+		f.d.members.Introduce(time.Now(), m)
+	}
+	return nil
+}
+
+// relay is what a daemon tells another one that cannot read the store.
+type relay struct {
+	Config  []byte     `cbor:"config"`
+	Servers []entryRow `cbor:"servers"`
+	// Store tells whether the sender reads the store now.
+	Store bool `cbor:"store"`
+}
+
+// servePeer answers another daemon.
+func (d *Daemon) servePeer(w http.ResponseWriter, r *http.Request) {
+	f := d.feed
+	out := relay{Store: d.storeOK.Load()}
+	f.mu.Lock()
+	out.Config = f.rawConfig
+	if r.URL.Path == pathAll {
+		for id, v := range f.rawServers {
+			out.Servers = append(out.Servers, entryRow{ID: id, Value: v})
+		}
+	}
+	f.mu.Unlock()
+	text, err := cbor.Marshal(out)
+	if err != nil {
+		d.log.Error("encode relay", "error", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if _, err := w.Write(text); err != nil {
+		d.log.Debug("another daemon left before it was answered", "error", err)
+	}
+}
+
+// Paths between daemons.
+const (
+	pathAll    = "/all"
+	pathConfig = "/config"
+)
+
+// askPeers asks other daemons for what the store does not tell.
+func (f *feeds) askPeers(ctx context.Context) {
+	client := &http.Client{Timeout: storeTimeout}
+	defer client.CloseIdleConnections()
+	ticks, stop := timer.Every(relayPeriod, 0.2)
+	defer stop()
+	var behind time.Time
+	for {
+		var now time.Time
+		select {
+		case <-ctx.Done():
+			return
+		case now = <-ticks:
+		}
+		f.mu.Lock()
+		failing := !f.failing.IsZero() && now.Sub(f.failing) > relayAfter
+		f.mu.Unlock()
+		mine := int64(0)
+		if c := f.d.config.Load(); c != nil {
+			mine = c.Version
+		}
+		var newest, reader *gossip.Member
+		for _, m := range f.d.live(now) {
+			if m.Config > mine && (newest == nil || m.Config > newest.Config) {
+				newest = m
+			}
+			if m.Store && (reader == nil || now.UnixNano()%2 == 0) {
+				reader = m
+			}
+		}
+		if newest == nil {
+			behind = time.Time{}
+		} else if behind.IsZero() {
+			behind = now
+		}
+		switch {
+		case failing && reader != nil:
+			f.ask(ctx, client, reader.Peer, pathAll)
+		case newest != nil && now.Sub(behind) >= behindFor:
+			f.ask(ctx, client, newest.Peer, pathConfig)
+		}
+	}
+}
+
+func (f *feeds) ask(ctx context.Context, client *http.Client, peer netip.AddrPort, path string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+path, nil)
+	if err != nil {
+		f.d.log.Error("make request to another daemon", "error", err)
+		return
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		f.d.log.Warn("ask another daemon", "peer", peer, "error", err)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }() // read to its end or given up
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxRelay))
+	if err != nil {
+		f.d.log.Warn("read answer of another daemon", "peer", peer, "error", err)
+		return
+	}
+	var in relay
+	if err := cbor.Unmarshal(text, &in); err != nil {
+		f.d.log.Warn("decode answer of another daemon", "peer", peer, "error", err)
+		return
+	}
+	if len(in.Config) > 0 {
+		f.apply(in.Config, peer.String())
+	}
+	if path == pathAll && in.Store {
+		f.takeServers(in.Servers, true)
+	}
+}
--- /dev/null
+++ b/internal/entry/lead.go
@@ -0,0 +1,360 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
+
+	"flamingorudder.example/internal/election"
+	"flamingorudder.example/internal/replica"
+	"flamingorudder.example/internal/roster"
+	"flamingorudder.example/internal/timer"
+	"flamingorudder.example/platform"
+)
+
+const (
+	tableLease = "lease"
+	leaseKey   = "orders"
+	// votePeriod is how often the lease is looked at.
+	votePeriod = 50 * time.Millisecond
+	// planPeriod is how often the planner of each service runs.
+	planPeriod = 100 * time.Millisecond
+	// reportPeriod is how often a backend server is asked for its report; quickPeriod while its state is about to change.
+	reportPeriod = 1200 * time.Millisecond
+	quickPeriod  = 150 * time.Millisecond
+	// reportTimeout bounds one question, orderTimeout one order.
+	reportTimeout = 500 * time.Millisecond
+	orderTimeout  = time.Second
+	// failuresToDoubt is how many questions in a row without an answer make a backend server lost.
+	failuresToDoubt = 2
+	// maxCalls bounds the questions and orders that are under way at once.
+	maxCalls = 64
+)
+
+// leader gives orders to backend servers while this daemon holds the lease.
+type leader struct {
+	d  *Daemon
+	mu sync.Mutex
+	// token is that of the lease under which the planners were made.
+	token    int64
+	planners map[string]*replica.Planner
+	// asked is what is known of each backend server from its own answers.
+	asked map[string]*inquiry
+	// doubted are the groups that made no progress somewhere.
+	doubted map[string]bool
+	calls   errgroup.Group
+}
+
+// inquiry is what the questions to one backend server brought.
+type inquiry struct {
+	born     int64
+	report   platform.Report
+	reported bool
+	// at is when the last answer came, next when the next question is due.
+	at, next time.Time
+	failures int
+	asking   bool
+}
+
+func newLeader(d *Daemon) *leader {
+	l := &leader{d: d, planners: map[string]*replica.Planner{}, asked: map[string]*inquiry{}, doubted: map[string]bool{}}
+	l.calls.SetLimit(maxCalls)
+	return l
+}
+
+func (l *leader) record(token int64) *election.Record {
+	return &election.Record{Holder: l.d.settings().Name, Token: token}
+}
+
+// resign gives the lease up: the others find it free after its time.
+func (l *leader) resign() {
+	l.d.peersMu.Lock()
+	defer l.d.peersMu.Unlock()
+	l.d.vote.Resign()
+}
+
+// suspect has the members of a group asked at once.
+func (l *leader) suspect(key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.doubted[key] = true
+}
+
+func (l *leader) run(ctx context.Context) {
+	votes, stopVotes := timer.Every(votePeriod, 0.2)
+	defer stopVotes()
+	plans, stopPlans := timer.Every(planPeriod, 0)
+	defer stopPlans()
+	for {
+		select {
+		case <-ctx.Done():
+			_ = l.calls.Wait() // calls report their failures themselves
+			return
+		case <-votes:
+			l.vote(ctx)
+		case <-plans:
+			l.plan(ctx)
+		}
+	}
+}
+
+// vote keeps or takes the lease.
+func (l *leader) vote(ctx context.Context) {
+	d := l.d
+	if d.leaving.Load() {
+		return
+	}
+	place := 0
+	for _, m := range d.live(time.Now()) {
+		if m.Name < d.settings().Name && m.Ready {
+			place++
+		}
+	}
+	d.peersMu.Lock()
+	action := d.vote.Step(steady(), place)
+	next, version := d.vote.Next()
+	d.peersMu.Unlock()
+	switch action {
+	case election.Look:
+		l.calls.Go(func() error {
+			l.look(ctx)
+			return nil
+		})
+	case election.Write:
+		l.calls.Go(func() error {
+			l.write(ctx, next, version)
+			return nil
+		})
+	}
+}
+
+func (l *leader) look(ctx context.Context) {
+	page, err := call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
+		return l.d.store.Rows(ctx, tableLease)
+	})
+	l.d.peersMu.Lock()
+	defer l.d.peersMu.Unlock()
+	if err != nil {
+		l.d.vote.Failed()
+		l.d.log.Warn("read the lease", "error", err)
+		return
+	}
+	r, v := l.decodeLease(page.Rows)
+	l.d.vote.Read(steady(), r, v)
+}
+
+func (l *leader) decodeLease(rows []platform.Row) (election.Record, int64) {
+	for _, row := range rows {
+		if row.Key != leaseKey || row.Version == 0 {
+			continue
+		}
+		var r election.Record
+		if err := cbor.Unmarshal(row.Value, &r); err != nil {
+			l.d.log.Error("the lease cannot be read", "error", err)
+		}
+		return r, row.Version
+	}
+	return election.Record{}, 0
+}
+
+func (l *leader) write(ctx context.Context, next election.Record, version int64) {
+	value, err := cbor.Marshal(next)
+	if err != nil {
+		l.d.log.Error("encode the lease", "error", err)
+		return
+	}
+	sent := steady()
+	row := platform.Row{Table: tableLease, Key: leaseKey, Value: value, Version: version}
+	page, err := call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
+		return l.d.store.Do(ctx, platform.Tx{Check: []platform.Row{row}, Write: []platform.Row{row}})
+	})
+	l.d.peersMu.Lock()
+	defer l.d.peersMu.Unlock()
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		if l.d.vote.Holder() != l.d.settings().Name {
+			l.d.log.Info("lease taken", "token", next.Token, "version", page.Version)
+		}
+		l.d.vote.Written(sent, next, page.Version)
+	case errors.As(err, &conflict):
+		l.d.vote.Failed()
+		r, v := l.decodeLease(conflict.Rows)
+		l.d.vote.Learn(steady(), r, v)
+		l.d.log.Info("lease is another's", "holder", r.Holder, "token", r.Token)
+	default:
+		l.d.vote.Failed()
+		l.d.log.Warn("write the lease", "error", err)
+	}
+}
+
+// plan asks backend servers, and gives the orders that the planners decide.
+func (l *leader) plan(ctx context.Context) {
+	d := l.d
+	d.peersMu.Lock()
+	token, ok := d.vote.Holding(steady())
+	d.peersMu.Unlock()
+	c, v := d.config.Load(), d.view.Load()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !ok || c == nil || v.Read.IsZero() {
+		clear(l.asked)
+		clear(l.doubted)
+		return
+	}
+	now := time.Now()
+	if token != l.token {
+		l.token = token
+		clear(l.planners)
+		clear(l.asked)
+	}
+	early := d.settings().FirstStart && !d.served.Load()
+	for i := range c.Services {
+		s := &c.Services[i]
+		if s.Engine == nil || len(s.Engine.Models) == 0 {
+			continue
+		}
+		members := l.members(ctx, now, s.Name, v)
+		p := l.planners[s.Name]
+		if p == nil {
+			p = replica.New(s.Name, s.Engine, token, now)
+			l.planners[s.Name] = p
+		}
+		orders := p.Step(now, replica.Input{
+			Members: members, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, Window: d.settings().LoadWindow, Early: early,
+		})
+		for _, o := range orders {
+			if !l.calls.TryGo(func() error {
+				l.give(ctx, p, o)
+				return nil
+			}) {
+				p.Failed(o.Server.ID)
+			}
+		}
+	}
+}
+
+// members joins the entries of a service's backend servers with what they answered, and asks those that are due.
+func (l *leader) members(ctx context.Context, now time.Time, service string, v *roster.View) []*replica.Member {
+	var out []*replica.Member
+	for id, s := range v.Servers {
+		if s.Service != service {
+			continue
+		}
+		q := l.asked[id]
+		if q == nil || q.born != s.Born {
+			q = &inquiry{born: s.Born, next: now}
+			l.asked[id] = q
+		}
+		m := &replica.Member{Server: s, Listed: true}
+		out = append(out, l.join(m, q))
+		if doubt := s.Group != "" && l.doubted[groupKey(&roster.Group{Name: s.Group, Epoch: s.Epoch})]; doubt && now.Sub(q.at) > quickPeriod {
+			q.next = now
+		}
+		l.ask(ctx, now, s, q)
+	}
+	clear(l.doubted)
+	for id := range l.asked {
+		if v.Servers[id] == nil {
+			delete(l.asked, id)
+		}
+	}
+	return out
+}
+
+// join makes a member of an entry and what the backend server answered, whichever is newer.
+func (l *leader) join(m *replica.Member, q *inquiry) *replica.Member {
+	m.Reported, m.Answers = q.reported, q.failures < failuresToDoubt
+	if !q.reported {
+		return m
+	}
+	s := *m.Server
+	s.Staged, s.Model, s.Membership = q.report.Staged, q.report.Model, q.report.Membership
+	m.Server = &s
+	m.Orders, m.Busy, m.Pace = q.report.Orders, q.report.Busy, q.report.Pace
+	return m
+}
+
+// ask sends a question when it is due.
+func (l *leader) ask(ctx context.Context, now time.Time, s *roster.Server, q *inquiry) {
+	if q.asking || now.Before(q.next) {
+		return
+	}
+	q.asking = true
+	ok := l.calls.TryGo(func() error {
+		r, err := call(ctx, reportTimeout, func(ctx context.Context) (platform.Report, error) {
+			return l.d.servers.Report(ctx, s)
+		})
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		q.asking = false
+		now := time.Now()
+		if err != nil {
+			q.failures++
+			q.next = now.Add(quickPeriod)
+			if q.failures >= failuresToDoubt {
+				q.next = now.Add(reportPeriod)
+			}
+			if q.failures == failuresToDoubt && ctx.Err() == nil {
+				l.d.log.Warn("backend server does not answer", "id", s.ID, "group", s.Group, "error", err)
+			}
+			return nil
+		}
+		if q.failures >= failuresToDoubt {
+			l.d.log.Info("backend server answers again", "id", s.ID)
+		}
+		q.failures = 0
+		q.report, q.reported, q.at = r, true, now
+		q.next = now.Add(reportPeriod)
+		if r.Busy || r.Membership.State == roster.Joining || r.Membership.State == roster.Joined {
+			q.next = now.Add(quickPeriod)
+		}
+		return nil
+	})
+	if !ok {
+		q.asking = false
+	}
+}
+
+// give gives one order.
+func (l *leader) give(ctx context.Context, p *replica.Planner, o replica.Order) {
+	d := l.d
+	d.peersMu.Lock()
+	token, ok := d.vote.Holding(steady())
+	d.peersMu.Unlock()
+	if !ok || token != o.Fence {
+		return
+	}
+	out, err := call(ctx, orderTimeout, func(ctx context.Context) (platform.Outcome, error) {
+		return d.servers.Give(ctx, o.Server, o.Order)
+	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	args := []any{"id", o.Server.ID, "operation", o.Operation, "group", o.Group, "epoch", o.Epoch, "model", o.Model, "why", o.Why, "fence", o.Fence}
+	if q := l.asked[o.Server.ID]; q != nil {
+		q.next = time.Now().Add(quickPeriod)
+		if err == nil && out == platform.Begun {
+			q.report.Orders++
+		}
+	}
+	if err != nil {
+		// It may be carried out later; the planner waits for its effect for a while and then decides anew.
+		d.log.Warn("order without an answer", append(args, "error", err)...)
+		return
+	}
+	d.log.Info("order", append(args, "outcome", out)...)
+	switch out {
+	case platform.Begun, platform.Holds:
+	case platform.Fenced:
+		p.Failed(o.Server.ID)
+		d.peersMu.Lock()
+		d.vote.Resign()
+		d.peersMu.Unlock()
+	default:
+		p.Failed(o.Server.ID)
+	}
+}
--- /dev/null
+++ b/internal/entry/plain.go
@@ -0,0 +1,244 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"flamingorudder.example/internal/backend"
+	"flamingorudder.example/internal/roster"
+	"flamingorudder.example/internal/route"
+)
+
+const (
+	// safeTry is the part of the objective, as a multiple, after which a request that may be repeated goes to another
+	// backend server.
+	safeTry = 1.5
+	// doubtFirst and doubtMax are how long a backend server that failed is left out.
+	doubtFirst = 500 * time.Millisecond
+	doubtMax   = 4 * time.Second
+	// failingShare is the part of failures, among recent answers, from which a backend server is used last.
+	failingShare = 0.3
+)
+
+// standing is what a daemon knows of a plain backend server from its own requests.
+type standing struct {
+	inFlight int
+	// doubted is until when it is left out, pause the length of the last such time.
+	doubted time.Time
+	pause   time.Duration
+	// failures is the recent part of failed answers.
+	failures float64
+}
+
+// standings is that of all plain backend servers, by id.
+type standings struct {
+	mu  sync.Mutex
+	all map[string]*standing
+}
+
+// failureWeight is what one answer adds to the recent part of failures.
+const failureWeight = 0.1
+
+// choose takes the backend server with the least work; those that fail or failed lately come last.
+func (s *standings) choose(servers []*roster.Server, tried map[string]bool, dc string, now time.Time) *roster.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var best *roster.Server
+	bestScore := 0.0
+	for _, server := range servers {
+		score := rand.Float64() * 0.5
+		if st := s.all[server.ID]; st != nil {
+			score += float64(st.inFlight) / float64(max(server.Slots, 1)) * 4
+			if now.Before(st.doubted) {
+				score += 100
+			}
+			if st.failures > failingShare {
+				score += 10 * st.failures
+			}
+		}
+		if server.DataCentre == dc {
+			score -= 0.1
+		}
+		if tried[server.ID] {
+			score += 1000
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = server, score
+		}
+	}
+	return best
+}
+
+func (s *standings) begin(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.all == nil {
+		s.all = map[string]*standing{}
+	}
+	st := s.all[id]
+	if st == nil {
+		st = &standing{}
+		s.all[id] = st
+	}
+	st.inFlight++
+}
+
+// end notes the end of an attempt. lost tells that there was no answer, failed that the answer was a failure.
+func (s *standings) end(id string, lost, failed bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.all[id]
+	st.inFlight--
+	st.failures *= 1 - failureWeight
+	if lost || failed {
+		st.failures += failureWeight
+	}
+	if lost {
+		st.pause = min(max(st.pause*2, doubtFirst), doubtMax)
+		st.doubted = now.Add(st.pause)
+	} else {
+		st.pause = 0
+	}
+}
+
+// NoServerError tells that a service has no backend server to use.
+type NoServerError struct{ Service string }
+
+func (e *NoServerError) Error() string { return "no backend server of " + e.Service }
+
+// plain serves a request to a plain service.
+func (x *exchange) plain(ctx context.Context, svc *route.Service) {
+	tried := map[string]bool{}
+	limit := 0
+	if svc != nil && svc.MaxConnections > 0 {
+		limit = max(svc.MaxConnections/(len(x.d.live(x.began))+1), 1)
+	}
+	var last error
+	var answer *wholeAnswer
+	for unsent := 0; unsent < maxUnsent && ctx.Err() == nil; {
+		server := x.d.plain.choose(x.d.view.Load().Services[x.service], tried, x.d.settings().DataCentre, time.Now())
+		if server == nil {
+			last = &NoServerError{x.service}
+			break
+		}
+		if !x.maySend() {
+			break
+		}
+		before := x.sends
+		out, err := x.tryPlain(ctx, server, limit)
+		tried[server.ID] = true
+		if out != nil {
+			answer = out
+			if out.status < http.StatusInternalServerError {
+				break
+			}
+		}
+		if err != nil {
+			last = err
+		}
+		if x.sends == before {
+			unsent++
+		}
+		if out != nil && !x.route.Repeatable() {
+			break
+		}
+	}
+	if answer != nil && x.r.Context().Err() == nil {
+		answer.pass(x)
+		return
+	}
+	x.failed(ctx, last)
+}
+
+// maxUnsent bounds the backend servers that are tried because earlier ones could not be reached.
+const maxUnsent = 4
+
+// wholeAnswer is an answer that has been read, or whose rest is still to come in tail.
+type wholeAnswer struct {
+	status int
+	a      *backend.Answer
+	body   []byte
+	// tail is set when the body is larger than what is read ahead.
+	tail   bool
+	server string
+	done   func(lost bool)
+}
+
+// tryPlain sends the request to one backend server and reads its answer.
+func (x *exchange) tryPlain(ctx context.Context, server *roster.Server, limit int) (*wholeAnswer, error) {
+	tryCtx, cancel := ctx, context.CancelFunc(func() {})
+	if x.route.Kind == route.Safe && x.sends+1 < x.route.MaxAttempts && x.route.Objective > 0 {
+		tryCtx, cancel = context.WithTimeout(ctx, time.Duration(float64(x.route.Objective)*safeTry))
+	}
+	x.d.plain.begin(server.ID)
+	a, err := x.d.pool.Do(tryCtx, server, x.request(server, -1, ""), limit)
+	ran := x.note(server.ID, err, a)
+	if err != nil {
+		cancel()
+		x.d.plain.end(server.ID, x.r.Context().Err() == nil, false, time.Now())
+		return nil, err
+	}
+	end := func(lost bool) {
+		a.Close()
+		cancel()
+		x.d.plain.end(server.ID, lost && x.r.Context().Err() == nil, a.Status >= http.StatusInternalServerError && ran, time.Now())
+	}
+	if !ran || !usable(a) {
+		_, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxWhole))
+		end(err != nil)
+		return nil, &UnusableError{server.ID, a.Status}
+	}
+	out := &wholeAnswer{status: a.Status, a: a, server: server.ID, done: end}
+	out.body, err = io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
+	out.tail = len(out.body) > maxWhole
+	if err != nil {
+		end(true)
+		x.trail[len(x.trail)-1] += ", broken off"
+		return nil, &backend.LostError{Server: server.ID, Err: err}
+	}
+	if !out.tail {
+		end(false)
+	}
+	return out, nil
+}
+
+// UnusableError reports an answer that is not passed on.
+type UnusableError struct {
+	Server string
+	Status int
+}
+
+func (e *UnusableError) Error() string { return "unusable answer of " + e.Server }
+
+// pass gives the answer to the caller.
+func (o *wholeAnswer) pass(x *exchange) {
+	x.first = time.Now()
+	if !o.tail {
+		o.a.Length = int64(len(o.body))
+	}
+	x.head(o.a)
+	if x.r.Method == http.MethodHead {
+		x.finish(o.status, outcomeServed)
+		return
+	}
+	_, err := x.w.Write(o.body)
+	if o.tail {
+		if err == nil {
+			_, err = io.Copy(x.w, o.a.Body)
+		}
+		o.done(err != nil)
+	}
+	if err != nil {
+		x.finish(o.status, "broken off")
+		panic(http.ErrAbortHandler)
+	}
+	reason := outcomeServed
+	if o.status >= http.StatusInternalServerError {
+		reason = "failed by its backend server"
+	}
+	x.finish(o.status, reason)
+}
--- /dev/null
+++ b/internal/entry/stream.go
@@ -0,0 +1,234 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"flamingorudder.example/internal/backend"
+	"flamingorudder.example/internal/balance"
+	"flamingorudder.example/internal/route"
+)
+
+const (
+	// readSize is the size of the buffer into which events are read; larger events grow it.
+	readSize = 2 << 10
+	// maxEvent bounds one event.
+	maxEvent = 1 << 20
+	// urgencies is the number of priorities that a model runner knows.
+	urgencies = 10
+)
+
+// OrderError reports an event that does not follow the one before it.
+type OrderError struct{ After, Got string }
+
+func (e *OrderError) Error() string { return "event " + e.Got + " after " + e.After }
+
+// SilentError reports a group that stopped making progress.
+type SilentError struct{ Group string }
+
+func (e *SilentError) Error() string { return "group " + e.Group + " makes no progress" }
+
+// stream serves a request to a model. The events of several attempts make one answer.
+func (x *exchange) stream(ctx context.Context, svc *route.Service) {
+	s := &relayed{x: x, lastEvent: x.call.LastEvent}
+	exclude := map[string]bool{}
+	var last error
+	for unsent := 0; unsent < maxUnsent; {
+		if err := ctx.Err(); err != nil {
+			last = err
+			break
+		}
+		if !x.maySend() {
+			break
+		}
+		seat, err := x.d.dispatch.acquire(ctx, svc, x.call.Model, x.org, balance.Request{
+			Rank: x.rank, Prompt: x.call.Prompt, Objective: x.route.Objective, Arrived: time.Now(), Until: x.until,
+		}, exclude)
+		if err != nil {
+			last = err
+			break
+		}
+		exclude[seat.key] = true
+		before := x.sends
+		err = s.attempt(ctx, svc, seat)
+		seat.end()
+		if err == nil {
+			x.finish(s.status, outcomeServed)
+			return
+		}
+		last = err
+		if x.sends == before {
+			unsent++
+		}
+		if x.ran && !x.route.Repeatable() {
+			break
+		}
+	}
+	switch {
+	case s.failure != nil && !s.begun && x.r.Context().Err() == nil:
+		s.failure.pass(x)
+	case s.begun:
+		x.finish(s.status, "broken off")
+		panic(http.ErrAbortHandler)
+	default:
+		x.failed(ctx, last)
+	}
+}
+
+// relayed is a stream as far as the caller has it.
+type relayed struct {
+	x *exchange
+	// begun is set when the caller has the head of the answer.
+	begun  bool
+	status int
+	// lastEvent is the id of the last event that the caller has whole.
+	lastEvent string
+	// failure is an answer other than a success, kept in case no other comes.
+	failure *wholeAnswer
+}
+
+// attempt sends the request to one group and passes its events on. It returns nil when the caller has the whole answer.
+func (s *relayed) attempt(ctx context.Context, svc *route.Service, seat *seat) error {
+	x := s.x
+	head := seat.group.Head
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(seat.ctx, cancel)()
+	limit := 0
+	if svc.MaxConnections > 0 {
+		limit = max(svc.MaxConnections/(len(x.d.live(time.Now()))+1), 1)
+	}
+	// The caller's own place to go on from is in its header already.
+	resume := ""
+	if s.begun {
+		resume = s.lastEvent
+	}
+	a, err := x.d.pool.Do(ctx, head, x.request(head, priority(x.rank), resume), limit)
+	ran := x.note(head.ID+" "+seat.key, err, a)
+	if err != nil {
+		if seat.ctx.Err() != nil {
+			return &SilentError{seat.key}
+		}
+		return err
+	}
+	defer a.Close()
+	if !ran || !usable(a) {
+		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxWhole)) // lets the connection be kept
+		return &UnusableError{head.ID, a.Status}
+	}
+	if a.Status != http.StatusOK {
+		body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
+		if err != nil {
+			return &backend.LostError{Server: head.ID, Err: err}
+		}
+		if len(body) <= maxWhole {
+			s.failure = &wholeAnswer{status: a.Status, a: a, body: body, server: head.ID, done: func(bool) {}}
+		}
+		return &UnusableError{head.ID, a.Status}
+	}
+	err = s.pass(a, seat)
+	if err != nil && seat.ctx.Err() != nil {
+		err = &SilentError{seat.key}
+	}
+	if err != nil {
+		x.trail[len(x.trail)-1] += ", after event " + s.lastEvent + ": " + err.Error()
+	}
+	return err
+}
+
+// priority is that of a rank at a model runner.
+func priority(rank int) int { return min(1+2*max(rank, 0), urgencies-1) }
+
+// pass gives the events of one attempt to the caller. Only whole events are passed on, so that another attempt can go on
+// after the last one.
+func (s *relayed) pass(a *backend.Answer, seat *seat) error {
+	x := s.x
+	control := http.NewResponseController(x.w)
+	buf := make([]byte, 0, readSize)
+	for {
+		if len(buf) == cap(buf) {
+			if cap(buf) >= maxEvent {
+				return &OrderError{s.lastEvent, "too large"}
+			}
+			buf = append(buf, make([]byte, cap(buf))...)[:len(buf)]
+		}
+		n, err := a.Body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		whole, id, orderErr := events(buf, s.lastEvent)
+		if orderErr != nil {
+			return orderErr
+		}
+		end := errors.Is(err, io.EOF)
+		if end && whole < len(buf) {
+			// The answer is complete although its last event has no blank line.
+			whole = len(buf)
+		}
+		if whole > 0 || end {
+			if !s.begun {
+				s.begun, s.status, x.first = true, a.Status, time.Now()
+				// The length is that of one attempt.
+				a.Length = -1
+				a.Header.Del("Content-Length")
+				x.head(a)
+			}
+			if n > 0 {
+				seat.progress()
+			}
+			if _, werr := x.w.Write(buf[:whole]); werr != nil {
+				return werr
+			}
+			if !end {
+				if ferr := control.Flush(); ferr != nil {
+					return ferr
+				}
+			}
+			if id != "" {
+				s.lastEvent = id
+			}
+			buf = append(buf[:0], buf[whole:]...)
+		}
+		if end {
+			return nil
+		}
+		if err != nil {
+			return &backend.LostError{Server: seat.group.Head.ID, Err: err}
+		}
+	}
+}
+
+// events returns the length of the whole events in b and the id of the last one. Ids that are numbers must follow each
+// other; a gap shows an answer that does not go on where the last attempt ended.
+func events(b []byte, last string) (whole int, id string, err error) {
+	prev, known := -1, false
+	if n, e := strconv.Atoi(last); e == nil {
+		prev, known = n, true
+	}
+	for {
+		i := bytes.Index(b[whole:], []byte("\n\n"))
+		if i < 0 {
+			return whole, id, nil
+		}
+		event := b[whole : whole+i]
+		whole += i + 2
+		for line := range bytes.SplitSeq(event, []byte("\n")) {
+			v, ok := bytes.CutPrefix(line, []byte("id:"))
+			if !ok {
+				continue
+			}
+			id = string(bytes.TrimSpace(v))
+			n, e := strconv.Atoi(id)
+			if e != nil {
+				continue
+			}
+			if known && n != prev+1 {
+				return 0, "", &OrderError{strconv.Itoa(prev), id}
+			}
+			prev, known = n, true
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,455 @@
+// Package replica decides which backend servers form which model group, and in which order they are told.
+//
+// # Load pattern
+//
+// Every few seconds a member of some group is lost for good, at times a whole fabric domain; empty backend servers
+// arrive, and need tens of seconds to fetch the weights of a model, while one that has them on its host joins in a
+// second or two. A group runs at full speed only within one domain. So the planner works domain by domain: it heals with
+// whatever idle backend servers of the domain hold the model, it puts weights on idle hosts before they are needed, and
+// it lets the survivors of broken groups make whole ones together.
+//
+// The planner keeps no plan: each step compares what the backend servers report with what should be and returns orders
+// for the differences. A new holder of the lease therefore goes on where the earlier one stopped.
+package replica
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"flamingorudder.example/internal/roster"
+	"flamingorudder.example/internal/route"
+	"flamingorudder.example/platform"
+)
+
+// Member is what the holder of the lease knows of a backend server, the newer of its entry and its report.
+type Member struct {
+	*roster.Server
+	// Orders counts the orders that began; known is whether a report told it.
+	Orders int64
+	// Answers is false when the backend server has not answered for a while.
+	Answers bool
+	// Listed is false when its entry is gone.
+	Listed bool
+	// Reported tells whether a report of this lifetime has come.
+	Reported bool
+	Busy     bool
+	// Pace is above 1 while the backend server is slow.
+	Pace float64
+}
+
+// usable members may join groups.
+func (m *Member) usable() bool { return m.Listed && m.State == roster.Ready && m.Answers && m.Reported }
+
+// lost members cannot serve in their group any more.
+func (m *Member) lost() bool { return !m.Listed || !m.Answers || m.State != roster.Ready }
+
+// Order is an order for one backend server.
+type Order struct {
+	Server *roster.Server
+	platform.Order
+	// Why tells what the order is for.
+	Why string
+}
+
+// pending is an order that has been given and whose effect has not been seen.
+type pending struct {
+	order platform.Order
+	born  int64
+	until time.Time
+}
+
+// Planner is the planner of one model service. It is not safe for concurrent use.
+type Planner struct {
+	service string
+	engine  *route.Engine
+	// pending holds the last order of each backend server while its effect may still show.
+	pending map[string]pending
+	// joined holds the members, with their lifetimes, that were seen ready in each group.
+	joined map[string]map[string]int64
+	// lists holds the members of each group that this planner formed.
+	lists map[string][]string
+	// left is when the last member was told to leave a group whose head does not answer.
+	stuck map[string]time.Time
+	epoch int64
+	// loads are the times at which loads of weights were started.
+	loads []time.Time
+	// started is when this planner began; callers tells whether requests have come yet.
+	started time.Time
+	token   int64
+}
+
+const (
+	// orderWait is how long an order may take until its effect is reported.
+	orderWait = 1500 * time.Millisecond
+	// epochBits leave room for the groups formed under one fencing token.
+	epochBits = 20
+)
+
+// New returns a planner for the fencing token of the lease under which its orders are given.
+func New(service string, engine *route.Engine, token int64, now time.Time) *Planner {
+	return &Planner{
+		service: service, engine: engine, pending: map[string]pending{}, joined: map[string]map[string]int64{},
+		lists: map[string][]string{}, stuck: map[string]time.Time{}, started: now, token: token, epoch: token << epochBits,
+	}
+}
+
+// Input is what a step knows.
+type Input struct {
+	Members []*Member
+	// Stall is how long a head that lost a member takes to find its group broken.
+	Stall time.Duration
+	// LoadRate bounds the loads started in a second over the ceiling's window.
+	LoadRate float64
+	Window   time.Duration
+	// Early is set before the first request, when loads are quick and not counted.
+	Early bool
+}
+
+// group is a group as its members report it.
+type group struct {
+	name    string
+	epoch   int64
+	model   *route.Model
+	members map[int]*Member
+}
+
+func (g *group) key() string { return fmt.Sprintf("%s/%d", g.name, g.epoch) }
+
+// Step returns the orders to give now.
+func (p *Planner) Step(now time.Time, in Input) []Order {
+	p.settle(now, in.Members)
+	var orders []Order
+	groups := p.groups(in.Members)
+	taken := map[string]bool{}
+	for _, key := range slices.Sorted(maps.Keys(groups)) {
+		g := groups[key]
+		out, busy := p.tend(now, g, in)
+		orders = append(orders, out...)
+		for _, m := range g.members {
+			if busy {
+				taken[m.ID] = true
+			}
+		}
+	}
+	orders = append(orders, p.form(now, in, taken)...)
+	for _, o := range orders {
+		p.pending[o.Server.ID] = pending{o.Order, o.Server.Born, now.Add(orderWait)}
+	}
+	return orders
+}
+
+// settle drops pending orders whose effect shows or whose time is over, and notes members that are ready.
+func (p *Planner) settle(now time.Time, members []*Member) {
+	for _, m := range members {
+		if m.Membership.State == roster.Joined || m.Membership.State == roster.Open {
+			key := fmt.Sprintf("%s/%d", m.Group, m.Epoch)
+			if p.joined[key] == nil {
+				p.joined[key] = map[string]int64{}
+			}
+			p.joined[key][m.ID] = m.Born
+		}
+		o, ok := p.pending[m.ID]
+		if !ok {
+			continue
+		}
+		done := false
+		switch o.order.Operation {
+		case platform.Join:
+			done = m.Epoch == o.order.Epoch
+		case platform.OpenG:
+			done = m.Membership.State == roster.Open
+		case platform.Leave:
+			done = m.Group == "" || m.Epoch != o.order.Epoch
+		case platform.Stage:
+			done = m.Busy || slices.Contains(m.Staged, o.order.Model)
+		}
+		if done || o.born != m.Born || now.After(o.until) {
+			delete(p.pending, m.ID)
+		}
+	}
+}
+
+// Failed forgets an order that was turned down, so that it can be decided again.
+func (p *Planner) Failed(id string) { delete(p.pending, id) }
+
+func (p *Planner) groups(members []*Member) map[string]*group {
+	out := map[string]*group{}
+	for _, m := range members {
+		if m.Group == "" {
+			continue
+		}
+		key := fmt.Sprintf("%s/%d", m.Group, m.Epoch)
+		g := out[key]
+		if g == nil {
+			g = &group{name: m.Group, epoch: m.Epoch, members: map[int]*Member{}}
+			out[key] = g
+		}
+		g.members[m.Rank] = m
+		if model := p.engine.Model(m.Model); model != nil {
+			g.model = model
+		}
+	}
+	return out
+}
+
+// tend looks after one group. busy tells that its members stay where they are.
+func (p *Planner) tend(now time.Time, g *group, in Input) (orders []Order, busy bool) {
+	head := g.members[0]
+	size := 0
+	if g.model != nil {
+		size = g.model.Size
+	} else if l := p.lists[g.key()]; l != nil {
+		size = len(l)
+	}
+	whole := size > 0 && len(g.members) >= size
+	for _, m := range g.members {
+		if m.lost() {
+			whole = false
+		}
+		if head != nil && head.Membership.State == roster.Broken {
+			whole = false
+		}
+	}
+	if whole {
+		return p.open(g, head, size), true
+	}
+	// Members that have not reported the group yet may still join it.
+	if list := p.lists[g.key()]; list != nil && p.joining(list, in.Members, g.epoch) {
+		return nil, true
+	}
+	// The group cannot become whole. Its head leaves first; the others may join another group only then.
+	if head == nil {
+		// The head is gone from the list or has joined elsewhere.
+		delete(p.stuck, g.key())
+		return nil, false
+	}
+	switch {
+	case head.Answers || head.Listed && head.Reported && head.Membership.State == roster.Broken:
+		if _, ok := p.pending[head.ID]; ok {
+			return nil, true
+		}
+		return []Order{p.leave(head, g, "a member is lost")}, true
+	case !head.Listed:
+		// Neither the store nor this daemon hears of it.
+		return nil, false
+	}
+	// The head may run although it does not answer. It is broken when it has stalled for long enough.
+	at, ok := p.stuck[g.key()]
+	if !ok {
+		p.stuck[g.key()] = now
+		return nil, true
+	}
+	return nil, now.Sub(at) < in.Stall
+}
+
+// joining tells whether every listed member that is not in the group is on its way there.
+func (p *Planner) joining(list []string, members []*Member, epoch int64) bool {
+	byID := make(map[string]*Member, len(members))
+	for _, m := range members {
+		byID[m.ID] = m
+	}
+	for _, id := range list {
+		m := byID[id]
+		if m == nil || m.lost() {
+			return false
+		}
+		if m.Epoch == epoch {
+			continue
+		}
+		if o, ok := p.pending[id]; !ok || o.order.Operation != platform.Join || o.order.Epoch != epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// open returns the order that opens a group all of whose members have been ready.
+func (p *Planner) open(g *group, head *Member, size int) []Order {
+	if head == nil || head.Membership.State != roster.Joined {
+		return nil
+	}
+	for rank := range size {
+		m := g.members[rank]
+		if m == nil || m.Membership.State != roster.Joined && m.Membership.State != roster.Open {
+			return nil
+		}
+	}
+	if _, ok := p.pending[head.ID]; ok {
+		return nil
+	}
+	return []Order{{head.Server, platform.Order{Operation: platform.OpenG, Group: g.name, Epoch: g.epoch, Fence: p.token, After: head.Orders}, "all members are ready"}}
+}
+
+func (p *Planner) leave(m *Member, g *group, why string) Order {
+	return Order{m.Server, platform.Order{Operation: platform.Leave, Group: g.name, Epoch: g.epoch, Fence: p.token, After: -1}, why}
+}
+
+// form makes groups of idle backend servers, and puts weights on the hosts of those that cannot form one.
+func (p *Planner) form(now time.Time, in Input, taken map[string]bool) []Order {
+	domains := map[string][]*Member{}
+	// serving counts the groups of each model, whole or on their way; slots is where they stand.
+	serving := map[string]float64{}
+	total := 0
+	local := map[string]map[string]int{}
+	for _, m := range in.Members {
+		if m.Listed && m.State == roster.Ready {
+			total++
+		}
+		_, busy := p.pending[m.ID]
+		if model := p.engine.Model(m.Model); model != nil && taken[m.ID] {
+			serving[model.Name] += 1 / float64(model.Size)
+			if local[m.Domain] == nil {
+				local[m.Domain] = map[string]int{}
+			}
+			local[m.Domain][model.Name]++
+		} else if o, ok := p.pending[m.ID]; ok && o.order.Operation == platform.Join {
+			if model := p.engine.Model(o.order.Model); model != nil {
+				serving[model.Name] += 1 / float64(model.Size)
+			}
+		}
+		if m.usable() && !busy && !taken[m.ID] && m.Service == p.service {
+			domains[m.Domain] = append(domains[m.Domain], m)
+		}
+	}
+	var orders []Order
+	for _, domain := range slices.Sorted(maps.Keys(domains)) {
+		idle := domains[domain]
+		slices.SortFunc(idle, func(a, b *Member) int {
+			return cmp.Or(cmp.Compare(a.Pace, b.Pace), cmp.Compare(a.ID, b.ID))
+		})
+		for {
+			model := p.next(idle, serving, total, in)
+			if model == nil {
+				break
+			}
+			var members []*Member
+			idle = slices.DeleteFunc(idle, func(m *Member) bool {
+				take := len(members) < model.Size && (slices.Contains(m.Staged, model.Name) || in.Early)
+				if take {
+					members = append(members, m)
+				}
+				return take
+			})
+			orders = append(orders, p.join(members, model)...)
+			serving[model.Name]++
+		}
+		orders = append(orders, p.stage(now, in, idle, serving, total, local[domain])...)
+	}
+	return orders
+}
+
+// next returns the model of the group to form from idle members, nil when they make none.
+func (p *Planner) next(idle []*Member, serving map[string]float64, total int, in Input) *route.Model {
+	var best *route.Model
+	bestLack := 0.0
+	for i := range p.engine.Models {
+		model := &p.engine.Models[i]
+		have := 0
+		for _, m := range idle {
+			if in.Early || slices.Contains(m.Staged, model.Name) {
+				have++
+			}
+		}
+		if have < model.Size {
+			continue
+		}
+		if lack := p.lack(model, serving, total); best == nil || lack > bestLack {
+			best, bestLack = model, lack
+		}
+	}
+	return best
+}
+
+// lack is how far a model is below its part of the backend servers, as a part of that.
+func (p *Planner) lack(model *route.Model, serving map[string]float64, total int) float64 {
+	want := model.Share * float64(total) / float64(model.Size)
+	if want <= 0 {
+		return -1
+	}
+	return (want - serving[model.Name]) / want
+}
+
+// join returns the orders that make members a group. Members that hold the weights for longest come first.
+func (p *Planner) join(members []*Member, model *route.Model) []Order {
+	p.epoch++
+	ids := make([]string, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
+	}
+	name := fmt.Sprintf("g%d", p.epoch)
+	p.lists[fmt.Sprintf("%s/%d", name, p.epoch)] = ids
+	var orders []Order
+	for _, m := range members {
+		orders = append(orders, Order{m.Server, platform.Order{
+			Operation: platform.Join, Group: name, Epoch: p.epoch, Model: model.Name, Members: ids, Fence: p.token, After: m.Orders,
+		}, "form a group of " + model.Name})
+	}
+	return orders
+}
+
+// stage puts weights on the hosts of idle members. Each gets the model whose group of the domain is completed first.
+func (p *Planner) stage(now time.Time, in Input, idle []*Member, serving map[string]float64, total int, local map[string]int) []Order {
+	held := map[string]int{}
+	var empty []*Member
+	for _, m := range idle {
+		named := false
+		for _, model := range p.engine.Models {
+			if slices.Contains(m.Staged, model.Name) {
+				held[model.Name]++
+				named = true
+			}
+		}
+		if !named && !m.Busy {
+			empty = append(empty, m)
+		} else if !named {
+			// A load is under way whose model is not reported; the order that began it is counted when it ends.
+			continue
+		}
+	}
+	var orders []Order
+	for _, m := range empty {
+		model := p.stageFor(held, len(empty)-len(orders), serving, total, local)
+		if model == nil || !p.mayLoad(now, in) {
+			break
+		}
+		held[model.Name]++
+		p.loads = append(p.loads, now)
+		orders = append(orders, Order{m.Server, platform.Order{
+			Operation: platform.Stage, Model: model.Name, Fence: p.token, After: m.Orders,
+		}, "put weights on an idle host"})
+	}
+	return orders
+}
+
+// stageFor chooses the model for one of the empty hosts of a domain.
+func (p *Planner) stageFor(held map[string]int, empty int, serving map[string]float64, total int, local map[string]int) *route.Model {
+	var best *route.Model
+	bestScore := 0.0
+	for i := range p.engine.Models {
+		model := &p.engine.Models[i]
+		missing := model.Size - held[model.Name]%model.Size
+		score := p.lack(model, serving, total)
+		if missing > empty {
+			// It would only be a spare; spares are worth most where groups of the model are.
+			score += -2 + float64(local[model.Name])/8
+		} else {
+			score += 1 / float64(missing)
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = model, score
+		}
+	}
+	return best
+}
+
+// mayLoad tells whether another load keeps to the rate over the ceiling's window.
+func (p *Planner) mayLoad(now time.Time, in Input) bool {
+	if in.Early || in.LoadRate <= 0 {
+		return true
+	}
+	p.loads = slices.DeleteFunc(p.loads, func(t time.Time) bool { return now.Sub(t) > in.Window })
+	return float64(len(p.loads)) < in.LoadRate*in.Window.Seconds()
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,103 @@
+// Package roster is a daemon's view of the backend servers, as they register themselves in the platform's store.
+//
+// A View is immutable. Tracker owns the entries and builds a new View after each read of the store, so requests read a
+// consistent list without locks.
+package roster
+
+import (
+	"net/netip"
+	"time"
+)
+
+// State is what a backend server says of itself.
+type State uint8
+
+// States of a backend server.
+const (
+	Ready State = iota
+	Draining
+)
+
+// GroupState is where a member is in the life of its model group.
+type GroupState uint8
+
+// States of a member's group.
+const (
+	NoGroup GroupState = iota
+	Joining
+	// Joined members hold the weights and wait for the head to open.
+	Joined
+	Open
+	Closing
+	Broken
+)
+
+func (s GroupState) String() string {
+	return [...]string{"none", "joining", "joined", "open", "closing", "broken"}[s]
+}
+
+// Membership is a member's place in a model group.
+type Membership struct {
+	Group string
+	Epoch int64
+	// Rank is the member's place in the group; 0 is the head, which takes the requests.
+	Rank  int
+	State GroupState
+}
+
+// Server is one backend server in one lifetime.
+type Server struct {
+	ID      string
+	Service string
+	Addr    netip.AddrPort
+	// DataCentre is empty when the entry names none.
+	DataCentre string
+	State      State
+	// Born tells lifetimes of one id apart, in Unix milliseconds.
+	Born  int64
+	Slots int
+	// Domain is the fabric domain; groups within one domain run at full speed.
+	Domain string
+	// Staged are the models whose weights are on the host.
+	Staged []string
+	// Model is the model that the backend server holds now.
+	Model string
+	Membership
+}
+
+// Same tells whether both are the same lifetime of a backend server.
+func (s *Server) Same(o *Server) bool { return s.ID == o.ID && s.Born == o.Born }
+
+// Group is a model group whose head takes requests.
+type Group struct {
+	Name  string
+	Epoch int64
+	Model string
+	Head  *Server
+	// Members are those that report this group and epoch, by rank; a nil member is missing from the list.
+	Members []*Server
+}
+
+// Whole tells whether every member is listed.
+func (g *Group) Whole() bool {
+	for _, m := range g.Members {
+		if m == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// View is the backend servers at one moment.
+type View struct {
+	// Read is when the store was read.
+	Read    time.Time
+	Servers map[string]*Server
+	// Services lists the ready backend servers of each service in the order of their ids.
+	Services map[string][]*Server
+	// Groups lists the open groups of each service, whole or not, in the order of their names.
+	Groups map[string][]*Group
+}
+
+// Size tells how many members a group of the model has; zero when it is not configured.
+type Size func(service, model string) int
--- /dev/null
+++ b/internal/roster/tracker.go
@@ -0,0 +1,130 @@
+package roster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Tracker joins changes of single entries into views. It is not safe for concurrent use.
+//
+// While the store is away, entries lapse although their backend servers live. Hold keeps such entries for a grace
+// period: they are used until the store has been back for that long, and are then taken as gone.
+type Tracker struct {
+	servers map[string]*Server
+	// lapsed holds entries that were removed within the grace after an outage, with the time of their removal.
+	lapsed map[string]time.Time
+	// holding is set while the store is away.
+	holding bool
+	// back is when the store last came back; zero before the first outage.
+	back time.Time
+	// grace is how long backend servers have to register again after an outage.
+	grace time.Duration
+}
+
+// NewTracker returns a tracker that keeps lapsed entries for grace after an outage of the store.
+func NewTracker(grace time.Duration) *Tracker {
+	return &Tracker{servers: map[string]*Server{}, lapsed: map[string]time.Time{}, grace: grace}
+}
+
+// Hold notes that the store does not answer.
+func (t *Tracker) Hold() { t.holding = true }
+
+// Change is one entry that changed. Server is nil when the entry was removed or cannot be read.
+type Change struct {
+	ID     string
+	Server *Server
+}
+
+// Replace takes the whole list as read at now.
+func (t *Tracker) Replace(now time.Time, all []*Server) {
+	seen := make(map[string]bool, len(all))
+	changes := make([]Change, 0, len(all))
+	for _, s := range all {
+		seen[s.ID] = true
+		changes = append(changes, Change{s.ID, s})
+	}
+	for id := range t.servers {
+		if !seen[id] {
+			changes = append(changes, Change{ID: id})
+		}
+	}
+	t.Apply(now, changes)
+}
+
+// Back notes that the store answers; entries that lapsed during an outage get the grace from its end.
+func (t *Tracker) Back(now time.Time) {
+	if t.holding {
+		t.holding, t.back = false, now
+	}
+}
+
+// Apply takes changed entries as read at now.
+func (t *Tracker) Apply(now time.Time, changes []Change) {
+	for _, c := range changes {
+		switch {
+		case c.Server != nil:
+			t.servers[c.ID] = c.Server
+			delete(t.lapsed, c.ID)
+		case t.servers[c.ID] == nil:
+		case !t.back.IsZero() && now.Sub(t.back) < t.grace && t.servers[c.ID].State == Ready:
+			if _, ok := t.lapsed[c.ID]; !ok {
+				t.lapsed[c.ID] = now
+			}
+		default:
+			t.remove(c.ID)
+		}
+	}
+	if !t.back.IsZero() && now.Sub(t.back) >= t.grace {
+		for id := range t.lapsed {
+			t.remove(id)
+		}
+	}
+}
+
+func (t *Tracker) remove(id string) {
+	delete(t.servers, id)
+	delete(t.lapsed, id)
+}
+
+// View builds the current view. size tells the sizes of groups.
+func (t *Tracker) View(now time.Time, size Size) *View {
+	v := &View{Read: now, Servers: maps.Clone(t.servers), Services: map[string][]*Server{}, Groups: map[string][]*Group{}}
+	groups := map[Membership]*Group{}
+	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
+		s := t.servers[id]
+		if s.State == Ready {
+			v.Services[s.Service] = append(v.Services[s.Service], s)
+		}
+		if s.Group == "" {
+			continue
+		}
+		key := Membership{Group: s.Group, Epoch: s.Epoch}
+		g := groups[key]
+		if g == nil {
+			g = &Group{Name: s.Group, Epoch: s.Epoch}
+			groups[key] = g
+		}
+		for len(g.Members) <= s.Rank {
+			g.Members = append(g.Members, nil)
+		}
+		g.Members[s.Rank] = s
+		if s.Rank == 0 && s.State == Ready && s.Membership.State == Open {
+			g.Head, g.Model = s, s.Model
+		}
+	}
+	for _, g := range groups {
+		if g.Head == nil {
+			continue
+		}
+		for len(g.Members) < size(g.Head.Service, g.Model) {
+			g.Members = append(g.Members, nil)
+		}
+		v.Groups[g.Head.Service] = append(v.Groups[g.Head.Service], g)
+	}
+	for _, list := range v.Groups {
+		slices.SortFunc(list, func(a, b *Group) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	return v
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,228 @@
+// Package route holds what operators configure for callers: routes, services, organisations and limits, and finds the
+// route and the organisation of a request.
+//
+// A Config is immutable once built. Its owner swaps whole configurations; a request keeps the one it began with.
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+// Kind tells what may be repeated on a route.
+type Kind uint8
+
+// Kinds of route.
+const (
+	// Unsafe requests may run at most once for each attempt of a caller.
+	Unsafe Kind = iota
+	// Safe requests may run more than once.
+	Safe
+	// Streaming requests are answered by events; they may be repeated only where the route is resumable.
+	Streaming
+)
+
+func (k Kind) String() string {
+	return [...]string{"unsafe", "safe", "streaming"}[k]
+}
+
+// Route is where requests of one host and path prefix go.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a request may wait for its answer.
+	Timeout time.Duration
+	// Objective is the time to the first event, or to the whole answer, that callers hope for.
+	Objective time.Duration
+	// Gap is the longest pause between events with which a stream is still on time; zero on other routes.
+	Gap time.Duration
+	// Rank orders work by urgency; 0 is the most urgent.
+	Rank int
+	// Split is never empty.
+	Split       []Weighted
+	MaxAttempts int
+	// Anonymous routes need no key.
+	Anonymous bool
+	// Resumable streams may go on at another backend server after the last event.
+	Resumable bool
+}
+
+// Repeatable tells whether a request may be sent again after it may have run.
+func (r *Route) Repeatable() bool { return r.Kind == Safe || r.Kind == Streaming && r.Resumable }
+
+// Pick draws a service by the weights of the route's split.
+func (r *Route) Pick() string {
+	total := 0
+	for _, w := range r.Split {
+		total += w.Weight
+	}
+	if total <= 0 {
+		return r.Split[0].Service
+	}
+	n := rand.IntN(total)
+	for _, w := range r.Split {
+		if n -= w.Weight; n < 0 {
+			return w.Service
+		}
+	}
+	return r.Split[0].Service
+}
+
+// Weighted is one service of a split.
+type Weighted struct {
+	Service string
+	Weight  int
+}
+
+// Model is one model of a service whose replicas are groups of backend servers.
+type Model struct {
+	Name string
+	// Size is the number of members of a group.
+	Size int
+	// Share is the model's part of the service's backend servers at the start.
+	Share float64
+	// Pace multiplies the engine's times.
+	Pace float64
+	// Load is how long a host takes to fetch the weights, Warm how long a member takes that has them on its host.
+	Load, Warm time.Duration
+}
+
+// Engine describes how the model runners of a service work.
+type Engine struct {
+	Models []Model
+	// Slots is the number of requests that a group runs at once.
+	Slots int
+	// Memory is a group's KV cache in tokens.
+	Memory int
+	// Stride is the number of token steps of one pass; events leave at its end.
+	Stride int
+	// Step is the time of one token step with nothing running, PerRequest what each running request adds.
+	Step, PerRequest time.Duration
+	// ReadRate is the prompt tokens read in a second.
+	ReadRate float64
+	// Chunk is the most prompt tokens read in one step.
+	Chunk int
+	// Form is how long a group takes to open.
+	Form time.Duration
+	// LoadRate bounds the loads of weights started in a second, LoadsAtOnce those that run at full speed.
+	LoadRate    float64
+	LoadsAtOnce int
+	// UsualPrompt and UsualAnswer are mean token counts of a request.
+	UsualPrompt, UsualAnswer int
+}
+
+// Service is a set of like backend servers.
+type Service struct {
+	Name string
+	// MaxConnections is how many connections one backend server accepts from all daemons together.
+	MaxConnections int
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Organisation is a customer with its keys.
+type Organisation struct {
+	Name string
+	Keys []string
+	// Rank takes precedence over that of the route; negative when the organisation has none.
+	Rank int
+}
+
+// Limits bound what a caller may send. Zero means no bound.
+type Limits struct {
+	Header        int
+	Body          int64
+	HeaderTimeout time.Duration
+	Idle          time.Duration
+}
+
+// Config is one version of what operators configured.
+type Config struct {
+	Version       int64
+	Routes        []Route
+	Services      []Service
+	Organisations []Organisation
+	Limits        Limits
+
+	hosts    map[string]map[string]*Route
+	services map[string]*Service
+	keys     map[string]*Organisation
+}
+
+// InvalidError tells why a configuration cannot be used.
+type InvalidError struct {
+	Version int64
+	Reason  string
+}
+
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("configuration %d: %s", e.Version, e.Reason)
+}
+
+// Build indexes c. It must be called once before the lookups.
+func (c *Config) Build() error {
+	c.hosts = map[string]map[string]*Route{}
+	c.services = make(map[string]*Service, len(c.Services))
+	c.keys = map[string]*Organisation{}
+	for i := range c.Services {
+		c.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+			return &InvalidError{c.Version, fmt.Sprintf("route %s: prefix %q must begin and end with a slash", r.Name, r.Prefix)}
+		}
+		if len(r.Split) == 0 {
+			return &InvalidError{c.Version, fmt.Sprintf("route %s names no service", r.Name)}
+		}
+		host := strings.ToLower(r.Host)
+		if c.hosts[host] == nil {
+			c.hosts[host] = map[string]*Route{}
+		}
+		c.hosts[host][r.Prefix] = r
+	}
+	for i := range c.Organisations {
+		for _, key := range c.Organisations[i].Keys {
+			c.keys[key] = &c.Organisations[i]
+		}
+	}
+	return nil
+}
+
+// Find returns the route with the longest prefix that begins path, nil when there is none.
+func (c *Config) Find(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	prefixes := c.hosts[strings.ToLower(host)]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := prefixes[path[:end+1]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// Organisation returns the holder of key, nil when nobody holds it.
+func (c *Config) Organisation(key string) *Organisation { return c.keys[key] }
+
+// Keyed tells whether requests need a key at all.
+func (c *Config) Keyed() bool { return len(c.Organisations) > 0 }
+
+// Service returns the service of that name, nil when it is not configured.
+func (c *Config) Service(name string) *Service { return c.services[name] }
+
+// Model returns the model of that name, nil when the engine has none.
+func (e *Engine) Model(name string) *Model {
+	for i := range e.Models {
+		if e.Models[i].Name == name {
+			return &e.Models[i]
+		}
+	}
+	return nil
+}
