Form large groups first while the fleet starts

Change: while the fleet starts each domain is given a number of small groups beside one large one; loads are not held back, since they are quick before the first request; idle hosts get weights only when registration has settled. Ruled out: a cap of loads by loads_at_once; 38 early loads took 1.2 s together.

--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"reflect"
 	"sync"
 	"time"
 
@@ -44,6 +45,8 @@
 	planners map[string]*replica.Planner
 	// asked is what is known of each backend server from its own answers.
 	asked map[string]*inquiry
+	// tallies are the last ones logged.
+	tallies map[string]replica.Tally
 	// doubted are the groups that made no progress somewhere.
 	doubted map[string]bool
 	calls   errgroup.Group
@@ -61,7 +64,7 @@
 }
 
 func newLeader(d *Daemon) *leader {
-	l := &leader{d: d, planners: map[string]*replica.Planner{}, asked: map[string]*inquiry{}, doubted: map[string]bool{}}
+	l := &leader{d: d, planners: map[string]*replica.Planner{}, tallies: map[string]replica.Tally{}, asked: map[string]*inquiry{}, doubted: map[string]bool{}}
 	l.calls.SetLimit(maxCalls)
 	return l
 }
@@ -219,6 +222,10 @@
 			continue
 		}
 		members := l.members(ctx, now, s.Name, v)
+		if t := replica.Count(members); !reflect.DeepEqual(t, l.tallies[s.Name]) {
+			l.tallies[s.Name] = t
+			d.log.Info("groups", "service", s.Name, "open", t.Open, "forming", t.Forming, "idle", t.Idle, "lost", t.Lost)
+		}
 		p := l.planners[s.Name]
 		if p == nil {
 			p = replica.New(s.Name, s.Engine, token, now)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -16,7 +16,9 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"flamingorudder.example/internal/roster"
@@ -84,6 +86,9 @@
 const (
 	// orderWait is how long an order may take until its effect is reported.
 	orderWait = 1500 * time.Millisecond
+	// settleTime is how long backend servers may take to register when all start together; hosts that are still idle
+	// then get weights as spares.
+	settleTime = 4 * time.Second
 	// epochBits leave room for the groups formed under one fencing token.
 	epochBits = 20
 )
@@ -141,6 +146,33 @@
 	return orders
 }
 
+// Tally is what a service's backend servers do at one moment.
+type Tally struct {
+	// Open counts the open groups of each model, Forming those on their way.
+	Open, Forming map[string]int
+	// Idle counts the usable backend servers without a group, by the model on their host; Lost those that do not answer.
+	Idle map[string]int
+	Lost int
+}
+
+// Count returns the tally of members.
+func Count(members []*Member) Tally {
+	t := Tally{Open: map[string]int{}, Forming: map[string]int{}, Idle: map[string]int{}}
+	for _, m := range members {
+		switch {
+		case m.lost():
+			t.Lost++
+		case m.Membership.State == roster.Open:
+			t.Open[m.Model]++
+		case m.Group != "" && m.Rank == 0:
+			t.Forming[m.Model]++
+		case m.Group == "":
+			t.Idle[strings.Join(m.Staged, "+")]++
+		}
+	}
+	return t
+}
+
 // settle drops pending orders whose effect shows or whose time is over, and notes members that are ready.
 func (p *Planner) settle(now time.Time, members []*Member) {
 	for _, m := range members {
@@ -315,13 +347,14 @@
 		}
 	}
 	var orders []Order
+	layout := p.layout(in.Members, serving, total)
 	for _, domain := range slices.Sorted(maps.Keys(domains)) {
 		idle := domains[domain]
 		slices.SortFunc(idle, func(a, b *Member) int {
 			return cmp.Or(cmp.Compare(a.Pace, b.Pace), cmp.Compare(a.ID, b.ID))
 		})
 		for {
-			model := p.next(idle, serving, total, in)
+			model := p.next(idle, serving, total, in, domain, layout)
 			if model == nil {
 				break
 			}
@@ -336,13 +369,51 @@
 			orders = append(orders, p.join(members, model)...)
 			serving[model.Name]++
 		}
+		if in.Early && now.Sub(p.started) < settleTime {
+			continue
+		}
 		orders = append(orders, p.stage(now, in, idle, serving, total, local[domain])...)
 	}
 	return orders
 }
 
+// layout tells how many groups of each model but the largest each domain is given while the fleet starts. The small
+// groups share domains with one large group each, so that the other domains hold large ones only; were they formed
+// wherever two backend servers happen to register first, too few domains could hold large ones.
+func (p *Planner) layout(members []*Member, serving map[string]float64, total int) map[string]map[string]int {
+	sizes := map[string]int{}
+	for _, m := range members {
+		if m.Listed && m.State == roster.Ready {
+			sizes[m.Domain]++
+		}
+	}
+	most := 0
+	for _, n := range sizes {
+		most = max(most, n)
+	}
+	models := slices.Clone(p.engine.Models)
+	slices.SortStableFunc(models, func(a, b route.Model) int { return cmp.Compare(b.Size, a.Size) })
+	out := map[string]map[string]int{}
+	rooms := map[string]int{}
+	for domain := range sizes {
+		out[domain] = map[string]int{}
+		rooms[domain] = most - models[0].Size
+	}
+	for _, model := range models[1:] {
+		want := int(math.Round(model.Share * float64(total) / float64(model.Size)))
+		for _, domain := range slices.Sorted(maps.Keys(sizes)) {
+			for want > 0 && rooms[domain] >= model.Size {
+				out[domain][model.Name]++
+				rooms[domain] -= model.Size
+				want--
+			}
+		}
+	}
+	return out
+}
+
 // next returns the model of the group to form from idle members, nil when they make none.
-func (p *Planner) next(idle []*Member, serving map[string]float64, total int, in Input) *route.Model {
+func (p *Planner) next(idle []*Member, serving map[string]float64, total int, in Input, domain string, layout map[string]map[string]int) *route.Model {
 	var best *route.Model
 	bestLack := 0.0
 	for i := range p.engine.Models {
@@ -356,6 +427,9 @@
 		if have < model.Size {
 			continue
 		}
+		if in.Early && !p.allotted(model, in.Members, domain, layout) {
+			continue
+		}
 		if lack := p.lack(model, serving, total); best == nil || lack > bestLack {
 			best, bestLack = model, lack
 		}
@@ -363,6 +437,23 @@
 	return best
 }
 
+// allotted tells whether a domain has room in the layout for another group of a model.
+func (p *Planner) allotted(model *route.Model, members []*Member, domain string, layout map[string]map[string]int) bool {
+	for i := range p.engine.Models {
+		if p.engine.Models[i].Size > model.Size {
+			n := 0
+			for _, m := range members {
+				o, pending := p.pending[m.ID]
+				if m.Domain == domain && (m.Model == model.Name && m.Group != "" || pending && o.order.Model == model.Name) {
+					n++
+				}
+			}
+			return n < layout[domain][model.Name]*model.Size
+		}
+	}
+	return true
+}
+
 // lack is how far a model is below its part of the backend servers, as a part of that.
 func (p *Planner) lack(model *route.Model, serving map[string]float64, total int) float64 {
 	want := model.Share * float64(total) / float64(model.Size)
