--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -32,6 +32,10 @@
 	orderTimeout  = time.Second
 	// failuresToDoubt is how many questions in a row without an answer make a backend server lost.
 	failuresToDoubt = 2
+	// beatsToDoubt is how many heartbeats a live backend server may be late, with the period of reading added.
+	beatsToDoubt = 2
+	// storeAway is the silence that is allowed while the store does not answer: longer than any outage.
+	storeAway = time.Hour
 	// maxCalls bounds the questions and orders that are under way at once.
 	maxCalls = 64
 )
@@ -231,8 +235,12 @@
 			p = replica.New(s.Name, s.Engine, token, now)
 			l.planners[s.Name] = p
 		}
+		silence := storeAway
+		if d.storeOK.Load() {
+			silence = time.Duration(beatsToDoubt * float64(d.settings().Beat))
+		}
 		orders := p.Step(now, replica.Input{
-			Members: members, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, Window: d.settings().LoadWindow, Early: early,
+			Members: members, Silence: silence, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, Window: d.settings().LoadWindow, Early: early,
 		})
 		for _, o := range orders {
 			if !l.calls.TryGo(func() error {
@@ -248,25 +256,32 @@
 // members joins the entries of a service's backend servers with what they answered, and asks those that are due.
 func (l *leader) members(ctx context.Context, now time.Time, service string, v *roster.View) []*replica.Member {
 	var out []*replica.Member
-	for id, s := range v.Servers {
+	add := func(s *roster.Server, listed bool) {
 		if s.Service != service {
-			continue
+			return
 		}
-		q := l.asked[id]
+		q := l.asked[s.ID]
 		if q == nil || q.born != s.Born {
 			q = &inquiry{born: s.Born, next: now}
-			l.asked[id] = q
+			l.asked[s.ID] = q
 		}
-		m := &replica.Member{Server: s, Listed: true}
-		out = append(out, l.join(m, q))
+		out = append(out, l.join(&replica.Member{Server: s, Listed: listed}, q))
 		if doubt := s.Group != "" && l.doubted[groupKey(&roster.Group{Name: s.Group, Epoch: s.Epoch})]; doubt && now.Sub(q.at) > quickPeriod {
 			q.next = now
 		}
-		l.ask(ctx, now, s, q)
+		if listed || q.failures < failuresToDoubt {
+			l.ask(ctx, now, s, q)
+		}
+	}
+	for _, s := range v.Servers {
+		add(s, true)
+	}
+	for _, s := range v.Departed {
+		add(s, false)
 	}
 	clear(l.doubted)
 	for id := range l.asked {
-		if v.Servers[id] == nil {
+		if v.Servers[id] == nil && v.Departed[id] == nil {
 			delete(l.asked, id)
 		}
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -45,8 +45,16 @@
 // usable members may join groups.
 func (m *Member) usable() bool { return m.Listed && m.State == roster.Ready && m.Answers && m.Reported }
 
-// lost members cannot serve in their group any more.
-func (m *Member) lost() bool { return !m.Listed || !m.Answers || m.State != roster.Ready }
+// lost members cannot serve in their group any more. One that is cut off from the store, but answers, works on; only a
+// head must be listed, since it gets requests.
+func (m *Member) lost() bool {
+	return !m.Answers || m.State != roster.Ready || !m.Listed && m.Rank == 0
+}
+
+// dead members neither answer nor renew their entries.
+func (m *Member) dead(now time.Time, silence time.Duration) bool {
+	return !m.Answers && (!m.Listed || now.Sub(m.Renewed) > silence)
+}
 
 // Order is an order for one backend server.
 type Order struct {
@@ -73,7 +81,9 @@
 	joined map[string]map[string]int64
 	// lists holds the members of each group that this planner formed.
 	lists map[string][]string
-	// left is when the last member was told to leave a group whose head does not answer.
+	// heads holds the head of each group that has been seen.
+	heads map[string]string
+	// stuck is since when a group cannot become whole and its head does not answer.
 	stuck map[string]time.Time
 	epoch int64
 	// loads are the times at which loads of weights were started.
@@ -97,13 +107,16 @@
 func New(service string, engine *route.Engine, token int64, now time.Time) *Planner {
 	return &Planner{
 		service: service, engine: engine, pending: map[string]pending{}, joined: map[string]map[string]int64{},
-		lists: map[string][]string{}, stuck: map[string]time.Time{}, started: now, token: token, epoch: token << epochBits,
+		lists: map[string][]string{}, heads: map[string]string{}, stuck: map[string]time.Time{}, started: now, token: token, epoch: token << epochBits,
 	}
 }
 
 // Input is what a step knows.
 type Input struct {
 	Members []*Member
+	// Silence is how long a live backend server may go without renewing its entry. It means nothing while the store does
+	// not answer; it is then longer than any outage.
+	Silence time.Duration
 	// Stall is how long a head that lost a member takes to find its group broken.
 	Stall time.Duration
 	// LoadRate bounds the loads started in a second over the ceiling's window.
@@ -191,8 +204,10 @@
 		switch o.order.Operation {
 		case platform.Join:
 			done = m.Epoch == o.order.Epoch
-		case platform.OpenG:
+		case platform.OpenHead:
 			done = m.Membership.State == roster.Open
+		case platform.CloseHead:
+			done = m.Membership.State != roster.Open
 		case platform.Leave:
 			done = m.Group == "" || m.Epoch != o.order.Epoch
 		case platform.Stage:
@@ -207,6 +222,7 @@
 // Failed forgets an order that was turned down, so that it can be decided again.
 func (p *Planner) Failed(id string) { delete(p.pending, id) }
 
+// groups collects the groups that members report.
 func (p *Planner) groups(members []*Member) map[string]*group {
 	out := map[string]*group{}
 	for _, m := range members {
@@ -220,6 +236,9 @@
 			out[key] = g
 		}
 		g.members[m.Rank] = m
+		if m.Rank == 0 {
+			p.heads[key] = m.ID
+		}
 		if model := p.engine.Model(m.Model); model != nil {
 			g.model = model
 		}
@@ -230,12 +249,7 @@
 // tend looks after one group. busy tells that its members stay where they are.
 func (p *Planner) tend(now time.Time, g *group, in Input) (orders []Order, busy bool) {
 	head := g.members[0]
-	size := 0
-	if g.model != nil {
-		size = g.model.Size
-	} else if l := p.lists[g.key()]; l != nil {
-		size = len(l)
-	}
+	size := g.size(p)
 	whole := size > 0 && len(g.members) >= size
 	for _, m := range g.members {
 		if m.lost() {
@@ -253,28 +267,54 @@
 		return nil, true
 	}
 	// The group cannot become whole. Its head leaves first; the others may join another group only then.
-	if head == nil {
-		// The head is gone from the list or has joined elsewhere.
-		delete(p.stuck, g.key())
-		return nil, false
-	}
 	switch {
-	case head.Answers || head.Listed && head.Reported && head.Membership.State == roster.Broken:
+	case head == nil && p.heads[g.key()] != "":
+		// The head has left, or has been forgotten.
+		return nil, false
+	case head == nil:
+		return nil, p.stalls(now, g, in)
+	case head.Answers:
 		if _, ok := p.pending[head.ID]; ok {
 			return nil, true
 		}
-		return []Order{p.leave(head, g, "a member is lost")}, true
-	case !head.Listed:
-		// Neither the store nor this daemon hears of it.
+		if p.drains(g, head) {
+			return []Order{p.tell(head, g, platform.CloseHead, "a member drains")}, true
+		}
+		return []Order{p.tell(head, g, platform.Leave, "a member is lost")}, true
+	case head.dead(now, in.Silence):
 		return nil, false
 	}
-	// The head may run although it does not answer. It is broken when it has stalled for long enough.
-	at, ok := p.stuck[g.key()]
-	if !ok {
-		p.stuck[g.key()] = now
-		return nil, true
+	// The head may run although it does not answer.
+	return nil, p.stalls(now, g, in)
+}
+
+// drains tells whether a group should end the requests that it has: every member still works, and one of them drains.
+func (p *Planner) drains(g *group, head *Member) bool {
+	if head.Membership.State != roster.Open && head.Membership.State != roster.Closing {
+		return false
 	}
-	return nil, now.Sub(at) < in.Stall
+	for _, m := range g.members {
+		if !m.Answers || !m.Listed && m.Rank == 0 {
+			return false
+		}
+	}
+	return len(g.members) == g.size(p)
+}
+
+func (g *group) size(p *Planner) int {
+	if g.model != nil {
+		return g.model.Size
+	}
+	return len(p.lists[g.key()])
+}
+
+// stalls tells whether the head of a group that lost a member may still run; it finds the group broken in the end.
+func (p *Planner) stalls(now time.Time, g *group, in Input) bool {
+	if at, ok := p.stuck[g.key()]; ok {
+		return now.Sub(at) < in.Stall
+	}
+	p.stuck[g.key()] = now
+	return true
 }
 
 // joining tells whether every listed member that is not in the group is on its way there.
@@ -312,11 +352,11 @@
 	if _, ok := p.pending[head.ID]; ok {
 		return nil
 	}
-	return []Order{{head.Server, platform.Order{Operation: platform.OpenG, Group: g.name, Epoch: g.epoch, Fence: p.token, After: head.Orders}, "all members are ready"}}
+	return []Order{{head.Server, platform.Order{Operation: platform.OpenHead, Group: g.name, Epoch: g.epoch, Fence: p.token, After: head.Orders}, "all members are ready"}}
 }
 
-func (p *Planner) leave(m *Member, g *group, why string) Order {
-	return Order{m.Server, platform.Order{Operation: platform.Leave, Group: g.name, Epoch: g.epoch, Fence: p.token, After: -1}, why}
+func (p *Planner) tell(m *Member, g *group, op platform.Operation, why string) Order {
+	return Order{m.Server, platform.Order{Operation: op, Group: g.name, Epoch: g.epoch, Fence: p.token, After: -1}, why}
 }
 
 // form makes groups of idle backend servers, and puts weights on the hosts of those that cannot form one.
@@ -454,6 +494,9 @@
 	return true
 }
 
+// urgentFirst is what the lack of the most urgent model counts more than that of others.
+const urgentFirst = 1.5
+
 // lack is how far a model is below its part of the backend servers, as a part of that.
 func (p *Planner) lack(model *route.Model, serving map[string]float64, total int) float64 {
 	want := model.Share * float64(total) / float64(model.Size)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -63,6 +63,10 @@
 	// Model is the model that the backend server holds now.
 	Model string
 	Membership
+	// Beat counts the heartbeats of this lifetime.
+	Beat int64
+	// Renewed is when a change of the entry was last read; entries are renewed with each heartbeat.
+	Renewed time.Time
 }
 
 // Same tells whether both are the same lifetime of a backend server.
@@ -93,6 +97,8 @@
 	// Read is when the store was read.
 	Read    time.Time
 	Servers map[string]*Server
+	// Departed holds those whose entries were removed lately. They get no requests, but may still run.
+	Departed map[string]*Server
 	// Services lists the ready backend servers of each service in the order of their ids.
 	Services map[string][]*Server
 	// Groups lists the open groups of each service, whole or not, in the order of their names.
--- a/internal/roster/tracker.go
+++ b/internal/roster/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 )
@@ -19,13 +20,24 @@
 	holding bool
 	// back is when the store last came back; zero before the first outage.
 	back time.Time
+	// departed holds removed entries, with the time of their removal.
+	departed map[string]departure
 	// grace is how long backend servers have to register again after an outage.
 	grace time.Duration
 }
 
+type departure struct {
+	server *Server
+	at     time.Time
+}
+
+// departedFor is how long a removed entry is remembered: longer than any cut from the store that backend servers are
+// expected to live through.
+const departedFor = 30 * time.Second
+
 // NewTracker returns a tracker that keeps lapsed entries for grace after an outage of the store.
 func NewTracker(grace time.Duration) *Tracker {
-	return &Tracker{servers: map[string]*Server{}, lapsed: map[string]time.Time{}, grace: grace}
+	return &Tracker{servers: map[string]*Server{}, lapsed: map[string]time.Time{}, departed: map[string]departure{}, grace: grace}
 }
 
 // Hold notes that the store does not answer.
@@ -43,6 +55,9 @@
 	changes := make([]Change, 0, len(all))
 	for _, s := range all {
 		seen[s.ID] = true
+		if o := t.servers[s.ID]; o != nil && sameEntry(o, s) {
+			continue
+		}
 		changes = append(changes, Change{s.ID, s})
 	}
 	for id := range t.servers {
@@ -53,6 +68,12 @@
 	t.Apply(now, changes)
 }
 
+// sameEntry tells whether a whole read brought an entry that has not changed; it must not count as renewed.
+func sameEntry(a, b *Server) bool {
+	b.Renewed = a.Renewed
+	return a.Beat == b.Beat && reflect.DeepEqual(a, b)
+}
+
 // Back notes that the store answers; entries that lapsed during an outage get the grace from its end.
 func (t *Tracker) Back(now time.Time) {
 	if t.holding {
@@ -65,32 +86,43 @@
 	for _, c := range changes {
 		switch {
 		case c.Server != nil:
+			c.Server.Renewed = now
 			t.servers[c.ID] = c.Server
 			delete(t.lapsed, c.ID)
+			delete(t.departed, c.ID)
 		case t.servers[c.ID] == nil:
 		case !t.back.IsZero() && now.Sub(t.back) < t.grace && t.servers[c.ID].State == Ready:
 			if _, ok := t.lapsed[c.ID]; !ok {
 				t.lapsed[c.ID] = now
 			}
 		default:
-			t.remove(c.ID)
+			t.remove(now, c.ID)
+		}
+	}
+	for id, d := range t.departed {
+		if now.Sub(d.at) > departedFor {
+			delete(t.departed, id)
 		}
 	}
 	if !t.back.IsZero() && now.Sub(t.back) >= t.grace {
 		for id := range t.lapsed {
-			t.remove(id)
+			t.remove(now, id)
 		}
 	}
 }
 
-func (t *Tracker) remove(id string) {
+func (t *Tracker) remove(now time.Time, id string) {
+	t.departed[id] = departure{t.servers[id], now}
 	delete(t.servers, id)
 	delete(t.lapsed, id)
 }
 
 // View builds the current view. size tells the sizes of groups.
 func (t *Tracker) View(now time.Time, size Size) *View {
-	v := &View{Read: now, Servers: maps.Clone(t.servers), Services: map[string][]*Server{}, Groups: map[string][]*Group{}}
+	v := &View{Read: now, Servers: maps.Clone(t.servers), Services: map[string][]*Server{}, Groups: map[string][]*Group{}, Departed: make(map[string]*Server, len(t.departed))}
+	for id, d := range t.departed {
+		v.Departed[id] = d.server
+	}
 	groups := map[Membership]*Group{}
 	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
 		s := t.servers[id]
