Wait for heads that left in order, keep groups whose members are only cut from the store

Ruled out: late orders (fenced by epoch), two holders of the lease (one token at a time in the logs). Conclusion: members move only when their old head is known to be done.

--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -25,6 +25,8 @@
 	decayed time.Time
 	// rate is the number of places that this daemon found in a second lately, decayed like used.
 	rate float64
+	// refused is the requests turned away in a second lately, decayed like used.
+	refused float64
 }
 
 // memory is the time in which past use loses two thirds of its weight.
@@ -45,6 +47,7 @@
 	q.decayed = now
 	keep := max(1-float64(dt)/float64(memory), 0)
 	q.rate *= keep
+	q.refused *= keep
 	for org, v := range q.used {
 		if v *= keep; v < 1 {
 			delete(q.used, org)
@@ -78,6 +81,19 @@
 	return true
 }
 
+// Refused notes a request that was turned away.
+func (q *Queue) Refused(now time.Time) {
+	q.decay(now)
+	q.refused += float64(time.Second) / float64(memory)
+}
+
+// Lacking is about how many more places at once would have served all: those that wait, and those turned away in the
+// last second, which would have stayed for about as long.
+func (q *Queue) Lacking(now time.Time) int {
+	q.decay(now)
+	return len(q.waiting) + int(q.refused)
+}
+
 // Remove takes w out.
 func (q *Queue) Remove(ticket uint64) {
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiter) bool { return w.Ticket == ticket })
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -110,6 +110,7 @@
 		}
 	}
 	if !m.queue.Add(now, w.request) {
+		m.queue.Refused(now)
 		p.mu.Unlock()
 		return nil, &RejectedError{balance.ComeBack(now, &r, rand.Float64), "queue"}
 	}
@@ -219,6 +220,7 @@
 // pump gives places to waiting requests and turns away those that have waited for too long.
 func (p *dispatcher) pump(now time.Time, service *route.Service, name string, m *model) {
 	for _, w := range m.queue.Expire(now) {
+		m.queue.Refused(now)
 		p.hand(m, w.Ticket, nil)
 	}
 	if m.queue.Len() == 0 {
@@ -332,6 +334,39 @@
 	return work, suspects
 }
 
+// pressure returns the work asked of each model of a service, by all daemons, as a part of what its open groups run at
+// once, and the model of the most urgent work. What waits or was turned away here stands for the same at every daemon.
+func (p *dispatcher) pressure(service *route.Service) (pressure map[string]float64, urgent string) {
+	now := time.Now()
+	live := p.d.live(now)
+	others := gossip.Others(live)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rank := 0
+	for key, m := range p.models {
+		if key.service != service.Name || !m.seen {
+			continue
+		}
+		if pressure == nil {
+			pressure = map[string]float64{}
+		}
+		if urgent == "" || m.topRank < rank {
+			urgent, rank = key.model, m.topRank
+		}
+		work, slots := 0, 0
+		for _, g := range p.d.view.Load().Groups[service.Name] {
+			if g.Model == key.model {
+				k := groupKey(g)
+				work += p.own[k].Add(others[k]).Requests
+				slots += service.Engine.Slots
+			}
+		}
+		lacking := float64(m.queue.Lacking(now)) * float64(len(live)+1)
+		pressure[key.model] = (float64(work) + lacking) / float64(max(slots, 1))
+	}
+	return pressure, urgent
+}
+
 // progress notes an event of the answer.
 func (s *seat) progress() {
 	now := time.Now()
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -62,7 +62,7 @@
 }
 
 func newFeeds(d *Daemon) *feeds {
-	return &feeds{d: d, rawServers: map[string][]byte{}, tracker: roster.NewTracker(lapseGrace)}
+	return &feeds{d: d, rawServers: map[string][]byte{}, tracker: roster.NewTracker(lapseGrace, d.beatSilence())}
 }
 
 // backOff waits longer after each failure.
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -27,6 +27,8 @@
 	// reportPeriod is how often a backend server is asked for its report; quickPeriod while its state is about to change.
 	reportPeriod = 1200 * time.Millisecond
 	quickPeriod  = 150 * time.Millisecond
+	// openWait is how long the other members of a group may take to be ready.
+	openWait = 2 * time.Second
 	// reportTimeout bounds one question, orderTimeout one order.
 	reportTimeout = 500 * time.Millisecond
 	orderTimeout  = time.Second
@@ -61,6 +63,8 @@
 	born     int64
 	report   platform.Report
 	reported bool
+	// changed is when the membership was last seen to change.
+	changed time.Time
 	// at is when the last answer came, next when the next question is due.
 	at, next time.Time
 	failures int
@@ -73,6 +77,9 @@
 	return l
 }
 
+// beatSilence is how long a live backend server may go without renewing its entry.
+func (d *Daemon) beatSilence() time.Duration { return beatsToDoubt * d.settings().Beat }
+
 func (l *leader) record(token int64) *election.Record {
 	return &election.Record{Holder: l.d.settings().Name, Token: token}
 }
@@ -237,10 +244,12 @@
 		}
 		silence := storeAway
 		if d.storeOK.Load() {
-			silence = time.Duration(beatsToDoubt * float64(d.settings().Beat))
+			silence = d.beatSilence()
 		}
+		pressure, urgent := d.dispatch.pressure(s)
 		orders := p.Step(now, replica.Input{
-			Members: members, Silence: silence, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, Window: d.settings().LoadWindow, Early: early,
+			Pressure: pressure, Urgent: urgent,
+			Members: members, Silence: silence, Back: v.Back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, Window: d.settings().LoadWindow, Early: early,
 		})
 		for _, o := range orders {
 			if !l.calls.TryGo(func() error {
@@ -330,11 +339,16 @@
 			l.d.log.Info("backend server answers again", "id", s.ID)
 		}
 		q.failures = 0
-		q.report, q.reported, q.at = r, true, now
 		q.next = now.Add(reportPeriod)
-		if r.Busy || r.Membership.State == roster.Joining || r.Membership.State == roster.Joined {
+		if r.Membership != q.report.Membership {
+			q.changed = now
+		}
+		// A member waits in the joined state until its head opens, and for as long as the group serves after that.
+		joined := r.Membership.State == roster.Joined && now.Sub(q.changed) < openWait
+		if r.Busy || r.Membership.State == roster.Joining || joined {
 			q.next = now.Add(quickPeriod)
 		}
+		q.report, q.reported, q.at = r, true, now
 		return nil
 	})
 	if !ok {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -52,8 +52,18 @@
 }
 
 // dead members neither answer nor renew their entries.
-func (m *Member) dead(now time.Time, silence time.Duration) bool {
-	return !m.Answers && (!m.Listed || now.Sub(m.Renewed) > silence)
+func (m *Member) dead(now time.Time, in *Input) bool {
+	if m.Answers {
+		return false
+	}
+	if !m.Listed {
+		return m.Lapsed
+	}
+	last := m.Renewed
+	if in.Back.After(last) {
+		last = in.Back
+	}
+	return now.Sub(last) > in.Silence
 }
 
 // Order is an order for one backend server.
@@ -86,19 +96,30 @@
 	// stuck is since when a group cannot become whole and its head does not answer.
 	stuck map[string]time.Time
 	epoch int64
+	// staging holds the weights that are on their way to hosts.
+	staging map[string]load
+	// coming counts the groups of each model that are on their way.
+	coming map[string]float64
 	// loads are the times at which loads of weights were started.
 	loads []time.Time
 	// started is when this planner began; callers tells whether requests have come yet.
 	started time.Time
-	token   int64
+	// known is the number of backend servers at the last step, grown when it last grew.
+	known int
+	grown time.Time
+	token int64
 }
 
 const (
 	// orderWait is how long an order may take until its effect is reported.
 	orderWait = 1500 * time.Millisecond
-	// settleTime is how long backend servers may take to register when all start together; hosts that are still idle
-	// then get weights as spares.
+	// quietTime is how long no further backend server registers when all that start together have; groups are laid out
+	// over all of them.
+	quietTime = time.Second
+	// settleTime is when hosts that are still idle after the start get weights as spares.
 	settleTime = 4 * time.Second
+	// leaveTime is how much longer than a stall a head that left in order may finish its requests.
+	leaveTime = 6 * time.Second
 	// epochBits leave room for the groups formed under one fencing token.
 	epochBits = 20
 )
@@ -107,7 +128,7 @@
 func New(service string, engine *route.Engine, token int64, now time.Time) *Planner {
 	return &Planner{
 		service: service, engine: engine, pending: map[string]pending{}, joined: map[string]map[string]int64{},
-		lists: map[string][]string{}, heads: map[string]string{}, stuck: map[string]time.Time{}, started: now, token: token, epoch: token << epochBits,
+		lists: map[string][]string{}, heads: map[string]string{}, stuck: map[string]time.Time{}, staging: map[string]load{}, started: now, token: token, epoch: token << epochBits,
 	}
 }
 
@@ -117,11 +138,18 @@
 	// Silence is how long a live backend server may go without renewing its entry. It means nothing while the store does
 	// not answer; it is then longer than any outage.
 	Silence time.Duration
+	// Back is when the store last came back from an outage.
+	Back time.Time
 	// Stall is how long a head that lost a member takes to find its group broken.
 	Stall time.Duration
 	// LoadRate bounds the loads started in a second over the ceiling's window.
 	LoadRate float64
 	Window   time.Duration
+	// Pressure is the work asked of each model as a part of what its open groups run at once; more than 1 waits or is
+	// turned away. It is empty while no work is known.
+	Pressure map[string]float64
+	// Urgent names the model of the most urgent work.
+	Urgent string
 	// Early is set before the first request, when loads are quick and not counted.
 	Early bool
 }
@@ -152,7 +180,13 @@
 			}
 		}
 	}
-	orders = append(orders, p.form(now, in, taken)...)
+	if len(in.Members) > p.known {
+		p.grown = now
+	}
+	p.known = len(in.Members)
+	if !in.Early || now.Sub(p.grown) >= quietTime {
+		orders = append(orders, p.form(now, in, taken)...)
+	}
 	for _, o := range orders {
 		p.pending[o.Server.ID] = pending{o.Order, o.Server.Born, now.Add(orderWait)}
 	}
@@ -281,10 +315,13 @@
 			return []Order{p.tell(head, g, platform.CloseHead, "a member drains")}, true
 		}
 		return []Order{p.tell(head, g, platform.Leave, "a member is lost")}, true
-	case head.dead(now, in.Silence):
+	case head.dead(now, &in):
 		return nil, false
 	}
-	// The head may run although it does not answer.
+	// The head may run although it does not answer; one that left in order finishes the requests that it has.
+	if !head.Listed {
+		in.Stall += leaveTime
+	}
 	return nil, p.stalls(now, g, in)
 }
 
@@ -364,6 +401,7 @@
 	domains := map[string][]*Member{}
 	// serving counts the groups of each model, whole or on their way; slots is where they stand.
 	serving := map[string]float64{}
+	p.coming = map[string]float64{}
 	total := 0
 	local := map[string]map[string]int{}
 	for _, m := range in.Members {
@@ -373,6 +411,9 @@
 		_, busy := p.pending[m.ID]
 		if model := p.engine.Model(m.Model); model != nil && taken[m.ID] {
 			serving[model.Name] += 1 / float64(model.Size)
+			if m.Rank == 0 && m.Membership.State != roster.Open {
+				p.coming[model.Name]++
+			}
 			if local[m.Domain] == nil {
 				local[m.Domain] = map[string]int{}
 			}
@@ -408,6 +449,7 @@
 			})
 			orders = append(orders, p.join(members, model)...)
 			serving[model.Name]++
+			p.coming[model.Name]++
 		}
 		if in.Early && now.Sub(p.started) < settleTime {
 			continue
@@ -455,7 +497,7 @@
 // next returns the model of the group to form from idle members, nil when they make none.
 func (p *Planner) next(idle []*Member, serving map[string]float64, total int, in Input, domain string, layout map[string]map[string]int) *route.Model {
 	var best *route.Model
-	bestLack := 0.0
+	most := 0.0
 	for i := range p.engine.Models {
 		model := &p.engine.Models[i]
 		have := 0
@@ -470,8 +512,8 @@
 		if in.Early && !p.allotted(model, in.Members, domain, layout) {
 			continue
 		}
-		if lack := p.lack(model, serving, total); best == nil || lack > bestLack {
-			best, bestLack = model, lack
+		if need := p.need(model, serving, total, in); best == nil || need > most {
+			best, most = model, need
 		}
 	}
 	return best
@@ -494,11 +536,20 @@
 	return true
 }
 
-// urgentFirst is what the lack of the most urgent model counts more than that of others.
+// urgentFirst is what the pressure on the model of the most urgent work counts more than that on others.
 const urgentFirst = 1.5
 
-// lack is how far a model is below its part of the backend servers, as a part of that.
-func (p *Planner) lack(model *route.Model, serving map[string]float64, total int) float64 {
+// need is how badly a model needs another group. While work is known it is the pressure on the model's groups, before that
+// how far the model is below its part of the backend servers.
+func (p *Planner) need(model *route.Model, serving map[string]float64, total int, in Input) float64 {
+	if len(in.Pressure) > 0 {
+		// A group that is on its way relieves the pressure already.
+		n := in.Pressure[model.Name] / max(1+p.coming[model.Name], 1)
+		if model.Name == in.Urgent {
+			n *= urgentFirst
+		}
+		return n
+	}
 	want := model.Share * float64(total) / float64(model.Size)
 	if want <= 0 {
 		return -1
@@ -524,48 +575,115 @@
 	return orders
 }
 
-// stage puts weights on the hosts of idle members. Each gets the model whose group of the domain is completed first.
+// stage puts weights on the hosts of idle members that cannot form a group. Each gets the model that needs a group most
+// among those that the domain's idle hosts can complete.
 func (p *Planner) stage(now time.Time, in Input, idle []*Member, serving map[string]float64, total int, local map[string]int) []Order {
 	held := map[string]int{}
+	holders := map[string][]*Member{}
 	var empty []*Member
 	for _, m := range idle {
-		named := false
-		for _, model := range p.engine.Models {
-			if slices.Contains(m.Staged, model.Name) {
-				held[model.Name]++
-				named = true
+		model := p.loading(now, m)
+		for _, name := range m.Staged {
+			if model == "" && p.engine.Model(name) != nil {
+				model = name
+				holders[name] = append(holders[name], m)
 			}
 		}
-		if !named && !m.Busy {
+		switch {
+		case model != "":
+			held[model]++
+		case !m.Busy:
 			empty = append(empty, m)
-		} else if !named {
-			// A load is under way whose model is not reported; the order that began it is counted when it ends.
-			continue
 		}
 	}
 	var orders []Order
-	for _, m := range empty {
-		model := p.stageFor(held, len(empty)-len(orders), serving, total, local)
-		if model == nil || !p.mayLoad(now, in) {
-			break
-		}
+	load := func(m *Member, model *route.Model, why string) {
 		held[model.Name]++
 		p.loads = append(p.loads, now)
+		p.staging[m.ID] = load{model.Name, m.Born, now.Add(model.Load * loadPatience)}
 		orders = append(orders, Order{m.Server, platform.Order{
 			Operation: platform.Stage, Model: model.Name, Fence: p.token, After: m.Orders,
-		}, "put weights on an idle host"})
+		}, why})
+	}
+	for i, m := range empty {
+		model := p.stageFor(held, len(empty)-i, serving, total, in, local)
+		if model == nil || !p.mayLoad(now, in) {
+			return orders
+		}
+		load(m, model, "put weights on an idle host")
+	}
+	for i := range p.engine.Models {
+		from := &p.engine.Models[i]
+		to := p.convert(from, held, in)
+		if to == nil {
+			continue
+		}
+		missing := to.Size - held[to.Name]%to.Size
+		for _, m := range holders[from.Name] {
+			if missing == 0 || !p.mayLoad(now, in) {
+				break
+			}
+			missing--
+			held[from.Name]--
+			load(m, to, "too few hosts of the domain hold "+from.Name)
+		}
 	}
 	return orders
 }
 
+// load is weights on their way to a host.
+type load struct {
+	model string
+	born  int64
+	until time.Time
+}
+
+// loadPatience is how many times its usual length a load may take; many loads at once slow each other.
+const loadPatience = 3
+
+// loading returns the model that is on its way to a member's host.
+func (p *Planner) loading(now time.Time, m *Member) string {
+	l, ok := p.staging[m.ID]
+	if !ok {
+		return ""
+	}
+	if l.born != m.Born || now.After(l.until) || slices.Contains(m.Staged, l.model) {
+		delete(p.staging, m.ID)
+		return ""
+	}
+	return l.model
+}
+
+// convertPressure is the pressure on a model from which idle hosts that hold another one are given its weights.
+const convertPressure = 0.5
+
+// convert returns the model to which hosts of from are turned that are too few for a group of their own; nil when they
+// are to stay spares.
+func (p *Planner) convert(from *route.Model, held map[string]int, in Input) *route.Model {
+	if held[from.Name] == 0 || held[from.Name] >= from.Size {
+		return nil
+	}
+	for i := range p.engine.Models {
+		to := &p.engine.Models[i]
+		missing := to.Size - held[to.Name]%to.Size
+		if to == from || in.Pressure[to.Name] < convertPressure || missing > held[from.Name] {
+			continue
+		}
+		if p.need(to, nil, 0, in) > p.need(from, nil, 0, in) {
+			return to
+		}
+	}
+	return nil
+}
+
 // stageFor chooses the model for one of the empty hosts of a domain.
-func (p *Planner) stageFor(held map[string]int, empty int, serving map[string]float64, total int, local map[string]int) *route.Model {
+func (p *Planner) stageFor(held map[string]int, empty int, serving map[string]float64, total int, in Input, local map[string]int) *route.Model {
 	var best *route.Model
 	bestScore := 0.0
 	for i := range p.engine.Models {
 		model := &p.engine.Models[i]
 		missing := model.Size - held[model.Name]%model.Size
-		score := p.lack(model, serving, total)
+		score := p.need(model, serving, total, in)
 		if missing > empty {
 			// It would only be a spare; spares are worth most where groups of the model are.
 			score += -2 + float64(local[model.Name])/8
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -65,6 +65,9 @@
 	Membership
 	// Beat counts the heartbeats of this lifetime.
 	Beat int64
+	// Lapsed is set on departed servers whose entry ran out in silence; the others left in order and may work on for a
+	// while.
+	Lapsed bool
 	// Renewed is when a change of the entry was last read; entries are renewed with each heartbeat.
 	Renewed time.Time
 }
@@ -95,7 +98,9 @@
 // View is the backend servers at one moment.
 type View struct {
 	// Read is when the store was read.
-	Read    time.Time
+	Read time.Time
+	// Back is when the store last came back; entries could not be renewed before. It is zero before the first outage.
+	Back time.Time
 	Servers map[string]*Server
 	// Departed holds those whose entries were removed lately. They get no requests, but may still run.
 	Departed map[string]*Server
--- a/internal/roster/tracker.go
+++ b/internal/roster/tracker.go
@@ -24,6 +24,8 @@
 	departed map[string]departure
 	// grace is how long backend servers have to register again after an outage.
 	grace time.Duration
+	// silence is how long a live backend server may go without renewing its entry.
+	silence time.Duration
 }
 
 type departure struct {
@@ -35,9 +37,10 @@
 // expected to live through.
 const departedFor = 30 * time.Second
 
-// NewTracker returns a tracker that keeps lapsed entries for grace after an outage of the store.
-func NewTracker(grace time.Duration) *Tracker {
-	return &Tracker{servers: map[string]*Server{}, lapsed: map[string]time.Time{}, departed: map[string]departure{}, grace: grace}
+// NewTracker returns a tracker that keeps lapsed entries for grace after an outage of the store. A live backend server
+// renews its entry within silence.
+func NewTracker(grace, silence time.Duration) *Tracker {
+	return &Tracker{servers: map[string]*Server{}, lapsed: map[string]time.Time{}, departed: map[string]departure{}, grace: grace, silence: silence}
 }
 
 // Hold notes that the store does not answer.
@@ -112,14 +115,16 @@
 }
 
 func (t *Tracker) remove(now time.Time, id string) {
-	t.departed[id] = departure{t.servers[id], now}
+	s := *t.servers[id]
+	s.Lapsed = !t.holding && s.Renewed.After(t.back) && now.Sub(s.Renewed) > t.silence
+	t.departed[id] = departure{&s, now}
 	delete(t.servers, id)
 	delete(t.lapsed, id)
 }
 
 // View builds the current view. size tells the sizes of groups.
 func (t *Tracker) View(now time.Time, size Size) *View {
-	v := &View{Read: now, Servers: maps.Clone(t.servers), Services: map[string][]*Server{}, Groups: map[string][]*Group{}, Departed: make(map[string]*Server, len(t.departed))}
+	v := &View{Read: now, Back: t.back, Servers: maps.Clone(t.servers), Services: map[string][]*Server{}, Groups: map[string][]*Group{}, Departed: make(map[string]*Server, len(t.departed))}
 	for id, d := range t.departed {
 		v.Departed[id] = d.server
 	}
