--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -45,6 +45,9 @@
 // usable members may join groups.
 func (m *Member) usable() bool { return m.Listed && m.State == roster.Ready && m.Answers && m.Reported }
 
+// group names the group that a member reports, with its epoch.
+func (m *Member) group() string { return fmt.Sprintf("%s/%d", m.Group, m.Epoch) }
+
 // lost members cannot serve in their group any more. One that is cut off from the store, but answers, works on; only a
 // head must be listed, since it gets requests.
 func (m *Member) lost() bool {
@@ -188,11 +191,16 @@
 		orders = append(orders, p.form(now, in, taken)...)
 	}
 	for _, o := range orders {
-		p.pending[o.Server.ID] = pending{o.Order, o.Server.Born, now.Add(orderWait)}
+		p.await(now, o)
 	}
 	return orders
 }
 
+// await keeps an order until its effect shows.
+func (p *Planner) await(now time.Time, o Order) {
+	p.pending[o.Server.ID] = pending{o.Order, o.Server.Born, now.Add(orderWait)}
+}
+
 // Tally is what a service's backend servers do at one moment.
 type Tally struct {
 	// Open counts the open groups of each model, Forming those on their way.
@@ -447,7 +455,10 @@
 				}
 				return take
 			})
-			orders = append(orders, p.join(members, model)...)
+			for _, o := range p.join(members, model) {
+				p.await(now, o) // counts for the room of the domain
+				orders = append(orders, o)
+			}
 			serving[model.Name]++
 			p.coming[model.Name]++
 		}
@@ -484,6 +495,7 @@
 	for _, model := range models[1:] {
 		want := int(math.Round(model.Share * float64(total) / float64(model.Size)))
 		for _, domain := range slices.Sorted(maps.Keys(sizes)) {
+			out[domain][model.Name] += 0 // a domain without an allotment gets none
 			for want > 0 && rooms[domain] >= model.Size {
 				out[domain][model.Name]++
 				rooms[domain] -= model.Size
@@ -521,19 +533,26 @@
 
 // allotted tells whether a domain has room in the layout for another group of a model.
 func (p *Planner) allotted(model *route.Model, members []*Member, domain string, layout map[string]map[string]int) bool {
-	for i := range p.engine.Models {
-		if p.engine.Models[i].Size > model.Size {
-			n := 0
-			for _, m := range members {
-				o, pending := p.pending[m.ID]
-				if m.Domain == domain && (m.Model == model.Name && m.Group != "" || pending && o.order.Model == model.Name) {
-					n++
-				}
-			}
-			return n < layout[domain][model.Name]*model.Size
+	mine, size := 0, 0
+	for _, m := range members {
+		if m.Domain != domain || !m.Listed {
+			continue
+		}
+		size++
+		// A member that is still joining reports no model.
+		o, ok := p.pending[m.ID]
+		if m.Group != "" && (m.Model == model.Name || m.Model == "" && len(p.lists[m.group()]) == model.Size) || ok && o.order.Model == model.Name {
+			mine++
 		}
 	}
-	return true
+	if n, ok := layout[domain][model.Name]; ok {
+		return mine < n*model.Size
+	}
+	reserved := 0
+	for i := range p.engine.Models {
+		reserved += layout[domain][p.engine.Models[i].Name] * p.engine.Models[i].Size
+	}
+	return mine+model.Size+reserved <= size
 }
 
 // urgentFirst is what the pressure on the model of the most urgent work counts more than that on others.
