Hold work back by how much of the load is more urgent; let cut streams go on first

Ranks of organisations replaced those of routes, and all organisations have the same one, so kinds of work were not told apart at all. Change: the rank of a route counts within that of the organisation; the level at which less urgent work stops follows how much of the recent work is more urgent; a request whose answer was cut off goes first and waits as long as its caller.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -44,10 +44,10 @@
 	// onTime is the part of an objective within which the first event is planned, leaving the rest to what cannot be
 	// foreseen: the network, and passes longer than estimated.
 	onTime = 0.7
-	// lessUrgent multiplies the plan for each step that a request's rank is below the most urgent work of its model.
-	lessUrgent = 0.75
-	// heldSlots is the part of the slots that each step of rank below the most urgent leaves free.
-	heldSlots = 0.08
+	// lessUrgent multiplies the plan for work below which all recent work of its model is more urgent.
+	lessUrgent = 0.6
+	// heldSlots is the part of the slots that such work leaves free.
+	heldSlots = 0.2
 	// patience is the part of its objective for which a request waits at most. Beyond it the answer would be late, and
 	// the caller does better to come back.
 	patience = 0.5
@@ -61,9 +61,9 @@
 type Plan struct {
 	Engine *route.Engine
 	Model  *route.Model
-	// TopRank is the rank of the most urgent work of the model, TopObjective its objective.
-	TopRank      int
-	TopObjective time.Duration
+	// Urgent tells how much of the model's recent work is more urgent than a rank, as a part of all, and the least
+	// objective of that work.
+	Urgent func(rank int) (part float64, objective time.Duration)
 }
 
 // Request is a request that wants a place.
@@ -74,6 +74,9 @@
 	Arrived   time.Time
 	// Until is when the caller gives up.
 	Until time.Time
+	// Continues is set when a backend server has worked on the request and its answer was cut off. Its caller has waited
+	// already, and work would be lost, so it goes first and waits for as long as the caller does.
+	Continues bool
 }
 
 // Pass returns how long a pass takes while n requests run.
@@ -106,12 +109,13 @@
 
 // budget returns the longest first event with which a request is still given to a group.
 func (p *Plan) budget(r *Request) time.Duration {
+	if r.Continues {
+		return r.Objective
+	}
 	objective := float64(r.Objective)
-	if below := r.Rank - p.TopRank; below > 0 && p.TopObjective > 0 {
-		for range below {
-			objective *= lessUrgent
-		}
-		objective = min(objective, float64(p.TopObjective))
+	if part, least := p.Urgent(r.Rank); part > 0 {
+		objective = min(objective, float64(least)+(objective-float64(least))*(1-part))
+		objective *= 1 - (1-lessUrgent)*part
 	}
 	// A prompt that takes longer than the budget to read alone must not be kept out for ever.
 	return max(time.Duration(objective*onTime), p.FirstEvent(Group{}, r.Prompt)*5/4)
@@ -119,14 +123,17 @@
 
 // slots returns how many requests a group may hold when one of this rank is added.
 func (p *Plan) slots(rank int) int {
-	held := heldSlots * float64(max(rank-p.TopRank, 0))
-	return max(int(float64(p.Engine.Slots)*(1-min(held, 0.5))), 1)
+	part, _ := p.Urgent(rank)
+	return max(int(float64(p.Engine.Slots)*(1-heldSlots*part)), 1)
 }
 
 // Choose returns the index of the group that takes r, or -1 when none should now. random returns numbers in [0, 1).
 func (p *Plan) Choose(r *Request, groups []Group, random func() float64) int {
 	best, bestScore := -1, 0.0
 	budget, slots := p.budget(r), p.slots(r.Rank)
+	if r.Continues {
+		slots = p.Engine.Slots
+	}
 	for i, g := range groups {
 		if g.Suspect || g.Load.Requests >= slots {
 			continue
@@ -148,5 +155,8 @@
 
 // Patience returns how long r may wait for a place.
 func Patience(r *Request) time.Duration {
+	if r.Continues {
+		return r.Until.Sub(r.Arrived)
+	}
 	return min(time.Duration(float64(r.Objective)*patience), r.Until.Sub(r.Arrived)/8)
 }
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -16,19 +16,26 @@
 
 // Queue holds the requests of one model that wait at a daemon, and what its organisations have used lately.
 //
-// The most urgent go first; within a rank the organisation that used least lately, so that the many requests of a large
+// Requests whose answers were cut off go first, then the most urgent; within a rank the organisation that used least lately, so that the many requests of a large
 // one do not keep out the few of a small one; then the oldest.
 type Queue struct {
 	waiting []*Waiter
 	// used is the recent use of each organisation in tokens, decayed to the time of decayed.
 	used    map[string]float64
 	decayed time.Time
+	// ranks is the recent use of each rank in tokens, decayed like used, and the objective of its last request.
+	ranks map[int]rankUse
 	// rate is the number of places that this daemon found in a second lately, decayed like used.
 	rate float64
 	// refused is the requests turned away in a second lately, decayed like used.
 	refused float64
 }
 
+type rankUse struct {
+	tokens    float64
+	objective time.Duration
+}
+
 // memory is the time in which past use loses two thirds of its weight.
 const memory = 2 * time.Second
 
@@ -37,7 +44,7 @@
 
 func (q *Queue) decay(now time.Time) {
 	if q.used == nil {
-		q.used, q.decayed = map[string]float64{}, now
+		q.used, q.ranks, q.decayed = map[string]float64{}, map[int]rankUse{}, now
 	}
 	// Steps of a twentieth keep the cost of decay away from single requests.
 	dt := now.Sub(q.decayed)
@@ -48,6 +55,13 @@
 	keep := max(1-float64(dt)/float64(memory), 0)
 	q.rate *= keep
 	q.refused *= keep
+	for rank, u := range q.ranks {
+		if u.tokens *= keep; u.tokens < 1 {
+			delete(q.ranks, rank)
+		} else {
+			q.ranks[rank] = u
+		}
+	}
 	for org, v := range q.used {
 		if v *= keep; v < 1 {
 			delete(q.used, org)
@@ -57,10 +71,30 @@
 	}
 }
 
+// Urgent tells how much of the recent work is more urgent than a rank, as a part of all, and the least objective of it.
+func (q *Queue) Urgent(rank int) (part float64, objective time.Duration) {
+	all, above := 0.0, 0.0
+	for r, u := range q.ranks {
+		all += u.tokens
+		if r < rank {
+			above += u.tokens
+			if objective == 0 || u.objective < objective {
+				objective = u.objective
+			}
+		}
+	}
+	if above == 0 {
+		return 0, 0
+	}
+	return above / all, objective
+}
+
 // Used notes that a request found a place.
-func (q *Queue) Used(now time.Time, org string, tokens int) {
+func (q *Queue) Used(now time.Time, w *Waiter) {
 	q.decay(now)
-	q.used[org] += float64(tokens)
+	q.used[w.Organisation] += float64(w.Prompt)
+	u := q.ranks[w.Rank]
+	q.ranks[w.Rank] = rankUse{u.tokens + float64(w.Prompt), w.Objective}
 	q.rate += float64(time.Second) / float64(memory)
 }
 
@@ -74,7 +108,7 @@
 			before++
 		}
 	}
-	if float64(before) >= max(q.rate, minRate)*Patience(&w.Request).Seconds() {
+	if !w.Continues && float64(before) >= max(q.rate, minRate)*Patience(&w.Request).Seconds() {
 		return false
 	}
 	q.waiting = append(q.waiting, w)
@@ -115,11 +149,18 @@
 	return out
 }
 
+func continues(w *Waiter) int {
+	if w.Continues {
+		return -1
+	}
+	return 0
+}
+
 // Order returns the waiting requests, the next one first.
 func (q *Queue) Order(now time.Time) []*Waiter {
 	q.decay(now)
 	slices.SortFunc(q.waiting, func(a, b *Waiter) int {
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(q.used[a.Organisation], q.used[b.Organisation]), a.Arrived.Compare(b.Arrived))
+		return cmp.Or(continues(a)-continues(b), cmp.Compare(a.Rank, b.Rank), cmp.Compare(q.used[a.Organisation], q.used[b.Organisation]), a.Arrived.Compare(b.Arrived))
 	})
 	return slices.Clone(q.waiting)
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -47,11 +47,9 @@
 type model struct {
 	queue   balance.Queue
 	waiters map[uint64]*waiter
-	// topRank and topObjective are those of the most urgent work seen.
-	topRank      int
-	topObjective time.Duration
-	// routes is the configuration by which the two were worked out.
-	seen bool
+	// topRank is that of the most urgent work seen, once any was.
+	topRank int
+	seen    bool
 }
 
 type waiter struct {
@@ -98,7 +96,7 @@
 	p.mu.Lock()
 	m := p.model(modelKey{service.Name, name})
 	if !m.seen || r.Rank < m.topRank {
-		m.seen, m.topRank, m.topObjective = true, r.Rank, r.Objective
+		m.seen, m.topRank = true, r.Rank
 	}
 	p.ticket++
 	w := &waiter{request: &balance.Waiter{Request: r, Organisation: org, Ticket: p.ticket}, exclude: exclude, seat: make(chan *seat, 1)}
@@ -176,7 +174,7 @@
 	if spec == nil {
 		return nil
 	}
-	return &balance.Plan{Engine: service.Engine, Model: spec, TopRank: m.topRank, TopObjective: m.topObjective}
+	return &balance.Plan{Engine: service.Engine, Model: spec, Urgent: m.queue.Urgent}
 }
 
 // place gives a request to a group now, if one takes it. It adds the request to the load that was handed in.
@@ -202,7 +200,7 @@
 		loads[i].Load = loads[i].Load.Add(load)
 		p.own[key] = p.own[key].Add(load)
 		p.silence.Begin(now, key, plan.Limit())
-		m.queue.Used(now, w.request.Organisation, w.request.Prompt)
+		m.queue.Used(now, w.request)
 		s := &seat{d: p, key: key, group: groups[i], prompt: w.request.Prompt}
 		s.ctx, s.cancel = context.WithCancel(context.Background())
 		if p.running[key] == nil {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -55,6 +55,8 @@
 	ran   bool
 	// first is when the first event or the answer came; zero before.
 	first time.Time
+	// pause is the longest time between two events.
+	pause time.Duration
 	// trail is what became of each attempt, for the log.
 	trail []string
 }
@@ -96,7 +98,7 @@
 		x.refuse(http.StatusNotFound, 0, "no route")
 		return false
 	}
-	x.rank = x.route.Rank
+	x.rank = combine(-1, x.route.Rank)
 	if x.config.Keyed() {
 		o := x.config.Organisation(x.call.Key)
 		if o == nil && !x.route.Anonymous {
@@ -105,9 +107,7 @@
 		}
 		if o != nil {
 			x.org = o.Name
-			if o.Rank >= 0 {
-				x.rank = o.Rank
-			}
+			x.rank = combine(o.Rank, x.route.Rank)
 		}
 	}
 	x.service = x.route.Pick()
@@ -122,6 +122,18 @@
 	return x.readBody()
 }
 
+// routeRanks is the number of ranks of routes that are told apart within one rank of organisations.
+const routeRanks = 4
+
+// combine makes one rank of an organisation's, which goes first, and a route's. An organisation without one counts by the
+// route alone.
+func combine(org, of int) int {
+	if org < 0 {
+		org = of
+	}
+	return org*routeRanks + min(of, routeRanks-1)
+}
+
 func (x *exchange) readBody() bool {
 	limit := x.config.Limits.Body
 	if limit > 0 && x.r.ContentLength > limit {
@@ -180,7 +192,7 @@
 	if reason == outcomeServed && !x.sample() {
 		return
 	}
-	x.log("request", "status", status, "outcome", reason, "first", first)
+	x.log("request", "status", status, "outcome", reason, "first", first, "pause", x.pause)
 }
 
 // outcomeServed is the outcome of a request whose answer was passed on whole.
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -47,7 +47,7 @@
 			break
 		}
 		seat, err := x.d.dispatch.acquire(ctx, svc, x.call.Model, x.org, balance.Request{
-			Rank: x.rank, Prompt: x.call.Prompt, Objective: x.route.Objective, Arrived: time.Now(), Until: x.until,
+			Rank: x.rank, Prompt: x.call.Prompt, Objective: x.route.Objective, Arrived: time.Now(), Until: x.until, Continues: x.ran,
 		}, exclude)
 		if err != nil {
 			last = err
@@ -88,6 +88,8 @@
 	status int
 	// lastEvent is the id of the last event that the caller has whole.
 	lastEvent string
+	// passed is when the last event was passed on.
+	passed time.Time
 	// failure is an answer other than a success, kept in case no other comes.
 	failure *wholeAnswer
 }
@@ -142,7 +144,7 @@
 }
 
 // priority is that of a rank at a model runner.
-func priority(rank int) int { return min(1+2*max(rank, 0), urgencies-1) }
+func priority(rank int) int { return min(max(rank, 0), urgencies-1) }
 
 // pass gives the events of one attempt to the caller. Only whole events are passed on, so that another attempt can go on
 // after the last one.
@@ -176,6 +178,11 @@
 				a.Header.Del("Content-Length")
 				x.head(a)
 			}
+			now := time.Now()
+			if !s.passed.IsZero() {
+				x.pause = max(x.pause, now.Sub(s.passed))
+			}
+			s.passed = now
 			if n > 0 {
 				seat.progress()
 			}
