Let a few daemons read the entries for the others, and spread choices by how stale loads are

Change: one reader a data centre, and one more for each 12 daemons, tells the entries to the others, who read the store themselves when it fails; noise in the choice of a group grows with the requests placed between two digests; a report counts only if it is of the lifetime that was asked; an order that could not be sent is no load under way.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -53,8 +53,10 @@
 	patience = 0.5
 	// nearBonus is what a group in the daemon's own data centre gains against others, as a part of the slots.
 	nearBonus = 0.03
-	// noise spreads the choices of daemons that see the same loads.
-	noise = 0.06
+	// minNoise spreads the choices of daemons that see the same loads; staleNoise is what each request adds that a group
+	// gets, on average, before the daemons hear of each other's choices.
+	minNoise   = 0.05
+	staleNoise = 0.7
 )
 
 // Plan is what is known of a model's work.
@@ -64,6 +66,8 @@
 	// Urgent tells how much of the model's recent work is more urgent than a rank, as a part of all, and the least
 	// objective of that work.
 	Urgent func(rank int) (part float64, objective time.Duration)
+	// Unheard is how many requests all daemons place between two words of each other.
+	Unheard float64
 }
 
 // Request is a request that wants a place.
@@ -131,6 +135,7 @@
 func (p *Plan) Choose(r *Request, groups []Group, random func() float64) int {
 	best, bestScore := -1, 0.0
 	budget, slots := p.budget(r), p.slots(r.Rank)
+	noise := minNoise + staleNoise*p.Unheard/float64(max(len(groups)*p.Engine.Slots, 1))
 	if r.Continues {
 		slots = p.Engine.Slots
 	}
--- a/internal/balance/queue.go
+++ b/internal/balance/queue.go
@@ -115,6 +115,9 @@
 	return true
 }
 
+// Rate is the number of places that this daemon found in a second lately.
+func (q *Queue) Rate() float64 { return q.rate }
+
 // Refused notes a request that was turned away.
 func (q *Queue) Refused(now time.Time) {
 	q.decay(now)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -174,7 +174,7 @@
 	if spec == nil {
 		return nil
 	}
-	return &balance.Plan{Engine: service.Engine, Model: spec, Urgent: m.queue.Urgent}
+	return &balance.Plan{Engine: service.Engine, Model: spec, Urgent: m.queue.Urgent, Unheard: m.queue.Rate() * p.d.unheard()}
 }
 
 // place gives a request to a group now, if one takes it. It adds the request to the load that was handed in.
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -5,14 +5,17 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/internal/netopt"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/timer"
 	"flamingorudder.example/platform"
@@ -22,7 +25,7 @@
 	// storeTimeout bounds a call to the store; slow answers take some hundred milliseconds.
 	storeTimeout = 1500 * time.Millisecond
 	// configWait is how long a read waits for a change of the configuration.
-	configWait = 10 * time.Second
+	configWait = 25 * time.Second
 	// configSilence is added to configWait before a read counts as lost.
 	configSilence = time.Second
 	// serversPeriod is how often the entries of backend servers are read. It is well below the time after which a
@@ -30,6 +33,8 @@
 	serversPeriod = 600 * time.Millisecond
 	// daemonsPeriod is how often the rows of daemons are read; presence comes with digests.
 	daemonsPeriod = 5 * time.Second
+	// daemonsSpread is how much each other daemon adds to it, so that the calls of all do not grow with their square.
+	daemonsSpread = 300 * time.Millisecond
 	// rowPeriod is how often a daemon writes its own row.
 	rowPeriod = 10 * time.Second
 	// lapseGrace is how long backend servers have to register again after the store was away.
@@ -37,6 +42,8 @@
 	// retryFirst and retryMax bound the pause after a call that failed.
 	retryFirst = 100 * time.Millisecond
 	retryMax   = time.Second
+	// peerTimeout bounds a question to another daemon.
+	peerTimeout = 500 * time.Millisecond
 	// relayAfter is how long the store may fail before another daemon is asked for what it knows.
 	relayAfter = 700 * time.Millisecond
 	// relayPeriod is how often it is asked.
@@ -54,15 +61,18 @@
 	mu sync.Mutex
 	// rawConfig is the newest configuration as it was stored, for daemons that the store turns away.
 	rawConfig []byte
-	// rawServers is the entries as they were stored.
-	rawServers map[string][]byte
+	// rawServers is the entries as they were stored, with those removed lately; version is that of the store up to which
+	// they are known, readAt when that was so.
+	rawServers map[string]entryRow
+	version    int64
+	readAt     time.Time
 	tracker    *roster.Tracker
 	// readAt is when the entries were last read from the store, failing since when that fails.
 	failing time.Time
 }
 
 func newFeeds(d *Daemon) *feeds {
-	return &feeds{d: d, rawServers: map[string][]byte{}, tracker: roster.NewTracker(lapseGrace, d.beatSilence())}
+	return &feeds{d: d, rawServers: map[string]entryRow{}, tracker: roster.NewTracker(lapseGrace, d.beatSilence())}
 }
 
 // backOff waits longer after each failure.
@@ -140,10 +150,12 @@
 func (f *feeds) pollServers(ctx context.Context) {
 	after := int64(-1)
 	var pause backOff
+	client := newPeerClient()
+	defer client.CloseIdleConnections()
 	ticks, stop := timer.Every(serversPeriod, 0.1)
 	defer stop()
 	for {
-		err := f.readServers(ctx, &after)
+		err := f.readServers(ctx, client, &after)
 		f.note(err)
 		if err != nil {
 			pause.wait(ctx)
@@ -161,7 +173,44 @@
 	}
 }
 
-func (f *feeds) readServers(ctx context.Context, after *int64) error {
+// readers is how many daemons one reader of the store tells the entries to. One reader a data centre and one more for
+// each such number keep the calls to the store independent of the number of daemons, and the work of a reader small.
+const readers = 12
+
+// reader returns the daemon that reads the entries for this one, nil when this daemon reads the store itself.
+func (f *feeds) reader(now time.Time) *gossip.Member {
+	d := f.d
+	name := d.settings().Name
+	before := 0
+	var near []*gossip.Member
+	for _, m := range d.live(now) {
+		if m.DataCentre != d.settings().DataCentre || !m.Ready {
+			continue
+		}
+		near = append(near, m)
+		if m.Name < name {
+			before++
+		}
+	}
+	n := 1 + len(near)/readers
+	if before < n {
+		return nil
+	}
+	return near[before%n]
+}
+
+func (f *feeds) readServers(ctx context.Context, client *http.Client, after *int64) error {
+	if r := f.reader(time.Now()); r != nil && *after >= 0 {
+		in, err := fetch(ctx, client, r.Peer, fmt.Sprintf("%s?after=%d", pathServers, *after))
+		if err == nil && in.Age <= maxAge && in.Version >= *after {
+			f.takeServers(in.Servers, false, in.Version, in.Age)
+			*after = in.Version
+			return nil
+		}
+		if err != nil && ctx.Err() == nil {
+			f.d.log.Warn("entries from another daemon", "name", r.Name, "error", err)
+		}
+	}
 	page, err := call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
 		if *after < 0 {
 			return f.d.store.Rows(ctx, platform.TableServers)
@@ -171,7 +220,7 @@
 	var history *platform.HistoryError
 	if errors.As(err, &history) && *after >= 0 {
 		*after = -1
-		return f.readServers(ctx, after)
+		return f.readServers(ctx, client, after)
 	}
 	if err != nil {
 		return err
@@ -183,12 +232,15 @@
 	*after = page.Version
 	rows := make([]entryRow, len(page.Rows))
 	for i, r := range page.Rows {
-		rows[i] = entryRow{ID: r.Key, Value: r.Value, Removed: r.Removed}
+		rows[i] = entryRow{ID: r.Key, Value: r.Value, Removed: r.Removed, Version: r.Version}
 	}
-	f.takeServers(rows, whole)
+	f.takeServers(rows, whole, page.Version, 0)
 	return nil
 }
 
+// maxAge is how old the entries that another daemon tells may be.
+const maxAge = 900 * time.Millisecond
+
 // note keeps whether the store answers.
 func (f *feeds) note(err error) {
 	ok := err == nil
@@ -216,25 +268,37 @@
 	ID      string `cbor:"id"`
 	Value   []byte `cbor:"value"`
 	Removed bool   `cbor:"removed,omitempty"`
+	Version int64  `cbor:"version"`
+	// at is when the row was read.
+	at time.Time
 }
 
-// takeServers takes changed entries, or with whole set all of them.
-func (f *feeds) takeServers(rows []entryRow, whole bool) {
+// takeServers takes changed entries, or with whole set all of them, as they were at a version of the store some time ago.
+func (f *feeds) takeServers(rows []entryRow, whole bool, version int64, age time.Duration) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if version < f.version {
+		return
+	}
+	f.version, f.readAt = version, now.Add(-age)
+	for id, r := range f.rawServers {
+		if r.Removed && now.Sub(r.at) > removedFor {
+			delete(f.rawServers, id)
+		}
+	}
 	if whole {
 		clear(f.rawServers)
 	}
 	changes := make([]roster.Change, 0, len(rows))
 	var all []*roster.Server
 	for _, r := range rows {
+		r.at = now
+		f.rawServers[r.ID] = r
 		if r.Removed {
-			delete(f.rawServers, r.ID)
 			changes = append(changes, roster.Change{ID: r.ID})
 			continue
 		}
-		f.rawServers[r.ID] = r.Value
 		s, err := platform.DecodeServer(r.ID, r.Value)
 		if err != nil {
 			// Another writer's entry names no backend server.
@@ -290,9 +354,7 @@
 func (f *feeds) pollDaemons(ctx context.Context) {
 	var wrote time.Time
 	var pause backOff
-	ticks, stop := timer.Every(daemonsPeriod, 0.2)
-	defer stop()
-	for {
+	for ctx.Err() == nil {
 		err := f.exchangeDaemons(ctx, &wrote)
 		if err != nil && ctx.Err() == nil {
 			f.d.log.Warn("exchange rows of daemons with the store", "error", err)
@@ -300,16 +362,15 @@
 			continue
 		}
 		pause = backOff{}
-		select {
-		case <-ctx.Done():
+		period := daemonsPeriod + time.Duration(len(f.d.live(time.Now())))*daemonsSpread
+		if timer.Wait(ctx, period) != nil {
 			return
-		case <-ticks:
 		}
 	}
 }
 
 func (f *feeds) exchangeDaemons(ctx context.Context, wrote *time.Time) error {
-	if time.Since(*wrote) >= rowPeriod {
+	if time.Since(*wrote) >= rowPeriod+time.Duration(len(f.d.live(time.Now())))*daemonsSpread {
 		value, err := cbor.Marshal(f.d.digest())
 		if err != nil {
 			return fmt.Errorf("encode row: %w", err)
@@ -341,10 +402,16 @@
 	return nil
 }
 
+// removedFor is how long removed entries are remembered for daemons that ask for what has changed.
+const removedFor = time.Minute
+
 // relay is what a daemon tells another one that cannot read the store.
 type relay struct {
 	Config  []byte     `cbor:"config"`
 	Servers []entryRow `cbor:"servers"`
+	// Version is that of the store up to which Servers are known, Age how long ago that was so.
+	Version int64         `cbor:"version"`
+	Age     time.Duration `cbor:"age"`
 	// Store tells whether the sender reads the store now.
 	Store bool `cbor:"store"`
 }
@@ -353,11 +420,24 @@
 func (d *Daemon) servePeer(w http.ResponseWriter, r *http.Request) {
 	f := d.feed
 	out := relay{Store: d.storeOK.Load()}
+	after := int64(-1)
+	if r.URL.Path == pathServers {
+		var err error
+		if after, err = strconv.ParseInt(r.URL.Query().Get("after"), 10, 64); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
 	f.mu.Lock()
-	out.Config = f.rawConfig
-	if r.URL.Path == pathAll {
-		for id, v := range f.rawServers {
-			out.Servers = append(out.Servers, entryRow{ID: id, Value: v})
+	out.Version, out.Age = f.version, time.Since(f.readAt)
+	if r.URL.Path != pathServers {
+		out.Config = f.rawConfig
+	}
+	if r.URL.Path != pathConfig {
+		for _, row := range f.rawServers {
+			if row.Version > after && (after >= 0 || !row.Removed) {
+				out.Servers = append(out.Servers, row)
+			}
 		}
 	}
 	f.mu.Unlock()
@@ -372,15 +452,22 @@
 	}
 }
 
-// Paths between daemons.
+// Paths between daemons: everything, the entries changed after a version, the configuration.
 const (
-	pathAll    = "/all"
-	pathConfig = "/config"
+	pathAll     = "/all"
+	pathServers = "/servers"
+	pathConfig  = "/config"
 )
 
+func newPeerClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: peerTimeout, Control: netopt.FailSilent}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: storeTimeout * 4,
+	}}
+}
+
 // askPeers asks other daemons for what the store does not tell.
 func (f *feeds) askPeers(ctx context.Context) {
-	client := &http.Client{Timeout: storeTimeout}
+	client := newPeerClient()
 	defer client.CloseIdleConnections()
 	ticks, stop := timer.Every(relayPeriod, 0.2)
 	defer stop()
@@ -423,31 +510,40 @@
 }
 
 func (f *feeds) ask(ctx context.Context, client *http.Client, peer netip.AddrPort, path string) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+path, nil)
+	in, err := fetch(ctx, client, peer, path)
 	if err != nil {
-		f.d.log.Error("make request to another daemon", "error", err)
+		if ctx.Err() == nil {
+			f.d.log.Warn("ask another daemon", "peer", peer, "error", err)
+		}
 		return
 	}
+	if len(in.Config) > 0 {
+		f.apply(in.Config, peer.String())
+	}
+	if path == pathAll && in.Store {
+		f.takeServers(in.Servers, true, in.Version, in.Age)
+	}
+}
+
+// fetch asks another daemon.
+func fetch(ctx context.Context, client *http.Client, peer netip.AddrPort, path string) (relay, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+path, nil)
+	if err != nil {
+		return relay{}, fmt.Errorf("make request: %w", err)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
-		f.d.log.Warn("ask another daemon", "peer", peer, "error", err)
-		return
+		return relay{}, err
 	}
 	defer func() { _ = resp.Body.Close() }() // read to its end or given up
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxRelay))
-	if err != nil {
-		f.d.log.Warn("read answer of another daemon", "peer", peer, "error", err)
-		return
+	if resp.StatusCode != http.StatusOK {
+		return relay{}, &platform.RefusedError{Status: resp.StatusCode}
 	}
 	var in relay
-	if err := cbor.Unmarshal(text, &in); err != nil {
-		f.d.log.Warn("decode answer of another daemon", "peer", peer, "error", err)
-		return
-	}
-	if len(in.Config) > 0 {
-		f.apply(in.Config, peer.String())
-	}
-	if path == pathAll && in.Store {
-		f.takeServers(in.Servers, true)
+	if err := cbor.NewDecoder(io.LimitReader(resp.Body, maxRelay)).Decode(&in); err != nil {
+		return relay{}, fmt.Errorf("decode answer: %w", err)
 	}
+	return in, nil
 }
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -39,7 +39,7 @@
 	// storeAway is the silence that is allowed while the store does not answer: longer than any outage.
 	storeAway = time.Hour
 	// maxCalls bounds the questions and orders that are under way at once.
-	maxCalls = 64
+	maxCalls = 256
 )
 
 // leader gives orders to backend servers while this daemon holds the lease.
@@ -71,6 +71,11 @@
 	asking   bool
 }
 
+// ReplacedError reports a backend server whose address belongs to another lifetime.
+type ReplacedError struct{ ID string }
+
+func (e *ReplacedError) Error() string { return e.ID + " has ended; its address is another's" }
+
 func newLeader(d *Daemon) *leader {
 	l := &leader{d: d, planners: map[string]*replica.Planner{}, tallies: map[string]replica.Tally{}, asked: map[string]*inquiry{}, doubted: map[string]bool{}}
 	l.calls.SetLimit(maxCalls)
@@ -324,6 +329,11 @@
 		defer l.mu.Unlock()
 		q.asking = false
 		now := time.Now()
+		if err == nil && r.Born != s.Born {
+			// Another lifetime has the address, so this one has ended.
+			err = &ReplacedError{s.ID}
+			q.failures = failuresToDoubt - 1
+		}
 		if err != nil {
 			q.failures++
 			q.next = now.Add(quickPeriod)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -31,6 +31,14 @@
 	return out
 }
 
+// unheard is how many seconds of the work of one daemon stand for that of all between two digests.
+func (d *Daemon) unheard() float64 {
+	now := time.Now()
+	d.peersMu.Lock()
+	defer d.peersMu.Unlock()
+	return float64(len(d.members.Live(now))+1) * d.members.Period().Seconds()
+}
+
 // tell sends digests to the other daemons.
 func (d *Daemon) tell(ctx context.Context) {
 	seq := uint64(0)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -262,7 +262,12 @@
 }
 
 // Failed forgets an order that was turned down, so that it can be decided again.
-func (p *Planner) Failed(id string) { delete(p.pending, id) }
+func (p *Planner) Failed(id string) {
+	if p.pending[id].order.Operation == platform.Stage {
+		delete(p.staging, id)
+	}
+	delete(p.pending, id)
+}
 
 // groups collects the groups that members report.
 func (p *Planner) groups(members []*Member) map[string]*group {
