Look for the effects of orders until they show, apart from other questions

Orders beyond the limit of questions under way were dropped. Ruled out: entries that are read later as the newer ones (trial: they are older than reports and undid groups).

--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -27,6 +27,8 @@
 	// reportPeriod is how often a backend server is asked for its report; quickPeriod while its state is about to change.
 	reportPeriod = 1200 * time.Millisecond
 	quickPeriod  = 150 * time.Millisecond
+	// effectWait is how long after an order its effect is looked for quickly.
+	effectWait = time.Second
 	// openWait is how long the other members of a group may take to be ready.
 	openWait = 2 * time.Second
 	// reportTimeout bounds one question, orderTimeout one order.
@@ -38,8 +40,9 @@
 	beatsToDoubt = 2
 	// storeAway is the silence that is allowed while the store does not answer: longer than any outage.
 	storeAway = time.Hour
-	// maxCalls bounds the questions and orders that are under way at once.
-	maxCalls = 256
+	// maxCalls bounds the questions that are under way at once, maxOrders the orders: one for each backend server.
+	maxCalls  = 128
+	maxOrders = 2048
 )
 
 // leader gives orders to backend servers while this daemon holds the lease.
@@ -55,7 +58,9 @@
 	tallies map[string]replica.Tally
 	// doubted are the groups that made no progress somewhere.
 	doubted map[string]bool
-	calls   errgroup.Group
+	// calls are questions and the lease's, orders are apart so that a burst of questions cannot keep one back: a group of
+	// which only some members were told to join has to be broken up again.
+	calls, orders errgroup.Group
 }
 
 // inquiry is what the questions to one backend server brought.
@@ -63,6 +68,8 @@
 	born     int64
 	report   platform.Report
 	reported bool
+	// quickUntil is until when the effect of an order may show; reports are some hundred milliseconds old.
+	quickUntil time.Time
 	// changed is when the membership was last seen to change.
 	changed time.Time
 	// at is when the last answer came, next when the next question is due.
@@ -79,6 +86,7 @@
 func newLeader(d *Daemon) *leader {
 	l := &leader{d: d, planners: map[string]*replica.Planner{}, tallies: map[string]replica.Tally{}, asked: map[string]*inquiry{}, doubted: map[string]bool{}}
 	l.calls.SetLimit(maxCalls)
+	l.orders.SetLimit(maxOrders)
 	return l
 }
 
@@ -111,7 +119,8 @@
 	for {
 		select {
 		case <-ctx.Done():
-			_ = l.calls.Wait() // calls report their failures themselves
+			// Both report their failures themselves.
+			_, _ = l.calls.Wait(), l.orders.Wait()
 			return
 		case <-votes:
 			l.vote(ctx)
@@ -257,7 +266,7 @@
 			Members: members, Silence: silence, Back: v.Back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, Window: d.settings().LoadWindow, Early: early,
 		})
 		for _, o := range orders {
-			if !l.calls.TryGo(func() error {
+			if !l.orders.TryGo(func() error {
 				l.give(ctx, p, o)
 				return nil
 			}) {
@@ -309,7 +318,10 @@
 		return m
 	}
 	s := *m.Server
-	s.Staged, s.Model, s.Membership = q.report.Staged, q.report.Model, q.report.Membership
+	// An entry may be read later than a report and still be older; only a later epoch shows that it is not.
+	if s.Epoch <= q.report.Membership.Epoch || s.Group == "" {
+		s.Staged, s.Model, s.Membership = q.report.Staged, q.report.Model, q.report.Membership
+	}
 	m.Server = &s
 	m.Orders, m.Busy, m.Pace = q.report.Orders, q.report.Busy, q.report.Pace
 	return m
@@ -355,7 +367,7 @@
 		}
 		// A member waits in the joined state until its head opens, and for as long as the group serves after that.
 		joined := r.Membership.State == roster.Joined && now.Sub(q.changed) < openWait
-		if r.Busy || r.Membership.State == roster.Joining || joined {
+		if r.Busy || r.Membership.State == roster.Joining || joined || now.Before(q.quickUntil) {
 			q.next = now.Add(quickPeriod)
 		}
 		q.report, q.reported, q.at = r, true, now
@@ -383,6 +395,7 @@
 	args := []any{"id", o.Server.ID, "operation", o.Operation, "group", o.Group, "epoch", o.Epoch, "model", o.Model, "why", o.Why, "fence", o.Fence}
 	if q := l.asked[o.Server.ID]; q != nil {
 		q.next = time.Now().Add(quickPeriod)
+		q.quickUntil = time.Now().Add(effectWait)
 		if err == nil && out == platform.Begun {
 			q.report.Orders++
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -118,7 +118,7 @@
 	orderWait = 1500 * time.Millisecond
 	// quietTime is how long no further backend server registers when all that start together have; groups are laid out
 	// over all of them.
-	quietTime = time.Second
+	quietTime = 1600 * time.Millisecond
 	// settleTime is when hosts that are still idle after the start get weights as spares.
 	settleTime = 4 * time.Second
 	// leaveTime is how much longer than a stall a head that left in order may finish its requests.
