--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -23,8 +23,8 @@
 	// Port is the first of the ports that daemons may use among themselves; its number comes from the settings.
 	minPeriod = 100 * time.Millisecond
 	// perPeer is how much each daemon of the fleet adds to the period, so that the digests that a daemon receives stay
-	// below 125 a second at any size.
-	perPeer = 8 * time.Millisecond
+	// below 250 a second at any size.
+	perPeer = 4 * time.Millisecond
 	// missed is how many digests in a row a live daemon may fail to deliver, and silence the least time for that: a
 	// daemon whose processor is taken for a moment is not gone.
 	missed  = 5
