--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,373 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"flamingorudder.example/internal/roster"
+	"flamingorudder.example/internal/route"
+	"flamingorudder.example/platform"
+)
+
+// fleet is backend servers that carry out orders as the platform's do.
+type fleet struct {
+	t       *testing.T
+	engine  *route.Engine
+	now     time.Time
+	servers []*fake
+	planner *Planner
+	in      Input
+	born    int64
+}
+
+// fake is one backend server.
+type fake struct {
+	Member
+	alive, listed bool
+	// readyAt is when a join is done, stagedAt when weights are on the host.
+	readyAt, stagedAt time.Time
+	staging           string
+	epochs            int64
+	// last is when it was last heard.
+	last time.Time
+	// members are the ids of its group.
+	members []string
+	open    bool
+	gone    bool
+}
+
+func testEngine() *route.Engine {
+	return &route.Engine{
+		Slots: 26, LoadRate: 4, LoadsAtOnce: 6,
+		Models: []route.Model{
+			{Name: "large", Size: 4, Share: 0.67, Pace: 1, Load: 16 * time.Second, Warm: 1600 * time.Millisecond},
+			{Name: "small", Size: 2, Share: 0.33, Pace: 0.6, Load: 12 * time.Second, Warm: 1100 * time.Millisecond},
+		},
+	}
+}
+
+func newFleet(t *testing.T, domains, size int) *fleet {
+	f := &fleet{t: t, engine: testEngine(), now: time.Unix(1000, 0)}
+	for d := range domains {
+		for range size {
+			f.add(fmt.Sprintf("d%d", d))
+		}
+	}
+	f.planner = New("s", f.engine, 1, f.now)
+	f.in = Input{Stall: 6 * time.Second, Silence: 2400 * time.Millisecond, LoadRate: 4, Window: 5 * time.Second, Early: true}
+	return f
+}
+
+func (f *fleet) add(domain string) *fake {
+	f.born++
+	s := &fake{alive: true, listed: true, last: f.now}
+	s.Server = &roster.Server{ID: fmt.Sprintf("i%d", f.born), Service: "s", Domain: domain, Born: f.born, Renewed: f.now}
+	f.servers = append(f.servers, s)
+	return s
+}
+
+func (f *fleet) find(id string) *fake {
+	for _, s := range f.servers {
+		if s.ID == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// step lets a tenth of a second pass and carries out what the planner orders. loses tells which orders are lost.
+func (f *fleet) step(loses func() bool) {
+	f.now = f.now.Add(100 * time.Millisecond)
+	var members []*Member
+	for _, s := range f.servers {
+		f.advance(s)
+		if s.gone {
+			continue
+		}
+		if s.alive {
+			s.last = f.now
+		}
+		m := s.Member
+		entry := *s.Server
+		if s.alive && s.listed {
+			s.Renewed = f.now
+		}
+		entry.Renewed = s.Renewed
+		entry.Lapsed = !s.listed
+		m.Server = &entry
+		m.Listed = s.listed
+		m.Answers = f.now.Sub(s.last) < 500*time.Millisecond
+		m.Reported = true
+		members = append(members, &m)
+	}
+	f.in.Members = members
+	for _, o := range f.planner.Step(f.now, f.in) {
+		if !loses() {
+			f.obey(o)
+		}
+	}
+}
+
+func (f *fleet) advance(s *fake) {
+	if !s.alive {
+		if f.now.Sub(s.last) > 4*time.Second && s.listed {
+			s.listed = false
+		}
+		if f.now.Sub(s.last) > 20*time.Second {
+			s.gone = true
+		}
+		return
+	}
+	if s.Membership.State == roster.Joining && !f.now.Before(s.readyAt) {
+		s.Server.Membership.State = roster.Joined
+		s.Busy = false
+		if !slices.Contains(s.Staged, s.Model) {
+			s.Staged = []string{s.Model}
+		}
+	}
+	if s.staging != "" && !f.now.Before(s.stagedAt) {
+		s.Staged, s.staging, s.Busy = []string{s.staging}, "", false
+	}
+}
+
+// obey carries out an order, and checks the promises on groups.
+func (f *fleet) obey(o Order) {
+	s := f.find(o.Server.ID)
+	if !s.alive || o.After >= 0 && o.After != s.Orders {
+		f.planner.Failed(s.ID)
+		return
+	}
+	model := f.engine.Model(o.Model)
+	switch o.Operation {
+	case platform.Join:
+		if o.Epoch < s.epochs {
+			f.planner.Failed(s.ID)
+			return
+		}
+		f.checkFree(s, o)
+		took := 200 * time.Millisecond
+		if s.Model != model.Name {
+			took = model.Warm
+			if !slices.Contains(s.Staged, model.Name) {
+				took = model.Load
+				if f.in.Early {
+					took /= 10
+				}
+			}
+		}
+		s.epochs, s.members, s.open = o.Epoch, o.Members, false
+		s.Server.Model = model.Name
+		s.Server.Membership = roster.Membership{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, s.ID), State: roster.Joining}
+		s.readyAt = f.now.Add(took)
+		s.Busy = true
+	case platform.OpenHead:
+		if s.Epoch != o.Epoch || s.Membership.State != roster.Joined {
+			f.planner.Failed(s.ID)
+			return
+		}
+		f.checkWhole(s)
+		s.Server.Membership.State, s.open = roster.Open, true
+	case platform.CloseHead:
+		if s.Epoch == o.Epoch {
+			s.Server.Membership.State, s.open = roster.Joined, false
+		}
+	case platform.Leave:
+		if s.Epoch == o.Epoch {
+			s.Server.Membership, s.open = roster.Membership{}, false
+		}
+	case platform.Stage:
+		took := model.Load
+		if f.in.Early {
+			took /= 10
+		}
+		s.staging, s.stagedAt, s.Busy = o.Model, f.now.Add(took), true
+	}
+	s.Orders++
+}
+
+// checkFree fails when a member is taken out of a group whose head is open.
+func (f *fleet) checkFree(s *fake, o Order) {
+	if s.Group == "" || s.Group == o.Group || len(s.members) == 0 {
+		return
+	}
+	head := f.find(s.members[0])
+	if head.alive && head.open && head.Group == s.Group && head.Epoch == s.Epoch {
+		f.t.Fatalf("%v: %s joins %s while the head of %s is open", f.now, s.ID, o.Group, s.Group)
+	}
+}
+
+// checkWhole fails when a group opens without one of its members.
+func (f *fleet) checkWhole(head *fake) {
+	for _, id := range head.members {
+		m := f.find(id)
+		if m.Epoch != head.Epoch || m.Membership.State < roster.Joined {
+			f.t.Fatalf("%v: %s opens %s without %s", f.now, head.ID, head.Group, id)
+		}
+	}
+}
+
+// open counts the open groups of a model whose members are all there.
+func (f *fleet) open(model string) int {
+	n := 0
+	for _, s := range f.servers {
+		if !s.alive || !s.open || s.Model != model {
+			continue
+		}
+		whole := true
+		for _, id := range s.members {
+			m := f.find(id)
+			whole = whole && m.alive && m.Epoch == s.Epoch
+		}
+		if whole {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) run(d time.Duration) {
+	for range int(d / (100 * time.Millisecond)) {
+		f.step(func() bool { return false })
+	}
+}
+
+// TestStart guards against pairs taking the domains before four of one are there: the shares of both models are met.
+func TestStart(t *testing.T) {
+	f := newFleet(t, 6, 8)
+	f.run(6 * time.Second)
+	if large, small := f.open("large"), f.open("small"); large != 8 || small != 8 {
+		t.Errorf("%d large and %d small groups, want 8 and 8", large, small)
+	}
+}
+
+// TestStartWhileRegistering guards against a layout over the few that register first.
+func TestStartWhileRegistering(t *testing.T) {
+	f := newFleet(t, 0, 0)
+	for i := range 48 {
+		f.add(fmt.Sprintf("d%d", i%6))
+		f.step(func() bool { return false })
+	}
+	f.run(6 * time.Second)
+	if large, small := f.open("large"), f.open("small"); large != 8 || small != 8 {
+		t.Errorf("%d large and %d small groups, want 8 and 8", large, small)
+	}
+}
+
+// TestHealsWithSpare guards against a broken group waiting for weights although a host of its domain has them.
+func TestHealsWithSpare(t *testing.T) {
+	f := newFleet(t, 1, 5)
+	f.engine.Models = f.engine.Models[:1]
+	f.run(10 * time.Second)
+	if f.open("large") != 1 {
+		t.Fatalf("%d groups", f.open("large"))
+	}
+	f.in.Early = false
+	for _, s := range f.servers {
+		if s.Rank == 2 && s.Group != "" {
+			s.alive = false
+		}
+	}
+	f.run(3500 * time.Millisecond)
+	if f.open("large") != 1 {
+		t.Errorf("%d groups 3.5 s after the loss of a member", f.open("large"))
+	}
+}
+
+// TestKeepsGroupWithCutMember guards against breaking up a group whose member is only cut off from the store.
+func TestKeepsGroupWithCutMember(t *testing.T) {
+	f := newFleet(t, 1, 4)
+	f.run(6 * time.Second)
+	for _, s := range f.servers {
+		if s.Rank == 3 {
+			s.listed = false
+		}
+	}
+	f.run(5 * time.Second)
+	if f.open("large") != 1 {
+		t.Error("the group was broken up")
+	}
+}
+
+// TestFailedStageIsNoLoad guards against hosts that stay empty because an order that was never sent counts as a load.
+func TestFailedStageIsNoLoad(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.in.Early = false
+	for range 3 {
+		f.now = f.now.Add(time.Second)
+		m := f.servers[0].Member
+		m.Listed, m.Answers, m.Reported = true, true, true
+		f.in.Members = []*Member{&m}
+		orders := f.planner.Step(f.now, f.in)
+		if len(orders) != 1 || orders[0].Operation != platform.Stage {
+			t.Fatalf("orders %v", orders)
+		}
+		f.planner.Failed(m.ID)
+	}
+}
+
+// TestLoadsKeepToTheRate guards against more loads of weights than the weight store allows.
+func TestLoadsKeepToTheRate(t *testing.T) {
+	f := newFleet(t, 6, 8)
+	f.in.Early = false
+	var loads []time.Time
+	for range 600 {
+		before := len(f.planner.loads)
+		f.step(func() bool { return false })
+		for range len(f.planner.loads) - before {
+			loads = append(loads, f.now)
+		}
+	}
+	for i, from := range loads {
+		n := 0
+		for _, at := range loads[i:] {
+			if at.Sub(from) < f.in.Window {
+				n++
+			}
+		}
+		if float64(n) > f.in.LoadRate*f.in.Window.Seconds() {
+			t.Fatalf("%d loads in %v", n, f.in.Window)
+		}
+	}
+	if len(loads) == 0 {
+		t.Error("no weights were loaded")
+	}
+}
+
+// TestExplore plays losses, cuts, leavings, arrivals and changes of the holder of the lease from seeds. obey checks that no
+// member leaves an open group for another, and that no group opens without its members.
+func TestExplore(t *testing.T) {
+	for seed := range uint64(60) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		f := newFleet(t, 3, 8)
+		f.run(6 * time.Second)
+		f.in.Early = false
+		f.in.Pressure = map[string]float64{"large": r.Float64() * 2, "small": r.Float64() * 2}
+		f.in.Urgent = "small"
+		token := int64(1)
+		for range 600 {
+			if r.IntN(25) == 0 {
+				s := f.servers[r.IntN(len(f.servers))]
+				switch r.IntN(5) {
+				case 0, 1:
+					s.alive, s.open = false, false
+				case 2:
+					s.listed = false // cut off from the store
+				case 3:
+					if s.alive {
+						s.listed = true
+					}
+				case 4:
+					f.add(fmt.Sprintf("d%d", r.IntN(3)))
+				}
+			}
+			if r.IntN(150) == 0 {
+				token++
+				f.planner = New("s", f.engine, token, f.now)
+			}
+			f.step(func() bool { return r.IntN(10) == 0 })
+		}
+	}
+}
--- /dev/null
+++ b/internal/roster/tracker_test.go
@@ -0,0 +1,111 @@
+package roster
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	testGrace   = 2 * time.Second
+	testSilence = 2400 * time.Millisecond
+)
+
+func size(string, string) int { return 2 }
+
+func member(id string, rank int, state GroupState) *Server {
+	return &Server{ID: id, Service: "s", Model: "m", Membership: Membership{Group: "g", Epoch: 7, Rank: rank, State: state}}
+}
+
+// TestGroupsNeedAllMembers guards against requests to a group with a missing member.
+func TestGroupsNeedAllMembers(t *testing.T) {
+	tr := NewTracker(testGrace, testSilence)
+	now := time.Now()
+	tr.Replace(now, []*Server{member("a", 0, Open), member("b", 1, Joined)})
+	v := tr.View(now, size)
+	if g := v.Groups["s"]; len(g) != 1 || !g[0].Whole() || g[0].Head.ID != "a" {
+		t.Fatalf("groups %v", g)
+	}
+	tr.Apply(now, []Change{{ID: "b"}})
+	if g := tr.View(now, size).Groups["s"]; len(g) != 1 || g[0].Whole() {
+		t.Errorf("a group without its member is whole")
+	}
+}
+
+// TestDrainingGetsNoRequests guards against new requests to a backend server that leaves.
+func TestDrainingGetsNoRequests(t *testing.T) {
+	tr := NewTracker(testGrace, testSilence)
+	now := time.Now()
+	a := member("a", 0, Open)
+	a.State = Draining
+	tr.Replace(now, []*Server{a, member("b", 1, Joined)})
+	v := tr.View(now, size)
+	if len(v.Groups["s"]) != 0 || len(v.Services["s"]) != 1 {
+		t.Errorf("groups %v, services %v", v.Groups, v.Services)
+	}
+}
+
+// TestEntriesLapseWithTheStore guards against forgetting backend servers whose entries ran out while the store was away, and
+// against keeping those that do not come back.
+func TestEntriesLapseWithTheStore(t *testing.T) {
+	tr := NewTracker(testGrace, testSilence)
+	now := time.Now()
+	tr.Replace(now, []*Server{member("a", 0, Open), member("b", 1, Joined)})
+	tr.Hold()
+	now = now.Add(10 * time.Second)
+	tr.Back(now)
+	tr.Replace(now, []*Server{member("a", 0, Open)})
+	if g := tr.View(now, size).Groups["s"]; len(g) != 1 || !g[0].Whole() {
+		t.Error("an entry that lapsed during the outage is gone at once")
+	}
+	now = now.Add(testGrace)
+	tr.Apply(now, nil)
+	if tr.View(now, size).Servers["b"] != nil {
+		t.Error("an entry that did not come back is kept")
+	}
+}
+
+// TestDeparted guards against taking a head that left in order for a dead one: it may still run its requests.
+func TestDeparted(t *testing.T) {
+	tr := NewTracker(testGrace, testSilence)
+	now := time.Now()
+	tr.Replace(now, []*Server{member("a", 0, Open), member("b", 0, Open)})
+	now = now.Add(time.Second)
+	tr.Apply(now, []Change{{ID: "a"}})
+	now = now.Add(3 * time.Second)
+	tr.Apply(now, []Change{{ID: "b"}})
+	v := tr.View(now, size)
+	if v.Departed["a"].Lapsed || !v.Departed["b"].Lapsed {
+		t.Errorf("lapsed: a %v, b %v", v.Departed["a"].Lapsed, v.Departed["b"].Lapsed)
+	}
+	now = now.Add(departedFor + time.Second)
+	tr.Apply(now, nil)
+	if len(tr.View(now, size).Departed) != 0 {
+		t.Error("departed servers are kept for ever")
+	}
+}
+
+// TestOutageIsNoSilence guards against a head being called dead because the store was away: nothing can be renewed then.
+func TestOutageIsNoSilence(t *testing.T) {
+	tr := NewTracker(testGrace, testSilence)
+	now := time.Now()
+	tr.Replace(now, []*Server{member("a", 0, Open)})
+	tr.Hold()
+	now = now.Add(8 * time.Second)
+	tr.Back(now)
+	now = now.Add(testGrace)
+	tr.Apply(now, []Change{{ID: "a"}})
+	if tr.View(now, size).Departed["a"].Lapsed {
+		t.Error("an entry that could not be renewed counts as lapsed in silence")
+	}
+}
+
+// TestWholeReadIsNoRenewal guards against a dead backend server looking alive each time the whole list is read.
+func TestWholeReadIsNoRenewal(t *testing.T) {
+	tr := NewTracker(testGrace, testSilence)
+	now := time.Now()
+	tr.Replace(now, []*Server{member("a", 0, Open)})
+	tr.Replace(now.Add(5*time.Second), []*Server{member("a", 0, Open)})
+	if got := tr.View(now, size).Servers["a"].Renewed; !got.Equal(now) {
+		t.Errorf("renewed %v later", got.Sub(now))
+	}
+}
