Ask another daemon as soon as entries are late; a head that drains is never dead

Change: daemons ask each other when entries are two reads old, whatever the store does; how often entries are read follows the settings' time for draining; a draining head is waited for.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -68,6 +68,7 @@
 	// storeOK tells whether the last read of the store succeeded, storeSince since when it is as it is.
 	storeOK atomic.Bool
 
+	// peersMu guards the next two. It may be taken while the dispatcher's lock is held, not the other way round.
 	peersMu sync.Mutex
 	members *gossip.Members
 	vote    *election.Election
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,562 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// fakeStore answers the calls of the store that a daemon makes. Tables are maps of rows.
+type fakeStore struct {
+	mu      sync.Mutex
+	version int64
+	rows    map[string]map[string]storedRow
+	down    bool
+}
+
+type storedRow struct {
+	value   string
+	version int64
+	removed bool
+}
+
+func (s *fakeStore) put(table, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set(table, key, storedRow{value: base64.StdEncoding.EncodeToString([]byte(value))})
+}
+
+func (s *fakeStore) set(table, key string, r storedRow) {
+	if s.rows == nil {
+		s.rows = map[string]map[string]storedRow{}
+	}
+	if s.rows[table] == nil {
+		s.rows[table] = map[string]storedRow{}
+	}
+	s.version++
+	r.version = s.version
+	s.rows[table][key] = r
+}
+
+type storeRow struct {
+	Table   string `json:"table"`
+	Key     string `json:"key"`
+	Value   string `json:"value"`
+	Version int64  `json:"rowVersion"`
+	Removed bool   `json:"removed,omitempty"`
+}
+
+func (s *fakeStore) list(table string, after int64) []storeRow {
+	out := []storeRow{}
+	for key, r := range s.rows[table] {
+		if r.version > after && (after >= 0 || !r.removed) {
+			out = append(out, storeRow{table, key, r.value, r.version, r.removed})
+		}
+	}
+	return out
+}
+
+func (s *fakeStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	q := r.URL.Query()
+	var rows []storeRow
+	switch r.URL.Path {
+	case "/api/rows-get":
+		rows = s.list(q.Get("table"), -1)
+	case "/api/rows-feed":
+		after, _ := strconv.ParseInt(q.Get("afterRevision"), 10, 64)
+		wait, _ := strconv.Atoi(q.Get("waitMs"))
+		for end := time.Now().Add(time.Duration(wait) * time.Millisecond); time.Now().Before(end) && r.Context().Err() == nil; {
+			if rows = s.list(q.Get("table"), after); len(rows) > 0 {
+				break
+			}
+			s.mu.Unlock()
+			time.Sleep(5 * time.Millisecond) //nolint:forbidigo // a stand-in that polls itself
+			s.mu.Lock()
+		}
+		rows = s.list(q.Get("table"), after)
+	case "/api/rows-tx":
+		var tx struct {
+			Expected []storeRow `json:"expected"`
+			Writes   []storeRow `json:"writes"`
+		}
+		if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		for _, e := range tx.Expected {
+			if s.rows[e.Table][e.Key].version != e.Version {
+				w.WriteHeader(http.StatusPreconditionFailed)
+				_ = json.NewEncoder(w).Encode(map[string]any{"rows": s.list(e.Table, -1), "rowVersion": s.version})
+				return
+			}
+		}
+		for _, x := range tx.Writes {
+			s.set(x.Table, x.Key, storedRow{value: x.Value})
+		}
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "rowVersion": s.version, "hasMore": false, "nowMs": 1})
+}
+
+// backendServer is a stand-in whose handler writes raw answers.
+func backendServer(t *testing.T, f func(c net.Conn, r *http.Request)) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				for br := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					b, _ := io.ReadAll(r.Body)
+					r.Body = io.NopCloser(strings.NewReader(string(b)))
+					if r.URL.Path == "/api/report" {
+						writeAnswer(c, r, 200, `{"born":1}`)
+						continue
+					}
+					f(c, r)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func writeAnswer(c net.Conn, r *http.Request, status int, body string, more ...string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nX-Flamingorudder-Request-Id: %s\r\nX-Flamingorudder-Response-Signature: sig\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, r.Header.Get("X-Flamingorudder-Request-Id"), strings.Join(more, ""), len(body), body)
+}
+
+const testConfig = `{"version":%d,"routes":[
+ {"name":"safe","host":"a.example","prefix":"/safe/","kind":"safe","timeoutMs":2000,"targetLatencyMs":150,"service":"plain","maxAttempts":2},
+ {"name":"unsafe","host":"a.example","prefix":"/unsafe/","kind":"unsafe","timeoutMs":2000,"service":"plain","maxAttempts":1},
+ {"name":"stream","host":"a.example","prefix":"/stream/","kind":"streaming","timeoutMs":4000,"targetLatencyMs":500,"service":"llm","maxAttempts":2,"streamResume":true}%s],
+ "services":[{"name":"plain","maxConnections":50},{"name":"llm","maxConnections":50,"engine":{"slots":8,"stride":1,"step_ms":5,"read_per_s":46000,"formMs":10,
+  "models":[{"name":"m","size":1,"share":1,"pace":1,"loadS":1,"warmS":1}]}}],
+ "limits":{"maxBodyBytes":1000},"tenants":[{"name":"t1","apiKeys":["k1"]}]}`
+
+// daemonUnderTest is a daemon on loopback with its store.
+type daemonUnderTest struct {
+	t     *testing.T
+	d     *Daemon
+	store *fakeStore
+	s     Settings
+}
+
+// freeAddr returns an address of a port that is free for TCP and UDP.
+func freeAddr(t *testing.T) netip.AddrPort {
+	t.Helper()
+	for range 20 {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := netip.MustParseAddrPort(l.Addr().String())
+		u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+		_ = l.Close()
+		if err == nil {
+			_ = u.Close()
+			return addr
+		}
+	}
+	t.Fatal("no free port")
+	return netip.AddrPort{}
+}
+
+func start(t *testing.T, store *fakeStore, name string) *daemonUnderTest {
+	t.Helper()
+	srv := httptest.NewServer(store)
+	t.Cleanup(srv.Close)
+	s := Settings{
+		Name: name, DataCentre: "dc", MemoryMB: 256, Caller: freeAddr(t), Readiness: freeAddr(t), Directory: freeAddr(t), Peer: freeAddr(t),
+		Store: netip.MustParseAddrPort(srv.Listener.Addr().String()), Grace: 2 * time.Second, Hold: 5 * time.Second, Stall: 6 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, Beat: 1200 * time.Millisecond, Drain: 2 * time.Second,
+	}
+	d, closeDaemon, err := New(s, hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- d.Start(context.Background()) }()
+	t.Cleanup(func() {
+		if !d.leaving.Load() {
+			if err := d.Stop(context.Background()); err != nil {
+				t.Error(err)
+			}
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		closeDaemon()
+	})
+	return &daemonUnderTest{t, d, store, s}
+}
+
+// eventually waits for a condition, which other goroutines bring about.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond) //nolint:forbidigo // waits for other goroutines
+	}
+	t.Fatalf("%s: not within 10 s", what)
+}
+
+func (u *daemonUnderTest) server(id, service, addr, group string) {
+	u.store.put("servers", id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"dc","slots":8,"state":"ready","born":1,"models":[{"name":"m"}],"domain":"d","staged":["m"],"group":%s}`, service, addr, group))
+}
+
+func (u *daemonUnderTest) ready() {
+	eventually(u.t, "ready", u.d.ready)
+	u.store.mu.Lock()
+	n := len(u.store.rows["servers"])
+	u.store.mu.Unlock()
+	eventually(u.t, "entries", func() bool { return len(u.d.view.Load().Servers) == n })
+}
+
+type reply struct {
+	status int
+	body   string
+	h      http.Header
+	err    error
+}
+
+func (u *daemonUnderTest) do(method, path, key, body string, more ...string) reply {
+	req, err := http.NewRequest(method, "http://"+u.s.Caller.String()+path, strings.NewReader(body))
+	if err != nil {
+		u.t.Fatal(err)
+	}
+	req.Host = "a.example"
+	req.Header.Set("X-Flamingorudder-Request-Id", "id-1")
+	req.Header.Set("X-Flamingorudder-Deadline-Ms", "3000")
+	if key != "" {
+		req.Header.Set("X-Api-Key", key)
+	}
+	for i := 0; i+1 < len(more); i += 2 {
+		req.Header.Set(more[i], more[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, string(b), resp.Header, err}
+}
+
+// TestPlain guards against requests being changed on their way, against keys reaching backend servers, and against answers
+// for what is not configured.
+func TestPlain(t *testing.T) {
+	store := &fakeStore{}
+	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
+	u := start(t, store, "a")
+	got := make(chan *http.Request, 10)
+	u.server("i-1", "plain", backendServer(t, func(c net.Conn, r *http.Request) {
+		got <- r
+		writeAnswer(c, r, 200, "fine")
+	}), "null")
+	u.ready()
+	r := u.do(http.MethodPost, "/unsafe/x%20y?q=1", "k1", "hello", "X-Flamingorudder-Tenant", "forged")
+	if r.status != 200 || r.body != "fine" || r.h.Get("X-Flamingorudder-Response-Signature") != "sig" {
+		t.Fatalf("reply %+v", r)
+	}
+	in := <-got
+	body, _ := io.ReadAll(in.Body)
+	if in.RequestURI != "/unsafe/x%20y?q=1" || in.Host != "a.example" || string(body) != "hello" || in.Header.Get("X-Api-Key") != "" ||
+		in.Header.Get("X-Flamingorudder-Tenant") != "t1" || in.Header.Get("X-Flamingorudder-Target-Instance") != "i-1" {
+		t.Errorf("%s %v %q", in.RequestURI, in.Header, body)
+	}
+	if left, err := strconv.Atoi(in.Header.Get("X-Flamingorudder-Deadline-Ms")); err != nil || left > 2000 || left < 1000 {
+		t.Errorf("time left %v", left)
+	}
+	for _, test := range []struct {
+		path, key, body string
+		want            int
+	}{{"/unsafe/", "odd", "", 401}, {"/none/", "k1", "", 404}, {"/unsafe/", "k1", strings.Repeat("x", 1001), 413}} {
+		if r := u.do(http.MethodPost, test.path, test.key, test.body); r.status != test.want {
+			t.Errorf("%s with key %s: %d, want %d", test.path, test.key, r.status, test.want)
+		}
+	}
+}
+
+// TestUnsafeRunsOnce guards against a request that may run only once being sent again after its answer was lost, and against
+// an answer that says that it did not run.
+func TestUnsafeRunsOnce(t *testing.T) {
+	store := &fakeStore{}
+	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
+	u := start(t, store, "a")
+	var mu sync.Mutex
+	runs := 0
+	lose := func(c net.Conn, _ *http.Request) {
+		mu.Lock()
+		runs++
+		mu.Unlock()
+		_ = c.Close()
+	}
+	u.server("i-1", "plain", backendServer(t, lose), "null")
+	u.server("i-2", "plain", backendServer(t, lose), "null")
+	u.ready()
+	r := u.do(http.MethodPost, "/unsafe/", "k1", "x")
+	mu.Lock()
+	defer mu.Unlock()
+	if runs != 1 || r.status != http.StatusBadGateway {
+		t.Errorf("%d runs, %+v", runs, r)
+	}
+}
+
+// TestSafeIsRepeated guards against a failure of one backend server reaching the caller although another could answer.
+func TestSafeIsRepeated(t *testing.T) {
+	store := &fakeStore{}
+	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
+	u := start(t, store, "a")
+	for _, id := range []string{"i-1", "i-2"} {
+		u.server(id, "plain", backendServer(t, func(c net.Conn, r *http.Request) {
+			if r.Header.Get("X-Flamingorudder-Target-Instance") == "i-1" {
+				writeAnswer(c, r, 500, "broken")
+				return
+			}
+			writeAnswer(c, r, 200, "fine")
+		}), "null")
+	}
+	u.ready()
+	for range 5 {
+		if r := u.do(http.MethodGet, "/safe/", "k1", ""); r.status != 200 || r.body != "fine" {
+			t.Fatalf("reply %+v", r)
+		}
+	}
+}
+
+// TestRejectionIsPassedOnOnlyWithProof guards against a 503 without a proof telling the caller that nothing ran.
+func TestRejectionIsPassedOnOnlyWithProof(t *testing.T) {
+	store := &fakeStore{}
+	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
+	u := start(t, store, "a")
+	proof := make(chan string, 1)
+	u.server("i-1", "plain", backendServer(t, func(c net.Conn, r *http.Request) { writeAnswer(c, r, 503, "", <-proof) }), "null")
+	u.ready()
+	proof <- ""
+	if r := u.do(http.MethodPost, "/unsafe/", "k1", "x"); r.status != http.StatusBadGateway {
+		t.Errorf("without a proof: %d", r.status)
+	}
+	proof <- "X-Flamingorudder-Not-Executed: 1\r\n"
+	if r := u.do(http.MethodPost, "/unsafe/", "k1", "x"); r.status != http.StatusServiceUnavailable || r.h.Get("Retry-After") == "" {
+		t.Errorf("with a proof: %+v", r)
+	}
+}
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", n, n) }
+
+const openGroup = `{"name":"g%d","epoch":1,"rank":0,"state":"open"}`
+
+// TestStreamGoesOnElsewhere guards against pieces of two runs being joined wrongly: a stream that is cut in the middle of an
+// event goes on at another group after the last whole one, without a gap or a repeat.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	store := &fakeStore{}
+	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
+	u := start(t, store, "a")
+	var mu sync.Mutex
+	sent := 0
+	for i := 1; i <= 2; i++ {
+		u.server(fmt.Sprint("i-", i), "llm", backendServer(t, func(c net.Conn, r *http.Request) {
+			mu.Lock()
+			sent++
+			first := sent == 1
+			mu.Unlock()
+			head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Flamingorudder-Response-Signature: s%d\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", i)
+			chunk := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+			if first {
+				_, _ = io.WriteString(c, head+chunk(event(1)+event(2)+"id: 3\nda"))
+				_ = c.Close()
+				return
+			}
+			from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			out := ""
+			for n := from + 1; n <= 4; n++ {
+				out += chunk(event(n))
+			}
+			_, _ = io.WriteString(c, head+out+"0\r\n\r\n")
+		}), fmt.Sprintf(openGroup, i))
+	}
+	u.ready()
+	eventually(t, "groups", func() bool { return len(u.d.view.Load().Groups["llm"]) == 2 })
+	r := u.do(http.MethodPost, "/stream/", "k1", "x", "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20")
+	if want := event(1) + event(2) + event(3) + event(4); r.err != nil || r.status != 200 || r.body != want {
+		t.Errorf("%d %v %q", r.status, r.err, r.body)
+	}
+}
+
+// TestStreamOutOfOrder guards against an answer that does not go on where the last one ended reaching the caller.
+func TestStreamOutOfOrder(t *testing.T) {
+	if _, _, err := events([]byte(event(2)+event(4)), "1"); err == nil {
+		t.Error("a gap is passed on")
+	}
+	if _, _, err := events([]byte(event(2)), "2"); err == nil {
+		t.Error("a repeat is passed on")
+	}
+	whole, id, err := events([]byte(event(2)+event(3)+"id: 4"), "1")
+	if err != nil || id != "3" || whole != len(event(2)+event(3)) {
+		t.Errorf("%d %q %v", whole, id, err)
+	}
+}
+
+// TestCutStreamDoesNotLookComplete guards against a caller taking a stream that no group can finish for a whole one.
+func TestCutStreamDoesNotLookComplete(t *testing.T) {
+	store := &fakeStore{}
+	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
+	u := start(t, store, "a")
+	u.server("i-1", "llm", backendServer(t, func(c net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Flamingorudder-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n"+event(1))
+		_ = c.Close()
+	}), fmt.Sprintf(openGroup, 1))
+	u.ready()
+	r := u.do(http.MethodPost, "/stream/", "k1", "x", "X-Flamingorudder-Model", "m", "X-Flamingorudder-Deadline-Ms", "600")
+	if r.err == nil && r.status == 200 {
+		t.Errorf("looks complete: %q", r.body)
+	}
+}
+
+// TestConfigNeverGoesBack guards against an older configuration, from the store or from another daemon, replacing a newer one.
+func TestConfigNeverGoesBack(t *testing.T) {
+	store := &fakeStore{}
+	store.put("op", "config", fmt.Sprintf(testConfig, 5, ""))
+	u := start(t, store, "a")
+	u.ready()
+	extra := `,{"name":"new","host":"a.example","prefix":"/new/","kind":"safe","service":"plain"}`
+	store.put("op", "config", fmt.Sprintf(testConfig, 9, extra))
+	eventually(t, "the new version", func() bool { return u.d.config.Load().Version == 9 })
+	u.d.feed.apply([]byte(fmt.Sprintf(testConfig, 7, "")), "test")
+	u.d.feed.apply([]byte("{"), "test")
+	if u.d.config.Load().Version != 9 {
+		t.Errorf("version %d", u.d.config.Load().Version)
+	}
+}
+
+// TestPeerTellsWhatTheStoreDoesNot guards against a daemon that the store turns away staying without the configuration and
+// the entries that another daemon has, and against callers getting 404 or 401 from it meanwhile.
+func TestPeerTellsWhatTheStoreDoesNot(t *testing.T) {
+	store := &fakeStore{}
+	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
+	store.put("servers", "i-1", `{"service":"plain","address":"127.0.0.1:1","state":"ready","born":1}`)
+	a := start(t, store, "a")
+	a.ready()
+	b := start(t, &fakeStore{down: true}, "b")
+	if r := b.do(http.MethodGet, "/safe/", "k1", ""); r.status != http.StatusServiceUnavailable {
+		t.Errorf("without a configuration: %d", r.status)
+	}
+	introduce := func(to, of *daemonUnderTest) {
+		row := of.d.digest()
+		to.d.peersMu.Lock()
+		defer to.d.peersMu.Unlock()
+		to.d.members.Introduce(time.Now(), row)
+	}
+	introduce(a, b)
+	introduce(b, a)
+	eventually(t, "ready by another daemon", func() bool { return b.d.ready() && b.d.view.Load().Servers["i-1"] != nil })
+}
+
+// TestLeaving guards against a daemon that stops cutting off a request, and against callers being sent to it.
+func TestLeaving(t *testing.T) {
+	store := &fakeStore{}
+	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
+	u := start(t, store, "a")
+	arrived, release := make(chan struct{}), make(chan struct{})
+	u.server("i-1", "plain", backendServer(t, func(c net.Conn, r *http.Request) {
+		close(arrived)
+		<-release
+		writeAnswer(c, r, 200, "fine")
+	}), "null")
+	u.ready()
+	got := make(chan reply, 1)
+	go func() { got <- u.do(http.MethodPost, "/unsafe/", "k1", "x") }()
+	<-arrived
+	stopped := make(chan error, 1)
+	go func() { stopped <- u.d.Stop(context.Background()) }()
+	eventually(t, "leaving", u.d.leaving.Load)
+	resp, err := http.Get("http://" + u.s.Readiness.String() + "/api/readiness")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("ready while leaving: %d", resp.StatusCode)
+	}
+	close(release)
+	if r := <-got; r.status != 200 || r.body != "fine" {
+		t.Errorf("reply %+v", r)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestBudget guards against more repeats than the services' bound, and against a burst being forgotten too early.
+func TestBudget(t *testing.T) {
+	s := &Settings{RetryRatio: 0.2, RetrySlack: 70, RetryWindow: 10 * time.Second}
+	b := &budget{}
+	now := time.Unix(1000, 0)
+	for range 100 {
+		b.request("s", now, s.RetryWindow)
+	}
+	n := 0
+	for b.repeat("s", now.Add(time.Second), s, 7) {
+		n++
+	}
+	if want := int(budgetPart * (0.2*100 + 10)); n != want {
+		t.Errorf("%d repeats, want %d", n, want)
+	}
+	if b.repeat("s", now.Add(9*time.Second), s, 7) {
+		t.Error("repeats of the same window are forgotten")
+	}
+	if !b.repeat("s", now.Add(12*time.Second), s, 7) {
+		t.Error("a new window has no repeats")
+	}
+}
+
+// TestSettings guards against settings that are read as others, and against a fault that is not told.
+func TestSettings(t *testing.T) {
+	text := "[daemon]\nname = a\ndata-centre = z\nfirst-start = true\n[listen]\ncaller = 10.0.0.1:1\nreadiness = 10.0.0.1:2\npeer = 10.0.0.1:3\n" +
+		"[store]\naddress = 10.0.0.9:9\n[bounds]\ndrain-ms = 2500\ngrace-s = 4\n[log]\n"
+	s, err := ParseSettings("f.ini", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !s.FirstStart || s.Drain != 2500*time.Millisecond || s.Grace != 4*time.Second || s.Stall != 6*time.Second || s.Directory.IsValid() {
+		t.Errorf("settings %+v", s)
+	}
+	_, err = ParseSettings("f.ini", []byte(strings.Replace(text, "grace-s", "grase-s", 1)))
+	if err == nil || !strings.Contains(err.Error(), "grace-s") {
+		t.Errorf("near miss: %v", err)
+	}
+}
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -28,9 +28,12 @@
 	configWait = 25 * time.Second
 	// configSilence is added to configWait before a read counts as lost.
 	configSilence = time.Second
-	// serversPeriod is how often the entries of backend servers are read. It is well below the time after which a
-	// leaving one must get no new requests.
-	serversPeriod = 600 * time.Millisecond
+	// minServersPeriod and maxServersPeriod bound how often the entries of backend servers are read.
+	minServersPeriod = 200 * time.Millisecond
+	maxServersPeriod = time.Second
+	// readsInDrain is how often they are read within the time after which a leaving backend server must get no new
+	// requests; one read is for the daemon that tells another, one for a call that is lost.
+	readsInDrain = 5
 	// daemonsPeriod is how often the rows of daemons are read; presence comes with digests.
 	daemonsPeriod = 5 * time.Second
 	// daemonsSpread is how much each other daemon adds to it, so that the calls of all do not grow with their square.
@@ -44,10 +47,11 @@
 	retryMax   = time.Second
 	// peerTimeout bounds a question to another daemon.
 	peerTimeout = 500 * time.Millisecond
-	// relayAfter is how long the store may fail before another daemon is asked for what it knows.
-	relayAfter = 700 * time.Millisecond
+	// relayReads is after how many missed reads another daemon is asked for what it knows; a store that is silent is then
+	// still being waited for.
+	relayReads = 2
 	// relayPeriod is how often it is asked.
-	relayPeriod = 500 * time.Millisecond
+	relayPeriod = 250 * time.Millisecond
 	// behindFor is how long another daemon may have a newer configuration before it is asked for it.
 	behindFor = 250 * time.Millisecond
 	maxRelay  = 16 << 20
@@ -67,8 +71,6 @@
 	version    int64
 	readAt     time.Time
 	tracker    *roster.Tracker
-	// readAt is when the entries were last read from the store, failing since when that fails.
-	failing time.Time
 }
 
 func newFeeds(d *Daemon) *feeds {
@@ -152,7 +154,7 @@
 	var pause backOff
 	client := newPeerClient()
 	defer client.CloseIdleConnections()
-	ticks, stop := timer.Every(serversPeriod, 0.1)
+	ticks, stop := timer.Every(f.serversPeriod(), 0.1)
 	defer stop()
 	for {
 		err := f.readServers(ctx, client, &after)
@@ -173,6 +175,11 @@
 	}
 }
 
+// serversPeriod is how often the entries of backend servers are read.
+func (f *feeds) serversPeriod() time.Duration {
+	return min(max(f.d.settings().Drain/readsInDrain, minServersPeriod), maxServersPeriod)
+}
+
 // readers is how many daemons one reader of the store tells the entries to. One reader a data centre and one more for
 // each such number keep the calls to the store independent of the number of daemons, and the work of a reader small.
 const readers = 12
@@ -248,11 +255,6 @@
 	defer f.mu.Unlock()
 	if !ok {
 		f.tracker.Hold()
-		if f.failing.IsZero() {
-			f.failing = time.Now()
-		}
-	} else {
-		f.failing = time.Time{}
 	}
 	if f.d.storeOK.Swap(ok) != ok {
 		if ok {
@@ -480,7 +482,7 @@
 		case now = <-ticks:
 		}
 		f.mu.Lock()
-		failing := !f.failing.IsZero() && now.Sub(f.failing) > relayAfter
+		failing := now.Sub(f.readAt) > relayReads*f.serversPeriod()
 		f.mu.Unlock()
 		mine := int64(0)
 		if c := f.d.config.Load(); c != nil {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -54,9 +54,9 @@
 	return !m.Answers || m.State != roster.Ready || !m.Listed && m.Rank == 0
 }
 
-// dead members neither answer nor renew their entries.
+// dead members neither answer nor renew their entries. One that drains may do neither and still finish its requests.
 func (m *Member) dead(now time.Time, in *Input) bool {
-	if m.Answers {
+	if m.Answers || m.State != roster.Ready {
 		return false
 	}
 	if !m.Listed {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -122,7 +122,7 @@
 		return
 	}
 	if s.Membership.State == roster.Joining && !f.now.Before(s.readyAt) {
-		s.Server.Membership.State = roster.Joined
+		s.Membership.State = roster.Joined
 		s.Busy = false
 		if !slices.Contains(s.Staged, s.Model) {
 			s.Staged = []string{s.Model}
@@ -159,8 +159,8 @@
 			}
 		}
 		s.epochs, s.members, s.open = o.Epoch, o.Members, false
-		s.Server.Model = model.Name
-		s.Server.Membership = roster.Membership{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, s.ID), State: roster.Joining}
+		s.Model = model.Name
+		s.Membership = roster.Membership{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, s.ID), State: roster.Joining}
 		s.readyAt = f.now.Add(took)
 		s.Busy = true
 	case platform.OpenHead:
@@ -169,14 +169,14 @@
 			return
 		}
 		f.checkWhole(s)
-		s.Server.Membership.State, s.open = roster.Open, true
+		s.Membership.State, s.open = roster.Open, true
 	case platform.CloseHead:
 		if s.Epoch == o.Epoch {
-			s.Server.Membership.State, s.open = roster.Joined, false
+			s.Membership.State, s.open = roster.Joined, false
 		}
 	case platform.Leave:
 		if s.Epoch == o.Epoch {
-			s.Server.Membership, s.open = roster.Membership{}, false
+			s.Membership, s.open = roster.Membership{}, false
 		}
 	case platform.Stage:
 		took := model.Load
@@ -291,6 +291,26 @@
 	}
 }
 
+// TestDrainingHeadIsNotDead guards against members of a draining head joining others while it finishes its requests: such a
+// head neither answers nor renews its entry.
+func TestDrainingHeadIsNotDead(t *testing.T) {
+	f := newFleet(t, 1, 5)
+	f.engine.Models = f.engine.Models[:1]
+	f.run(10 * time.Second)
+	f.in.Early = false
+	for _, s := range f.servers {
+		if s.Group != "" && s.Rank == 0 {
+			s.State = roster.Draining
+			s.alive = false // to this daemon; open stays set
+		}
+	}
+	before := f.planner.epoch
+	f.run(4 * time.Second)
+	if f.planner.epoch != before {
+		t.Error("its members join another group")
+	}
+}
+
 // TestFailedStageIsNoLoad guards against hosts that stay empty because an order that was never sent counts as a load.
 func TestFailedStageIsNoLoad(t *testing.T) {
 	f := newFleet(t, 1, 1)
--- a/internal/roster/tracker.go
+++ b/internal/roster/tracker.go
@@ -116,7 +116,7 @@
 
 func (t *Tracker) remove(now time.Time, id string) {
 	s := *t.servers[id]
-	s.Lapsed = !t.holding && s.Renewed.After(t.back) && now.Sub(s.Renewed) > t.silence
+	s.Lapsed = s.State == Ready && !t.holding && s.Renewed.After(t.back) && now.Sub(s.Renewed) > t.silence
 	t.departed[id] = departure{&s, now}
 	delete(t.servers, id)
 	delete(t.lapsed, id)
--- a/internal/roster/tracker_test.go
+++ b/internal/roster/tracker_test.go
@@ -73,7 +73,15 @@
 	tr.Apply(now, []Change{{ID: "a"}})
 	now = now.Add(3 * time.Second)
 	tr.Apply(now, []Change{{ID: "b"}})
+	c := member("c", 0, Open)
+	c.State = Draining
+	tr.Apply(now, []Change{{ID: "c", Server: c}})
+	now = now.Add(4 * time.Second)
+	tr.Apply(now, []Change{{ID: "c"}})
 	v := tr.View(now, size)
+	if v.Departed["c"].Lapsed {
+		t.Error("a head that drained counts as dead")
+	}
 	if v.Departed["a"].Lapsed || !v.Departed["b"].Lapsed {
 		t.Errorf("lapsed: a %v, b %v", v.Departed["a"].Lapsed, v.Departed["b"].Lapsed)
 	}
