--- a/cmd/flamingoctl/main.go
+++ b/cmd/flamingoctl/main.go
@@ -128,6 +128,7 @@
 			&cli.StringFlag{Name: "key", Usage: "PEM file of the certificate's key", Sources: cli.EnvVars("FLAMINGO_KEY")},
 		},
 		Commands: []*cli.Command{
+			explainCommand(),
 			{
 				Name: "check", Usage: "check a release note without a fleet", ArgsUsage: "NOTE.ini", Action: t.check, Flags: []cli.Flag{asJSON},
 				Description: "Reads the whole file and reports every fault at once. Names that only the fleet knows are\nchecked by plan.\n\nExample:\n  flamingoctl check note.ini",
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -21,6 +21,9 @@
 // suspectFor is how long a group that was found silent gets no requests unless it makes progress.
 const suspectFor = 3 * time.Second
 
+// rejectedFor is how long a group that turned a request away gets no others: until the entries tell why.
+const rejectedFor = 500 * time.Millisecond
+
 // dispatcher joins the pure decisions on placement to the requests that wait for them.
 type dispatcher struct {
 	d       *Daemon
@@ -35,10 +38,11 @@
 	ticket  uint64
 }
 
-// suspicion is until when a group is left out. Only what this daemon found itself is told to others.
+// suspicion is until when a group is left out. Only what this daemon found itself is told to others; closed is set for
+// groups that it told to end as holder of the lease.
 type suspicion struct {
-	until time.Time
-	own   bool
+	until       time.Time
+	own, closed bool
 }
 
 type modelKey struct{ service, model string }
@@ -293,7 +297,7 @@
 
 // suspect leaves a group out for a while and frees its requests, which may go on elsewhere.
 func (p *dispatcher) suspect(now time.Time, key string) {
-	p.suspects[key] = suspicion{now.Add(suspectFor), true}
+	p.suspects[key] = suspicion{until: now.Add(suspectFor), own: true}
 	for s := range p.running[key] {
 		s.cancel()
 	}
@@ -304,6 +308,25 @@
 	}
 }
 
+// end leaves out a group that is told to end. own is set at the holder of the lease, who tells the others.
+func (p *dispatcher) end(key string, own bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if o := p.suspects[key]; !o.closed || own {
+		p.suspects[key] = suspicion{until: time.Now().Add(suspectFor), own: own, closed: own}
+	}
+}
+
+// reject leaves out a group that turned a request away; entries that tell why come later.
+func (p *dispatcher) reject(key string) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.suspects[key].until.Before(now.Add(rejectedFor)) {
+		p.suspects[key] = suspicion{until: now.Add(rejectedFor)}
+	}
+}
+
 // hear takes the suspects of another daemon. Groups that make progress here are not left out.
 func (p *dispatcher) hear(keys []string) {
 	now := time.Now()
@@ -316,8 +339,8 @@
 	}
 }
 
-// work returns what this daemon has at each group, and the groups it suspects.
-func (p *dispatcher) work() (work []gossip.Work, suspects []string) {
+// work returns what this daemon has at each group, the groups that it suspects, and those that it told to end.
+func (p *dispatcher) work() (work []gossip.Work, suspects, closed []string) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -325,11 +348,15 @@
 		work = append(work, gossip.Work{Group: key, Requests: l.Requests, Unread: l.Unread})
 	}
 	for key, s := range p.suspects {
-		if s.own && now.Before(s.until) {
+		switch {
+		case now.After(s.until) || !s.own:
+		case s.closed:
+			closed = append(closed, key)
+		default:
 			suspects = append(suspects, key)
 		}
 	}
-	return work, suspects
+	return work, suspects, closed
 }
 
 // pressure returns the work asked of each model of a service, by all daemons, as a part of what its open groups run at
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -32,7 +32,7 @@
 	// openWait is how long the other members of a group may take to be ready.
 	openWait = 2 * time.Second
 	// reportTimeout bounds one question, orderTimeout one order.
-	reportTimeout = 500 * time.Millisecond
+	reportTimeout = 350 * time.Millisecond
 	orderTimeout  = time.Second
 	// failuresToDoubt is how many questions in a row without an answer make a backend server lost.
 	failuresToDoubt = 2
@@ -387,6 +387,10 @@
 	if !ok || token != o.Fence {
 		return
 	}
+	if o.Operation == platform.Leave || o.Operation == platform.CloseHead {
+		// Requests that arrive meanwhile would be turned away.
+		d.dispatch.end(groupKey(&roster.Group{Name: o.Group, Epoch: o.Epoch}), true)
+	}
 	out, err := call(ctx, orderTimeout, func(ctx context.Context) (platform.Outcome, error) {
 		return d.servers.Give(ctx, o.Server, o.Order)
 	})
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -22,7 +22,7 @@
 	if c := d.config.Load(); c != nil {
 		out.Config = c.Version
 	}
-	out.Work, out.Suspects = d.dispatch.work()
+	out.Work, out.Suspects, out.Closed = d.dispatch.work()
 	d.peersMu.Lock()
 	defer d.peersMu.Unlock()
 	if token, ok := d.vote.Holding(steady()); ok {
@@ -102,6 +102,9 @@
 	if isNew {
 		d.log.Info("daemon", "name", m.Name, "peer", m.Peer, "boot", m.Boot)
 	}
+	for _, key := range m.Closed {
+		d.dispatch.end(key, false)
+	}
 	if len(m.Suspects) > 0 {
 		d.dispatch.hear(m.Suspects)
 		for _, key := range m.Suspects {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -119,6 +119,9 @@
 		return err
 	}
 	defer a.Close()
+	if !ran {
+		x.d.dispatch.reject(seat.key)
+	}
 	if !ran || !usable(a) {
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxWhole)) // lets the connection be kept
 		return &UnusableError{head.ID, a.Status}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -66,6 +66,8 @@
 	Work    []Work           `cbor:"work,omitempty"`
 	// Suspects are groups that make no progress at the sender.
 	Suspects []string `cbor:"suspects,omitempty"`
+	// Closed are groups that the sender, as holder of the lease, has told to end.
+	Closed []string `cbor:"closed,omitempty"`
 }
 
 // SizeError reports a digest that does not fit a datagram.
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -1,6 +1,6 @@
 // Package metric holds the metrics of a daemon: OpenTelemetry instruments with a Prometheus endpoint.
 //
-// Every instrument is declared here, with its unit, so that docs/operations.md lists all of them. Attributes are bounded
+// Every instrument is declared here, with its unit, so that docs/OPERATIONS.md lists all of them. Attributes are bounded
 // by the configuration: service, rank and organisation, never an id of a request or a text of a caller.
 package metric
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -325,6 +325,9 @@
 			return nil, true
 		}
 		if p.drains(g, head) {
+			if head.Membership.State == roster.Closing {
+				return nil, true // it finishes its requests
+			}
 			return []Order{p.tell(head, g, platform.CloseHead, "a member drains")}, true
 		}
 		return []Order{p.tell(head, g, platform.Leave, "a member is lost")}, true
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -311,6 +311,45 @@
 	}
 }
 
+// TestCloseIsToldOnce guards against the order to close being repeated for as long as the head finishes its requests.
+func TestCloseIsToldOnce(t *testing.T) {
+	f := newFleet(t, 1, 4)
+	f.engine.Models = f.engine.Models[:1]
+	f.run(6 * time.Second)
+	f.in.Early = false
+	var members []*Member
+	for _, s := range f.servers {
+		m := s.Member
+		m.Listed, m.Answers, m.Reported = true, true, true
+		if m.Rank == 2 {
+			entry := *m.Server
+			entry.State = roster.Draining
+			m.Server = &entry
+		}
+		members = append(members, &m)
+	}
+	f.in.Members = members
+	closes := 0
+	for range 30 {
+		f.now = f.now.Add(100 * time.Millisecond)
+		for _, o := range f.planner.Step(f.now, f.in) {
+			if o.Operation == platform.CloseHead {
+				closes++
+				for _, m := range members {
+					if m.ID == o.Server.ID {
+						entry := *m.Server
+						entry.Membership.State = roster.Closing
+						m.Server = &entry
+					}
+				}
+			}
+		}
+	}
+	if closes != 1 {
+		t.Errorf("told %d times", closes)
+	}
+}
+
 // TestFailedStageIsNoLoad guards against hosts that stay empty because an order that was never sent counts as a load.
 func TestFailedStageIsNoLoad(t *testing.T) {
 	f := newFleet(t, 1, 1)
