Find waiting reads of the configuration that went silent

Change: daemons that read for others wait no longer than a configuration may take (setting apply-ms, from the platform); the others hear of versions in digests. TestSilentFeed fails without the change. Conclusion: each waiting read needs a bound of its own.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -26,6 +26,8 @@
 	version int64
 	rows    map[string]map[string]storedRow
 	down    bool
+	// mute makes reads of the operators' table hang, as on a connection that has gone silent, once.
+	mute bool
 }
 
 type storedRow struct {
@@ -78,6 +80,13 @@
 		return
 	}
 	q := r.URL.Query()
+	if s.mute && q.Get("table") == "op" {
+		s.mute = false // the next connection works
+		s.mu.Unlock()
+		<-r.Context().Done()
+		s.mu.Lock()
+		return
+	}
 	var rows []storeRow
 	switch r.URL.Path {
 	case "/api/rows-get":
@@ -200,7 +209,7 @@
 	s := Settings{
 		Name: name, DataCentre: "dc", MemoryMB: 256, Caller: freeAddr(t), Readiness: freeAddr(t), Directory: freeAddr(t), Peer: freeAddr(t),
 		Store: netip.MustParseAddrPort(srv.Listener.Addr().String()), Grace: 2 * time.Second, Hold: 5 * time.Second, Stall: 6 * time.Second,
-		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, Beat: 1200 * time.Millisecond, Drain: 2 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, Beat: 1200 * time.Millisecond, Drain: 2 * time.Second, Apply: time.Second,
 	}
 	d, closeDaemon, err := New(s, hclog.NewNullLogger())
 	if err != nil {
@@ -463,6 +472,29 @@
 	}
 }
 
+// TestSilentFeed guards against a configuration that is never seen because the connection of the waiting read went silent
+// (deploy/days/edges.toml: 26 s behind).
+func TestSilentFeed(t *testing.T) {
+	store := &fakeStore{}
+	store.put("op", "config", fmt.Sprintf(testConfig, 5, ""))
+	u := start(t, store, "a")
+	u.ready()
+	store.mu.Lock()
+	store.mute = true
+	store.mu.Unlock()
+	eventually(t, "a silent read", func() bool {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return !store.mute
+	})
+	began := time.Now()
+	store.put("op", "config", fmt.Sprintf(testConfig, 6, ""))
+	eventually(t, "the new version", func() bool { return u.d.config.Load().Version == 6 })
+	if took := time.Since(began); took > 3*u.s.Apply {
+		t.Errorf("took %v", took)
+	}
+}
+
 // TestPeerTellsWhatTheStoreDoesNot guards against a daemon that the store turns away staying without the configuration and
 // the entries that another daemon has, and against callers getting 404 or 401 from it meanwhile.
 func TestPeerTellsWhatTheStoreDoesNot(t *testing.T) {
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -24,10 +24,11 @@
 const (
 	// storeTimeout bounds a call to the store; slow answers take some hundred milliseconds.
 	storeTimeout = 1500 * time.Millisecond
-	// configWait is how long a read waits for a change of the configuration.
-	configWait = 25 * time.Second
-	// configSilence is added to configWait before a read counts as lost.
-	configSilence = time.Second
+	// quietWait is how long a read waits for a change of the configuration at a daemon that hears of changes from others.
+	quietWait = 25 * time.Second
+	// applyParts is the part of the time for applying a configuration that an answer may be late before the connection
+	// counts as silent.
+	applyParts = 4
 	// minServersPeriod and maxServersPeriod bound how often the entries of backend servers are read.
 	minServersPeriod = 200 * time.Millisecond
 	maxServersPeriod = time.Second
@@ -97,8 +98,9 @@
 				return f.d.store.Rows(ctx, platform.TableOperator)
 			})
 		} else {
-			page, err = call(ctx, configWait+configSilence, func(ctx context.Context) (platform.Page, error) {
-				return f.d.store.Feed(ctx, platform.TableOperator, after, configWait)
+			wait := f.configWait()
+			page, err = call(ctx, wait+f.d.settings().Apply/applyParts, func(ctx context.Context) (platform.Page, error) {
+				return f.d.store.Feed(ctx, platform.TableOperator, after, wait)
 			})
 		}
 		if err != nil {
@@ -119,6 +121,16 @@
 	}
 }
 
+// configWait is how long a read waits for a change of the configuration. A connection that has gone silent shows only by an
+// answer that is late, so those daemons that read for others do not wait for longer than a configuration may take; the
+// others hear of its version from them.
+func (f *feeds) configWait() time.Duration {
+	if f.reader(time.Now()) == nil {
+		return f.d.settings().Apply
+	}
+	return quietWait
+}
+
 // call runs one call of the store under a time limit.
 func call[T any](ctx context.Context, limit time.Duration, f func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -27,6 +27,8 @@
 	StoreReads, StoreWrites float64
 	// Drain is how soon after its notice a leaving backend server gets no new requests.
 	Drain time.Duration
+	// Apply is how soon a configuration must be in force.
+	Apply time.Duration
 	// Grace is the time between the signal to stop and the end of the process.
 	Grace time.Duration
 	// Hold is the longest time for which callers keep the addresses that they are told.
@@ -76,6 +78,7 @@
 	milli := func(key string, def float64) time.Duration {
 		return time.Duration(b.Float(key, def, 0, 1e9) * float64(time.Millisecond))
 	}
+	s.Apply = milli("apply-ms", 2000)
 	s.Drain, s.Grace, s.Hold = milli("drain-ms", 2000), second("grace-s", 8), second("hold-s", 5)
 	s.Stall, s.LoadWindow, s.Beat = milli("stall-ms", 6000), second("load-window-s", 5), milli("beat-ms", 1200)
 	s.RetryRatio, s.RetrySlack, s.RetryWindow = b.Float("retry-ratio", 0.2, 0, 1e3), b.Float("retry-slack", 0, 0, 1e9), second("retry-window-s", 10)
