Find single connections that go silent while their group works on

Change: each request is tracked; one without progress for three limits of its group, eight before its first event, goes on elsewhere.

--- a/internal/balance/silence.go
+++ b/internal/balance/silence.go
@@ -10,19 +10,33 @@
 // moves until it gives up, seconds later. All streams of the group stop at the same moment, so a daemon can tell from
 // the longest pass that a group's engine may take, and needs no timeout of a single request.
 //
-// A daemon that was itself paused sees every group silent; a gap between two ticks moves all clocks forward by it.
+// A single connection may also go silent while its group works on for others; a request without progress for several times
+// as long shows that.
+//
+// A daemon that was itself paused sees everything silent; a gap between two ticks moves all clocks forward by it.
 type Silence struct {
 	groups map[string]*pulse
 	tick   time.Time
 }
 
+// pulse is the progress of one group.
 type pulse struct {
 	// last is when the group last made progress, or when it went from idle to busy.
-	last time.Time
-	// streams counts requests with a first event, waiting those without.
-	streams, waiting int
-	limit            time.Duration
-	suspect          bool
+	last    time.Time
+	limit   time.Duration
+	suspect bool
+	tracks  map[*Track]struct{}
+	// started counts the requests with a first event.
+	started int
+}
+
+// Track is one request at a group.
+type Track struct {
+	group string
+	// last is when the request last made progress, or when it began.
+	last    time.Time
+	started bool
+	silent  bool
 }
 
 const (
@@ -30,6 +44,10 @@
 	worstPasses = 1.5
 	// waitingPasses is the same for a group whose requests have had no first event yet: they may queue for a slot.
 	waitingPasses = 4
+	// loneLimits is how many times a group's limit one of its requests may stay silent after its first event; one that
+	// was preempted is read again meanwhile. loneWaiting is the same before the first event.
+	loneLimits  = 3
+	loneWaiting = 8
 	// lateTick is a gap between two ticks that shows that this process did not run.
 	lateTick = 100 * time.Millisecond
 )
@@ -45,71 +63,83 @@
 func NewSilence() *Silence { return &Silence{groups: map[string]*pulse{}} }
 
 // Begin notes a request sent to a group, limit is the group's Plan.Limit.
-func (s *Silence) Begin(now time.Time, group string, limit time.Duration) {
+func (s *Silence) Begin(now time.Time, group string, limit time.Duration) *Track {
 	p := s.groups[group]
 	if p == nil {
-		p = &pulse{}
+		p = &pulse{last: now, tracks: map[*Track]struct{}{}}
 		s.groups[group] = p
 	}
-	if p.streams+p.waiting == 0 {
-		p.last = now
-	}
-	p.waiting++
+	t := &Track{group: group, last: now}
+	p.tracks[t] = struct{}{}
 	p.limit = limit
+	return t
 }
 
-// First notes the first event of a request.
-func (s *Silence) First(now time.Time, group string) {
-	if p := s.groups[group]; p != nil {
-		p.waiting--
-		p.streams++
-		p.progress(now)
+// Progress notes an event of a request. It reports whether it was the first.
+func (s *Silence) Progress(now time.Time, t *Track) (first bool) {
+	p := s.groups[t.group]
+	if p == nil {
+		return false
 	}
-}
-
-// Progress notes a later event.
-func (s *Silence) Progress(now time.Time, group string) {
-	if p := s.groups[group]; p != nil {
-		p.progress(now)
+	p.last, p.suspect = now, false
+	t.last = now
+	if t.started {
+		return false
 	}
+	t.started = true
+	p.started++
+	return true
 }
 
-func (p *pulse) progress(now time.Time) { p.last, p.suspect = now, false }
+// Started tells whether the request had its first event.
+func (t *Track) Started() bool { return t.started }
 
-// End notes the end of a request; started tells whether it had a first event.
-func (s *Silence) End(group string, started bool) {
-	p := s.groups[group]
+// End notes the end of a request.
+func (s *Silence) End(t *Track) {
+	p := s.groups[t.group]
 	if p == nil {
 		return
 	}
-	if started {
-		p.streams--
-	} else {
-		p.waiting--
+	if _, ok := p.tracks[t]; !ok {
+		return
+	}
+	delete(p.tracks, t)
+	if t.started {
+		p.started--
 	}
-	if p.streams+p.waiting <= 0 {
-		delete(s.groups, group)
+	if len(p.tracks) == 0 {
+		delete(s.groups, t.group)
 	}
 }
 
-// Tick returns the groups that became suspect since the last tick.
-func (s *Silence) Tick(now time.Time) []string {
-	if gap := now.Sub(s.tick); !s.tick.IsZero() && gap > lateTick {
-		for _, p := range s.groups {
-			p.last = p.last.Add(gap)
-		}
+// Tick returns the groups, and the single requests of other groups, that became silent since the last tick.
+func (s *Silence) Tick(now time.Time) (groups []string, requests []*Track) {
+	gap := now.Sub(s.tick)
+	if s.tick.IsZero() || gap <= lateTick {
+		gap = 0
 	}
 	s.tick = now
-	var out []string
 	for name, p := range s.groups {
+		p.last = p.last.Add(gap)
 		limit := p.limit
-		if p.streams == 0 {
+		if p.started == 0 {
 			limit = time.Duration(float64(limit) / worstPasses * waitingPasses)
 		}
 		if !p.suspect && now.Sub(p.last) > limit {
 			p.suspect = true
-			out = append(out, name)
+			groups = append(groups, name)
+		}
+		for t := range p.tracks {
+			t.last = t.last.Add(gap)
+			lone := loneWaiting * p.limit
+			if t.started {
+				lone = loneLimits * p.limit
+			}
+			if !t.silent && !p.suspect && now.Sub(t.last) > lone {
+				t.silent = true
+				requests = append(requests, t)
+			}
 		}
 	}
-	return out
+	return groups, requests
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -68,11 +68,11 @@
 	d     *dispatcher
 	key   string
 	group *roster.Group
-	// ctx ends when the group is found silent.
+	// ctx ends when the group, or this request there, is found silent.
 	ctx    context.Context
 	cancel context.CancelFunc
 	prompt int
-	first  bool
+	track  *balance.Track
 	ended  bool
 }
 
@@ -203,9 +203,8 @@
 		load := balance.Load{Requests: 1, Unread: w.request.Prompt}
 		loads[i].Load = loads[i].Load.Add(load)
 		p.own[key] = p.own[key].Add(load)
-		p.silence.Begin(now, key, plan.Limit())
 		m.queue.Used(now, w.request)
-		s := &seat{d: p, key: key, group: groups[i], prompt: w.request.Prompt}
+		s := &seat{d: p, key: key, group: groups[i], prompt: w.request.Prompt, track: p.silence.Begin(now, key, plan.Limit())}
 		s.ctx, s.cancel = context.WithCancel(context.Background())
 		if p.running[key] == nil {
 			p.running[key] = map[*seat]struct{}{}
@@ -282,10 +281,13 @@
 		}
 		now := time.Now()
 		p.mu.Lock()
-		silent := p.silence.Tick(now)
+		silent, lone := p.silence.Tick(now)
 		for _, key := range silent {
 			p.suspect(now, key)
 		}
+		for _, t := range lone {
+			p.free(t)
+		}
 		p.mu.Unlock()
 		for _, key := range silent {
 			p.d.log.Warn("group makes no progress", "group", key)
@@ -295,6 +297,17 @@
 	}
 }
 
+// free ends the place of a request whose connection went silent.
+func (p *dispatcher) free(t *balance.Track) {
+	for _, seats := range p.running {
+		for s := range seats {
+			if s.track == t {
+				s.cancel()
+			}
+		}
+	}
+}
+
 // suspect leaves a group out for a while and frees its requests, which may go on elsewhere.
 func (p *dispatcher) suspect(now time.Time, key string) {
 	p.suspects[key] = suspicion{until: now.Add(suspectFor), own: true}
@@ -400,13 +413,9 @@
 	if s.ended {
 		return
 	}
-	if s.first {
-		s.d.silence.Progress(now, s.key)
-		return
+	if s.d.silence.Progress(now, s.track) {
+		s.d.shift(s.key, balance.Load{Unread: -s.prompt})
 	}
-	s.first = true
-	s.d.silence.First(now, s.key)
-	s.d.shift(s.key, balance.Load{Unread: -s.prompt})
 }
 
 // end gives the place back.
@@ -418,9 +427,9 @@
 	}
 	s.ended = true
 	s.cancel()
-	s.d.silence.End(s.key, s.first)
+	s.d.silence.End(s.track)
 	load := balance.Load{Requests: -1}
-	if !s.first {
+	if !s.track.Started() {
 		load.Unread = -s.prompt
 	}
 	s.d.shift(s.key, load)
