Count requests of the entry daemon with the instruments that exist

Cause: internal/entry declared request counters and histograms of its own beside those of internal/metric. Change: one set of instruments; a rank is counted by its name.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -25,6 +26,7 @@
 	"flamingorudder.example/internal/backend"
 	"flamingorudder.example/internal/election"
 	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/internal/metric"
 	"flamingorudder.example/internal/netopt"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
@@ -78,7 +80,7 @@
 	budget   *budget
 	feed     *feeds
 	lead     *leader
-	metrics  *meters
+	metrics  *metric.Set
 	udp      *net.UDPConn
 	servings []*khttp.Server
 	group    errgroup.Group
@@ -121,12 +123,15 @@
 	cleanups = append(cleanups, closeIdle)
 	d.pool, closeIdle = backend.NewPool()
 	cleanups = append(cleanups, closeIdle)
-	meters, closeMeters, err := newMeters(d)
-	if err != nil {
+	var closeMetrics func()
+	var err error
+	if d.metrics, closeMetrics, err = metric.New(); err != nil {
+		return fail(err)
+	}
+	cleanups = append(cleanups, closeMetrics)
+	if err := d.gauges(); err != nil {
 		return fail(err)
 	}
-	cleanups = append(cleanups, closeMeters)
-	d.metrics = meters
 	d.view.Store(&roster.View{})
 	d.dispatch = newDispatcher(d)
 	d.budget = &budget{}
@@ -148,7 +153,7 @@
 		{"readiness", s.Readiness, http.HandlerFunc(d.serveReadiness)},
 		{"directory", s.Directory, http.HandlerFunc(d.serveDirectory)},
 		{"peers", s.Peer, http.HandlerFunc(d.servePeer)},
-		{"metrics", s.Metrics, meters.handler()},
+		{"metrics", s.Metrics, d.metrics.Handler()},
 	} {
 		if !l.addr.IsValid() {
 			continue
@@ -169,6 +174,20 @@
 	return d, cleanup, nil
 }
 
+// gauges declares the values that are read when metrics are asked for.
+func (d *Daemon) gauges() error {
+	return errors.Join(
+		d.metrics.Gauge("in_flight", "{request}", "Requests of callers under way", d.inFlight.Load),
+		d.metrics.Gauge("daemons", "{daemon}", "Other daemons heard of lately", func() int64 { return int64(len(d.live(time.Now()))) }),
+		d.metrics.Gauge("config_version", "1", "Version of the configuration in force", func() int64 {
+			if c := d.config.Load(); c != nil {
+				return c.Version
+			}
+			return 0
+		}),
+	)
+}
+
 // settings returns the settings in force.
 func (d *Daemon) settings() *Settings { return d.current.Load() }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -13,6 +13,7 @@
 
 	"flamingorudder.example/internal/backend"
 	"flamingorudder.example/internal/balance"
+	"flamingorudder.example/internal/metric"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
 	"flamingorudder.example/platform"
@@ -188,7 +189,9 @@
 	if !x.first.IsZero() {
 		first = x.first.Sub(x.began)
 	}
-	x.d.metrics.count(x.service, reason, first)
+	x.d.metrics.Count(metric.Request{
+		Service: x.service, Org: x.org, Outcome: reason, Rank: strconv.Itoa(x.rank), First: first, Total: time.Since(x.began), Attempts: x.sends,
+	})
 	if reason == outcomeServed && !x.sample() {
 		return
 	}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -16,8 +16,6 @@
 	export "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
-
-	"flamingorudder.example/internal/note"
 )
 
 // Set is the instruments of one daemon. Its methods may be called from several goroutines.
@@ -61,8 +59,7 @@
 
 // Request is what is counted of one request.
 type Request struct {
-	Service, Org, Outcome string
-	Rank                  note.Rank
+	Service, Org, Outcome, Rank string
 	// First is zero when no token was sent.
 	First, Total time.Duration
 	Tokens       int
@@ -72,7 +69,7 @@
 // Count adds a request that has been answered.
 func (s *Set) Count(r Request) {
 	ctx := context.Background()
-	who := metric.WithAttributes(attribute.String("service", r.Service), attribute.String("rank", r.Rank.String()), attribute.String("organisation", r.Org))
+	who := metric.WithAttributes(attribute.String("service", r.Service), attribute.String("rank", r.Rank), attribute.String("organisation", r.Org))
 	s.requests.Add(ctx, 1, who, metric.WithAttributes(attribute.String("outcome", r.Outcome)))
 	s.total.Record(ctx, r.Total.Seconds(), who)
 	if r.First > 0 {
