Spread choices of stale loads almost evenly

Cause: on the grown fleets 72 daemons that choose by the same loads send their requests of 0.29 s to the same groups; the first event of the most urgent kind took 224 ms at the median and 327 ms at nine in ten, objective 250. Conclusion: for many daemons a choice by loads that are 0.3 s old is worse than one by lot.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -56,7 +56,7 @@
 	// minNoise spreads the choices of daemons that see the same loads; staleNoise is what each request adds that a group
 	// gets, on average, before the daemons hear of each other's choices.
 	minNoise   = 0.05
-	staleNoise = 1.4
+	staleNoise = 10
 )
 
 // Plan is what is known of a model's work.
