Read the store's rate of calls; drop settings and functions that nothing uses

Change: entries are read no more often than a quarter of the store's reading calls allows; writes are gone from the settings.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -221,7 +221,7 @@
 // Start runs the daemon until Stop has ended it. It implements kratos' transport.Server.
 func (d *Daemon) Start(ctx context.Context) error {
 	ctx, d.stop = context.WithCancel(ctx)
-	d.log.Info("start", "data_centre", d.settings().DataCentre, "caller", d.settings().Caller, "first_start", d.settings().FirstStart, "boot", d.boot)
+	d.log.Info("start", "data_centre", d.settings().DataCentre, "region", d.settings().Region, "caller", d.settings().Caller, "first_start", d.settings().FirstStart, "boot", d.boot)
 	for _, srv := range d.servings {
 		d.group.Go(func() error {
 			err := srv.Start(ctx)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"flamingorudder.example/internal/gossip"
 )
 
 // fakeStore answers the calls of the store that a daemon makes. Tables are maps of rows.
@@ -209,7 +211,7 @@
 	s := Settings{
 		Name: name, DataCentre: "dc", MemoryMB: 256, Caller: freeAddr(t), Readiness: freeAddr(t), Directory: freeAddr(t), Peer: freeAddr(t),
 		Store: netip.MustParseAddrPort(srv.Listener.Addr().String()), Grace: 2 * time.Second, Hold: 5 * time.Second, Stall: 6 * time.Second,
-		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, Beat: 1200 * time.Millisecond, Drain: 2 * time.Second, Apply: time.Second,
+		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, Beat: 1200 * time.Millisecond, Drain: 2 * time.Second, Apply: time.Second, StoreReads: 2000,
 	}
 	d, closeDaemon, err := New(s, hclog.NewNullLogger())
 	if err != nil {
@@ -576,6 +578,17 @@
 	}
 }
 
+// TestReadsKeepToTheStore guards against reading entries more often than a store with few calls allows.
+func TestReadsKeepToTheStore(t *testing.T) {
+	for reads, want := range map[float64]time.Duration{2000: 400 * time.Millisecond, 2: 2 * time.Second} {
+		d := &Daemon{members: gossip.NewMembers("a")}
+		d.current.Store(&Settings{Drain: 2 * time.Second, StoreReads: reads})
+		if got := (&feeds{d: d}).serversPeriod(); got != want {
+			t.Errorf("%v calls a second: %v, want %v", reads, got, want)
+		}
+	}
+}
+
 // TestSettings guards against settings that are read as others, and against a fault that is not told.
 func TestSettings(t *testing.T) {
 	text := "[daemon]\nname = a\ndata-centre = z\nfirst-start = true\n[listen]\ncaller = 10.0.0.1:1\nreadiness = 10.0.0.1:2\npeer = 10.0.0.1:3\n" +
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -35,6 +35,9 @@
 	// readsInDrain is how often they are read within the time after which a leaving backend server must get no new
 	// requests; one read is for the daemon that tells another, one for a call that is lost.
 	readsInDrain = 5
+	// readsPart is the part of the store's reading calls that all daemons together use to read entries, even if each of
+	// them has to read for itself.
+	readsPart = 0.25
 	// daemonsPeriod is how often the rows of daemons are read; presence comes with digests.
 	daemonsPeriod = 5 * time.Second
 	// daemonsSpread is how much each other daemon adds to it, so that the calls of all do not grow with their square.
@@ -187,9 +190,13 @@
 	}
 }
 
-// serversPeriod is how often the entries of backend servers are read.
+// serversPeriod is how often the entries of backend servers are read. With a store that takes few calls they are read less
+// often than the time for draining asks.
 func (f *feeds) serversPeriod() time.Duration {
-	return min(max(f.d.settings().Drain/readsInDrain, minServersPeriod), maxServersPeriod)
+	s := f.d.settings()
+	daemons := len(f.d.live(time.Now())) + 1
+	allowed := time.Duration(float64(daemons) / (s.StoreReads * readsPart) * float64(time.Second))
+	return max(min(max(s.Drain/readsInDrain, minServersPeriod), maxServersPeriod), allowed)
 }
 
 // readers is how many daemons one reader of the store tells the entries to. One reader a data centre and one more for
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -23,8 +23,8 @@
 	// Peer is where other daemons reach this one, with datagrams and over TCP.
 	Peer  netip.AddrPort
 	Store netip.AddrPort
-	// StoreReads and StoreWrites are the calls a second that the store takes from all daemons.
-	StoreReads, StoreWrites float64
+	// StoreReads is how many reading calls a second the store takes from all daemons.
+	StoreReads float64
 	// Drain is how soon after its notice a leaving backend server gets no new requests.
 	Drain time.Duration
 	// Apply is how soon a configuration must be in force.
@@ -68,7 +68,7 @@
 	st := f.Section("store")
 	st.Require("address")
 	s.Store = st.Addr("address", s.Store)
-	s.StoreReads, s.StoreWrites = st.Float("reads", 2000, 1, 1e9), st.Float("writes", 400, 1, 1e9)
+	s.StoreReads = st.Float("reads", 2000, 1, 1e9)
 
 	// The defaults are those of the first deployments; a deployment's own settings go before them.
 	b := f.Section("bounds")
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// Port is the first of the ports that daemons may use among themselves; its number comes from the settings.
+	// minPeriod is the shortest time between two digests; callers arrive at a daemon every few tens of milliseconds.
 	minPeriod = 100 * time.Millisecond
 	// perPeer is how much each daemon of the fleet adds to the period, so that the digests that a daemon receives stay
 	// below 250 a second at any size.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -72,9 +72,6 @@
 	Renewed time.Time
 }
 
-// Same tells whether both are the same lifetime of a backend server.
-func (s *Server) Same(o *Server) bool { return s.ID == o.ID && s.Born == o.Born }
-
 // Group is a model group whose head takes requests.
 type Group struct {
 	Name  string
