Drop state that nothing reads and work out the share of connections once

The planner kept, and never read, which members had been ready (it grew with every group); the daemon and an answer held a flag and a name that nothing used; the part of a backend server's connections was worked out in two places. Change: those fields are gone; Daemon.connections serves both kinds of requests; the planner names groups in one way.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -59,15 +59,15 @@
 
 	config atomic.Pointer[route.Config]
 	view   atomic.Pointer[roster.View]
-	// leaving is set when the signal to stop has come, closing when new connections are no longer taken.
-	leaving, closing atomic.Bool
+	// leaving is set when the signal to stop has come.
+	leaving atomic.Bool
 	// inFlight counts requests of callers.
 	inFlight atomic.Int64
 	// served is set when the first request of a caller has come.
 	served atomic.Bool
 	// buffered is the bytes of request bodies in memory.
 	buffered atomic.Int64
-	// storeOK tells whether the last read of the store succeeded, storeSince since when it is as it is.
+	// storeOK tells whether the last read of the store succeeded.
 	storeOK atomic.Bool
 
 	// peersMu guards the next two. It may be taken while the dispatcher's lock is held, not the other way round.
@@ -256,7 +256,6 @@
 	if err := timer.Wait(ctx, accept); err != nil {
 		d.log.Warn("stop was cut short", "error", err)
 	}
-	d.closing.Store(true)
 	// Idle connections close now; a request that crosses the close has not been read.
 	d.servings[0].SetKeepAlivesEnabled(false)
 	for time.Now().Before(end) && d.inFlight.Load() > 0 {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -113,10 +113,7 @@
 // plain serves a request to a plain service.
 func (x *exchange) plain(ctx context.Context, svc *route.Service) {
 	tried := map[string]bool{}
-	limit := 0
-	if svc != nil && svc.MaxConnections > 0 {
-		limit = max(svc.MaxConnections/(len(x.d.live(x.began))+1), 1)
-	}
+	limit := x.d.connections(svc)
 	var last error
 	var answer *wholeAnswer
 	for unsent := 0; unsent < maxUnsent && ctx.Err() == nil; {
@@ -154,6 +151,14 @@
 	x.failed(ctx, last)
 }
 
+// connections returns this daemon's part of the connections that a backend server of a service accepts; zero without a bound.
+func (d *Daemon) connections(svc *route.Service) int {
+	if svc == nil || svc.MaxConnections <= 0 {
+		return 0
+	}
+	return max(svc.MaxConnections/(len(d.live(time.Now()))+1), 1)
+}
+
 // maxUnsent bounds the backend servers that are tried because earlier ones could not be reached.
 const maxUnsent = 4
 
@@ -163,9 +168,8 @@
 	a      *backend.Answer
 	body   []byte
 	// tail is set when the body is larger than what is read ahead.
-	tail   bool
-	server string
-	done   func(lost bool)
+	tail bool
+	done func(lost bool)
 }
 
 // tryPlain sends the request to one backend server and reads its answer.
@@ -192,7 +196,7 @@
 		end(err != nil)
 		return nil, &UnusableError{server.ID, a.Status}
 	}
-	out := &wholeAnswer{status: a.Status, a: a, server: server.ID, done: end}
+	out := &wholeAnswer{status: a.Status, a: a, done: end}
 	out.body, err = io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
 	out.tail = len(out.body) > maxWhole
 	if err != nil {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -101,16 +101,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(seat.ctx, cancel)()
-	limit := 0
-	if svc.MaxConnections > 0 {
-		limit = max(svc.MaxConnections/(len(x.d.live(time.Now()))+1), 1)
-	}
 	// The caller's own place to go on from is in its header already.
 	resume := ""
 	if s.begun {
 		resume = s.lastEvent
 	}
-	a, err := x.d.pool.Do(ctx, head, x.request(head, priority(x.rank), resume), limit)
+	a, err := x.d.pool.Do(ctx, head, x.request(head, priority(x.rank), resume), x.d.connections(svc))
 	ran := x.note(head.ID+" "+seat.key, err, a)
 	if err != nil {
 		if seat.ctx.Err() != nil {
@@ -132,7 +128,7 @@
 			return &backend.LostError{Server: head.ID, Err: err}
 		}
 		if len(body) <= maxWhole {
-			s.failure = &wholeAnswer{status: a.Status, a: a, body: body, server: head.ID, done: func(bool) {}}
+			s.failure = &wholeAnswer{status: a.Status, a: a, body: body, done: func(bool) {}}
 		}
 		return &UnusableError{head.ID, a.Status}
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -29,7 +29,7 @@
 // Member is what the holder of the lease knows of a backend server, the newer of its entry and its report.
 type Member struct {
 	*roster.Server
-	// Orders counts the orders that began; known is whether a report told it.
+	// Orders counts the orders that began.
 	Orders int64
 	// Answers is false when the backend server has not answered for a while.
 	Answers bool
@@ -90,8 +90,6 @@
 	engine  *route.Engine
 	// pending holds the last order of each backend server while its effect may still show.
 	pending map[string]pending
-	// joined holds the members, with their lifetimes, that were seen ready in each group.
-	joined map[string]map[string]int64
 	// lists holds the members of each group that this planner formed.
 	lists map[string][]string
 	// heads holds the head of each group that has been seen.
@@ -105,7 +103,7 @@
 	coming map[string]float64
 	// loads are the times at which loads of weights were started.
 	loads []time.Time
-	// started is when this planner began; callers tells whether requests have come yet.
+	// started is when this planner began.
 	started time.Time
 	// known is the number of backend servers at the last step, grown when it last grew.
 	known int
@@ -130,7 +128,7 @@
 // New returns a planner for the fencing token of the lease under which its orders are given.
 func New(service string, engine *route.Engine, token int64, now time.Time) *Planner {
 	return &Planner{
-		service: service, engine: engine, pending: map[string]pending{}, joined: map[string]map[string]int64{},
+		service: service, engine: engine, pending: map[string]pending{},
 		lists: map[string][]string{}, heads: map[string]string{}, stuck: map[string]time.Time{}, staging: map[string]load{}, started: now, token: token, epoch: token << epochBits,
 	}
 }
@@ -228,16 +226,9 @@
 	return t
 }
 
-// settle drops pending orders whose effect shows or whose time is over, and notes members that are ready.
+// settle drops pending orders whose effect shows or whose time is over.
 func (p *Planner) settle(now time.Time, members []*Member) {
 	for _, m := range members {
-		if m.Membership.State == roster.Joined || m.Membership.State == roster.Open {
-			key := fmt.Sprintf("%s/%d", m.Group, m.Epoch)
-			if p.joined[key] == nil {
-				p.joined[key] = map[string]int64{}
-			}
-			p.joined[key][m.ID] = m.Born
-		}
 		o, ok := p.pending[m.ID]
 		if !ok {
 			continue
@@ -276,7 +267,7 @@
 		if m.Group == "" {
 			continue
 		}
-		key := fmt.Sprintf("%s/%d", m.Group, m.Epoch)
+		key := m.group()
 		g := out[key]
 		if g == nil {
 			g = &group{name: m.Group, epoch: m.Epoch, members: map[int]*Member{}}
