Cancel a test's request once it has arrived, as a caller does

Ruled out: a hang of the pool; the dumps of 8 of 8 repeated runs stand in the test's own wait. The test now cancels after the request's arrival, asserts the kind of failure and bounds its wait; the other order has a test of its own (not sent, no connection).

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -223,21 +223,47 @@
 	}
 }
 
-// TestCancel guards against a backend server working on for a caller who has left.
+// TestCancel guards against a backend server working on for a caller who has left. The caller leaves once the request
+// has arrived: before that there is no connection whose end the backend server could see.
 func TestCancel(t *testing.T) {
-	ended := make(chan struct{})
+	arrived, ended := make(chan struct{}), make(chan struct{})
 	s, _ := listen(t, func(_ net.Conn, r *bufio.Reader) {
 		read(r)
+		close(arrived)
 		_, _ = r.ReadByte()
 		close(ended)
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	p := pool(t)
-	go cancel()
-	if _, err := p.Do(ctx, s, request("a"), 0); err == nil {
-		t.Fatal("an answer without one")
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := p.Do(ctx, s, request("a"), 0)
+	var lost *LostError
+	if !errors.As(err, &lost) {
+		t.Fatalf("a request that was cancelled while it ran: %v", err)
+	}
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second): //nolint:forbidigo // bounds a hang
+		t.Fatal("the backend server still works for a caller who has left")
+	}
+}
+
+// TestCancelBeforeSending guards against a request whose caller left before it was sent counting as run.
+func TestCancelBeforeSending(t *testing.T) {
+	s, conns := listen(t, func(_ net.Conn, r *bufio.Reader) { read(r) })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := pool(t).Do(ctx, s, request("a"), 0)
+	var notSent *NotSentError
+	if !errors.As(err, &notSent) {
+		t.Errorf("cancelled before it was sent: %v", err)
+	}
+	if conns.Load() != 0 {
+		t.Errorf("%d connections", conns.Load())
 	}
-	<-ended
 }
 
 // TestEarlyAnswer guards against waiting for a long body to be read by a backend server that has answered already.
