Keep one record of each group's past, one key for a group and one list of choices a pass

Three maps of the planner were never forgotten; five functions passed on the same counts; group keys were written by hand in three packages; a request that left groups out chose from a copy of the loads, so what it placed was missing from the rest of the pass. Behaviour is otherwise the same; histories are forgotten after 2 minutes.

--- a/internal/balance/silence.go
+++ b/internal/balance/silence.go
@@ -39,6 +39,9 @@
 	silent  bool
 }
 
+// Group returns the key of the group that runs the request.
+func (t *Track) Group() string { return t.group }
+
 const (
 	// worstPasses is how many of the longest passes a group may stay silent.
 	worstPasses = 1.5
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,8 +33,8 @@
 	silence *balance.Silence
 	// suspects are groups that were silent and are left out for a while.
 	suspects map[string]suspicion
-	// running holds the requests of each group.
-	running map[string]map[*seat]struct{}
+	// running holds the requests of each group by the tracks of their answers.
+	running map[string]map[*balance.Track]*seat
 	ticket  uint64
 }
 
@@ -88,12 +88,10 @@
 func newDispatcher(d *Daemon) *dispatcher {
 	return &dispatcher{
 		d: d, models: map[modelKey]*model{}, own: map[string]balance.Load{}, silence: balance.NewSilence(),
-		suspects: map[string]suspicion{}, running: map[string]map[*seat]struct{}{},
+		suspects: map[string]suspicion{}, running: map[string]map[*balance.Track]*seat{},
 	}
 }
 
-func groupKey(g *roster.Group) string { return fmt.Sprintf("%s/%d", g.Name, g.Epoch) }
-
 // acquire finds a place for a request, waiting for a short while. exclude holds groups that have failed it.
 func (p *dispatcher) acquire(ctx context.Context, service *route.Service, name, org string, r balance.Request, exclude map[string]bool) (*seat, error) {
 	now := time.Now()
@@ -105,8 +103,7 @@
 	p.ticket++
 	w := &waiter{request: &balance.Waiter{Request: r, Organisation: org, Ticket: p.ticket}, exclude: exclude, seat: make(chan *seat, 1)}
 	if m.queue.Len() == 0 {
-		groups, loads := p.candidates(service, name, now)
-		if s := p.place(now, service, name, m, w, groups, loads); s != nil {
+		if s := p.options(service, name, m, now).place(now, w); s != nil {
 			p.mu.Unlock()
 			return s, nil
 		}
@@ -150,69 +147,76 @@
 	return m
 }
 
-// candidates returns the whole groups of a model and their loads.
-func (p *dispatcher) candidates(service *route.Service, name string, now time.Time) ([]*roster.Group, []balance.Group) {
-	v := p.d.view.Load()
+// options is what requests of one model may choose from in one pass.
+type options struct {
+	p      *dispatcher
+	queue  *balance.Queue
+	plan   *balance.Plan
+	groups []*roster.Group
+	// loads are those of groups, with what this pass has placed.
+	loads []balance.Group
+}
+
+// options returns the whole groups of a model and their loads. A model that the configuration does not know has none.
+func (p *dispatcher) options(service *route.Service, name string, m *model, now time.Time) *options {
+	o := &options{p: p, queue: &m.queue}
+	if service.Engine == nil {
+		return o
+	}
+	spec := service.Engine.Model(name)
+	if spec == nil {
+		return o
+	}
+	o.plan = &balance.Plan{Engine: service.Engine, Model: spec, Urgent: m.queue.Urgent, Unheard: m.queue.Rate() * p.d.unheard()}
 	others := gossip.Others(p.d.live(now))
-	var groups []*roster.Group
-	var loads []balance.Group
-	for _, g := range v.Groups[service.Name] {
+	near := p.d.settings().DataCentre
+	for _, g := range p.d.view.Load().Groups[service.Name] {
 		if g.Model != name || !g.Whole() {
 			continue
 		}
-		key := groupKey(g)
-		groups = append(groups, g)
-		loads = append(loads, balance.Group{
-			Load: p.own[key].Add(others[key]), Near: g.Head.DataCentre == p.d.settings().DataCentre,
+		key := g.Key()
+		o.groups = append(o.groups, g)
+		o.loads = append(o.loads, balance.Group{
+			Load: p.own[key].Add(others[key]), Near: g.Head.DataCentre == near,
 			Suspect: now.Before(p.suspects[key].until), Slowness: 1,
 		})
 	}
-	return groups, loads
+	return o
 }
 
-func (p *dispatcher) plan(service *route.Service, name string, m *model) *balance.Plan {
-	if service.Engine == nil {
+// place gives a request to a group now, if one takes it.
+func (o *options) place(now time.Time, w *waiter) *seat {
+	loads := o.loads
+	if len(w.exclude) > 0 {
+		loads = slices.Clone(o.loads)
+		for i, g := range o.groups {
+			loads[i].Suspect = loads[i].Suspect || w.exclude[g.Key()]
+		}
+	}
+	if o.plan == nil {
 		return nil
 	}
-	spec := service.Engine.Model(name)
-	if spec == nil {
+	i := o.plan.Choose(&w.request.Request, loads, rand.Float64)
+	if i < 0 {
 		return nil
 	}
-	return &balance.Plan{Engine: service.Engine, Model: spec, Urgent: m.queue.Urgent, Unheard: m.queue.Rate() * p.d.unheard()}
+	load := balance.Load{Requests: 1, Unread: w.request.Prompt}
+	o.loads[i].Load = o.loads[i].Load.Add(load)
+	o.queue.Used(now, w.request)
+	return o.p.seat(now, o.groups[i], load, o.plan.Limit())
 }
 
-// place gives a request to a group now, if one takes it. It adds the request to the load that was handed in.
-func (p *dispatcher) place(now time.Time, service *route.Service, name string, m *model, w *waiter, groups []*roster.Group, loads []balance.Group) *seat {
-	plan := p.plan(service, name, m)
-	if plan == nil {
-		return nil
-	}
-	for range len(groups) + 1 {
-		i := plan.Choose(&w.request.Request, loads, rand.Float64)
-		if i < 0 {
-			return nil
-		}
-		key := groupKey(groups[i])
-		if w.exclude[key] {
-			// Left out for this request only.
-			rest := append([]balance.Group(nil), loads...)
-			rest[i].Suspect = true
-			loads = rest
-			continue
-		}
-		load := balance.Load{Requests: 1, Unread: w.request.Prompt}
-		loads[i].Load = loads[i].Load.Add(load)
-		p.own[key] = p.own[key].Add(load)
-		m.queue.Used(now, w.request)
-		s := &seat{d: p, key: key, group: groups[i], prompt: w.request.Prompt, track: p.silence.Begin(now, key, plan.Limit())}
-		s.ctx, s.cancel = context.WithCancel(context.Background())
-		if p.running[key] == nil {
-			p.running[key] = map[*seat]struct{}{}
-		}
-		p.running[key][s] = struct{}{}
-		return s
-	}
-	return nil
+// seat begins a request's work at a group. limit is how long a pass of the group may take.
+func (p *dispatcher) seat(now time.Time, g *roster.Group, load balance.Load, limit time.Duration) *seat {
+	key := g.Key()
+	p.own[key] = p.own[key].Add(load)
+	s := &seat{d: p, key: key, group: g, prompt: load.Unread, track: p.silence.Begin(now, key, limit)}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	if p.running[key] == nil {
+		p.running[key] = map[*balance.Track]*seat{}
+	}
+	p.running[key][s.track] = s
+	return s
 }
 
 // maxTries bounds the requests that are looked at in one pass of the queue without a place being found.
@@ -227,11 +231,11 @@
 	if m.queue.Len() == 0 {
 		return
 	}
-	groups, loads := p.candidates(service, name, now)
+	options := p.options(service, name, m, now)
 	tries := 0
 	for _, r := range m.queue.Order(now) {
 		w := m.waiters[r.Ticket]
-		s := p.place(now, service, name, m, w, groups, loads)
+		s := options.place(now, w)
 		if s == nil {
 			if tries++; tries >= maxTries {
 				return
@@ -286,7 +290,9 @@
 			p.suspect(now, key)
 		}
 		for _, t := range lone {
-			p.free(t)
+			if s := p.running[t.Group()][t]; s != nil {
+				s.cancel() // this request's connection went silent, not its group
+			}
 		}
 		p.mu.Unlock()
 		for _, key := range silent {
@@ -297,21 +303,10 @@
 	}
 }
 
-// free ends the place of a request whose connection went silent.
-func (p *dispatcher) free(t *balance.Track) {
-	for _, seats := range p.running {
-		for s := range seats {
-			if s.track == t {
-				s.cancel()
-			}
-		}
-	}
-}
-
 // suspect leaves a group out for a while and frees its requests, which may go on elsewhere.
 func (p *dispatcher) suspect(now time.Time, key string) {
 	p.suspects[key] = suspicion{until: now.Add(suspectFor), own: true}
-	for s := range p.running[key] {
+	for _, s := range p.running[key] {
 		s.cancel()
 	}
 	for k, s := range p.suspects {
@@ -394,8 +389,7 @@
 		work, slots := 0, 0
 		for _, g := range p.d.view.Load().Groups[service.Name] {
 			if g.Model == key.model {
-				k := groupKey(g)
-				work += p.own[k].Add(others[k]).Requests
+				work += p.own[g.Key()].Add(others[g.Key()]).Requests
 				slots += service.Engine.Slots
 			}
 		}
@@ -433,7 +427,7 @@
 		load.Unread = -s.prompt
 	}
 	s.d.shift(s.key, load)
-	delete(s.d.running[s.key], s)
+	delete(s.d.running[s.key], s.track)
 	if len(s.d.running[s.key]) == 0 {
 		delete(s.d.running, s.key)
 	}
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -253,7 +253,7 @@
 		}
 		p := l.planners[s.Name]
 		if p == nil {
-			p = replica.New(s.Name, s.Engine, token, now)
+			p = replica.New(s.Engine, token, now)
 			l.planners[s.Name] = p
 		}
 		silence := storeAway
@@ -289,7 +289,7 @@
 			l.asked[s.ID] = q
 		}
 		out = append(out, l.join(&replica.Member{Server: s, Listed: listed}, q))
-		if doubt := s.Group != "" && l.doubted[groupKey(&roster.Group{Name: s.Group, Epoch: s.Epoch})]; doubt && now.Sub(q.at) > quickPeriod {
+		if doubt := s.Group != "" && l.doubted[roster.GroupKey(s.Group, s.Epoch)]; doubt && now.Sub(q.at) > quickPeriod {
 			q.next = now
 		}
 		if listed || q.failures < failuresToDoubt {
@@ -389,7 +389,7 @@
 	}
 	if o.Operation == platform.Leave || o.Operation == platform.CloseHead {
 		// Requests that arrive meanwhile would be turned away.
-		d.dispatch.end(groupKey(&roster.Group{Name: o.Group, Epoch: o.Epoch}), true)
+		d.dispatch.end(roster.GroupKey(o.Group, o.Epoch), true)
 	}
 	out, err := call(ctx, orderTimeout, func(ctx context.Context) (platform.Outcome, error) {
 		return d.servers.Give(ctx, o.Server, o.Order)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -45,9 +45,6 @@
 // usable members may join groups.
 func (m *Member) usable() bool { return m.Listed && m.State == roster.Ready && m.Answers && m.Reported }
 
-// group names the group that a member reports, with its epoch.
-func (m *Member) group() string { return fmt.Sprintf("%s/%d", m.Group, m.Epoch) }
-
 // lost members cannot serve in their group any more. One that is cut off from the store, but answers, works on; only a
 // head must be listed, since it gets requests.
 func (m *Member) lost() bool {
@@ -86,21 +83,14 @@
 
 // Planner is the planner of one model service. It is not safe for concurrent use.
 type Planner struct {
-	service string
-	engine  *route.Engine
+	engine *route.Engine
 	// pending holds the last order of each backend server while its effect may still show.
 	pending map[string]pending
-	// lists holds the members of each group that this planner formed.
-	lists map[string][]string
-	// heads holds the head of each group that has been seen.
-	heads map[string]string
-	// stuck is since when a group cannot become whole and its head does not answer.
-	stuck map[string]time.Time
-	epoch int64
+	// histories holds what members do not report of each group that was formed or seen lately.
+	histories map[string]*history
+	epoch     int64
 	// staging holds the weights that are on their way to hosts.
 	staging map[string]load
-	// coming counts the groups of each model that are on their way.
-	coming map[string]float64
 	// loads are the times at which loads of weights were started.
 	loads []time.Time
 	// started is when this planner began.
@@ -111,7 +101,21 @@
 	token int64
 }
 
+// history is what is remembered of a group.
+type history struct {
+	// members are the backend servers that this planner told to form the group, empty for groups of an earlier holder.
+	members []string
+	// head is the backend server that reported rank 0.
+	head string
+	// stuck is since when the group cannot become whole and its head does not answer.
+	stuck time.Time
+	// seen is when a member last reported the group, or when it was formed.
+	seen time.Time
+}
+
 const (
+	// historyTime is how long a group that nobody reports is remembered: longer than a store's outage hides its members.
+	historyTime = 2 * time.Minute
 	// orderWait is how long an order may take until its effect is reported.
 	orderWait = 1500 * time.Millisecond
 	// quietTime is how long no further backend server registers when all that start together have; groups are laid out
@@ -126,10 +130,10 @@
 )
 
 // New returns a planner for the fencing token of the lease under which its orders are given.
-func New(service string, engine *route.Engine, token int64, now time.Time) *Planner {
+func New(engine *route.Engine, token int64, now time.Time) *Planner {
 	return &Planner{
-		service: service, engine: engine, pending: map[string]pending{},
-		lists: map[string][]string{}, heads: map[string]string{}, stuck: map[string]time.Time{}, staging: map[string]load{}, started: now, token: token, epoch: token << epochBits,
+		engine: engine, pending: map[string]pending{}, histories: map[string]*history{},
+		staging: map[string]load{}, started: now, token: token, epoch: token << epochBits,
 	}
 }
 
@@ -161,15 +165,14 @@
 	epoch   int64
 	model   *route.Model
 	members map[int]*Member
+	*history
 }
 
-func (g *group) key() string { return fmt.Sprintf("%s/%d", g.name, g.epoch) }
-
 // Step returns the orders to give now.
 func (p *Planner) Step(now time.Time, in Input) []Order {
 	p.settle(now, in.Members)
 	var orders []Order
-	groups := p.groups(in.Members)
+	groups := p.groups(now, in.Members)
 	taken := map[string]bool{}
 	for _, key := range slices.Sorted(maps.Keys(groups)) {
 		g := groups[key]
@@ -260,62 +263,64 @@
 	delete(p.pending, id)
 }
 
-// groups collects the groups that members report.
-func (p *Planner) groups(members []*Member) map[string]*group {
+// groups collects the groups that members report, and forgets those that nobody has reported for long.
+func (p *Planner) groups(now time.Time, members []*Member) map[string]*group {
 	out := map[string]*group{}
 	for _, m := range members {
 		if m.Group == "" {
 			continue
 		}
-		key := m.group()
+		key := roster.GroupKey(m.Group, m.Epoch)
 		g := out[key]
 		if g == nil {
-			g = &group{name: m.Group, epoch: m.Epoch, members: map[int]*Member{}}
+			h := p.histories[key]
+			if h == nil {
+				h = &history{}
+				p.histories[key] = h
+			}
+			h.seen = now
+			g = &group{name: m.Group, epoch: m.Epoch, members: map[int]*Member{}, history: h}
 			out[key] = g
 		}
 		g.members[m.Rank] = m
 		if m.Rank == 0 {
-			p.heads[key] = m.ID
+			g.head = m.ID
 		}
 		if model := p.engine.Model(m.Model); model != nil {
 			g.model = model
 		}
 	}
+	maps.DeleteFunc(p.histories, func(_ string, h *history) bool { return now.Sub(h.seen) > historyTime })
 	return out
 }
 
 // tend looks after one group. busy tells that its members stay where they are.
 func (p *Planner) tend(now time.Time, g *group, in Input) (orders []Order, busy bool) {
 	head := g.members[0]
-	size := g.size(p)
-	whole := size > 0 && len(g.members) >= size
+	size := g.size()
+	whole := size > 0 && len(g.members) >= size && (head == nil || head.Membership.State != roster.Broken)
 	for _, m := range g.members {
-		if m.lost() {
-			whole = false
-		}
-		if head != nil && head.Membership.State == roster.Broken {
-			whole = false
-		}
+		whole = whole && !m.lost()
 	}
 	if whole {
 		return p.open(g, head, size), true
 	}
 	// Members that have not reported the group yet may still join it.
-	if list := p.lists[g.key()]; list != nil && p.joining(list, in.Members, g.epoch) {
+	if len(g.history.members) > 0 && p.joining(g.history.members, in.Members, g.epoch) {
 		return nil, true
 	}
 	// The group cannot become whole. Its head leaves first; the others may join another group only then.
 	switch {
-	case head == nil && p.heads[g.key()] != "":
+	case head == nil && g.head != "":
 		// The head has left, or has been forgotten.
 		return nil, false
 	case head == nil:
-		return nil, p.stalls(now, g, in)
+		return nil, g.stalls(now, in)
 	case head.Answers:
 		if _, ok := p.pending[head.ID]; ok {
 			return nil, true
 		}
-		if p.drains(g, head) {
+		if g.drains(head) {
 			if head.Membership.State == roster.Closing {
 				return nil, true // it finishes its requests
 			}
@@ -329,11 +334,11 @@
 	if !head.Listed {
 		in.Stall += leaveTime
 	}
-	return nil, p.stalls(now, g, in)
+	return nil, g.stalls(now, in)
 }
 
 // drains tells whether a group should end the requests that it has: every member still works, and one of them drains.
-func (p *Planner) drains(g *group, head *Member) bool {
+func (g *group) drains(head *Member) bool {
 	if head.Membership.State != roster.Open && head.Membership.State != roster.Closing {
 		return false
 	}
@@ -342,23 +347,22 @@
 			return false
 		}
 	}
-	return len(g.members) == g.size(p)
+	return len(g.members) == g.size()
 }
 
-func (g *group) size(p *Planner) int {
+func (g *group) size() int {
 	if g.model != nil {
 		return g.model.Size
 	}
-	return len(p.lists[g.key()])
+	return len(g.history.members)
 }
 
 // stalls tells whether the head of a group that lost a member may still run; it finds the group broken in the end.
-func (p *Planner) stalls(now time.Time, g *group, in Input) bool {
-	if at, ok := p.stuck[g.key()]; ok {
-		return now.Sub(at) < in.Stall
+func (g *group) stalls(now time.Time, in Input) bool {
+	if g.stuck.IsZero() {
+		g.stuck = now
 	}
-	p.stuck[g.key()] = now
-	return true
+	return now.Sub(g.stuck) < in.Stall
 }
 
 // joining tells whether every listed member that is not in the group is on its way there.
@@ -403,46 +407,55 @@
 	return Order{m.Server, platform.Order{Operation: op, Group: g.name, Epoch: g.epoch, Fence: p.token, After: -1}, why}
 }
 
+// supply is what the backend servers make up at one step.
+type supply struct {
+	Input
+	// ready counts the listed backend servers that take work.
+	ready int
+	// serving counts the groups of each model, whole or on their way, and coming those not open yet.
+	serving, coming map[string]float64
+	// local counts the members of groups of each model, by domain.
+	local map[string]map[string]int
+	// layout is how many groups of each model but the largest each domain is given while the fleet starts.
+	layout map[string]map[string]int
+}
+
 // form makes groups of idle backend servers, and puts weights on the hosts of those that cannot form one.
 func (p *Planner) form(now time.Time, in Input, taken map[string]bool) []Order {
 	domains := map[string][]*Member{}
-	// serving counts the groups of each model, whole or on their way; slots is where they stand.
-	serving := map[string]float64{}
-	p.coming = map[string]float64{}
-	total := 0
-	local := map[string]map[string]int{}
+	s := &supply{Input: in, serving: map[string]float64{}, coming: map[string]float64{}, local: map[string]map[string]int{}}
 	for _, m := range in.Members {
 		if m.Listed && m.State == roster.Ready {
-			total++
+			s.ready++
 		}
 		_, busy := p.pending[m.ID]
 		if model := p.engine.Model(m.Model); model != nil && taken[m.ID] {
-			serving[model.Name] += 1 / float64(model.Size)
+			s.serving[model.Name] += 1 / float64(model.Size)
 			if m.Rank == 0 && m.Membership.State != roster.Open {
-				p.coming[model.Name]++
+				s.coming[model.Name]++
 			}
-			if local[m.Domain] == nil {
-				local[m.Domain] = map[string]int{}
+			if s.local[m.Domain] == nil {
+				s.local[m.Domain] = map[string]int{}
 			}
-			local[m.Domain][model.Name]++
+			s.local[m.Domain][model.Name]++
 		} else if o, ok := p.pending[m.ID]; ok && o.order.Operation == platform.Join {
 			if model := p.engine.Model(o.order.Model); model != nil {
-				serving[model.Name] += 1 / float64(model.Size)
+				s.serving[model.Name] += 1 / float64(model.Size)
 			}
 		}
-		if m.usable() && !busy && !taken[m.ID] && m.Service == p.service {
+		if m.usable() && !busy && !taken[m.ID] {
 			domains[m.Domain] = append(domains[m.Domain], m)
 		}
 	}
 	var orders []Order
-	layout := p.layout(in.Members, serving, total)
+	s.layout = p.layout(in.Members, s.ready)
 	for _, domain := range slices.Sorted(maps.Keys(domains)) {
 		idle := domains[domain]
 		slices.SortFunc(idle, func(a, b *Member) int {
 			return cmp.Or(cmp.Compare(a.Pace, b.Pace), cmp.Compare(a.ID, b.ID))
 		})
 		for {
-			model := p.next(idle, serving, total, in, domain, layout)
+			model := p.next(idle, s, domain)
 			if model == nil {
 				break
 			}
@@ -454,25 +467,25 @@
 				}
 				return take
 			})
-			for _, o := range p.join(members, model) {
+			for _, o := range p.join(now, members, model) {
 				p.await(now, o) // counts for the room of the domain
 				orders = append(orders, o)
 			}
-			serving[model.Name]++
-			p.coming[model.Name]++
+			s.serving[model.Name]++
+			s.coming[model.Name]++
 		}
 		if in.Early && now.Sub(p.started) < settleTime {
 			continue
 		}
-		orders = append(orders, p.stage(now, in, idle, serving, total, local[domain])...)
+		orders = append(orders, p.stage(now, s, idle, domain)...)
 	}
 	return orders
 }
 
-// layout tells how many groups of each model but the largest each domain is given while the fleet starts. The small
+// layout lays out the groups of a starting fleet: how many of each model but the largest each domain is given. The small
 // groups share domains with one large group each, so that the other domains hold large ones only; were they formed
 // wherever two backend servers happen to register first, too few domains could hold large ones.
-func (p *Planner) layout(members []*Member, serving map[string]float64, total int) map[string]map[string]int {
+func (p *Planner) layout(members []*Member, ready int) map[string]map[string]int {
 	sizes := map[string]int{}
 	for _, m := range members {
 		if m.Listed && m.State == roster.Ready {
@@ -492,7 +505,7 @@
 		rooms[domain] = most - models[0].Size
 	}
 	for _, model := range models[1:] {
-		want := int(math.Round(model.Share * float64(total) / float64(model.Size)))
+		want := int(math.Round(model.Share * float64(ready) / float64(model.Size)))
 		for _, domain := range slices.Sorted(maps.Keys(sizes)) {
 			out[domain][model.Name] += 0 // a domain without an allotment gets none
 			for want > 0 && rooms[domain] >= model.Size {
@@ -506,24 +519,24 @@
 }
 
 // next returns the model of the group to form from idle members, nil when they make none.
-func (p *Planner) next(idle []*Member, serving map[string]float64, total int, in Input, domain string, layout map[string]map[string]int) *route.Model {
+func (p *Planner) next(idle []*Member, s *supply, domain string) *route.Model {
 	var best *route.Model
 	most := 0.0
 	for i := range p.engine.Models {
 		model := &p.engine.Models[i]
 		have := 0
 		for _, m := range idle {
-			if in.Early || slices.Contains(m.Staged, model.Name) {
+			if s.Early || slices.Contains(m.Staged, model.Name) {
 				have++
 			}
 		}
 		if have < model.Size {
 			continue
 		}
-		if in.Early && !p.allotted(model, in.Members, domain, layout) {
+		if s.Early && !p.allotted(model, s, domain) {
 			continue
 		}
-		if need := p.need(model, serving, total, in); best == nil || need > most {
+		if need := s.need(model); best == nil || need > most {
 			best, most = model, need
 		}
 	}
@@ -531,59 +544,67 @@
 }
 
 // allotted tells whether a domain has room in the layout for another group of a model.
-func (p *Planner) allotted(model *route.Model, members []*Member, domain string, layout map[string]map[string]int) bool {
+func (p *Planner) allotted(model *route.Model, s *supply, domain string) bool {
 	mine, size := 0, 0
-	for _, m := range members {
+	for _, m := range s.Members {
 		if m.Domain != domain || !m.Listed {
 			continue
 		}
 		size++
 		// A member that is still joining reports no model.
 		o, ok := p.pending[m.ID]
-		if m.Group != "" && (m.Model == model.Name || m.Model == "" && len(p.lists[m.group()]) == model.Size) || ok && o.order.Model == model.Name {
+		if m.Group != "" && (m.Model == model.Name || m.Model == "" && p.formedSize(m) == model.Size) || ok && o.order.Model == model.Name {
 			mine++
 		}
 	}
-	if n, ok := layout[domain][model.Name]; ok {
+	if n, ok := s.layout[domain][model.Name]; ok {
 		return mine < n*model.Size
 	}
 	reserved := 0
 	for i := range p.engine.Models {
-		reserved += layout[domain][p.engine.Models[i].Name] * p.engine.Models[i].Size
+		reserved += s.layout[domain][p.engine.Models[i].Name] * p.engine.Models[i].Size
 	}
 	return mine+model.Size+reserved <= size
 }
 
+// formedSize is the size of the group that m reports, 0 when this planner did not form it.
+func (p *Planner) formedSize(m *Member) int {
+	if h := p.histories[roster.GroupKey(m.Group, m.Epoch)]; h != nil {
+		return len(h.members)
+	}
+	return 0
+}
+
 // urgentFirst is what the pressure on the model of the most urgent work counts more than that on others.
 const urgentFirst = 1.5
 
 // need is how badly a model needs another group. While work is known it is the pressure on the model's groups, before that
 // how far the model is below its part of the backend servers.
-func (p *Planner) need(model *route.Model, serving map[string]float64, total int, in Input) float64 {
-	if len(in.Pressure) > 0 {
+func (s *supply) need(model *route.Model) float64 {
+	if len(s.Pressure) > 0 {
 		// A group that is on its way relieves the pressure already.
-		n := in.Pressure[model.Name] / max(1+p.coming[model.Name], 1)
-		if model.Name == in.Urgent {
+		n := s.Pressure[model.Name] / (1 + s.coming[model.Name])
+		if model.Name == s.Urgent {
 			n *= urgentFirst
 		}
 		return n
 	}
-	want := model.Share * float64(total) / float64(model.Size)
+	want := model.Share * float64(s.ready) / float64(model.Size)
 	if want <= 0 {
 		return -1
 	}
-	return (want - serving[model.Name]) / want
+	return (want - s.serving[model.Name]) / want
 }
 
 // join returns the orders that make members a group. Members that hold the weights for longest come first.
-func (p *Planner) join(members []*Member, model *route.Model) []Order {
+func (p *Planner) join(now time.Time, members []*Member, model *route.Model) []Order {
 	p.epoch++
 	ids := make([]string, len(members))
 	for i, m := range members {
 		ids[i] = m.ID
 	}
 	name := fmt.Sprintf("g%d", p.epoch)
-	p.lists[fmt.Sprintf("%s/%d", name, p.epoch)] = ids
+	p.histories[roster.GroupKey(name, p.epoch)] = &history{members: ids, seen: now}
 	var orders []Order
 	for _, m := range members {
 		orders = append(orders, Order{m.Server, platform.Order{
@@ -595,7 +616,7 @@
 
 // stage puts weights on the hosts of idle members that cannot form a group. Each gets the model that needs a group most
 // among those that the domain's idle hosts can complete.
-func (p *Planner) stage(now time.Time, in Input, idle []*Member, serving map[string]float64, total int, local map[string]int) []Order {
+func (p *Planner) stage(now time.Time, s *supply, idle []*Member, domain string) []Order {
 	held := map[string]int{}
 	holders := map[string][]*Member{}
 	var empty []*Member
@@ -624,21 +645,21 @@
 		}, why})
 	}
 	for i, m := range empty {
-		model := p.stageFor(held, len(empty)-i, serving, total, in, local)
-		if model == nil || !p.mayLoad(now, in) {
+		model := p.stageFor(held, len(empty)-i, s, domain)
+		if model == nil || !p.mayLoad(now, s.Input) {
 			return orders
 		}
 		load(m, model, "put weights on an idle host")
 	}
 	for i := range p.engine.Models {
 		from := &p.engine.Models[i]
-		to := p.convert(from, held, in)
+		to := p.convert(from, held, s)
 		if to == nil {
 			continue
 		}
 		missing := to.Size - held[to.Name]%to.Size
 		for _, m := range holders[from.Name] {
-			if missing == 0 || !p.mayLoad(now, in) {
+			if missing == 0 || !p.mayLoad(now, s.Input) {
 				break
 			}
 			missing--
@@ -677,17 +698,17 @@
 
 // convert returns the model to which hosts of from are turned that are too few for a group of their own; nil when they
 // are to stay spares.
-func (p *Planner) convert(from *route.Model, held map[string]int, in Input) *route.Model {
+func (p *Planner) convert(from *route.Model, held map[string]int, s *supply) *route.Model {
 	if held[from.Name] == 0 || held[from.Name] >= from.Size {
 		return nil
 	}
 	for i := range p.engine.Models {
 		to := &p.engine.Models[i]
 		missing := to.Size - held[to.Name]%to.Size
-		if to == from || in.Pressure[to.Name] < convertPressure || missing > held[from.Name] {
+		if to == from || s.Pressure[to.Name] < convertPressure || missing > held[from.Name] {
 			continue
 		}
-		if p.need(to, nil, 0, in) > p.need(from, nil, 0, in) {
+		if s.need(to) > s.need(from) {
 			return to
 		}
 	}
@@ -695,16 +716,16 @@
 }
 
 // stageFor chooses the model for one of the empty hosts of a domain.
-func (p *Planner) stageFor(held map[string]int, empty int, serving map[string]float64, total int, in Input, local map[string]int) *route.Model {
+func (p *Planner) stageFor(held map[string]int, empty int, s *supply, domain string) *route.Model {
 	var best *route.Model
 	bestScore := 0.0
 	for i := range p.engine.Models {
 		model := &p.engine.Models[i]
 		missing := model.Size - held[model.Name]%model.Size
-		score := p.need(model, serving, total, in)
+		score := s.need(model)
 		if missing > empty {
 			// It would only be a spare; spares are worth most where groups of the model are.
-			score += -2 + float64(local[model.Name])/8
+			score += -2 + float64(s.local[domain][model.Name])/8
 		} else {
 			score += 1 / float64(missing)
 		}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -56,7 +56,7 @@
 			f.add(fmt.Sprintf("d%d", d))
 		}
 	}
-	f.planner = New("s", f.engine, 1, f.now)
+	f.planner = New(f.engine, 1, f.now)
 	f.in = Input{Stall: 6 * time.Second, Silence: 2400 * time.Millisecond, LoadRate: 4, Window: 5 * time.Second, Early: true}
 	return f
 }
@@ -424,7 +424,7 @@
 			}
 			if r.IntN(150) == 0 {
 				token++
-				f.planner = New("s", f.engine, token, f.now)
+				f.planner = New(f.engine, token, f.now)
 			}
 			f.step(func() bool { return r.IntN(10) == 0 })
 		}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 )
 
@@ -82,6 +83,12 @@
 	Members []*Server
 }
 
+// Key names the group among all that were formed; a later one may bear the same name in another epoch.
+func (g *Group) Key() string { return GroupKey(g.Name, g.Epoch) }
+
+// GroupKey is the key of a group of which only its name and epoch are at hand.
+func GroupKey(name string, epoch int64) string { return name + "/" + strconv.FormatInt(epoch, 10) }
+
 // Whole tells whether every member is listed.
 func (g *Group) Whole() bool {
 	for _, m := range g.Members {
