Let the home of a group prove its members to borrowers, in place of a load report each second

Its grants now tell how long ago; the age counts from when the demand was sent, so a slow network makes the proof older, never younger. Borrowers ask member 0 when the home's word is 1.5 s old, when a member was reported missing, and for groups that they have nothing at. Ruled out: asking less often (proofs would run out after one lost answer).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -45,8 +45,11 @@
 	rowsMax = 30 * time.Second
 	// proofMax is how old a proof may be to count as present: the time in which the home finds a loss.
 	proofMax = member.Losses*member.ProbePeriod + member.ProbeTimeout
-	// awayPeriod is how often a daemon that is not a group's home asks its member 0, and awayMax how long that counts.
+	// awayPeriod is how often a daemon that is not a group's home asks its member 0, and awayMax how long that counts. It
+	// does not ask while the home tells of the members: not before that word is homeSilent old, which leaves time for an
+	// answer until awayMax.
 	awayPeriod = time.Second
+	homeSilent = awayPeriod * 3 / 2
 	awayMax    = 2*awayPeriod + member.ProbeTimeout
 	// loadingPeriod is how often members of a loading group are asked, since the group is out of service until the last
 	// one has loaded.
@@ -153,11 +156,11 @@
 	// wrong is the member whose own state is another one, and suspect the one that another daemon reported missing; empty
 	// when there is none.
 	wrong, suspect string
-	// away is when member 0 last reported, to a daemon that is not the home, that all members are present; idle is
-	// when it last reported no request in flight.
-	away, asked, idle time.Time
-	present           bool
-	reason            string
+	// away is when member 0 or the home last told a daemon that is not the home that all members are present, and byHome
+	// is when the home did; asked is when member 0 was asked last, and idle when it last reported no request in flight.
+	away, byHome, asked, idle time.Time
+	present                   bool
+	reason                    string
 }
 
 // New returns a Control that runs nothing yet.
@@ -239,6 +242,21 @@
 	return t.present && now.Before(until), at
 }
 
+// Proven takes in when the home of a group last saw all members of a generation present, or earlier. It does not count
+// against a member that is in another state or was reported missing; member 0 itself is asked then.
+func (c *Control) Proven(id string, generation uint64, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.rows[id]
+	if t == nil || t.row.Generation != generation || t.home || t.wrong != "" || t.suspect != "" || !at.After(t.away) {
+		return
+	}
+	t.away, t.byHome = at, at
+	if !t.present {
+		c.evaluate(time.Now())
+	}
+}
+
 // Report takes in that another daemon found a member of a generation missing. The group stops being present here until
 // it is seen whole again, and the member is asked at once; it counts as lost only if it does not answer this daemon
 // either. A report may be late, or its sender may have lost its own network, and then no other members would help.
@@ -251,7 +269,7 @@
 	}
 	for _, m := range t.row.Members {
 		if m.ID == instance {
-			t.suspect, t.away = instance, time.Time{}
+			t.suspect, t.away, t.byHome = instance, time.Time{}, time.Time{}
 			c.suspects[instance] = m
 			c.evaluate(time.Now())
 			kick(c.kickProbe)
@@ -670,7 +688,8 @@
 			add(t.row.Members)
 		}
 		away := !t.home && t.row.Phase == group.Serving && (c.o.Uses == nil || c.o.Uses(t.row.ID))
-		if (away || t.row.Phase == group.Draining) && now.Sub(t.asked) >= awayPeriod*9/10 {
+		told := away && now.Sub(t.byHome) < homeSilent
+		if (away && !told || t.row.Phase == group.Draining) && now.Sub(t.asked) >= awayPeriod*9/10 {
 			t.asked = now
 			loads = append(loads, t.row)
 		}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -10,6 +10,7 @@
 	"flamingorudder.example/internal/member"
 	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/platform"
+	"flamingorudder.example/internal/share"
 	"flamingorudder.example/internal/timeline"
 )
 
@@ -67,6 +68,47 @@
 	}
 }
 
+// Guards against load reports that are asked for although the home tells of the members, and against a member that was
+// reported missing counting as present by what the home saw earlier.
+func TestProven(t *testing.T) {
+	c := New(Options{Name: "x", Daemons: names{"x"}, Config: func() (note.Config, bool) { return note.Config{}, true }, Log: hclog.NewNullLogger(), Timeline: timeline.NewLog("x", 64)})
+	c.List(list(platform.Live, "a", "b"))
+	c.put(row(group.Serving))
+	start := time.Now()
+	asks := func(now time.Time) bool {
+		_, loads, _ := c.targets(now)
+		return len(loads) > 0
+	}
+	if !asks(start) {
+		t.Error("a group without proof is not asked")
+	}
+	// The home's word comes with the answer to each demand, and is as old as its probes, which are answered within a
+	// quarter of their time limit.
+	const oldest = member.ProbePeriod*11/10 + member.ProbeTimeout/4
+	c.Proven("s/1", 1, start.Add(-oldest))
+	for now := start.Add(share.Renew); now.Before(start.Add(10 * time.Second)); now = now.Add(share.Renew) {
+		if asks(now) {
+			t.Fatalf("member 0 is asked %v after the start although the home tells of it", now.Sub(start))
+		}
+		c.Proven("s/1", 1, now.Add(-oldest))
+	}
+	if ok, _ := c.Present("s/1", 1); !ok {
+		t.Error("not present by the home's word")
+	}
+	if !asks(start.Add(12 * time.Second)) {
+		t.Error("member 0 is not asked when the home falls silent")
+	}
+	c.Report("s/1", 1, "b")
+	c.Proven("s/1", 1, time.Now())
+	if ok, _ := c.Present("s/1", 1); ok {
+		t.Error("present by the home's word although a member was reported missing")
+	}
+	c.Proven("s/1", 2, time.Now())
+	if ok, _ := c.Present("s/1", 1); ok {
+		t.Error("present by a proof of another generation")
+	}
+}
+
 var listed = time.Now()
 
 func list(state platform.InstanceState, ids ...string) platform.Roster {
--- a/internal/daemon/budget_test.go
+++ b/internal/daemon/budget_test.go
@@ -70,12 +70,12 @@
 		wanted.Lines = append(wanted.Lines, peer.Line{Rank: note.Rank(org % note.Ranks), Org: org, Running: 2})
 	}
 	demand := size(&peer.Demand{Groups: []peer.Wanted{wanted}})
-	grant := size(&peer.Grant{Groups: []peer.Lent{{Group: wanted.Group, Generation: 300, Caps: [3]int{4, 3, 2}, Floors: [3]int{4, 3, 2}, Millis: 1500, Seq: now, Turn: now, Borrowers: 30}}})
+	grant := size(&peer.Grant{Groups: []peer.Lent{{Group: wanted.Group, Generation: 300, Caps: [3]int{4, 3, 2}, Floors: [3]int{4, 3, 2}, Millis: 1500, Seq: now, Turn: now, Borrowers: 30}}, Ages: []uint32{600}})
 	hello := size(&peer.Hello{Boot: now, DataCentre: "rosario-a", Addr: addr, Operator: addr, Revision: 20000})
 	http := exchanges(t)
 
-	// The periods of package control and lease are not exported: 1 s for load reports as proof of presence, 3 ms for each
-	// daemon between reads of the counter rows, 30 s for the lease of each service.
+	// The periods of package control and lease are not exported: 3 ms for each daemon between reads of the
+	// counter rows, 30 s for the lease of each service.
 	every := func(d time.Duration, jitter float64) float64 { return 1 / (d.Seconds() * (1 - jitter/2)) }
 	terms := []struct {
 		name string
@@ -85,7 +85,7 @@
 		{"demands and grants, running requests", subset * every(share.Renew, 0), exchange{sent: demand + grant + 3*packet}},
 		{"hello", every(revision.HelloPeriod, 0.5), exchange{sent: hello + 2*packet}},
 		{"probes of members", groups * instances / float64(daemons) * every(member.ProbePeriod, 0.1), http["state"]},
-		{"load reports", subset * every(time.Second, 0), http["load"]},
+		// The grants prove that members are present, so that no load reports are asked for (TestProven of package control).
 		{"cache events, none", subset * every(cachePause, 0), http["cache"]},
 		{"list of instances", every(daemons*watchShare, 0.2), http["list"]},
 		{"counter rows", every(daemons*3*time.Millisecond, 0.2), http["counters"]},
--- a/internal/daemon/views.go
+++ b/internal/daemon/views.go
@@ -100,8 +100,9 @@
 	observePeriod = time.Second
 	// observeTimeout bounds one read; a late report is worth less than the next.
 	observeTimeout = 800 * time.Millisecond
-	// cachePause is the longest time between two reads of the cache events of a group that has none.
-	cachePause = 4 * time.Second
+	// cachePause is the longest time between two reads of the cache events of a group that has none. What this daemon
+	// itself sent there it knows already, and shorter pauses do not fit the limit of control bytes (TestControlBudgetWithAnswers).
+	cachePause = 10 * time.Second
 )
 
 // loaded hands a load report to placement.
--- a/internal/loan/loan.go
+++ b/internal/loan/loan.go
@@ -9,6 +9,8 @@
 	"context"
 	"maps"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"flamingorudder.example/internal/note"
@@ -47,6 +49,11 @@
 	Borrowers Borrowers
 	// Missing returns the member that was found missing from a generation, or nothing.
 	Missing func(group string, generation uint64) string
+	// Present returns whether a generation may be used and when all its members were last seen; it is asked about the
+	// groups homed here.
+	Present func(group string, generation uint64) (bool, time.Time)
+	// Proven is told when the home of a group last saw all members of a generation, or earlier. It must not block.
+	Proven func(group string, generation uint64, at time.Time)
 	// Misdirected is told of groups that another daemon asks for though their home is not here. It must not block.
 	Misdirected func(group string)
 	Line        *timeline.Log
@@ -58,8 +65,21 @@
 	in      *ring.Queue[share.Demand]
 	changed chan struct{}
 	homes   map[string]*home
+	mu      sync.Mutex
+	// asked holds the demands of each group that were sent to other daemons lately, the last one last. It is guarded by
+	// mu.
+	asked map[string][]asked
 }
 
+// asked is when a demand was sent. A grant that carries its number back was made after that, by any clock.
+type asked struct {
+	seq uint64
+	at  time.Time
+}
+
+// askedKept is how many demands of a group are remembered: those of half a second.
+const askedKept = 4
+
 type home struct {
 	share.Home
 	group Group
@@ -72,7 +92,7 @@
 
 // New returns a lender without groups.
 func New(d Deps) *Lender {
-	return &Lender{d: d, in: ring.NewQueue[share.Demand](inbox), changed: make(chan struct{}, 1), homes: map[string]*home{}}
+	return &Lender{d: d, in: ring.NewQueue[share.Demand](inbox), changed: make(chan struct{}, 1), homes: map[string]*home{}, asked: map[string][]asked{}}
 }
 
 // Dropped is the number of demands that found the ring full.
@@ -185,9 +205,10 @@
 				continue
 			}
 			grants.Groups = append(grants.Groups, lent(*a.Grant))
+			grants.Ages = append(grants.Ages, l.age(*a.Grant))
 			if len(grants.Groups) == perMessage {
-				l.d.Send(addr, &peer.Grant{Groups: grants.Groups})
-				grants.Groups = nil
+				l.d.Send(addr, &peer.Grant{Groups: grants.Groups, Ages: grants.Ages})
+				grants = peer.Grant{}
 			}
 		}
 		if len(grants.Groups) > 0 {
@@ -199,15 +220,51 @@
 // perMessage is how many grants fit into one packet.
 const perMessage = 10
 
+// age returns how long ago all members of a lent group were seen, as peer.Grant tells it.
+func (l *Lender) age(g share.Grant) uint32 {
+	ok, at := l.d.Present(g.Group, g.Generation)
+	if !ok {
+		return 0
+	}
+	return uint32(max(time.Since(at), 0).Milliseconds()) + 2 // one for the part of a millisecond
+}
+
+// sent notes when a demand goes out, and forgets the groups that are no longer asked for.
+func (l *Lender) sent(now time.Time, d share.Demand) {
+	list := append(l.asked[d.Group], asked{d.Seq, now})
+	l.asked[d.Group] = list[max(len(list)-askedKept, 0):]
+	maps.DeleteFunc(l.asked, func(_ string, list []asked) bool { return now.Sub(list[len(list)-1].at) > share.Term })
+}
+
+// prove passes on what a grant tells of its group's members. The grant was made after the demand that it answers, so
+// counting its age from there makes the proof older than it is, never younger.
+func (l *Lender) prove(g peer.Lent, age time.Duration) {
+	l.mu.Lock()
+	list := l.asked[g.Group]
+	i := slices.IndexFunc(list, func(a asked) bool { return a.seq == g.Seq })
+	var at time.Time
+	if i >= 0 {
+		at = list[i].at
+	}
+	l.mu.Unlock()
+	if i >= 0 {
+		l.d.Proven(g.Group, g.Generation, at.Add(-age))
+	}
+}
+
 // Report sends demands of this daemon to the homes that they name.
 func (l *Lender) Report(list []share.Report) {
 	by := map[string]*peer.Demand{}
 	size := map[string]int{}
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, r := range list {
 		if r.To == l.d.Self {
 			l.in.Offer(r.Demand)
 			continue
 		}
+		l.sent(now, r.Demand)
 		m := by[r.To]
 		if m == nil {
 			m = &peer.Demand{}
@@ -246,8 +303,11 @@
 			l.in.Offer(demand(from.Name, w))
 		}
 	case *peer.Grant:
-		for _, g := range m.Groups {
+		for i, g := range m.Groups {
 			l.d.Borrowers.Grant(from.Name, grant(g))
+			if age, ok := m.Age(i); ok {
+				l.prove(g, age)
+			}
 		}
 	case *peer.Gone:
 		l.d.Borrowers.Withdraw(from.Name, share.Withdrawn{Group: m.Group, Generation: m.Generation})
--- a/internal/loan/loan_test.go
+++ b/internal/loan/loan_test.go
@@ -29,6 +29,8 @@
 	names   []string
 	dead    map[string]bool
 	present bool
+	// seen is when the home last saw all members.
+	seen    time.Time
 	daemons map[string]*daemon
 	stop    func()
 	// running and most count the requests that hold a slot.
@@ -38,6 +40,8 @@
 type daemon struct {
 	dispatch *dispatch.Dispatcher
 	lender   *Lender
+	// proven holds what homes told of the group's members.
+	proven []time.Time
 }
 
 const (
@@ -69,7 +73,18 @@
 			Send: func(to netip.AddrPort, m peer.Message) {
 				timer.After(oneWay, func() { f.deliver(peer.From{Name: name, Addr: addrOf(f.names, name)}, f.names[to.Port()-1], m) })
 			},
-			Borrowers: d.dispatch, Misdirected: func(string) {}, Missing: func(string, uint64) string { return "" }, Line: timeline.NewLog(name, 1024),
+			Borrowers: d.dispatch, Misdirected: func(string) {}, Missing: func(string, uint64) string { return "" },
+			Present: func(string, uint64) (bool, time.Time) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				return f.present, f.seen
+			},
+			Proven: func(_ string, _ uint64, at time.Time) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				d.proven = append(d.proven, at)
+			},
+			Line: timeline.NewLog(name, 1024),
 		})
 		_ = i
 	}
@@ -295,3 +310,32 @@
 		}
 	})
 }
+
+// Guards against daemons that ask a member of a group each second for what its home can tell them, and against a proof
+// that a slow network makes look younger than it is.
+func TestHomeTellsOfMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.stop()
+		const age = 300 * time.Millisecond
+		borrower := f.daemons[f.live()[1]]
+		f.mu.Lock()
+		f.seen = time.Now().Add(-age)
+		seen := f.seen
+		f.mu.Unlock()
+		if _, err := f.ask(f.live()[1], "org0", note.RankBooking, 2*time.Second, 5*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if len(borrower.proven) < int(2*time.Second/share.Renew) {
+			t.Errorf("a request that ran for 2 s brought %d proofs", len(borrower.proven))
+		}
+		for _, at := range borrower.proven {
+			// Two grants may answer the same demand.
+			if late := seen.Sub(at); late < 0 || late > share.Renew+2*oneWay {
+				t.Errorf("the proof is %v older than what the home saw", late)
+			}
+		}
+	})
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -81,6 +82,17 @@
 // Grant answers demands.
 type Grant struct {
 	Groups []Lent `cbor:"1,keyasint"`
+	// Ages tells, for each of Groups, how long before this message the sender last saw all members present: one more
+	// than the milliseconds, 0 when it does not know. Daemons of earlier versions leave it out.
+	Ages []uint32 `cbor:"2,keyasint,omitempty"`
+}
+
+// Age returns how long before the message the sender last saw all members of the group with index i present.
+func (g *Grant) Age(i int) (age time.Duration, ok bool) {
+	if i >= len(g.Ages) || g.Ages[i] == 0 {
+		return 0, false
+	}
+	return time.Duration(g.Ages[i]-1) * time.Millisecond, true
 }
 
 // Lent is what is lent of one group; see share.Grant.
