--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,13 @@
 DEPLOYMENT ?= craigmhor
 LINT       := bin/golangci-lint
 LINT_AT    := v2.15.0
-MODULES    := . cmd/flamingod cmd/flamingoctl cmd/standin cmd/flamingobench
+MODULES    := . cmd/flamingod cmd/flamingoctl cmd/standin cmd/flamingobench cmd/flamingosoak
 ALL        := flamingorudder.example/...
 
-.PHONY: build test lint fmt tidy demo up bench
+.PHONY: build test lint fmt tidy demo up bench soak
 
 build:
-	go build -o bin/ ./cmd/flamingod ./cmd/flamingoctl ./cmd/standin ./cmd/flamingobench
+	go build -o bin/ ./cmd/flamingod ./cmd/flamingoctl ./cmd/standin ./cmd/flamingobench ./cmd/flamingosoak
 
 $(LINT):
 	GOWORK=off GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_AT)
@@ -41,3 +41,7 @@
 # All experiments; ONLY="NAME NAME" runs some, SEED=N draws other arrivals.
 bench: build
 	DEPLOYMENT=$(DEPLOYMENT) ONLY="$(ONLY)" SEED="$(SEED)" scripts/bench
+
+# Faults drawn from seeds on a fleet of processes; SEED is the first, SEEDS how many, LENGTH how long faults come.
+soak: build
+	bin/flamingosoak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1) --length $(or $(LENGTH),6s)
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -48,7 +48,8 @@
 			&cli.DurationFlag{Name: "roster-lag", Usage: "age of the list of instances", Value: 500 * time.Millisecond},
 			&cli.StringFlag{Name: "log", Usage: "lowest level that is logged: trace, debug, info, warn, error", Value: "warn"},
 		},
-		Action: run,
+		Action:   run,
+		Commands: []*cli.Command{storeCommand(), serverCommand()},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -20,114 +18,9 @@
 	"github.com/hashicorp/go-hclog"
 
 	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/platform/standin"
 )
 
-// fakeStore answers the calls of the store that a daemon makes. Tables are maps of rows.
-type fakeStore struct {
-	mu      sync.Mutex
-	version int64
-	rows    map[string]map[string]storedRow
-	down    bool
-	// mute makes reads of the operators' table hang, as on a connection that has gone silent, once.
-	mute bool
-}
-
-type storedRow struct {
-	value   string
-	version int64
-	removed bool
-}
-
-func (s *fakeStore) put(table, key, value string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.set(table, key, storedRow{value: base64.StdEncoding.EncodeToString([]byte(value))})
-}
-
-func (s *fakeStore) set(table, key string, r storedRow) {
-	if s.rows == nil {
-		s.rows = map[string]map[string]storedRow{}
-	}
-	if s.rows[table] == nil {
-		s.rows[table] = map[string]storedRow{}
-	}
-	s.version++
-	r.version = s.version
-	s.rows[table][key] = r
-}
-
-type storeRow struct {
-	Table   string `json:"table"`
-	Key     string `json:"key"`
-	Value   string `json:"value"`
-	Version int64  `json:"rowVersion"`
-	Removed bool   `json:"removed,omitempty"`
-}
-
-func (s *fakeStore) list(table string, after int64) []storeRow {
-	out := []storeRow{}
-	for key, r := range s.rows[table] {
-		if r.version > after && (after >= 0 || !r.removed) {
-			out = append(out, storeRow{table, key, r.value, r.version, r.removed})
-		}
-	}
-	return out
-}
-
-func (s *fakeStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	q := r.URL.Query()
-	if s.mute && q.Get("table") == "op" {
-		s.mute = false // the next connection works
-		s.mu.Unlock()
-		<-r.Context().Done()
-		s.mu.Lock()
-		return
-	}
-	var rows []storeRow
-	switch r.URL.Path {
-	case "/api/rows-get":
-		rows = s.list(q.Get("table"), -1)
-	case "/api/rows-feed":
-		after, _ := strconv.ParseInt(q.Get("afterRevision"), 10, 64)
-		wait, _ := strconv.Atoi(q.Get("waitMs"))
-		for end := time.Now().Add(time.Duration(wait) * time.Millisecond); time.Now().Before(end) && r.Context().Err() == nil; {
-			if rows = s.list(q.Get("table"), after); len(rows) > 0 {
-				break
-			}
-			s.mu.Unlock()
-			time.Sleep(5 * time.Millisecond) //nolint:forbidigo // a stand-in that polls itself
-			s.mu.Lock()
-		}
-		rows = s.list(q.Get("table"), after)
-	case "/api/rows-tx":
-		var tx struct {
-			Expected []storeRow `json:"expected"`
-			Writes   []storeRow `json:"writes"`
-		}
-		if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		for _, e := range tx.Expected {
-			if s.rows[e.Table][e.Key].version != e.Version {
-				w.WriteHeader(http.StatusPreconditionFailed)
-				_ = json.NewEncoder(w).Encode(map[string]any{"rows": s.list(e.Table, -1), "rowVersion": s.version})
-				return
-			}
-		}
-		for _, x := range tx.Writes {
-			s.set(x.Table, x.Key, storedRow{value: x.Value})
-		}
-	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "rowVersion": s.version, "hasMore": false, "nowMs": 1})
-}
-
 // backendServer is a stand-in whose handler writes raw answers.
 func backendServer(t *testing.T, f func(c net.Conn, r *http.Request)) string {
 	t.Helper()
@@ -180,7 +73,7 @@
 type daemonUnderTest struct {
 	t     *testing.T
 	d     *Daemon
-	store *fakeStore
+	store *standin.Store
 	s     Settings
 }
 
@@ -204,9 +97,9 @@
 	return netip.AddrPort{}
 }
 
-func start(t *testing.T, store *fakeStore, name string) *daemonUnderTest {
+func start(t *testing.T, store *standin.Store, name string) *daemonUnderTest {
 	t.Helper()
-	srv := httptest.NewServer(store)
+	srv := httptest.NewServer(store.Daemons())
 	t.Cleanup(srv.Close)
 	s := Settings{
 		Name: name, DataCentre: "dc", MemoryMB: 256, Caller: freeAddr(t), Readiness: freeAddr(t), Directory: freeAddr(t), Peer: freeAddr(t),
@@ -246,14 +139,12 @@
 }
 
 func (u *daemonUnderTest) server(id, service, addr, group string) {
-	u.store.put("servers", id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"dc","slots":8,"state":"ready","born":1,"models":[{"name":"m"}],"domain":"d","staged":["m"],"group":%s}`, service, addr, group))
+	u.store.Put("servers", id, []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":"dc","slots":8,"state":"ready","born":1,"models":[{"name":"m"}],"domain":"d","staged":["m"],"group":%s}`, service, addr, group)))
 }
 
 func (u *daemonUnderTest) ready() {
 	eventually(u.t, "ready", u.d.ready)
-	u.store.mu.Lock()
-	n := len(u.store.rows["servers"])
-	u.store.mu.Unlock()
+	n := u.store.Len("servers")
 	eventually(u.t, "entries", func() bool { return len(u.d.view.Load().Servers) == n })
 }
 
@@ -290,8 +181,8 @@
 // TestPlain guards against requests being changed on their way, against keys reaching backend servers, and against answers
 // for what is not configured.
 func TestPlain(t *testing.T) {
-	store := &fakeStore{}
-	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
+	store := standin.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	u := start(t, store, "a")
 	got := make(chan *http.Request, 10)
 	u.server("i-1", "plain", backendServer(t, func(c net.Conn, r *http.Request) {
@@ -325,8 +216,8 @@
 // TestUnsafeRunsOnce guards against a request that may run only once being sent again after its answer was lost, and against
 // an answer that says that it did not run.
 func TestUnsafeRunsOnce(t *testing.T) {
-	store := &fakeStore{}
-	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
+	store := standin.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	u := start(t, store, "a")
 	var mu sync.Mutex
 	runs := 0
@@ -349,8 +240,8 @@
 
 // TestSafeIsRepeated guards against a failure of one backend server reaching the caller although another could answer.
 func TestSafeIsRepeated(t *testing.T) {
-	store := &fakeStore{}
-	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
+	store := standin.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	u := start(t, store, "a")
 	for _, id := range []string{"i-1", "i-2"} {
 		u.server(id, "plain", backendServer(t, func(c net.Conn, r *http.Request) {
@@ -371,8 +262,8 @@
 
 // TestRejectionIsPassedOnOnlyWithProof guards against a 503 without a proof telling the caller that nothing ran.
 func TestRejectionIsPassedOnOnlyWithProof(t *testing.T) {
-	store := &fakeStore{}
-	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
+	store := standin.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	u := start(t, store, "a")
 	proof := make(chan string, 1)
 	u.server("i-1", "plain", backendServer(t, func(c net.Conn, r *http.Request) { writeAnswer(c, r, 503, "", <-proof) }), "null")
@@ -394,8 +285,8 @@
 // TestStreamGoesOnElsewhere guards against pieces of two runs being joined wrongly: a stream that is cut in the middle of an
 // event goes on at another group after the last whole one, without a gap or a repeat.
 func TestStreamGoesOnElsewhere(t *testing.T) {
-	store := &fakeStore{}
-	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
+	store := standin.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	u := start(t, store, "a")
 	var mu sync.Mutex
 	sent := 0
@@ -444,8 +335,8 @@
 
 // TestCutStreamDoesNotLookComplete guards against a caller taking a stream that no group can finish for a whole one.
 func TestCutStreamDoesNotLookComplete(t *testing.T) {
-	store := &fakeStore{}
-	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
+	store := standin.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	u := start(t, store, "a")
 	u.server("i-1", "llm", backendServer(t, func(c net.Conn, _ *http.Request) {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Flamingorudder-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n"+event(1))
@@ -460,12 +351,12 @@
 
 // TestConfigNeverGoesBack guards against an older configuration, from the store or from another daemon, replacing a newer one.
 func TestConfigNeverGoesBack(t *testing.T) {
-	store := &fakeStore{}
-	store.put("op", "config", fmt.Sprintf(testConfig, 5, ""))
+	store := standin.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 5, "")))
 	u := start(t, store, "a")
 	u.ready()
 	extra := `,{"name":"new","host":"a.example","prefix":"/new/","kind":"safe","service":"plain"}`
-	store.put("op", "config", fmt.Sprintf(testConfig, 9, extra))
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 9, extra)))
 	eventually(t, "the new version", func() bool { return u.d.config.Load().Version == 9 })
 	u.d.feed.apply([]byte(fmt.Sprintf(testConfig, 7, "")), "test")
 	u.d.feed.apply([]byte("{"), "test")
@@ -477,20 +368,16 @@
 // TestSilentFeed guards against a configuration that is never seen because the connection of the waiting read went silent
 // (deploy/days/edges.toml: 26 s behind).
 func TestSilentFeed(t *testing.T) {
-	store := &fakeStore{}
-	store.put("op", "config", fmt.Sprintf(testConfig, 5, ""))
+	store := standin.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 5, "")))
 	u := start(t, store, "a")
 	u.ready()
-	store.mu.Lock()
-	store.mute = true
-	store.mu.Unlock()
+	store.Mute("op")
 	eventually(t, "a silent read", func() bool {
-		store.mu.Lock()
-		defer store.mu.Unlock()
-		return !store.mute
+		return !store.Muted("op")
 	})
 	began := time.Now()
-	store.put("op", "config", fmt.Sprintf(testConfig, 6, ""))
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 6, "")))
 	eventually(t, "the new version", func() bool { return u.d.config.Load().Version == 6 })
 	if took := time.Since(began); took > 3*u.s.Apply {
 		t.Errorf("took %v", took)
@@ -500,12 +387,14 @@
 // TestPeerTellsWhatTheStoreDoesNot guards against a daemon that the store turns away staying without the configuration and
 // the entries that another daemon has, and against callers getting 404 or 401 from it meanwhile.
 func TestPeerTellsWhatTheStoreDoesNot(t *testing.T) {
-	store := &fakeStore{}
-	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
-	store.put("servers", "i-1", `{"service":"plain","address":"127.0.0.1:1","state":"ready","born":1}`)
+	store := standin.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	store.Put("servers", "i-1", []byte(`{"service":"plain","address":"127.0.0.1:1","state":"ready","born":1}`))
 	a := start(t, store, "a")
 	a.ready()
-	b := start(t, &fakeStore{down: true}, "b")
+	down := standin.NewStore()
+	down.Refuse(http.StatusServiceUnavailable)
+	b := start(t, down, "b")
 	if r := b.do(http.MethodGet, "/safe/", "k1", ""); r.status != http.StatusServiceUnavailable {
 		t.Errorf("without a configuration: %d", r.status)
 	}
@@ -522,8 +411,8 @@
 
 // TestLeaving guards against a daemon that stops cutting off a request, and against callers being sent to it.
 func TestLeaving(t *testing.T) {
-	store := &fakeStore{}
-	store.put("op", "config", fmt.Sprintf(testConfig, 1, ""))
+	store := standin.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	u := start(t, store, "a")
 	arrived, release := make(chan struct{}), make(chan struct{})
 	u.server("i-1", "plain", backendServer(t, func(c net.Conn, r *http.Request) {
--- /dev/null
+++ b/internal/soak/audit.go
@@ -0,0 +1,333 @@
+// Package soak runs the real programs as processes on one machine, injects faults from outside, and checks what callers and
+// backend servers see against what the system promises.
+//
+// It owns the processes that it starts and ends no others. Faults come from signals and from proxies on loopback; which
+// ones and when is drawn from a seed, so that a run can be repeated with the same faults.
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"flamingorudder.example/platform/standin"
+)
+
+// Kind is what may be repeated.
+type Kind uint8
+
+// Kinds of requests.
+const (
+	Read Kind = iota
+	Write
+	Talk
+	// Probe asks a daemon directly for the route of one version of the configuration.
+	Probe
+)
+
+func (k Kind) String() string { return [...]string{"read", "write", "talk", "probe"}[k] }
+
+// sent is one attempt of a caller.
+type sent struct {
+	ask  standin.Ask
+	kind Kind
+	org  string
+	at   time.Time
+	// daemon is the lifetime of the daemon that is asked; only of probes.
+	daemon  string
+	version int
+
+	reply *standin.Reply
+	ended time.Time
+	// runs counts the backend servers that ran it, and ran is the first.
+	runs int
+	ran  time.Time
+}
+
+// membership is one group, of one epoch, as its members told.
+type membership struct {
+	members []string
+	ready   map[string]bool
+	// open is set while the head takes requests or finishes them.
+	open bool
+}
+
+// Bounds are the figures that the audit holds the system to.
+type Bounds struct {
+	// RetryRatio and RetrySlack bound the repeats of a service in RetryWindow.
+	RetryRatio  float64
+	RetrySlack  int
+	RetryWindow time.Duration
+	// Rollback is how long after the effect of a version of the configuration was seen an older one may still show.
+	Rollback time.Duration
+	// Recover is how long the fleet may take after the last fault until a quarter of the requests is served.
+	Recover time.Duration
+}
+
+// arrival is one request that reached a backend server.
+type arrival struct {
+	at     time.Time
+	repeat bool
+}
+
+// Audit checks what was seen against the promises. It is pure: events come in by time. It is not safe for concurrent use.
+type Audit struct {
+	b        Bounds
+	requests map[string]*sent
+	// groups are keyed by name and epoch; in holds the group of each backend server.
+	groups map[string]*membership
+	in     map[string]string
+	// arrivals and requested are those of each service, for the budget of repeats.
+	arrivals  map[string][]arrival
+	requested map[string][]time.Time
+	// seen is the newest version of the configuration in effect at each lifetime of a daemon, and since when.
+	seen map[string]version
+	// newest is the version that the operator has stored last.
+	newest int
+	// Failures lists broken promises, one line each.
+	Failures []string
+	told     map[string]int
+}
+
+type version struct {
+	number int
+	at     time.Time
+}
+
+// NewAudit returns an audit that has seen nothing.
+func NewAudit(b Bounds) *Audit {
+	return &Audit{
+		b: b, requests: map[string]*sent{}, groups: map[string]*membership{}, in: map[string]string{}, arrivals: map[string][]arrival{},
+		requested: map[string][]time.Time{}, seen: map[string]version{}, told: map[string]int{},
+	}
+}
+
+// mostTold bounds the lines about one promise; the first ones tell the cause.
+const mostTold = 5
+
+func (a *Audit) fail(promise, format string, args ...any) {
+	if a.told[promise]++; a.told[promise] <= mostTold {
+		a.Failures = append(a.Failures, promise+": "+fmt.Sprintf(format, args...))
+	}
+}
+
+func service(k Kind) string {
+	if k == Talk {
+		return standin.Engine
+	}
+	return standin.Plain
+}
+
+// Sent notes a request before it goes out.
+func (a *Audit) Sent(at time.Time, ask standin.Ask, kind Kind, org, daemon string, version int) {
+	a.requests[ask.ID] = &sent{ask: ask, kind: kind, org: org, at: at, daemon: daemon, version: version}
+	a.requested[service(kind)] = append(a.requested[service(kind)], at)
+}
+
+// Answered checks what a caller got.
+func (a *Audit) Answered(at time.Time, id string, r standin.Reply) {
+	s := a.requests[id]
+	s.reply, s.ended = &r, at
+	if r.Status == 0 {
+		return
+	}
+	if r.ID != "" && r.ID != id {
+		a.fail("own answers", "request %s got the answer to %s", id, r.ID)
+	}
+	if r.Status == 200 {
+		a.success(s)
+	}
+	if s.kind != Talk && r.Status/100 == 3 || r.Status == 401 || r.Status == 403 || r.Status == 404 && s.kind != Probe {
+		a.fail("proper requests are served", "%s %s was answered with %d", s.kind, id, r.Status)
+	}
+	if s.runs > 0 {
+		a.refused(s)
+	}
+	if s.kind == Probe {
+		a.probed(s)
+	}
+}
+
+// success checks an answer that says that all is well.
+func (a *Audit) success(s *sent) {
+	id := s.ask.ID
+	if !s.reply.Signed {
+		a.fail("own answers", "request %s got a success that no backend server signed", id)
+	}
+	var whole string
+	if s.kind == Talk {
+		var b strings.Builder
+		for n := s.ask.After + 1; n <= standin.Length(id); n++ {
+			b.WriteString(standin.EventText(id, n))
+		}
+		whole = b.String()
+	} else {
+		whole = standin.Text(id, s.ask.Body)
+	}
+	got := string(s.reply.Body)
+	switch {
+	case s.reply.Err == nil && got != whole:
+		a.fail("whole answers", "%s %s got %q, complete, in place of %q", s.kind, id, got, whole)
+	case s.reply.Err != nil && !strings.HasPrefix(whole, got):
+		a.fail("whole answers", "%s %s got %q, cut off, which does not begin %q", s.kind, id, got, whole)
+	}
+}
+
+// refused checks that a request that was promised not to run did not. Requests that may be repeated promise nothing.
+func (a *Audit) refused(s *sent) {
+	if s.kind != Write || s.reply == nil {
+		return
+	}
+	switch s.reply.Status {
+	case 408, 421, 429, 503:
+		a.fail("refused means not run", "request %s was answered with %d and ran", s.ask.ID, s.reply.Status)
+	}
+}
+
+// probed checks that a daemon does not go back to an earlier configuration in one lifetime.
+func (a *Audit) probed(s *sent) {
+	was := a.seen[s.daemon]
+	switch {
+	case s.reply.Status == 200 && s.version > was.number:
+		a.seen[s.daemon] = version{s.version, s.ended}
+	case was.number == 0 || s.at.Before(was.at.Add(a.b.Rollback)):
+	case s.reply.Status == 200 && s.version < was.number:
+		a.fail("configuration never goes back", "%s served version %d after %d was in effect", s.daemon, s.version, was.number)
+	case s.reply.Status == 404 && s.version == was.number && s.version == a.newest:
+		a.fail("configuration never goes back", "%s no longer knows version %d", s.daemon, s.version)
+	}
+}
+
+// Configured tells that the operator has stored a version of the configuration.
+func (a *Audit) Configured(number int) { a.newest = number }
+
+// Gone tells that the process of a backend server has ended.
+func (a *Audit) Gone(id string) {
+	if g := a.groups[a.in[id]]; g != nil && len(g.members) > 0 && g.members[0] == id {
+		g.open = false
+	}
+	delete(a.in, id)
+}
+
+// Event takes what a backend server did.
+func (a *Audit) Event(e standin.Event) {
+	key := fmt.Sprintf("%s/%d", e.Group, e.Epoch)
+	g := a.groups[key]
+	if g == nil && e.Group != "" {
+		g = &membership{members: e.Members, ready: map[string]bool{}}
+		a.groups[key] = g
+	}
+	switch e.Kind {
+	case standin.Joining:
+		if was := a.groups[a.in[e.Server]]; was != nil && was.open && a.in[e.Server] != key {
+			a.fail("one group at a time", "%s joins %s while the head of %s is open", e.Server, key, a.in[e.Server])
+		}
+		if !slices.Equal(g.members, e.Members) {
+			a.fail("one list of members", "%s has the members %v and %v", key, g.members, e.Members)
+		}
+		a.in[e.Server] = key
+	case standin.Ready:
+		g.ready[e.Server] = true
+	case standin.Opened:
+		g.open = true
+	case standin.Closed, standin.Broken, standin.Left:
+		if e.Server == g.members[0] {
+			g.open = false
+		}
+		if e.Kind == standin.Left && a.in[e.Server] == key {
+			delete(a.in, e.Server)
+		}
+	case standin.Run:
+		a.run(e, g, key)
+	case standin.Done:
+	}
+}
+
+func (a *Audit) run(e standin.Event, g *membership, key string) {
+	s := a.requests[e.ID]
+	if s == nil {
+		a.fail("only what was asked", "%s ran %q, which no caller sent", e.Server, e.ID)
+		return
+	}
+	if e.Method != s.ask.Method || e.URI != s.ask.Path || e.Sum != standin.Sum(s.ask.Body) || e.Keyed {
+		a.fail("only what was asked", "%s ran %s as %s %s, body %d, with key %v", e.Server, e.ID, e.Method, e.URI, e.Sum, e.Keyed)
+	}
+	if e.Organisation != s.org {
+		a.fail("only what was asked", "%s ran %s for %q, not for %q", e.Server, e.ID, e.Organisation, s.org)
+	}
+	a.arrivals[service(s.kind)] = append(a.arrivals[service(s.kind)], arrival{e.At, s.runs > 0})
+	if s.runs++; s.runs == 1 {
+		s.ran = e.At
+	} else if s.kind == Write {
+		a.fail("at most once", "%s ran %d times", e.ID, s.runs)
+	}
+	a.refused(s)
+	if g == nil {
+		return
+	}
+	for _, id := range g.members {
+		if !g.ready[id] {
+			a.fail("whole groups", "%s ran in %s, whose member %s was never ready", e.ID, key, id)
+		}
+	}
+}
+
+// Budget checks the repeats in the window that ends at a time.
+func (a *Audit) Budget(now time.Time) {
+	for name, list := range a.arrivals {
+		from := now.Add(-a.b.RetryWindow)
+		repeats := 0
+		for _, x := range list {
+			if x.repeat && x.at.After(from) && !x.at.After(now) {
+				repeats++
+			}
+		}
+		// The requests are those of this window, the one before it, or the one half a window before it.
+		most := 0
+		for _, shift := range []time.Duration{0, a.b.RetryWindow / 2, a.b.RetryWindow} {
+			n := 0
+			for _, at := range a.requested[name] {
+				if at.After(from.Add(-shift)) && !at.After(now.Add(-shift)) {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+		if limit := a.b.RetryRatio*float64(most) + float64(a.b.RetrySlack); float64(repeats) > limit {
+			a.fail("budget of repeats", "%d repeats of %s in %v, limit %.0f", repeats, name, a.b.RetryWindow, limit)
+		}
+	}
+}
+
+// Tally is how many requests of callers met an end.
+type Tally struct{ Sent, Served, Refused, Failed int }
+
+// Count returns the tally of requests that were sent in a span, probes left out.
+func (a *Audit) Count(from, to time.Time) Tally {
+	var t Tally
+	for _, s := range a.requests {
+		if s.kind == Probe || s.at.Before(from) || s.at.After(to) {
+			continue
+		}
+		t.Sent++
+		switch {
+		case s.reply == nil || s.reply.Err != nil:
+			t.Failed++
+		case s.reply.Status == 200:
+			t.Served++
+		case s.reply.Status == 503 || s.reply.Status == 429:
+			t.Refused++
+		default:
+			t.Failed++
+		}
+	}
+	return t
+}
+
+// Recovered checks that the fleet serves again after the last fault, which ended at a time.
+func (a *Audit) Recovered(last, end time.Time) {
+	if t := a.Count(last.Add(a.b.Recover), end); t.Sent == 0 || t.Served*4 < t.Sent {
+		a.fail("recovery", "of %d requests later than %v after the last fault, %d were served", t.Sent, a.b.Recover, t.Served)
+	}
+}
--- /dev/null
+++ b/internal/soak/audit_test.go
@@ -0,0 +1,272 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"flamingorudder.example/platform/standin"
+)
+
+var t0 = time.Date(2028, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return t0.Add(d) }
+
+func ask(id string, k Kind) standin.Ask {
+	a := standin.Ask{ID: id, Method: "GET", Path: "/" + id, Body: []byte("b")}
+	if k == Write {
+		a.Method = "POST"
+	}
+	return a
+}
+
+func ran(server, id string, k Kind) standin.Event {
+	a := ask(id, k)
+	return standin.Event{Kind: standin.Run, Server: server, ID: id, Method: a.Method, URI: a.Path, Sum: standin.Sum(a.Body), Organisation: "north", At: at(time.Second)}
+}
+
+func fine(id string) standin.Reply {
+	return standin.Reply{Status: 200, ID: id, Signed: true, Body: []byte(standin.Text(id, []byte("b")))}
+}
+
+func in(e standin.Event, group string, epoch int64, members ...string) standin.Event {
+	e.Group, e.Epoch, e.Members = group, epoch, members
+	return e
+}
+
+// TestAudit guards against an audit that passes over a broken promise, and against one that sees one where none is.
+func TestAudit(t *testing.T) {
+	for _, test := range []struct {
+		name, want string
+		do         func(a *Audit)
+	}{
+		{"served", "", func(a *Audit) {
+			a.Sent(t0, ask("r", Read), Read, "north", "", 0)
+			a.Event(ran("s", "r", Read))
+			a.Answered(t0, "r", fine("r"))
+		}},
+		{"unsigned", "own answers", func(a *Audit) {
+			a.Sent(t0, ask("r", Read), Read, "north", "", 0)
+			r := fine("r")
+			r.Signed = false
+			a.Answered(t0, "r", r)
+		}},
+		{"another's answer", "own answers", func(a *Audit) {
+			a.Sent(t0, ask("r", Read), Read, "north", "", 0)
+			a.Answered(t0, "r", fine("q"))
+		}},
+		{"half an answer that looks complete", "whole answers", func(a *Audit) {
+			a.Sent(t0, ask("r", Read), Read, "north", "", 0)
+			r := fine("r")
+			r.Body = r.Body[:4]
+			a.Answered(t0, "r", r)
+		}},
+		{"half an answer that shows it", "", func(a *Audit) {
+			a.Sent(t0, ask("r", Read), Read, "north", "", 0)
+			r := fine("r")
+			r.Body, r.Err = r.Body[:4], io.ErrUnexpectedEOF
+			a.Answered(t0, "r", r)
+		}},
+		{"an event missing", "whole answers", func(a *Audit) {
+			a.Sent(t0, ask("r", Talk), Talk, "north", "", 0)
+			a.Answered(t0, "r", standin.Reply{Status: 200, Signed: true, Body: []byte(standin.EventText("r", 2)), Err: io.ErrUnexpectedEOF})
+		}},
+		{"read twice", "", func(a *Audit) {
+			a.Sent(t0, ask("r", Read), Read, "north", "", 0)
+			a.Event(ran("s", "r", Read))
+			a.Event(ran("t", "r", Read))
+		}},
+		{"written twice", "at most once", func(a *Audit) {
+			a.Sent(t0, ask("r", Write), Write, "north", "", 0)
+			a.Event(ran("s", "r", Write))
+			a.Event(ran("t", "r", Write))
+		}},
+		{"refused, then run", "refused means not run", func(a *Audit) {
+			a.Sent(t0, ask("r", Write), Write, "north", "", 0)
+			a.Answered(t0, "r", standin.Reply{Status: 503})
+			a.Event(ran("s", "r", Write))
+		}},
+		{"run, then refused", "refused means not run", func(a *Audit) {
+			a.Sent(t0, ask("r", Write), Write, "north", "", 0)
+			a.Event(ran("s", "r", Write))
+			a.Answered(t0, "r", standin.Reply{Status: 429})
+		}},
+		{"turned away", "proper requests are served", func(a *Audit) {
+			a.Sent(t0, ask("r", Read), Read, "north", "", 0)
+			a.Answered(t0, "r", standin.Reply{Status: 401})
+		}},
+		{"never asked", "only what was asked", func(a *Audit) { a.Event(ran("s", "r", Read)) }},
+		{"another body", "only what was asked", func(a *Audit) {
+			a.Sent(t0, ask("r", Write), Write, "north", "", 0)
+			e := ran("s", "r", Write)
+			e.Sum++
+			a.Event(e)
+		}},
+		{"another organisation", "only what was asked", func(a *Audit) {
+			a.Sent(t0, ask("r", Read), Read, "south", "", 0)
+			a.Event(ran("s", "r", Read))
+		}},
+		{"back to an earlier version", "configuration never goes back", func(a *Audit) {
+			a.Configured(2)
+			a.Sent(t0, ask("p", Probe), Probe, "north", "d#1", 2)
+			a.Answered(t0, "p", fine("p"))
+			a.Sent(at(time.Second), ask("q", Probe), Probe, "north", "d#1", 1)
+			a.Answered(at(time.Second), "q", fine("q"))
+		}},
+		{"newest version forgotten", "configuration never goes back", func(a *Audit) {
+			a.Configured(2)
+			a.Sent(t0, ask("p", Probe), Probe, "north", "d#1", 2)
+			a.Answered(t0, "p", fine("p"))
+			a.Sent(at(time.Second), ask("q", Probe), Probe, "north", "d#1", 2)
+			a.Answered(at(time.Second), "q", standin.Reply{Status: 404})
+		}},
+		{"another lifetime knows less", "", func(a *Audit) {
+			a.Configured(2)
+			a.Sent(t0, ask("p", Probe), Probe, "north", "d#1", 2)
+			a.Answered(t0, "p", fine("p"))
+			a.Sent(at(time.Second), ask("q", Probe), Probe, "north", "d#2", 1)
+			a.Answered(at(time.Second), "q", fine("q"))
+		}},
+		{"a group that was never whole", "whole groups", func(a *Audit) {
+			a.Sent(t0, ask("r", Talk), Talk, "north", "", 0)
+			for _, k := range []standin.Kind{standin.Joining, standin.Ready, standin.Opened} {
+				a.Event(in(standin.Event{Kind: k, Server: "s"}, "g", 1, "s", "t"))
+			}
+			a.Event(in(ran("s", "r", Talk), "g", 1, "s", "t"))
+		}},
+		{"a member taken from an open group", "one group at a time", func(a *Audit) {
+			for _, id := range []string{"s", "t"} {
+				a.Event(in(standin.Event{Kind: standin.Joining, Server: id}, "g", 1, "s", "t"))
+			}
+			a.Event(in(standin.Event{Kind: standin.Opened, Server: "s"}, "g", 1, "s", "t"))
+			a.Event(in(standin.Event{Kind: standin.Joining, Server: "t"}, "h", 2, "t"))
+		}},
+		{"a member taken after its head ended", "", func(a *Audit) {
+			for _, id := range []string{"s", "t"} {
+				a.Event(in(standin.Event{Kind: standin.Joining, Server: id}, "g", 1, "s", "t"))
+			}
+			a.Event(in(standin.Event{Kind: standin.Opened, Server: "s"}, "g", 1, "s", "t"))
+			a.Gone("s")
+			a.Event(in(standin.Event{Kind: standin.Joining, Server: "t"}, "h", 2, "t"))
+		}},
+		{"too many repeats", "budget of repeats", func(a *Audit) {
+			for i := range bounds.RetrySlack + 5 {
+				id := fmt.Sprint(i)
+				a.Sent(at(time.Second), ask(id, Read), Read, "north", "", 0)
+				for range 3 {
+					a.Event(ran("s", id, Read))
+				}
+			}
+			a.Budget(at(2 * time.Second))
+		}},
+		{"not back", "recovery", func(a *Audit) {
+			for i := range 8 {
+				id := fmt.Sprint(i)
+				a.Sent(at(10*time.Second), ask(id, Read), Read, "north", "", 0)
+				if i == 0 {
+					a.Answered(at(10*time.Second), id, fine(id))
+				}
+			}
+			a.Recovered(t0, at(20*time.Second))
+		}},
+	} {
+		a := NewAudit(bounds)
+		test.do(a)
+		got := strings.Join(a.Failures, "\n")
+		if test.want == "" && got != "" || !strings.HasPrefix(got, test.want) {
+			t.Errorf("%s: found %q, want %q", test.name, got, test.want)
+		}
+	}
+}
+
+// TestPlan guards against a seed that does not give the same faults again, and against a fault that is never drawn.
+func TestPlan(t *testing.T) {
+	drawn := map[Fault]int{}
+	for seed := range uint64(20) {
+		plan := Plan(seed, 20*time.Second, 4, 10)
+		if again := Plan(seed, 20*time.Second, 4, 10); !reflect.DeepEqual(plan, again) {
+			t.Errorf("seed %d gives two plans", seed)
+		}
+		for _, s := range plan {
+			drawn[s.Fault]++
+			if s.Target < 0 || s.Target >= 10 || s.For < 0 || s.For > longest[s.Fault] || s.Harm > Dumb {
+				t.Errorf("seed %d: %v", seed, s)
+			}
+		}
+	}
+	for f := range faults {
+		if drawn[f] == 0 {
+			t.Errorf("no %s in 20 seeds", f)
+		}
+	}
+}
+
+// TestProxy guards against harms that do not harm, and against a proxy that changes bytes.
+func TestProxy(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c); _ = c.Close() }()
+		}
+	}()
+	p, stop, err := NewProxy(netip.MustParseAddrPort(l.Addr().String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	// echo sends a word on a new connection and returns what comes back in time.
+	echo := func(c net.Conn, word string) (string, time.Duration) {
+		began := time.Now()
+		if _, err := io.WriteString(c, word); err != nil {
+			return "", time.Since(began)
+		}
+		if err := c.SetReadDeadline(began.Add(2 * delayed)); err != nil {
+			return "", time.Since(began)
+		}
+		b := make([]byte, len(word))
+		n, _ := io.ReadFull(c, b)
+		return string(b[:n]), time.Since(began)
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp4", p.Addr.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	old := dial()
+	if got, _ := echo(old, "one"); got != "one" {
+		t.Errorf("clear: %q", got)
+	}
+	for _, h := range []Harm{Reset, Silence, Deaf, Dumb} {
+		p.Set(h)
+		if got, _ := echo(dial(), "two"); got != "" {
+			t.Errorf("%s: %q", h, got)
+		}
+		p.Set(Clear)
+		if got, _ := echo(dial(), "three"); got != "three" {
+			t.Errorf("after %s: %q", h, got)
+		}
+	}
+	if got, _ := echo(old, "four"); got != "" {
+		t.Errorf("a connection from before a reset still works: %q", got)
+	}
+	p.Set(Delay)
+	if _, took := echo(dial(), "five"); took < delayed {
+		t.Errorf("delay: %v", took)
+	}
+}
--- /dev/null
+++ b/internal/soak/fleet.go
@@ -0,0 +1,362 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"flamingorudder.example/platform/standin"
+)
+
+// Options is what a run needs.
+type Options struct {
+	// Bin holds the programs flamingod and standin, Dir takes the settings and logs.
+	Bin, Dir string
+	Seed     uint64
+	// Length is how long faults come.
+	Length           time.Duration
+	Daemons, Servers int
+}
+
+// process is one process that the soak started.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	// done is closed when it has ended.
+	done chan struct{}
+}
+
+func (p *process) signal(s syscall.Signal) {
+	select {
+	case <-p.done:
+	default:
+		_ = p.cmd.Process.Signal(s) // it may end at this moment
+	}
+}
+
+// daemon is the place of one daemon, whose processes follow each other.
+type daemon struct {
+	name                               string
+	caller, readiness, directory, peer netip.AddrPort
+	settings                           string
+	store                              *Proxy
+	mu                                 sync.Mutex
+	p                                  *process
+	life                               int
+	// busy is set while a fault that ends in a new process is under way.
+	busy bool
+}
+
+// lifetime names the daemon's present process.
+func (d *daemon) lifetime() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.name + "#" + strconv.Itoa(d.life)
+}
+
+// server is the place of one backend server.
+type server struct {
+	name, service, domain string
+	mu                    sync.Mutex
+	p                     *process
+	proxy                 *Proxy
+	closeProxy            func()
+	life                  int
+	busy                  bool
+}
+
+// fleet is the processes of a run.
+type fleet struct {
+	o        Options
+	g        *errgroup.Group
+	platform netip.AddrPort
+	// serves is the store's address for daemons, behind their proxies.
+	serves  netip.AddrPort
+	store   *process
+	daemons []*daemon
+	servers []*server
+	// events takes what backend servers tell, gone the ids of those whose process has ended.
+	events chan standin.Event
+	gone   chan string
+	mu     sync.Mutex
+	stops  []func()
+	taken  map[netip.AddrPort]bool
+}
+
+const (
+	// beat is how often backend servers renew their entries; short, so that lapses happen within a run.
+	beat = 400 * time.Millisecond
+	// drain, grace and stall are the platform's bounds, as its installations have them but shorter.
+	drain = time.Second
+	grace = 4 * time.Second
+	stall = 2 * time.Second
+	apply = 2 * time.Second
+)
+
+// Models are those that the stand-ins run.
+var Models = []standin.Model{
+	{Name: "large", Size: 2, Load: time.Second, Warm: 200 * time.Millisecond},
+	{Name: "small", Size: 1, Load: time.Second, Warm: 200 * time.Millisecond},
+}
+
+// PortError reports that no port was found that is free for TCP and UDP.
+type PortError struct{}
+
+func (e *PortError) Error() string { return "no port is free for TCP and UDP" }
+
+// free returns an address whose port is free for TCP and UDP.
+func (f *fleet) free() (netip.AddrPort, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for range 50 {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return netip.AddrPort{}, fmt.Errorf("find a free port: %w", err)
+		}
+		addr := netip.MustParseAddrPort(l.Addr().String())
+		u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+		_ = l.Close() // only its port is wanted
+		if err != nil {
+			continue
+		}
+		_ = u.Close() // the same
+		if !f.taken[addr] {
+			f.taken[addr] = true
+			return addr, nil
+		}
+	}
+	return netip.AddrPort{}, &PortError{}
+}
+
+// start starts a program. What it writes to standard output goes to out, or to its log when out is nil.
+func (f *fleet) start(name string, out func(line []byte), program string, args ...string) (*process, error) {
+	log, err := os.OpenFile(filepath.Join(f.o.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("open the log of %s: %w", name, err)
+	}
+	cmd := exec.Command(filepath.Join(f.o.Bin, program), args...)
+	cmd.Stderr = log
+	p := &process{name: name, cmd: cmd, done: make(chan struct{})}
+	var lines *bufio.Scanner
+	if out == nil {
+		cmd.Stdout = log
+	} else {
+		pipe, err := cmd.StdoutPipe()
+		if err != nil {
+			return nil, errors.Join(fmt.Errorf("read from %s: %w", name, err), log.Close())
+		}
+		lines = bufio.NewScanner(pipe)
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, errors.Join(fmt.Errorf("start %s: %w", name, err), log.Close())
+	}
+	f.g.Go(func() error {
+		for lines != nil && lines.Scan() {
+			out(lines.Bytes())
+		}
+		_ = cmd.Wait() // how it ended stands in its log
+		close(p.done)
+		return log.Close()
+	})
+	return p, nil
+}
+
+func (f *fleet) startStore(ctx context.Context) error {
+	var err error
+	if f.platform, err = f.free(); err != nil {
+		return err
+	}
+	if f.serves, err = f.free(); err != nil {
+		return err
+	}
+	f.store, err = f.start("store", nil, "standin", "store", "--daemons", f.serves.String(), "--platform", f.platform.String(), "--beat", beat.String())
+	if err != nil {
+		return err
+	}
+	return reach(ctx, f.platform)
+}
+
+// reach waits until an address takes connections.
+func reach(ctx context.Context, addr netip.AddrPort) error {
+	for {
+		c, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp4", addr.String())
+		if err == nil {
+			return c.Close()
+		}
+		if err := ctx.Err(); err != nil {
+			return fmt.Errorf("reach %v: %w", addr, err)
+		}
+	}
+}
+
+func (f *fleet) addDaemon(i int) error {
+	d := &daemon{name: "daemon-" + strconv.Itoa(i)}
+	for _, to := range []*netip.AddrPort{&d.caller, &d.readiness, &d.directory, &d.peer} {
+		var err error
+		if *to, err = f.free(); err != nil {
+			return err
+		}
+	}
+	store, stop, err := NewProxy(f.serves)
+	if err != nil {
+		return err
+	}
+	f.stops = append(f.stops, stop)
+	d.store = store
+	d.settings = filepath.Join(f.o.Dir, d.name+".ini")
+	text := fmt.Sprintf(`[daemon]
+name = %s
+data-centre = dc
+region = r
+first-start = false
+memory-mb = 256
+
+[listen]
+caller = %v
+readiness = %v
+directory = %v
+peer = %v
+
+[store]
+address = %v
+reads = 2000
+
+[bounds]
+drain-ms = %d
+apply-ms = %d
+grace-s = %g
+hold-s = 3
+stall-ms = %d
+load-window-s = 5
+retry-ratio = %g
+retry-slack = %d
+retry-window-s = %g
+beat-ms = %d
+
+[log]
+level = info
+`, d.name, d.caller, d.readiness, d.directory, d.peer, store.Addr, drain.Milliseconds(), apply.Milliseconds(), grace.Seconds(),
+		stall.Milliseconds(), bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow.Seconds(), beat.Milliseconds())
+	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	f.daemons = append(f.daemons, d)
+	return f.startDaemon(d)
+}
+
+func (f *fleet) startDaemon(d *daemon) error {
+	p, err := f.start(d.name, nil, "flamingod", "entry", d.settings)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.p = p
+	d.life++
+	return nil
+}
+
+func (f *fleet) addServer(i int) error {
+	s := &server{name: "server-" + strconv.Itoa(i), service: standin.Engine, domain: strconv.Itoa(i % 2)}
+	if i < plains {
+		s.service = standin.Plain
+	}
+	f.servers = append(f.servers, s)
+	return f.startServer(s)
+}
+
+// plains is how many of the backend servers are plain ones.
+const plains = 2
+
+func (f *fleet) startServer(s *server) error {
+	listen, err := f.free()
+	if err != nil {
+		return err
+	}
+	proxy, stop, err := NewProxy(listen)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	if s.closeProxy != nil {
+		s.closeProxy()
+	}
+	s.proxy, s.closeProxy = proxy, stop
+	s.life++
+	id := fmt.Sprintf("%s-%d", s.name, s.life)
+	s.mu.Unlock()
+	args := []string{
+		"server", "--id", id, "--service", s.service, "--domain", s.domain, "--listen", listen.String(), "--address", proxy.Addr.String(),
+		"--store", f.platform.String(), "--beat", beat.String(), "--drain", drain.String(), "--stall", stall.String(),
+	}
+	if s.service == standin.Engine {
+		models, err := json.Marshal(Models)
+		if err != nil {
+			return fmt.Errorf("encode models: %w", err)
+		}
+		args = append(args, "--models", string(models))
+	}
+	p, err := f.start(s.name, func(line []byte) {
+		var e standin.Event
+		if err := json.Unmarshal(line, &e); err != nil {
+			return // the last line of one that was killed
+		}
+		f.events <- e
+	}, "standin", args...)
+	if err != nil {
+		return err
+	}
+	f.g.Go(func() error {
+		<-p.done
+		f.gone <- id
+		return nil
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.p = p
+	return nil
+}
+
+// stop ends all processes that the fleet started.
+func (f *fleet) stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := []*process{f.store}
+	for _, d := range f.daemons {
+		d.mu.Lock()
+		list = append(list, d.p)
+		d.mu.Unlock()
+	}
+	for _, s := range f.servers {
+		s.mu.Lock()
+		list = append(list, s.p)
+		s.mu.Unlock()
+	}
+	for _, p := range list {
+		if p != nil {
+			p.signal(syscall.SIGKILL)
+			<-p.done
+		}
+	}
+	for _, s := range f.servers {
+		if s.closeProxy != nil {
+			s.closeProxy()
+		}
+	}
+	for _, stop := range f.stops {
+		stop()
+	}
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,118 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Fault is one kind of fault.
+type Fault uint8
+
+// Faults. Those of a daemon and of a backend server name one by its place.
+const (
+	KillDaemon Fault = iota
+	StopDaemon
+	PauseDaemon
+	ReloadDaemon
+	KillServer
+	DrainServer
+	PauseServer
+	PauseStore
+	HarmStore
+	HarmServer
+	Configure
+	// KillAll kills every daemon at once.
+	KillAll
+	faults
+)
+
+func (f Fault) String() string {
+	return [...]string{
+		"kill daemon", "stop daemon", "pause daemon", "reload daemon", "kill server", "drain server", "pause server", "pause store",
+		"harm store", "harm server", "configure", "kill all daemons",
+	}[f]
+}
+
+// Step is one fault of a plan.
+type Step struct {
+	// At is from the start of the faults.
+	At    time.Duration
+	Fault Fault
+	// Target is the place of the daemon or backend server.
+	Target int
+	// For is how long the fault lasts, or how long a process stays down.
+	For  time.Duration
+	Harm Harm
+}
+
+func (s Step) String() string {
+	out := fmt.Sprintf("%6.2fs %s %d for %v", s.At.Seconds(), s.Fault, s.Target, s.For.Round(10*time.Millisecond))
+	if s.Harm != Clear {
+		out += ", " + s.Harm.String()
+	}
+	return out
+}
+
+// weights is how often each fault is drawn against the others.
+var weights = [faults]int{
+	KillDaemon: 4, StopDaemon: 3, PauseDaemon: 4, ReloadDaemon: 1, KillServer: 5, DrainServer: 3, PauseServer: 2, PauseStore: 2, HarmStore: 5,
+	HarmServer: 5, Configure: 4, KillAll: 1,
+}
+
+const (
+	// meanGap is the mean time between two faults; they overlap, since most last longer.
+	meanGap = 500 * time.Millisecond
+	// seriesShare is how often a fault is followed by more of its kind at once, up to maxSeries in all.
+	seriesShare = 0.2
+	maxSeries   = 4
+	seriesGap   = 80 * time.Millisecond
+)
+
+// longest is how long each fault lasts at most. A backend server that stands still for longer than that may be taken for
+// gone, which the platform does not do to one that lives; a paused store is one that is down.
+var longest = [faults]time.Duration{
+	KillDaemon: 2 * time.Second, StopDaemon: time.Second, PauseDaemon: 4 * time.Second, KillServer: 3 * time.Second, DrainServer: time.Second,
+	PauseServer: 500 * time.Millisecond, PauseStore: 4 * time.Second, HarmStore: 5 * time.Second, HarmServer: 4 * time.Second,
+	KillAll: time.Second,
+}
+
+// Plan draws the faults of a run.
+func Plan(seed uint64, length time.Duration, daemons, servers int) []Step {
+	r := rand.New(rand.NewPCG(seed, 0))
+	total := 0
+	for _, w := range weights {
+		total += w
+	}
+	draw := func() Fault {
+		n := r.IntN(total)
+		for f, w := range weights {
+			if n -= w; n < 0 {
+				return Fault(f)
+			}
+		}
+		return KillDaemon
+	}
+	var out []Step
+	for at := time.Duration(0); at < length; at += time.Duration(r.ExpFloat64() * float64(meanGap)) {
+		f, series := draw(), 1
+		if r.Float64() < seriesShare {
+			series = 2 + r.IntN(maxSeries-1)
+		}
+		for i := range series {
+			s := Step{At: at + time.Duration(i)*seriesGap, Fault: f}
+			switch f {
+			case KillDaemon, StopDaemon, PauseDaemon, ReloadDaemon, HarmStore:
+				s.Target = r.IntN(daemons)
+			case KillServer, DrainServer, PauseServer, HarmServer:
+				s.Target = r.IntN(servers)
+			}
+			if f == HarmStore || f == HarmServer {
+				s.Harm = Delay + Harm(r.IntN(int(Dumb)))
+			}
+			s.For = time.Duration((0.05 + 0.95*r.Float64()) * float64(longest[f]))
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"flamingorudder.example/internal/timer"
+)
+
+// Harm is what a proxy does to connections.
+type Harm uint8
+
+// Harms of a proxy.
+const (
+	// Clear passes everything on.
+	Clear Harm = iota
+	// Delay passes everything on late.
+	Delay
+	// Reset resets every connection, old and new.
+	Reset
+	// Silence passes nothing on, in either direction, and takes new connections.
+	Silence
+	// Deaf drops what goes to the server, Dumb what comes from it.
+	Deaf
+	Dumb
+)
+
+func (h Harm) String() string {
+	return [...]string{"clear", "delay", "reset", "silence", "deaf", "dumb"}[h]
+}
+
+// delayed is how late Delay passes bytes on.
+const delayed = 150 * time.Millisecond
+
+// Proxy passes TCP connections on to one address and harms them.
+type Proxy struct {
+	Addr netip.AddrPort
+
+	to netip.AddrPort
+	l  net.Listener
+	g  errgroup.Group
+
+	mu    sync.Mutex
+	harm  Harm
+	conns map[*net.TCPConn]struct{}
+	// changed is closed, and replaced, when harm changes.
+	changed chan struct{}
+}
+
+// NewProxy returns a proxy on a free port and a function that ends it.
+func NewProxy(to netip.AddrPort) (*Proxy, func(), error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, fmt.Errorf("listen for the proxy: %w", err)
+	}
+	p := &Proxy{Addr: netip.MustParseAddrPort(l.Addr().String()), to: to, l: l, conns: map[*net.TCPConn]struct{}{}, changed: make(chan struct{})}
+	p.g.Go(func() error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil // closed
+			}
+			p.g.Go(func() error {
+				p.pass(c.(*net.TCPConn))
+				return nil
+			})
+		}
+	})
+	return p, func() {
+		_ = l.Close() // ends Accept
+		p.Set(Reset)
+		_ = p.g.Wait() // returns no error
+	}, nil
+}
+
+// Set changes what is done to connections.
+func (p *Proxy) Set(h Harm) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.harm = h
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if h == Reset {
+		for c := range p.conns {
+			reset(c)
+		}
+	}
+}
+
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0) // fails only on a closed connection
+	_ = c.Close()
+}
+
+// pass serves one connection.
+func (p *Proxy) pass(in *net.TCPConn) {
+	defer reset(in)
+	p.mu.Lock()
+	harm := p.harm
+	p.mu.Unlock()
+	if harm == Reset {
+		return
+	}
+	c, err := net.DialTimeout("tcp4", p.to.String(), time.Second)
+	if err != nil {
+		return
+	}
+	out := c.(*net.TCPConn)
+	defer reset(out)
+	p.mu.Lock()
+	p.conns[in], p.conns[out] = struct{}{}, struct{}{}
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.conns, in)
+		delete(p.conns, out)
+	}()
+	var g errgroup.Group
+	g.Go(func() error { return p.copy(out, in, Deaf) })
+	g.Go(func() error { return p.copy(in, out, Dumb) })
+	_ = g.Wait() // both directions have ended
+}
+
+// copy passes bytes on in one direction. drop is the harm that swallows them.
+func (p *Proxy) copy(to, from *net.TCPConn, drop Harm) error {
+	b := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(b)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return to.CloseWrite()
+			}
+			reset(to)
+			return err
+		}
+		p.mu.Lock()
+		harm, changed := p.harm, p.changed
+		p.mu.Unlock()
+		switch harm {
+		case Silence, drop:
+			// Later bytes must not follow a gap, so the connection goes when the harm ends.
+			<-changed
+			reset(to)
+			reset(from)
+			return nil
+		case Delay:
+			if err := timer.Wait(context.Background(), delayed); err != nil {
+				return err
+			}
+		}
+		if _, err := to.Write(b[:n]); err != nil {
+			reset(from)
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,432 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"flamingorudder.example/internal/timer"
+	"flamingorudder.example/platform"
+	"flamingorudder.example/platform/standin"
+)
+
+// bounds are those of a run; the daemons get the same in their settings.
+var bounds = Bounds{
+	RetryRatio: 0.2, RetrySlack: 40, RetryWindow: 10 * time.Second, Rollback: 250 * time.Millisecond, Recover: 8 * time.Second,
+}
+
+const (
+	// startLimit bounds the time until the fleet serves the first requests.
+	startLimit = 30 * time.Second
+	// calm is how long the fleet runs without faults at the end, the time of recovery included.
+	calm = 12 * time.Second
+	// callers is how many callers there are, callPause the mean time between two requests of one.
+	callers   = 16
+	callPause = 60 * time.Millisecond
+	// probePause is the time between two questions for the route of one version at each daemon.
+	probePause = 150 * time.Millisecond
+	// eventDelay is how late events are judged, so that those of different processes come in order.
+	eventDelay = time.Second
+	// callerLimit is how long a caller waits.
+	callerLimit = 4 * time.Second
+)
+
+// run is a run under way.
+type run struct {
+	*fleet
+	plan []Step
+	out  io.Writer
+
+	auditMu sync.Mutex
+	audit   *Audit
+	version int
+	late    []timed
+}
+
+// timed is something that backend servers told, to be judged in order.
+type timed struct {
+	at time.Time
+	do func()
+}
+
+// Result is what came of a run.
+type Result struct {
+	Tally    Tally
+	Faults   int
+	Failures []string
+}
+
+// Run starts a fleet, injects the faults of the seed, and checks the promises meanwhile. An error means that the run
+// itself did not work.
+func Run(ctx context.Context, o Options, out io.Writer) (Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, gctx := errgroup.WithContext(ctx)
+	r := &run{
+		fleet: &fleet{o: o, g: &errgroup.Group{}, events: make(chan standin.Event, 4096), gone: make(chan string, 64), taken: map[netip.AddrPort]bool{}},
+		plan:  Plan(o.Seed, o.Length, o.Daemons, o.Servers), out: out, audit: NewAudit(bounds),
+	}
+	judged, endJudging := context.WithCancel(context.WithoutCancel(ctx))
+	defer endJudging()
+	g.Go(func() error { return r.judge(judged) })
+	err := r.play(gctx)
+	r.stop()
+	waited := r.g.Wait()
+	// What was told last is judged too.
+	if err == nil {
+		err = timer.Wait(ctx, eventDelay+eventDelay/2)
+	}
+	endJudging()
+	cancel()
+	err = errors.Join(err, waited, g.Wait())
+	r.auditMu.Lock()
+	defer r.auditMu.Unlock()
+	return Result{r.audit.Count(time.Time{}, time.Now()), len(r.plan), r.audit.Failures}, err
+}
+
+// play is the run up to the end of the processes.
+func (r *run) play(ctx context.Context) error {
+	if err := r.startStore(ctx); err != nil {
+		return err
+	}
+	store, closeStore := platform.NewStore(r.platform)
+	defer closeStore()
+	if err := r.configure(ctx, store); err != nil {
+		return err
+	}
+	for i := range r.o.Servers {
+		if err := r.addServer(i); err != nil {
+			return err
+		}
+	}
+	for i := range r.o.Daemons {
+		if err := r.addDaemon(i); err != nil {
+			return err
+		}
+	}
+	if err := r.await(ctx); err != nil {
+		return err
+	}
+	work, end := context.WithCancel(ctx)
+	defer end()
+	g, work := errgroup.WithContext(work)
+	for i := range callers {
+		g.Go(func() error { return r.call(work, i) })
+	}
+	for _, d := range r.daemons {
+		g.Go(func() error { return r.probe(work, d) })
+	}
+	g.Go(func() error {
+		defer end()
+		last, err := r.harm(work, store)
+		if err != nil {
+			return err
+		}
+		if err := timer.Wait(work, calm); err != nil {
+			return err
+		}
+		r.auditMu.Lock()
+		defer r.auditMu.Unlock()
+		r.audit.Recovered(last, time.Now().Add(-callerLimit/2))
+		return nil
+	})
+	if err := g.Wait(); err != nil && ctx.Err() == nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return ctx.Err()
+}
+
+// configure stores the next version of the configuration.
+func (r *run) configure(ctx context.Context, store *platform.Store) error {
+	r.auditMu.Lock()
+	r.version++
+	n := r.version
+	r.auditMu.Unlock()
+	row := platform.Row{Table: platform.TableOperator, Key: platform.ConfigKey, Value: standin.Config(n, Models)}
+	if _, err := store.Do(ctx, platform.Tx{Write: []platform.Row{row}}); err != nil {
+		return fmt.Errorf("store configuration %d: %w", n, err)
+	}
+	r.auditMu.Lock()
+	defer r.auditMu.Unlock()
+	r.audit.Configured(n)
+	return nil
+}
+
+// await waits until requests of every kind are served.
+func (r *run) await(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	c := &http.Client{Transport: &http.Transport{}}
+	defer c.CloseIdleConnections()
+	for kind := range Probe {
+		for n := 0; ; n++ {
+			d := r.daemons[n%len(r.daemons)]
+			reply := r.send(ctx, c, d.caller, fmt.Sprintf("start-%s-%d", kind, n), kind, "north", "", 0)
+			if reply.Status == 200 && reply.Err == nil {
+				break
+			}
+			if err := timer.Wait(ctx, callPause); err != nil {
+				return fmt.Errorf("the fleet does not serve a %s within %v: %w", kind, startLimit, err)
+			}
+		}
+	}
+	return nil
+}
+
+// send sends one request and has its answer checked.
+func (r *run) send(ctx context.Context, c *http.Client, addr netip.AddrPort, id string, kind Kind, org, daemon string, version int) standin.Reply {
+	ask := standin.Ask{ID: id, Method: http.MethodGet, Host: standin.Host, Path: "/" + kind.String() + "/x?id=" + id, Key: "key-" + org, Left: callerLimit}
+	switch kind {
+	case Write:
+		ask.Method, ask.Body = http.MethodPost, []byte("body of "+id)
+	case Talk:
+		ask.Method, ask.Body = http.MethodPost, []byte("prompt of "+id)
+		ask.Model = Models[int(standin.Sum([]byte(id)))%len(Models)].Name
+	case Probe:
+		ask.Path = "/" + standin.VersionRoute(version) + "/"
+	case Read:
+	}
+	r.auditMu.Lock()
+	r.audit.Sent(time.Now(), ask, kind, org, daemon, version)
+	r.auditMu.Unlock()
+	reply := ask.Do(ctx, c, addr)
+	if ctx.Err() != nil && reply.Err != nil {
+		return reply // the run ends
+	}
+	r.auditMu.Lock()
+	defer r.auditMu.Unlock()
+	r.audit.Answered(time.Now(), id, reply)
+	return reply
+}
+
+// call is one caller. It keeps its connections until the daemon is gone from the addresses that it is told, or fails it.
+func (r *run) call(ctx context.Context, place int) error {
+	rnd := rand.New(rand.NewPCG(r.o.Seed, uint64(place)+1))
+	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	defer c.CloseIdleConnections()
+	var addrs []netip.AddrPort
+	var until time.Time
+	org := [...]string{"north", "south"}[place%2]
+	for n := 0; ; n++ {
+		if err := timer.Wait(ctx, time.Duration(rnd.ExpFloat64()*float64(callPause))); err != nil {
+			return err
+		}
+		if time.Now().After(until) {
+			d := r.daemons[rnd.IntN(len(r.daemons))]
+			told, hold, err := standin.Resolve(ctx, c, d.directory, standin.Host, "dc")
+			if err == nil && len(told) > 0 {
+				addrs, until = told, time.Now().Add(hold)
+			}
+		}
+		if len(addrs) == 0 {
+			continue
+		}
+		i := rnd.IntN(len(addrs))
+		id := fmt.Sprintf("c%d-%d", place, n)
+		kind := [...]Kind{Read, Write, Talk, Talk}[rnd.IntN(4)]
+		reply := r.send(ctx, c, addrs[i], id, kind, org, "", 0)
+		switch {
+		case reply.Err != nil && len(addrs) > 1:
+			addrs = slices.Delete(slices.Clone(addrs), i, i+1)
+		case reply.ComeBack > 0:
+			if err := timer.Wait(ctx, min(reply.ComeBack, callerLimit/3)); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// probe asks one daemon for the routes of the newest version and of the one before.
+func (r *run) probe(ctx context.Context, d *daemon) error {
+	c := &http.Client{Transport: &http.Transport{}}
+	defer c.CloseIdleConnections()
+	for n := 0; ; n++ {
+		if err := timer.Wait(ctx, probePause); err != nil {
+			return err
+		}
+		r.auditMu.Lock()
+		version := max(r.version-n%2, 1)
+		r.auditMu.Unlock()
+		life := d.lifetime()
+		r.send(ctx, c, d.caller, fmt.Sprintf("p-%s-%d", life, n), Probe, "north", life, version)
+	}
+}
+
+// judge gives the audit what backend servers tell, in the order of time.
+func (r *run) judge(ctx context.Context) error {
+	tick, stop := timer.Every(eventDelay/4, 0)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			r.settle(time.Now())
+			return nil
+		case e := <-r.events:
+			r.late = append(r.late, timed{e.At, func() { r.audit.Event(e) }})
+		case id := <-r.gone:
+			r.late = append(r.late, timed{time.Now(), func() { r.audit.Gone(id) }})
+		case now := <-tick:
+			r.settle(now.Add(-eventDelay))
+		}
+	}
+}
+
+func (r *run) settle(until time.Time) {
+	slices.SortStableFunc(r.late, func(a, b timed) int { return a.at.Compare(b.at) })
+	r.auditMu.Lock()
+	defer r.auditMu.Unlock()
+	n := 0
+	for ; n < len(r.late) && !r.late[n].at.After(until); n++ {
+		r.late[n].do()
+	}
+	r.late = r.late[n:]
+	r.audit.Budget(until)
+}
+
+// harm carries out the plan and returns when the last fault ended.
+func (r *run) harm(ctx context.Context, store *platform.Store) (time.Time, error) {
+	began := time.Now()
+	var g errgroup.Group
+	for _, s := range r.plan {
+		if err := timer.Wait(ctx, time.Until(began.Add(s.At))); err != nil {
+			return time.Time{}, err
+		}
+		_, _ = fmt.Fprintln(r.out, s) // the run does not depend on its report
+		g.Go(func() error { return r.inject(ctx, store, s) })
+	}
+	err := g.Wait()
+	return time.Now(), err
+}
+
+// inject carries out one fault and ends it.
+func (r *run) inject(ctx context.Context, store *platform.Store, s Step) error {
+	switch s.Fault {
+	case KillDaemon, StopDaemon, KillAll:
+		list := r.daemons[s.Target : s.Target+1]
+		if s.Fault == KillAll {
+			list = r.daemons
+		}
+		var g errgroup.Group
+		for _, d := range list {
+			g.Go(func() error { return r.restartDaemon(ctx, d, s) })
+		}
+		return g.Wait()
+	case PauseDaemon:
+		return pause(ctx, r.daemons[s.Target].process(), s.For)
+	case ReloadDaemon:
+		r.daemons[s.Target].process().signal(syscall.SIGHUP)
+	case KillServer, DrainServer:
+		return r.restartServer(ctx, r.servers[s.Target], s)
+	case PauseServer:
+		sv := r.servers[s.Target]
+		sv.mu.Lock()
+		p := sv.p
+		sv.mu.Unlock()
+		return pause(ctx, p, s.For)
+	case PauseStore:
+		return pause(ctx, r.store, s.For)
+	case HarmStore:
+		return harmFor(ctx, r.daemons[s.Target].store, s)
+	case HarmServer:
+		sv := r.servers[s.Target]
+		sv.mu.Lock()
+		p := sv.proxy
+		sv.mu.Unlock()
+		return harmFor(ctx, p, s)
+	case Configure:
+		return r.configure(ctx, store)
+	}
+	return nil
+}
+
+func (d *daemon) process() *process {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.p
+}
+
+// pause stops a process for a while. Pauses may overlap; the first end of one continues the process.
+func pause(ctx context.Context, p *process, length time.Duration) error {
+	p.signal(syscall.SIGSTOP)
+	defer p.signal(syscall.SIGCONT)
+	return timer.Wait(ctx, length)
+}
+
+func harmFor(ctx context.Context, p *Proxy, s Step) error {
+	p.Set(s.Harm)
+	defer p.Set(Clear)
+	return timer.Wait(ctx, s.For)
+}
+
+// restartDaemon ends a daemon, by a request to stop or by force, and starts it again later.
+func (r *run) restartDaemon(ctx context.Context, d *daemon, s Step) error {
+	d.mu.Lock()
+	if d.busy {
+		d.mu.Unlock()
+		return nil // it is down already
+	}
+	d.busy = true
+	p := d.p
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.busy = false
+	}()
+	if s.Fault == StopDaemon {
+		p.signal(syscall.SIGTERM)
+		select {
+		case <-p.done:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(grace): //nolint:forbidigo // a time limit on another process
+		}
+	}
+	p.signal(syscall.SIGKILL)
+	<-p.done
+	if err := timer.Wait(ctx, s.For); err != nil {
+		return err
+	}
+	return r.startDaemon(d)
+}
+
+// restartServer ends a backend server and starts another in its place later.
+func (r *run) restartServer(ctx context.Context, sv *server, s Step) error {
+	sv.mu.Lock()
+	if sv.busy {
+		sv.mu.Unlock()
+		return nil
+	}
+	sv.busy = true
+	p := sv.p
+	sv.mu.Unlock()
+	defer func() {
+		sv.mu.Lock()
+		defer sv.mu.Unlock()
+		sv.busy = false
+	}()
+	if s.Fault == DrainServer {
+		p.signal(syscall.SIGTERM)
+	} else {
+		p.signal(syscall.SIGKILL)
+	}
+	select {
+	case <-p.done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if err := timer.Wait(ctx, s.For); err != nil {
+		return err
+	}
+	return r.startServer(sv)
+}
