Take a backend server whose address is another's for gone

An order now only brings the question forward, and 421 ends the member. Orders and states are logged by name. Ruled out: the adapter (421 is decoded as moved), the planner (it decides on what it is told).

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -494,3 +495,32 @@
 		t.Errorf("near miss: %v", err)
 	}
 }
+
+// TestOrdersToAnotherServer guards against orders that are given again and again to an address that another backend server
+// has taken over. Orders used to put off the question that shows it.
+func TestOrdersToAnotherServer(t *testing.T) {
+	store := standin.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	var reports, orders atomic.Int32
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/api/order":
+			orders.Add(1)
+		case reports.Add(1) == 1:
+			_, _ = io.WriteString(w, `{"born":1,"models":[{"name":"m"}],"group":{"name":"g1","epoch":1,"rank":0,"state":"broken"}}`)
+			return
+		}
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	}))
+	defer srv.Close()
+	u := start(t, store, "a")
+	u.server("i-1", "llm", srv.Listener.Addr().String(), `{"name":"g1","epoch":1,"rank":0,"state":"broken"}`)
+	u.ready()
+	eventually(t, "an order", func() bool { return orders.Load() > 0 })
+	for end := time.Now().Add(time.Second); time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond) //nolint:forbidigo // lets orders come
+	}
+	if n := orders.Load(); n > 2 {
+		t.Errorf("%d orders to an address that is another's", n)
+	}
+}
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -361,7 +361,7 @@
 func (f *feeds) logChanges(old, v *roster.View) {
 	for id, s := range v.Servers {
 		if o := old.Servers[id]; o == nil || o.State != s.State || o.Born != s.Born {
-			f.d.log.Info("backend server", "id", id, "service", s.Service, "state", s.State, "born", s.Born, "domain", s.Domain)
+			f.d.log.Info("backend server", "id", id, "service", s.Service, "state", s.State.String(), "born", s.Born, "domain", s.Domain)
 		}
 	}
 	for id, s := range old.Servers {
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -398,10 +398,19 @@
 	defer l.mu.Unlock()
 	args := []any{"id", o.Server.ID, "operation", o.Operation, "group", o.Group, "epoch", o.Epoch, "model", o.Model, "why", o.Why, "fence", o.Fence}
 	if q := l.asked[o.Server.ID]; q != nil {
-		q.next = time.Now().Add(quickPeriod)
-		q.quickUntil = time.Now().Add(effectWait)
-		if err == nil && out == platform.Begun {
+		now := time.Now()
+		// An order brings the next question forward; one after the other must not put it off.
+		if soon := now.Add(quickPeriod); soon.Before(q.next) {
+			q.next = soon
+		}
+		q.quickUntil = now.Add(effectWait)
+		switch {
+		case err != nil:
+		case out == platform.Begun:
 			q.report.Orders++
+		case out == platform.Moved:
+			// Another backend server has the address, so this one has ended.
+			q.failures = failuresToDoubt
 		}
 	}
 	if err != nil {
@@ -409,7 +418,7 @@
 		d.log.Warn("order without an answer", append(args, "error", err)...)
 		return
 	}
-	d.log.Info("order", append(args, "outcome", out)...)
+	d.log.Info("order", append(args, "outcome", out.String())...)
 	switch out {
 	case platform.Begun, platform.Holds:
 	case platform.Fenced:
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -19,6 +19,8 @@
 	Draining
 )
 
+func (s State) String() string { return [...]string{"ready", "draining"}[s] }
+
 // GroupState is where a member is in the life of its model group.
 type GroupState uint8
 
