Follow the settings file without a signal; name near daemons first; one client for questions to other daemons

The file is now read each second and a changed text taken. Where at least 8 daemons, and a sixth of all, are near, three others are named besides. Small sites are unchanged. Test: TestAddresses. The two clients for other daemons are one.

--- a/cmd/flamingod/entry.go
+++ b/cmd/flamingod/entry.go
@@ -64,13 +64,7 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	d.Reload(hup, func() (entry.Settings, error) {
-		text, err := os.ReadFile(file)
-		if err != nil {
-			return entry.Settings{}, fmt.Errorf("read settings: %w", err)
-		}
-		return entry.ParseSettings(file, text)
-	})
+	d.Follow(file, text, hup)
 	return kratos.New(kratos.Name("flamingod"), kratos.ID(set.Name), kratos.Logger(logging.Kratos(log.Named("kratos"))),
 		kratos.Server(d), kratos.StopTimeout(set.Grace)).Run()
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -6,9 +6,11 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -135,7 +137,8 @@
 	d.view.Store(&roster.View{})
 	d.dispatch = newDispatcher(d)
 	d.budget = &budget{}
-	d.feed = newFeeds(d)
+	d.feed, closeIdle = newFeeds(d)
+	cleanups = append(cleanups, closeIdle)
 	d.lead = newLeader(d)
 
 	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Peer))
@@ -191,29 +194,55 @@
 // settings returns the settings in force.
 func (d *Daemon) settings() *Settings { return d.current.Load() }
 
-// Reload reads the settings anew at each signal. Addresses and names stay until the next start; bounds change at once.
-func (d *Daemon) Reload(signals <-chan os.Signal, read func() (Settings, error)) {
+// settingsPeriod is how often the settings file is read; it may change without a signal.
+const settingsPeriod = time.Second
+
+// Follow takes the settings from a file again when a signal comes or the file's text, which is given as it was read at the
+// start, has changed. Addresses and names stay until the next start; bounds change at once.
+func (d *Daemon) Follow(file string, text []byte, signals <-chan os.Signal) {
+	ticks, stop := timer.Every(settingsPeriod, 0.1)
 	d.group.Go(func() error {
+		defer stop()
 		for {
+			signalled := false
 			select {
 			case <-d.ended:
 				return nil
 			case <-signals:
+				signalled = true
+			case <-ticks:
+			}
+			now, err := os.ReadFile(file)
+			if err != nil {
+				// While the file is being replaced there may be none; a signal says that it has been.
+				if signalled {
+					d.log.Error("settings were not read; the earlier ones stay", "error", err)
+				}
+				continue
+			}
+			if !signalled && bytes.Equal(now, text) {
+				continue
 			}
-			s, err := read()
+			text = now
+			s, err := ParseSettings(file, text)
 			if err != nil {
 				d.log.Error("settings were not read; the earlier ones stay", "error", err)
 				continue
 			}
-			old := d.settings()
-			s.Name, s.DataCentre, s.Caller, s.Readiness, s.Directory = old.Name, old.DataCentre, old.Caller, old.Readiness, old.Directory
-			s.Peer, s.Metrics, s.Store = old.Peer, old.Metrics, old.Store
-			d.current.Store(&s)
-			d.log.Info("settings read anew", "drain", s.Drain, "grace", s.Grace, "stall", s.Stall)
+			d.adopt(s)
 		}
 	})
 }
 
+// adopt puts settings in force, but for those that hold until the next start.
+func (d *Daemon) adopt(s Settings) {
+	old := d.settings()
+	s.Name, s.DataCentre, s.Caller, s.Readiness, s.Directory = old.Name, old.DataCentre, old.Caller, old.Readiness, old.Directory
+	s.Peer, s.Metrics, s.Store = old.Peer, old.Metrics, old.Store
+	d.current.Store(&s)
+	d.log.Info("settings read anew", "drain", s.Drain, "grace", s.Grace, "stall", s.Stall)
+}
+
 // callerIdle is how long a caller's connection may be idle. It is longer than any limit that operators set for callers,
 // so a caller who keeps to that limit never meets a close.
 const callerIdle = 3 * time.Minute
@@ -281,6 +310,7 @@
 			return
 		case now := <-ticks:
 			d.pool.Sweep(now)
+			d.plain.forget(d.view.Load())
 		}
 	}
 }
@@ -333,8 +363,7 @@
 			add(m.Caller, m.DataCentre)
 		}
 	}
-	addrs := append(near, far...)
-	addrs = addrs[:min(len(addrs), maxAddresses)]
+	addrs := addresses(near, far, rand.Shuffle)
 	if len(addrs) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -351,7 +380,28 @@
 	}
 }
 
+// addresses returns the daemons that a caller is told of. Those of the caller's data centre answer sooner; where they are
+// enough to carry its callers, only a few others are added, for callers whose whole data centre is lost. Callers spread
+// over all that they are told, so no daemon is always left out. shuffle is that of math/rand.
+func addresses(near, far []netip.AddrPort, shuffle func(n int, swap func(i, j int))) []netip.AddrPort {
+	shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	if len(near) >= enoughNear && len(near)*maxDataCentres >= len(near)+len(far) {
+		far = far[:min(len(far), keptFar)]
+		near = near[:min(len(near), maxAddresses-len(far))]
+	}
+	all := append(near, far...)
+	return all[:min(len(all), maxAddresses)]
+}
+
 const (
+	// enoughNear is how many daemons of its data centre carry a caller's requests while some of them fail.
+	enoughNear = 8
+	// maxDataCentres is the part of all daemons, one in that many, below which those of one data centre may be too few
+	// for its callers.
+	maxDataCentres = 6
+	// keptFar is how many daemons of other data centres a caller is told of besides: as many as it asks for addresses.
+	keptFar = 3
 	// maxAddresses is the most that a caller takes.
 	maxAddresses = 64
 	// directoryHold is how long callers keep an answer. Some keep it for three times as long, which is the time for
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -5,14 +5,18 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -98,7 +102,8 @@
 	return netip.AddrPort{}
 }
 
-func start(t *testing.T, store *standin.Store, name string) *daemonUnderTest {
+// start starts a daemon; before are called with it while it does not run yet.
+func start(t *testing.T, store *standin.Store, name string, before ...func(d *Daemon)) *daemonUnderTest {
 	t.Helper()
 	srv := httptest.NewServer(store.Daemons())
 	t.Cleanup(srv.Close)
@@ -111,6 +116,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	for _, f := range before {
+		f(d)
+	}
 	done := make(chan error, 1)
 	go func() { done <- d.Start(context.Background()) }()
 	t.Cleanup(func() {
@@ -524,3 +532,64 @@
 		t.Errorf("%d orders to an address that is another's", n)
 	}
 }
+
+// TestAddresses guards against callers who cross data centres although enough daemons are near, against callers who know
+// no daemon when their data centre is lost, and against a daemon that is never named.
+func TestAddresses(t *testing.T) {
+	list := func(from, n int) []netip.AddrPort {
+		var out []netip.AddrPort
+		for i := range n {
+			out = append(out, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(from), byte(i)}), 1))
+		}
+		return out
+	}
+	for _, test := range []struct{ near, far, wantNear, wantFar int }{
+		{0, 0, 0, 0}, {2, 5, 2, 5}, {0, 7, 0, 7}, {27, 45, 27, keptFar}, {8, 60, 8, maxAddresses - 8}, {100, 200, maxAddresses - keptFar, keptFar},
+	} {
+		named := map[netip.AddrPort]bool{}
+		for range 2000 {
+			near, far := 0, 0
+			for _, a := range addresses(list(1, test.near), list(2, test.far), rand.Shuffle) {
+				named[a] = true
+				if a.Addr().As4()[2] == 1 {
+					near++
+				} else {
+					far++
+				}
+			}
+			if near != test.wantNear || far != test.wantFar {
+				t.Fatalf("%d near and %d far: named %d and %d, want %d and %d", test.near, test.far, near, far, test.wantNear, test.wantFar)
+			}
+		}
+		if test.wantFar > 0 && len(named) != test.near+test.far {
+			t.Errorf("%d near and %d far: only %d are ever named", test.near, test.far, len(named))
+		}
+	}
+}
+
+// TestSettingsChange guards against a change of the settings file that comes without a signal being missed until the next
+// start, and against a file that cannot be used replacing settings that can.
+func TestSettingsChange(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "a.ini")
+	write := func(drain string) []byte {
+		text := []byte("[daemon]\nname = other\ndata-centre = dc\n[listen]\ncaller = 127.0.0.1:1\nreadiness = 127.0.0.1:2\npeer = 127.0.0.1:3\n" +
+			"[store]\naddress = 127.0.0.1:4\n[bounds]\ndrain-ms = " + drain + "\n[log]\n")
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	signals := make(chan os.Signal)
+	u := start(t, standin.NewStore(), "a", func(d *Daemon) { d.Follow(file, write("1000"), signals) })
+	write("1500")
+	eventually(t, "a change without a signal", func() bool { return u.d.settings().Drain == 1500*time.Millisecond })
+	if s := u.d.settings(); s.Name != "a" || s.Store != u.s.Store {
+		t.Errorf("name %s, store %v: these hold until the next start", s.Name, s.Store)
+	}
+	write("soon")
+	signals <- syscall.SIGHUP
+	signals <- syscall.SIGHUP // the first has been dealt with
+	if d := u.d.settings().Drain; d != 1500*time.Millisecond {
+		t.Errorf("drain %v after a file that cannot be used", d)
+	}
+}
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -65,8 +66,10 @@
 
 // feeds keeps what the daemon knows up to date with the store, or with another daemon while the store does not answer.
 type feeds struct {
-	d  *Daemon
-	mu sync.Mutex
+	d *Daemon
+	// peers asks other daemons.
+	peers *http.Client
+	mu    sync.Mutex
 	// rawConfig is the newest configuration as it was stored, for daemons that the store turns away.
 	rawConfig []byte
 	// rawServers is the entries as they were stored, with those removed lately; version is that of the store up to which
@@ -77,8 +80,14 @@
 	tracker    *roster.Tracker
 }
 
-func newFeeds(d *Daemon) *feeds {
-	return &feeds{d: d, rawServers: map[string]entryRow{}, tracker: roster.NewTracker(lapseGrace, d.beatSilence())}
+// newFeeds returns feeds that know nothing and a function that closes their connections to other daemons.
+func newFeeds(d *Daemon) (*feeds, func()) {
+	t := &http.Transport{
+		DialContext: (&net.Dialer{Timeout: peerTimeout, Control: netopt.FailSilent}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: storeTimeout * 4,
+	}
+	return &feeds{
+		d: d, peers: &http.Client{Transport: t}, rawServers: map[string]entryRow{}, tracker: roster.NewTracker(lapseGrace, d.beatSilence()),
+	}, t.CloseIdleConnections
 }
 
 // backOff waits longer after each failure.
@@ -167,12 +176,10 @@
 func (f *feeds) pollServers(ctx context.Context) {
 	after := int64(-1)
 	var pause backOff
-	client := newPeerClient()
-	defer client.CloseIdleConnections()
 	ticks, stop := timer.Every(f.serversPeriod(), 0.1)
 	defer stop()
 	for {
-		err := f.readServers(ctx, client, &after)
+		err := f.readServers(ctx, &after)
 		f.note(err)
 		if err != nil {
 			pause.wait(ctx)
@@ -225,9 +232,9 @@
 	return near[before%n]
 }
 
-func (f *feeds) readServers(ctx context.Context, client *http.Client, after *int64) error {
+func (f *feeds) readServers(ctx context.Context, after *int64) error {
 	if r := f.reader(time.Now()); r != nil && *after >= 0 {
-		in, err := fetch(ctx, client, r.Peer, fmt.Sprintf("%s?after=%d", pathServers, *after))
+		in, err := f.fetch(ctx, r.Peer, fmt.Sprintf("%s?after=%d", pathServers, *after))
 		if err == nil && in.Age <= maxAge && in.Version >= *after {
 			f.takeServers(in.Servers, false, in.Version, in.Age)
 			*after = in.Version
@@ -246,7 +253,7 @@
 	var history *platform.HistoryError
 	if errors.As(err, &history) && *after >= 0 {
 		*after = -1
-		return f.readServers(ctx, client, after)
+		return f.readServers(ctx, after)
 	}
 	if err != nil {
 		return err
@@ -480,16 +487,8 @@
 	pathConfig  = "/config"
 )
 
-func newPeerClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: peerTimeout, Control: netopt.FailSilent}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: storeTimeout * 4,
-	}}
-}
-
 // askPeers asks other daemons for what the store does not tell.
 func (f *feeds) askPeers(ctx context.Context) {
-	client := newPeerClient()
-	defer client.CloseIdleConnections()
 	ticks, stop := timer.Every(relayPeriod, 0.2)
 	defer stop()
 	var behind time.Time
@@ -507,13 +506,14 @@
 		if c := f.d.config.Load(); c != nil {
 			mine = c.Version
 		}
-		var newest, reader *gossip.Member
+		var newest *gossip.Member
+		var reading []*gossip.Member
 		for _, m := range f.d.live(now) {
 			if m.Config > mine && (newest == nil || m.Config > newest.Config) {
 				newest = m
 			}
-			if m.Store && (reader == nil || now.UnixNano()%2 == 0) {
-				reader = m
+			if m.Store {
+				reading = append(reading, m)
 			}
 		}
 		if newest == nil {
@@ -522,16 +522,17 @@
 			behind = now
 		}
 		switch {
-		case failing && reader != nil:
-			f.ask(ctx, client, reader.Peer, pathAll)
+		case failing && len(reading) > 0:
+			// Any of them, since this daemon may not reach the one that it asked last.
+			f.ask(ctx, reading[rand.IntN(len(reading))].Peer, pathAll)
 		case newest != nil && now.Sub(behind) >= behindFor:
-			f.ask(ctx, client, newest.Peer, pathConfig)
+			f.ask(ctx, newest.Peer, pathConfig)
 		}
 	}
 }
 
-func (f *feeds) ask(ctx context.Context, client *http.Client, peer netip.AddrPort, path string) {
-	in, err := fetch(ctx, client, peer, path)
+func (f *feeds) ask(ctx context.Context, peer netip.AddrPort, path string) {
+	in, err := f.fetch(ctx, peer, path)
 	if err != nil {
 		if ctx.Err() == nil {
 			f.d.log.Warn("ask another daemon", "peer", peer, "error", err)
@@ -547,14 +548,14 @@
 }
 
 // fetch asks another daemon.
-func fetch(ctx context.Context, client *http.Client, peer netip.AddrPort, path string) (relay, error) {
+func (f *feeds) fetch(ctx context.Context, peer netip.AddrPort, path string) (relay, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+path, nil)
 	if err != nil {
 		return relay{}, fmt.Errorf("make request: %w", err)
 	}
-	resp, err := client.Do(req)
+	resp, err := f.peers.Do(req)
 	if err != nil {
 		return relay{}, err
 	}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -73,6 +74,13 @@
 	return best
 }
 
+// forget drops what is known of backend servers that are gone.
+func (s *standings) forget(v *roster.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.all, func(id string, st *standing) bool { return st.inFlight == 0 && v.Servers[id] == nil })
+}
+
 func (s *standings) begin(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -130,7 +138,7 @@
 		tried[server.ID] = true
 		if out != nil {
 			answer = out
-			if out.status < http.StatusInternalServerError {
+			if out.a.Status < http.StatusInternalServerError {
 				break
 			}
 		}
@@ -164,9 +172,8 @@
 
 // wholeAnswer is an answer that has been read, or whose rest is still to come in tail.
 type wholeAnswer struct {
-	status int
-	a      *backend.Answer
-	body   []byte
+	a    *backend.Answer
+	body []byte
 	// tail is set when the body is larger than what is read ahead.
 	tail bool
 	done func(lost bool)
@@ -196,7 +203,7 @@
 		end(err != nil)
 		return nil, &UnusableError{server.ID, a.Status}
 	}
-	out := &wholeAnswer{status: a.Status, a: a, done: end}
+	out := &wholeAnswer{a: a, done: end}
 	out.body, err = io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
 	out.tail = len(out.body) > maxWhole
 	if err != nil {
@@ -226,7 +233,7 @@
 	}
 	x.head(o.a)
 	if x.r.Method == http.MethodHead {
-		x.finish(o.status, outcomeServed)
+		x.finish(o.a.Status, outcomeServed)
 		return
 	}
 	_, err := x.w.Write(o.body)
@@ -237,12 +244,12 @@
 		o.done(err != nil)
 	}
 	if err != nil {
-		x.finish(o.status, "broken off")
+		x.finish(o.a.Status, "broken off")
 		panic(http.ErrAbortHandler)
 	}
 	reason := outcomeServed
-	if o.status >= http.StatusInternalServerError {
+	if o.a.Status >= http.StatusInternalServerError {
 		reason = "failed by its backend server"
 	}
-	x.finish(o.status, reason)
+	x.finish(o.a.Status, reason)
 }
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -128,7 +128,7 @@
 			return &backend.LostError{Server: head.ID, Err: err}
 		}
 		if len(body) <= maxWhole {
-			s.failure = &wholeAnswer{status: a.Status, a: a, body: body, done: func(bool) {}}
+			s.failure = &wholeAnswer{a: a, body: body, done: func(bool) {}}
 		}
 		return &UnusableError{head.ID, a.Status}
 	}
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -34,7 +34,7 @@
 	kind Kind
 	org  string
 	at   time.Time
-	// daemon is the lifetime of the daemon that is asked; only of probes.
+	// daemon is the lifetime of the daemon that is asked, version that of a probe's route.
 	daemon  string
 	version int
 
@@ -61,6 +61,8 @@
 	RetryWindow time.Duration
 	// Rollback is how long after the effect of a version of the configuration was seen an older one may still show.
 	Rollback time.Duration
+	// Apply is how long a stored configuration may take to be in force at a daemon that nothing has disturbed for Calm.
+	Apply, Calm time.Duration
 	// Recover is how long the fleet may take after the last fault until a quarter of the requests is served.
 	Recover time.Duration
 }
@@ -83,8 +85,11 @@
 	requested map[string][]time.Time
 	// seen is the newest version of the configuration in effect at each lifetime of a daemon, and since when.
 	seen map[string]version
-	// newest is the version that the operator has stored last.
+	// newest is the version that may be in force last, stored the one that the store has acknowledged last, and when.
 	newest int
+	stored version
+	// trouble holds the spans of unplanned faults; those of a daemon by its name, the others under "".
+	trouble map[string][]span
 	// Failures lists broken promises, one line each.
 	Failures []string
 	told     map[string]int
@@ -95,11 +100,14 @@
 	at     time.Time
 }
 
+// span is a fault's time; to is zero while it lasts.
+type span struct{ from, to time.Time }
+
 // NewAudit returns an audit that has seen nothing.
 func NewAudit(b Bounds) *Audit {
 	return &Audit{
 		b: b, requests: map[string]*sent{}, groups: map[string]*membership{}, in: map[string]string{}, arrivals: map[string][]arrival{},
-		requested: map[string][]time.Time{}, seen: map[string]version{}, told: map[string]int{},
+		requested: map[string][]time.Time{}, seen: map[string]version{}, trouble: map[string][]span{}, told: map[string]int{},
 	}
 }
 
@@ -191,6 +199,9 @@
 	switch {
 	case s.reply.Status == 200 && s.version > was.number:
 		a.seen[s.daemon] = version{s.version, s.ended}
+	case s.reply.Status == 404 && s.version == a.stored.number && s.version == a.newest && s.at.After(a.stored.at.Add(a.b.Apply)) &&
+		a.calm(name(s.daemon), s.at, s.ended):
+		a.fail("configuration applies in time", "%s does not know version %d %v after it was stored", s.daemon, s.version, s.at.Sub(a.stored.at))
 	case was.number == 0 || s.at.Before(was.at.Add(a.b.Rollback)):
 	case s.reply.Status == 200 && s.version < was.number:
 		a.fail("configuration never goes back", "%s served version %d after %d was in effect", s.daemon, s.version, was.number)
@@ -199,7 +210,48 @@
 	}
 }
 
-// Configured tells that the operator has stored a version of the configuration.
+// Trouble tells that an unplanned fault begins, at a daemon or, with an empty name, elsewhere. The function that it returns
+// tells its end.
+func (a *Audit) Trouble(from time.Time, daemon string) (end func(to time.Time)) {
+	i := len(a.trouble[daemon])
+	a.trouble[daemon] = append(a.trouble[daemon], span{from: from})
+	return func(to time.Time) { a.trouble[daemon][i].to = to }
+}
+
+// calm tells whether no unplanned fault touched a daemon, nor anything but daemons, from Calm before a time until another.
+func (a *Audit) calm(daemon string, from, to time.Time) bool {
+	from = from.Add(-a.b.Calm)
+	for _, name := range []string{"", daemon} {
+		for _, s := range a.trouble[name] {
+			if s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Stored tells that the store has acknowledged a version of the configuration.
+func (a *Audit) Stored(at time.Time, number int) { a.stored = version{number, at} }
+
+// Lost checks that no request ended without an answer after it had run, where only planned work went on. It is called at
+// the end of the run.
+func (a *Audit) Lost() {
+	for id, s := range a.requests {
+		if s.reply == nil || s.reply.Err == nil || s.runs == 0 || s.ended.Sub(s.at) > s.ask.Left*9/10 || !a.calm(name(s.daemon), s.at, s.ended) {
+			continue
+		}
+		a.fail("planned work loses nothing", "%s %s at %s ran and got no whole answer: %v", s.kind, id, s.daemon, s.reply.Err)
+	}
+}
+
+// name is that of a daemon whose lifetime is given.
+func name(lifetime string) string {
+	n, _, _ := strings.Cut(lifetime, "#")
+	return n
+}
+
+// Configured tells that a version of the configuration may be in force from now on.
 func (a *Audit) Configured(number int) { a.newest = number }
 
 // Gone tells that the process of a backend server has ended.
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/netip"
 	"reflect"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,7 +20,7 @@
 func at(d time.Duration) time.Time { return t0.Add(d) }
 
 func ask(id string, k Kind) standin.Ask {
-	a := standin.Ask{ID: id, Method: "GET", Path: "/" + id, Body: []byte("b")}
+	a := standin.Ask{ID: id, Method: "GET", Path: "/" + id, Body: []byte("b"), Left: callerLimit}
 	if k == Write {
 		a.Method = "POST"
 	}
@@ -154,6 +156,33 @@
 			a.Gone("s")
 			a.Event(in(standin.Event{Kind: standin.Joining, Server: "t"}, "h", 2, "t"))
 		}},
+		{"stored, not applied", "configuration applies in time", func(a *Audit) {
+			a.Configured(2)
+			a.Stored(t0, 2)
+			a.Sent(at(3*time.Second), ask("p", Probe), Probe, "north", "d#1", 2)
+			a.Answered(at(3*time.Second), "p", standin.Reply{Status: 404})
+		}},
+		{"stored, not applied where the store was cut off", "", func(a *Audit) {
+			a.Configured(2)
+			a.Stored(t0, 2)
+			a.Trouble(at(-time.Second), "d")(at(2 * time.Second))
+			a.Sent(at(3*time.Second), ask("p", Probe), Probe, "north", "d#1", 2)
+			a.Answered(at(3*time.Second), "p", standin.Reply{Status: 404})
+		}},
+		{"lost beside planned work", "planned work loses nothing", func(a *Audit) {
+			a.Trouble(t0, "e") // another daemon's
+			a.Sent(t0, ask("r", Read), Read, "north", "d#1", 0)
+			a.Event(ran("s", "r", Read))
+			a.Answered(at(time.Second), "r", standin.Reply{Err: io.ErrUnexpectedEOF})
+			a.Lost()
+		}},
+		{"lost beside a fault", "", func(a *Audit) {
+			a.Trouble(at(-2*time.Second), "")(at(-time.Second))
+			a.Sent(t0, ask("r", Read), Read, "north", "d#1", 0)
+			a.Event(ran("s", "r", Read))
+			a.Answered(at(time.Second), "r", standin.Reply{Err: io.ErrUnexpectedEOF})
+			a.Lost()
+		}},
 		{"too many repeats", "budget of repeats", func(a *Audit) {
 			for i := range bounds.RetrySlack + 5 {
 				id := fmt.Sprint(i)
@@ -227,9 +256,12 @@
 		t.Fatal(err)
 	}
 	defer stop()
-	// echo sends a word on a new connection and returns what comes back in time.
+	// echo sends a word on a connection and returns what comes back in time.
 	echo := func(c net.Conn, word string) (string, time.Duration) {
 		began := time.Now()
+		if c == nil {
+			return "", 0
+		}
 		if _, err := io.WriteString(c, word); err != nil {
 			return "", time.Since(began)
 		}
@@ -240,8 +272,12 @@
 		n, _ := io.ReadFull(c, b)
 		return string(b[:n]), time.Since(began)
 	}
+	// dial returns nil when the proxy resets the connection before it is open.
 	dial := func() net.Conn {
 		c, err := net.Dial("tcp4", p.Addr.String())
+		if errors.Is(err, syscall.ECONNRESET) {
+			return nil
+		}
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -77,12 +77,24 @@
 	KillAll: time.Second,
 }
 
+// planned tells whether a fault is planned work, around which nothing may be lost.
+func (f Fault) planned() bool {
+	return f == StopDaemon || f == ReloadDaemon || f == DrainServer || f == Configure
+}
+
+// plannedOnly is how often a seed draws planned work only: one in that many.
+const plannedOnly = 4
+
 // Plan draws the faults of a run.
 func Plan(seed uint64, length time.Duration, daemons, servers int) []Step {
 	r := rand.New(rand.NewPCG(seed, 0))
+	weights := weights
 	total := 0
-	for _, w := range weights {
-		total += w
+	for f := range weights {
+		if seed%plannedOnly == 0 && !Fault(f).planned() {
+			weights[f] = 0
+		}
+		total += weights[f]
 	}
 	draw := func() Fault {
 		n := r.IntN(total)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -22,7 +22,8 @@
 
 // bounds are those of a run; the daemons get the same in their settings.
 var bounds = Bounds{
-	RetryRatio: 0.2, RetrySlack: 40, RetryWindow: 10 * time.Second, Rollback: 250 * time.Millisecond, Recover: 8 * time.Second,
+	RetryRatio: 0.2, RetrySlack: 40, RetryWindow: 10 * time.Second, Rollback: 250 * time.Millisecond, Apply: apply,
+	Calm: 3 * time.Second, Recover: 8 * time.Second,
 }
 
 const (
@@ -47,8 +48,11 @@
 	plan []Step
 	out  io.Writer
 
-	auditMu sync.Mutex
-	audit   *Audit
+	// operator is held while a configuration is stored.
+	operator sync.Mutex
+	auditMu  sync.Mutex
+	audit    *Audit
+	// version is the newest one that the store has acknowledged.
 	version int
 	late    []timed
 }
@@ -91,6 +95,7 @@
 	err = errors.Join(err, waited, g.Wait())
 	r.auditMu.Lock()
 	defer r.auditMu.Unlock()
+	r.audit.Lost()
 	return Result{r.audit.Count(time.Time{}, time.Now()), len(r.plan), r.audit.Failures}, err
 }
 
@@ -146,11 +151,14 @@
 	return ctx.Err()
 }
 
-// configure stores the next version of the configuration.
+// configure stores the next version of the configuration. Versions are stored one after the other, as operators do; one
+// may be in force from when it is sent.
 func (r *run) configure(ctx context.Context, store *platform.Store) error {
+	r.operator.Lock()
+	defer r.operator.Unlock()
 	r.auditMu.Lock()
-	r.version++
-	n := r.version
+	n := r.version + 1
+	r.audit.Configured(n)
 	r.auditMu.Unlock()
 	row := platform.Row{Table: platform.TableOperator, Key: platform.ConfigKey, Value: standin.Config(n, Models)}
 	if _, err := store.Do(ctx, platform.Tx{Write: []platform.Row{row}}); err != nil {
@@ -158,7 +166,8 @@
 	}
 	r.auditMu.Lock()
 	defer r.auditMu.Unlock()
-	r.audit.Configured(n)
+	r.version = n
+	r.audit.Stored(time.Now(), n)
 	return nil
 }
 
@@ -171,7 +180,7 @@
 	for kind := range Probe {
 		for n := 0; ; n++ {
 			d := r.daemons[n%len(r.daemons)]
-			reply := r.send(ctx, c, d.caller, fmt.Sprintf("start-%s-%d", kind, n), kind, "north", "", 0)
+			reply := r.send(ctx, c, d.caller, fmt.Sprintf("start-%s-%d", kind, n), kind, "north", d.lifetime(), 0)
 			if reply.Status == 200 && reply.Err == nil {
 				break
 			}
@@ -234,7 +243,7 @@
 		i := rnd.IntN(len(addrs))
 		id := fmt.Sprintf("c%d-%d", place, n)
 		kind := [...]Kind{Read, Write, Talk, Talk}[rnd.IntN(4)]
-		reply := r.send(ctx, c, addrs[i], id, kind, org, "", 0)
+		reply := r.send(ctx, c, addrs[i], id, kind, org, r.at(addrs[i]), 0)
 		switch {
 		case reply.Err != nil && len(addrs) > 1:
 			addrs = slices.Delete(slices.Clone(addrs), i, i+1)
@@ -246,6 +255,16 @@
 	}
 }
 
+// at returns the lifetime of the daemon at an address.
+func (r *run) at(addr netip.AddrPort) string {
+	for _, d := range r.daemons {
+		if d.caller == addr {
+			return d.lifetime()
+		}
+	}
+	return ""
+}
+
 // probe asks one daemon for the routes of the newest version and of the one before.
 func (r *run) probe(ctx context.Context, d *daemon) error {
 	c := &http.Client{Transport: &http.Transport{}}
@@ -310,6 +329,22 @@
 
 // inject carries out one fault and ends it.
 func (r *run) inject(ctx context.Context, store *platform.Store, s Step) error {
+	if !s.Fault.planned() {
+		where := ""
+		switch s.Fault {
+		case KillDaemon, PauseDaemon, HarmStore:
+			where = r.daemons[s.Target].name
+		default:
+		}
+		r.auditMu.Lock()
+		end := r.audit.Trouble(time.Now(), where)
+		r.auditMu.Unlock()
+		defer func() {
+			r.auditMu.Lock()
+			defer r.auditMu.Unlock()
+			end(time.Now())
+		}()
+	}
 	switch s.Fault {
 	case KillDaemon, StopDaemon, KillAll:
 		list := r.daemons[s.Target : s.Target+1]
