Spread spares over the models by members and pressure; let no model go without a group

A spare is now worth more the more members its groups have in the domain and the fewer spares there are; when pressure shows that another model's would be worth more, one host a domain at a time is given its weights.

A model of which no domain holds enough weights for one group now comes before all others, in one domain, and its hosts are not turned to another. Tests: TestEveryModelGetsAGroup, TestAbsentModelGathersHosts (fail before).

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -416,14 +416,51 @@
 	serving, coming map[string]float64
 	// local counts the members of groups of each model, by domain.
 	local map[string]map[string]int
+	// weights counts the hosts of each domain that have the weights of each model, or will have them.
+	weights map[string]map[string]int
+	// hosts counts the backend servers of each domain that may join groups, or have.
+	hosts map[string]int
 	// layout is how many groups of each model but the largest each domain is given while the fleet starts.
 	layout map[string]map[string]int
 }
 
+// count adds one to an entry of a table by domain and model.
+func count(table map[string]map[string]int, domain, model string) {
+	if table[domain] == nil {
+		table[domain] = map[string]int{}
+	}
+	table[domain][model]++
+}
+
+// absent tells whether no domain has enough hosts with the weights of a model for one group.
+func (s *supply) absent(model *route.Model) bool {
+	for _, models := range s.weights {
+		if models[model.Name] >= model.Size {
+			return false
+		}
+	}
+	return true
+}
+
+// foothold returns the domain in which hosts are gathered for the first group of a model: the one with the most of its
+// weights, among those that are large enough.
+func (s *supply) foothold(model *route.Model) string {
+	best := ""
+	for _, domain := range slices.Sorted(maps.Keys(s.hosts)) {
+		if s.hosts[domain] >= model.Size && (best == "" || s.weights[domain][model.Name] > s.weights[best][model.Name]) {
+			best = domain
+		}
+	}
+	return best
+}
+
 // form makes groups of idle backend servers, and puts weights on the hosts of those that cannot form one.
 func (p *Planner) form(now time.Time, in Input, taken map[string]bool) []Order {
 	domains := map[string][]*Member{}
-	s := &supply{Input: in, serving: map[string]float64{}, coming: map[string]float64{}, local: map[string]map[string]int{}}
+	s := &supply{
+		Input: in, serving: map[string]float64{}, coming: map[string]float64{}, local: map[string]map[string]int{},
+		weights: map[string]map[string]int{}, hosts: map[string]int{},
+	}
 	for _, m := range in.Members {
 		if m.Listed && m.State == roster.Ready {
 			s.ready++
@@ -434,15 +471,18 @@
 			if m.Rank == 0 && m.Membership.State != roster.Open {
 				s.coming[model.Name]++
 			}
-			if s.local[m.Domain] == nil {
-				s.local[m.Domain] = map[string]int{}
-			}
-			s.local[m.Domain][model.Name]++
+			count(s.local, m.Domain, model.Name)
 		} else if o, ok := p.pending[m.ID]; ok && o.order.Operation == platform.Join {
 			if model := p.engine.Model(o.order.Model); model != nil {
 				s.serving[model.Name] += 1 / float64(model.Size)
 			}
 		}
+		if m.Answers && m.State == roster.Ready {
+			s.hosts[m.Domain]++
+			for _, name := range p.holds(now, m) {
+				count(s.weights, m.Domain, name)
+			}
+		}
 		if m.usable() && !busy && !taken[m.ID] {
 			domains[m.Domain] = append(domains[m.Domain], m)
 		}
@@ -638,6 +678,7 @@
 	var orders []Order
 	load := func(m *Member, model *route.Model, why string) {
 		held[model.Name]++
+		count(s.weights, domain, model.Name)
 		p.loads = append(p.loads, now)
 		p.staging[m.ID] = load{model.Name, m.Born, now.Add(model.Load * loadPatience)}
 		orders = append(orders, Order{m.Server, platform.Order{
@@ -664,9 +705,13 @@
 			}
 			missing--
 			held[from.Name]--
+			holders[from.Name] = holders[from.Name][1:]
 			load(m, to, "too few hosts of the domain hold "+from.Name)
 		}
 	}
+	if from, to := s.rebalance(p.engine.Models, held, domain); to != nil && len(holders[from.Name]) > 0 && p.mayLoad(now, s.Input) {
+		load(holders[from.Name][0], to, "a spare of "+from.Name+" is worth more as one of "+to.Name)
+	}
 	return orders
 }
 
@@ -699,7 +744,7 @@
 // convert returns the model to which hosts of from are turned that are too few for a group of their own; nil when they
 // are to stay spares.
 func (p *Planner) convert(from *route.Model, held map[string]int, s *supply) *route.Model {
-	if held[from.Name] == 0 || held[from.Name] >= from.Size {
+	if held[from.Name] == 0 || held[from.Name] >= from.Size || s.absent(from) {
 		return nil
 	}
 	for i := range p.engine.Models {
@@ -715,6 +760,22 @@
 	return nil
 }
 
+// absentFirst puts a model of which no domain has enough weights for a group before all others: its callers would be
+// turned away however little work it has.
+const absentFirst = 1000
+
+// holds returns the models whose weights a member's host has or will have: those of its group, of what is on its way, and
+// what is staged.
+func (p *Planner) holds(now time.Time, m *Member) []string {
+	if name := p.loading(now, m); name != "" {
+		return []string{name}
+	}
+	if m.Model != "" && !slices.Contains(m.Staged, m.Model) {
+		return append([]string{m.Model}, m.Staged...)
+	}
+	return m.Staged
+}
+
 // stageFor chooses the model for one of the empty hosts of a domain.
 func (p *Planner) stageFor(held map[string]int, empty int, s *supply, domain string) *route.Model {
 	var best *route.Model
@@ -723,10 +784,13 @@
 		model := &p.engine.Models[i]
 		missing := model.Size - held[model.Name]%model.Size
 		score := s.need(model)
-		if missing > empty {
+		switch {
+		case s.absent(model) && (missing <= empty || domain == s.foothold(model)):
+			score += absentFirst
+		case missing > empty:
 			// It would only be a spare; spares are worth most where groups of the model are.
-			score += -2 + float64(s.local[domain][model.Name])/8
-		} else {
+			score += s.spare(model, domain, held[model.Name]) - spareLater
+		default:
 			score += 1 / float64(missing)
 		}
 		if best == nil || score > bestScore {
@@ -736,6 +800,50 @@
 	return best
 }
 
+// spareLater is how much less a spare is worth than a host that completes a group now.
+const spareLater = 2
+
+// spare is what one more spare of a model is worth in a domain that has some: the more members its groups have there, the
+// likelier a loss is one of theirs, and the fewer spares there are, the likelier this one is needed.
+func (s *supply) spare(model *route.Model, domain string, have int) float64 {
+	members := 0
+	for _, n := range s.local[domain] {
+		members += n
+	}
+	return spareWorth * float64(s.local[domain][model.Name]) / float64(max(members, 1)*(1+have))
+}
+
+const (
+	// spareWorth is the worth of the first spare of a domain whose groups are all of one model, on the scale of pressure:
+	// as much as work for two whole groups that one has.
+	spareWorth = 2
+	// moveSpare is by how much a spare must be worth more with another model's weights before it is given them.
+	moveSpare = 0.2
+)
+
+// rebalance returns the model that has one spare too many in a domain and the one that lacks it, nil when none does. Which
+// models need spares shows only when their work comes.
+func (s *supply) rebalance(models []route.Model, held map[string]int, domain string) (from, to *route.Model) {
+	gain := moveSpare
+	for i := range models {
+		a := &models[i]
+		if held[a.Name] == 0 || held[a.Name] >= a.Size || s.absent(a) {
+			continue
+		}
+		keeps := s.Pressure[a.Name] + s.spare(a, domain, held[a.Name]-1)
+		for j := range models {
+			b := &models[j]
+			if i == j || held[b.Name] >= b.Size-1 {
+				continue
+			}
+			if g := s.Pressure[b.Name] + s.spare(b, domain, held[b.Name]) - keeps; g > gain {
+				gain, from, to = g, a, b
+			}
+		}
+	}
+	return from, to
+}
+
 // mayLoad tells whether another load keeps to the rate over the ceiling's window.
 func (p *Planner) mayLoad(now time.Time, in Input) bool {
 	if in.Early || in.LoadRate <= 0 {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -430,3 +430,36 @@
 		}
 	}
 }
+
+// TestEveryModelGetsAGroup guards against a model that is never served because all hosts were given to the one whose work
+// came first. Found by the soak: seed 307 of 12 s refused every request for one of two models.
+func TestEveryModelGetsAGroup(t *testing.T) {
+	for _, first := range []string{"large", "small"} {
+		f := newFleet(t, 2, 4)
+		f.in.Early = false
+		f.in.Pressure = map[string]float64{first: 3}
+		f.run(25 * time.Second)
+		if large, small := f.open("large"), f.open("small"); large == 0 || small == 0 {
+			t.Errorf("work for %s came first: %d large and %d small groups", first, large, small)
+		}
+	}
+}
+
+// TestAbsentModelGathersHosts guards against hosts that arrive one at a time going to another model each time, so that a
+// model without a group never has enough of them.
+func TestAbsentModelGathersHosts(t *testing.T) {
+	f := newFleet(t, 2, 4)
+	f.engine.Models = f.engine.Models[1:] // pairs only
+	f.run(8 * time.Second)
+	f.engine.Models = testEngine().Models
+	f.in.Early = false
+	f.in.Pressure = map[string]float64{"large": 50, "small": 200}
+	for i := range 10 {
+		f.add(fmt.Sprintf("d%d", i%2))
+		f.run(4 * time.Second)
+	}
+	f.run(20 * time.Second)
+	if n := f.open("large"); n == 0 {
+		t.Errorf("%d large groups after 10 hosts came one at a time", n)
+	}
+}
