Tell in digests how many places callers lack

The holder of the lease took what waited and was turned away at itself, times the number of daemons, for what lacks everywhere; at 72 daemons its own share is a handful of requests a second, and a model that it had not served yet had no pressure at all. Each digest now carries the count by model. Test: TestPressureOfAllDaemons (the digest had no such field before).

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -347,28 +347,36 @@
 	}
 }
 
-// work returns what this daemon has at each group, the groups that it suspects, and those that it told to end.
-func (p *dispatcher) work() (work []gossip.Work, suspects, closed []string) {
+// tell puts into a digest what this daemon has at each group, the places that its callers lack, the groups that it suspects,
+// and those that it told to end.
+func (p *dispatcher) tell(d *gossip.Digest) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, l := range p.own {
-		work = append(work, gossip.Work{Group: key, Requests: l.Requests, Unread: l.Unread})
+		d.Work = append(d.Work, gossip.Work{Group: key, Requests: l.Requests, Unread: l.Unread})
+	}
+	for key, m := range p.models {
+		if n := m.queue.Lacking(now); n > 0 {
+			if d.Lacking == nil {
+				d.Lacking = map[string]int{}
+			}
+			d.Lacking[gossip.LackingKey(key.service, key.model)] = n
+		}
 	}
 	for key, s := range p.suspects {
 		switch {
 		case now.After(s.until) || !s.own:
 		case s.closed:
-			closed = append(closed, key)
+			d.Closed = append(d.Closed, key)
 		default:
-			suspects = append(suspects, key)
+			d.Suspects = append(d.Suspects, key)
 		}
 	}
-	return work, suspects, closed
 }
 
 // pressure returns the work asked of each model of a service, by all daemons, as a part of what its open groups run at
-// once, and the model of the most urgent work. What waits or was turned away here stands for the same at every daemon.
+// once, and the model of the most urgent work.
 func (p *dispatcher) pressure(service *route.Service) (pressure map[string]float64, urgent string) {
 	now := time.Now()
 	live := p.d.live(now)
@@ -376,25 +384,32 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	rank := 0
-	for key, m := range p.models {
-		if key.service != service.Name || !m.seen {
-			continue
-		}
-		if pressure == nil {
-			pressure = map[string]float64{}
-		}
-		if urgent == "" || m.topRank < rank {
-			urgent, rank = key.model, m.topRank
-		}
+	for i := range service.Engine.Models {
+		name := service.Engine.Models[i].Name
 		work, slots := 0, 0
 		for _, g := range p.d.view.Load().Groups[service.Name] {
-			if g.Model == key.model {
+			if g.Model == name {
 				work += p.own[g.Key()].Add(others[g.Key()]).Requests
 				slots += service.Engine.Slots
 			}
 		}
-		lacking := float64(m.queue.Lacking(now)) * float64(len(live)+1)
-		pressure[key.model] = (float64(work) + lacking) / float64(max(slots, 1))
+		for _, o := range live {
+			work += o.Lacking[gossip.LackingKey(service.Name, name)]
+		}
+		m := p.models[modelKey{service.Name, name}]
+		if m != nil && m.seen {
+			work += m.queue.Lacking(now)
+			if urgent == "" || m.topRank < rank {
+				urgent, rank = name, m.topRank
+			}
+		}
+		if work == 0 && (m == nil || !m.seen) {
+			continue // nothing is known of its work
+		}
+		if pressure == nil {
+			pressure = map[string]float64{}
+		}
+		pressure[name] = float64(work) / float64(max(slots, 1))
 	}
 	return pressure, urgent
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -593,3 +593,31 @@
 		t.Errorf("drain %v after a file that cannot be used", d)
 	}
 }
+
+// TestPressureOfAllDaemons guards against the holder of the lease taking what waits at itself for what waits everywhere.
+func TestPressureOfAllDaemons(t *testing.T) {
+	store := standin.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	u := start(t, store, "a")
+	u.server("i-1", "llm", "127.0.0.1:1", `{"name":"g1","epoch":1,"rank":0,"state":"open"}`)
+	u.ready()
+	llm := u.d.config.Load().Service("llm")
+	u.d.dispatch.mu.Lock()
+	u.d.dispatch.model(modelKey{"llm", "m"}).seen = true
+	u.d.dispatch.mu.Unlock()
+	if p, _ := u.d.dispatch.pressure(llm); p["m"] != 0 {
+		t.Errorf("pressure %v without work", p)
+	}
+	u.d.peersMu.Lock()
+	for i := range 3 {
+		u.d.members.Hear(time.Now(), gossip.Digest{
+			Name: fmt.Sprint(i), Peer: u.s.Peer, Lacking: map[string]int{gossip.LackingKey("llm", "m"): 4},
+			Work: []gossip.Work{{Group: "g1/1", Requests: 2}},
+		})
+	}
+	u.d.peersMu.Unlock()
+	// Six requests run and twelve lack a place; the group has 8 places.
+	if p, _ := u.d.dispatch.pressure(llm); p["m"] != 18.0/8 {
+		t.Errorf("pressure %v, want %v", p, 18.0/8)
+	}
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -22,7 +22,7 @@
 	if c := d.config.Load(); c != nil {
 		out.Config = c.Version
 	}
-	out.Work, out.Suspects, out.Closed = d.dispatch.work()
+	d.dispatch.tell(&out)
 	d.peersMu.Lock()
 	defer d.peersMu.Unlock()
 	if token, ok := d.vote.Holding(steady()); ok {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -64,12 +64,17 @@
 	Lease   *election.Record `cbor:"lease,omitempty"`
 	Version int64            `cbor:"version,omitempty"`
 	Work    []Work           `cbor:"work,omitempty"`
+	// Lacking counts the places that the sender's callers lack, by service and model as LackingKey makes it.
+	Lacking map[string]int `cbor:"lacking,omitempty"`
 	// Suspects are groups that make no progress at the sender.
 	Suspects []string `cbor:"suspects,omitempty"`
 	// Closed are groups that the sender, as holder of the lease, has told to end.
 	Closed []string `cbor:"closed,omitempty"`
 }
 
+// LackingKey is the key of a model in Digest.Lacking.
+func LackingKey(service, model string) string { return service + "/" + model }
+
 // SizeError reports a digest that does not fit a datagram.
 type SizeError struct{ Size int }
 
