--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -827,7 +827,8 @@
 	gain := moveSpare
 	for i := range models {
 		a := &models[i]
-		if held[a.Name] == 0 || held[a.Name] >= a.Size || s.absent(a) {
+		// The last spare stays: a burst of other work is over before its host has loaded.
+		if held[a.Name] < 2 || held[a.Name] >= a.Size || s.absent(a) {
 			continue
 		}
 		keeps := s.Pressure[a.Name] + s.spare(a, domain, held[a.Name]-1)
