Try: groups of a relaxed model make room for a crowded one

Hosts of half empty groups get the weights of a crowded model while they serve, then their groups end in order and one of the other model forms from them and the survivors of a broken group. The pressure stands in the log line 'groups'.

--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -247,9 +247,10 @@
 			continue
 		}
 		members := l.members(ctx, now, s.Name, v)
+		pressure, urgent := d.dispatch.pressure(s)
 		if t := replica.Count(members); !reflect.DeepEqual(t, l.tallies[s.Name]) {
 			l.tallies[s.Name] = t
-			d.log.Info("groups", "service", s.Name, "open", t.Open, "forming", t.Forming, "idle", t.Idle, "lost", t.Lost)
+			d.log.Info("groups", "service", s.Name, "open", t.Open, "forming", t.Forming, "idle", t.Idle, "lost", t.Lost, "pressure", pressure, "urgent", urgent)
 		}
 		p := l.planners[s.Name]
 		if p == nil {
@@ -260,7 +261,6 @@
 		if d.storeOK.Load() {
 			silence = d.beatSilence()
 		}
-		pressure, urgent := d.dispatch.pressure(s)
 		orders := p.Step(now, replica.Input{
 			Pressure: pressure, Urgent: urgent,
 			Members: members, Silence: silence, Back: v.Back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, Window: d.settings().LoadWindow, Early: early,
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -99,6 +99,10 @@
 	known int
 	grown time.Time
 	token int64
+	// reshapes are those under way.
+	reshapes []*reshape
+	// crowded is since when a reshape has been due.
+	crowded time.Time
 }
 
 // history is what is remembered of a group.
@@ -111,6 +115,8 @@
 	stuck time.Time
 	// seen is when a member last reported the group, or when it was formed.
 	seen time.Time
+	// ending is set when the group is to make room for another model.
+	ending bool
 }
 
 const (
@@ -189,7 +195,7 @@
 	}
 	p.known = len(in.Members)
 	if !in.Early || now.Sub(p.grown) >= quietTime {
-		orders = append(orders, p.form(now, in, taken)...)
+		orders = append(orders, p.form(now, in, taken, groups)...)
 	}
 	for _, o := range orders {
 		p.await(now, o)
@@ -302,7 +308,10 @@
 	for _, m := range g.members {
 		whole = whole && !m.lost()
 	}
-	if whole {
+	switch {
+	case whole && g.ending && head != nil:
+		return p.finish(g, head), true
+	case whole:
 		return p.open(g, head, size), true
 	}
 	// Members that have not reported the group yet may still join it.
@@ -414,6 +423,10 @@
 	ready int
 	// serving counts the groups of each model, whole or on their way, and coming those not open yet.
 	serving, coming map[string]float64
+	// free holds the ids of those that no group needs, though they may still report one.
+	free map[string]bool
+	// given counts the groups of each model that are to make room for another one.
+	given map[string]float64
 	// local counts the members of groups of each model, by domain.
 	local map[string]map[string]int
 	// weights counts the hosts of each domain that have the weights of each model, or will have them.
@@ -455,11 +468,11 @@
 }
 
 // form makes groups of idle backend servers, and puts weights on the hosts of those that cannot form one.
-func (p *Planner) form(now time.Time, in Input, taken map[string]bool) []Order {
+func (p *Planner) form(now time.Time, in Input, taken map[string]bool, groups map[string]*group) []Order {
 	domains := map[string][]*Member{}
 	s := &supply{
 		Input: in, serving: map[string]float64{}, coming: map[string]float64{}, local: map[string]map[string]int{},
-		weights: map[string]map[string]int{}, hosts: map[string]int{},
+		free: map[string]bool{}, given: map[string]float64{}, weights: map[string]map[string]int{}, hosts: map[string]int{},
 	}
 	for _, m := range in.Members {
 		if m.Listed && m.State == roster.Ready {
@@ -485,6 +498,7 @@
 		}
 		if m.usable() && !busy && !taken[m.ID] {
 			domains[m.Domain] = append(domains[m.Domain], m)
+			s.free[m.ID] = true
 		}
 	}
 	var orders []Order
@@ -519,6 +533,9 @@
 		}
 		orders = append(orders, p.stage(now, s, idle, domain)...)
 	}
+	if !in.Early {
+		orders = append(orders, p.reshape(now, s, groups)...)
+	}
 	return orders
 }
 
@@ -789,7 +806,7 @@
 			score += absentFirst
 		case missing > empty:
 			// It would only be a spare; spares are worth most where groups of the model are.
-			score += s.spare(model, domain, held[model.Name]) - spareLater
+			score += spareWorth*s.spare(model, domain, held[model.Name]) - spareLater
 		default:
 			score += 1 / float64(missing)
 		}
@@ -803,42 +820,43 @@
 // spareLater is how much less a spare is worth than a host that completes a group now.
 const spareLater = 2
 
-// spare is what one more spare of a model is worth in a domain that has some: the more members its groups have there, the
-// likelier a loss is one of theirs, and the fewer spares there are, the likelier this one is needed.
+// spare is the use of one more spare of a model in a domain that has some, from 0 to 1: the more members its groups have
+// there, the likelier a loss is one of theirs, and the fewer spares there are, the likelier this one is needed.
 func (s *supply) spare(model *route.Model, domain string, have int) float64 {
 	members := 0
 	for _, n := range s.local[domain] {
 		members += n
 	}
-	return spareWorth * float64(s.local[domain][model.Name]) / float64(max(members, 1)*(1+have))
+	return float64(s.local[domain][model.Name]) / float64(max(members, 1)*(1+have))
 }
 
 const (
-	// spareWorth is the worth of the first spare of a domain whose groups are all of one model, on the scale of pressure:
-	// as much as work for two whole groups that one has.
+	// spareWorth is the worth of the most useful spare on the scale of pressure: as much as work for two whole groups that
+	// one has.
 	spareWorth = 2
-	// moveSpare is by how much a spare must be worth more with another model's weights before it is given them.
-	moveSpare = 0.2
+	// moveSpare is how many times as much a spare must be worth with another model's weights before it is given them.
+	moveSpare = 1.25
 )
 
 // rebalance returns the model that has one spare too many in a domain and the one that lacks it, nil when none does. Which
 // models need spares shows only when their work comes.
 func (s *supply) rebalance(models []route.Model, held map[string]int, domain string) (from, to *route.Model) {
-	gain := moveSpare
+	best := 0.0
 	for i := range models {
 		a := &models[i]
 		// The last spare stays: a burst of other work is over before its host has loaded.
 		if held[a.Name] < 2 || held[a.Name] >= a.Size || s.absent(a) {
 			continue
 		}
-		keeps := s.Pressure[a.Name] + s.spare(a, domain, held[a.Name]-1)
+		// Hosts that are most of a group wait for the rest of it.
+		keeps := s.Pressure[a.Name] * max(s.spare(a, domain, held[a.Name]-1), float64(held[a.Name])/float64(a.Size))
 		for j := range models {
 			b := &models[j]
-			if i == j || held[b.Name] >= b.Size-1 {
+			if i == j || held[b.Name] >= b.Size-1 || s.Pressure[b.Name] < convertPressure {
 				continue
 			}
-			if g := s.Pressure[b.Name] + s.spare(b, domain, held[b.Name]) - keeps; g > gain {
-				gain, from, to = g, a, b
+			if worth := s.Pressure[b.Name] * s.spare(b, domain, held[b.Name]); worth > moveSpare*keeps && worth-keeps > best {
+				best, from, to = worth-keeps, a, b
 			}
 		}
 	}
