--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -99,10 +99,6 @@
 	known int
 	grown time.Time
 	token int64
-	// reshapes are those under way.
-	reshapes []*reshape
-	// crowded is since when a reshape has been due.
-	crowded time.Time
 }
 
 // history is what is remembered of a group.
@@ -115,8 +111,6 @@
 	stuck time.Time
 	// seen is when a member last reported the group, or when it was formed.
 	seen time.Time
-	// ending is set when the group is to make room for another model.
-	ending bool
 }
 
 const (
@@ -195,7 +189,7 @@
 	}
 	p.known = len(in.Members)
 	if !in.Early || now.Sub(p.grown) >= quietTime {
-		orders = append(orders, p.form(now, in, taken, groups)...)
+		orders = append(orders, p.form(now, in, taken)...)
 	}
 	for _, o := range orders {
 		p.await(now, o)
@@ -308,10 +302,7 @@
 	for _, m := range g.members {
 		whole = whole && !m.lost()
 	}
-	switch {
-	case whole && g.ending && head != nil:
-		return p.finish(g, head), true
-	case whole:
+	if whole {
 		return p.open(g, head, size), true
 	}
 	// Members that have not reported the group yet may still join it.
@@ -423,10 +414,6 @@
 	ready int
 	// serving counts the groups of each model, whole or on their way, and coming those not open yet.
 	serving, coming map[string]float64
-	// free holds the ids of those that no group needs, though they may still report one.
-	free map[string]bool
-	// given counts the groups of each model that are to make room for another one.
-	given map[string]float64
 	// local counts the members of groups of each model, by domain.
 	local map[string]map[string]int
 	// weights counts the hosts of each domain that have the weights of each model, or will have them.
@@ -455,24 +442,36 @@
 	return true
 }
 
-// foothold returns the domain in which hosts are gathered for the first group of a model: the one with the most of its
-// weights, among those that are large enough.
+// foothold returns the domain in which hosts are gathered for the first group of a model: one that other models leave
+// enough hosts for it, then the one with the most of its weights, then the one with the most room.
 func (s *supply) foothold(model *route.Model) string {
-	best := ""
+	best, bestFits, bestHeld, bestRoom := "", 0, 0, 0
 	for _, domain := range slices.Sorted(maps.Keys(s.hosts)) {
-		if s.hosts[domain] >= model.Size && (best == "" || s.weights[domain][model.Name] > s.weights[best][model.Name]) {
-			best = domain
+		if s.hosts[domain] < model.Size {
+			continue
+		}
+		held, room, fits := s.weights[domain][model.Name], s.hosts[domain], 0
+		for name, n := range s.weights[domain] {
+			if name != model.Name {
+				room -= n
+			}
+		}
+		if room >= model.Size {
+			fits = 1
+		}
+		if best == "" || cmp.Or(cmp.Compare(fits, bestFits), cmp.Compare(held, bestHeld), cmp.Compare(room, bestRoom)) > 0 {
+			best, bestFits, bestHeld, bestRoom = domain, fits, held, room
 		}
 	}
 	return best
 }
 
 // form makes groups of idle backend servers, and puts weights on the hosts of those that cannot form one.
-func (p *Planner) form(now time.Time, in Input, taken map[string]bool, groups map[string]*group) []Order {
+func (p *Planner) form(now time.Time, in Input, taken map[string]bool) []Order {
 	domains := map[string][]*Member{}
 	s := &supply{
 		Input: in, serving: map[string]float64{}, coming: map[string]float64{}, local: map[string]map[string]int{},
-		free: map[string]bool{}, given: map[string]float64{}, weights: map[string]map[string]int{}, hosts: map[string]int{},
+		weights: map[string]map[string]int{}, hosts: map[string]int{},
 	}
 	for _, m := range in.Members {
 		if m.Listed && m.State == roster.Ready {
@@ -498,7 +497,6 @@
 		}
 		if m.usable() && !busy && !taken[m.ID] {
 			domains[m.Domain] = append(domains[m.Domain], m)
-			s.free[m.ID] = true
 		}
 	}
 	var orders []Order
@@ -533,9 +531,6 @@
 		}
 		orders = append(orders, p.stage(now, s, idle, domain)...)
 	}
-	if !in.Early {
-		orders = append(orders, p.reshape(now, s, groups)...)
-	}
 	return orders
 }
 
@@ -778,7 +773,7 @@
 }
 
 // absentFirst puts a model of which no domain has enough weights for a group before all others: its callers would be
-// turned away however little work it has.
+// turned away however little work it has. Of two such models the larger one goes first, as it is harder to find room for.
 const absentFirst = 1000
 
 // holds returns the models whose weights a member's host has or will have: those of its group, of what is on its way, and
@@ -803,7 +798,7 @@
 		score := s.need(model)
 		switch {
 		case s.absent(model) && (missing <= empty || domain == s.foothold(model)):
-			score += absentFirst
+			score += absentFirst * float64(model.Size)
 		case missing > empty:
 			// It would only be a spare; spares are worth most where groups of the model are.
 			score += spareWorth*s.spare(model, domain, held[model.Name]) - spareLater
