Note the end of an outage also where entries come from another daemon

Only reads of the store itself told the tracker that the store is back. A daemon that reads through another one, as most of 67 do, went on with its entries held, and after the outage dropped at once those that had lapsed in it, while as holder of the lease it took silent heads for dead by renewals that nobody could have seen; their members joined other groups. Test: TestOutageEndsForDaemonThatReadsThroughAnother, before: the end is not seen within 10 s.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -23,6 +23,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/platform"
 	"flamingorudder.example/platform/standin"
 )
 
@@ -621,3 +622,28 @@
 		t.Errorf("pressure %v, want %v", p, 18.0/8)
 	}
 }
+
+// TestOutageEndsForDaemonThatReadsThroughAnother guards against a daemon that takes the entries from another one missing the
+// end of an outage of the store: entries that lapsed meanwhile were dropped at once, and silent heads counted as dead by
+// renewals that nobody could have seen. Found on tallado-austral-grown, trouble-3: members joined other groups while the
+// heads of theirs were open.
+func TestOutageEndsForDaemonThatReadsThroughAnother(t *testing.T) {
+	store := standin.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	store.Put("servers", "i-1", []byte(`{"service":"plain","address":"127.0.0.1:1","state":"ready","born":1}`))
+	a := start(t, store, "a")
+	b := start(t, store, "b")
+	a.ready()
+	b.ready()
+	eventually(t, "b reads through a", func() bool { return b.d.feed.reader(time.Now()) != nil })
+	// One of its reads fails; the next ones come from the other daemon again.
+	b.d.feed.note(&platform.RefusedError{Status: http.StatusServiceUnavailable})
+	eventually(t, "b reads again", b.d.storeOK.Load)
+	eventually(t, "b knows when the store came back", func() bool { return !b.d.view.Load().Back.IsZero() })
+	store.Remove("servers", "i-1") // it lapsed while it could not be renewed
+	eventually(t, "the removal is read", func() bool { return a.d.view.Load().Servers["i-1"] == nil })
+	if v := b.d.view.Load(); time.Since(v.Back) < lapseGrace && v.Servers["i-1"] == nil {
+		t.Error("an entry that lapsed during the outage is dropped at once")
+	}
+	eventually(t, "it is taken as gone after the grace", func() bool { return b.d.view.Load().Servers["i-1"] == nil })
+}
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -236,6 +236,7 @@
 	if r := f.reader(time.Now()); r != nil && *after >= 0 {
 		in, err := f.fetch(ctx, r.Peer, fmt.Sprintf("%s?after=%d", pathServers, *after))
 		if err == nil && in.Age <= maxAge && in.Version >= *after {
+			f.back()
 			f.takeServers(in.Servers, false, in.Version, in.Age)
 			*after = in.Version
 			return nil
@@ -258,9 +259,7 @@
 	if err != nil {
 		return err
 	}
-	f.mu.Lock()
-	f.tracker.Back(time.Now())
-	f.mu.Unlock()
+	f.back()
 	whole := *after < 0
 	*after = page.Version
 	rows := make([]entryRow, len(page.Rows))
@@ -271,6 +270,14 @@
 	return nil
 }
 
+// back notes that the entries are being read, here or through another daemon. It comes before what was read is taken, since
+// entries that lapsed in an outage are kept for a while from its end.
+func (f *feeds) back() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tracker.Back(time.Now())
+}
+
 // maxAge is how old the entries that another daemon tells may be.
 const maxAge = 900 * time.Millisecond
 
