Weigh spares by pressure and use added, not multiplied; let the rest of a broken group wait for what it lacks

Survivors of a group in a domain that has no other of its model no longer count as spares, which was the reason for the product.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -829,29 +829,29 @@
 	// spareWorth is the worth of the most useful spare on the scale of pressure: as much as work for two whole groups that
 	// one has.
 	spareWorth = 2
-	// moveSpare is how many times as much a spare must be worth with another model's weights before it is given them.
-	moveSpare = 1.25
+	// moveSpare is by how much a spare must be worth more with another model's weights before it is given them.
+	moveSpare = 0.2
 )
 
 // rebalance returns the model that has one spare too many in a domain and the one that lacks it, nil when none does. Which
 // models need spares shows only when their work comes.
 func (s *supply) rebalance(models []route.Model, held map[string]int, domain string) (from, to *route.Model) {
-	best := 0.0
+	gain := moveSpare
 	for i := range models {
 		a := &models[i]
-		// The last spare stays: a burst of other work is over before its host has loaded.
-		if held[a.Name] < 2 || held[a.Name] >= a.Size || s.absent(a) {
+		// The last spare stays: a burst of other work is over before its host has loaded. Where the domain has no group of
+		// the model, its hosts are the rest of one and wait for what it lacks.
+		if held[a.Name] < 2 || held[a.Name] >= a.Size || s.local[domain][a.Name] == 0 || s.absent(a) {
 			continue
 		}
-		// Hosts that are most of a group wait for the rest of it.
-		keeps := s.Pressure[a.Name] * max(s.spare(a, domain, held[a.Name]-1), float64(held[a.Name])/float64(a.Size))
+		keeps := s.Pressure[a.Name] + spareWorth*s.spare(a, domain, held[a.Name]-1)
 		for j := range models {
 			b := &models[j]
-			if i == j || held[b.Name] >= b.Size-1 || s.Pressure[b.Name] < convertPressure {
+			if i == j || held[b.Name] >= b.Size-1 {
 				continue
 			}
-			if worth := s.Pressure[b.Name] * s.spare(b, domain, held[b.Name]); worth > moveSpare*keeps && worth-keeps > best {
-				best, from, to = worth-keeps, a, b
+			if g := s.Pressure[b.Name] + spareWorth*s.spare(b, domain, held[b.Name]) - keeps; g > gain {
+				gain, from, to = g, a, b
 			}
 		}
 	}
