--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -167,9 +167,10 @@
 		for lines != nil && lines.Scan() {
 			out(lines.Bytes())
 		}
-		_ = cmd.Wait() // how it ended stands in its log
+		_ = cmd.Wait() // its state tells how it ended
 		close(p.done)
-		return log.Close()
+		_, err := fmt.Fprintf(log, "%s %s: %v\n", time.Now().Format(time.RFC3339Nano), name, cmd.ProcessState)
+		return errors.Join(err, log.Close())
 	})
 	return p, nil
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -70,6 +70,11 @@
 	Failures []string
 }
 
+// EndedError reports that a process ended that no fault ends.
+type EndedError struct{ Process string }
+
+func (e *EndedError) Error() string { return e.Process + " ended by itself; its log tells how" }
+
 // Run starts a fleet, injects the faults of the seed, and checks the promises meanwhile. An error means that the run
 // itself did not work.
 func Run(ctx context.Context, o Options, out io.Writer) (Result, error) {
@@ -131,6 +136,14 @@
 	for _, d := range r.daemons {
 		g.Go(func() error { return r.probe(work, d) })
 	}
+	g.Go(func() error {
+		select {
+		case <-work.Done():
+			return nil
+		case <-r.store.done:
+			return &EndedError{r.store.name}
+		}
+	})
 	g.Go(func() error {
 		defer end()
 		last, err := r.harm(work, store)
