Move the stand-ins of the users' platform out of platform/

The outcomes of an order and their statuses stand in one table, read from both sides. Dropped from the adapter because nothing read them: the engine's memory, loads at once and usual prompt, the waiting requests of a report, the limits of headers and idleness. Behaviour is the same.

--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -13,8 +13,8 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
+	"flamingorudder.example/internal/fakeplatform"
 	"flamingorudder.example/internal/timer"
-	"flamingorudder.example/platform/standin"
 )
 
 // storeCommand runs the stand-in of the users' store.
@@ -32,7 +32,7 @@
 }
 
 func runStore(ctx context.Context, c *cli.Command) error {
-	s := standin.NewStore()
+	s := fakeplatform.NewStore()
 	g, ctx := errgroup.WithContext(ctx)
 	for addr, h := range map[string]http.Handler{c.String("daemons"): s.Daemons(), c.String("platform"): s.Platform()} {
 		srv := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: time.Minute}
@@ -88,7 +88,7 @@
 }
 
 func runServer(ctx context.Context, c *cli.Command) error {
-	o := standin.Options{
+	o := fakeplatform.Options{
 		ID: c.String("id"), Service: c.String("service"), DataCentre: c.String("data-centre"), Domain: c.String("domain"),
 		Slots: c.Int("slots"), Beat: c.Duration("beat"), Drain: c.Duration("drain"), Form: c.Duration("form"),
 		Stall: c.Duration("stall"), Work: c.Duration("work"),
@@ -105,8 +105,8 @@
 		}
 	}
 	out := json.NewEncoder(os.Stdout)
-	o.Told = func(e standin.Event) {
+	o.Told = func(e fakeplatform.Event) {
 		_ = out.Encode(e) // whoever reads the events has ended
 	}
-	return standin.Serve(ctx, o)
+	return fakeplatform.Serve(ctx, o)
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -22,9 +22,9 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"flamingorudder.example/internal/fakeplatform"
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/platform"
-	"flamingorudder.example/platform/standin"
 )
 
 // backendServer is a stand-in whose handler writes raw answers.
@@ -79,7 +79,7 @@
 type daemonUnderTest struct {
 	t     *testing.T
 	d     *Daemon
-	store *standin.Store
+	store *fakeplatform.Store
 	s     Settings
 }
 
@@ -104,7 +104,7 @@
 }
 
 // start starts a daemon; before are called with it while it does not run yet.
-func start(t *testing.T, store *standin.Store, name string, before ...func(d *Daemon)) *daemonUnderTest {
+func start(t *testing.T, store *fakeplatform.Store, name string, before ...func(d *Daemon)) *daemonUnderTest {
 	t.Helper()
 	srv := httptest.NewServer(store.Daemons())
 	t.Cleanup(srv.Close)
@@ -191,7 +191,7 @@
 // TestPlain guards against requests being changed on their way, against keys reaching backend servers, and against answers
 // for what is not configured.
 func TestPlain(t *testing.T) {
-	store := standin.NewStore()
+	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	u := start(t, store, "a")
 	got := make(chan *http.Request, 10)
@@ -226,7 +226,7 @@
 // TestUnsafeRunsOnce guards against a request that may run only once being sent again after its answer was lost, and against
 // an answer that says that it did not run.
 func TestUnsafeRunsOnce(t *testing.T) {
-	store := standin.NewStore()
+	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	u := start(t, store, "a")
 	var mu sync.Mutex
@@ -250,7 +250,7 @@
 
 // TestSafeIsRepeated guards against a failure of one backend server reaching the caller although another could answer.
 func TestSafeIsRepeated(t *testing.T) {
-	store := standin.NewStore()
+	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	u := start(t, store, "a")
 	for _, id := range []string{"i-1", "i-2"} {
@@ -272,7 +272,7 @@
 
 // TestRejectionIsPassedOnOnlyWithProof guards against a 503 without a proof telling the caller that nothing ran.
 func TestRejectionIsPassedOnOnlyWithProof(t *testing.T) {
-	store := standin.NewStore()
+	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	u := start(t, store, "a")
 	proof := make(chan string, 1)
@@ -295,7 +295,7 @@
 // TestStreamGoesOnElsewhere guards against pieces of two runs being joined wrongly: a stream that is cut in the middle of an
 // event goes on at another group after the last whole one, without a gap or a repeat.
 func TestStreamGoesOnElsewhere(t *testing.T) {
-	store := standin.NewStore()
+	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	u := start(t, store, "a")
 	var mu sync.Mutex
@@ -345,7 +345,7 @@
 
 // TestCutStreamDoesNotLookComplete guards against a caller taking a stream that no group can finish for a whole one.
 func TestCutStreamDoesNotLookComplete(t *testing.T) {
-	store := standin.NewStore()
+	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	u := start(t, store, "a")
 	u.server("i-1", "llm", backendServer(t, func(c net.Conn, _ *http.Request) {
@@ -361,7 +361,7 @@
 
 // TestConfigNeverGoesBack guards against an older configuration, from the store or from another daemon, replacing a newer one.
 func TestConfigNeverGoesBack(t *testing.T) {
-	store := standin.NewStore()
+	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 5, "")))
 	u := start(t, store, "a")
 	u.ready()
@@ -378,7 +378,7 @@
 // TestSilentFeed guards against a configuration that is never seen because the connection of the waiting read went silent
 // (deploy/days/edges.toml: 26 s behind).
 func TestSilentFeed(t *testing.T) {
-	store := standin.NewStore()
+	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 5, "")))
 	u := start(t, store, "a")
 	u.ready()
@@ -397,12 +397,12 @@
 // TestPeerTellsWhatTheStoreDoesNot guards against a daemon that the store turns away staying without the configuration and
 // the entries that another daemon has, and against callers getting 404 or 401 from it meanwhile.
 func TestPeerTellsWhatTheStoreDoesNot(t *testing.T) {
-	store := standin.NewStore()
+	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	store.Put("servers", "i-1", []byte(`{"service":"plain","address":"127.0.0.1:1","state":"ready","born":1}`))
 	a := start(t, store, "a")
 	a.ready()
-	down := standin.NewStore()
+	down := fakeplatform.NewStore()
 	down.Refuse(http.StatusServiceUnavailable)
 	b := start(t, down, "b")
 	if r := b.do(http.MethodGet, "/safe/", "k1", ""); r.status != http.StatusServiceUnavailable {
@@ -421,7 +421,7 @@
 
 // TestLeaving guards against a daemon that stops cutting off a request, and against callers being sent to it.
 func TestLeaving(t *testing.T) {
-	store := standin.NewStore()
+	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	u := start(t, store, "a")
 	arrived, release := make(chan struct{}), make(chan struct{})
@@ -508,7 +508,7 @@
 // TestOrdersToAnotherServer guards against orders that are given again and again to an address that another backend server
 // has taken over. Orders used to put off the question that shows it.
 func TestOrdersToAnotherServer(t *testing.T) {
-	store := standin.NewStore()
+	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	var reports, orders atomic.Int32
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -581,7 +581,7 @@
 		return text
 	}
 	signals := make(chan os.Signal)
-	u := start(t, standin.NewStore(), "a", func(d *Daemon) { d.Follow(file, write("1000"), signals) })
+	u := start(t, fakeplatform.NewStore(), "a", func(d *Daemon) { d.Follow(file, write("1000"), signals) })
 	write("1500")
 	eventually(t, "a change without a signal", func() bool { return u.d.settings().Drain == 1500*time.Millisecond })
 	if s := u.d.settings(); s.Name != "a" || s.Store != u.s.Store {
@@ -597,7 +597,7 @@
 
 // TestPressureOfAllDaemons guards against the holder of the lease taking what waits at itself for what waits everywhere.
 func TestPressureOfAllDaemons(t *testing.T) {
-	store := standin.NewStore()
+	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	u := start(t, store, "a")
 	u.server("i-1", "llm", "127.0.0.1:1", `{"name":"g1","epoch":1,"rank":0,"state":"open"}`)
@@ -628,7 +628,7 @@
 // renewals that nobody could have seen. Found on tallado-austral-grown, trouble-3: members joined other groups while the
 // heads of theirs were open.
 func TestOutageEndsForDaemonThatReadsThroughAnother(t *testing.T) {
-	store := standin.NewStore()
+	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	store.Put("servers", "i-1", []byte(`{"service":"plain","address":"127.0.0.1:1","state":"ready","born":1}`))
 	a := start(t, store, "a")
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -136,7 +136,7 @@
 }
 
 func (x *exchange) readBody() bool {
-	limit := x.config.Limits.Body
+	limit := x.config.MaxBody
 	if limit > 0 && x.r.ContentLength > limit {
 		x.refuse(http.StatusRequestEntityTooLarge, 0, "body too large")
 		return false
--- a/platform/standin/server.go
+++ b/internal/fakeplatform/server.go
@@ -1,8 +1,7 @@
-package standin
+package fakeplatform
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -17,9 +16,10 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"flamingorudder.example/internal/roster"
+	"flamingorudder.example/internal/route"
 	"flamingorudder.example/internal/timer"
 	"flamingorudder.example/platform"
-	"flamingorudder.example/platform/wire"
 )
 
 const (
@@ -68,14 +68,6 @@
 	Members []string `json:"members,omitempty"`
 }
 
-// Model is a model that a backend server can run.
-type Model struct {
-	Name string
-	Size int
-	// Load is how long the weights take to reach a host, Warm how long a join takes from the host.
-	Load, Warm time.Duration
-}
-
 // Options describes one backend server.
 type Options struct {
 	ID, Service, DataCentre, Domain string
@@ -89,7 +81,7 @@
 	// Drain is how long it serves after it has told that it drains.
 	Drain time.Duration
 	// Models is empty for a plain service.
-	Models []Model
+	Models []route.Model
 	// Form is how long a head takes to open, Stall how long one that lost a member takes to find the group broken.
 	Form, Stall time.Duration
 	// Work is the time of a plain request, and between two events of a stream.
@@ -106,16 +98,17 @@
 
 	mu    sync.Mutex
 	born  int64
-	state string
+	state roster.State
 	beats int64
 	// orders counts those that began, fence is the highest token seen and epoch the highest of a join.
 	orders, fence, epoch int64
 	staged               string
 	busy                 bool
-	group                *wire.Group
-	members              []string
-	model                string
-	running              int
+	// group is nil without a membership; a new one is another value.
+	group   *roster.Membership
+	members []string
+	model   string
+	running int
 	// lost is since when a member is missing.
 	lost time.Time
 	// gone is closed when the requests of the present membership end.
@@ -131,7 +124,7 @@
 	peers, closePeers := platform.NewServers()
 	defer closePeers()
 	s := &Server{
-		o: o, store: store, peers: peers, born: time.Now().UnixMilli(), state: "ready", gone: make(chan struct{}), renew: make(chan struct{}, 1),
+		o: o, store: store, peers: peers, born: time.Now().UnixMilli(), gone: make(chan struct{}), renew: make(chan struct{}, 1),
 	}
 	l, err := net.Listen("tcp", o.Listen.String())
 	if err != nil {
@@ -164,7 +157,7 @@
 // drain tells that the server leaves, serves on, and drops its entry.
 func (s *Server) drain(ctx context.Context) {
 	s.mu.Lock()
-	s.state = "draining"
+	s.state = roster.Draining
 	s.mu.Unlock()
 	s.changed()
 	_ = timer.Wait(ctx, s.o.Drain) // an early end only shortens the drain
@@ -190,7 +183,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probePeriod)
 	defer cancel()
 	head, err := s.report(ctx, members[0])
-	return err == nil && head.Membership.Group == group.Name && head.Membership.Epoch == group.Epoch && head.Running > 0
+	return err == nil && head.Membership.Group == group.Group && head.Membership.Epoch == group.Epoch && head.Running > 0
 }
 
 // report asks another backend server for its state.
@@ -224,10 +217,8 @@
 	for {
 		s.mu.Lock()
 		s.beats++
-		entry := s.self()
-		entry.Address, entry.Zone, entry.Service, entry.Slots, entry.Sequence = s.o.Addr.String(), s.o.DataCentre, s.o.Service, s.o.Slots, s.beats
+		text, err := platform.EncodeServer(s.self())
 		s.mu.Unlock()
-		text, err := json.Marshal(entry)
 		if err != nil {
 			return fmt.Errorf("encode entry: %w", err)
 		}
@@ -242,74 +233,82 @@
 	}
 }
 
-// self is what entry and report share. s.mu is held.
-func (s *Server) self() wire.Server {
-	w := wire.Server{State: s.state, Born: s.born, Domain: s.o.Domain, Sequence: s.orders}
+// self is the server as its entry tells it. s.mu is held.
+func (s *Server) self() *roster.Server {
+	out := &roster.Server{
+		ID: s.o.ID, Service: s.o.Service, Addr: s.o.Addr, DataCentre: s.o.DataCentre, Domain: s.o.Domain, Slots: s.o.Slots, State: s.state,
+		Born: s.born, Beat: s.beats,
+	}
 	if s.staged != "" {
-		w.Staged = []string{s.staged}
+		out.Staged = []string{s.staged}
 	}
 	if s.group != nil {
-		g := *s.group
-		w.Group = &g
-		w.Models = []wire.Named{{Name: s.model}}
+		out.Model, out.Membership = s.model, *s.group
 	}
-	return w
+	return out
 }
 
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if t := r.Header.Get(wire.HeaderTarget); t != "" && t != s.o.ID {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	switch r.URL.Path {
-	case "/api/report":
+	f := platform.ReadForwarding(r.Header)
+	switch {
+	case f.Target != "" && f.Target != s.o.ID:
+		w.WriteHeader(platform.Moved.Status())
+	case platform.IsReport(r):
 		s.mu.Lock()
-		report := wire.Report{Server: s.self(), Busy: s.busy, Running: s.running, Pace: 1}
+		text, err := platform.EncodeReport(s.self(), platform.Report{Busy: s.busy, Orders: s.orders, Running: s.running, Pace: 1})
 		s.mu.Unlock()
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(report) // a daemon that has left does not read it
-	case "/api/order":
+		_, _ = w.Write(text) // a daemon that has left does not read it
+	case platform.IsOrder(r):
 		s.order(w, r)
 	default:
-		s.work(w, r)
+		s.work(w, r, f)
 	}
 }
 
 // order carries out an order of a daemon.
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
-	var o wire.Order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+	text, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the daemon has left
+	}
+	o, err := platform.DecodeOrder(text)
+	if err != nil {
+		w.WriteHeader(platform.Invalid.Status())
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w.WriteHeader(s.obey(o))
+	w.WriteHeader(s.obey(o).Status())
 }
 
-// obey returns the status for an order. s.mu is held.
-func (s *Server) obey(o wire.Order) int {
-	same := s.group != nil && s.group.Name == o.Group && s.group.Epoch == o.Epoch
+// obey carries out an order. s.mu is held.
+func (s *Server) obey(o platform.Order) platform.Outcome {
+	same := s.group != nil && s.group.Group == o.Group && s.group.Epoch == o.Epoch
 	switch {
 	case o.Fence < s.fence:
-		return http.StatusPreconditionFailed
-	case o.Expected != nil && *o.Expected != s.orders:
-		return http.StatusConflict
+		return platform.Fenced
+	case o.After >= 0 && o.After != s.orders:
+		return platform.Unfit
 	}
-	switch platform.Operation(o.Operation) {
+	switch o.Operation {
 	case platform.Join:
 		rank := slices.Index(o.Members, s.o.ID)
 		switch {
 		case o.Epoch < s.epoch || same && !slices.Equal(o.Members, s.members):
-			return http.StatusPreconditionFailed
+			return platform.Fenced
 		case same:
-			return http.StatusOK
+			return platform.Holds
 		case rank < 0 || s.find(o.Model) == nil:
-			return http.StatusBadRequest
+			return platform.Invalid
 		}
 		s.end("")
 		s.epoch, s.members, s.model = o.Epoch, o.Members, o.Model
-		s.group = &wire.Group{Name: o.Group, Epoch: o.Epoch, Rank: rank, State: "joining"}
+		s.group = &roster.Membership{Group: o.Group, Epoch: o.Epoch, Rank: rank, State: roster.Joining}
 		s.tell(Event{Kind: Joining})
 		m, group := s.find(o.Model), s.group
 		wait := m.Warm
@@ -319,33 +318,33 @@
 		s.later(wait, func() {
 			s.staged = o.Model
 			if s.group == group {
-				group.State = "ready"
+				group.State = roster.Joined
 				s.tell(Event{Kind: Ready})
 			}
 		})
 	case platform.OpenHead:
 		switch {
-		case !same || s.group.Rank != 0 || s.group.State != "ready" && s.group.State != "open":
-			return http.StatusConflict
-		case s.group.State == "open":
-			return http.StatusOK
+		case !same || s.group.Rank != 0 || s.group.State != roster.Joined && s.group.State != roster.Open:
+			return platform.Unfit
+		case s.group.State == roster.Open:
+			return platform.Holds
 		}
 		group := s.group
 		s.later(s.o.Form, func() {
-			if s.group == group && group.State == "ready" {
-				group.State = "open"
+			if s.group == group && group.State == roster.Joined {
+				group.State = roster.Open
 				s.lost = time.Time{}
 				s.tell(Event{Kind: Opened})
 			}
 		})
 	case platform.CloseHead:
-		if !same || s.group.State != "open" {
-			return http.StatusConflict
+		if !same || s.group.State != roster.Open {
+			return platform.Unfit
 		}
-		s.group.State = "closing"
+		s.group.State = roster.Closing
 	case platform.Leave:
 		if !same {
-			return http.StatusOK
+			return platform.Holds
 		}
 		s.end(Left)
 		s.group, s.members = nil, nil
@@ -353,21 +352,21 @@
 		m := s.find(o.Model)
 		switch {
 		case m == nil:
-			return http.StatusBadRequest
+			return platform.Invalid
 		case s.staged == o.Model:
-			return http.StatusOK
+			return platform.Holds
 		case s.busy:
-			return http.StatusConflict
+			return platform.Unfit
 		}
 		s.busy = true
 		s.later(m.Load, func() { s.staged, s.busy = o.Model, false })
 	default:
-		return http.StatusBadRequest
+		return platform.Invalid
 	}
 	s.fence = max(s.fence, o.Fence)
 	s.orders++
 	s.changed()
-	return http.StatusAccepted
+	return platform.Begun
 }
 
 // later does something after a time, with s.mu held, and renews the entry.
@@ -389,7 +388,7 @@
 	s.gone = make(chan struct{})
 }
 
-func (s *Server) find(model string) *Model {
+func (s *Server) find(model string) *route.Model {
 	for i := range s.o.Models {
 		if s.o.Models[i].Name == model {
 			return &s.o.Models[i]
@@ -402,7 +401,7 @@
 func (s *Server) tell(e Event) {
 	e.At, e.Server = time.Now(), s.o.ID
 	if s.group != nil {
-		e.Group, e.Epoch, e.Members = s.group.Name, s.group.Epoch, s.members
+		e.Group, e.Epoch, e.Members = s.group.Group, s.group.Epoch, s.members
 	}
 	s.o.Told(e)
 }
@@ -420,8 +419,8 @@
 		case <-tick:
 		}
 		s.mu.Lock()
-		var group *wire.Group
-		if s.group != nil && s.group.Rank == 0 && (s.group.State == "open" || s.group.State == "closing") {
+		var group *roster.Membership
+		if s.group != nil && s.group.Rank == 0 && (s.group.State == roster.Open || s.group.State == roster.Closing) {
 			group = s.group
 		}
 		members := slices.Clone(s.members)
@@ -441,11 +440,11 @@
 		case misses >= probeLosses && s.lost.IsZero():
 			s.lost = time.Now()
 		case !s.lost.IsZero() && time.Since(s.lost) > s.o.Stall:
-			group.State = "broken"
+			group.State = roster.Broken
 			s.end(Broken)
 			s.changed()
-		case group.State == "closing" && s.running == 0:
-			group.State = "ready"
+		case group.State == roster.Closing && s.running == 0:
+			group.State = roster.Joined
 			s.tell(Event{Kind: Closed})
 			s.changed()
 		}
@@ -454,7 +453,7 @@
 }
 
 // whole tells whether all members are in the group.
-func (s *Server) whole(ctx context.Context, group *wire.Group, members []string) bool {
+func (s *Server) whole(ctx context.Context, group *roster.Membership, members []string) bool {
 	if len(members) < 2 {
 		return true
 	}
@@ -466,7 +465,7 @@
 		if errors.As(err, &unknown) {
 			continue // the store's trouble is not the members'
 		}
-		if err != nil || r.Membership.Group != group.Name || r.Membership.Epoch != group.Epoch {
+		if err != nil || r.Membership.Group != group.Group || r.Membership.Epoch != group.Epoch {
 			return false
 		}
 	}
@@ -474,29 +473,28 @@
 }
 
 // work runs a caller's request.
-func (s *Server) work(w http.ResponseWriter, r *http.Request) {
+func (s *Server) work(w http.ResponseWriter, r *http.Request, f platform.Forwarding) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the daemon has left
 	}
-	id := r.Header.Get(wire.HeaderID)
-	w.Header().Set(wire.HeaderID, id)
-	after, err := strconv.Atoi(r.Header.Get(wire.HeaderLastEvent))
+	call := platform.ReadCall(r.Header)
+	id := call.ID
+	after, err := strconv.Atoi(f.LastEvent)
 	if err != nil {
-		after = 0
+		after = 0 // a new stream
 	}
 	s.mu.Lock()
 	if status := s.rejects(); status != 0 {
 		s.mu.Unlock()
-		w.Header().Set(wire.HeaderNotRun, "1")
+		platform.SetAnswer(w.Header(), id, "", true)
 		w.WriteHeader(status)
 		return
 	}
 	s.running++
 	gone := s.gone
 	s.tell(Event{
-		Kind: Run, ID: id, Method: r.Method, URI: r.RequestURI, Organisation: r.Header.Get(wire.HeaderTenant), Sum: Sum(body), After: after,
-		Keyed: r.Header.Get(wire.HeaderKey) != "",
+		Kind: Run, ID: id, Method: r.Method, URI: r.RequestURI, Organisation: f.Organisation, Sum: Sum(body), After: after, Keyed: call.Key != "",
 	})
 	s.mu.Unlock()
 	defer func() {
@@ -504,7 +502,7 @@
 		defer s.mu.Unlock()
 		s.running--
 	}()
-	w.Header().Set(wire.HeaderSignature, s.o.ID+"."+id)
+	platform.SetAnswer(w.Header(), id, s.o.ID+"."+id, false)
 	done := false
 	if len(s.o.Models) == 0 {
 		done = s.answer(w, r, id, body)
@@ -528,7 +526,7 @@
 		return 0
 	case s.group != nil && s.group.Rank > 0:
 		return http.StatusMisdirectedRequest
-	case s.group == nil || s.group.State != "open":
+	case s.group == nil || s.group.State != roster.Open:
 		return http.StatusServiceUnavailable
 	}
 	return 0
--- a/platform/standin/store.go
+++ b/internal/fakeplatform/store.go
@@ -1,19 +1,19 @@
-// Package standin stands in for the users' platform on loopback: its store of rows and its backend servers. It speaks the
-// published formats, for tests and for the soak.
-package standin
+// Package fakeplatform stands in for the users' platform on loopback: its store of rows, its backend servers and its callers.
+// It speaks through package platform, for tests and for the soak.
+package fakeplatform
 
 import (
-	"encoding/json"
+	"cmp"
+	"context"
+	"errors"
 	"maps"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
 	"flamingorudder.example/internal/timer"
 	"flamingorudder.example/platform"
-	"flamingorudder.example/platform/wire"
 )
 
 // lapseBeats is how many heartbeats an entry of a backend server may miss before it is removed.
@@ -123,11 +123,11 @@
 }
 
 // list returns the rows of a table that are newer than a version, all present ones for -1.
-func (s *Store) list(table string, after int64) []wire.Row {
-	out := []wire.Row{}
+func (s *Store) list(table string, after int64) []platform.Row {
+	out := []platform.Row{}
 	for _, key := range slices.Sorted(maps.Keys(s.rows[table])) {
 		if r := s.rows[table][key]; r.version > after && (after >= 0 || !r.removed) {
-			out = append(out, wire.Row{Table: table, Key: key, Value: r.value, Version: &r.version, Removed: r.removed})
+			out = append(out, platform.Row{Table: table, Key: key, Value: r.value, Version: r.version, Removed: r.removed})
 		}
 	}
 	return out
@@ -160,103 +160,85 @@
 }
 
 func (s *Store) serve(w http.ResponseWriter, r *http.Request, mayWrite func(table string) bool) {
-	switch r.URL.Path {
-	case "/api/rows-get":
-		s.get(w, r)
-	case "/api/rows-feed":
-		s.feed(w, r)
-	case "/api/rows-tx":
-		s.transact(w, r, mayWrite)
-	default:
+	c, err := platform.ReadStoreCall(r)
+	var unknown *platform.CallError
+	switch {
+	case errors.As(err, &unknown):
 		w.WriteHeader(http.StatusNotFound)
+	case err != nil:
+		w.WriteHeader(http.StatusBadRequest)
+	case c.Read:
+		s.get(w, c)
+	case c.Follow:
+		s.feed(r.Context(), w, c)
+	case c.Change:
+		s.transact(w, c.Tx, mayWrite)
 	}
 }
 
-func (s *Store) get(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	limit, err := strconv.Atoi(q.Get("limit"))
-	if err != nil {
-		limit = 500
-	}
+func (s *Store) get(w http.ResponseWriter, c platform.StoreCall) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rows := slices.DeleteFunc(s.list(q.Get("table"), -1), func(r wire.Row) bool { return r.Key < q.Get("from") })
-	s.answer(w, http.StatusOK, rows[:min(limit, len(rows))], len(rows) > limit)
+	rows := slices.DeleteFunc(s.list(c.Table, -1), func(r platform.Row) bool { return r.Key < c.From })
+	s.answer(w, http.StatusOK, rows[:min(c.Limit, len(rows))], len(rows) > c.Limit)
 }
 
-func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	after, err := strconv.ParseInt(q.Get("afterRevision"), 10, 64)
-	wait, err2 := strconv.Atoi(q.Get("waitMs"))
-	if err != nil || err2 != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
+func (s *Store) feed(ctx context.Context, w http.ResponseWriter, c platform.StoreCall) {
 	end := make(chan struct{})
-	defer timer.After(time.Duration(wait)*time.Millisecond, func() { close(end) })()
+	defer timer.After(c.Wait, func() { close(end) })()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for {
-		rows := s.list(q.Get("table"), after)
-		if after < s.kept {
+	for over := false; ; {
+		rows := s.list(c.Table, c.After)
+		if c.After < s.kept {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
-		if len(rows) > 0 {
-			slices.SortFunc(rows, func(a, b wire.Row) int { return int(*a.Version - *b.Version) })
+		if len(rows) > 0 || over {
+			slices.SortFunc(rows, func(a, b platform.Row) int { return cmp.Compare(a.Version, b.Version) })
 			s.answer(w, http.StatusOK, rows, false)
 			return
 		}
 		changed := s.changed
 		s.mu.Unlock()
-		over := false
 		select {
 		case <-changed:
 		case <-end:
 			over = true
-		case <-r.Context().Done():
+		case <-ctx.Done():
 			over = true
 		}
 		s.mu.Lock()
-		if over {
-			s.answer(w, http.StatusOK, s.list(q.Get("table"), after), false)
-			return
-		}
 	}
 }
 
-func (s *Store) transact(w http.ResponseWriter, r *http.Request, mayWrite func(table string) bool) {
-	var tx wire.Tx
-	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
+func (s *Store) transact(w http.ResponseWriter, tx platform.Tx, mayWrite func(table string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var current []wire.Row
+	var current []platform.Row
 	held := true
-	for _, e := range tx.Expected {
+	for _, e := range tx.Check {
 		row := s.rows[e.Table][e.Key]
 		version := row.version
 		if row.removed {
 			version = 0
 		}
 		if version > 0 {
-			current = append(current, wire.Row{Table: e.Table, Key: e.Key, Value: row.value, Version: &version})
+			current = append(current, platform.Row{Table: e.Table, Key: e.Key, Value: row.value, Version: version})
 		}
-		held = held && e.Version != nil && *e.Version == version
+		held = held && e.Version == version
 	}
 	if !held {
 		s.answer(w, http.StatusPreconditionFailed, current, false)
 		return
 	}
-	for _, x := range slices.Concat(tx.Writes, tx.Remove) {
+	for _, x := range slices.Concat(tx.Write, tx.Remove) {
 		if !mayWrite(x.Table) {
 			w.WriteHeader(http.StatusForbidden)
 			return
 		}
 	}
-	for _, x := range tx.Writes {
+	for _, x := range tx.Write {
 		s.set(x.Table, x.Key, stored{value: x.Value})
 	}
 	for _, x := range tx.Remove {
@@ -265,9 +247,13 @@
 	s.answer(w, http.StatusOK, nil, false)
 }
 
-func (s *Store) answer(w http.ResponseWriter, status int, rows []wire.Row, more bool) {
+func (s *Store) answer(w http.ResponseWriter, status int, rows []platform.Row, more bool) {
+	text, err := platform.EncodePage(platform.Page{Rows: rows, Version: s.version, Now: time.Since(s.start)}, more)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	// A daemon that has left does not read it.
-	_ = json.NewEncoder(w).Encode(wire.Page{Rows: rows, HasMore: more, Version: s.version, NowMs: float64(time.Since(s.start).Milliseconds())})
+	_, _ = w.Write(text) // a daemon that has left does not read it
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -97,8 +97,6 @@
 	Models []Model
 	// Slots is the number of requests that a group runs at once.
 	Slots int
-	// Memory is a group's KV cache in tokens.
-	Memory int
 	// Stride is the number of token steps of one pass; events leave at its end.
 	Stride int
 	// Step is the time of one token step with nothing running, PerRequest what each running request adds.
@@ -109,11 +107,10 @@
 	Chunk int
 	// Form is how long a group takes to open.
 	Form time.Duration
-	// LoadRate bounds the loads of weights started in a second, LoadsAtOnce those that run at full speed.
-	LoadRate    float64
-	LoadsAtOnce int
-	// UsualPrompt and UsualAnswer are mean token counts of a request.
-	UsualPrompt, UsualAnswer int
+	// LoadRate bounds the loads of weights started in a second.
+	LoadRate float64
+	// UsualAnswer is the mean token count of an answer.
+	UsualAnswer int
 }
 
 // Service is a set of like backend servers.
@@ -133,21 +130,14 @@
 	Rank int
 }
 
-// Limits bound what a caller may send. Zero means no bound.
-type Limits struct {
-	Header        int
-	Body          int64
-	HeaderTimeout time.Duration
-	Idle          time.Duration
-}
-
 // Config is one version of what operators configured.
 type Config struct {
 	Version       int64
 	Routes        []Route
 	Services      []Service
 	Organisations []Organisation
-	Limits        Limits
+	// MaxBody bounds the body of a request in bytes; zero means no bound.
+	MaxBody int64
 
 	hosts    map[string]map[string]*Route
 	services map[string]*Service
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"flamingorudder.example/platform/standin"
+	"flamingorudder.example/internal/fakeplatform"
 )
 
 // Kind is what may be repeated.
@@ -30,7 +30,7 @@
 
 // sent is one attempt of a caller.
 type sent struct {
-	ask  standin.Ask
+	ask  fakeplatform.Ask
 	kind Kind
 	org  string
 	at   time.Time
@@ -38,7 +38,7 @@
 	daemon  string
 	version int
 
-	reply *standin.Reply
+	reply *fakeplatform.Reply
 	ended time.Time
 	// runs counts the backend servers that ran it, and ran is the first.
 	runs int
@@ -122,19 +122,19 @@
 
 func service(k Kind) string {
 	if k == Talk {
-		return standin.Engine
+		return modelService
 	}
-	return standin.Plain
+	return plainService
 }
 
 // Sent notes a request before it goes out.
-func (a *Audit) Sent(at time.Time, ask standin.Ask, kind Kind, org, daemon string, version int) {
+func (a *Audit) Sent(at time.Time, ask fakeplatform.Ask, kind Kind, org, daemon string, version int) {
 	a.requests[ask.ID] = &sent{ask: ask, kind: kind, org: org, at: at, daemon: daemon, version: version}
 	a.requested[service(kind)] = append(a.requested[service(kind)], at)
 }
 
 // Answered checks what a caller got.
-func (a *Audit) Answered(at time.Time, id string, r standin.Reply) {
+func (a *Audit) Answered(at time.Time, id string, r fakeplatform.Reply) {
 	s := a.requests[id]
 	s.reply, s.ended = &r, at
 	if r.Status == 0 {
@@ -166,12 +166,12 @@
 	var whole string
 	if s.kind == Talk {
 		var b strings.Builder
-		for n := s.ask.After + 1; n <= standin.Length(id); n++ {
-			b.WriteString(standin.EventText(id, n))
+		for n := s.ask.After + 1; n <= fakeplatform.Length(id); n++ {
+			b.WriteString(fakeplatform.EventText(id, n))
 		}
 		whole = b.String()
 	} else {
-		whole = standin.Text(id, s.ask.Body)
+		whole = fakeplatform.Text(id, s.ask.Body)
 	}
 	got := string(s.reply.Body)
 	switch {
@@ -263,7 +263,7 @@
 }
 
 // Event takes what a backend server did.
-func (a *Audit) Event(e standin.Event) {
+func (a *Audit) Event(e fakeplatform.Event) {
 	key := fmt.Sprintf("%s/%d", e.Group, e.Epoch)
 	g := a.groups[key]
 	if g == nil && e.Group != "" {
@@ -271,7 +271,7 @@
 		a.groups[key] = g
 	}
 	switch e.Kind {
-	case standin.Joining:
+	case fakeplatform.Joining:
 		if was := a.groups[a.in[e.Server]]; was != nil && was.open && a.in[e.Server] != key {
 			a.fail("one group at a time", "%s joins %s while the head of %s is open", e.Server, key, a.in[e.Server])
 		}
@@ -279,30 +279,30 @@
 			a.fail("one list of members", "%s has the members %v and %v", key, g.members, e.Members)
 		}
 		a.in[e.Server] = key
-	case standin.Ready:
+	case fakeplatform.Ready:
 		g.ready[e.Server] = true
-	case standin.Opened:
+	case fakeplatform.Opened:
 		g.open = true
-	case standin.Closed, standin.Broken, standin.Left:
+	case fakeplatform.Closed, fakeplatform.Broken, fakeplatform.Left:
 		if e.Server == g.members[0] {
 			g.open = false
 		}
-		if e.Kind == standin.Left && a.in[e.Server] == key {
+		if e.Kind == fakeplatform.Left && a.in[e.Server] == key {
 			delete(a.in, e.Server)
 		}
-	case standin.Run:
+	case fakeplatform.Run:
 		a.run(e, g, key)
-	case standin.Done:
+	case fakeplatform.Done:
 	}
 }
 
-func (a *Audit) run(e standin.Event, g *membership, key string) {
+func (a *Audit) run(e fakeplatform.Event, g *membership, key string) {
 	s := a.requests[e.ID]
 	if s == nil {
 		a.fail("only what was asked", "%s ran %q, which no caller sent", e.Server, e.ID)
 		return
 	}
-	if e.Method != s.ask.Method || e.URI != s.ask.Path || e.Sum != standin.Sum(s.ask.Body) || e.Keyed {
+	if e.Method != s.ask.Method || e.URI != s.ask.Path || e.Sum != fakeplatform.Sum(s.ask.Body) || e.Keyed {
 		a.fail("only what was asked", "%s ran %s as %s %s, body %d, with key %v", e.Server, e.ID, e.Method, e.URI, e.Sum, e.Keyed)
 	}
 	if e.Organisation != s.org {
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -12,31 +12,31 @@
 	"testing"
 	"time"
 
-	"flamingorudder.example/platform/standin"
+	"flamingorudder.example/internal/fakeplatform"
 )
 
 var t0 = time.Date(2028, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func at(d time.Duration) time.Time { return t0.Add(d) }
 
-func ask(id string, k Kind) standin.Ask {
-	a := standin.Ask{ID: id, Method: "GET", Path: "/" + id, Body: []byte("b"), Left: callerLimit}
+func ask(id string, k Kind) fakeplatform.Ask {
+	a := fakeplatform.Ask{ID: id, Method: "GET", Path: "/" + id, Body: []byte("b"), Left: callerLimit}
 	if k == Write {
 		a.Method = "POST"
 	}
 	return a
 }
 
-func ran(server, id string, k Kind) standin.Event {
+func ran(server, id string, k Kind) fakeplatform.Event {
 	a := ask(id, k)
-	return standin.Event{Kind: standin.Run, Server: server, ID: id, Method: a.Method, URI: a.Path, Sum: standin.Sum(a.Body), Organisation: "north", At: at(time.Second)}
+	return fakeplatform.Event{Kind: fakeplatform.Run, Server: server, ID: id, Method: a.Method, URI: a.Path, Sum: fakeplatform.Sum(a.Body), Organisation: "north", At: at(time.Second)}
 }
 
-func fine(id string) standin.Reply {
-	return standin.Reply{Status: 200, ID: id, Signed: true, Body: []byte(standin.Text(id, []byte("b")))}
+func fine(id string) fakeplatform.Reply {
+	return fakeplatform.Reply{Status: 200, ID: id, Signed: true, Body: []byte(fakeplatform.Text(id, []byte("b")))}
 }
 
-func in(e standin.Event, group string, epoch int64, members ...string) standin.Event {
+func in(e fakeplatform.Event, group string, epoch int64, members ...string) fakeplatform.Event {
 	e.Group, e.Epoch, e.Members = group, epoch, members
 	return e
 }
@@ -76,7 +76,7 @@
 		}},
 		{"an event missing", "whole answers", func(a *Audit) {
 			a.Sent(t0, ask("r", Talk), Talk, "north", "", 0)
-			a.Answered(t0, "r", standin.Reply{Status: 200, Signed: true, Body: []byte(standin.EventText("r", 2)), Err: io.ErrUnexpectedEOF})
+			a.Answered(t0, "r", fakeplatform.Reply{Status: 200, Signed: true, Body: []byte(fakeplatform.EventText("r", 2)), Err: io.ErrUnexpectedEOF})
 		}},
 		{"read twice", "", func(a *Audit) {
 			a.Sent(t0, ask("r", Read), Read, "north", "", 0)
@@ -90,17 +90,17 @@
 		}},
 		{"refused, then run", "refused means not run", func(a *Audit) {
 			a.Sent(t0, ask("r", Write), Write, "north", "", 0)
-			a.Answered(t0, "r", standin.Reply{Status: 503})
+			a.Answered(t0, "r", fakeplatform.Reply{Status: 503})
 			a.Event(ran("s", "r", Write))
 		}},
 		{"run, then refused", "refused means not run", func(a *Audit) {
 			a.Sent(t0, ask("r", Write), Write, "north", "", 0)
 			a.Event(ran("s", "r", Write))
-			a.Answered(t0, "r", standin.Reply{Status: 429})
+			a.Answered(t0, "r", fakeplatform.Reply{Status: 429})
 		}},
 		{"turned away", "proper requests are served", func(a *Audit) {
 			a.Sent(t0, ask("r", Read), Read, "north", "", 0)
-			a.Answered(t0, "r", standin.Reply{Status: 401})
+			a.Answered(t0, "r", fakeplatform.Reply{Status: 401})
 		}},
 		{"never asked", "only what was asked", func(a *Audit) { a.Event(ran("s", "r", Read)) }},
 		{"another body", "only what was asked", func(a *Audit) {
@@ -125,7 +125,7 @@
 			a.Sent(t0, ask("p", Probe), Probe, "north", "d#1", 2)
 			a.Answered(t0, "p", fine("p"))
 			a.Sent(at(time.Second), ask("q", Probe), Probe, "north", "d#1", 2)
-			a.Answered(at(time.Second), "q", standin.Reply{Status: 404})
+			a.Answered(at(time.Second), "q", fakeplatform.Reply{Status: 404})
 		}},
 		{"another lifetime knows less", "", func(a *Audit) {
 			a.Configured(2)
@@ -136,51 +136,51 @@
 		}},
 		{"a group that was never whole", "whole groups", func(a *Audit) {
 			a.Sent(t0, ask("r", Talk), Talk, "north", "", 0)
-			for _, k := range []standin.Kind{standin.Joining, standin.Ready, standin.Opened} {
-				a.Event(in(standin.Event{Kind: k, Server: "s"}, "g", 1, "s", "t"))
+			for _, k := range []fakeplatform.Kind{fakeplatform.Joining, fakeplatform.Ready, fakeplatform.Opened} {
+				a.Event(in(fakeplatform.Event{Kind: k, Server: "s"}, "g", 1, "s", "t"))
 			}
 			a.Event(in(ran("s", "r", Talk), "g", 1, "s", "t"))
 		}},
 		{"a member taken from an open group", "one group at a time", func(a *Audit) {
 			for _, id := range []string{"s", "t"} {
-				a.Event(in(standin.Event{Kind: standin.Joining, Server: id}, "g", 1, "s", "t"))
+				a.Event(in(fakeplatform.Event{Kind: fakeplatform.Joining, Server: id}, "g", 1, "s", "t"))
 			}
-			a.Event(in(standin.Event{Kind: standin.Opened, Server: "s"}, "g", 1, "s", "t"))
-			a.Event(in(standin.Event{Kind: standin.Joining, Server: "t"}, "h", 2, "t"))
+			a.Event(in(fakeplatform.Event{Kind: fakeplatform.Opened, Server: "s"}, "g", 1, "s", "t"))
+			a.Event(in(fakeplatform.Event{Kind: fakeplatform.Joining, Server: "t"}, "h", 2, "t"))
 		}},
 		{"a member taken after its head ended", "", func(a *Audit) {
 			for _, id := range []string{"s", "t"} {
-				a.Event(in(standin.Event{Kind: standin.Joining, Server: id}, "g", 1, "s", "t"))
+				a.Event(in(fakeplatform.Event{Kind: fakeplatform.Joining, Server: id}, "g", 1, "s", "t"))
 			}
-			a.Event(in(standin.Event{Kind: standin.Opened, Server: "s"}, "g", 1, "s", "t"))
+			a.Event(in(fakeplatform.Event{Kind: fakeplatform.Opened, Server: "s"}, "g", 1, "s", "t"))
 			a.Gone("s")
-			a.Event(in(standin.Event{Kind: standin.Joining, Server: "t"}, "h", 2, "t"))
+			a.Event(in(fakeplatform.Event{Kind: fakeplatform.Joining, Server: "t"}, "h", 2, "t"))
 		}},
 		{"stored, not applied", "configuration applies in time", func(a *Audit) {
 			a.Configured(2)
 			a.Stored(t0, 2)
 			a.Sent(at(3*time.Second), ask("p", Probe), Probe, "north", "d#1", 2)
-			a.Answered(at(3*time.Second), "p", standin.Reply{Status: 404})
+			a.Answered(at(3*time.Second), "p", fakeplatform.Reply{Status: 404})
 		}},
 		{"stored, not applied where the store was cut off", "", func(a *Audit) {
 			a.Configured(2)
 			a.Stored(t0, 2)
 			a.Trouble(at(-time.Second), "d")(at(2 * time.Second))
 			a.Sent(at(3*time.Second), ask("p", Probe), Probe, "north", "d#1", 2)
-			a.Answered(at(3*time.Second), "p", standin.Reply{Status: 404})
+			a.Answered(at(3*time.Second), "p", fakeplatform.Reply{Status: 404})
 		}},
 		{"lost beside planned work", "planned work loses nothing", func(a *Audit) {
 			a.Trouble(t0, "e") // another daemon's
 			a.Sent(t0, ask("r", Read), Read, "north", "d#1", 0)
 			a.Event(ran("s", "r", Read))
-			a.Answered(at(time.Second), "r", standin.Reply{Err: io.ErrUnexpectedEOF})
+			a.Answered(at(time.Second), "r", fakeplatform.Reply{Err: io.ErrUnexpectedEOF})
 			a.Lost()
 		}},
 		{"lost beside a fault", "", func(a *Audit) {
 			a.Trouble(at(-2*time.Second), "")(at(-time.Second))
 			a.Sent(t0, ask("r", Read), Read, "north", "d#1", 0)
 			a.Event(ran("s", "r", Read))
-			a.Answered(at(time.Second), "r", standin.Reply{Err: io.ErrUnexpectedEOF})
+			a.Answered(at(time.Second), "r", fakeplatform.Reply{Err: io.ErrUnexpectedEOF})
 			a.Lost()
 		}},
 		{"too many repeats", "budget of repeats", func(a *Audit) {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -18,7 +18,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"flamingorudder.example/platform/standin"
+	"flamingorudder.example/internal/fakeplatform"
+	"flamingorudder.example/internal/route"
 )
 
 // Options is what a run needs.
@@ -89,7 +90,7 @@
 	daemons []*daemon
 	servers []*server
 	// events takes what backend servers tell, gone the ids of those whose process has ended.
-	events chan standin.Event
+	events chan fakeplatform.Event
 	gone   chan string
 	mu     sync.Mutex
 	stops  []func()
@@ -106,10 +107,10 @@
 	apply = 2 * time.Second
 )
 
-// Models are those that the stand-ins run.
-var Models = []standin.Model{
-	{Name: "large", Size: 2, Load: time.Second, Warm: 200 * time.Millisecond},
-	{Name: "small", Size: 1, Load: time.Second, Warm: 200 * time.Millisecond},
+// models are those that the stand-ins run.
+var models = []route.Model{
+	{Name: "large", Size: 2, Share: 0.5, Pace: 1, Load: time.Second, Warm: 200 * time.Millisecond},
+	{Name: "small", Size: 1, Share: 0.5, Pace: 1, Load: time.Second, Warm: 200 * time.Millisecond},
 }
 
 // PortError reports that no port was found that is free for TCP and UDP.
@@ -117,6 +118,40 @@
 
 func (e *PortError) Error() string { return "no port is free for TCP and UDP" }
 
+// Names in the configuration of a run.
+const (
+	host         = "soak.example"
+	plainService = "ledger"
+	modelService = "desk"
+)
+
+// versionRoute is the route that only one version of the configuration has.
+func versionRoute(version int) string { return "version-" + strconv.Itoa(version) }
+
+// configuration is that of a run: routes that every version has, and one that only this version has.
+func configuration(version int) *route.Config {
+	to := func(name string, kind route.Kind, service string, timeout time.Duration, attempts int) route.Route {
+		return route.Route{
+			Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, Timeout: timeout, Objective: 500 * time.Millisecond,
+			Split: []route.Weighted{{Service: service, Weight: 1}}, MaxAttempts: attempts, Resumable: kind == route.Streaming,
+		}
+	}
+	engine := &route.Engine{
+		Slots: 16, Stride: 1, Step: 20 * time.Millisecond, PerRequest: 100 * time.Microsecond, ReadRate: 46000, Chunk: 2048,
+		Form: 100 * time.Millisecond, LoadRate: 20, UsualAnswer: 12, Models: models,
+	}
+	return &route.Config{
+		Version: int64(version),
+		Routes: []route.Route{
+			to("read", route.Safe, plainService, 3*time.Second, 2), to("write", route.Unsafe, plainService, 3*time.Second, 1),
+			to("talk", route.Streaming, modelService, 6*time.Second, 3), to(versionRoute(version), route.Safe, plainService, 2*time.Second, 2),
+		},
+		Services:      []route.Service{{Name: plainService, MaxConnections: 200}, {Name: modelService, MaxConnections: 200, Engine: engine}},
+		Organisations: []route.Organisation{{Name: "north", Keys: []string{"key-north"}, Rank: -1}, {Name: "south", Keys: []string{"key-south"}, Rank: -1}},
+		MaxBody:       1 << 20,
+	}
+}
+
 // free returns an address whose port is free for TCP and UDP.
 func (f *fleet) free() (netip.AddrPort, error) {
 	f.mu.Lock()
@@ -271,9 +306,9 @@
 }
 
 func (f *fleet) addServer(i int) error {
-	s := &server{name: "server-" + strconv.Itoa(i), service: standin.Engine, domain: strconv.Itoa(i % 2)}
+	s := &server{name: "server-" + strconv.Itoa(i), service: modelService, domain: strconv.Itoa(i % 2)}
 	if i < plains {
-		s.service = standin.Plain
+		s.service = plainService
 	}
 	f.servers = append(f.servers, s)
 	return f.startServer(s)
@@ -303,15 +338,15 @@
 		"server", "--id", id, "--service", s.service, "--domain", s.domain, "--listen", listen.String(), "--address", proxy.Addr.String(),
 		"--store", f.platform.String(), "--beat", beat.String(), "--drain", drain.String(), "--stall", stall.String(),
 	}
-	if s.service == standin.Engine {
-		models, err := json.Marshal(Models)
+	if s.service == modelService {
+		models, err := json.Marshal(models)
 		if err != nil {
 			return fmt.Errorf("encode models: %w", err)
 		}
 		args = append(args, "--models", string(models))
 	}
 	p, err := f.start(s.name, func(line []byte) {
-		var e standin.Event
+		var e fakeplatform.Event
 		if err := json.Unmarshal(line, &e); err != nil {
 			return // the last line of one that was killed
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -15,9 +15,9 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"flamingorudder.example/internal/fakeplatform"
 	"flamingorudder.example/internal/timer"
 	"flamingorudder.example/platform"
-	"flamingorudder.example/platform/standin"
 )
 
 // bounds are those of a run; the daemons get the same in their settings.
@@ -82,7 +82,7 @@
 	defer cancel()
 	g, gctx := errgroup.WithContext(ctx)
 	r := &run{
-		fleet: &fleet{o: o, g: &errgroup.Group{}, events: make(chan standin.Event, 4096), gone: make(chan string, 64), taken: map[netip.AddrPort]bool{}},
+		fleet: &fleet{o: o, g: &errgroup.Group{}, events: make(chan fakeplatform.Event, 4096), gone: make(chan string, 64), taken: map[netip.AddrPort]bool{}},
 		plan:  Plan(o.Seed, o.Length, o.Daemons, o.Servers), out: out, audit: NewAudit(bounds),
 	}
 	judged, endJudging := context.WithCancel(context.WithoutCancel(ctx))
@@ -173,7 +173,11 @@
 	n := r.version + 1
 	r.audit.Configured(n)
 	r.auditMu.Unlock()
-	row := platform.Row{Table: platform.TableOperator, Key: platform.ConfigKey, Value: standin.Config(n, Models)}
+	text, err := platform.EncodeConfig(configuration(n))
+	if err != nil {
+		return fmt.Errorf("encode configuration %d: %w", n, err)
+	}
+	row := platform.Row{Table: platform.TableOperator, Key: platform.ConfigKey, Value: text}
 	if _, err := store.Do(ctx, platform.Tx{Write: []platform.Row{row}}); err != nil {
 		return fmt.Errorf("store configuration %d: %w", n, err)
 	}
@@ -206,16 +210,16 @@
 }
 
 // send sends one request and has its answer checked.
-func (r *run) send(ctx context.Context, c *http.Client, addr netip.AddrPort, id string, kind Kind, org, daemon string, version int) standin.Reply {
-	ask := standin.Ask{ID: id, Method: http.MethodGet, Host: standin.Host, Path: "/" + kind.String() + "/x?id=" + id, Key: "key-" + org, Left: callerLimit}
+func (r *run) send(ctx context.Context, c *http.Client, addr netip.AddrPort, id string, kind Kind, org, daemon string, version int) fakeplatform.Reply {
+	ask := fakeplatform.Ask{ID: id, Method: http.MethodGet, Host: host, Path: "/" + kind.String() + "/x?id=" + id, Key: "key-" + org, Left: callerLimit}
 	switch kind {
 	case Write:
 		ask.Method, ask.Body = http.MethodPost, []byte("body of "+id)
 	case Talk:
 		ask.Method, ask.Body = http.MethodPost, []byte("prompt of "+id)
-		ask.Model = Models[int(standin.Sum([]byte(id)))%len(Models)].Name
+		ask.Model = models[int(fakeplatform.Sum([]byte(id)))%len(models)].Name
 	case Probe:
-		ask.Path = "/" + standin.VersionRoute(version) + "/"
+		ask.Path = "/" + versionRoute(version) + "/"
 	case Read:
 	}
 	r.auditMu.Lock()
@@ -245,7 +249,7 @@
 		}
 		if time.Now().After(until) {
 			d := r.daemons[rnd.IntN(len(r.daemons))]
-			told, hold, err := standin.Resolve(ctx, c, d.directory, standin.Host, "dc")
+			told, hold, err := fakeplatform.Resolve(ctx, c, d.directory, host, "dc")
 			if err == nil && len(told) > 0 {
 				addrs, until = told, time.Now().Add(hold)
 			}
