Read the fleet once a request, dial and restart in one way, tell causes from a table

Nothing changes for callers or operators. - A request that looks for a place sorted the names of all daemons twice and summed their digests after that; the names are sorted when they change, and one list serves both uses. - Three dialers set the same socket option: netopt.Dialer. Two commands of flamingod read and checked settings in the same lines: load. Two restarts of the soak had the same guard: place.claim; its time limit is a context's. explain's causes are a table. - The tracker kept times that nobody read; it is a set.

--- a/cmd/flamingoctl/explain.go
+++ b/cmd/flamingoctl/explain.go
@@ -164,31 +164,20 @@
 	return b.String()
 }
 
-// cause puts an outcome into a sentence for the engineer on call.
-func cause(outcome string) string {
-	switch {
-	case outcome == "served":
-		return "none; the answer was passed on whole. Compare first and pause with the route's objective."
-	case outcome == "rejected: queue":
-		return "load: more work waited for the model than found a place in the time that the request may wait. It did not run. See the lines groups for how many groups were open."
-	case outcome == "rejected: waited":
-		return "load: no group could have begun in time while the request waited. It did not run."
-	case outcome == "broken off":
-		return "the stream was cut after it began, and no other group took it in time or no attempt was left. See makes no progress and the orders for its groups."
-	case outcome == "answer lost":
-		return "a backend server had the request and its answer did not come; it may have run, and was not repeated: no attempt or no budget was left, or it may run only once."
-	case outcome == "timeout":
-		return "the route's timeout or the caller's time was over before an answer came."
-	case outcome == "caller left":
-		return "the caller closed its connection first."
-	case strings.HasPrefix(outcome, "failed by"):
-		return "the backend server answered with this failure itself."
-	case outcome == "unknown key":
-		return "the key is not in the configuration whose version the line gives."
-	case outcome == "no route":
-		return "no route of the configuration whose version the line gives begins the path."
-	case outcome == "no configuration":
-		return "the daemon had started and knew no configuration yet; see store lost."
-	}
-	return outcome
+// causes tells the engineer on call what each outcome means.
+var causes = map[string]string{
+	"served":                       "none; the answer was passed on whole. Compare first and pause with the route's objective.",
+	"rejected: queue":              "load: more work waited for the model than found a place in the time that the request may wait. It did not run. See the lines groups for how many groups were open.",
+	"rejected: waited":             "load: no group could have begun in time while the request waited. It did not run.",
+	"broken off":                   "the stream was cut after it began, and no other group took it in time or no attempt was left. See makes no progress and the orders for its groups.",
+	"answer lost":                  "a backend server had the request and its answer did not come; it may have run, and was not repeated: no attempt or no budget was left, or it may run only once.",
+	"timeout":                      "the route's timeout or the caller's time was over before an answer came.",
+	"caller left":                  "the caller closed its connection first.",
+	"failed by its backend server": "the backend server answered with this failure itself.",
+	"unknown key":                  "the key is not in the configuration whose version the line gives.",
+	"no route":                     "no route of the configuration whose version the line gives begins the path.",
+	"no configuration":             "the daemon had started and knew no configuration yet; see store lost.",
 }
+
+// cause puts an outcome into a sentence; one that is not known tells itself.
+func cause(outcome string) string { return cmp.Or(causes[outcome], outcome) }
--- a/cmd/flamingod/entry.go
+++ b/cmd/flamingod/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -38,24 +37,16 @@
 	if file == "" {
 		return cli.Exit("name the file with the settings, or set "+settingsVariable, 2)
 	}
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return fmt.Errorf("read settings: %w", err)
-	}
-	set, err := entry.ParseSettings(file, text)
-	if err != nil {
-		return cli.Exit(err.Error(), 2)
-	}
-	if c.Bool("check") {
-		fmt.Println("settings are valid")
-		return nil
+	set, text, err := load(c, file, entry.ParseSettings)
+	if set == nil {
+		return err
 	}
 	out, flush := logging.Async(os.Stdout)
 	defer flush()
 	log := hclog.New(&hclog.LoggerOptions{Name: set.Name, Level: hclog.LevelFromString(set.LogLevel), JSONFormat: true, Output: out})
 	log = logging.Limit(log, logging.Period)
 	logging.Adopt(log)
-	d, closeDaemon, err := entry.New(set, log)
+	d, closeDaemon, err := entry.New(*set, log)
 	if err != nil {
 		log.Error("cannot start", "error", err)
 		return err
--- a/cmd/flamingod/main.go
+++ b/cmd/flamingod/main.go
@@ -35,27 +35,37 @@
 // default of 10 s would cut requests off.
 const stopLimit = time.Hour + time.Minute
 
-func run(_ context.Context, c *cli.Command) error {
-	file := c.Args().First()
-	if file == "" {
-		return cli.Exit("name the file with the settings, for example: flamingod /etc/flamingod.ini", 2)
-	}
+// load reads and checks settings, and returns them with their text. They are nil when the program is to end: with a fault,
+// or because they were only to be checked.
+func load[S any](c *cli.Command, file string, parse func(file string, text []byte) (S, error)) (*S, []byte, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
-		return fmt.Errorf("read settings: %w", err)
+		return nil, nil, fmt.Errorf("read settings: %w", err)
 	}
-	set, err := setting.ParseDaemon(file, text)
+	set, err := parse(file, text)
 	if err != nil {
-		return cli.Exit(err.Error(), 2)
+		return nil, nil, cli.Exit(err.Error(), 2)
 	}
 	if c.Bool("check") {
 		fmt.Println("settings are valid")
-		return nil
+		return nil, nil, nil
+	}
+	return &set, text, nil
+}
+
+func run(_ context.Context, c *cli.Command) error {
+	file := c.Args().First()
+	if file == "" {
+		return cli.Exit("name the file with the settings, for example: flamingod /etc/flamingod.ini", 2)
+	}
+	set, _, err := load(c, file, setting.ParseDaemon)
+	if set == nil {
+		return err
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: set.Name, Level: hclog.LevelFromString(set.LogLevel), JSONFormat: set.LogFormat == "json"})
 	log = logging.Limit(log, logging.Period)
 	logging.Adopt(log)
-	d, closeDaemon, err := daemon.New(set, log)
+	d, closeDaemon, err := daemon.New(*set, log)
 	if err != nil {
 		return err
 	}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -132,7 +132,7 @@
 
 // Pool keeps connections to backend servers. It may be used from several goroutines.
 type Pool struct {
-	dialer net.Dialer
+	dialer *net.Dialer
 	mu     sync.Mutex
 	// idle holds the kept connections of an address, the one used last at the end.
 	idle map[netip.AddrPort][]*conn
@@ -144,10 +144,8 @@
 
 // NewPool returns a pool and a function that closes its idle connections and waits for its writers.
 func NewPool() (*Pool, func()) {
-	p := &Pool{idle: map[netip.AddrPort][]*conn{}, open: map[netip.AddrPort]int{}}
-	p.dialer = net.Dialer{Timeout: dialTimeout, Control: netopt.FailSilent, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
-	}}
+	p := &Pool{dialer: netopt.Dialer(dialTimeout), idle: map[netip.AddrPort][]*conn{}, open: map[netip.AddrPort]int{}}
+	p.dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 	return p, func() {
 		p.Sweep(time.Time{})
 		_ = p.writers.Wait() // writers return no error
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -244,9 +244,11 @@
 	if !errors.As(err, &lost) {
 		t.Fatalf("a request that was cancelled while it ran: %v", err)
 	}
+	limit, stop := context.WithTimeout(context.Background(), 10*time.Second)
+	defer stop()
 	select {
 	case <-ended:
-	case <-time.After(10 * time.Second): //nolint:forbidigo // bounds a hang
+	case <-limit.Done():
 		t.Fatal("the backend server still works for a caller who has left")
 	}
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -167,8 +167,9 @@
 	if spec == nil {
 		return o
 	}
-	o.plan = &balance.Plan{Engine: service.Engine, Model: spec, Urgent: m.queue.Urgent, Unheard: m.queue.Rate() * p.d.unheard()}
-	others := gossip.Others(p.d.live(now))
+	live := p.d.live(now)
+	o.plan = &balance.Plan{Engine: service.Engine, Model: spec, Urgent: m.queue.Urgent, Unheard: m.queue.Rate() * p.d.unheard(len(live))}
+	others := gossip.Others(live)
 	near := p.d.settings().DataCentre
 	for _, g := range p.d.view.Load().Groups[service.Name] {
 		if g.Model != name || !g.Whole() {
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -83,7 +82,7 @@
 // newFeeds returns feeds that know nothing and a function that closes their connections to other daemons.
 func newFeeds(d *Daemon) (*feeds, func()) {
 	t := &http.Transport{
-		DialContext: (&net.Dialer{Timeout: peerTimeout, Control: netopt.FailSilent}).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: storeTimeout * 4,
+		DialContext: netopt.Dialer(peerTimeout).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: storeTimeout * 4,
 	}
 	return &feeds{
 		d: d, peers: &http.Client{Transport: t}, rawServers: map[string]entryRow{}, tracker: roster.NewTracker(lapseGrace, d.beatSilence()),
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -31,12 +31,11 @@
 	return out
 }
 
-// unheard is how many seconds of the work of one daemon stand for that of all between two digests.
-func (d *Daemon) unheard() float64 {
-	now := time.Now()
+// unheard is how many seconds of the work of one daemon stand for that of all between two digests. live counts the others.
+func (d *Daemon) unheard(live int) float64 {
 	d.peersMu.Lock()
 	defer d.peersMu.Unlock()
-	return float64(len(d.members.Live(now))+1) * d.members.Period().Seconds()
+	return float64(live+1) * d.members.Period().Seconds()
 }
 
 // tell sends digests to the other daemons.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -120,6 +120,8 @@
 type Members struct {
 	self string
 	all  map[string]*Member
+	// names is the keys of all in order, nil after they have changed; requests ask for Live.
+	names []string
 }
 
 // NewMembers returns an empty set for the daemon of that name.
@@ -138,7 +140,14 @@
 	if o := m.all[d.Name]; o != nil && o.Boot >= d.Boot {
 		return
 	}
-	m.all[d.Name] = &Member{Digest: d, added: now}
+	m.set(&Member{Digest: d, added: now})
+}
+
+func (m *Members) set(o *Member) {
+	if m.all[o.Name] == nil {
+		m.names = nil
+	}
+	m.all[o.Name] = o
 }
 
 // Hear takes a digest. It reports whether the sender is new, in this lifetime.
@@ -150,7 +159,7 @@
 	if o != nil && (o.Boot > d.Boot || o.Boot == d.Boot && o.Seq >= d.Seq) {
 		return false
 	}
-	m.all[d.Name] = &Member{Digest: d, Heard: now, added: now}
+	m.set(&Member{Digest: d, Heard: now, added: now})
 	return o == nil || o.Boot != d.Boot
 }
 
@@ -158,7 +167,10 @@
 func (m *Members) Live(now time.Time) []*Member {
 	limit := max(silence, missed*m.Period())
 	var out []*Member
-	for _, name := range slices.Sorted(maps.Keys(m.all)) {
+	if m.names == nil {
+		m.names = slices.Sorted(maps.Keys(m.all))
+	}
+	for _, name := range m.names {
 		if o := m.all[name]; !o.Heard.IsZero() && now.Sub(o.Heard) <= limit {
 			out = append(out, o)
 		}
@@ -172,6 +184,7 @@
 	for name, o := range m.all {
 		if now.Sub(o.added) > forget {
 			delete(m.all, name)
+			m.names = nil
 			continue
 		}
 		out = append(out, o)
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -13,8 +13,13 @@
 // would otherwise hang for minutes.
 const silence = 1500 * time.Millisecond
 
-// FailSilent is a net.Dialer's Control that sets TCP_USER_TIMEOUT.
-func FailSilent(_, _ string, c syscall.RawConn) error {
+// Dialer returns a dialer whose connections fail when what they sent stays unacknowledged.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, Control: failSilent}
+}
+
+// failSilent is a net.Dialer's Control that sets TCP_USER_TIMEOUT.
+func failSilent(_, _ string, c syscall.RawConn) error {
 	var err error
 	if e := c.Control(func(fd uintptr) {
 		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
--- a/internal/roster/tracker.go
+++ b/internal/roster/tracker.go
@@ -14,8 +14,8 @@
 // period: they are used until the store has been back for that long, and are then taken as gone.
 type Tracker struct {
 	servers map[string]*Server
-	// lapsed holds entries that were removed within the grace after an outage, with the time of their removal.
-	lapsed map[string]time.Time
+	// lapsed holds entries that were removed within the grace after an outage.
+	lapsed map[string]bool
 	// holding is set while the store is away.
 	holding bool
 	// back is when the store last came back; zero before the first outage.
@@ -40,7 +40,7 @@
 // NewTracker returns a tracker that keeps lapsed entries for grace after an outage of the store. A live backend server
 // renews its entry within silence.
 func NewTracker(grace, silence time.Duration) *Tracker {
-	return &Tracker{servers: map[string]*Server{}, lapsed: map[string]time.Time{}, departed: map[string]departure{}, grace: grace, silence: silence}
+	return &Tracker{servers: map[string]*Server{}, lapsed: map[string]bool{}, departed: map[string]departure{}, grace: grace, silence: silence}
 }
 
 // Hold notes that the store does not answer.
@@ -95,9 +95,7 @@
 			delete(t.departed, c.ID)
 		case t.servers[c.ID] == nil:
 		case !t.back.IsZero() && now.Sub(t.back) < t.grace && t.servers[c.ID].State == Ready:
-			if _, ok := t.lapsed[c.ID]; !ok {
-				t.lapsed[c.ID] = now
-			}
+			t.lapsed[c.ID] = true
 		default:
 			t.remove(now, c.ID)
 		}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -48,17 +48,46 @@
 	}
 }
 
-// daemon is the place of one daemon, whose processes follow each other.
+// place is where processes of one daemon or backend server follow each other.
+type place struct {
+	mu sync.Mutex
+	p  *process
+	// life counts the processes.
+	life int
+	// busy is set while a fault that ends in a new process is under way.
+	busy bool
+}
+
+// process returns the present process.
+func (p *place) process() *process {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.p
+}
+
+// claim returns the present process to a fault that is to end it, and a function to call when the next one runs. It is nil
+// while another such fault is under way.
+func (p *place) claim() (*process, func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy {
+		return nil, func() {}
+	}
+	p.busy = true
+	return p.p, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.busy = false
+	}
+}
+
+// daemon is the place of one daemon.
 type daemon struct {
+	place
 	name                               string
 	caller, readiness, directory, peer netip.AddrPort
 	settings                           string
 	store                              *Proxy
-	mu                                 sync.Mutex
-	p                                  *process
-	life                               int
-	// busy is set while a fault that ends in a new process is under way.
-	busy bool
 }
 
 // lifetime names the daemon's present process.
@@ -70,13 +99,10 @@
 
 // server is the place of one backend server.
 type server struct {
+	place
 	name, service, domain string
-	mu                    sync.Mutex
-	p                     *process
 	proxy                 *Proxy
 	closeProxy            func()
-	life                  int
-	busy                  bool
 }
 
 // fleet is the processes of a run.
@@ -372,14 +398,10 @@
 	defer f.mu.Unlock()
 	list := []*process{f.store}
 	for _, d := range f.daemons {
-		d.mu.Lock()
-		list = append(list, d.p)
-		d.mu.Unlock()
+		list = append(list, d.process())
 	}
 	for _, s := range f.servers {
-		s.mu.Lock()
-		list = append(list, s.p)
-		s.mu.Unlock()
+		list = append(list, s.process())
 	}
 	for _, p := range list {
 		if p != nil {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -380,11 +380,7 @@
 	case KillServer, DrainServer:
 		return r.restartServer(ctx, r.servers[s.Target], s)
 	case PauseServer:
-		sv := r.servers[s.Target]
-		sv.mu.Lock()
-		p := sv.p
-		sv.mu.Unlock()
-		return pause(ctx, p, s.For)
+		return pause(ctx, r.servers[s.Target].process(), s.For)
 	case PauseStore:
 		return pause(ctx, r.store, s.For)
 	case HarmStore:
@@ -401,12 +397,6 @@
 	return nil
 }
 
-func (d *daemon) process() *process {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.p
-}
-
 // pause stops a process for a while. Pauses may overlap; the first end of one continues the process.
 func pause(ctx context.Context, p *process, length time.Duration) error {
 	p.signal(syscall.SIGSTOP)
@@ -422,26 +412,21 @@
 
 // restartDaemon ends a daemon, by a request to stop or by force, and starts it again later.
 func (r *run) restartDaemon(ctx context.Context, d *daemon, s Step) error {
-	d.mu.Lock()
-	if d.busy {
-		d.mu.Unlock()
+	p, release := d.claim()
+	defer release()
+	if p == nil {
 		return nil // it is down already
 	}
-	d.busy = true
-	p := d.p
-	d.mu.Unlock()
-	defer func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.busy = false
-	}()
 	if s.Fault == StopDaemon {
 		p.signal(syscall.SIGTERM)
+		stopping, cancel := context.WithTimeout(ctx, grace)
+		defer cancel()
 		select {
 		case <-p.done:
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(grace): //nolint:forbidigo // a time limit on another process
+		case <-stopping.Done():
+		}
+		if err := ctx.Err(); err != nil {
+			return err
 		}
 	}
 	p.signal(syscall.SIGKILL)
@@ -454,19 +439,11 @@
 
 // restartServer ends a backend server and starts another in its place later.
 func (r *run) restartServer(ctx context.Context, sv *server, s Step) error {
-	sv.mu.Lock()
-	if sv.busy {
-		sv.mu.Unlock()
-		return nil
+	p, release := sv.claim()
+	defer release()
+	if p == nil {
+		return nil // it is down already
 	}
-	sv.busy = true
-	p := sv.p
-	sv.mu.Unlock()
-	defer func() {
-		sv.mu.Lock()
-		defer sv.mu.Unlock()
-		sv.busy = false
-	}()
 	if s.Fault == DrainServer {
 		p.signal(syscall.SIGTERM)
 	} else {
