Give each soak run an address of its own and one source of ports

Ruled out: the daemon; it logged the address as taken and ended. All parts of a run, proxies too, now take their addresses from one place, on a loopback address by the number of the process. Test: TestAddresses (the proxies had no such door before).

--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -251,7 +251,7 @@
 			go func() { _, _ = io.Copy(c, c); _ = c.Close() }()
 		}
 	}()
-	p, stop, err := NewProxy(netip.MustParseAddrPort(l.Addr().String()))
+	p, stop, err := NewProxy(netip.MustParseAddrPort("127.0.0.1:0"), netip.MustParseAddrPort(l.Addr().String()))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -306,3 +306,30 @@
 		t.Errorf("delay: %v", took)
 	}
 }
+
+// TestAddresses guards against two parts of a fleet at one address, and against a port that another program may take while
+// its process is down. Found by seed 603: a proxy to the store stood where a daemon was to listen.
+func TestAddresses(t *testing.T) {
+	f := newFleet(Options{})
+	given := map[netip.AddrPort]bool{}
+	for range 200 {
+		addr, err := f.free()
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, stop, err := f.proxy(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer stop()
+		for _, a := range []netip.AddrPort{addr, p.Addr} {
+			if given[a] {
+				t.Errorf("%v is given twice", a)
+			}
+			given[a] = true
+			if h := a.Addr(); !h.IsLoopback() || h == netip.MustParseAddr("127.0.0.1") {
+				t.Errorf("%v is not the fleet's own", a)
+			}
+		}
+	}
+}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -107,8 +107,10 @@
 
 // fleet is the processes of a run.
 type fleet struct {
-	o        Options
-	g        *errgroup.Group
+	o Options
+	g *errgroup.Group
+	// host is the address on which all parts of the fleet listen.
+	host     netip.Addr
 	platform netip.AddrPort
 	// serves is the store's address for daemons, behind their proxies.
 	serves  netip.AddrPort
@@ -178,12 +180,22 @@
 	}
 }
 
-// free returns an address whose port is free for TCP and UDP.
+// newFleet returns a fleet without processes. It has a loopback address of its own, by the number of this process: a port of
+// 127.0.0.1 that is free while a process is down may be taken by any other connection of the machine.
+func newFleet(o Options) *fleet {
+	pid := os.Getpid()
+	return &fleet{
+		o: o, g: &errgroup.Group{}, events: make(chan fakeplatform.Event, 4096), gone: make(chan string, 64), taken: map[netip.AddrPort]bool{},
+		host: netip.AddrFrom4([4]byte{127, 1 + byte(pid>>16)%200, byte(pid >> 8), byte(pid)}),
+	}
+}
+
+// free returns an address whose port is free for TCP and UDP, and that no other part of the fleet is given.
 func (f *fleet) free() (netip.AddrPort, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for range 50 {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		l, err := net.Listen("tcp4", netip.AddrPortFrom(f.host, 0).String())
 		if err != nil {
 			return netip.AddrPort{}, fmt.Errorf("find a free port: %w", err)
 		}
@@ -202,6 +214,15 @@
 	return netip.AddrPort{}, &PortError{}
 }
 
+// proxy returns a proxy to an address, at one that no other part of the fleet is given.
+func (f *fleet) proxy(to netip.AddrPort) (*Proxy, func(), error) {
+	at, err := f.free()
+	if err != nil {
+		return nil, nil, err
+	}
+	return NewProxy(at, to)
+}
+
 // start starts a program. What it writes to standard output goes to out, or to its log when out is nil.
 func (f *fleet) start(name string, out func(line []byte), program string, args ...string) (*process, error) {
 	log, err := os.OpenFile(filepath.Join(f.o.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -272,7 +293,7 @@
 			return err
 		}
 	}
-	store, stop, err := NewProxy(f.serves)
+	store, stop, err := f.proxy(f.serves)
 	if err != nil {
 		return err
 	}
@@ -348,7 +369,7 @@
 	if err != nil {
 		return err
 	}
-	proxy, stop, err := NewProxy(listen)
+	proxy, stop, err := f.proxy(listen)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -55,9 +55,9 @@
 	changed chan struct{}
 }
 
-// NewProxy returns a proxy on a free port and a function that ends it.
-func NewProxy(to netip.AddrPort) (*Proxy, func(), error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+// NewProxy returns a proxy at an address and a function that ends it.
+func NewProxy(at, to netip.AddrPort) (*Proxy, func(), error) {
+	l, err := net.Listen("tcp4", at.String())
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for the proxy: %w", err)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -82,7 +82,7 @@
 	defer cancel()
 	g, gctx := errgroup.WithContext(ctx)
 	r := &run{
-		fleet: &fleet{o: o, g: &errgroup.Group{}, events: make(chan fakeplatform.Event, 4096), gone: make(chan string, 64), taken: map[netip.AddrPort]bool{}},
+		fleet: newFleet(o),
 		plan:  Plan(o.Seed, o.Length, o.Daemons, o.Servers), out: out, audit: NewAudit(bounds),
 	}
 	judged, endJudging := context.WithCancel(context.WithoutCancel(ctx))
