--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -41,8 +41,13 @@
 	// reading a longer one.
 	inlineBody = 16 << 10
 	// maxStray is how many answers to earlier requests are passed over before a connection is given up.
-	maxStray   = 4
-	readBuffer = 4 << 10
+	maxStray = 4
+	// maxHead bounds all that is read of an answer before its body, in bytes: status lines, headers, interim answers and the
+	// heads of stray answers. Known heads take a few hundred.
+	maxHead = 64 << 10
+	// maxStrayBody bounds the body of a stray answer that is read so that its connection can be kept.
+	maxStrayBody = 64 << 10
+	readBuffer   = 4 << 10
 )
 
 // NotSentError reports a request of which no byte reached the backend server; it has not run.
@@ -122,8 +127,35 @@
 	a.pool.drop(a.conn)
 }
 
+// HeadError reports an answer whose head does not end within the bound.
+type HeadError struct{ Limit int }
+
+func (e *HeadError) Error() string { return fmt.Sprintf("no end of the head in %d bytes", e.Limit) }
+
+// limiter passes on no more bytes than left while the head of an answer is read, since net/http bounds neither the lines
+// nor the number of headers of an answer. A negative left is no bound.
+type limiter struct {
+	net  *net.TCPConn
+	left int
+}
+
+func (l *limiter) Read(b []byte) (int, error) {
+	if l.left == 0 {
+		return 0, &HeadError{maxHead}
+	}
+	if l.left > 0 && len(b) > l.left {
+		b = b[:l.left]
+	}
+	n, err := l.net.Read(b)
+	if l.left > 0 {
+		l.left -= n
+	}
+	return n, err
+}
+
 type conn struct {
 	net   *net.TCPConn
+	in    *limiter
 	br    *bufio.Reader
 	addr  netip.AddrPort
 	used  time.Time
@@ -235,7 +267,8 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return &conn{net: n.(*net.TCPConn), br: bufio.NewReaderSize(n, readBuffer), addr: addr}, nil
+	in := &limiter{net: n.(*net.TCPConn), left: -1}
+	return &conn{net: in.net, in: in, br: bufio.NewReaderSize(in, readBuffer), addr: addr}, nil
 }
 
 // Do sends a request and reads the head of its answer. limit bounds the connections to the backend server; zero means
@@ -255,6 +288,7 @@
 	if err != nil {
 		return fail(err)
 	}
+	c.in.left = maxHead
 	for range maxStray {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: req.Method}) //nolint:bodyclose // Answer.Close ends it with its connection
 		if err != nil {
@@ -265,11 +299,15 @@
 		}
 		a := platform.ReadAnswer(resp.StatusCode, resp.Header)
 		if a.ID != "" && a.ID != req.ID {
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+			c.in.left = -1
+			n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBody+1))
+			if err != nil || resp.Close || n > maxStrayBody {
 				return fail(&StrayError{a.ID})
 			}
+			c.in.left = maxHead
 			continue
 		}
+		c.in.left = -1
 		out := &Answer{
 			Answer: a, Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 			resp: resp, conn: c, pool: p, stop: stop, keep: keep,
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -327,3 +327,100 @@
 		t.Error(err)
 	}
 }
+
+// endless writes b until the other side closes, which it reports on ended.
+func endless(c net.Conn, b string, ended chan<- int) {
+	text := []byte(strings.Repeat(b, 1+4096/len(b)))
+	for n := 0; ; {
+		m, err := c.Write(text)
+		n += m
+		if err != nil {
+			ended <- n
+			return
+		}
+	}
+}
+
+// TestHeadWithoutEnd guards against a backend server whose answer never begins: the bytes that are read, and the time, must be
+// bounded, and its connection closed at once.
+func TestHeadWithoutEnd(t *testing.T) {
+	for name, parts := range map[string][2]string{
+		"status line":      {"", "x"},
+		"no line":          {"HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+		"headers":          {"HTTP/1.1 200 OK\r\n", "X-More: y\r\n"},
+		"interim answers":  {"", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"},
+		"interim headers":  {"HTTP/1.1 100 Continue\r\n", "X-More: y\r\n"},
+		"blank lines":      {"", "\r\n"},
+		"stray answers":    {"", answer("other", "x")},
+		"body of a stray":  {"HTTP/1.1 200 OK\r\nX-Flamingorudder-Request-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"},
+		"not the protocol": {"", "\x00\xff\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan int, 1)
+			server, _ := listen(t, func(c net.Conn, r *bufio.Reader) {
+				if _, ok := read(r); ok {
+					_, _ = io.WriteString(c, parts[0])
+					endless(c, parts[1], ended)
+				}
+			})
+			p := pool(t)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			a, err := p.Do(ctx, server, request("r1"), 0)
+			var lost *LostError
+			if err == nil {
+				a.Close()
+			}
+			if !errors.As(err, &lost) || ctx.Err() != nil {
+				t.Errorf("error %v", err)
+			}
+			select {
+			case <-ended:
+			case <-time.After(5 * time.Second): //nolint:forbidigo // bounds the test
+				t.Error("the connection stays open")
+			}
+			if n := p.open[server.Addr]; n != 0 {
+				t.Errorf("%d connections are counted", n)
+			}
+		})
+	}
+}
+
+// TestBodyWithoutEnd guards against framing of a body that never ends: sizes and extensions of chunks, and trailers.
+func TestBodyWithoutEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Flamingorudder-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, parts := range map[string][2]string{
+		"size of a chunk":       {"", "0"},
+		"extension of a chunk":  {"1;", "e"},
+		"extensions of chunks":  {"", "1;" + strings.Repeat("e", 1000) + "\r\nx\r\n"},
+		"line of a trailer":     {"1\r\nx\r\n0\r\nX-Long: ", "x"},
+		"trailers":              {"1\r\nx\r\n0\r\n", "X-More: y\r\n"},
+		"bytes without a chunk": {"", "\x00\xff\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan int, 1)
+			server, _ := listen(t, func(c net.Conn, r *bufio.Reader) {
+				if _, ok := read(r); ok {
+					_, _ = io.WriteString(c, head+parts[0])
+					endless(c, parts[1], ended)
+				}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			a, err := pool(t).Do(ctx, server, request("r1"), 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			n, err := io.Copy(io.Discard, a.Body)
+			if err == nil || n > 64<<10 || ctx.Err() != nil {
+				t.Errorf("%d bytes, error %v", n, err)
+			}
+			a.Close()
+			select {
+			case <-ended:
+			case <-time.After(5 * time.Second): //nolint:forbidigo // bounds the test
+				t.Error("the connection stays open")
+			}
+		})
+	}
+}
--- a/internal/balance/lag.go
+++ b/internal/balance/lag.go
@@ -6,8 +6,10 @@
 // part of the prompts that others have to read a request waits for. The rest are read before it reaches the engine, or in
 // passes after its own. NewLag returns one that knows nothing.
 type Lag struct {
-	// late is by how much first events came later than expected, but for the lag itself.
+	// late is by how much first events came later than expected, but for the lag itself; base is what it was at least
+	// over a longer time.
 	late window[time.Duration]
+	base time.Duration
 	// part is the part of Estimate.Unread that a request waits for; the sums that it is worked out from are averages.
 	part                             float64
 	unread, rest, square, product, n float64
@@ -25,11 +27,22 @@
 	// mostly is the part of first events that are planned to be in time in a group that is as full as it may be. With a larger
 	// one groups would be left emptier than it takes for most requests to be in time.
 	mostly = 0.6
+	// lagFresh is how long what was learnt holds without news; the base then halves in lagForget. A lag that was learnt while
+	// groups were overloaded would otherwise keep all work away, and with it the news that they no longer are.
+	lagFresh  = time.Second
+	lagForget = time.Second
+	// baseFrom is how many values the base is learnt from, low the part of them below it, and baseRises the weight of one
+	// that is above it.
+	baseFrom  = 64
+	low       = 0.25
+	baseRises = 0.05
 	// partMemory is how many first events the part of unread prompts is learnt from, partEnough from how many on it is.
 	partMemory = 2000
 	partEnough = 200
-	// firstPart is assumed before.
+	// firstPart is assumed before; leastPart and mostPart bound what is learnt.
 	firstPart = 0.5
+	leastPart = 0.15
+	mostPart  = 0.9
 	// groupWeight is the weight of one first event in the average of its group.
 	groupWeight = 0.2
 	// groupForget is the time in which a group's own lag halves while it gets no requests, so that one which was slow
@@ -42,12 +55,17 @@
 
 // Add notes how long a request of a group took to its first event.
 func (l *Lag) Add(now time.Time, group string, e Estimate, took time.Duration) {
-	l.learn(e.Unread.Seconds(), (took - e.Passes).Seconds())
+	if !e.Full {
+		l.learn(e.Unread.Seconds(), (took - e.Passes).Seconds())
+	}
 	late := took - l.Expect(e)
-	l.late.add(late)
+	l.late.add(now, late)
 	if !l.late.known() {
 		return
 	}
+	if now.Equal(l.late.at) && len(l.late.sorted) >= baseFrom {
+		l.settle(l.late.quantile(low))
+	}
 	g := l.groups[group]
 	if g == nil {
 		g = &groupLag{at: now}
@@ -57,6 +75,15 @@
 	g.at = now
 }
 
+// settle moves the base to a low quantile of late: down at once, up slowly.
+func (l *Lag) settle(q time.Duration) {
+	if l.base == 0 || q < l.base {
+		l.base = q
+		return
+	}
+	l.base += time.Duration(baseRises * float64(q-l.base))
+}
+
 // learn fits rest = constant + part * unread by least squares over the last first events.
 func (l *Lag) learn(unread, rest float64) {
 	l.n = min(l.n+1, partMemory)
@@ -66,7 +93,7 @@
 	average(&l.square, unread*unread)
 	average(&l.product, unread*rest)
 	if spread := l.square - l.unread*l.unread; l.n >= partEnough && spread > 0 {
-		l.part = min(max((l.product-l.unread*l.rest)/spread, 0), 1)
+		l.part = min(max((l.product-l.unread*l.rest)/spread, leastPart), mostPart)
 	}
 }
 
@@ -76,7 +103,12 @@
 }
 
 // Mostly is how much later than expected most first events come at worst.
-func (l *Lag) Mostly() time.Duration { return l.late.quantile(mostly) }
+func (l *Lag) Mostly(now time.Time) time.Duration {
+	if old := now.Sub(l.late.at); old > lagFresh {
+		return time.Duration(float64(l.base) * fading(old-lagFresh, lagForget))
+	}
+	return l.late.quantile(mostly)
+}
 
 // Of returns by how much a group is later than the others; it is never negative.
 func (l *Lag) Of(now time.Time, group string) time.Duration {
--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -73,6 +73,8 @@
 	// Unread is the time to read the prompts of others without a first event. Which part of it the request waits for is
 	// learnt, see Lag.
 	Unread time.Duration
+	// Full is set when every slot was taken, which makes the estimate a rough one.
+	Full bool
 }
 
 // Estimate estimates a request's way to its first event in a group.
@@ -84,5 +86,5 @@
 		residence := time.Duration(float64(pass) * steps)
 		d += residence * time.Duration(over) / time.Duration(p.Engine.Slots)
 	}
-	return Estimate{d, p.Reading(l.Unread)}
+	return Estimate{d, p.Reading(l.Unread), l.Requests >= p.Engine.Slots}
 }
--- a/internal/balance/replay_test.go
+++ b/internal/balance/replay_test.go
@@ -82,12 +82,14 @@
 type replayedGroup struct {
 	index, model int
 	down         bool
-	slow         float64
-	coming       []*replayed
-	waiting      []*replayed
-	running      []*replayed
-	ends         time.Duration
-	works        bool
+	// fails has it answer every request with a failure as soon as it comes.
+	fails   bool
+	slow    float64
+	coming  []*replayed
+	waiting []*replayed
+	running []*replayed
+	ends    time.Duration
+	works   bool
 	// load is its true load.
 	load Load
 }
@@ -100,6 +102,7 @@
 	tick(f *fleet)
 	first(f *fleet, q *replayed)
 	end(f *fleet, q *replayed, unread int)
+	failed(f *fleet, q *replayed)
 }
 
 // tally is what became of requests.
@@ -335,6 +338,14 @@
 	if g.down || g.works && f.now < g.ends {
 		return
 	}
+	if g.fails {
+		for _, q := range g.coming {
+			f.leave(q)
+			f.placer.failed(f, q)
+			f.count(q, func(t *tally) { t.late, t.cut = t.late+1, t.cut+1 })
+		}
+		g.coming = nil
+	}
 	if g.works {
 		f.events(g)
 	}
@@ -434,6 +445,8 @@
 	known      []Load
 	news       []news
 	waiting    map[uint64]*replayed
+	// unheard is the part of the daemons whose work is not known.
+	unheard float64
 }
 
 // news is a change of a group's load on its way.
@@ -448,13 +461,17 @@
 
 func newCentral() *central { return &central{delay: reportDelay, waiting: map[uint64]*replayed{}} }
 
-func (c *central) arrive(f *fleet, q *replayed) {
+func (c *central) setup(f *fleet) {
 	if c.known == nil {
 		c.known = make([]Load, len(f.all))
 		for range f.plans {
 			c.schedulers = append(c.schedulers, NewScheduler())
 		}
 	}
+}
+
+func (c *central) arrive(f *fleet, q *replayed) {
+	c.setup(f)
 	c.waiting[q.id] = q
 	start := f.clock().Add(-f.now)
 	c.schedulers[q.work.model].Put(f.clock(), &Waiter{
@@ -469,7 +486,11 @@
 
 func (c *central) first(f *fleet, q *replayed) {
 	c.news = append(c.news, news{f.now + c.delay, q.group.index, Load{Unread: -q.prompt}})
-	c.schedulers[q.work.model].Lag().Add(f.clock(), q.group.key(), q.estimate, f.now-q.placed)
+	c.schedulers[q.work.model].First(f.clock(), q.group.key(), q.estimate, f.now-q.placed)
+}
+
+func (c *central) failed(f *fleet, q *replayed) {
+	c.schedulers[q.work.model].Failed(f.clock(), q.group.key())
 }
 
 func (c *central) end(f *fleet, q *replayed, unread int) {
@@ -504,7 +525,7 @@
 			groups = append(groups, Group{Key: g.key(), Load: c.known[g.index], Suspect: g.down})
 		}
 	}
-	for _, d := range s.Step(f.clock(), f.plans[model], groups, 0, f.rand.Float64) {
+	for _, d := range s.Step(f.clock(), f.plans[model], groups, c.unheard, f.rand.Float64) {
 		q := c.waiting[d.ID]
 		delete(c.waiting, d.ID)
 		if d.Group == "" {
@@ -520,6 +541,72 @@
 	}
 }
 
+// restarted is a fleet whose daemons have all just started: at first each has to place its own requests and hears nothing of
+// the others, then all ask a scheduler that knows nothing but the work.
+type restarted struct {
+	*central
+	// alone is until when daemons are alone. Each then has a scheduler for each model, with only its own work.
+	alone time.Duration
+	own   []*central
+}
+
+func (c *restarted) arrive(f *fleet, q *replayed) {
+	if f.now >= c.alone {
+		c.meet(f)
+		c.central.arrive(f, q)
+		return
+	}
+	for len(c.own) < f.daemons {
+		o := newCentral()
+		o.unheard = 1 - 1/float64(f.daemons)
+		c.own = append(c.own, o)
+	}
+	c.own[q.daemon].arrive(f, q)
+}
+
+func (c *restarted) tick(f *fleet) {
+	for _, o := range c.own {
+		o.tick(f)
+	}
+	if f.now >= c.alone {
+		c.meet(f)
+	}
+	c.central.tick(f)
+}
+
+// meet has the daemons report their work to the common scheduler.
+func (c *restarted) meet(f *fleet) {
+	if c.known != nil {
+		return
+	}
+	c.setup(f)
+	for _, g := range f.all {
+		c.known[g.index] = g.load
+	}
+}
+
+func (c *restarted) of(q *replayed) []*central {
+	if len(c.own) == 0 || q.placed >= c.alone {
+		return []*central{c.central}
+	}
+	if c.known == nil {
+		return []*central{c.own[q.daemon]}
+	}
+	return []*central{c.own[q.daemon], c.central}
+}
+
+func (c *restarted) first(f *fleet, q *replayed) {
+	for _, o := range c.of(q) {
+		o.first(f, q)
+	}
+}
+
+func (c *restarted) end(f *fleet, q *replayed, unread int) {
+	for _, o := range c.of(q) {
+		o.end(f, q, unread)
+	}
+}
+
 // apart is the baseline: every daemon places its own requests by loads that the others told a while ago, and takes a
 // request for as long as the plan says that its first event is in time. It is the version before the Scheduler without its
 // finer points.
@@ -576,6 +663,8 @@
 	l.Unread -= q.prompt
 }
 
+func (a *apart) failed(*fleet, *replayed) {}
+
 func (a *apart) end(_ *fleet, q *replayed, unread int) {
 	l := &a.own[q.daemon][q.group.index]
 	*l = l.Add(Load{-1, -unread})
--- a/internal/balance/scheduler.go
+++ b/internal/balance/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -81,6 +82,7 @@
 	waiting []*Waiter
 	lag     *Lag
 	returns returns
+	trust   trust
 	shares  *shares
 	// prompts are the prompts of each rank lately.
 	prompts map[int]*window[int]
@@ -135,6 +137,8 @@
 	longPrompt = 0.7
 	// idleRoom is by how much the first event of a request may exceed that in an idle group, whatever its objective.
 	idleRoom = 1.25
+	// mostUnheard bounds how many daemons one that is heard stands for.
+	mostUnheard = 400
 	// farther is what a group in another data centre of the region takes longer: a round trip for the request and one for
 	// its connection.
 	farther = 4 * time.Millisecond
@@ -147,13 +151,20 @@
 	}
 }
 
-// Lag learns from first events.
-func (s *Scheduler) Lag() *Lag { return s.lag }
+// First notes a group's first event of a request.
+func (s *Scheduler) First(now time.Time, group string, e Estimate, took time.Duration) {
+	s.lag.Add(now, group, e, took)
+	s.trust.note(now, group, false)
+}
+
+// Failed notes that a group failed a request.
+func (s *Scheduler) Failed(now time.Time, group string) { s.trust.note(now, group, true) }
 
 // Forget drops what is known of groups that are gone.
 func (s *Scheduler) Forget(kept func(group string) bool) {
 	s.lag.Forget(kept)
 	maps.DeleteFunc(s.sent, func(key string, _ sentTokens) bool { return !kept(key) })
+	maps.DeleteFunc(s.trust.groups, func(key string, _ *standing) bool { return !kept(key) })
 }
 
 // Put adds a request.
@@ -167,7 +178,7 @@
 	if s.prompts[w.Rank] == nil {
 		s.prompts[w.Rank] = &window[int]{}
 	}
-	s.prompts[w.Rank].add(w.Prompt)
+	s.prompts[w.Rank].add(now, w.Prompt)
 	s.waiting = append(s.waiting, w)
 }
 
@@ -187,8 +198,34 @@
 	return len(s.waiting) + int(s.shares.refused), urgent, known
 }
 
+// State is what a scheduler goes by at a moment, for the log.
+type State struct {
+	Waiting int
+	// Placed, Late and Refused are requests a second lately: those that found a place, those of them that could not be in
+	// time, and those that were turned away.
+	Placed, Late, Refused float64
+	// Lag is what first events mostly take beside their estimate, Part the part of unread prompts in that.
+	Lag  time.Duration
+	Part float64
+	// Bound is the use beyond which an organisation's work comes after that of the others, in tokens; 0 when there is none.
+	Bound float64
+}
+
+// State returns the present state.
+func (s *Scheduler) State(now time.Time) State {
+	s.shares.fade(now)
+	out := State{
+		Waiting: len(s.waiting), Placed: s.shares.placed(), Late: s.shares.late, Refused: s.shares.refused,
+		Lag: s.lag.Mostly(now), Part: s.lag.part, Bound: s.shares.bound,
+	}
+	if math.IsInf(out.Bound, 1) {
+		out.Bound = 0
+	}
+	return out
+}
+
 // Step decides on waiting requests. The loads of groups are those with what it places. unheard is the part of the daemons
-// whose loads are not in groups; the more, the more evenly groups are drawn. random returns numbers in [0, 1).
+// whose loads are not in groups; they are taken to have as much as the others, anywhere. random returns numbers in [0, 1).
 func (s *Scheduler) Step(now time.Time, plan *Plan, groups []Group, unheard float64, random func() float64) []Decision {
 	if len(s.waiting) == 0 {
 		return nil
@@ -206,6 +243,7 @@
 		s.sort(now)
 	}
 	gap := s.gap()
+	spread(groups, unheard)
 	var out []Decision
 	late := 0
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *Waiter) bool {
@@ -214,6 +252,7 @@
 			g := &groups[i]
 			out = append(out, Decision{Waiter: w, Group: g.Key, Estimate: plan.Estimate(g.Load, w.Prompt)})
 			g.Load = g.Load.Add(Load{1, w.Prompt})
+			s.trust.give(now, g.Key)
 			s.sent[g.Key] = sentTokens{s.justSent(now, g.Key) + float64(w.Prompt), now}
 			s.take(w, c)
 			return true
@@ -235,6 +274,22 @@
 	return out
 }
 
+// spread adds to each group its part of the work of daemons of which nothing is heard.
+func spread(groups []Group, unheard float64) {
+	if unheard <= 0 || len(groups) == 0 {
+		return
+	}
+	all := Load{}
+	for i := range groups {
+		all = all.Add(groups[i].Load)
+	}
+	part := min(unheard/(1-unheard), mostUnheard) / float64(len(groups))
+	more := Load{int(math.Round(part * float64(all.Requests))), int(part * float64(all.Unread))}
+	for i := range groups {
+		groups[i].Load = groups[i].Load.Add(more)
+	}
+}
+
 // hopeful tells whether a request's first event can still be in time.
 func (s *Scheduler) hopeful(now time.Time, plan *Plan, w *Waiter) bool {
 	if w.Objective == 0 {
@@ -315,7 +370,7 @@
 
 // left is what is left of the objective for a group's passes.
 func (s *Scheduler) left(now time.Time, w *Waiter) time.Duration {
-	return w.Objective - callerPath - s.lag.Mostly() - now.Sub(w.first)
+	return w.Objective - callerPath - s.lag.Mostly(now) - now.Sub(w.first)
 }
 
 // sort brings the waiting requests into the order in which they are looked at.
@@ -398,7 +453,7 @@
 	if w.Continues {
 		return objective, slots
 	}
-	aside := callerPath + s.lag.Mostly() + plan.Reading(s.prompts[w.Rank].quantile(longPrompt))
+	aside := callerPath + s.lag.Mostly(now) + plan.Reading(s.prompts[w.Rank].quantile(longPrompt))
 	whole := objective - aside
 	budget := whole - now.Sub(w.first)
 	owed := s.isOwed(w)
@@ -435,7 +490,7 @@
 	noise := unheard * float64(plan.Estimate(Load{Requests: plan.Engine.Slots}, 0).Passes)
 	for i := range groups {
 		g := &groups[i]
-		if g.Suspect || g.Load.Requests >= slots || slices.Contains(w.Exclude, g.Key) {
+		if g.Suspect || g.Load.Requests >= slots || slices.Contains(w.Exclude, g.Key) || !s.trust.usable(now, g.Key) {
 			continue
 		}
 		d := s.lag.Expect(plan.Estimate(g.Load, 0)) + s.lag.Of(now, g.Key)
--- a/internal/balance/scheduler_test.go
+++ b/internal/balance/scheduler_test.go
@@ -481,3 +481,81 @@
 		}
 	}
 }
+
+// TestFailingGroup replays a group of each model that answers every request at once with a failure. It has the least work of
+// all, and must not be given more than single requests for that.
+func TestFailingGroup(t *testing.T) {
+	l := load{seed: 5, daemons: 72, groups: []int{9, 18}, work: replayWork(), length: 16 * time.Second}
+	l.fault = func(f *fleet) {
+		for _, i := range []int{0, 9} {
+			s := f.now.Seconds()
+			f.all[i].fails = s > 4 && s < 12
+		}
+	}
+	f := replay(l, newCentral())
+	t.Log(f)
+	for i := range f.work {
+		a := f.of(f.work[i].name)
+		if part := a.cut / a.asked; part > 0.01 {
+			t.Errorf("%s: %.3f are given to the failing group", f.work[i].name, part)
+		}
+	}
+	for s := 13; s < 16; s++ {
+		if p := f.seconds[s].met(); p < 0.95 {
+			t.Errorf("%.2f in time in second %d, after the failures", p, s)
+		}
+	}
+}
+
+// TestTrust guards against a group that fails now and then being left out, and against one that recovered staying so.
+func TestTrust(t *testing.T) {
+	var tr trust
+	for i := range 100 {
+		tr.note(noon, "rarely", i%10 == 0)
+		if !tr.usable(noon, "rarely") {
+			t.Fatal("a group that fails one request in ten is left out")
+		}
+	}
+	now := noon
+	for range 3 {
+		tr.note(now, "fails", true)
+	}
+	if tr.usable(now, "fails") {
+		t.Error("a group that fails everything is used")
+	}
+	for given := 0; given < 20; now = now.Add(100 * time.Millisecond) {
+		if tr.usable(now, "fails") {
+			tr.give(now, "fails")
+			if s := tr.groups["fails"]; s != nil && s.failing >= mostFailing && tr.usable(now, "fails") {
+				t.Fatal("a failing group is given several requests at once")
+			}
+			tr.note(now, "fails", false)
+			given++
+		}
+		if now.Sub(noon) > 5*time.Second {
+			t.Fatalf("a group that works again is given %d requests in 5 s", given)
+		}
+	}
+}
+
+// TestRestart replays a fleet whose daemons have all just started and come under the usual load at once, with more callers than
+// usual in the first second, who had waited. Three quarters of the usual must be in time after three seconds: a lag that is
+// learnt while groups are overloaded must not keep work away from them afterwards.
+func TestRestart(t *testing.T) {
+	for seed := range uint64(3) {
+		l := load{seed: seed, daemons: 67, groups: []int{8, 16}, work: replayWork(), length: 14 * time.Second}
+		l.rate = func(_ *workload, at time.Duration) float64 {
+			if at < time.Second {
+				return 2.5
+			}
+			return 1
+		}
+		f := replay(l, &restarted{central: newCentral(), alone: 700 * time.Millisecond})
+		t.Log(f)
+		for s := 3; s < 14; s++ {
+			if p := f.seconds[s].met(); p < 0.75 {
+				t.Errorf("seed %d: %.2f in time in second %d after the start", seed, p, s)
+			}
+		}
+	}
+}
--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -192,6 +192,15 @@
 	return above / all, objective
 }
 
+// placed is the requests that found a place in a second lately.
+func (s *shares) placed() float64 {
+	sum := 0.0
+	for _, u := range s.ranks {
+		sum += u.placed
+	}
+	return sum
+}
+
 // mostUrgent is the most urgent rank of recent work, if there was any.
 func (s *shares) mostUrgent() (rank int, known bool) {
 	for r := range s.ranks {
--- a/internal/balance/window.go
+++ b/internal/balance/window.go
@@ -3,29 +3,44 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
-// window keeps the last values of something and tells their quantiles. The zero value is ready.
+// window keeps the last values of something and tells their quantiles. Values that are older than windowTime do not count.
+// The zero value is ready.
 type window[T cmp.Ordered] struct {
-	recent [windowSize]T
+	recent [windowSize]timed[T]
 	n      int
-	// sorted is recent in order, as of the last multiple of windowPeriod.
+	// sorted is what counted in order, as of at, the last multiple of windowPeriod.
 	sorted []T
+	at     time.Time
+}
+
+type timed[T any] struct {
+	value T
+	at    time.Time
 }
 
 const (
-	// windowSize is how many values are kept.
+	// windowSize is how many values are kept at most, windowTime for how long.
 	windowSize = 256
+	windowTime = 2 * time.Second
 	// windowPeriod is after how many values quantiles are worked out again.
 	windowPeriod = 16
 )
 
-func (w *window[T]) add(v T) {
-	w.recent[w.n%windowSize] = v
-	if w.n++; w.n%windowPeriod == 0 {
-		w.sorted = append(w.sorted[:0], w.recent[:min(w.n, windowSize)]...)
-		slices.Sort(w.sorted)
+func (w *window[T]) add(now time.Time, v T) {
+	w.recent[w.n%windowSize] = timed[T]{v, now}
+	if w.n++; w.n%windowPeriod != 0 {
+		return
+	}
+	w.sorted, w.at = w.sorted[:0], now
+	for i := range min(w.n, windowSize) {
+		if o := &w.recent[i]; now.Sub(o.at) <= windowTime {
+			w.sorted = append(w.sorted, o.value)
+		}
 	}
+	slices.Sort(w.sorted)
 }
 
 // known tells whether there have been enough values for quantiles.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -26,6 +26,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/backend"
+	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/election"
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/metric"
@@ -69,6 +70,10 @@
 	served atomic.Bool
 	// buffered is the bytes of request bodies in memory.
 	buffered atomic.Int64
+	// met is set when the rows of the other daemons have been read once.
+	met atomic.Bool
+	// told counts the digests sent.
+	told atomic.Uint64
 	// storeOK tells whether the last read of the store succeeded.
 	storeOK atomic.Bool
 
@@ -79,6 +84,7 @@
 
 	dispatch *dispatcher
 	plain    standings
+	pauses   *balance.Pauses
 	budget   *budget
 	feed     *feeds
 	lead     *leader
@@ -137,6 +143,7 @@
 	d.view.Store(&roster.View{})
 	d.dispatch = newDispatcher(d)
 	d.budget = &budget{}
+	d.pauses = balance.NewPauses()
 	d.feed, closeIdle = newFeeds(d)
 	cleanups = append(cleanups, closeIdle)
 	d.lead = newLeader(d)
@@ -310,7 +317,10 @@
 			return
 		case now := <-ticks:
 			d.pool.Sweep(now)
-			d.plain.forget(d.view.Load())
+			v := d.view.Load()
+			d.plain.forget(v)
+			d.dispatch.forget(v)
+			d.dispatch.logState(now)
 		}
 	}
 }
@@ -325,6 +335,25 @@
 	return d.members.Live(now)
 }
 
+// fleet is how many daemons there are, as far as this one knows. One that hears less than half of those that it knows of is
+// cut off, or has just started, and the others work on.
+func (d *Daemon) fleet(now time.Time) int {
+	d.peersMu.Lock()
+	defer d.peersMu.Unlock()
+	live, known := len(d.members.Live(now))+1, len(d.members.All(now))+1
+	switch {
+	case known == 1 && !d.met.Load():
+		return unknownFleet
+	case 2*live < known:
+		return known
+	}
+	return live
+}
+
+// unknownFleet is how many daemons there may be while this one knows of none and has not read their rows: many, so it places
+// little until it has, which takes an answer of the store.
+const unknownFleet = 400
+
 // ready tells whether the daemon takes new callers: it knows a configuration and the backend servers.
 func (d *Daemon) ready() bool {
 	return !d.leaving.Load() && d.config.Load() != nil && !d.view.Load().Read.IsZero()
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -250,25 +250,13 @@
 	}
 }
 
-// reject leaves out a group that turned a request away; entries that tell why come later.
-func (p *dispatcher) reject(key string) {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.suspects[key].until.Before(now.Add(rejectedFor)) {
-		p.suspects[key] = suspicion{until: now.Add(rejectedFor)}
-	}
-}
-
-// hear takes the suspects of another daemon. Groups that make progress here are not left out.
-func (p *dispatcher) hear(keys []string) {
-	now := time.Now()
+// reject leaves out a group that turned a request away, for as long as it asked for; entries that tell why come later.
+func (p *dispatcher) reject(key string, pause time.Duration) {
+	until := time.Now().Add(max(rejectedFor, pause))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, key := range keys {
-		if len(p.running[key]) == 0 && !p.suspects[key].own {
-			p.suspects[key] = suspicion{until: now.Add(suspectFor)}
-		}
+	if p.suspects[key].until.Before(until) {
+		p.suspects[key] = suspicion{until: until}
 	}
 }
 
@@ -349,10 +337,17 @@
 	}
 	if p.silence.Progress(now, s.track) {
 		p.shift(s, balance.Load{Unread: -s.prompt})
-		p.client(s.model).First(schedule.First{Group: s.key, Passes: s.place.Passes, Unread: s.place.Unread, Took: now.Sub(s.began)})
+		p.client(s.model).First(schedule.First{Group: s.key, Passes: s.place.Passes, Unread: s.place.Unread, Full: s.place.Full, Took: now.Sub(s.began)})
 	}
 }
 
+// failed notes that the group failed the request.
+func (s *seat) failed() {
+	s.d.mu.Lock()
+	defer s.d.mu.Unlock()
+	s.d.client(s.model).Failed(s.key)
+}
+
 // end gives the place back.
 func (s *seat) end() {
 	p := s.d
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -24,8 +24,9 @@
 
 	"flamingorudder.example/internal/fakeplatform"
 	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/schedule"
-	"flamingorudder.example/platform"
+	"flamingorudder.example/internal/timer"
 )
 
 // backendServer is a stand-in whose handler writes raw answers.
@@ -332,15 +333,15 @@
 
 // TestStreamOutOfOrder guards against an answer that does not go on where the last one ended reaching the caller.
 func TestStreamOutOfOrder(t *testing.T) {
-	if _, _, err := events([]byte(event(2)+event(4)), "1"); err == nil {
+	if _, _, _, err := events([]byte(event(2)+event(4)), "1"); err == nil {
 		t.Error("a gap is passed on")
 	}
-	if _, _, err := events([]byte(event(2)), "2"); err == nil {
+	if _, _, _, err := events([]byte(event(2)), "2"); err == nil {
 		t.Error("a repeat is passed on")
 	}
-	whole, id, err := events([]byte(event(2)+event(3)+"id: 4"), "1")
-	if err != nil || id != "3" || whole != len(event(2)+event(3)) {
-		t.Errorf("%d %q %v", whole, id, err)
+	whole, count, id, err := events([]byte(event(2)+event(3)+"id: 4"), "1")
+	if err != nil || id != "3" || whole != len(event(2)+event(3)) || count != 2 {
+		t.Errorf("%d %d %q %v", whole, count, id, err)
 	}
 }
 
@@ -715,19 +716,183 @@
 	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	store.Put("servers", "i-1", []byte(`{"service":"plain","address":"127.0.0.1:1","state":"ready","born":1}`))
-	a := start(t, store, "a")
-	b := start(t, store, "b")
+	const silence = 300 * time.Millisecond
+	short := func(d *Daemon) { d.feed.tracker = roster.NewTracker(lapseGrace, silence) }
+	a := start(t, store, "a", short)
+	b := start(t, store, "b", short)
 	a.ready()
 	b.ready()
 	eventually(t, "b reads through a", func() bool { return b.d.feed.reader(time.Now()) != nil })
-	// One of its reads fails; the next ones come from the other daemon again.
-	b.d.feed.note(&platform.RefusedError{Status: http.StatusServiceUnavailable})
-	eventually(t, "b reads again", b.d.storeOK.Load)
-	eventually(t, "b knows when the store came back", func() bool { return !b.d.view.Load().Back.IsZero() })
+	store.Refuse(http.StatusServiceUnavailable)
+	eventually(t, "both miss the store", func() bool { return !a.d.storeOK.Load() && !b.d.storeOK.Load() })
+	if err := timer.Wait(t.Context(), 2*silence); err != nil {
+		t.Fatal(err)
+	}
 	store.Remove("servers", "i-1") // it lapsed while it could not be renewed
-	eventually(t, "the removal is read", func() bool { return a.d.view.Load().Servers["i-1"] == nil })
+	store.Refuse(0)
+	eventually(t, "b knows when the store came back", func() bool { return !b.d.view.Load().Back.IsZero() })
+	eventually(t, "the removal is read", func() bool { return a.d.view.Load().Read.After(a.d.view.Load().Back) })
 	if v := b.d.view.Load(); time.Since(v.Back) < lapseGrace && v.Servers["i-1"] == nil {
 		t.Error("an entry that lapsed during the outage is dropped at once")
 	}
 	eventually(t, "it is taken as gone after the grace", func() bool { return b.d.view.Load().Servers["i-1"] == nil })
 }
+
+const leavingHeader = "Server-Leaving: 1\r\n"
+
+// TestServerLeaves guards against new requests to a backend server that says in an answer that it will end, at the daemon that
+// passed the answer on and at those that hear of it. The answer itself is delivered.
+func TestServerLeaves(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	u, other := start(t, store, "a"), start(t, store, "b")
+	var leaving [3]atomic.Int32
+	for i := 1; i <= 2; i++ {
+		f := func(c net.Conn, r *http.Request) {
+			if !strings.HasPrefix(r.URL.Path, "/api/") { // the holder of the lease gives it orders
+				leaving[i].Add(1)
+			}
+			writeAnswer(c, r, 200, event(1), leavingHeader)
+		}
+		if i == 2 {
+			f = func(c net.Conn, r *http.Request) { writeAnswer(c, r, 200, event(1)) }
+		}
+		addr := backendServer(t, f)
+		u.server(fmt.Sprint("p-", i), "plain", addr, "null")
+		u.server(fmt.Sprint("m-", i), "llm", addr, fmt.Sprintf(openGroup, i))
+	}
+	u.ready()
+	other.ready()
+	eventually(t, "daemons know each other", func() bool { return len(u.d.live(time.Now())) == 1 && len(other.d.live(time.Now())) == 1 })
+	for i := 0; leaving[1].Load() == 0; i++ {
+		if r := u.do(http.MethodPost, "/unsafe/", "k1", "x"); r.status != 200 || i > 200 {
+			t.Fatalf("reply %d: %+v", i, r)
+		}
+	}
+	for i := 0; leaving[1].Load() == 1; i++ {
+		if r := u.stream(fmt.Sprint("s", i)); r.status != 200 || i > 200 {
+			t.Fatalf("reply %d: %+v", i, r)
+		}
+	}
+	eventually(t, "the other daemon hears of it", func() bool {
+		v := other.d.view.Load()
+		return v.Servers["p-1"].State == roster.Draining && v.Servers["m-1"].State == roster.Draining
+	})
+	for i := range 20 {
+		for _, d := range []*daemonUnderTest{u, other} {
+			if r := d.do(http.MethodPost, "/unsafe/", "k1", "x"); r.status != 200 {
+				t.Errorf("reply %+v", r)
+			}
+			if r := d.stream(fmt.Sprint("t", i)); r.status != 200 {
+				t.Errorf("reply %+v", r)
+			}
+		}
+	}
+	if n := leaving[1].Load(); n != 2 {
+		t.Errorf("%d requests after the answers that said so", n-2)
+	}
+}
+
+// TestServerAsksForPause guards against requests to a backend server within the pause that it asked for, against callers who
+// are not told when to come back, and against a pause that never ends.
+func TestServerAsksForPause(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	u := start(t, store, "a")
+	var mu sync.Mutex
+	var arrived []time.Time
+	shedding := true
+	addr := backendServer(t, func(c net.Conn, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		arrived = append(arrived, time.Now())
+		if shedding {
+			writeAnswer(c, r, 503, "", "X-Flamingorudder-Not-Executed: 1\r\nRetry-After: 0.8\r\n")
+			return
+		}
+		writeAnswer(c, r, 200, event(1))
+	})
+	u.server("p-1", "plain", addr, "null")
+	u.server("m-1", "llm", addr, fmt.Sprintf(openGroup, 1))
+	u.ready()
+	for _, send := range []func() reply{
+		func() reply {
+			return u.do(http.MethodPost, "/unsafe/", "k1", "x", "X-Flamingorudder-Deadline-Ms", "900")
+		},
+		func() reply {
+			return u.do(http.MethodPost, "/stream/x", "k1", "x", "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "10,10", "X-Flamingorudder-Deadline-Ms", "900")
+		},
+	} {
+		mu.Lock()
+		shedding, arrived = true, nil
+		mu.Unlock()
+		began := time.Now()
+		for time.Since(began) < 700*time.Millisecond {
+			if r := send(); r.status != http.StatusServiceUnavailable || r.h.Get("Retry-After") == "" {
+				t.Fatalf("reply %+v", r)
+			}
+		}
+		mu.Lock()
+		if len(arrived) != 1 {
+			t.Errorf("%d requests in a pause", len(arrived))
+		}
+		shedding = false
+		mu.Unlock()
+		eventually(t, "served after the pause", func() bool { return send().status == 200 })
+		mu.Lock()
+		if wait := arrived[1].Sub(arrived[0]); wait < 800*time.Millisecond {
+			t.Errorf("the second request came after %v", wait)
+		}
+		mu.Unlock()
+	}
+}
+
+// TestAnswerWithoutEnd guards against a backend server whose answer goes on for ever: its bytes must end soon at the daemon and
+// never look like a whole answer to the caller, and others must be served meanwhile.
+func TestAnswerWithoutEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Flamingorudder-Response-Signature: s\r\n\r\n"
+	for name, bytes := range map[string]func(n int) string{
+		"no event":           func(int) string { return strings.Repeat("x", 4096) },
+		"events without ids": func(int) string { return strings.Repeat(": more\n\n", 512) },
+		"blank lines":        func(int) string { return strings.Repeat("\n", 4096) },
+		"too many events":    func(n int) string { return event(n + 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+			u := start(t, store, "a")
+			sent := make(chan int, 10)
+			u.server("m-1", "llm", backendServer(t, func(c net.Conn, r *http.Request) {
+				if r.Header.Get("X-Flamingorudder-Request-Id") == "well" {
+					twoEvents(c, r)
+					return
+				}
+				_, _ = io.WriteString(c, head)
+				for n, all := 0, 0; ; n++ {
+					m, err := io.WriteString(c, bytes(n))
+					all += m
+					if err != nil {
+						sent <- all
+						return
+					}
+				}
+			}), fmt.Sprintf(openGroup, 1))
+			u.ready()
+			got := make(chan reply, 1)
+			go func() { got <- u.stream("endless") }()
+			if r := u.stream("well"); r.status != 200 || !strings.Contains(r.body, "id: 2") {
+				t.Errorf("another request: %+v", r)
+			}
+			select {
+			case n := <-sent:
+				t.Logf("%d bytes were sent", n)
+			case <-time.After(time.Second): //nolint:forbidigo // bounds the test
+				t.Error("the connection stays open")
+			}
+			// The caller waits for another group to go on with the answer, in vain.
+			if r := <-got; r.err == nil && r.status == 200 {
+				t.Errorf("looks complete: %d bytes", len(r.body))
+			}
+		})
+	}
+}
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -348,6 +348,11 @@
 	} else {
 		f.tracker.Apply(now, changes)
 	}
+	f.look(now)
+}
+
+// look puts a view of the entries as they are known now in force.
+func (f *feeds) look(now time.Time) {
 	old := f.d.view.Load()
 	v := f.tracker.View(now, f.size)
 	f.d.view.Store(v)
@@ -355,6 +360,25 @@
 	f.d.dispatch.update()
 }
 
+// leave notes that a backend server said that it will end; source is the daemon that heard it, empty for this one.
+func (f *feeds) leave(l roster.Leaver, source string) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.tracker.Leave(now, l, source == "") {
+		return
+	}
+	f.d.log.Info("backend server says that it is leaving", "id", l.ID, "born", l.Born, "source", source)
+	f.look(now)
+}
+
+// leavers returns the backend servers of which other daemons should hear that they will end.
+func (f *feeds) leavers() []roster.Leaver {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tracker.Leavers(time.Now())
+}
+
 // size is the roster.Size of the configuration in force.
 func (f *feeds) size(service, model string) int {
 	c := f.d.config.Load()
@@ -384,39 +408,47 @@
 	}
 }
 
-// pollDaemons writes this daemon's row and reads those of the others.
+// pollDaemons reads the rows of the other daemons and writes this one's. The rows come first: a daemon that has just started
+// has to know of the others before anything else.
 func (f *feeds) pollDaemons(ctx context.Context) {
 	var wrote time.Time
 	var pause backOff
 	for ctx.Err() == nil {
-		err := f.exchangeDaemons(ctx, &wrote)
+		err := f.readDaemons(ctx)
+		if err == nil && time.Since(wrote) >= rowPeriod+f.spread() {
+			if err = f.writeDaemon(ctx); err == nil {
+				wrote = time.Now()
+			}
+		}
 		if err != nil && ctx.Err() == nil {
 			f.d.log.Warn("exchange rows of daemons with the store", "error", err)
 			pause.wait(ctx)
 			continue
 		}
 		pause = backOff{}
-		period := daemonsPeriod + time.Duration(len(f.d.live(time.Now())))*daemonsSpread
-		if timer.Wait(ctx, period) != nil {
+		if timer.Wait(ctx, daemonsPeriod+f.spread()) != nil {
 			return
 		}
 	}
 }
 
-func (f *feeds) exchangeDaemons(ctx context.Context, wrote *time.Time) error {
-	if time.Since(*wrote) >= rowPeriod+time.Duration(len(f.d.live(time.Now())))*daemonsSpread {
-		value, err := cbor.Marshal(f.d.digest())
-		if err != nil {
-			return fmt.Errorf("encode row: %w", err)
-		}
-		_, err = call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
-			return f.d.store.Do(ctx, platform.Tx{Write: []platform.Row{{Table: tableDaemons, Key: f.d.settings().Name, Value: value}}})
-		})
-		if err != nil {
-			return err
-		}
-		*wrote = time.Now()
+// spread is how much the other daemons add to the periods of the exchange of rows.
+func (f *feeds) spread() time.Duration {
+	return time.Duration(len(f.d.live(time.Now()))) * daemonsSpread
+}
+
+func (f *feeds) writeDaemon(ctx context.Context) error {
+	value, err := cbor.Marshal(f.d.digest())
+	if err != nil {
+		return fmt.Errorf("encode row: %w", err)
 	}
+	_, err = call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
+		return f.d.store.Do(ctx, platform.Tx{Write: []platform.Row{{Table: tableDaemons, Key: f.d.settings().Name, Value: value}}})
+	})
+	return err
+}
+
+func (f *feeds) readDaemons(ctx context.Context) error {
 	page, err := call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
 		return f.d.store.Rows(ctx, tableDaemons)
 	})
@@ -424,7 +456,6 @@
 		return err
 	}
 	f.d.peersMu.Lock()
-	defer f.d.peersMu.Unlock()
 	for _, r := range page.Rows {
 		m, err := gossip.Decode(r.Value)
 		if err != nil {
@@ -433,6 +464,11 @@
 		}
 		f.d.members.Introduce(time.Now(), m)
 	}
+	f.d.peersMu.Unlock()
+	if !f.d.met.Swap(true) {
+		// The others count this daemon's work, and it theirs, only when they have heard of each other.
+		f.d.tellOnce()
+	}
 	return nil
 }
 
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -346,6 +346,12 @@
 			err = &ReplacedError{s.ID}
 			q.failures = failuresToDoubt - 1
 		}
+		var pause *platform.PauseError
+		if errors.As(err, &pause) {
+			// It answers; it only wants no questions now.
+			q.failures, q.next = 0, now.Add(pause.Pause)
+			return nil
+		}
 		if err != nil {
 			q.failures++
 			q.next = now.Add(quickPeriod)
@@ -371,6 +377,9 @@
 			q.next = now.Add(quickPeriod)
 		}
 		q.report, q.reported, q.at = r, true, now
+		if r.Leaving {
+			l.d.feed.leave(roster.Leaver{ID: s.ID, Born: s.Born}, "")
+		}
 		return nil
 	})
 	if !ok {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -28,6 +28,7 @@
 		out.Config = c.Version
 	}
 	d.dispatch.tell(&out)
+	out.Leavers = d.feed.leavers()
 	d.peersMu.Lock()
 	defer d.peersMu.Unlock()
 	if token, ok := d.vote.Holding(steady()); ok {
@@ -38,21 +39,11 @@
 
 // tell sends digests to the other daemons.
 func (d *Daemon) tell(ctx context.Context) {
-	seq := uint64(0)
 	for {
+		d.tellOnce()
 		d.peersMu.Lock()
 		period := d.members.Period()
-		all := d.members.All(time.Now())
 		d.peersMu.Unlock()
-		if len(all) > 0 {
-			digest := d.digest()
-			seq++
-			digest.Seq = seq
-			text := d.encode(kindDigest, digest)
-			for _, m := range all {
-				d.write(text, m.Peer)
-			}
-		}
 		if timer.Wait(ctx, period) != nil {
 			_ = d.udp.Close() // ends receive
 			return
@@ -60,6 +51,22 @@
 	}
 }
 
+// tellOnce sends a digest to every other daemon.
+func (d *Daemon) tellOnce() {
+	d.peersMu.Lock()
+	all := d.members.All(time.Now())
+	d.peersMu.Unlock()
+	if len(all) == 0 {
+		return
+	}
+	digest := d.digest()
+	digest.Seq = d.told.Add(1)
+	text := d.encode(kindDigest, digest)
+	for _, m := range all {
+		d.write(text, m.Peer)
+	}
+}
+
 // The kinds of datagrams between daemons, told by the first byte.
 const (
 	kindDigest byte = 'd'
@@ -153,13 +160,14 @@
 	if isNew {
 		d.log.Info("daemon", "name", m.Name, "peer", m.Peer, "boot", m.Boot)
 	}
+	for _, l := range m.Leavers {
+		d.feed.leave(l, m.Name)
+	}
 	for _, key := range m.Closed {
 		d.dispatch.end(key, false)
 	}
-	if len(m.Suspects) > 0 {
-		d.dispatch.hear(m.Suspects)
-		for _, key := range m.Suspects {
-			d.lead.suspect(key)
-		}
+	// The scheduler hears of suspects by reports and weighs them; here they only have the holder of the lease look.
+	for _, key := range m.Suspects {
+		d.lead.suspect(key)
 	}
 }
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -182,7 +183,7 @@
 		return nil
 	}
 	in := schedule.Input{
-		Plan: &balance.Plan{Engine: service.Engine, Model: spec}, Heads: map[string]*roster.Server{}, Daemons: len(p.d.live(now)) + 1, Random: rand.Float64,
+		Plan: &balance.Plan{Engine: service.Engine, Model: spec}, Heads: map[string]*roster.Server{}, Daemons: p.d.fleet(now), Random: rand.Float64,
 	}
 	for _, g := range p.d.view.Load().Groups[m.Service] {
 		if g.Model != m.Name || !g.Whole() {
@@ -238,7 +239,7 @@
 		return nil
 	}
 	v := p.d.view.Load()
-	if v.Departed[place.Head] != nil {
+	if v.Departed[place.Head] != nil || !p.d.pauses.Begin(now, place.Head) {
 		return nil
 	}
 	if s := v.Servers[place.Head]; s != nil {
@@ -251,6 +252,41 @@
 	return &roster.Server{ID: place.Head, Addr: place.Addr}
 }
 
+// forget drops what is known of groups that are gone.
+func (p *dispatcher) forget(v *roster.View) {
+	keys := map[string]bool{}
+	for _, groups := range v.Groups {
+		for _, g := range groups {
+			keys[g.Key] = true
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.server.Forget(func(group string) bool { return keys[group] })
+}
+
+// logState tells what placement goes by, of each model that this daemon schedules.
+func (p *dispatcher) logState(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.server.Models() {
+		s, daemons := p.server.State(now, m)
+		if !p.schedules(now, m) || s.Placed+s.Refused < 1 {
+			continue
+		}
+		demand, _ := p.server.Demand(now, m)
+		groups := 0
+		for _, g := range p.d.view.Load().Groups[m.Service] {
+			if g.Model == m.Name && g.Whole() && now.After(p.suspects[g.Key].until) {
+				groups++
+			}
+		}
+		p.d.log.Info("placement", "service", m.Service, "model", m.Name, "daemons", daemons, "groups", groups, "requests", demand.Requests, "waiting", s.Waiting,
+			"placed", math.Round(s.Placed), "late", math.Round(s.Late), "refused", math.Round(s.Refused), "lag", s.Lag.Round(time.Millisecond),
+			"part", math.Round(s.Part*100)/100, "bound", math.Round(s.Bound))
+	}
+}
+
 // hearReport takes a report of another daemon.
 func (p *dispatcher) hearReport(r *schedule.Report, from netip.AddrPort) {
 	now := time.Now()
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"flamingorudder.example/internal/backend"
+	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
 )
@@ -44,13 +45,17 @@
 // failureWeight is what one answer adds to the recent part of failures.
 const failureWeight = 0.1
 
-// choose takes the backend server with the least work; those that fail or failed lately come last.
-func (s *standings) choose(servers []*roster.Server, tried map[string]bool, dc string, now time.Time) *roster.Server {
+// choose takes the backend server with the least work; those that fail or failed lately come last, and those that asked for a
+// pause are left out.
+func (s *standings) choose(servers []*roster.Server, pauses *balance.Pauses, tried map[string]bool, dc string, now time.Time) *roster.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var best *roster.Server
 	bestScore := 0.0
 	for _, server := range servers {
+		if !pauses.Usable(now, server.ID) {
+			continue
+		}
 		score := rand.Float64() * 0.5
 		if st := s.all[server.ID]; st != nil {
 			score += float64(st.inFlight) / float64(max(server.Slots, 1)) * 4
@@ -125,14 +130,18 @@
 	var last error
 	var answer *wholeAnswer
 	for unsent := 0; unsent < maxUnsent && ctx.Err() == nil; {
-		server := x.d.plain.choose(x.d.view.Load().Services[x.service], tried, x.d.settings().DataCentre, time.Now())
+		servers, now := x.d.view.Load().Services[x.service], time.Now()
+		server := x.d.plain.choose(servers, x.d.pauses, tried, x.d.settings().DataCentre, now)
 		if server == nil {
-			last = &NoServerError{x.service}
+			last = x.noServer(now, servers)
 			break
 		}
 		if !x.maySend() {
 			break
 		}
+		if !x.d.pauses.Begin(now, server.ID) {
+			continue // another request has just gone there to see whether its pause is over
+		}
 		before := x.sends
 		out, err := x.tryPlain(ctx, server, limit)
 		tried[server.ID] = true
@@ -159,6 +168,20 @@
 	x.failed(ctx, last)
 }
 
+// noServer tells why no backend server of a plain service can be used. Those that asked for a pause may be later.
+func (x *exchange) noServer(now time.Time, servers []*roster.Server) error {
+	var first time.Time
+	for _, s := range servers {
+		if until := x.d.pauses.Until(now, s.ID); first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	if first.IsZero() {
+		return &NoServerError{x.service}
+	}
+	return &RejectedError{first.Sub(now), "all backend servers asked for a pause"}
+}
+
 // connections returns this daemon's part of the connections that a backend server of a service accepts; zero without a bound.
 func (d *Daemon) connections(svc *route.Service) int {
 	if svc == nil || svc.MaxConnections <= 0 {
@@ -187,7 +210,7 @@
 	}
 	x.d.plain.begin(server.ID)
 	a, err := x.d.pool.Do(tryCtx, server, x.request(server, -1, ""), limit)
-	ran := x.note(server.ID, err, a)
+	ran := x.note(server, "", err, a)
 	if err != nil {
 		cancel()
 		x.d.plain.end(server.ID, x.r.Context().Err() == nil, false, time.Now())
@@ -225,6 +248,19 @@
 
 func (e *UnusableError) Error() string { return "unusable answer of " + e.Server }
 
+// passRest gives the caller what was not read ahead. A body that does not tell its length may have no end.
+func (o *wholeAnswer) passRest(w io.Writer) error {
+	if o.a.Length >= 0 {
+		_, err := io.Copy(w, o.a.Body)
+		return err
+	}
+	n, err := io.Copy(w, io.LimitReader(o.a.Body, maxAnswer+1))
+	if err == nil && n > maxAnswer {
+		return &EndlessError{"a body is too large"}
+	}
+	return err
+}
+
 // pass gives the answer to the caller.
 func (o *wholeAnswer) pass(x *exchange) {
 	x.first = time.Now()
@@ -239,7 +275,7 @@
 	_, err := x.w.Write(o.body)
 	if o.tail {
 		if err == nil {
-			_, err = io.Copy(x.w, o.a.Body)
+			err = o.passRest(x.w)
 		}
 		o.done(err != nil)
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -29,6 +29,8 @@
 	// maxWhole is the largest answer of a plain service that is read whole before it is passed on, so that one that
 	// breaks off can still be repeated.
 	maxWhole = 64 << 10
+	// maxAnswer bounds the answer of a plain service; one that goes on is of a backend server in trouble.
+	maxAnswer = 64 << 20
 	// sampled is one in how many ordinary requests is logged; the choice goes by the id, so it is the same everywhere.
 	sampled = 32
 	// notReady is when a caller comes back to a daemon that knows no configuration yet.
@@ -265,8 +267,13 @@
 	return x.d.budget.repeat(x.service, now, x.d.settings(), len(x.d.live(now))+1)
 }
 
-// note keeps what became of an attempt. It tells whether the request may have run there.
-func (x *exchange) note(server string, err error, a *backend.Answer) (ran bool) {
+// note keeps what became of an attempt at a backend server, which group names too unless it is a plain one. It tells whether
+// the request may have run there.
+func (x *exchange) note(s *roster.Server, group string, err error, a *backend.Answer) (ran bool) {
+	server := s.ID
+	if group != "" {
+		server += " " + group
+	}
 	var notSent *backend.NotSentError
 	switch {
 	case errors.As(err, &notSent):
@@ -279,7 +286,7 @@
 		return true
 	}
 	x.sends++
-	x.trail = append(x.trail, fmt.Sprintf("%s: %d", server, a.Status))
+	x.trail = append(x.trail, fmt.Sprintf("%s: %d", server, a.Status)+x.d.heed(s, a))
 	if a.NotRun {
 		return false
 	}
@@ -287,6 +294,34 @@
 	return true
 }
 
+// heed takes what a backend server asks of its callers in an answer. It returns a note on it for the log of the request.
+func (d *Daemon) heed(s *roster.Server, a *backend.Answer) (note string) {
+	now := time.Now()
+	if a.Malformed != "" {
+		d.log.Warn("header of a backend server cannot be read", "id", s.ID, "header", a.Malformed, "value", a.Header.Get(a.Malformed), "taken", a.Notice)
+	}
+	if a.Leaving {
+		d.feed.leave(roster.Leaver{ID: s.ID, Born: s.Born}, "")
+		note = ", " + noteLeaving
+	}
+	if a.Pause > 0 {
+		if d.pauses.Ask(now, s.ID, a.Pause, rand.Float64) {
+			d.log.Info("backend server asked for a pause", "id", s.ID, "pause", a.Pause)
+		}
+		return note + ", " + notePause + " " + a.Pause.String()
+	}
+	if a.Status != http.StatusMisdirectedRequest {
+		d.pauses.Answered(now, s.ID)
+	}
+	return note
+}
+
+// What attempts tell of backend servers in the log of a request.
+const (
+	noteLeaving = "server leaving"
+	notePause   = "server asked for a pause of"
+)
+
 // usable tells whether an answer is a backend server's own and may be passed on.
 func usable(a *backend.Answer) bool {
 	if a.Status < http.StatusMultipleChoices {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -19,8 +19,11 @@
 const (
 	// readSize is the size of the buffer into which events are read; larger events grow it.
 	readSize = 2 << 10
-	// maxEvent bounds one event.
-	maxEvent = 1 << 20
+	// maxEvent bounds one event, and what may come between two ids. Known events take some hundred bytes; a backend server in
+	// trouble may send bytes that are none without end.
+	maxEvent = 256 << 10
+	// moreEvents is how many events an answer may have beyond one for each token that the caller takes.
+	moreEvents = 16
 	// urgencies is the number of priorities that a model runner knows.
 	urgencies = 10
 )
@@ -30,11 +33,24 @@
 
 func (e *OrderError) Error() string { return "event " + e.Got + " after " + e.After }
 
+// EndlessError reports an answer that goes on beyond anything that the request asked for.
+type EndlessError struct{ Reason string }
+
+func (e *EndlessError) Error() string { return "answer without end: " + e.Reason }
+
 // SilentError reports a group that stopped making progress.
 type SilentError struct{ Group string }
 
 func (e *SilentError) Error() string { return "group " + e.Group + " makes no progress" }
 
+// NotRunError reports an answer that proves that the request has not run.
+type NotRunError struct {
+	Server string
+	Status int
+}
+
+func (e *NotRunError) Error() string { return "not run by " + e.Server }
+
 // stream serves a request to a model. The events of several attempts make one answer.
 func (x *exchange) stream(ctx context.Context, svc *route.Service) {
 	s := &relayed{x: x, lastEvent: x.call.LastEvent}
@@ -67,6 +83,8 @@
 		last = err
 		if x.sends == before {
 			unsent++
+		} else if failedBy(err) && ctx.Err() == nil {
+			seat.failed()
 		}
 		if x.ran && !x.route.Repeatable() {
 			break
@@ -83,6 +101,14 @@
 	}
 }
 
+// failedBy tells whether an attempt failed by what its backend server answered, or did not. A group that makes no progress
+// is told of by other means, and one that proves that it has not run the request only turned it away.
+func failedBy(err error) bool {
+	var silent *SilentError
+	var rejected *NotRunError
+	return !errors.As(err, &silent) && !errors.As(err, &rejected)
+}
+
 // mark is the same for all attempts of a caller's request.
 func (x *exchange) mark() uint64 {
 	if x.call.Mark == "" {
@@ -106,6 +132,8 @@
 	lastEvent string
 	// passed is when the last event was passed on.
 	passed time.Time
+	// events counts those that the caller has.
+	events int
 	// failure is an answer other than a success, kept in case no other comes.
 	failure *wholeAnswer
 }
@@ -123,7 +151,7 @@
 		resume = s.lastEvent
 	}
 	a, err := x.d.pool.Do(ctx, head, x.request(head, priority(x.rank), resume), x.d.connections(svc))
-	ran := x.note(head.ID+" "+seat.key, err, a)
+	ran := x.note(head, seat.key, err, a)
 	if err != nil {
 		if seat.ctx.Err() != nil {
 			return &SilentError{seat.key}
@@ -132,10 +160,13 @@
 	}
 	defer a.Close()
 	if !ran {
-		x.d.dispatch.reject(seat.key)
+		x.d.dispatch.reject(seat.key, a.Pause)
 	}
 	if !ran || !usable(a) {
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxWhole)) // lets the connection be kept
+		if !ran {
+			return &NotRunError{head.ID, a.Status}
+		}
 		return &UnusableError{head.ID, a.Status}
 	}
 	if a.Status != http.StatusOK {
@@ -167,19 +198,37 @@
 	x := s.x
 	control := http.NewResponseController(x.w)
 	buf := make([]byte, 0, readSize)
+	// looked is the part of buf that is known to hold no end of an event, unnamed the bytes that came since the last id.
+	looked, unnamed := 0, 0
 	for {
 		if len(buf) == cap(buf) {
 			if cap(buf) >= maxEvent {
-				return &OrderError{s.lastEvent, "too large"}
+				return &EndlessError{"an event is too large"}
 			}
 			buf = append(buf, make([]byte, cap(buf))...)[:len(buf)]
 		}
 		n, err := a.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		whole, id, orderErr := events(buf, s.lastEvent)
+		whole, count := 0, 0
+		id, orderErr := "", error(nil)
+		if bytes.Contains(buf[looked:], eventEnd) {
+			whole, count, id, orderErr = events(buf, s.lastEvent)
+		}
 		if orderErr != nil {
 			return orderErr
 		}
+		looked = max(len(buf)-whole-len(eventEnd)+1, 0)
+		s.events += count
+		unnamed += n
+		if id != "" {
+			unnamed = 0
+		}
+		switch most := x.call.Answer; {
+		case most > 0 && s.events > most+moreEvents:
+			return &EndlessError{strconv.Itoa(s.events) + " events for " + strconv.Itoa(most) + " tokens"}
+		case unnamed > maxEvent:
+			return &EndlessError{"events without ids"}
+		}
 		end := errors.Is(err, io.EOF)
 		if end && whole < len(buf) {
 			// The answer is complete although its last event has no blank line.
@@ -223,20 +272,24 @@
 	}
 }
 
-// events returns the length of the whole events in b and the id of the last one. Ids that are numbers must follow each
-// other; a gap shows an answer that does not go on where the last attempt ended.
-func events(b []byte, last string) (whole int, id string, err error) {
+// eventEnd ends an event.
+var eventEnd = []byte("\n\n")
+
+// events returns the length of the whole events in b, their number and the id of the last one. Ids that are numbers must
+// follow each other; a gap shows an answer that does not go on where the last attempt ended.
+func events(b []byte, last string) (whole, count int, id string, err error) {
 	prev, known := -1, false
 	if n, e := strconv.Atoi(last); e == nil {
 		prev, known = n, true
 	}
 	for {
-		i := bytes.Index(b[whole:], []byte("\n\n"))
+		i := bytes.Index(b[whole:], eventEnd)
 		if i < 0 {
-			return whole, id, nil
+			return whole, count, id, nil
 		}
 		event := b[whole : whole+i]
-		whole += i + 2
+		whole += i + len(eventEnd)
+		count++
 		for line := range bytes.SplitSeq(event, []byte("\n")) {
 			v, ok := bytes.CutPrefix(line, []byte("id:"))
 			if !ok {
@@ -248,7 +301,7 @@
 				continue
 			}
 			if known && n != prev+1 {
-				return 0, "", &OrderError{strconv.Itoa(prev), id}
+				return 0, 0, "", &OrderError{strconv.Itoa(prev), id}
 			}
 			prev, known = n, true
 		}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"flamingorudder.example/internal/election"
+	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/schedule"
 )
 
@@ -59,6 +60,8 @@
 	Suspects []string `cbor:"suspects,omitempty"`
 	// Closed are groups that the sender, as holder of the lease, has told to end.
 	Closed []string `cbor:"closed,omitempty"`
+	// Leavers are backend servers that told the sender that they will end, before their entries do.
+	Leavers []roster.Leaver `cbor:"leavers,omitempty"`
 }
 
 // DemandKey is the key of a model in Digest.Demands.
--- a/internal/roster/tracker.go
+++ b/internal/roster/tracker.go
@@ -10,18 +10,23 @@
 
 // Tracker joins changes of single entries into views. It is not safe for concurrent use.
 //
-// While the store is away, entries lapse although their backend servers live. Hold keeps such entries for a grace
-// period: they are used until the store has been back for that long, and are then taken as gone.
+// While the store is away, entries lapse although their backend servers live. Such entries are kept for a grace period:
+// they are used until the store has been back for that long, and are then taken as gone. No entry lapses in an outage that
+// is shorter than a live backend server's silence, so what goes then has gone for good.
 type Tracker struct {
 	servers map[string]*Server
 	// lapsed holds entries that were removed within the grace after an outage.
 	lapsed map[string]bool
 	// holding is set while the store is away.
 	holding bool
-	// back is when the store last came back; zero before the first outage.
-	back time.Time
+	// back is when the store last came back; zero before the first outage. kept is until when entries that lapsed are.
+	back, kept time.Time
+	// read is when the entries were last read.
+	read time.Time
 	// departed holds removed entries, with the time of their removal.
 	departed map[string]departure
+	// leaving holds the backend servers whose answers say that they will end, which their entries may tell later or never.
+	leaving map[string]notice
 	// grace is how long backend servers have to register again after an outage.
 	grace time.Duration
 	// silence is how long a live backend server may go without renewing its entry.
@@ -33,6 +38,59 @@
 	at     time.Time
 }
 
+// notice is that a backend server said that it will end.
+type notice struct {
+	// born is the lifetime that said so, zero when it is not known.
+	born int64
+	at   time.Time
+	// own is set when this daemon had it from the backend server itself.
+	own bool
+}
+
+// of tells whether the notice is of this lifetime of its backend server.
+func (n notice) of(s *Server) bool { return n.born == 0 || n.born == s.Born }
+
+// Leaver names a backend server in one lifetime that will end; Born is zero when it is not known.
+type Leaver struct {
+	_    struct{} `cbor:",toarray"`
+	ID   string
+	Born int64
+}
+
+const (
+	// tellFor is how long a notice is told to other daemons; several digests of the largest fleets are sent meanwhile.
+	tellFor = 4 * time.Second
+	// maxTold bounds how many are told at once; the entries tell of most.
+	maxTold = 32
+)
+
+// Leave notes that a backend server said that it will end, to this daemon if own is set. It reports whether that changes the
+// view. A lifetime that said so never takes it back.
+func (t *Tracker) Leave(now time.Time, l Leaver, own bool) bool {
+	if o, ok := t.leaving[l.ID]; ok && (o.born == l.Born || l.Born == 0) {
+		return false
+	}
+	n := notice{l.Born, now, own}
+	s := t.servers[l.ID]
+	if s != nil && !n.of(s) {
+		return false // of an earlier lifetime
+	}
+	t.leaving[l.ID] = n
+	return s == nil || s.State == Ready
+}
+
+// Leavers returns what other daemons should hear of: the backend servers that told this daemon that they will end, and whose
+// entries do not say so yet.
+func (t *Tracker) Leavers(now time.Time) []Leaver {
+	var out []Leaver
+	for id, n := range t.leaving {
+		if s := t.servers[id]; n.own && now.Sub(n.at) <= tellFor && s != nil && s.State == Ready && len(out) < maxTold {
+			out = append(out, Leaver{ID: id, Born: n.born})
+		}
+	}
+	return out
+}
+
 // departedFor is how long a removed entry is remembered: longer than any cut from the store that backend servers are
 // expected to live through.
 const departedFor = 30 * time.Second
@@ -40,7 +98,7 @@
 // NewTracker returns a tracker that keeps lapsed entries for grace after an outage of the store. A live backend server
 // renews its entry within silence.
 func NewTracker(grace, silence time.Duration) *Tracker {
-	return &Tracker{servers: map[string]*Server{}, lapsed: map[string]bool{}, departed: map[string]departure{}, grace: grace, silence: silence}
+	return &Tracker{servers: map[string]*Server{}, lapsed: map[string]bool{}, departed: map[string]departure{}, leaving: map[string]notice{}, grace: grace, silence: silence}
 }
 
 // Hold notes that the store does not answer.
@@ -77,15 +135,20 @@
 	return a.Beat == b.Beat && reflect.DeepEqual(a, b)
 }
 
-// Back notes that the store answers; entries that lapsed during an outage get the grace from its end.
+// Back notes that the store answers; entries that lapsed during a long outage get the grace from its end.
 func (t *Tracker) Back(now time.Time) {
-	if t.holding {
-		t.holding, t.back = false, now
+	if !t.holding {
+		return
+	}
+	t.holding, t.back = false, now
+	if now.Sub(t.read) > t.silence {
+		t.kept = now.Add(t.grace)
 	}
 }
 
 // Apply takes changed entries as read at now.
 func (t *Tracker) Apply(now time.Time, changes []Change) {
+	t.read = now
 	for _, c := range changes {
 		switch {
 		case c.Server != nil:
@@ -94,7 +157,7 @@
 			delete(t.lapsed, c.ID)
 			delete(t.departed, c.ID)
 		case t.servers[c.ID] == nil:
-		case !t.back.IsZero() && now.Sub(t.back) < t.grace && t.servers[c.ID].State == Ready:
+		case now.Before(t.kept) && t.servers[c.ID].State == Ready:
 			t.lapsed[c.ID] = true
 		default:
 			t.remove(now, c.ID)
@@ -105,7 +168,13 @@
 			delete(t.departed, id)
 		}
 	}
-	if !t.back.IsZero() && now.Sub(t.back) >= t.grace {
+	maps.DeleteFunc(t.leaving, func(id string, n notice) bool {
+		if s := t.servers[id]; s != nil {
+			return !n.of(s) // it has started again
+		}
+		return now.Sub(n.at) > departedFor
+	})
+	if !now.Before(t.kept) {
 		for id := range t.lapsed {
 			t.remove(now, id)
 		}
@@ -114,7 +183,8 @@
 
 func (t *Tracker) remove(now time.Time, id string) {
 	s := *t.servers[id]
-	s.Lapsed = s.State == Ready && !t.holding && s.Renewed.After(t.back) && now.Sub(s.Renewed) > t.silence
+	_, leaving := t.leaving[id]
+	s.Lapsed = s.State == Ready && !leaving && !t.holding && s.Renewed.After(t.back) && now.Sub(s.Renewed) > t.silence
 	t.departed[id] = departure{&s, now}
 	delete(t.servers, id)
 	delete(t.lapsed, id)
@@ -126,9 +196,16 @@
 	for id, d := range t.departed {
 		v.Departed[id] = d.server
 	}
+	for id, n := range t.leaving {
+		if s := v.Servers[id]; s != nil && s.State == Ready && n.of(s) {
+			leaver := *s
+			leaver.State = Draining
+			v.Servers[id] = &leaver
+		}
+	}
 	groups := map[Membership]*Group{}
-	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
-		s := t.servers[id]
+	for _, id := range slices.Sorted(maps.Keys(v.Servers)) {
+		s := v.Servers[id]
 		if s.State == Ready {
 			v.Services[s.Service] = append(v.Services[s.Service], s)
 		}
--- a/internal/roster/tracker_test.go
+++ b/internal/roster/tracker_test.go
@@ -64,6 +64,24 @@
 	}
 }
 
+// TestShortOutageKeepsNothing guards against requests to a backend server that left while this daemon could not read the store
+// for a moment, again and again. Found on tallado-austral-grown, scale-2: a request 3,033 ms after its notice.
+func TestShortOutageKeepsNothing(t *testing.T) {
+	tr := NewTracker(testGrace, testSilence)
+	now := time.Now()
+	tr.Replace(now, []*Server{member("a", 0, Open), member("b", 1, Joined)})
+	tr.Hold()
+	now = now.Add(testSilence / 2)
+	tr.Back(now)
+	tr.Apply(now, []Change{{ID: "b"}})
+	if tr.View(now, size).Servers["b"] != nil {
+		t.Error("an entry that cannot have lapsed is kept")
+	}
+	if !tr.View(now, size).Back.Equal(now) {
+		t.Error("a short outage does not count for the silence of others")
+	}
+}
+
 // TestDeparted guards against taking a head that left in order for a dead one: it may still run its requests.
 func TestDeparted(t *testing.T) {
 	tr := NewTracker(testGrace, testSilence)
@@ -117,3 +135,45 @@
 		t.Errorf("renewed %v later", got.Sub(now))
 	}
 }
+
+// TestLeaverGetsNoRequests guards against new requests to a backend server that says in its answers that it will end while its
+// entry does not, and against taking its next lifetime for one that leaves.
+func TestLeaverGetsNoRequests(t *testing.T) {
+	tr := NewTracker(testGrace, testSilence)
+	now := time.Now()
+	born := func(id string, rank int, state GroupState, born int64) *Server {
+		s := member(id, rank, state)
+		s.Born = born
+		return s
+	}
+	tr.Replace(now, []*Server{born("a", 0, Open, 1), born("b", 1, Joined, 1)})
+	if !tr.Leave(now, Leaver{ID: "a", Born: 1}, true) || tr.Leave(now, Leaver{ID: "a", Born: 1}, false) {
+		t.Error("a notice is new once")
+	}
+	if v := tr.View(now, size); len(v.Groups["s"]) != 0 || len(v.Services["s"]) != 1 || v.Servers["a"].State != Draining {
+		t.Errorf("groups %v, services %v", v.Groups, v.Services)
+	}
+	if l := tr.Leavers(now); len(l) != 1 || l[0].ID != "a" || l[0].Born != 1 {
+		t.Errorf("others are told of %v", l)
+	}
+	if l := tr.Leavers(now.Add(2 * tellFor)); len(l) != 0 {
+		t.Errorf("others are told of %v for too long", l)
+	}
+	// Its entry is renewed without a word of it.
+	tr.Apply(now, []Change{{"a", born("a", 0, Open, 1)}})
+	if v := tr.View(now, size); len(v.Groups["s"]) != 0 {
+		t.Errorf("groups %v after a renewal", v.Groups)
+	}
+	// An entry that goes did not lapse: the backend server serves on for a while.
+	tr.Apply(now.Add(2*testSilence), []Change{{ID: "a"}})
+	if v := tr.View(now, size); v.Departed["a"] == nil || v.Departed["a"].Lapsed {
+		t.Errorf("departed %+v", v.Departed["a"])
+	}
+	tr.Apply(now, []Change{{"a", born("a", 0, Open, 2)}})
+	if v := tr.View(now, size); len(v.Groups["s"]) != 1 {
+		t.Errorf("groups %v in the next lifetime", v.Groups)
+	}
+	if tr.Leave(now, Leaver{ID: "a", Born: 1}, false) || len(tr.View(now, size).Groups["s"]) != 1 {
+		t.Error("a late notice of the earlier lifetime counts")
+	}
+}
--- a/internal/schedule/client.go
+++ b/internal/schedule/client.go
@@ -51,6 +51,7 @@
 	idle   int
 	avoid  map[string]avoided
 	firsts []First
+	failed []string
 }
 
 // asking is a request without an answer.
@@ -99,6 +100,12 @@
 	c.dirty = true
 }
 
+// Failed notes that a group failed a request.
+func (c *Client) Failed(group string) {
+	c.failed = append(c.failed, group)
+	c.dirty = true
+}
+
 // Target chooses whom to ask, from the candidates in their order. "" stands for this daemon.
 func (c *Client) Target(now time.Time, candidates []string) string {
 	next := ""
@@ -152,7 +159,7 @@
 // Report returns what is to be sent to the target now.
 func (c *Client) Report(now time.Time, from string, boot int64, dataCentre string, work []Work, suspects []string) *Report {
 	c.seq++
-	r := &Report{From: from, Boot: boot, Seq: c.seq, DataCentre: dataCentre, Model: c.model, Work: work, Suspects: suspects, Firsts: c.firsts}
+	r := &Report{From: from, Boot: boot, Seq: c.seq, DataCentre: dataCentre, Model: c.model, Work: work, Suspects: suspects, Firsts: c.firsts, Failed: c.failed}
 	for _, a := range c.open {
 		switch {
 		case a.known:
@@ -172,7 +179,7 @@
 	if len(work) > 0 || len(c.open) > 0 {
 		c.idle = 0
 	}
-	c.sent, c.dirty, c.firsts = now, false, nil
+	c.sent, c.dirty, c.firsts, c.failed = now, false, nil, nil
 	if len(c.open) > 0 && c.waiting.IsZero() {
 		c.waiting, c.waitingSeq = now, c.seq
 	}
--- a/internal/schedule/message.go
+++ b/internal/schedule/message.go
@@ -34,8 +34,9 @@
 	Work []Work
 	// Suspects are groups that make no progress at this daemon, or turned a request away.
 	Suspects []string
-	// Firsts are the first events since the report before.
+	// Firsts are the first events since the report before, Failed the groups that failed a request, one entry for each.
 	Firsts []First
+	Failed []string
 }
 
 // Ask is a request that wants a place.
@@ -69,8 +70,9 @@
 type First struct {
 	_     struct{} `cbor:",toarray"`
 	Group string
-	// Passes and Unread are as in its Place, Took is how long it took.
+	// Passes, Unread and Full are as in its Place, Took is how long it took.
 	Passes, Unread, Took time.Duration
+	Full                 bool
 }
 
 // Answer is what a scheduler tells a daemon.
@@ -94,8 +96,9 @@
 	Group string
 	Head  string
 	Addr  netip.AddrPort
-	// Passes and Unread are the scheduler's balance.Estimate, told back with the first event.
+	// Passes, Unread and Full are the scheduler's balance.Estimate, told back with the first event.
 	Passes, Unread time.Duration
+	Full           bool
 	// ComeBack is when a caller that is turned away should return, Reason why it is.
 	ComeBack time.Duration
 	Reason   string
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -296,7 +296,7 @@
 		if b, err := Encode(r); err != nil || len(b) > 2000 {
 			t.Fatalf("%d bytes, %v", len(b), err)
 		}
-		d.take(serve(s, now, r, input(20)))
+		d.take(serve(s, now, r, input(60)))
 		now = now.Add(time.Millisecond)
 	}
 	if d.Open() != 0 {
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -85,7 +85,10 @@
 	c.seq, c.heard = r.Seq, now
 	m.state(c, r.Work, r.Suspects)
 	for _, f := range r.Firsts {
-		m.scheduler.Lag().Add(now, f.Group, balance.Estimate{Passes: f.Passes, Unread: f.Unread}, f.Took)
+		m.scheduler.First(now, f.Group, balance.Estimate{Passes: f.Passes, Unread: f.Unread, Full: f.Full}, f.Took)
+	}
+	for _, key := range r.Failed {
+		m.scheduler.Failed(now, key)
 	}
 	out := &Answer{Model: r.Model, Boot: r.Boot, Seq: r.Seq}
 	asked := make(map[uint64]bool, len(r.Open)+len(r.Held))
@@ -206,7 +209,7 @@
 	// Groups are its whole groups; their loads are filled in. Heads are their heads.
 	Groups []balance.Group
 	Heads  map[string]*roster.Server
-	// Daemons is how many daemons live, this one included.
+	// Daemons is how many daemons there are, this one included.
 	Daemons int
 	// Random returns numbers in [0, 1).
 	Random func() float64
@@ -247,7 +250,7 @@
 		if c == nil {
 			continue // it has been silent for long
 		}
-		p := Place{ID: d.ID, Group: d.Group, Passes: d.Estimate.Passes, Unread: d.Estimate.Unread, ComeBack: d.ComeBack, Reason: string(d.Reason)}
+		p := Place{ID: d.ID, Group: d.Group, Passes: d.Estimate.Passes, Unread: d.Estimate.Unread, Full: d.Estimate.Full, ComeBack: d.ComeBack, Reason: string(d.Reason)}
 		if h := in.Heads[d.Group]; h != nil {
 			p.Head, p.Addr = h.ID, h.Addr
 		}
@@ -296,6 +299,16 @@
 	return d, known || d.Requests > 0
 }
 
+// State returns what the scheduler of a model goes by, and how many daemons ask it.
+func (s *Server) State(now time.Time, model Model) (state balance.State, daemons int) {
+	m := s.models[model]
+	if m == nil {
+		return state, 0
+	}
+	m.sweep(now)
+	return m.scheduler.State(now), len(m.clients)
+}
+
 // Forget drops what is known of groups that are gone.
 func (s *Server) Forget(kept func(group string) bool) {
 	for _, m := range s.models {
