Let groups of a relaxed model make room for a crowded one; keep spares warm

Two or three members of groups end every three seconds. A group of 16 lost one about as often as a group could be mended, and its 15 survivors waited for a load of 16 s, because the layout of the start left no spare in five of six domains: groups of 16 fell from 6 to 1 or 2 with a pressure of up to 2.8, while 25 groups of four ran at a pressure of 0.2 to 0.5.

Change (internal/replica/room.go): hosts fetch weights while they serve, and a member that served a model last takes it up again without them, so one small group of a domain is given the large model's weights, at the start when loads are quick and then as they are used up. When idle members lack a few for a group of a crowded model, as few small groups as are needed finish their requests and end, if the work of the one gains half as much again as that of the other loses. Idle spares take up the weights of their hosts at once, in a membership of their own, and join a broken group as quickly as the survivors. The layout spreads small groups evenly over the domains that they share. Loads that the weight store serves at once are read from the configuration.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -99,6 +99,9 @@
 	known int
 	grown time.Time
 	token int64
+	// served is what each backend server served last, rooms what is being made room for in each domain.
+	served map[string]served
+	rooms  map[string]room
 }
 
 // history is what is remembered of a group.
@@ -111,6 +114,10 @@
 	stuck time.Time
 	// seen is when a member last reported the group, or when it was formed.
 	seen time.Time
+	// ending is set when the group makes room for one of another model.
+	ending bool
+	// warming is set when the only member is a spare that takes up the weights of its host.
+	warming bool
 }
 
 const (
@@ -133,7 +140,7 @@
 func New(engine *route.Engine, token int64, now time.Time) *Planner {
 	return &Planner{
 		engine: engine, pending: map[string]pending{}, histories: map[string]*history{},
-		staging: map[string]load{}, started: now, token: token, epoch: token << epochBits,
+		staging: map[string]load{}, served: map[string]served{}, rooms: map[string]room{}, started: now, token: token, epoch: token << epochBits,
 	}
 }
 
@@ -171,6 +178,7 @@
 // Step returns the orders to give now.
 func (p *Planner) Step(now time.Time, in Input) []Order {
 	p.settle(now, in.Members)
+	p.note(in.Members)
 	var orders []Order
 	groups := p.groups(now, in.Members)
 	taken := map[string]bool{}
@@ -189,7 +197,7 @@
 	}
 	p.known = len(in.Members)
 	if !in.Early || now.Sub(p.grown) >= quietTime {
-		orders = append(orders, p.form(now, in, taken)...)
+		orders = append(orders, p.form(now, in, taken, groups)...)
 	}
 	for _, o := range orders {
 		p.await(now, o)
@@ -302,7 +310,12 @@
 	for _, m := range g.members {
 		whole = whole && !m.lost()
 	}
-	if whole {
+	switch {
+	case g.warming:
+		return p.warmed(g, head)
+	case whole && g.ending && head != nil:
+		return p.finish(g, head), true
+	case whole:
 		return p.open(g, head, size), true
 	}
 	// Members that have not reported the group yet may still join it.
@@ -414,6 +427,10 @@
 	ready int
 	// serving counts the groups of each model, whole or on their way, and coming those not open yet.
 	serving, coming map[string]float64
+	// open counts the open groups of each model that are to stay.
+	open map[string]int
+	// groups are all groups.
+	groups map[string]*group
 	// local counts the members of groups of each model, by domain.
 	local map[string]map[string]int
 	// weights counts the hosts of each domain that have the weights of each model, or will have them.
@@ -467,11 +484,16 @@
 }
 
 // form makes groups of idle backend servers, and puts weights on the hosts of those that cannot form one.
-func (p *Planner) form(now time.Time, in Input, taken map[string]bool) []Order {
+func (p *Planner) form(now time.Time, in Input, taken map[string]bool, groups map[string]*group) []Order {
 	domains := map[string][]*Member{}
 	s := &supply{
 		Input: in, serving: map[string]float64{}, coming: map[string]float64{}, local: map[string]map[string]int{},
-		weights: map[string]map[string]int{}, hosts: map[string]int{},
+		weights: map[string]map[string]int{}, hosts: map[string]int{}, open: map[string]int{}, groups: groups,
+	}
+	for _, g := range groups {
+		if g.model != nil && !g.ending && g.serves() {
+			s.open[g.model.Name]++
+		}
 	}
 	for _, m := range in.Members {
 		if m.Listed && m.State == roster.Ready {
@@ -507,18 +529,15 @@
 			return cmp.Or(cmp.Compare(a.Pace, b.Pace), cmp.Compare(a.ID, b.ID))
 		})
 		for {
-			model := p.next(idle, s, domain)
+			model := p.next(now, idle, s, domain)
 			if model == nil {
 				break
 			}
-			var members []*Member
-			idle = slices.DeleteFunc(idle, func(m *Member) bool {
-				take := len(members) < model.Size && (slices.Contains(m.Staged, model.Name) || in.Early)
-				if take {
-					members = append(members, m)
-				}
-				return take
-			})
+			members := p.pick(now, idle, s, model)
+			idle = slices.DeleteFunc(idle, func(m *Member) bool { return slices.Contains(members, m) })
+			if p.rooms[domain].model == model.Name {
+				delete(p.rooms, domain)
+			}
 			for _, o := range p.join(now, members, model) {
 				p.await(now, o) // counts for the room of the domain
 				orders = append(orders, o)
@@ -529,14 +548,39 @@
 		if in.Early && now.Sub(p.started) < settleTime {
 			continue
 		}
+		orders = append(orders, p.makeRoom(now, s, idle, domain)...)
+		orders = append(orders, p.warm(now, idle)...)
 		orders = append(orders, p.stage(now, s, idle, domain)...)
 	}
+	if !in.Early || now.Sub(p.started) >= settleTime {
+		orders = append(orders, p.prepare(now, s)...)
+	}
 	return orders
 }
 
+// pick returns the members of the group to form from idle ones, those that need not take up the weights first. The slowest
+// come last whatever they hold, since a group is as slow as its slowest member.
+func (p *Planner) pick(now time.Time, idle []*Member, s *supply, model *route.Model) []*Member {
+	var out []*Member
+	for _, m := range idle {
+		if s.Early || p.able(m, model.Name) && !p.kept(now, m, model.Name) {
+			out = append(out, m)
+		}
+	}
+	cold := func(m *Member) int {
+		if p.served[m.ID] == (served{m.Born, model.Name}) {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(out, func(a, b *Member) int { return cmp.Or(cmp.Compare(a.Pace, b.Pace), cold(a)-cold(b)) })
+	return out[:model.Size]
+}
+
 // layout lays out the groups of a starting fleet: how many of each model but the largest each domain is given. The small
-// groups share domains with one large group each, so that the other domains hold large ones only; were they formed
-// wherever two backend servers happen to register first, too few domains could hold large ones.
+// groups share as few domains as hold them with one large group each, evenly, so that the other domains hold large ones only
+// and every domain keeps some spares; were they formed wherever two backend servers happen to register first, too few domains
+// could hold large ones.
 func (p *Planner) layout(members []*Member, ready int) map[string]map[string]int {
 	sizes := map[string]int{}
 	for _, m := range members {
@@ -558,12 +602,22 @@
 	}
 	for _, model := range models[1:] {
 		want := int(math.Round(model.Share * float64(ready) / float64(model.Size)))
+		var shared []string
+		room := 0
 		for _, domain := range slices.Sorted(maps.Keys(sizes)) {
 			out[domain][model.Name] += 0 // a domain without an allotment gets none
-			for want > 0 && rooms[domain] >= model.Size {
-				out[domain][model.Name]++
-				rooms[domain] -= model.Size
-				want--
+			if n := rooms[domain] / model.Size; n > 0 && room < want {
+				room += n
+				shared = append(shared, domain)
+			}
+		}
+		for want = min(want, room); want > 0; {
+			for _, domain := range shared {
+				if want > 0 && rooms[domain] >= model.Size {
+					out[domain][model.Name]++
+					rooms[domain] -= model.Size
+					want--
+				}
 			}
 		}
 	}
@@ -571,14 +625,14 @@
 }
 
 // next returns the model of the group to form from idle members, nil when they make none.
-func (p *Planner) next(idle []*Member, s *supply, domain string) *route.Model {
+func (p *Planner) next(now time.Time, idle []*Member, s *supply, domain string) *route.Model {
 	var best *route.Model
 	most := 0.0
 	for i := range p.engine.Models {
 		model := &p.engine.Models[i]
 		have := 0
 		for _, m := range idle {
-			if s.Early || slices.Contains(m.Staged, model.Name) {
+			if s.Early || p.able(m, model.Name) && !p.kept(now, m, model.Name) {
 				have++
 			}
 		}
@@ -691,11 +745,7 @@
 	load := func(m *Member, model *route.Model, why string) {
 		held[model.Name]++
 		count(s.weights, domain, model.Name)
-		p.loads = append(p.loads, now)
-		p.staging[m.ID] = load{model.Name, m.Born, now.Add(model.Load * loadPatience)}
-		orders = append(orders, Order{m.Server, platform.Order{
-			Operation: platform.Stage, Model: model.Name, Fence: p.token, After: m.Orders,
-		}, why})
+		orders = append(orders, p.load(now, m, model, why))
 	}
 	for i, m := range empty {
 		model := p.stageFor(held, len(empty)-i, s, domain)
@@ -707,7 +757,7 @@
 	for i := range p.engine.Models {
 		from := &p.engine.Models[i]
 		to := p.convert(from, held, s)
-		if to == nil {
+		if to == nil || now.Before(p.rooms[domain].until) {
 			continue
 		}
 		missing := to.Size - held[to.Name]%to.Size
@@ -715,13 +765,17 @@
 			if missing == 0 || !p.mayLoad(now, s.Input) {
 				break
 			}
+			if p.able(m, to.Name) {
+				continue
+			}
 			missing--
 			held[from.Name]--
 			holders[from.Name] = holders[from.Name][1:]
 			load(m, to, "too few hosts of the domain hold "+from.Name)
 		}
 	}
-	if from, to := s.rebalance(p.engine.Models, held, domain); to != nil && len(holders[from.Name]) > 0 && p.mayLoad(now, s.Input) {
+	if from, to := s.rebalance(p.engine.Models, held, domain); to != nil && len(holders[from.Name]) > 0 && !now.Before(p.rooms[domain].until) &&
+		!p.able(holders[from.Name][0], to.Name) && p.mayLoad(now, s.Input) {
 		load(holders[from.Name][0], to, "a spare of "+from.Name+" is worth more as one of "+to.Name)
 	}
 	return orders
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -30,7 +30,9 @@
 	// readyAt is when a join is done, stagedAt when weights are on the host.
 	readyAt, stagedAt time.Time
 	staging           string
-	epochs            int64
+	// fetches is set while it joins a group whose weights are not on its host.
+	fetches bool
+	epochs  int64
 	// last is when it was last heard.
 	last time.Time
 	// members are the ids of its group.
@@ -124,7 +126,7 @@
 	if s.Membership.State == roster.Joining && !f.now.Before(s.readyAt) {
 		s.Membership.State = roster.Joined
 		s.Busy = false
-		if !slices.Contains(s.Staged, s.Model) {
+		if s.fetches {
 			s.Staged = []string{s.Model}
 		}
 	}
@@ -148,11 +150,14 @@
 			return
 		}
 		f.checkFree(s, o)
+		// Only a load puts the weights on the host; a member that served the model last takes it up without.
 		took := 200 * time.Millisecond
+		s.fetches = false
 		if s.Model != model.Name {
 			took = model.Warm
 			if !slices.Contains(s.Staged, model.Name) {
 				took = model.Load
+				s.fetches = true
 				if f.in.Early {
 					took /= 10
 				}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -109,6 +109,8 @@
 	Form time.Duration
 	// LoadRate bounds the loads of weights started in a second.
 	LoadRate float64
+	// LoadsAtOnce is how many loads of weights the store serves without slowing them down.
+	LoadsAtOnce int
 	// UsualAnswer is the mean token count of an answer.
 	UsualAnswer int
 }
