Count urgency on both sides when groups make room

Cause: the gain of the most urgent model was weighed half as much again, its loss was not, so in the small fleets groups of the urgent model ended for work that is less urgent.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -689,11 +689,7 @@
 func (s *supply) need(model *route.Model) float64 {
 	if len(s.Pressure) > 0 {
 		// A group that is on its way relieves the pressure already.
-		n := s.Pressure[model.Name] / (1 + s.coming[model.Name])
-		if model.Name == s.Urgent {
-			n *= urgentFirst
-		}
-		return n
+		return s.weight(model) / (1 + s.coming[model.Name])
 	}
 	want := model.Share * float64(s.ready) / float64(model.Size)
 	if want <= 0 {
--- a/internal/replica/room.go
+++ b/internal/replica/room.go
@@ -168,14 +168,19 @@
 	if left < 1 {
 		return false
 	}
-	gain := s.Pressure[to.Name] * s.Pressure[to.Name] * have / (have + 1 + s.coming[to.Name])
-	if to.Name == s.Urgent {
-		gain *= urgentFirst
-	}
-	loss := s.Pressure[from.Name] * s.Pressure[from.Name] * (left + float64(n)) * float64(n) / left
+	gain := s.weight(to) * s.Pressure[to.Name] * have / (have + 1 + s.coming[to.Name])
+	loss := s.weight(from) * s.Pressure[from.Name] * (left + float64(n)) * float64(n) / left
 	return gain > roomGain*loss
 }
 
+// weight is the pressure on a model, counted more for that of the most urgent work.
+func (s *supply) weight(model *route.Model) float64 {
+	if model.Name == s.Urgent {
+		return s.Pressure[model.Name] * urgentFirst
+	}
+	return s.Pressure[model.Name]
+}
+
 // finish ends a group that makes room for another one.
 func (p *Planner) finish(g *group, head *Member) []Order {
 	if _, ok := p.pending[head.ID]; ok {
