Tell configurations and changed entries within a data centre; only readers follow the store

Cause: every daemon held a waiting read of the configuration, so each change cost a call to the store for each of 195 daemons, and one daemon in twelve read all entries, of which nine in ten changes are heartbeats that only the holder of the lease uses. Change: a daemon that reads entries through another one gets the configuration with them, compressed, and follows the store only when that one does not. Entries that differ by their heartbeat alone are not told on. The largest instances of a data centre read for the others, one in twenty, and so does the holder of the lease; the planner takes silence for a loss only while all renewals are read, and from then on.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -335,6 +335,14 @@
 	return d.members.Live(now)
 }
 
+// orders tells whether this daemon gives orders to backend servers.
+func (d *Daemon) orders() bool {
+	d.peersMu.Lock()
+	defer d.peersMu.Unlock()
+	_, ok := d.vote.Holding(steady())
+	return ok
+}
+
 // fleet is how many daemons there are, as far as this one knows. One that hears less than half of those that it knows of is
 // cut off, or has just started, and the others work on.
 func (d *Daemon) fleet(now time.Time) int {
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"bytes"
+	"cmp"
+	"compress/flate"
 	"context"
 	"errors"
 	"fmt"
@@ -8,6 +11,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -71,6 +75,12 @@
 	mu    sync.Mutex
 	// rawConfig is the newest configuration as it was stored, for daemons that the store turns away.
 	rawConfig []byte
+	// packed is rawConfig compressed, nil until another daemon asks for it.
+	packed []byte
+	// following tells whether the last read of the configuration succeeded, toldConfig when a daemon that follows it last told
+	// this one that its configuration is the newest.
+	following  bool
+	toldConfig time.Time
 	// rawServers is the entries as they were stored, with those removed lately; version is that of the store up to which
 	// they are known, readAt when that was so.
 	rawServers map[string]entryRow
@@ -102,6 +112,11 @@
 	var pause backOff
 	after := int64(-1)
 	for ctx.Err() == nil {
+		if f.configIsTold(time.Now()) {
+			after = -1
+			_ = timer.Wait(ctx, toldPeriod) // the loop ends with ctx
+			continue
+		}
 		var page platform.Page
 		var err error
 		if after < 0 {
@@ -114,6 +129,9 @@
 				return f.d.store.Feed(ctx, platform.TableOperator, after, wait)
 			})
 		}
+		f.mu.Lock()
+		f.following = err == nil
+		f.mu.Unlock()
 		if err != nil {
 			if ctx.Err() == nil {
 				f.d.log.Warn("read configuration from the store", "error", err)
@@ -132,6 +150,20 @@
 	}
 }
 
+// toldPeriod is how often a daemon whose configuration is told by another one looks whether that goes on.
+const toldPeriod = 100 * time.Millisecond
+
+// configIsTold tells whether the daemon that reads entries for this one tells it the configuration too, with each answer. A
+// waiting read of every daemon would cost a call for each of them with each change.
+func (f *feeds) configIsTold(now time.Time) bool {
+	if f.reader(now) == nil || f.d.config.Load() == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.toldConfig) <= relayReads*f.serversPeriod()
+}
+
 // configWait is how long a read waits for a change of the configuration. A connection that has gone silent shows only by an
 // answer that is late, so those daemons that read for others do not wait for longer than a configuration may take; the
 // others hear of its version from them.
@@ -162,7 +194,7 @@
 	if old != nil && old.Version >= c.Version {
 		return
 	}
-	f.rawConfig = text
+	f.rawConfig, f.packed = text, nil
 	f.d.config.Store(c)
 	was := int64(0)
 	if old != nil {
@@ -207,20 +239,24 @@
 
 // readers is how many daemons one reader of the store tells the entries to. One reader a data centre and one more for
 // each such number keep the calls to the store independent of the number of daemons, and the work of a reader small.
-const readers = 12
+const readers = 20
 
-// reader returns the daemon that reads the entries for this one, nil when this daemon reads the store itself.
+// reader returns the daemon that reads the entries for this one, nil when this daemon reads the store itself: the largest
+// instances of the data centre do, and whoever gives orders, who needs every heartbeat.
 func (f *feeds) reader(now time.Time) *gossip.Member {
 	d := f.d
-	name := d.settings().Name
+	self := d.settings()
+	if d.orders() {
+		return nil
+	}
 	before := 0
 	var near []*gossip.Member
 	for _, m := range d.live(now) {
-		if m.DataCentre != d.settings().DataCentre || !m.Ready {
+		if m.DataCentre != self.DataCentre || !m.Ready {
 			continue
 		}
 		near = append(near, m)
-		if m.Name < name {
+		if m.Cores > self.Cores || m.Cores == self.Cores && m.Name < self.Name {
 			before++
 		}
 	}
@@ -228,15 +264,18 @@
 	if before < n {
 		return nil
 	}
+	// The first of them are the same for all; live comes in the order of names.
+	slices.SortStableFunc(near, func(a, b *gossip.Member) int { return cmp.Compare(b.Cores, a.Cores) })
 	return near[before%n]
 }
 
 func (f *feeds) readServers(ctx context.Context, after *int64) error {
 	if r := f.reader(time.Now()); r != nil && *after >= 0 {
-		in, err := f.fetch(ctx, r.Peer, fmt.Sprintf("%s?after=%d", pathServers, *after))
+		in, err := f.fetch(ctx, r.Peer, fmt.Sprintf("%s?after=%d&config=%d", pathServers, *after, f.configVersion()))
 		if err == nil && in.Age <= maxAge && in.Version >= *after {
-			f.back()
+			f.back(false)
 			f.takeServers(in.Servers, false, in.Version, in.Age)
+			f.takeConfig(in, r.Name)
 			*after = in.Version
 			return nil
 		}
@@ -258,7 +297,7 @@
 	if err != nil {
 		return err
 	}
-	f.back()
+	f.back(true)
 	whole := *after < 0
 	*after = page.Version
 	rows := make([]entryRow, len(page.Rows))
@@ -270,11 +309,33 @@
 }
 
 // back notes that the entries are being read, here or through another daemon. It comes before what was read is taken, since
-// entries that lapsed in an outage are kept for a while from its end.
-func (f *feeds) back() {
+// entries that lapsed in an outage are kept for a while from its end. whole tells whether all changes are read, heartbeats too.
+func (f *feeds) back(whole bool) {
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.tracker.Back(time.Now())
+	f.tracker.Back(now)
+	f.tracker.Whole(now, whole)
+}
+
+// configVersion is that of the configuration in force, 0 when there is none.
+func (f *feeds) configVersion() int64 {
+	if c := f.d.config.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// takeConfig takes what another daemon told of the configuration.
+func (f *feeds) takeConfig(in relay, source string) {
+	if len(in.Config) > 0 {
+		f.apply(in.Config, source)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if in.Following {
+		f.toldConfig = time.Now()
+	}
 }
 
 // maxAge is how old the entries that another daemon tells may be.
@@ -303,8 +364,9 @@
 	Value   []byte `cbor:"value"`
 	Removed bool   `cbor:"removed,omitempty"`
 	Version int64  `cbor:"version"`
-	// at is when the row was read.
-	at time.Time
+	// at is when the row was read, changed the version at which more than its heartbeat changed.
+	at      time.Time
+	changed int64
 }
 
 // takeServers takes changed entries, or with whole set all of them, as they were at a version of the store some time ago.
@@ -327,9 +389,9 @@
 	changes := make([]roster.Change, 0, len(rows))
 	var all []*roster.Server
 	for _, r := range rows {
-		r.at = now
-		f.rawServers[r.ID] = r
+		r.at, r.changed = now, r.Version
 		if r.Removed {
+			f.rawServers[r.ID] = r
 			changes = append(changes, roster.Change{ID: r.ID})
 			continue
 		}
@@ -337,9 +399,14 @@
 		if err != nil {
 			// Another writer's entry names no backend server.
 			f.d.log.Warn("entry left out", "id", r.ID, "error", err)
+			f.rawServers[r.ID] = r
 			changes = append(changes, roster.Change{ID: r.ID})
 			continue
 		}
+		if old, ok := f.rawServers[r.ID]; ok && !whole && f.tracker.Renews(s) {
+			r.changed = old.changed
+		}
+		f.rawServers[r.ID] = r
 		all = append(all, s)
 		changes = append(changes, roster.Change{ID: r.ID, Server: s})
 	}
@@ -475,37 +542,44 @@
 // removedFor is how long removed entries are remembered for daemons that ask for what has changed.
 const removedFor = time.Minute
 
-// relay is what a daemon tells another one that cannot read the store.
+// relay is what a daemon tells another one.
 type relay struct {
-	Config  []byte     `cbor:"config"`
+	// Packed is the configuration as it was stored, compressed; Config is what fetch makes of it.
+	Packed  []byte     `cbor:"config,omitempty"`
+	Config  []byte     `cbor:"-"`
 	Servers []entryRow `cbor:"servers"`
 	// Version is that of the store up to which Servers are known, Age how long ago that was so.
 	Version int64         `cbor:"version"`
 	Age     time.Duration `cbor:"age"`
-	// Store tells whether the sender reads the store now.
-	Store bool `cbor:"store"`
+	// Store tells whether the sender reads the store now, Following whether it hears of each change of the configuration.
+	Store     bool `cbor:"store"`
+	Following bool `cbor:"following"`
 }
 
 // servePeer answers another daemon.
 func (d *Daemon) servePeer(w http.ResponseWriter, r *http.Request) {
 	f := d.feed
 	out := relay{Store: d.storeOK.Load()}
-	after := int64(-1)
+	after, config := int64(-1), int64(-1)
 	if r.URL.Path == pathServers {
-		var err error
-		if after, err = strconv.ParseInt(r.URL.Query().Get("after"), 10, 64); err != nil {
+		var err, configErr error
+		after, err = strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		config, configErr = strconv.ParseInt(r.URL.Query().Get("config"), 10, 64)
+		if err != nil || configErr != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
 	}
+	newer := f.configVersion() > config
 	f.mu.Lock()
-	out.Version, out.Age = f.version, time.Since(f.readAt)
-	if r.URL.Path != pathServers {
-		out.Config = f.rawConfig
+	out.Version, out.Age, out.Following = f.version, time.Since(f.readAt), f.following
+	if newer {
+		out.Packed = f.pack()
 	}
 	if r.URL.Path != pathConfig {
 		for _, row := range f.rawServers {
-			if row.Version > after && (after >= 0 || !row.Removed) {
+			// Heartbeats alone are of use only to the daemon that gives orders, which reads the store itself.
+			if row.changed > after && (after >= 0 || !row.Removed) {
 				out.Servers = append(out.Servers, row)
 			}
 		}
@@ -522,6 +596,25 @@
 	}
 }
 
+// pack returns the newest configuration compressed: large ones would fill the link of a small instance that tells many. f.mu
+// is held.
+func (f *feeds) pack() []byte {
+	if f.packed == nil && f.rawConfig != nil {
+		var b bytes.Buffer
+		w, err := flate.NewWriter(&b, flate.BestSpeed)
+		if err == nil {
+			_, err = w.Write(f.rawConfig)
+			err = errors.Join(err, w.Close())
+		}
+		if err != nil {
+			f.d.log.Error("compress the configuration", "error", err)
+			return nil
+		}
+		f.packed = b.Bytes()
+	}
+	return f.packed
+}
+
 // Paths between daemons: everything, the entries changed after a version, the configuration.
 const (
 	pathAll     = "/all"
@@ -609,5 +702,10 @@
 	if err := cbor.NewDecoder(io.LimitReader(resp.Body, maxRelay)).Decode(&in); err != nil {
 		return relay{}, fmt.Errorf("decode answer: %w", err)
 	}
+	if len(in.Packed) > 0 {
+		if in.Config, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(in.Packed)), maxRelay)); err != nil {
+			return relay{}, fmt.Errorf("expand configuration: %w", err)
+		}
+	}
 	return in, nil
 }
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -257,13 +257,17 @@
 			p = replica.New(s.Engine, token, now)
 			l.planners[s.Name] = p
 		}
-		silence := storeAway
-		if d.storeOK.Load() {
+		// Renewals tell something only while all of them are read, and from then on.
+		silence, back := storeAway, v.Back
+		if d.storeOK.Load() && !v.Partial {
 			silence = d.beatSilence()
 		}
+		if v.Whole.After(back) {
+			back = v.Whole
+		}
 		orders := p.Step(now, replica.Input{
 			Pressure: pressure, Urgent: urgent,
-			Members: members, Silence: silence, Back: v.Back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, Window: d.settings().LoadWindow, Early: early,
+			Members: members, Silence: silence, Back: back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, Window: d.settings().LoadWindow, Early: early,
 		})
 		for _, o := range orders {
 			if !l.orders.TryGo(func() error {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -105,7 +105,11 @@
 	// Read is when the store was read.
 	Read time.Time
 	// Back is when the store last came back; entries could not be renewed before. It is zero before the first outage.
-	Back    time.Time
+	Back time.Time
+	// Partial is set while renewals of entries are not read, since another daemon tells only of other changes; Whole is when
+	// that last ended.
+	Partial bool
+	Whole   time.Time
 	Servers map[string]*Server
 	// Departed holds those whose entries were removed lately. They get no requests, but may still run.
 	Departed map[string]*Server
--- a/internal/roster/tracker.go
+++ b/internal/roster/tracker.go
@@ -21,6 +21,9 @@
 	holding bool
 	// back is when the store last came back; zero before the first outage. kept is until when entries that lapsed are.
 	back, kept time.Time
+	// partial is set while what is read lacks renewals, whole is when that last ended; zero when it never was so.
+	partial bool
+	whole   time.Time
 	// read is when the entries were last read.
 	read time.Time
 	// departed holds removed entries, with the time of their removal.
@@ -146,6 +149,25 @@
 	}
 }
 
+// Whole notes whether the changes that come next hold every renewal.
+func (t *Tracker) Whole(now time.Time, whole bool) {
+	if whole && t.partial {
+		t.whole = now
+	}
+	t.partial = !whole
+}
+
+// Renews tells whether an entry differs from what is known only by its heartbeat.
+func (t *Tracker) Renews(s *Server) bool {
+	o := t.servers[s.ID]
+	if o == nil {
+		return false
+	}
+	n := *s
+	n.Beat, n.Renewed = o.Beat, o.Renewed
+	return reflect.DeepEqual(*o, n)
+}
+
 // Apply takes changed entries as read at now.
 func (t *Tracker) Apply(now time.Time, changes []Change) {
 	t.read = now
@@ -184,7 +206,7 @@
 func (t *Tracker) remove(now time.Time, id string) {
 	s := *t.servers[id]
 	_, leaving := t.leaving[id]
-	s.Lapsed = s.State == Ready && !leaving && !t.holding && s.Renewed.After(t.back) && now.Sub(s.Renewed) > t.silence
+	s.Lapsed = s.State == Ready && !leaving && !t.holding && !t.partial && now.Sub(t.whole) > t.silence && s.Renewed.After(t.back) && now.Sub(s.Renewed) > t.silence
 	t.departed[id] = departure{&s, now}
 	delete(t.servers, id)
 	delete(t.lapsed, id)
@@ -192,7 +214,7 @@
 
 // View builds the current view. size tells the sizes of groups.
 func (t *Tracker) View(now time.Time, size Size) *View {
-	v := &View{Read: now, Back: t.back, Servers: maps.Clone(t.servers), Services: map[string][]*Server{}, Groups: map[string][]*Group{}, Departed: make(map[string]*Server, len(t.departed))}
+	v := &View{Read: now, Back: t.back, Partial: t.partial, Whole: t.whole, Servers: maps.Clone(t.servers), Services: map[string][]*Server{}, Groups: map[string][]*Group{}, Departed: make(map[string]*Server, len(t.departed))}
 	for id, d := range t.departed {
 		v.Departed[id] = d.server
 	}
