Tell digests within a data centre and by hubs; partial views of a large fleet

Weighed: a random mesh with indirect probes (a death takes several rounds to spread, and who schedules must be known to all at once); one hub a data centre (its loss hides the data centre until another is chosen). Chosen: every daemon tells its data centre, and the four largest of each tell all others; below 24 daemons everyone tells everyone, as before. Digests tell how often the receiver hears the sender, which bounds its silence, and how many live near the sender, so that the parts of connections and of the retry budget go by the whole fleet. The lease is told on by hubs; the largest instances stand for it first, and only hubs schedule a model.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -70,6 +70,9 @@
 	return e.record.Token, true
 }
 
+// Learnt returns the row as last learnt; its version is 0 when nothing is known.
+func (e *Election) Learnt() (Record, int64) { return e.record, e.version }
+
 // Version is that of the lease row as last learnt.
 func (e *Election) Version() int64 { return e.version }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -112,7 +112,7 @@
 // New returns a daemon that listens, and a function that frees what it holds.
 func New(s Settings, log hclog.Logger) (*Daemon, func(), error) {
 	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryShare / 100)
-	d := &Daemon{log: log, boot: time.Now().UnixMilli(), members: gossip.NewMembers(s.Name), vote: election.New(s.Name), ended: make(chan struct{})}
+	d := &Daemon{log: log, boot: time.Now().UnixMilli(), members: gossip.NewMembers(s.Name, s.DataCentre, s.Cores), vote: election.New(s.Name), ended: make(chan struct{})}
 	d.current.Store(&s)
 	var cleanups []func()
 	cleanup := func() {
@@ -188,7 +188,7 @@
 func (d *Daemon) gauges() error {
 	return errors.Join(
 		d.metrics.Gauge("in_flight", "{request}", "Requests of callers under way", d.inFlight.Load),
-		d.metrics.Gauge("daemons", "{daemon}", "Other daemons heard of lately", func() int64 { return int64(len(d.live(time.Now()))) }),
+		d.metrics.Gauge("daemons", "{daemon}", "Other daemons that live, as far as this one knows", func() int64 { return int64(d.fleet(time.Now()) - 1) }),
 		d.metrics.Gauge("config_version", "1", "Version of the configuration in force", func() int64 {
 			if c := d.config.Load(); c != nil {
 				return c.Version
@@ -335,6 +335,13 @@
 	return d.members.Live(now)
 }
 
+// hub tells whether this daemon tells all others.
+func (d *Daemon) hub(now time.Time) bool {
+	d.peersMu.Lock()
+	defer d.peersMu.Unlock()
+	return d.members.Hub(now)
+}
+
 // orders tells whether this daemon gives orders to backend servers.
 func (d *Daemon) orders() bool {
 	d.peersMu.Lock()
@@ -348,7 +355,7 @@
 func (d *Daemon) fleet(now time.Time) int {
 	d.peersMu.Lock()
 	defer d.peersMu.Unlock()
-	live, known := len(d.members.Live(now))+1, len(d.members.All(now))+1
+	live, known := d.members.Fleet(now), len(d.members.All(now))+1
 	switch {
 	case known == 1 && !d.met.Load():
 		return unknownFleet
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -46,6 +46,8 @@
 	daemonsPeriod = 5 * time.Second
 	// daemonsSpread is how much each other daemon adds to it, so that the calls of all do not grow with their square.
 	daemonsSpread = 300 * time.Millisecond
+	// hubSpread bounds that at daemons that tell all others: well within the time for which a silent daemon is remembered.
+	hubSpread = 10 * time.Second
 	// rowPeriod is how often a daemon writes its own row.
 	rowPeriod = 10 * time.Second
 	// lapseGrace is how long backend servers have to register again after the store was away.
@@ -256,7 +258,7 @@
 			continue
 		}
 		near = append(near, m)
-		if m.Cores > self.Cores || m.Cores == self.Cores && m.Name < self.Name {
+		if gossip.Senior(m.Cores, m.Name, self.Cores, self.Name) {
 			before++
 		}
 	}
@@ -499,9 +501,17 @@
 	}
 }
 
-// spread is how much the other daemons add to the periods of the exchange of rows.
+// spread is how much the other daemons add to the periods of the exchange of rows. Hubs, which have to know all others, read
+// more often.
 func (f *feeds) spread() time.Duration {
-	return time.Duration(len(f.d.live(time.Now()))) * daemonsSpread
+	now := time.Now()
+	spread := time.Duration(f.d.fleet(now)-1) * daemonsSpread
+	f.d.peersMu.Lock()
+	defer f.d.peersMu.Unlock()
+	if f.d.members.Hub(now) {
+		return min(spread, hubSpread)
+	}
+	return spread
 }
 
 func (f *feeds) writeDaemon(ctx context.Context) error {
@@ -534,7 +544,7 @@
 	f.d.peersMu.Unlock()
 	if !f.d.met.Swap(true) {
 		// The others count this daemon's work, and it theirs, only when they have heard of each other.
-		f.d.tellOnce()
+		f.d.greet()
 	}
 	return nil
 }
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/election"
+	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/replica"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/timer"
@@ -138,7 +139,7 @@
 	}
 	place := 0
 	for _, m := range d.live(time.Now()) {
-		if m.Name < d.settings().Name && m.Ready {
+		if m.Ready && gossip.Senior(m.Cores, m.Name, d.settings().Cores, d.settings().Name) {
 			place++
 		}
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -29,40 +30,63 @@
 	}
 	d.dispatch.tell(&out)
 	out.Leavers = d.feed.leavers()
+	now := time.Now()
 	d.peersMu.Lock()
 	defer d.peersMu.Unlock()
+	out.Hub, out.Near = d.members.Hub(now), d.members.Near(now)
 	if token, ok := d.vote.Holding(steady()); ok {
 		out.Lease, out.Version = d.lead.record(token), d.vote.Version()
+	} else if record, version := d.vote.Learnt(); out.Hub && version > 0 {
+		out.Lease, out.Version = &record, version
 	}
 	return out
 }
 
 // tell sends digests to the other daemons.
 func (d *Daemon) tell(ctx context.Context) {
+	var toldFar time.Time
 	for {
-		d.tellOnce()
+		now := time.Now()
 		d.peersMu.Lock()
-		period := d.members.Period()
+		near, far := d.members.Targets(now)
+		nearPeriod, farPeriod := d.members.Periods(now)
+		holder := d.vote.Holder()
+		for _, m := range d.members.All(now) {
+			// The holder of the lease has groups looked at that others suspect, and must hear of them soon.
+			if m.Name == holder && !slices.Contains(near, m) {
+				near = append(near, m)
+			}
+		}
 		d.peersMu.Unlock()
-		if timer.Wait(ctx, period) != nil {
+		d.send(near, nearPeriod)
+		if now.Sub(toldFar) >= farPeriod {
+			toldFar = now
+			d.send(far, farPeriod)
+		}
+		if timer.Wait(ctx, nearPeriod) != nil {
 			_ = d.udp.Close() // ends receive
 			return
 		}
 	}
 }
 
-// tellOnce sends a digest to every other daemon.
-func (d *Daemon) tellOnce() {
+// greet tells every daemon that is known of this one.
+func (d *Daemon) greet() {
 	d.peersMu.Lock()
 	all := d.members.All(time.Now())
 	d.peersMu.Unlock()
-	if len(all) == 0 {
+	d.send(all, 0)
+}
+
+// send sends a digest to other daemons; they hear the next one after a period.
+func (d *Daemon) send(to []*gossip.Member, period time.Duration) {
+	if len(to) == 0 {
 		return
 	}
 	digest := d.digest()
-	digest.Seq = d.told.Add(1)
+	digest.Seq, digest.Every = d.told.Add(1), period
 	text := d.encode(kindDigest, digest)
-	for _, m := range all {
+	for _, m := range to {
 		d.write(text, m.Peer)
 	}
 }
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -66,11 +66,12 @@
 	}
 	var names []string
 	c.peers = map[string]netip.AddrPort{}
-	if p.d.ready() && self.Cores >= most*enoughCores {
+	// Others hear only of the hubs of a large fleet, and all have to name the same daemon.
+	if p.d.ready() && self.Cores >= most*enoughCores && p.d.hub(now) {
 		names = append(names, self.Name)
 	}
 	for _, o := range live {
-		if o.Ready && o.Cores >= most*enoughCores {
+		if o.Ready && o.Hub && o.Cores >= most*enoughCores {
 			names = append(names, o.Name)
 			c.peers[o.Name] = o.Peer
 		}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -187,7 +187,7 @@
 	if svc == nil || svc.MaxConnections <= 0 {
 		return 0
 	}
-	return max(svc.MaxConnections/(len(d.live(time.Now()))+1), 1)
+	return max(svc.MaxConnections/d.fleet(time.Now()), 1)
 }
 
 // maxUnsent bounds the backend servers that are tried because earlier ones could not be reached.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -264,7 +264,7 @@
 		return false
 	}
 	now := time.Now()
-	return x.d.budget.repeat(x.service, now, x.d.settings(), len(x.d.live(now))+1)
+	return x.d.budget.repeat(x.service, now, x.d.settings(), x.d.fleet(now))
 }
 
 // note keeps what became of an attempt at a backend server, which group names too unless it is a plain one. It tells whether
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,6 +3,13 @@
 // A digest is the whole state that its sender tells, so a lost one is repaired by the next, and no order of messages
 // matters. Digests carry presence, the versions that the sender knows, and what is asked of the models that it schedules.
 // Daemons find each other by rows of the platform's store and by digests of daemons that found them.
+//
+// # Partial views
+//
+// In a large fleet each daemon tells those of its own data centre, and a few hubs of each data centre, its largest instances,
+// tell all others too. So every daemon knows its data centre and all hubs, and what it sends and receives grows with the size
+// of a data centre and the number of hubs. A hub that is lost is replaced by the next daemon of its data centre in the same
+// order. While no hub of a data centre is left, others count it as gone.
 package gossip
 
 import (
@@ -22,12 +29,24 @@
 const (
 	// minPeriod is the shortest time between two digests; callers arrive at a daemon every few tens of milliseconds.
 	minPeriod = 100 * time.Millisecond
-	// perPeer is how much each daemon of the fleet adds to the period, so that the digests that a daemon receives stay
-	// below 250 a second at any size.
-	perPeer = 4 * time.Millisecond
+	// minFar is the shortest time between two digests of a hub to other data centres.
+	minFar = 300 * time.Millisecond
+	// perPeer is how much each daemon of a data centre adds to the period in which its daemons tell each other, so that the
+	// digests that one receives stay below 250 a second, with those of hubs, at any size. perFar is what each daemon adds that a
+	// hub tells elsewhere; hubs are the larger instances.
+	perPeer = 5 * time.Millisecond
+	perFar  = 2500 * time.Microsecond
+	// maxPeriod is the longest time between two digests that a sender may announce.
+	maxPeriod = 5 * time.Second
+	// greetPeriod is how often a hub that is known and silent is told of this daemon.
+	greetPeriod = time.Second
+	// mesh is the size of a fleet from which on not everyone tells everyone.
+	mesh = 24
+	// hubs is how many daemons of a data centre tell all others: two may be lost, and one be unheard, at once.
+	hubs = 4
 	// missed is how many digests in a row a live daemon may fail to deliver, and silence the least time for that: a
 	// daemon whose processor is taken for a moment is not gone.
-	missed  = 5
+	missed  = 4
 	silence = 900 * time.Millisecond
 	// forget is how long a silent daemon is remembered.
 	forget = 30 * time.Second
@@ -51,7 +70,13 @@
 	// Config is the version of the configuration in force at the sender, Store tells whether its store answers.
 	Config int64 `cbor:"config"`
 	Store  bool  `cbor:"store"`
-	// Lease and Version tell of the lease row when the sender holds it.
+	// Hub daemons tell those of other data centres too. Near is how many daemons of its data centre the sender knows to live,
+	// itself included.
+	Hub  bool `cbor:"hub,omitempty"`
+	Near int  `cbor:"near,omitempty"`
+	// Every is how often the sender tells the receiver.
+	Every time.Duration `cbor:"every,omitempty"`
+	// Lease and Version tell of the lease row: as it is when the sender holds it, as last learnt when it is a hub.
 	Lease   *election.Record `cbor:"lease,omitempty"`
 	Version int64            `cbor:"version,omitempty"`
 	// Demands are what is asked of the models that the sender schedules, by service and model as DemandKey makes it.
@@ -87,18 +112,116 @@
 
 // Members is the other daemons as one of them knows them. It is not safe for concurrent use.
 type Members struct {
-	self string
-	all  map[string]*Member
+	self, dataCentre string
+	cores            float64
+	all              map[string]*Member
 	// names is the keys of all in order, nil after they have changed; requests ask for Live.
 	names []string
 }
 
 // NewMembers returns an empty set for the daemon of that name.
-func NewMembers(self string) *Members { return &Members{self: self, all: map[string]*Member{}} }
+func NewMembers(self, dataCentre string, cores float64) *Members {
+	return &Members{self: self, dataCentre: dataCentre, cores: cores, all: map[string]*Member{}}
+}
+
+// Senior tells whether a daemon comes before another one where duties are given to the largest instances first.
+func Senior(cores float64, name string, otherCores float64, other string) bool {
+	return cores > otherCores || cores == otherCores && name < other
+}
+
+// Hub tells whether this daemon is one of those that tell other data centres.
+func (m *Members) Hub(now time.Time) bool {
+	if len(m.all) < mesh {
+		return true
+	}
+	before := 0
+	for _, o := range m.Live(now) {
+		if o.DataCentre == m.dataCentre && Senior(o.Cores, o.Name, m.cores, m.self) {
+			before++
+		}
+	}
+	return before < hubs
+}
+
+// Targets returns whom this daemon tells: those of its data centre, all others if it is a hub, and otherwise those who should
+// be hubs and are not heard.
+func (m *Members) Targets(now time.Time) (near, far []*Member) {
+	all := m.All(now)
+	hub := m.Hub(now)
+	others := map[string][]*Member{}
+	for _, o := range all {
+		switch {
+		case len(all) < mesh || o.DataCentre == m.dataCentre:
+			near = append(near, o)
+		case hub:
+			far = append(far, o)
+		default:
+			others[o.DataCentre] = append(others[o.DataCentre], o)
+		}
+	}
+	// Rows may tell of a time when the fleet was small and everyone a hub.
+	for _, list := range others {
+		slices.SortFunc(list, func(a, b *Member) int {
+			if Senior(a.Cores, a.Name, b.Cores, b.Name) {
+				return -1
+			}
+			return 1
+		})
+		for _, o := range list[:min(len(list), hubs)] {
+			if !m.live(now, o) {
+				far = append(far, o)
+			}
+		}
+	}
+	return near, far
+}
 
-// Period is how often digests are sent.
-func (m *Members) Period() time.Duration {
-	return max(minPeriod, time.Duration(len(m.all))*perPeer)
+// Periods returns how often digests are sent to the targets.
+func (m *Members) Periods(now time.Time) (near, far time.Duration) {
+	if len(m.all) < mesh {
+		near = max(minPeriod, time.Duration(len(m.all))*perPeer)
+		return near, near
+	}
+	n := 0
+	for _, o := range m.all {
+		if o.DataCentre == m.dataCentre {
+			n++
+		}
+	}
+	near, far = max(minPeriod, time.Duration(n)*perPeer), greetPeriod
+	if m.Hub(now) {
+		far = max(minFar, time.Duration(len(m.all)-n)*perFar)
+	}
+	return near, far
+}
+
+// Near returns how many daemons of this data centre live, this one included.
+func (m *Members) Near(now time.Time) int {
+	n := 1
+	for _, o := range m.Live(now) {
+		if o.DataCentre == m.dataCentre {
+			n++
+		}
+	}
+	return n
+}
+
+// Fleet returns about how many daemons live, this one included: those heard, or for other data centres what their hubs know.
+func (m *Members) Fleet(now time.Time) int {
+	live := m.Live(now)
+	heard, told := map[string]int{m.dataCentre: 1}, map[string]int{}
+	for _, o := range live {
+		heard[o.DataCentre]++
+		told[o.DataCentre] = max(told[o.DataCentre], o.Digest.Near)
+	}
+	n := 0
+	for dc, count := range heard {
+		if dc != m.dataCentre {
+			count = max(count, told[dc])
+		}
+		n += count
+	}
+	return n
 }
 
 // Introduce adds a daemon known from its row. The row of a later lifetime replaces what was heard of an earlier one.
@@ -107,6 +230,9 @@
 		return
 	}
 	if o := m.all[d.Name]; o != nil && o.Boot >= d.Boot {
+		if len(m.all) >= mesh {
+			o.added = now // a hub tells it without hearing it
+		}
 		return
 	}
 	m.set(&Member{Digest: d, added: now})
@@ -134,19 +260,23 @@
 
 // Live returns the daemons heard of lately, in the order of their names.
 func (m *Members) Live(now time.Time) []*Member {
-	limit := max(silence, missed*m.Period())
 	var out []*Member
 	if m.names == nil {
 		m.names = slices.Sorted(maps.Keys(m.all))
 	}
 	for _, name := range m.names {
-		if o := m.all[name]; !o.Heard.IsZero() && now.Sub(o.Heard) <= limit {
+		if o := m.all[name]; m.live(now, o) {
 			out = append(out, o)
 		}
 	}
 	return out
 }
 
+// live tells whether a daemon has been heard within the time that a few of its digests take.
+func (m *Members) live(now time.Time, o *Member) bool {
+	return !o.Heard.IsZero() && now.Sub(o.Heard) <= max(silence, missed*min(max(o.Every, 0), maxPeriod))
+}
+
 // All returns every daemon that is remembered, and forgets those that have been silent for long.
 func (m *Members) All(now time.Time) []*Member {
 	var out []*Member
