Spare the store: probes of a whole fleet, lease reads in order, starts through a neighbour; keep spares parked

Change: a daemon that hears nobody reach the store waits in proportion to the fleet, and is woken by the first digest of one that does; one that is told the entries waits longer. After a failure the lease is tried again in the order of places. A fresh daemon listens for half a second and asks the daemon that reads for it; one daemon reads for forty. Others that cannot read ask for what has changed, in their data centre first. A whole read tells on what is gone. Spares stay in the membership in which they took up their weights, known by its name.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -21,8 +21,11 @@
 	Renewal = 500 * time.Millisecond
 	// Stagger is how much longer each daemon waits that comes later in the order of names.
 	Stagger = 150 * time.Millisecond
-	// lookPeriod is the time between two reads of the row while the holder is silent.
+	// lookPeriod is the time between two reads of the row while the holder is silent, and after a failure.
 	lookPeriod = 300 * time.Millisecond
+	// failedPlaces is after how many places a daemon waits for another such time after a failure: while the store is away the
+	// first in order try often enough, and the calls of a large fleet would only be refused.
+	failedPlaces = 4
 )
 
 // Record is the value of the lease row.
@@ -56,7 +59,10 @@
 	holding   bool
 	renewed   time.Duration
 	looked    time.Duration
-	busy      bool
+	// tried is when the row was last read or written, failed tells that it brought nothing.
+	tried  time.Duration
+	failed bool
+	busy   bool
 }
 
 // New returns the part of a daemon.
@@ -99,29 +105,34 @@
 		return Wait
 	}
 	if e.holding {
-		if now-e.renewed < Renewal {
+		if now-e.renewed < Renewal || e.failed && now-e.tried < lookPeriod {
 			return Wait
 		}
-		e.busy = true
-		return Write
+		return e.try(now, Write)
 	}
 	free := e.known && (e.version == 0 || now-e.learnt >= TTL+time.Duration(place)*Stagger)
 	if !free && e.known {
 		return Wait
 	}
 	// What the row is must be fresh: it may have been renewed without word of it.
-	if now-e.looked >= lookPeriod {
+	if e.failed && now-e.tried < lookPeriod+lookPeriod*time.Duration(place)/failedPlaces {
+		return Wait
+	}
+	if e.failed || now-e.looked >= lookPeriod {
 		e.looked = now
-		e.busy = true
-		return Look
+		return e.try(now, Look)
 	}
 	if free {
-		e.busy = true
-		return Write
+		return e.try(now, Write)
 	}
 	return Wait
 }
 
+func (e *Election) try(now time.Duration, a Action) Action {
+	e.busy, e.tried = true, now
+	return a
+}
+
 // Next returns what Write writes, and the version that the row must have.
 func (e *Election) Next() (Record, int64) {
 	token := e.record.Token
@@ -133,20 +144,19 @@
 
 // Written takes the outcome of a Write that was sent at the given time.
 func (e *Election) Written(sent time.Duration, r Record, version int64) {
-	e.busy = false
+	e.busy, e.failed = false, false
 	e.record, e.version, e.known, e.learnt = r, version, true, sent
 	e.holding, e.renewed, e.heldUntil = true, sent, sent+TTL-Guard
 }
 
 // Failed notes that a Look or Write brought nothing: the row is to be read before anything else.
 func (e *Election) Failed() {
-	e.busy = false
-	e.looked = 0
+	e.busy, e.failed = false, true
 }
 
 // Read notes the end of a Look.
 func (e *Election) Read(now time.Duration, r Record, version int64) {
-	e.busy = false
+	e.busy, e.failed = false, false
 	if version == 0 && !e.known {
 		e.known, e.learnt = true, now
 		return
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -121,3 +121,40 @@
 		t.Error("holds a lease that is about to be free")
 	}
 }
+
+// TestCallsWhileTheStoreIsAway guards against a fleet that reads the lease row again and again while the store refuses: only
+// the first in order try often.
+func TestCallsWhileTheStoreIsAway(t *testing.T) {
+	const away = 10 * time.Second
+	calls := 0
+	for place := range 200 {
+		e := New("a")
+		e.Learn(0, Record{Holder: "x", Token: 1}, 5)
+		mine := 0
+		for now := time.Duration(0); now < away; now += 50 * time.Millisecond {
+			if e.Step(now, place) != Wait {
+				mine++
+				e.Failed()
+			}
+		}
+		if place == 0 && mine < int((away-TTL)/time.Second) {
+			t.Errorf("the first in order tries %d times", mine)
+		}
+		calls += mine
+	}
+	if most := 30 * int(away/time.Second); calls > most {
+		t.Errorf("%d calls of 200 daemons, want at most %d", calls, most)
+	}
+	holder := New("a")
+	holder.Written(0, Record{Holder: "a", Token: 1}, 5)
+	calls = 0
+	for now := time.Duration(0); now < away; now += 50 * time.Millisecond {
+		if holder.Step(now, 0) != Wait {
+			calls++
+			holder.Failed()
+		}
+	}
+	if most := int(away/lookPeriod) + 1; calls > most || calls < most/2 {
+		t.Errorf("%d calls of the holder, want about %d", calls, most)
+	}
+}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -89,6 +89,7 @@
 	feed     *feeds
 	lead     *leader
 	metrics  *metric.Set
+	calls    callCounts
 	udp      *net.UDPConn
 	servings []*khttp.Server
 	group    errgroup.Group
@@ -321,6 +322,9 @@
 			d.plain.forget(v)
 			d.dispatch.forget(v)
 			d.dispatch.logState(now)
+			if calls := d.calls.take(now); len(calls) > 0 {
+				d.log.Info("calls to the store", "by_purpose", calls)
+			}
 		}
 	}
 }
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -62,6 +62,9 @@
 	relayReads = 2
 	// relayPeriod is how often it is asked.
 	relayPeriod = 250 * time.Millisecond
+	// nearAsks is one in how many such questions goes to any daemon, whatever its data centre; those that are near may all be
+	// out of reach.
+	nearAsks = 4
 	// behindFor is how long another daemon may have a newer configuration before it is asked for it.
 	behindFor = 250 * time.Millisecond
 	maxRelay  = 16 << 20
@@ -89,6 +92,8 @@
 	version    int64
 	readAt     time.Time
 	tracker    *roster.Tracker
+	// started is when the daemon began.
+	started time.Time
 }
 
 // newFeeds returns feeds that know nothing and a function that closes their connections to other daemons.
@@ -97,24 +102,72 @@
 		DialContext: netopt.Dialer(peerTimeout).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: storeTimeout * 4,
 	}
 	return &feeds{
-		d: d, peers: &http.Client{Transport: t}, rawServers: map[string]entryRow{}, tracker: roster.NewTracker(lapseGrace, d.beatSilence()),
+		d: d, started: time.Now(), peers: &http.Client{Transport: t}, rawServers: map[string]entryRow{}, tracker: roster.NewTracker(lapseGrace, d.beatSilence()),
 	}, t.CloseIdleConnections
 }
 
 // backOff waits longer after each failure.
 type backOff struct{ d time.Duration }
 
-func (b *backOff) wait(ctx context.Context) {
-	b.d = min(max(b.d*2, retryFirst), retryMax)
-	_ = timer.Wait(ctx, b.d) // the caller's loop ends with ctx
+const (
+	// fleetProbe is what each daemon of a fleet that misses the store adds to the pause between its calls, so that all
+	// together call as often at any size; the first that is answered tells the others.
+	fleetProbe = 100 * time.Millisecond
+	// relayedMax bounds the pause while another daemon tells what the store would.
+	relayedMax = 3 * time.Second
+	// lookUp is how often a daemon that waits looks whether others have found the store.
+	lookUp = 200 * time.Millisecond
+)
+
+// wait waits after a failed call to the store: for as long as the whole fleet misses it, or until others have found it.
+func (b *backOff) wait(ctx context.Context, f *feeds) {
+	b.d = max(b.d*2, retryFirst)
+	began, part := time.Now(), 0.5+rand.Float64()/2
+	for ctx.Err() == nil {
+		now := time.Now()
+		limit := retryMax
+		switch {
+		case f.storeIsAway(now):
+			if all := time.Duration(f.d.fleet(now)) * fleetProbe; all > limit {
+				limit, b.d = all, time.Duration(float64(all)*part)
+			}
+		case f.isRelayed(now):
+			limit = relayedMax
+		}
+		rest := min(b.d, limit) - now.Sub(began)
+		if rest <= 0 {
+			b.d = min(b.d, limit)
+			return
+		}
+		_ = timer.Wait(ctx, min(rest, lookUp)) // the loop ends with ctx
+	}
+}
+
+// storeIsAway tells whether no other daemon reaches the store, as far as this one hears any.
+func (f *feeds) storeIsAway(now time.Time) bool {
+	live := f.d.live(now)
+	for _, m := range live {
+		if m.Store {
+			return false
+		}
+	}
+	return len(live) > 0
+}
+
+// isRelayed tells whether the entries are known as of lately although the store does not answer here.
+func (f *feeds) isRelayed(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.readAt) <= maxAge
 }
 
 // watchConfig follows the operators' table.
 func (f *feeds) watchConfig(ctx context.Context) {
 	var pause backOff
 	after := int64(-1)
+	f.meet(ctx)
 	for ctx.Err() == nil {
-		if f.configIsTold(time.Now()) {
+		if now := time.Now(); f.configIsTold(now) || f.d.config.Load() == nil && f.mayBeTold(now) {
 			after = -1
 			_ = timer.Wait(ctx, toldPeriod) // the loop ends with ctx
 			continue
@@ -122,12 +175,12 @@
 		var page platform.Page
 		var err error
 		if after < 0 {
-			page, err = call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
+			page, err = f.d.storeCall(ctx, "configuration", storeTimeout, func(ctx context.Context) (platform.Page, error) {
 				return f.d.store.Rows(ctx, platform.TableOperator)
 			})
 		} else {
 			wait := f.configWait()
-			page, err = call(ctx, wait+f.d.settings().Apply/applyParts, func(ctx context.Context) (platform.Page, error) {
+			page, err = f.d.storeCall(ctx, "configuration", wait+f.d.settings().Apply/applyParts, func(ctx context.Context) (platform.Page, error) {
 				return f.d.store.Feed(ctx, platform.TableOperator, after, wait)
 			})
 		}
@@ -139,7 +192,7 @@
 				f.d.log.Warn("read configuration from the store", "error", err)
 			}
 			after = -1
-			pause.wait(ctx)
+			pause.wait(ctx, f)
 			continue
 		}
 		pause = backOff{}
@@ -152,6 +205,31 @@
 	}
 }
 
+const (
+	// meetTime is how long a daemon that has just started listens for others before it asks the store for what they may know:
+	// several digests of a large data centre.
+	meetTime = 500 * time.Millisecond
+	// meetMax bounds the time until a fresh daemon asks the store itself although another one should tell it.
+	meetMax = 2 * time.Second
+	// meetPeriod is how often it asks that one meanwhile.
+	meetPeriod = 150 * time.Millisecond
+)
+
+// meet waits until the daemon has had time to hear others.
+func (f *feeds) meet(ctx context.Context) {
+	for ctx.Err() == nil && time.Since(f.started) < meetMax {
+		if f.d.met.Load() && time.Since(f.started) >= meetTime {
+			return
+		}
+		_ = timer.Wait(ctx, meetPeriod/3) // the loop ends with ctx
+	}
+}
+
+// mayBeTold tells whether a daemon that knows nothing yet should wait for another one to tell it.
+func (f *feeds) mayBeTold(now time.Time) bool {
+	return now.Sub(f.started) < meetMax && f.reader(now) != nil
+}
+
 // toldPeriod is how often a daemon whose configuration is told by another one looks whether that goes on.
 const toldPeriod = 100 * time.Millisecond
 
@@ -176,13 +254,52 @@
 	return quietWait
 }
 
-// call runs one call of the store under a time limit.
+// call runs one call under a time limit.
 func call[T any](ctx context.Context, limit time.Duration, f func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return f(ctx)
 }
 
+// storeCall runs one call of the store under a time limit and counts it by its purpose.
+func (d *Daemon) storeCall(ctx context.Context, purpose string, limit time.Duration, f func(context.Context) (platform.Page, error)) (platform.Page, error) {
+	page, err := call(ctx, limit, f)
+	d.metrics.Call(purpose, err)
+	d.calls.add(purpose)
+	return page, err
+}
+
+// callCounts counts the calls to the store by purpose, for the log.
+type callCounts struct {
+	mu    sync.Mutex
+	all   map[string]int
+	since time.Time
+}
+
+func (c *callCounts) add(purpose string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.all == nil {
+		c.all = map[string]int{}
+	}
+	c.all[purpose]++
+}
+
+// callsPeriod is how often the calls to the store are logged.
+const callsPeriod = 10 * time.Second
+
+// take returns the counts since they were last taken when that is long enough ago, nil otherwise.
+func (c *callCounts) take(now time.Time) map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.since) < callsPeriod {
+		return nil
+	}
+	out := c.all
+	c.all, c.since = nil, now
+	return out
+}
+
 // apply puts a configuration in force unless a newer one is.
 func (f *feeds) apply(text []byte, source string) {
 	c, err := platform.DecodeConfig(text)
@@ -209,13 +326,18 @@
 func (f *feeds) pollServers(ctx context.Context) {
 	after := int64(-1)
 	var pause backOff
+	f.meet(ctx)
+	for ctx.Err() == nil && after < 0 && f.mayBeTold(time.Now()) {
+		f.askAll(ctx, &after)
+		_ = timer.Wait(ctx, meetPeriod) // the loop ends with ctx
+	}
 	ticks, stop := timer.Every(f.serversPeriod(), 0.1)
 	defer stop()
 	for {
 		err := f.readServers(ctx, &after)
 		f.note(err)
 		if err != nil {
-			pause.wait(ctx)
+			pause.wait(ctx, f)
 			if ctx.Err() != nil {
 				return
 			}
@@ -230,6 +352,27 @@
 	}
 }
 
+// askAll asks the daemon that reads the entries for this one for all that it knows.
+func (f *feeds) askAll(ctx context.Context, after *int64) {
+	r := f.reader(time.Now())
+	if r == nil {
+		return
+	}
+	in, err := f.fetch(ctx, r.Peer, pathAll)
+	if err != nil {
+		f.d.log.Warn("ask the daemon that reads for this one", "name", r.Name, "error", err)
+		return
+	}
+	if in.Age > maxAge || in.Version == 0 {
+		return // it knows nothing yet
+	}
+	f.takeConfig(in, r.Name)
+	f.back(false)
+	f.takeServers(in.Servers, true, in.Version, in.Age)
+	*after = in.Version
+	f.note(nil)
+}
+
 // serversPeriod is how often the entries of backend servers are read. With a store that takes few calls they are read less
 // often than the time for draining asks.
 func (f *feeds) serversPeriod() time.Duration {
@@ -241,7 +384,7 @@
 
 // readers is how many daemons one reader of the store tells the entries to. One reader a data centre and one more for
 // each such number keep the calls to the store independent of the number of daemons, and the work of a reader small.
-const readers = 20
+const readers = 40
 
 // reader returns the daemon that reads the entries for this one, nil when this daemon reads the store itself: the largest
 // instances of the data centre do, and whoever gives orders, who needs every heartbeat.
@@ -285,7 +428,7 @@
 			f.d.log.Warn("entries from another daemon", "name", r.Name, "error", err)
 		}
 	}
-	page, err := call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
+	page, err := f.d.storeCall(ctx, "entries", storeTimeout, func(ctx context.Context) (platform.Page, error) {
 		if *after < 0 {
 			return f.d.store.Rows(ctx, platform.TableServers)
 		}
@@ -386,7 +529,12 @@
 		}
 	}
 	if whole {
-		clear(f.rawServers)
+		// Those who ask for what has changed have to hear what is gone.
+		for id, r := range f.rawServers {
+			if !r.Removed {
+				f.rawServers[id] = entryRow{ID: id, Removed: true, Version: version, at: now, changed: version}
+			}
+		}
 	}
 	changes := make([]roster.Change, 0, len(rows))
 	var all []*roster.Server
@@ -491,7 +639,7 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			f.d.log.Warn("exchange rows of daemons with the store", "error", err)
-			pause.wait(ctx)
+			pause.wait(ctx, f)
 			continue
 		}
 		pause = backOff{}
@@ -519,14 +667,14 @@
 	if err != nil {
 		return fmt.Errorf("encode row: %w", err)
 	}
-	_, err = call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
+	_, err = f.d.storeCall(ctx, "row", storeTimeout, func(ctx context.Context) (platform.Page, error) {
 		return f.d.store.Do(ctx, platform.Tx{Write: []platform.Row{{Table: tableDaemons, Key: f.d.settings().Name, Value: value}}})
 	})
 	return err
 }
 
 func (f *feeds) readDaemons(ctx context.Context) error {
-	page, err := call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
+	page, err := f.d.storeCall(ctx, "daemons", storeTimeout, func(ctx context.Context) (platform.Page, error) {
 		return f.d.store.Rows(ctx, tableDaemons)
 	})
 	if err != nil {
@@ -652,14 +800,21 @@
 			mine = c.Version
 		}
 		var newest *gossip.Member
-		var reading []*gossip.Member
+		var reading, near []*gossip.Member
 		for _, m := range f.d.live(now) {
 			if m.Config > mine && (newest == nil || m.Config > newest.Config) {
 				newest = m
 			}
-			if m.Store {
-				reading = append(reading, m)
+			if !m.Store {
+				continue
 			}
+			reading = append(reading, m)
+			if m.DataCentre == f.d.settings().DataCentre {
+				near = append(near, m)
+			}
+		}
+		if len(near) > 0 && rand.IntN(nearAsks) > 0 {
+			reading = near
 		}
 		if newest == nil {
 			behind = time.Time{}
@@ -669,7 +824,7 @@
 		switch {
 		case failing && len(reading) > 0:
 			// Any of them, since this daemon may not reach the one that it asked last.
-			f.ask(ctx, reading[rand.IntN(len(reading))].Peer, pathAll)
+			f.ask(ctx, reading[rand.IntN(len(reading))].Peer, f.whatIsMissing())
 		case newest != nil && now.Sub(behind) >= behindFor:
 			f.ask(ctx, newest.Peer, pathConfig)
 		}
@@ -684,12 +839,24 @@
 		}
 		return
 	}
-	if len(in.Config) > 0 {
-		f.apply(in.Config, peer.String())
+	f.takeConfig(in, peer.String())
+	if path != pathConfig && in.Store {
+		f.mu.Lock()
+		f.tracker.Whole(time.Now(), false)
+		f.mu.Unlock()
+		f.takeServers(in.Servers, path == pathAll, in.Version, in.Age)
 	}
-	if path == pathAll && in.Store {
-		f.takeServers(in.Servers, true, in.Version, in.Age)
+}
+
+// whatIsMissing is the path that asks another daemon for all that has changed since this one last read: everything, if it
+// never did.
+func (f *feeds) whatIsMissing() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.readAt.IsZero() {
+		return pathAll
 	}
+	return fmt.Sprintf("%s?after=%d&config=%d", pathServers, f.version, f.configVersion())
 }
 
 // fetch asks another daemon.
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -134,7 +134,8 @@
 // vote keeps or takes the lease.
 func (l *leader) vote(ctx context.Context) {
 	d := l.d
-	if d.leaving.Load() {
+	// A daemon that has just started does not know its place yet.
+	if d.leaving.Load() || time.Since(d.feed.started) < meetTime {
 		return
 	}
 	place := 0
@@ -162,7 +163,7 @@
 }
 
 func (l *leader) look(ctx context.Context) {
-	page, err := call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
+	page, err := l.d.storeCall(ctx, "lease", storeTimeout, func(ctx context.Context) (platform.Page, error) {
 		return l.d.store.Rows(ctx, tableLease)
 	})
 	l.d.peersMu.Lock()
@@ -198,7 +199,7 @@
 	}
 	sent := steady()
 	row := platform.Row{Table: tableLease, Key: leaseKey, Value: value, Version: version}
-	page, err := call(ctx, storeTimeout, func(ctx context.Context) (platform.Page, error) {
+	page, err := l.d.storeCall(ctx, "lease", storeTimeout, func(ctx context.Context) (platform.Page, error) {
 		return l.d.store.Do(ctx, platform.Tx{Check: []platform.Row{row}, Write: []platform.Row{row}})
 	})
 	l.d.peersMu.Lock()
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -26,6 +26,7 @@
 	total    metric.Float64Histogram
 	tokens   metric.Int64Counter
 	attempts metric.Int64Counter
+	calls    metric.Int64Counter
 	meter    metric.Meter
 }
 
@@ -40,12 +41,13 @@
 	m := provider.Meter("flamingorudder")
 	s := &Set{handler: promhttp.HandlerFor(reg, promhttp.HandlerOpts{}), meter: m}
 	bounds := metric.WithExplicitBucketBoundaries(0.01, 0.025, 0.05, 0.1, 0.2, 0.38, 0.5, 1, 2, 5, 10, 30, 60, 300, 600)
-	var errs [5]error
+	var errs [6]error
 	s.requests, errs[0] = m.Int64Counter("requests", metric.WithUnit("{request}"), metric.WithDescription("Requests answered, by outcome"))
 	s.first, errs[1] = m.Float64Histogram("first_token", metric.WithUnit("s"), metric.WithDescription("Time from accepting a request to its first token"), bounds)
 	s.total, errs[2] = m.Float64Histogram("request_duration", metric.WithUnit("s"), metric.WithDescription("Time from accepting a request to the end of its answer"), bounds)
 	s.tokens, errs[3] = m.Int64Counter("tokens", metric.WithUnit("{token}"), metric.WithDescription("Tokens passed on to callers"))
 	s.attempts, errs[4] = m.Int64Counter("attempts", metric.WithUnit("{attempt}"), metric.WithDescription("Attempts sent to backend servers"))
+	s.calls, errs[5] = m.Int64Counter("store_calls", metric.WithUnit("{call}"), metric.WithDescription("Calls to the platform's store, by purpose and outcome"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, nil, fmt.Errorf("create instrument: %w", err)
@@ -79,6 +81,15 @@
 	s.attempts.Add(ctx, int64(r.Attempts), who)
 }
 
+// Call adds a call to the platform's store.
+func (s *Set) Call(purpose string, err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	s.calls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("purpose", purpose), attribute.String("outcome", outcome)))
+}
+
 // Gauge declares a value that is read when the metrics are asked for.
 func (s *Set) Gauge(name, unit, description string, read func() int64) error {
 	_, err := s.meter.Int64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(description),
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -116,8 +116,6 @@
 	seen time.Time
 	// ending is set when the group makes room for one of another model.
 	ending bool
-	// warming is set when the only member is a spare that takes up the weights of its host.
-	warming bool
 }
 
 const (
@@ -228,10 +226,10 @@
 			t.Lost++
 		case m.Membership.State == roster.Open:
 			t.Open[m.Model]++
-		case m.Group != "" && m.Rank == 0:
-			t.Forming[m.Model]++
-		case m.Group == "":
+		case m.Group == "" || parked(m):
 			t.Idle[strings.Join(m.Staged, "+")]++
+		case m.Rank == 0:
+			t.Forming[m.Model]++
 		}
 	}
 	return t
@@ -311,8 +309,8 @@
 		whole = whole && !m.lost()
 	}
 	switch {
-	case g.warming:
-		return p.warmed(g, head)
+	case strings.HasPrefix(g.name, parking):
+		return nil, head != nil && head.Membership.State == roster.Joining
 	case whole && g.ending && head != nil:
 		return p.finish(g, head), true
 	case whole:
@@ -538,7 +536,7 @@
 			if p.rooms[domain].model == model.Name {
 				delete(p.rooms, domain)
 			}
-			for _, o := range p.join(now, members, model) {
+			for _, o := range p.join(now, "g", members, model, "form a group of "+model.Name) {
 				p.await(now, o) // counts for the room of the domain
 				orders = append(orders, o)
 			}
@@ -698,20 +696,20 @@
 	return (want - s.serving[model.Name]) / want
 }
 
-// join returns the orders that make members a group. Members that hold the weights for longest come first.
-func (p *Planner) join(now time.Time, members []*Member, model *route.Model) []Order {
+// join returns the orders that make members a group, whose name begins with prefix.
+func (p *Planner) join(now time.Time, prefix string, members []*Member, model *route.Model, why string) []Order {
 	p.epoch++
 	ids := make([]string, len(members))
 	for i, m := range members {
 		ids[i] = m.ID
 	}
-	name := fmt.Sprintf("g%d", p.epoch)
+	name := fmt.Sprintf("%s%d", prefix, p.epoch)
 	p.histories[roster.GroupKey(name, p.epoch)] = &history{members: ids, seen: now}
 	var orders []Order
 	for _, m := range members {
 		orders = append(orders, Order{m.Server, platform.Order{
 			Operation: platform.Join, Group: name, Epoch: p.epoch, Model: model.Name, Members: ids, Fence: p.token, After: m.Orders,
-		}, "form a group of " + model.Name})
+		}, why})
 	}
 	return orders
 }
--- a/internal/replica/room.go
+++ b/internal/replica/room.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"flamingorudder.example/internal/roster"
@@ -47,7 +48,7 @@
 // note keeps what the members serve.
 func (p *Planner) note(members []*Member) {
 	for _, m := range members {
-		if m.Model != "" {
+		if m.Model != "" && m.Membership.State != roster.Joining {
 			p.served[m.ID] = served{m.Born, m.Model}
 		}
 	}
@@ -284,8 +285,15 @@
 	return Order{m.Server, platform.Order{Operation: platform.Stage, Model: model.Name, Fence: p.token, After: m.Orders}, why}
 }
 
+// parking begins the names of the memberships of spares, so that a new holder of the lease knows them too.
+const parking = "spare-"
+
+// parked tells whether a member is a spare that takes up, or has taken up, the weights of its host.
+func parked(m *Member) bool { return strings.HasPrefix(m.Group, parking) }
+
 // warm has idle spares that have served nothing yet take up the weights on their hosts, so that they join a group that loses a
-// member as quickly as the survivors do.
+// member as quickly as the survivors do. Each does so as the only member of a group that never opens, and stays there until it
+// is needed.
 func (p *Planner) warm(now time.Time, idle []*Member) []Order {
 	var orders []Order
 	for _, m := range idle {
@@ -297,22 +305,9 @@
 		if model == nil {
 			continue
 		}
-		join := p.join(now, []*Member{m}, model)
-		p.histories[roster.GroupKey(join[0].Group, join[0].Epoch)].warming = true
-		join[0].Why = "take up the weights before they are needed"
+		join := p.join(now, parking, []*Member{m}, model, "take up the weights before they are needed")
 		p.await(now, join[0])
 		orders = append(orders, join...)
 	}
 	return orders
 }
-
-// warmed lets a spare go that has taken up its weights. busy tells that it has not yet.
-func (p *Planner) warmed(g *group, head *Member) (orders []Order, busy bool) {
-	if head == nil || !head.Answers || head.Membership.State != roster.Joined {
-		return nil, head != nil && head.Membership.State == roster.Joining
-	}
-	if _, ok := p.pending[head.ID]; ok {
-		return nil, true
-	}
-	return []Order{p.tell(head, g, platform.Leave, "has taken up the weights")}, true
-}
