Prepare hosts only for groups of twice the size; bound loads ahead of need; tell small fleets every heartbeat

After a change of the holder nobody was taken for dead for the time of two heartbeats, because only readers had seen them. Change: loads ahead of need take at most half of what the weight store serves at once, less those under way; hosts are prepared only for groups of at least twice their own's size; daemons of fleets below 24 tell each other heartbeats too.

--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -367,7 +367,7 @@
 		return // it knows nothing yet
 	}
 	f.takeConfig(in, r.Name)
-	f.back(false)
+	f.back(in.Whole)
 	f.takeServers(in.Servers, true, in.Version, in.Age)
 	*after = in.Version
 	f.note(nil)
@@ -418,7 +418,7 @@
 	if r := f.reader(time.Now()); r != nil && *after >= 0 {
 		in, err := f.fetch(ctx, r.Peer, fmt.Sprintf("%s?after=%d&config=%d", pathServers, *after, f.configVersion()))
 		if err == nil && in.Age <= maxAge && in.Version >= *after {
-			f.back(false)
+			f.back(in.Whole)
 			f.takeServers(in.Servers, false, in.Version, in.Age)
 			f.takeConfig(in, r.Name)
 			*after = in.Version
@@ -712,6 +712,8 @@
 	// Store tells whether the sender reads the store now, Following whether it hears of each change of the configuration.
 	Store     bool `cbor:"store"`
 	Following bool `cbor:"following"`
+	// Whole tells that Servers holds renewals too.
+	Whole bool `cbor:"whole,omitempty"`
 }
 
 // servePeer answers another daemon.
@@ -729,15 +731,17 @@
 		}
 	}
 	newer := f.configVersion() > config
+	// In a large fleet only the first few in line for the lease need every heartbeat, and they read the store themselves.
+	whole := d.fleet(time.Now()) < gossip.Mesh
 	f.mu.Lock()
 	out.Version, out.Age, out.Following = f.version, time.Since(f.readAt), f.following
+	out.Whole = whole && !f.tracker.Partial()
 	if newer {
 		out.Packed = f.pack()
 	}
 	if r.URL.Path != pathConfig {
 		for _, row := range f.rawServers {
-			// Heartbeats alone are of use only to the daemon that gives orders, which reads the store itself.
-			if row.changed > after && (after >= 0 || !row.Removed) {
+			if (row.changed > after || whole && row.Version > after) && (after >= 0 || !row.Removed) {
 				out.Servers = append(out.Servers, row)
 			}
 		}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -40,8 +40,8 @@
 	maxPeriod = 5 * time.Second
 	// greetPeriod is how often a hub that is known and silent is told of this daemon.
 	greetPeriod = time.Second
-	// mesh is the size of a fleet from which on not everyone tells everyone.
-	mesh = 24
+	// Mesh is the size of a fleet from which on not everyone tells everyone.
+	Mesh = 24
 	// hubs is how many daemons of a data centre tell all others: two may be lost, and one be unheard, at once.
 	hubs = 4
 	// missed is how many digests in a row a live daemon may fail to deliver, and silence the least time for that: a
@@ -131,7 +131,7 @@
 
 // Hub tells whether this daemon is one of those that tell other data centres.
 func (m *Members) Hub(now time.Time) bool {
-	if len(m.all) < mesh {
+	if len(m.all) < Mesh {
 		return true
 	}
 	before := 0
@@ -151,7 +151,7 @@
 	others := map[string][]*Member{}
 	for _, o := range all {
 		switch {
-		case len(all) < mesh || o.DataCentre == m.dataCentre:
+		case len(all) < Mesh || o.DataCentre == m.dataCentre:
 			near = append(near, o)
 		case hub:
 			far = append(far, o)
@@ -178,7 +178,7 @@
 
 // Periods returns how often digests are sent to the targets.
 func (m *Members) Periods(now time.Time) (near, far time.Duration) {
-	if len(m.all) < mesh {
+	if len(m.all) < Mesh {
 		near = max(minPeriod, time.Duration(len(m.all))*perPeer)
 		return near, near
 	}
@@ -230,7 +230,7 @@
 		return
 	}
 	if o := m.all[d.Name]; o != nil && o.Boot >= d.Boot {
-		if len(m.all) >= mesh {
+		if len(m.all) >= Mesh {
 			o.added = now // a hub tells it without hearing it
 		}
 		return
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -425,6 +425,8 @@
 	ready int
 	// serving counts the groups of each model, whole or on their way, and coming those not open yet.
 	serving, coming map[string]float64
+	// aheadLoads is how many more loads may be started ahead of need.
+	aheadLoads int
 	// open counts the open groups of each model that are to stay.
 	open map[string]int
 	// groups are all groups.
@@ -486,7 +488,7 @@
 	domains := map[string][]*Member{}
 	s := &supply{
 		Input: in, serving: map[string]float64{}, coming: map[string]float64{}, local: map[string]map[string]int{},
-		weights: map[string]map[string]int{}, hosts: map[string]int{}, open: map[string]int{}, groups: groups,
+		weights: map[string]map[string]int{}, hosts: map[string]int{}, open: map[string]int{}, groups: groups, aheadLoads: p.aheadLoads(now, in),
 	}
 	for _, g := range groups {
 		if g.model != nil && !g.ending && g.serves() {
@@ -768,8 +770,9 @@
 			load(m, to, "too few hosts of the domain hold "+from.Name)
 		}
 	}
-	if from, to := s.rebalance(p.engine.Models, held, domain); to != nil && len(holders[from.Name]) > 0 && !now.Before(p.rooms[domain].until) &&
+	if from, to := s.rebalance(p.engine.Models, held, domain); to != nil && s.aheadLoads > 0 && len(holders[from.Name]) > 0 && !now.Before(p.rooms[domain].until) &&
 		!p.able(holders[from.Name][0], to.Name) && p.mayLoad(now, s.Input) {
+		s.aheadLoads--
 		load(holders[from.Name][0], to, "a spare of "+from.Name+" is worth more as one of "+to.Name)
 	}
 	return orders
--- a/internal/replica/room.go
+++ b/internal/replica/room.go
@@ -28,6 +28,9 @@
 	roomGain = 1.5
 	// roomTime is how long members are kept for the model that room is made for: a group that ends finishes its requests.
 	roomTime = 8 * time.Second
+	// donorPart is how many times as many members as its donor a group must have that hosts are prepared for. A group that ends
+	// for one of about its own size gains nothing, and its hosts would lose the weights that they serve with.
+	donorPart = 2
 	// readyHosts is how many hosts of a domain, idle or in groups of other models, should be able to join a large group that
 	// loses a member: the losses that come while one host is being prepared.
 	readyHosts = 2
@@ -196,19 +199,31 @@
 	return nil // it finishes its requests
 }
 
+// aheadLoads is how many loads may be started ahead of need: while the fleet starts as many as the weight store serves at once,
+// later half of them less those under way. Those that groups wait for would take longer otherwise.
+func (p *Planner) aheadLoads(now time.Time, in Input) int {
+	n := max(p.engine.LoadsAtOnce, 1)
+	if !in.Early {
+		n /= 2
+	}
+	for _, m := range in.Members {
+		if p.loading(now, m) != "" {
+			n--
+		}
+	}
+	return n
+}
+
 // prepare gives hosts that serve a small model the weights of a larger one that has groups in their domain: as many as the
 // weight store serves at once while the fleet starts, later as many as a loss or two need. One group after the other is
 // prepared, so that the end of few groups is enough.
 func (p *Planner) prepare(now time.Time, s *supply) []Order {
-	atOnce := max(p.engine.LoadsAtOnce, 1)
 	for _, m := range s.Members {
-		_, busy := p.pending[m.ID]
-		if s.Early && (m.Membership.State == roster.Joining || busy) {
+		o, ok := p.pending[m.ID]
+		forming := m.Membership.State == roster.Joining && !parked(m) || ok && o.order.Operation == platform.Join && !strings.HasPrefix(o.order.Group, parking)
+		if s.Early && forming {
 			return nil // the groups' own weights come first
 		}
-		if p.loading(now, m) != "" || m.Membership.State == roster.Joining {
-			atOnce--
-		}
 	}
 	ready := map[string]map[string]int{}
 	hosts := map[string][]*Member{}
@@ -234,7 +249,7 @@
 	for {
 		given := false
 		for _, domain := range slices.Sorted(maps.Keys(hosts)) {
-			if atOnce <= 0 || !p.mayLoad(now, s.Input) {
+			if s.aheadLoads <= 0 || !p.mayLoad(now, s.Input) {
 				return orders
 			}
 			m, to := p.unprepared(now, s, hosts[domain], ready[domain], domain)
@@ -242,7 +257,7 @@
 				continue
 			}
 			given = true
-			atOnce--
+			s.aheadLoads--
 			count(ready, domain, to.Name)
 			orders = append(orders, p.load(now, m, to, "may join a group of "+to.Name+" that loses a member"))
 		}
@@ -262,7 +277,7 @@
 		}
 		for _, m := range hosts {
 			from := p.engine.Model(m.Model)
-			if from == nil || from.Size >= to.Size {
+			if from == nil || from.Size*donorPart > to.Size {
 				continue
 			}
 			want := readyHosts
--- a/internal/roster/tracker.go
+++ b/internal/roster/tracker.go
@@ -157,6 +157,9 @@
 	t.partial = !whole
 }
 
+// Partial tells whether the changes that were read last lack renewals.
+func (t *Tracker) Partial() bool { return t.partial }
+
 // Renews tells whether an entry differs from what is known only by its heartbeat.
 func (t *Tracker) Renews(s *Server) bool {
 	o := t.servers[s.ID]
