Tell the end of a pause in one place; prepare no hosts when no load may start

Three methods of balance.Pauses had the same condition: pause.end. The planner looked through all members and groups for hosts to prepare in every step, also while no load may be started ahead of need, and for members on their way into groups also after the start.

--- a/internal/balance/pauses.go
+++ b/internal/balance/pauses.go
@@ -62,18 +62,17 @@
 }
 
 // Usable tells whether a backend server may be sent a request now.
-func (p *Pauses) Usable(now time.Time, id string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	o := p.all[id]
-	return o == nil || !now.Before(o.until) && !now.Before(o.trial)
-}
+func (p *Pauses) Usable(now time.Time, id string) bool { return p.Until(now, id).IsZero() }
 
 // Until returns when a backend server may be sent a request again; zero when it may be now.
 func (p *Pauses) Until(now time.Time, id string) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	o := p.all[id]
+	return p.all[id].end(now)
+}
+
+// end returns when the pause or its trial is over; zero when both are, or there is none.
+func (o *pause) end(now time.Time) time.Time {
 	switch {
 	case o == nil:
 	case now.Before(o.until):
@@ -92,7 +91,7 @@
 	if o == nil {
 		return true
 	}
-	if now.Before(o.until) || now.Before(o.trial) {
+	if !o.end(now).IsZero() {
 		return false
 	}
 	o.trial = now.Add(trialTime)
--- a/internal/replica/room.go
+++ b/internal/replica/room.go
@@ -213,12 +213,9 @@
 // weight store serves at once while the fleet starts, later as many as a loss or two need. One group after the other is
 // prepared, so that the end of few groups is enough.
 func (p *Planner) prepare(now time.Time, s *supply) []Order {
-	for _, m := range s.Members {
-		o, ok := p.pending[m.ID]
-		forming := m.Membership.State == roster.Joining && !parked(m) || ok && o.order.Operation == platform.Join && !strings.HasPrefix(o.order.Group, parking)
-		if s.Early && forming {
-			return nil // the groups' own weights come first
-		}
+	// While the fleet starts the groups' own weights come first.
+	if s.aheadLoads <= 0 || s.Early && slices.ContainsFunc(s.Members, p.forming) {
+		return nil
 	}
 	ready := map[string]map[string]int{}
 	hosts := map[string][]*Member{}
@@ -262,6 +259,12 @@
 	}
 }
 
+// forming tells whether a member is on its way into a group that is to serve.
+func (p *Planner) forming(m *Member) bool {
+	o, ok := p.pending[m.ID]
+	return m.Membership.State == roster.Joining && !parked(m) || ok && o.order.Operation == platform.Join && !strings.HasPrefix(o.order.Group, parking)
+}
+
 // unprepared returns the next host of a domain to give the weights of a larger model, which it returns too; nil when there is
 // none.
 func (p *Planner) unprepared(now time.Time, s *supply, hosts []*Member, ready map[string]int, domain string) (*Member, *route.Model) {
