Free the load slot of a host that was lost

Cause: loadsInProgress counted every server whose last report said busy, also lost ones, whose reports are remembered for 30 s. A test with four slots shows 0 loads running one second after the loss of four loading hosts, 4 with the change.

--- a/internal/replica/losses_test.go
+++ b/internal/replica/losses_test.go
@@ -230,6 +230,32 @@
 	}
 }
 
+// TestLoadOfLostHostFreesItsSlot guards against hosts that were lost while they fetched weights occupying the weight store
+// for as long as their last reports are remembered. Empty hosts would then wait while the store is idle.
+func TestLoadOfLostHostFreesItsSlot(t *testing.T) {
+	f := newFleet(t, 1, 8)
+	f.engine.Models = f.engine.Models[:1]
+	f.engine.LoadsAtOnce = 4
+	f.in.StartingUp = false
+	f.in.Pressure = map[string]float64{"large": 2}
+	f.run(time.Second)
+	for _, s := range f.servers {
+		if s.staging != "" {
+			s.alive, s.listed, s.staging = false, false, ""
+		}
+	}
+	f.run(time.Second)
+	n := 0
+	for _, s := range f.servers {
+		if s.staging != "" {
+			n++
+		}
+	}
+	if n != f.engine.LoadsAtOnce {
+		t.Errorf("%d loads run 1 s after the loss of the hosts that were loading, want %d", n, f.engine.LoadsAtOnce)
+	}
+}
+
 // BenchmarkStep measures one step of the planner on a stable fleet. The lease holder runs ten steps a second.
 func BenchmarkStep(b *testing.B) {
 	for _, domains := range []int{1, 3, 8, 25} {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -954,10 +954,14 @@
 }
 
 // loadsInProgress counts the loads in progress. Concurrent loads beyond the capacity of the weight store slow each
-// other down, so that the first hosts would be ready no sooner than the last.
+// other down, so that the first hosts would be ready no sooner than the last. The load of a host that was lost has ended,
+// although its last report remains.
 func (p *Planner) loadsInProgress(servers []*ServerStatus) int {
 	n := p.startedLoads
 	for _, m := range servers {
+		if !m.Responding {
+			continue
+		}
 		o, ok := p.pending[m.ID]
 		if m.Busy && m.Membership.State != roster.Joining || ok && o.order.Operation == platform.Stage {
 			n++
