Let a restarted holder take its lease again at once

Load pattern: all daemons lose power together. No group is healed and no load begins meanwhile.

Change: a row that names this daemon is of an earlier lifetime, which has ended, or of a write whose response was lost. The daemon writes the row with the next token without waiting. The write is conditional on the row's version, as before.

Ruled out: two holders at once.

Test: TestRestartedHolderTakesOver, red before.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -5,7 +5,7 @@
 // over only if the row still has a version that the daemon learned at least TTL earlier. The holder stops acting Guard
 // before its TTL ends, counted from the time at which it sent the renewal. The holder therefore stops before any other
 // daemon takes over, without synchronised wall clocks. Times are those of a monotonic clock that keeps counting while
-// the machine is suspended.
+// the machine is suspended. A holder that has restarted takes its lease again at once.
 //
 // The fencing token grows with each change of holder, so that orders of earlier holders can be rejected.
 package election
@@ -116,7 +116,8 @@
 		}
 		return e.begin(now, WriteLease)
 	}
-	free := e.initialized && (e.version == 0 || now-e.learnedAt >= TTL+time.Duration(position)*Stagger)
+	// A row that names this daemon is of an earlier lifetime, which has ended, or of a write whose response was lost.
+	free := e.initialized && (e.version == 0 || e.record.Holder == e.self || now-e.learnedAt >= TTL+time.Duration(position)*Stagger)
 	if !free && e.initialized {
 		return Wait
 	}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -160,3 +160,20 @@
 		t.Errorf("%d calls by the holder, want about %d", calls, limit)
 	}
 }
+
+// TestRestartedHolderTakesOver guards against a fleet without repair of its groups for a whole TTL after all daemons
+// restarted together: the row still names the previous holder, which runs again and cannot hold it twice.
+func TestRestartedHolderTakesOver(t *testing.T) {
+	s := &row{r: Record{Holder: "b", Token: 7}, version: 40}
+	holder, other := New("b"), New("a")
+	for now := time.Duration(0); now < time.Second; now += 25 * time.Millisecond {
+		s.step(other, now, 0, false)
+		s.step(holder, now, 1, false)
+		if _, ok := other.Holding(now); ok {
+			t.Fatalf("%v: a daemon that was not the holder took the lease within its TTL", now)
+		}
+	}
+	if token, ok := holder.Holding(time.Second); !ok || token != 8 {
+		t.Errorf("token %d, holding %v one second after the restart, want 8 and true", token, ok)
+	}
+}
