Ask for reports less often during a long load

Change: the period grows with the time for which the order has run, a tenth of it, between 150 ms and 1.2 s.

--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -75,8 +75,9 @@
 	reported bool
 	// fastReportsUntil is until when an order may still show its effect. Reports lag by a few hundred milliseconds.
 	fastReportsUntil time.Time
-	// changed is when the reported membership last changed.
-	changed time.Time
+	// changed is when the reported membership last changed, busySince when the backend server began the order that it is
+	// executing; zero while it executes none.
+	changed, busySince time.Time
 	// at is when the last report arrived, next when the next request is due.
 	at, next time.Time
 	failures int
@@ -385,10 +386,19 @@
 		if r.Membership != q.report.Membership {
 			q.changed = now
 		}
+		switch busy := r.Busy || r.Membership.State == roster.Joining; {
+		case !busy:
+			q.busySince = time.Time{}
+		case q.busySince.IsZero():
+			q.busySince = now
+		}
 		// A member stays in the joined state until its head opens the group, and then for as long as the group serves.
 		joined := r.Membership.State == roster.Joined && now.Sub(q.changed) < openWait
-		if r.Busy || r.Membership.State == roster.Joining || joined || now.Before(q.fastReportsUntil) {
+		switch {
+		case joined || now.Before(q.fastReportsUntil):
 			q.next = now.Add(fastReportPeriod)
+		case !q.busySince.IsZero():
+			q.next = now.Add(busyReportPeriod(now.Sub(q.busySince)))
 		}
 		q.report, q.reported, q.at = r, true, now
 		if r.Leaving {
@@ -401,6 +411,12 @@
 	}
 }
 
+// busyReportPeriod returns how often a backend server is asked for its report that has been executing an order for the
+// given time. A load of weights takes a hundred times as long as another order; its end is noticed a tenth of that late.
+func busyReportPeriod(busy time.Duration) time.Duration {
+	return min(max(busy/10, fastReportPeriod), reportPeriod)
+}
+
 // sendOrder sends an order to its backend server.
 func (l *leader) sendOrder(ctx context.Context, p *replica.Planner, o replica.Order) {
 	d := l.d
