Read the daemons' rows again soon after a fleet's first start

Load pattern: 74 daemons start within 0.3 s. Each reads the rows of the others before any has written its own, and then not for five seconds, so nobody knows a peer until second 5: every daemon reads entries and configuration for itself.

Change: on a first start the second read follows after discoveryTime.

--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -637,6 +637,7 @@
 func (f *storeSync) pollDaemons(ctx context.Context) {
 	var wrote time.Time
 	var retry storeBackoff
+	rounds := 0
 	for ctx.Err() == nil {
 		err := f.readDaemons(ctx)
 		if err == nil && time.Since(wrote) >= rowPeriod+f.rowDelay() {
@@ -650,12 +651,23 @@
 			continue
 		}
 		retry = storeBackoff{}
-		if timer.Wait(ctx, daemonsPeriod+f.rowDelay()) != nil {
+		if timer.Wait(ctx, rowReadPeriod(rounds == 0 && f.d.settings().FirstStart, f.rowDelay())) != nil {
 			return
 		}
+		rounds++
 	}
 }
 
+// rowReadPeriod returns the time until the next read of the daemons' rows. When a whole fleet starts for the first time, all
+// daemons read the rows before any has written its own. They know no peer until the next read, and each reads entries and
+// configuration for itself.
+func rowReadPeriod(fleetStarts bool, rowDelay time.Duration) time.Duration {
+	if fleetStarts {
+		return discoveryTime
+	}
+	return daemonsPeriod + rowDelay
+}
+
 // rowDelay returns what the size of the fleet adds to the periods of reading and writing rows. It is limited on hubs, which
 // have to know all daemons.
 func (f *storeSync) rowDelay() time.Duration {
--- a/internal/entry/feeds_test.go
+++ b/internal/entry/feeds_test.go
@@ -152,3 +152,36 @@
 	sendDigests(true)
 	eventually(t, "the daemon reaches the store again", u.d.storeOK.Load)
 }
+
+// TestBusyReportPeriod guards against asking a backend server for its report seven times a second during a load of weights
+// of many seconds, and against noticing late that a short order has ended.
+func TestBusyReportPeriod(t *testing.T) {
+	requests, noticed := 0, time.Duration(0)
+	for noticed < 16*time.Second {
+		noticed += busyReportPeriod(noticed)
+		requests++
+	}
+	if requests > 40 {
+		t.Errorf("%d requests during a load of 16 s, want 40 or fewer", requests)
+	}
+	for _, order := range []time.Duration{200 * time.Millisecond, 1600 * time.Millisecond, 16 * time.Second} {
+		at := time.Duration(0)
+		for at < order {
+			at += busyReportPeriod(at)
+		}
+		if late := at - order; late > max(fastReportPeriod, order/9) {
+			t.Errorf("the end of an order of %v is noticed %v late", order, late)
+		}
+	}
+}
+
+// TestRowReadPeriod guards against a starting fleet whose daemons do not know each other for a whole period, and against
+// a large fleet that reads the rows of all daemons often.
+func TestRowReadPeriod(t *testing.T) {
+	if d := rowReadPeriod(true, 20*time.Second); d > time.Second {
+		t.Errorf("second read after %v while the fleet starts, want a second or less", d)
+	}
+	if d := rowReadPeriod(false, 20*time.Second); d < daemonsPeriod+20*time.Second {
+		t.Errorf("rows are read every %v, want the period and the delay of the fleet's size", d)
+	}
+}
