Remove the conversion and rebalancing of spares; name files for their content

Both gave idle hosts with the weights of one model those of another, which every host now has; prefetch covers hosts that came later. No test guarded them alone, and the simulations of losses_test.go and spares_test.go pass unchanged.

--- a/internal/replica/room.go
+++ b/internal/replica/preempt.go
@@ -14,12 +14,11 @@
 
 // # Load pattern
 //
-// A large group fails with the loss of any one of its members. Its survivors are then idle until a host of their domain
-// has fetched the weights, which takes longer than most overloads last. Meanwhile small groups of a model with little
-// demand run next to them. Weights can be fetched while a host serves, and a member that served a model last can serve
-// it again without loading them. So hosts of small groups are given the weights of the large model in advance,
-// preferably while the fleet starts, when loads are fast. Closing one small group then completes a large one within the
-// time that its requests take to finish.
+// A group fails with the loss of any one of its members. Its survivors are then idle until a host of their domain has
+// fetched the weights, which takes longer than most overloads last. Weights can be fetched while a host serves, and a
+// member that served a model last can serve it again without loading them. So each host is given the weights of a second
+// model in advance, preferably while the fleet starts, when loads are fast. Survivors then form a group of another model,
+// or closing one small group completes a large one within the time that its requests take to finish.
 
 const (
 	// preemptPressure is the pressure on a model from which groups of other models are closed for it. Below it the
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -7,7 +7,8 @@
 // arrive without weights and need tens of seconds to fetch those of a model, while one that has them on its host joins
 // a group in a second or two. A group runs at full speed only within one domain. The planner therefore works domain by
 // domain: it replaces lost members by any idle backend servers of the domain that have the weights, it stages weights
-// on idle hosts before they are needed, and it combines the survivors of broken groups into complete ones.
+// on hosts before they are needed, and it combines the survivors of broken groups into complete ones, also of another
+// model.
 //
 // The planner stores no plan. Each step compares the reports of the backend servers with the desired state and returns
 // orders for the differences, so a new holder of the lease continues where the previous one stopped.
@@ -594,7 +595,7 @@
 		}
 	}
 	var orders []Order
-	left := map[string][]*ServerStatus{}
+	spares := map[string][]*ServerStatus{}
 	s.layout = p.layOut(in.Servers, s.ready)
 	for _, domain := range s.domainOrder(p.engine.Models, domains) {
 		idle := domains[domain]
@@ -627,10 +628,10 @@
 		orders = append(orders, p.preempt(now, s, idle, domain)...)
 		orders = append(orders, p.warmSpares(now, idle)...)
 		orders = append(orders, p.stage(now, s, idle, domain)...)
-		left[domain] = idle
+		spares[domain] = idle
 	}
 	if !in.StartingUp || now.Sub(p.started) >= settleTime {
-		orders = append(orders, p.prefetch(now, s, left)...)
+		orders = append(orders, p.prefetch(now, s, spares)...)
 	}
 	return orders
 }
@@ -838,66 +839,29 @@
 	return orders
 }
 
-// stage gives weights to the hosts of idle backend servers that cannot form a group. Each host gets the model with the
+// stage gives weights to the hosts of idle backend servers that cannot serve any model. Each host gets the model with the
 // greatest need among those for which the idle hosts of the domain can complete a group.
 func (p *Planner) stage(now time.Time, s *stepState, idle []*ServerStatus, domain string) []Order {
 	held := map[string]int{}
-	holders := map[string][]*ServerStatus{}
 	var empty []*ServerStatus
 	for _, m := range idle {
-		if name := p.loading(now, m); name != "" {
+		models := p.hostModels(now, m)
+		for _, name := range models {
 			held[name]++
-			continue
-		}
-		serves := 0
-		for j := range p.engine.Models {
-			if name := p.engine.Models[j].Name; p.canServe(m, name) {
-				serves++
-				held[name]++
-				holders[name] = append(holders[name], m)
-			}
 		}
-		if serves == 0 && !m.Busy {
+		if len(models) == 0 && !m.Busy {
 			empty = append(empty, m)
 		}
 	}
 	var orders []Order
-	load := func(m *ServerStatus, model *route.Model, why string) {
-		held[model.Name]++
-		increment(s.weights, domain, model.Name)
-		orders = append(orders, p.startLoad(now, m, model, why))
-	}
 	for i, m := range empty {
 		model := p.modelToStage(held, len(empty)-i, s, domain)
 		if model == nil || !p.mayLoad(now, s.Input) {
-			return orders
-		}
-		load(m, model, "put weights on an idle host")
-	}
-	for i := range p.engine.Models {
-		from := &p.engine.Models[i]
-		to := p.conversionTarget(from, held, s)
-		if to == nil || now.Before(p.reservations[domain].expires) {
-			continue
+			break
 		}
-		missing := to.Size - held[to.Name]%to.Size
-		for _, m := range holders[from.Name] {
-			if missing == 0 || !p.mayLoad(now, s.Input) {
-				break
-			}
-			if p.canServe(m, to.Name) {
-				continue
-			}
-			missing--
-			held[from.Name]--
-			holders[from.Name] = holders[from.Name][1:]
-			load(m, to, "too few hosts of the domain hold "+from.Name)
-		}
-	}
-	if from, to := s.rebalance(p.engine.Models, held, domain); to != nil && s.prefetchBudget > 0 && len(holders[from.Name]) > 0 && !now.Before(p.reservations[domain].expires) &&
-		!p.canServe(holders[from.Name][0], to.Name) && p.mayLoad(now, s.Input) {
-		s.prefetchBudget--
-		load(holders[from.Name][0], to, "a spare of "+from.Name+" is worth more as one of "+to.Name)
+		held[model.Name]++
+		increment(s.weights, domain, model.Name)
+		orders = append(orders, p.startLoad(now, m, model, "put weights on an idle host"))
 	}
 	return orders
 }
@@ -926,36 +890,12 @@
 	return l.model
 }
 
-// convertPressure is the pressure on a model from which idle hosts with the weights of another model are given its
-// weights.
-const convertPressure = 0.5
-
-// conversionTarget returns the model whose weights idle hosts with those of from are given when they are too few for a
-// group of their own, or nil if they are to remain spares.
-func (p *Planner) conversionTarget(from *route.Model, held map[string]int, s *stepState) *route.Model {
-	if held[from.Name] == 0 || held[from.Name] >= from.Size || s.lacksHosts(from) {
-		return nil
-	}
-	for i := range p.engine.Models {
-		to := &p.engine.Models[i]
-		missing := to.Size - held[to.Name]%to.Size
-		if to == from || s.Pressure[to.Name] < convertPressure || missing > held[from.Name] {
-			continue
-		}
-		if s.need(to) > s.need(from) {
-			return to
-		}
-	}
-	return nil
-}
-
 // lacksHostsPriority puts models for which no domain has enough hosts with the weights before all others: their
 // requests would be rejected, however few they are. Of two such models the one with larger groups comes first, as it is
 // harder to find hosts for it.
 const lacksHostsPriority = 1000
 
-// hostModels returns the models whose weights are on the host of m or will be: the model being fetched, or that of its
-// group and the staged ones.
+// hostModels returns the models that m can serve without fetching their weights, or whose weights are being fetched.
 func (p *Planner) hostModels(now time.Time, m *ServerStatus) []string {
 	var out []string
 	for i := range p.engine.Models {
@@ -1004,38 +944,9 @@
 	return float64(s.groupMembers[domain][model.Name]) / float64(max(members, 1)*(1+have))
 }
 
-const (
-	// spareValue is the value of the most useful spare on the scale of pressure. It equals the demand of two full
-	// groups on a model with one group.
-	spareValue = 2
-	// rebalanceGain is by how much the value of a spare must increase for it to be given the weights of another model.
-	rebalanceGain = 0.2
-)
-
-// rebalance returns a model with a surplus spare in a domain and a model that lacks one, or nil if there are none. The
-// demand for spares of a model only shows once its requests arrive.
-func (s *stepState) rebalance(models []route.Model, held map[string]int, domain string) (from, to *route.Model) {
-	gain := rebalanceGain
-	for i := range models {
-		a := &models[i]
-		// The last spare is kept: a burst of other requests is over before the host has loaded other weights. Where the
-		// domain has no group of the model, its hosts are the rest of a group and wait for the missing ones.
-		if held[a.Name] < 2 || held[a.Name] >= a.Size || s.groupMembers[domain][a.Name] == 0 || s.lacksHosts(a) {
-			continue
-		}
-		keeps := s.Pressure[a.Name] + spareValue*s.spareUse(a, domain, held[a.Name]-1)
-		for j := range models {
-			b := &models[j]
-			if i == j || held[b.Name] >= b.Size-1 {
-				continue
-			}
-			if g := s.Pressure[b.Name] + spareValue*s.spareUse(b, domain, held[b.Name]) - keeps; g > gain {
-				gain, from, to = g, a, b
-			}
-		}
-	}
-	return from, to
-}
+// spareValue is the value of the most useful spare on the scale of pressure. It equals the demand of two full groups on a
+// model with one group.
+const spareValue = 2
 
 // loadsInProgress counts the loads in progress. Concurrent loads beyond the capacity of the weight store slow each
 // other down, so that the first hosts would be ready no sooner than the last. The load of a host that was lost has ended,
