Bound the loads that start around the first request

Load pattern: the first request arrives while the hosts of a fleet get their second model. Loads before it do not count against the load rate; those after it do, and the holder of the lease learns of it up to 300 ms later.

Change: while the fleet starts, loads in advance may use two fifths of a window's loads in 300 ms, so the sum stays below what the rate allows; and known demand ends the start, not only a request at the holder itself.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -278,7 +278,7 @@
 		}
 		orders := p.Step(now, replica.Input{
 			Pressure: pressure, UrgentModel: urgent,
-			Servers: members, RenewalTimeout: silence, StoreRecovered: back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, LoadWindow: d.settings().LoadWindow, StartingUp: early,
+			Servers: members, RenewalTimeout: silence, StoreRecovered: back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, LoadWindow: d.settings().LoadWindow, StartingUp: early && len(pressure) == 0,
 		})
 		for _, o := range orders {
 			if !l.orders.TryGo(func() error {
--- a/internal/replica/losses_test.go
+++ b/internal/replica/losses_test.go
@@ -393,3 +393,26 @@
 	))
 	properties.TestingRun(t)
 }
+
+// TestLoadsAroundFirstRequest guards against more loads than the load rate allows when the first request arrives while the
+// hosts of a large fleet are given their second model. The holder learns of that request up to 300 ms later.
+func TestLoadsAroundFirstRequest(t *testing.T) {
+	const learns = 300 * time.Millisecond
+	for first := 3 * time.Second; first < 7*time.Second; first += 200 * time.Millisecond {
+		f := newFleet(t, 8, 21)
+		f.engine.Models = similarModels()
+		start := f.now
+		loads := 0
+		for f.now.Sub(start) < first+f.in.LoadWindow {
+			f.in.StartingUp = f.now.Sub(start) < first+learns
+			before := len(f.planner.loadTimes)
+			f.step(func() bool { return false })
+			if f.now.Sub(start) >= first {
+				loads += max(len(f.planner.loadTimes)-before, 0)
+			}
+		}
+		if most := int(f.in.LoadRate * f.in.LoadWindow.Seconds()); loads > most {
+			t.Errorf("first request after %v: %d loads within a window of the load rate, want %d or fewer", first, loads, most)
+		}
+	}
+}
--- a/internal/replica/preempt.go
+++ b/internal/replica/preempt.go
@@ -37,6 +37,10 @@
 	// reservationTime is how long hosts are reserved for the model for which groups were closed. A closing group first
 	// finishes its requests.
 	reservationTime = 8 * time.Second
+	// startBurstWindow is longer than it takes the holder to learn of the first request. Loads that start after it count
+	// against the load rate, so no more than startBurstShare of what is allowed in LoadWindow may start within that time.
+	startBurstWindow = 300 * time.Millisecond
+	startBurstShare  = 0.4
 	// prefetchPressure is the pressure on a model from which hosts are given its weights before they are needed.
 	prefetchPressure = 0.2
 )
@@ -247,6 +251,9 @@
 	slices.SortStableFunc(hosts[waiting:], func(a, b *ServerStatus) int { return cmp.Compare(s.Pressure[a.Model], s.Pressure[b.Model]) })
 	var orders []Order
 	for _, m := range hosts {
+		if s.StartingUp && p.startBurst(now) >= startBurstShare*s.LoadRate*s.LoadWindow.Seconds() && s.LoadRate > 0 {
+			break
+		}
 		if !s.StartingUp && s.prefetchBudget <= 0 || !p.mayLoad(now, s.Input) {
 			break
 		}
@@ -258,6 +265,15 @@
 	return orders
 }
 
+// startBurst returns how many loads were started within startBurstWindow.
+func (p *Planner) startBurst(now time.Time) float64 {
+	n := 0
+	for i := len(p.loadTimes) - 1; i >= 0 && now.Sub(p.loadTimes[i]) < startBurstWindow; i-- {
+		n++
+	}
+	return float64(n)
+}
+
 // secondModel returns the model whose weights a host that can serve only one model should be given: the one with the
 // greatest need among those whose groups fit into the domain. It returns nil if the host should be left alone.
 func (p *Planner) secondModel(now time.Time, s *stepState, m *ServerStatus) *route.Model {
