Derive the bound on loads at the start from the digests' interval

Cause, found while reading the diff: loads in advance were bounded per 300 ms, "longer than it takes the holder to learn of the first request". That holds for seven daemons; digests of a large fleet are sent up to a second apart.

Change: the holder passes the longest interval of its peers' digests and 200 ms as the lag of demand.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -29,6 +29,10 @@
 	// about to change.
 	reportPeriod     = 1200 * time.Millisecond
 	fastReportPeriod = 150 * time.Millisecond
+	// busyReportDivisor is the fraction of the time for which an order has run by which its end may be noticed late.
+	busyReportDivisor = 10
+	// reportLag is how long a daemon takes to report a request to the scheduler of its model, and the planner to run.
+	reportLag = 200 * time.Millisecond
 	// effectWait is how long after an order reports are requested every fastReportPeriod.
 	effectWait = time.Second
 	// openWait is how long a member that has joined is polled every fastReportPeriod while the rest of its group gets
@@ -279,6 +283,7 @@
 		orders := p.Step(now, replica.Input{
 			Pressure: pressure, UrgentModel: urgent,
 			Servers: members, RenewalTimeout: silence, StoreRecovered: back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, LoadWindow: d.settings().LoadWindow, StartingUp: early && len(pressure) == 0,
+			DemandLag: d.demandLag(now),
 		})
 		for _, o := range orders {
 			if !l.orders.TryGo(func() error {
@@ -412,9 +417,19 @@
 }
 
 // busyReportPeriod returns how often a backend server is asked for its report that has been executing an order for the
-// given time. A load of weights takes a hundred times as long as another order; its end is noticed a tenth of that late.
+// given time. A load of weights takes many times as long as another order, and its end may be noticed later.
 func busyReportPeriod(busy time.Duration) time.Duration {
-	return min(max(busy/10, fastReportPeriod), reportPeriod)
+	return min(max(busy/busyReportDivisor, fastReportPeriod), reportPeriod)
+}
+
+// demandLag returns how long it may take until this daemon learns of a request that another one has received: the other
+// one reports it to the scheduler of the model, whose next digest carries the demand.
+func (d *Daemon) demandLag(now time.Time) time.Duration {
+	lag := time.Duration(0)
+	for _, m := range d.livePeers(now) {
+		lag = max(lag, m.Interval)
+	}
+	return lag + reportLag
 }
 
 // sendOrder sends an order to its backend server.
--- a/internal/replica/losses_test.go
+++ b/internal/replica/losses_test.go
@@ -395,16 +395,23 @@
 }
 
 // TestLoadsAroundFirstRequest guards against more loads than the load rate allows when the first request arrives while the
-// hosts of a large fleet are given their second model. The holder learns of that request up to 300 ms later.
+// hosts of a large fleet are given their second model. The holder learns of that request only with the next digests, which
+// are less frequent in a large fleet.
 func TestLoadsAroundFirstRequest(t *testing.T) {
-	const learns = 300 * time.Millisecond
+	for _, lag := range []time.Duration{300 * time.Millisecond, time.Second} {
+		t.Run(lag.String(), func(t *testing.T) { testLoadsAroundFirstRequest(t, lag) })
+	}
+}
+
+func testLoadsAroundFirstRequest(t *testing.T, lag time.Duration) {
 	for first := 3 * time.Second; first < 7*time.Second; first += 200 * time.Millisecond {
 		f := newFleet(t, 8, 21)
 		f.engine.Models = similarModels()
+		f.in.DemandLag = lag
 		start := f.now
 		loads := 0
 		for f.now.Sub(start) < first+f.in.LoadWindow {
-			f.in.StartingUp = f.now.Sub(start) < first+learns
+			f.in.StartingUp = f.now.Sub(start) < first+lag
 			before := len(f.planner.loadTimes)
 			f.step(func() bool { return false })
 			if f.now.Sub(start) >= first {
--- a/internal/replica/preempt.go
+++ b/internal/replica/preempt.go
@@ -37,10 +37,10 @@
 	// reservationTime is how long hosts are reserved for the model for which groups were closed. A closing group first
 	// finishes its requests.
 	reservationTime = 8 * time.Second
-	// startBurstWindow is longer than it takes the holder to learn of the first request. Loads that start after it count
-	// against the load rate, so no more than startBurstShare of what is allowed in LoadWindow may start within that time.
-	startBurstWindow = 300 * time.Millisecond
-	startBurstShare  = 0.4
+	// startBurstShare is the fraction of the loads allowed in LoadWindow that may start within DemandLag while the fleet
+	// starts. Those that start after the first request count against the load rate, although the holder of the lease does
+	// not know of it yet.
+	startBurstShare = 0.4
 	// prefetchPressure is the pressure on a model from which hosts are given its weights before they are needed.
 	prefetchPressure = 0.2
 )
@@ -251,7 +251,7 @@
 	slices.SortStableFunc(hosts[waiting:], func(a, b *ServerStatus) int { return cmp.Compare(s.Pressure[a.Model], s.Pressure[b.Model]) })
 	var orders []Order
 	for _, m := range hosts {
-		if s.StartingUp && p.startBurst(now) >= startBurstShare*s.LoadRate*s.LoadWindow.Seconds() && s.LoadRate > 0 {
+		if s.StartingUp && s.LoadRate > 0 && p.loadsSince(now.Add(-s.DemandLag)) >= startBurstShare*s.LoadRate*s.LoadWindow.Seconds() {
 			break
 		}
 		if !s.StartingUp && s.prefetchBudget <= 0 || !p.mayLoad(now, s.Input) {
@@ -265,10 +265,10 @@
 	return orders
 }
 
-// startBurst returns how many loads were started within startBurstWindow.
-func (p *Planner) startBurst(now time.Time) float64 {
+// loadsSince returns how many loads were started after t.
+func (p *Planner) loadsSince(t time.Time) float64 {
 	n := 0
-	for i := len(p.loadTimes) - 1; i >= 0 && now.Sub(p.loadTimes[i]) < startBurstWindow; i-- {
+	for i := len(p.loadTimes) - 1; i >= 0 && p.loadTimes[i].After(t); i-- {
 		n++
 	}
 	return float64(n)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -174,6 +174,8 @@
 	Pressure map[string]float64
 	// UrgentModel is the model of the most urgent requests.
 	UrgentModel string
+	// DemandLag is how long it may take until the holder of the lease learns of the first request.
+	DemandLag time.Duration
 	// StartingUp is set before the first request, when loads are fast and do not count against limits.
 	StartingUp bool
 }
