Tell apart why attempts at model groups fail

The log named neither the prompt parts of a request nor whether a backend server that cut off a response had ended. An attempt that is cut off after at most one event is now followed by one connection attempt: if it is refused, the server has crashed, and a warning names the server, the group, the request and its shared prompt parts.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -17,6 +17,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -48,6 +49,8 @@
 	// maxStrayBody bounds the body of a stray response that is read in order to keep the connection.
 	maxStrayBody = 64 << 10
 	readBuffer   = 4 << 10
+	// refusalTimeout bounds the wait for the refusal of a connection: a few round trips between regions.
+	refusalTimeout = 150 * time.Millisecond
 )
 
 // NotSentError reports a request of which no byte was sent. The request has not run.
@@ -278,6 +281,19 @@
 	return &conn{net: limiter.net, limit: limiter, br: bufio.NewReaderSize(limiter, readBuffer), addr: addr}, nil
 }
 
+// Refused reports whether nothing listens on an address: a process that has ended, in contrast to one that closed a
+// connection.
+func (p *Pool) Refused(ctx context.Context, addr netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	c, err := p.dialer.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = c.Close() // nothing was sent
+	return false
+}
+
 // Do sends a request and reads the headers of its response. limit bounds the number of connections to the backend server;
 // there is no bound if it is zero. The connection is closed when ctx ends. Errors are *NotSentError or *NoResponseError.
 func (p *Pool) Do(ctx context.Context, server *roster.Server, req *Request, limit int) (*Response, error) {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -25,6 +25,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"flamingorudder.example/internal/backend"
 	"flamingorudder.example/internal/balance"
@@ -87,15 +88,17 @@
 	dispatch     *dispatcher
 	plainServers healthTable
 	pauses       *balance.Pauses
-	budget       *budget
-	feed         *storeSync
-	leader       *leader
-	metrics      *metric.Set
-	storeCalls   callCounts
-	udp          *net.UDPConn
-	httpServers  []*khttp.Server
-	tasks        errgroup.Group
-	cancel       context.CancelFunc
+	// probes joins the concurrent checks whether the same backend server has ended.
+	probes      singleflight.Group
+	budget      *budget
+	feed        *storeSync
+	leader      *leader
+	metrics     *metric.Set
+	storeCalls  callCounts
+	udp         *net.UDPConn
+	httpServers []*khttp.Server
+	tasks       errgroup.Group
+	cancel      context.CancelFunc
 	// stopped is closed when the daemon has finished shutting down.
 	stopped chan struct{}
 }
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -13,6 +13,7 @@
 
 	"flamingorudder.example/internal/backend"
 	"flamingorudder.example/internal/balance"
+	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
 )
 
@@ -73,7 +74,7 @@
 			break
 		}
 		exclude = append(exclude, reserved.key)
-		before := x.attempts
+		before, events := x.attempts, s.events
 		err = s.attempt(ctx, svc, reserved)
 		reserved.release()
 		if err == nil {
@@ -81,6 +82,9 @@
 			return
 		}
 		last = err
+		if ctx.Err() == nil {
+			x.recordFailure(ctx, reserved, err, s.events-events)
+		}
 		if x.attempts == before {
 			unsent++
 		} else if countsAgainstGroup(err) && ctx.Err() == nil {
@@ -101,6 +105,61 @@
 	}
 }
 
+// Causes of failed attempts, for the log and the metrics.
+const (
+	causeNotSent  = "not sent"
+	causeRejected = "rejected"
+	causeStalled  = "stalled"
+	causeCutOff   = "cut off"
+	causeUnusable = "unusable"
+	// causeCrashed means that the backend server ended before it had sent more than one event of its response.
+	causeCrashed = "crashed"
+)
+
+// maxEventsBeforeCrash is the number of events after which a request is no longer suspected to have crashed its backend
+// server. The first one may be sent in the moment of the crash.
+const maxEventsBeforeCrash = 1
+
+// recordFailure logs and counts a failed attempt after which events had been received from the group.
+func (x *exchange) recordFailure(ctx context.Context, s *reservation, err error, events int) {
+	cause := causeUnusable
+	var notSent *backend.NotSentError
+	var rejected *NotRunError
+	var stalled *StalledError
+	var cutOff *backend.NoResponseError
+	switch {
+	case errors.As(err, &notSent):
+		cause = causeNotSent
+	case errors.As(err, &rejected):
+		cause = causeRejected
+	case errors.As(err, &stalled):
+		cause = causeStalled
+	case errors.As(err, &cutOff):
+		cause = causeCutOff
+		if events <= maxEventsBeforeCrash && x.d.hasEnded(ctx, s.head) {
+			cause = causeCrashed
+			x.d.log.Warn("backend server crashed while it worked on a request", "server", s.head.ID, "group", s.key, "id", x.call.ID,
+				"route", x.route.Name, "prompt_parts", formatParts(x.call.SharedParts), "events", events)
+		}
+	}
+	x.d.metrics.RecordFailedAttempt(x.service, cause)
+}
+
+// hasEnded reports whether the process of a backend server has ended, as a new connection to it is refused.
+func (d *Daemon) hasEnded(ctx context.Context, s *roster.Server) bool {
+	ended, _, _ := d.probes.Do(s.ID, func() (any, error) { return d.pool.Refused(context.WithoutCancel(ctx), s.Addr), nil })
+	return ended.(bool)
+}
+
+// formatParts returns the ids of prompt parts as callers send them.
+func formatParts(parts []uint64) []string {
+	out := make([]string, len(parts))
+	for i, p := range parts {
+		out[i] = strconv.FormatUint(p, 16)
+	}
+	return out
+}
+
 // countsAgainstGroup reports whether the failure of an attempt counts against its group. Stalls are reported separately,
 // and a response which proves that the request has not run is only a rejection.
 func countsAgainstGroup(err error) bool {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -28,6 +28,7 @@
 	tokens     metric.Int64Counter
 	attempts   metric.Int64Counter
 	storeCalls metric.Int64Counter
+	failures   metric.Int64Counter
 	meter      metric.Meter
 }
 
@@ -42,13 +43,14 @@
 	m := provider.Meter("flamingorudder")
 	s := &Set{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), meter: m}
 	buckets := metric.WithExplicitBucketBoundaries(0.01, 0.025, 0.05, 0.1, 0.2, 0.38, 0.5, 1, 2, 5, 10, 30, 60, 300, 600)
-	var errs [6]error
+	var errs [7]error
 	s.requests, errs[0] = m.Int64Counter("requests", metric.WithUnit("{request}"), metric.WithDescription("Requests answered, by outcome"))
 	s.firstToken, errs[1] = m.Float64Histogram("first_token", metric.WithUnit("s"), metric.WithDescription("Time from accepting a request to its first token"), buckets)
 	s.duration, errs[2] = m.Float64Histogram("request_duration", metric.WithUnit("s"), metric.WithDescription("Time from accepting a request to the end of its answer"), buckets)
 	s.tokens, errs[3] = m.Int64Counter("tokens", metric.WithUnit("{token}"), metric.WithDescription("Tokens passed on to callers"))
 	s.attempts, errs[4] = m.Int64Counter("attempts", metric.WithUnit("{attempt}"), metric.WithDescription("Attempts sent to backend servers"))
 	s.storeCalls, errs[5] = m.Int64Counter("store_calls", metric.WithUnit("{call}"), metric.WithDescription("Calls to the platform's store, by purpose and outcome"))
+	s.failures, errs[6] = m.Int64Counter("failed_attempts", metric.WithUnit("{attempt}"), metric.WithDescription("Attempts at model groups that failed, by cause"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, nil, fmt.Errorf("create instrument: %w", err)
@@ -91,6 +93,11 @@
 	s.storeCalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("purpose", purpose), attribute.String("outcome", outcome)))
 }
 
+// RecordFailedAttempt records an attempt at a model group of a service that failed.
+func (s *Set) RecordFailedAttempt(service, cause string) {
+	s.failures.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("cause", cause)))
+}
+
 // RegisterGauge registers a gauge whose value is read at each scrape.
 func (s *Set) RegisterGauge(name, unit, description string, read func() int64) error {
 	_, err := s.meter.Int64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(description),
