--- /dev/null
+++ b/internal/entry/quarantine_test.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"flamingorudder.example/internal/fakeplatform"
+)
+
+// crashingServer starts a fake model runner that serves one event to each request, but closes its listener and all
+// connections when the prompt of a request contains the part "dead". It calls crashed then.
+func crashingServer(t *testing.T, crashed func()) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	conns := map[net.Conn]bool{}
+	crash := func() {
+		_ = l.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for c := range conns {
+			_ = c.Close()
+		}
+	}
+	t.Cleanup(crash)
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		for br := bufio.NewReader(c); ; {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if strings.Contains(r.Header.Get("X-Flamingorudder-Prompt-Prefix"), "dead:") {
+				crash()
+				crashed()
+				return
+			}
+			if r.URL.Path == "/api/report" {
+				writeAnswer(c, r, 200, `{"born":1}`)
+				continue
+			}
+			writeAnswer(c, r, 200, event(1)+event(2))
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns[c] = true
+			mu.Unlock()
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestPromptPartCrashesServers guards against requests with the same prompt part crashing one backend server after the
+// other. Daemons that saw none of the crashes have to reject them too, and sound requests that share the caller and the
+// other parts must be served.
+func TestPromptPartCrashesServers(t *testing.T) {
+	const groups, tolerated = 14, 5
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	a, b := startDaemon(t, store, "a"), startDaemon(t, store, "b")
+	var crashes atomic.Int32
+	for i := 1; i <= groups; i++ {
+		a.putServer(fmt.Sprint("i-", i), "llm", crashingServer(t, func() { crashes.Add(1) }), fmt.Sprintf(openGroup, i))
+	}
+	for _, u := range []*daemonUnderTest{a, b} {
+		u.waitReady()
+		eventually(t, "the daemon hears the other one", func() bool { return len(u.d.livePeers(time.Now())) == 1 })
+	}
+	send := func(u *daemonUnderTest, part string, n int) reply {
+		return u.do(http.MethodPost, "/stream/", "k1", "x", "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20",
+			"X-Flamingorudder-Prompt-Prefix", fmt.Sprintf("abc:50,%s:20,%x:30", part, n))
+	}
+	for n := range tolerated {
+		send(a, "dead", n)
+	}
+	if n := crashes.Load(); n > tolerated {
+		t.Errorf("%d servers crashed at the first daemon, want at most %d", n, tolerated)
+	}
+	before := crashes.Load()
+	eventually(t, "the other daemon rejects the requests", func() bool {
+		r := send(b, "dead", 100)
+		return r.status == http.StatusServiceUnavailable && r.h.Get("Retry-After") != "" || crashes.Load() > before
+	})
+	for n := range 5 {
+		send(a, "dead", 200+n)
+		send(b, "dead", 300+n)
+	}
+	if n := crashes.Load(); n > before {
+		t.Errorf("%d more servers crashed afterwards", n-before)
+	}
+	for n := range 3 {
+		for _, u := range []*daemonUnderTest{a, b} {
+			if r := send(u, "beef", 400+n); r.status != http.StatusOK {
+				t.Errorf("sound request with the same first part: reply %+v", r)
+			}
+		}
+	}
+}
