--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -293,6 +293,9 @@
 	}
 	x.attempts++
 	x.attemptLog = append(x.attemptLog, fmt.Sprintf("%s: %d", server, a.Status)+x.d.handleNotices(s, a))
+	if a.Limited {
+		x.d.metrics.RecordLimitedAttempt(x.service)
+	}
 	if a.NotExecuted {
 		return false
 	}
@@ -311,6 +314,9 @@
 		d.feed.markLeaving(roster.LeavingServer{ID: s.ID, Born: s.Born}, "")
 		description = ", " + noteLeaving
 	}
+	if a.Limited {
+		description += ", " + noteLimit + " " + strconv.FormatFloat(a.Limit, 'g', 4, 64)
+	}
 	if a.Pause > 0 {
 		if d.pauses.Start(now, s.ID, a.Pause, rand.Float64) {
 			d.log.Info("backend server asked for a pause", "id", s.ID, "pause", a.Pause)
@@ -327,6 +333,7 @@
 const (
 	noteLeaving = "server leaving"
 	notePause   = "server asked for a pause of"
+	noteLimit   = "server takes a second"
 )
 
 // forwardable reports whether a response was sent by the backend server itself and may be forwarded.
