Keep to the limits that backend servers name

Callers saw nothing yet; the operators of the servers saw up to 53 requests in 4 s at a server that had named 5.2 a second.

Cause: Server-Limit was not read. Placement went on by load alone, and plain services were chosen by relative load.

Why the fix works: the limit is one for all daemons, so it is kept where their requests meet. Daemons add the limit in an answer to their report to the model's scheduler, which has a token bucket for each head and places no request without a token. A daemon that schedules without the others uses the share of the daemons whose reports it has. For plain services each daemon has a bucket with an equal share, begun at a random part of a token. A limit ends with an answer that names none to a request sent after it was last named, and with the lifetime of its server.

--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -42,6 +42,9 @@
 	Load Load
 	// Suspect is set when the group may have lost a member.
 	Suspect bool
+	// Limited is set when the group's head takes only Allowance requests now, as it has named a limit.
+	Limited   bool
+	Allowance int
 }
 
 // Plan describes the timing of a model's groups.
--- a/internal/balance/scheduler.go
+++ b/internal/balance/scheduler.go
@@ -265,6 +265,7 @@
 			g := &groups[i]
 			out = append(out, Decision{Waiter: w, Group: g.Key, Estimate: plan.Estimate(g.Load, w.Prompt)})
 			g.Load = g.Load.Add(Load{1, w.Prompt})
+			g.Allowance--
 			s.failures.recordPlacement(now, g.Key)
 			s.recentPrompts[g.Key] = recentTokens{s.recentTokens(now, g.Key) + float64(w.Prompt), now}
 			s.recordPlacement(w, c)
@@ -508,7 +509,7 @@
 	noise := unreported * float64(plan.Estimate(Load{Requests: plan.Engine.Slots}, 0).Passes)
 	for i := range groups {
 		g := &groups[i]
-		if g.Suspect || g.Load.Requests >= slots || slices.Contains(w.Exclude, g.Key) || !s.failures.usable(now, g.Key) {
+		if g.Suspect || g.Limited && g.Allowance < 1 || g.Load.Requests >= slots || slices.Contains(w.Exclude, g.Key) || !s.failures.usable(now, g.Key) {
 			continue
 		}
 		d := s.latencyCorrection.Expect(plan.Estimate(g.Load, 0)) + s.latencyCorrection.GroupOffset(now, g.Key)
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -88,6 +88,7 @@
 	dispatch     *dispatcher
 	plainServers healthTable
 	pauses       *balance.Pauses
+	limits       *balance.Limits
 	quarantine   *quarantineList
 	// probes joins the concurrent checks whether the same backend server has ended.
 	probes      singleflight.Group
@@ -151,6 +152,7 @@
 	d.dispatch = newDispatcher(d)
 	d.budget = &budget{}
 	d.pauses = balance.NewPauses()
+	d.limits = balance.NewLimits()
 	d.quarantine = newQuarantineList()
 	d.feed, closeIdle = newStoreSync(d)
 	cleanups = append(cleanups, closeIdle)
@@ -198,6 +200,7 @@
 		d.metrics.RegisterGauge("in_flight", "{request}", "Requests of callers under way", d.inFlight.Load),
 		d.metrics.RegisterGauge("daemons", "{daemon}", "Other daemons that live, as far as this one knows", func() int64 { return int64(d.fleetSize(time.Now()) - 1) }),
 		d.metrics.RegisterGauge("quarantined_parts", "{part}", "Prompt parts whose requests are rejected because they crash backend servers", func() int64 { return d.quarantine.len() }),
+		d.metrics.RegisterGauge("limited_servers", "{server}", "Backend servers that have named a limit of requests", func() int64 { return int64(d.limits.Len()) }),
 		d.metrics.RegisterGauge("config_version", "1", "Version of the configuration in force", func() int64 {
 			if c := d.config.Load(); c != nil {
 				return c.Version
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -356,6 +356,13 @@
 	}
 }
 
+// reportLimit reports to the scheduler what the answer says about the limit of its server.
+func (s *reservation) reportLimit(n balance.LimitNotice, sent time.Time) {
+	s.d.mu.Lock()
+	defer s.d.mu.Unlock()
+	s.d.client(s.model).RecordLimit(n, sent)
+}
+
 // reportFailure reports to the scheduler that the group failed the request.
 func (s *reservation) reportFailure() {
 	s.d.mu.Lock()
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -29,6 +30,7 @@
 		out.ConfigVersion = c.Version
 	}
 	d.dispatch.fillDigest(&out)
+	out.Limits = d.limits.Advertised(time.Now())
 	out.Quarantined = d.quarantine.advertised(time.Now())
 	out.LeavingServers = d.feed.leavers()
 	now := time.Now()
@@ -188,6 +190,9 @@
 	for _, l := range m.LeavingServers {
 		d.feed.markLeaving(l, m.Name)
 	}
+	for _, n := range m.Limits {
+		d.limits.Observe(time.Now(), n, false, rand.Float64)
+	}
 	d.addQuarantined(m.Quarantined, m.Name)
 	for _, key := range m.ClosedGroups {
 		d.dispatch.excludeClosed(key, false)
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -136,6 +136,9 @@
 	idle := !p.server.Waiting(r.Model)
 	first := p.server.HandleReport(now, r)
 	p.observeOutcomes(now)
+	for _, n := range p.server.TakeLimits() {
+		p.d.limits.Observe(now, n, false, rand.Float64)
+	}
 	var answers map[string]*schedule.Answer
 	// A scheduling round considers all waiting requests, so it is not run for every report while many wait.
 	if c := p.candidates(now, r.Model); p.server.Waiting(r.Model) && (idle || now.Sub(c.lastRound) >= minRoundInterval) {
@@ -190,6 +193,7 @@
 	}
 	in := schedule.Input{
 		Plan: &balance.Plan{Engine: service.Engine, Model: spec}, Heads: map[string]*roster.Server{}, Daemons: p.d.fleetSize(now), Random: rand.Float64,
+		Limits: p.d.limits, Preferred: p.isScheduler(now, m),
 	}
 	for _, g := range p.d.view.Load().Groups[m.Service] {
 		if g.Model != m.Name || !g.Complete() {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"flamingorudder.example/internal/backend"
-	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
+	"flamingorudder.example/internal/timer"
 )
 
 const (
@@ -47,14 +47,14 @@
 const failureWeight = 0.1
 
 // choose returns the backend server with the lowest score, which is mostly its relative load. Failing backend servers and
-// those already tried score worse. Those that asked for a pause are excluded.
-func (s *healthTable) choose(servers []*roster.Server, pauses *balance.Pauses, tried map[string]bool, dc string, now time.Time) *roster.Server {
+// those already tried score worse. Those for which usable is false are excluded.
+func (s *healthTable) choose(servers []*roster.Server, usable func(*roster.Server) bool, tried map[string]bool, dc string, now time.Time) *roster.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var best *roster.Server
 	bestScore := 0.0
 	for _, server := range servers {
-		if !pauses.Usable(now, server.ID) {
+		if !usable(server) {
 			continue
 		}
 		score := rand.Float64() * 0.5
@@ -132,9 +132,15 @@
 	var answer *bufferedResponse
 	for unsent := 0; unsent < maxUnsent && ctx.Err() == nil; {
 		servers, now := x.d.view.Load().Services[x.service], time.Now()
-		server := x.d.plainServers.choose(servers, x.d.pauses, tried, x.d.settings().DataCentre, now)
+		share := 1 / float64(x.d.fleetSize(now)) // of a limit, as callers spread over all daemons
+		usable := func(s *roster.Server) bool { return x.d.usableFrom(now, s, share).IsZero() }
+		server := x.d.plainServers.choose(servers, usable, tried, x.d.settings().DataCentre, now)
 		if server == nil {
-			last = x.noServer(now, servers)
+			wait, err := x.noServer(now, servers, share)
+			if wait > 0 && timer.Wait(ctx, wait) == nil {
+				continue
+			}
+			last = err
 			break
 		}
 		if !x.allowAttempt() {
@@ -143,6 +149,7 @@
 		if !x.d.pauses.Admit(now, server.ID) {
 			continue // another request is already probing whether the pause is over
 		}
+		x.d.limits.Take(server.ID)
 		before := x.attempts
 		out, err := x.tryPlain(ctx, server, limit)
 		tried[server.ID] = true
@@ -169,19 +176,31 @@
 	x.respondFailure(ctx, last)
 }
 
-// noServer returns the error for a plain service of which no backend server can be used. If they all asked for a pause, the
-// caller is told to retry when the first pause ends.
-func (x *exchange) noServer(now time.Time, servers []*roster.Server) error {
+// usableFrom returns when a plain backend server may be sent a request, or zero if it may be now. share is the part of its
+// limit that this daemon may use.
+func (d *Daemon) usableFrom(now time.Time, s *roster.Server, share float64) time.Time {
+	if until := d.pauses.Until(now, s.ID); !until.IsZero() {
+		return until
+	}
+	return d.limits.Next(now, s.ID, s.Born, share)
+}
+
+// noServer is called when no backend server of a plain service can be used now. It returns how long to wait for one, or zero
+// with an error if the request would become late: then the caller is told when to retry.
+func (x *exchange) noServer(now time.Time, servers []*roster.Server, share float64) (wait time.Duration, err error) {
 	var first time.Time
 	for _, s := range servers {
-		if until := x.d.pauses.Until(now, s.ID); first.IsZero() || until.Before(first) {
-			first = until
+		if from := x.d.usableFrom(now, s, share); first.IsZero() || from.Before(first) {
+			first = from
 		}
 	}
-	if first.IsZero() {
-		return &NoServerError{x.service}
+	switch {
+	case first.IsZero():
+		return 0, &NoServerError{x.service}
+	case first.Before(x.start.Add(x.route.Objective / 2)):
+		return first.Sub(now), nil
 	}
-	return &RejectedError{first.Sub(now), "all backend servers asked for a pause"}
+	return 0, &RejectedError{first.Sub(now), "all backend servers asked for a pause or are at their limit"}
 }
 
 // connectionLimit returns this daemon's share of the connections that a backend server of a service accepts, or zero if
@@ -212,6 +231,7 @@
 		tryCtx, cancel = context.WithTimeout(ctx, time.Duration(float64(x.route.Objective)*attemptTimeoutFactor))
 	}
 	x.d.plainServers.begin(server.ID)
+	sent := time.Now()
 	a, err := x.d.pool.Do(tryCtx, server, x.buildRequest(server, -1, ""), limit)
 	ran := x.recordAttempt(server, "", err, a)
 	if err != nil {
@@ -219,6 +239,7 @@
 		x.d.plainServers.end(server.ID, x.r.Context().Err() == nil, false, time.Now())
 		return nil, err
 	}
+	x.d.observeLimit(server, a, sent)
 	end := func(lost bool) {
 		a.Close()
 		cancel()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -329,6 +329,24 @@
 	return description
 }
 
+// observeLimit processes the limit that the answer to a request names, or that it does not. It reports whether the
+// scheduler of the server's model has to know.
+func (d *Daemon) observeLimit(s *roster.Server, a *backend.Response, sent time.Time) (n balance.LimitNotice, relevant bool) {
+	if a.Status == http.StatusMisdirectedRequest || a.Malformed != "" && !a.Limited {
+		return n, false // another server's answer, or a limit that cannot be read
+	}
+	now := time.Now()
+	n = balance.LimitNotice{Server: s.ID, Born: s.Born, Limited: a.Limited, Rate: a.Limit, SentAgo: now.Sub(sent)}
+	change := d.limits.Observe(now, n, true, rand.Float64)
+	switch change {
+	case balance.Named:
+		d.log.Info("backend server named a limit", "id", s.ID, "requests_per_second", a.Limit)
+	case balance.Lifted:
+		d.log.Info("backend server has no limit any more", "id", s.ID)
+	}
+	return n, change != balance.Unchanged
+}
+
 // Texts about the state of a backend server in the attempts of the request log.
 const (
 	noteLeaving = "server leaving"
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -222,6 +222,7 @@
 	if s.headerSent {
 		resume = s.lastEvent
 	}
+	sent := time.Now()
 	a, err := x.d.pool.Do(ctx, head, x.buildRequest(head, priority(x.rank), resume), x.d.connectionLimit(svc))
 	ran := x.recordAttempt(head, reserved.key, err, a)
 	if err != nil {
@@ -231,6 +232,9 @@
 		return err
 	}
 	defer a.Close()
+	if n, relevant := x.d.observeLimit(head, a, sent); relevant {
+		reserved.reportLimit(n, sent)
+	}
 	if !ran {
 		x.d.dispatch.excludeRejecting(reserved.key, a.Pause)
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -24,6 +24,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/election"
 	"flamingorudder.example/internal/quarantine"
 	"flamingorudder.example/internal/roster"
@@ -96,6 +97,8 @@
 	// LeavingServers are backend servers that told the sender that they are about to stop, and whose entries do not say
 	// so yet.
 	LeavingServers []roster.LeavingServer `cbor:"leavers,omitempty"`
+	// Limits are limits that backend servers have lately named to the sender.
+	Limits []balance.LimitNotice `cbor:"limits,omitempty"`
 	// Quarantined are prompt parts that crash backend servers. Every daemon passes on all that it knows of, so that they
 	// also reach other data centres.
 	Quarantined []quarantine.Part `cbor:"quarantined,omitempty"`
--- a/internal/schedule/client.go
+++ b/internal/schedule/client.go
@@ -11,9 +11,11 @@
 package schedule
 
 import (
+	"maps"
 	"slices"
 	"time"
 
+	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/quarantine"
 )
 
@@ -37,6 +39,8 @@
 	// maxPending bounds those that wait.
 	maxRequestsPerReport = 8
 	maxPending           = 100
+	// maxLimitsPerReport bounds the limits in one report; the next one has the others.
+	maxLimitsPerReport = 32
 	// maxOutcomesPerReport bounds the outcomes between two reports, so that they fit a datagram.
 	maxOutcomesPerReport = 32
 )
@@ -62,6 +66,14 @@
 	failures    []string
 	// outcomes holds the outcomes since the last report, crashes the crashes in that report, which the next one repeats.
 	outcomes, crashes []placedOutcome
+	// limits holds the latest notice of each backend server since the last report.
+	limits map[string]limitNotice
+}
+
+// limitNotice is a notice in the answer to a request that was sent at the given time.
+type limitNotice struct {
+	balance.LimitNotice
+	sent time.Time
 }
 
 // placedOutcome is the outcome of a request that was placed at the given time.
@@ -88,7 +100,7 @@
 
 // NewClient returns a client without requests.
 func NewClient(m Model) *Client {
-	return &Client{model: m, idleReports: finalReports, avoided: map[string]avoidance{}}
+	return &Client{model: m, idleReports: finalReports, avoided: map[string]avoidance{}, limits: map[string]limitNotice{}}
 }
 
 // Submit adds a request that arrived, and whose caller gives up, at the given times. Its id must be above all earlier
@@ -134,6 +146,12 @@
 	c.dirty = true
 }
 
+// RecordLimit records what the answer to a request that was sent at the given time says about the limit of its server.
+func (c *Client) RecordLimit(n balance.LimitNotice, sent time.Time) {
+	c.limits[n.Server] = limitNotice{n, sent}
+	c.dirty = true
+}
+
 // SelectTarget selects the daemon to ask from the candidates, in order of preference. "" stands for this daemon.
 func (c *Client) SelectTarget(now time.Time, candidates []string) string {
 	next := ""
@@ -207,12 +225,21 @@
 		o.Took = now.Sub(o.placed)
 		r.Outcomes = append(r.Outcomes, o.Outcome)
 	}
+	for _, server := range slices.Sorted(maps.Keys(c.limits)) {
+		if len(r.Limits) == maxLimitsPerReport {
+			break
+		}
+		n := c.limits[server]
+		n.SentAgo = now.Sub(n.sent)
+		r.Limits = append(r.Limits, n.LimitNotice)
+		delete(c.limits, server)
+	}
 	c.crashes = slices.DeleteFunc(c.outcomes, func(o placedOutcome) bool { return !o.Crashed })
 	c.idleReports++
 	if len(work) > 0 || len(c.pending) > 0 {
 		c.idleReports = 0
 	}
-	c.lastSent, c.dirty, c.firstEvents, c.failures = now, false, nil, nil
+	c.lastSent, c.dirty, c.firstEvents, c.failures = now, len(c.limits) > 0, nil, nil
 	c.outcomes = nil
 	if len(c.pending) > 0 && c.unansweredSince.IsZero() {
 		c.unansweredSince, c.unansweredSeq = now, c.seq
--- a/internal/schedule/message.go
+++ b/internal/schedule/message.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/quarantine"
 )
 
@@ -42,6 +43,8 @@
 	Failed      []string     `cbor:"12,keyasint,omitempty"`
 	// Outcomes holds what happened to requests with shared prompt parts. A crash is in two reports, as one may be lost.
 	Outcomes []quarantine.Outcome `cbor:"13,keyasint,omitempty"`
+	// Limits holds what answers said since the report before about the limits of backend servers.
+	Limits []balance.LimitNotice `cbor:"14,keyasint,omitempty"`
 }
 
 // PlacementRequest describes a request to be placed.
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -27,6 +27,8 @@
 	models map[Model]*modelState
 	// outcomes holds the outcomes in the reports since the last call of TakeOutcomes.
 	outcomes []quarantine.Outcome
+	// limits holds the limits in the reports since the last call of TakeLimits.
+	limits []balance.LimitNotice
 }
 
 // modelState is the state of one model.
@@ -93,6 +95,7 @@
 		m.scheduler.RecordFirstEvent(now, f.Group, balance.Estimate{Passes: f.Passes, QueuedPrefill: f.QueuedPrefill, Full: f.Full}, f.Took)
 	}
 	s.outcomes = append(s.outcomes, r.Outcomes...)
+	s.limits = append(s.limits, r.Limits...)
 	for _, key := range r.Failed {
 		m.scheduler.RecordFailure(now, key)
 	}
@@ -147,6 +150,13 @@
 	return out
 }
 
+// TakeLimits returns the limits in the reports since the last call.
+func (s *Server) TakeLimits() []balance.LimitNotice {
+	out := s.limits
+	s.limits = nil
+	return out
+}
+
 func (a *PlacementRequest) waiter(now time.Time, r *Report) *balance.Waiter {
 	return &balance.Waiter{
 		Ticket: balance.Ticket{Daemon: r.From, Boot: r.Boot, ID: a.ID}, Organisation: a.Organisation, DataCentre: r.DataCentre, Exclude: a.Exclude,
@@ -226,6 +236,10 @@
 	Heads  map[string]*roster.Server
 	// Daemons is the number of daemons, including this one.
 	Daemons int
+	// Limits holds the limits that heads have named. Preferred is set when the other daemons ask this one too, so that it
+	// may use them whole; otherwise it uses the share of the daemons that it has reports from.
+	Limits    *balance.Limits
+	Preferred bool
 	// Random returns numbers in [0, 1).
 	Random func() float64
 }
@@ -253,12 +267,19 @@
 	if m.scheduler.Waiting() == 0 {
 		return nil
 	}
+	unreported := 1 - float64(min(len(m.daemons), in.Daemons))/float64(max(in.Daemons, 1))
+	share := 1 - unreported
+	if in.Preferred {
+		share = 1
+	}
 	for i := range in.Groups {
 		g := &in.Groups[i]
 		g.Load = m.loads[g.Key]
 		g.Suspect = g.Suspect || m.isSuspect(g.Key)
+		if h := in.Heads[g.Key]; h != nil && in.Limits != nil {
+			g.Allowance, g.Limited = in.Limits.Allowance(now, h.ID, h.Born, share)
+		}
 	}
-	unreported := 1 - float64(min(len(m.daemons), in.Daemons))/float64(max(in.Daemons, 1))
 	out := map[string]*Answer{}
 	for _, d := range m.scheduler.Step(now, in.Plan, in.Groups, unreported, in.Random) {
 		c := m.daemons[d.Daemon]
@@ -268,6 +289,9 @@
 		p := Placement{ID: d.ID, Group: d.Group, Passes: d.Estimate.Passes, QueuedPrefill: d.Estimate.QueuedPrefill, Full: d.Estimate.Full, RetryAfter: d.RetryAfter, Reason: string(d.Reason)}
 		if h := in.Heads[d.Group]; h != nil {
 			p.Head, p.Addr = h.ID, h.Addr
+			if in.Limits != nil {
+				in.Limits.Take(h.ID)
+			}
 		}
 		delete(c.waiting, d.ID)
 		c.decided[d.ID] = sentDecision{place: p, prompt: d.Prompt, sent: now}
