Do not take a repeated refusal for the answer to a later request

Callers of a system like ours were told 'not run' for requests that a backend server was running, or such a request ran at a second server, as a faulty server wrote an earlier refusal once more on a kept connection.

It could happen here. A refusal with the id of another request was skipped already. But a response without an id was taken for the answer to the current request, also on a kept connection; the refusal of the same request, sent once more to the same server on the same connection, has the right id; and requests without an id could not be told apart at all.

Now a response without an id is trusted only on a connection that has carried no other request; otherwise the outcome of the request is unknown. A request is not sent again on a connection that refused it (the last eight refusals are kept, then the connection is closed), and a request without an id gets a new connection.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -49,6 +50,8 @@
 	// maxStrayBody bounds the body of a stray response that is read in order to keep the connection.
 	maxStrayBody = 64 << 10
 	readBuffer   = 4 << 10
+	// maxRefusals is the number of refusals after which a connection is closed.
+	maxRefusals = 8
 	// refusalTimeout bounds the wait for the refusal of a connection: a few round trips between regions.
 	refusalTimeout = 150 * time.Millisecond
 )
@@ -170,6 +173,11 @@
 	addr     netip.AddrPort
 	lastUsed time.Time
 	expires  time.Time
+	// kept is set once the connection has carried a request.
+	kept bool
+	// refused holds the ids of the requests that were refused on this connection, at most maxRefusals. A faulty backend
+	// server may write a refusal again, so no request is sent twice on a connection that refused it.
+	refused []string
 }
 
 // Pool is a pool of connections to backend servers. It is safe for concurrent use.
@@ -243,20 +251,25 @@
 	p.mu.Unlock()
 }
 
-// get returns an idle connection or opens a new one.
-func (p *Pool) get(ctx context.Context, addr netip.AddrPort, limit int, once bool) (*conn, error) {
+// get returns an idle connection for a request or opens a new one. A request without an id gets a new one, as its response
+// could not be told from that of an earlier request.
+func (p *Pool) get(ctx context.Context, addr netip.AddrPort, limit int, req *Request) (*conn, error) {
 	now := time.Now()
 	for {
 		p.mu.Lock()
 		list := p.idle[addr]
-		if len(list) == 0 {
+		i := len(list) - 1
+		for i >= 0 && slices.Contains(list[i].refused, req.ID) {
+			i--
+		}
+		if i < 0 || req.ID == "" {
 			break
 		}
-		c := list[len(list)-1]
-		if once && now.Sub(c.lastUsed) > maxSafeIdle {
+		c := list[i]
+		if req.AtMostOnce && now.Sub(c.lastUsed) > maxSafeIdle {
 			break
 		}
-		p.idle[addr] = list[:len(list)-1]
+		p.idle[addr] = slices.Delete(list, i, i+1)
 		p.mu.Unlock()
 		if now.Before(c.expires) && netopt.Idle(c.net) {
 			return c, nil
@@ -297,7 +310,7 @@
 // Do sends a request and reads the headers of its response. limit bounds the number of connections to the backend server;
 // there is no bound if it is zero. The connection is closed when ctx ends. Errors are *NotSentError or *NoResponseError.
 func (p *Pool) Do(ctx context.Context, server *roster.Server, req *Request, limit int) (*Response, error) {
-	c, err := p.get(ctx, server.Addr, limit, req.AtMostOnce)
+	c, err := p.get(ctx, server.Addr, limit, req)
 	if err != nil {
 		return nil, &NotSentError{server.ID, err}
 	}
@@ -311,6 +324,8 @@
 	if err != nil {
 		return fail(err)
 	}
+	kept := c.kept
+	c.kept = true
 	c.limit.left = maxHeaderBytes
 	for range maxStray {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: req.Method}) //nolint:bodyclose // closed with its connection by Response.Close
@@ -321,6 +336,9 @@
 			continue
 		}
 		a := platform.ParseResponseInfo(resp.StatusCode, resp.Header)
+		if a.ID == "" && kept {
+			return fail(&StrayError{}) // it may be the response to an earlier request
+		}
 		if a.ID != "" && a.ID != req.ID {
 			c.limit.left = -1
 			n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBody+1))
@@ -331,6 +349,10 @@
 			continue
 		}
 		c.limit.left = -1
+		if a.NotExecuted {
+			c.refused = append(c.refused, req.ID)
+			reusable = reusable && len(c.refused) < maxRefusals
+		}
 		out := &Response{
 			ResponseInfo: a, Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 			resp: resp, conn: c, pool: p, stopCancel: stop, reusable: reusable,
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -108,6 +108,70 @@
 	}
 }
 
+// TestRepeatedRefusal guards against taking a refusal that a backend server writes once more for the answer to a later
+// request on the connection: the server is running that one.
+func TestRepeatedRefusal(t *testing.T) {
+	refusal := func(id string) string {
+		if id != "" {
+			id = "X-Flamingorudder-Request-Id: " + id + "\r\n"
+		}
+		return "HTTP/1.1 503 X\r\n" + id + "X-Flamingorudder-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	for _, test := range []struct {
+		name, second string
+		repeatsID    bool
+	}{
+		{"another request", "b", true},
+		{"another request, without an id", "b", false},
+		{"the same request", "a", true},
+		{"a request without an id", "", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var ran atomic.Int32
+			s, _ := listen(t, func(c net.Conn, r *bufio.Reader) {
+				first := ""
+				for n := 0; ; n++ {
+					id, ok := readRequest(r)
+					if !ok {
+						return
+					}
+					if n == 0 && ran.Load() == 0 {
+						first = id
+						_, _ = io.WriteString(c, refusal(id))
+						ran.Add(1)
+						continue
+					}
+					if n > 0 && test.repeatsID {
+						_, _ = io.WriteString(c, refusal(first))
+					} else if n > 0 {
+						_, _ = io.WriteString(c, refusal(""))
+					}
+					ran.Add(1)
+					_, _ = io.WriteString(c, response(id, "ran"))
+				}
+			})
+			p := pool(t)
+			a, err := p.Do(context.Background(), s, request("a"), 0)
+			if err != nil || !a.NotExecuted {
+				t.Fatalf("first request: %+v, %v", a, err)
+			}
+			readBody(t, a)
+			a, err = p.Do(context.Background(), s, request(test.second), 0)
+			var noResponse *NoResponseError
+			if err != nil {
+				if !errors.As(err, &noResponse) {
+					t.Errorf("second request: %v", err)
+				}
+				return
+			}
+			defer a.Close()
+			if a.NotExecuted {
+				t.Error("a request that ran counts as not run")
+			}
+		})
+	}
+}
+
 // TestBytesAfterResponse guards against bytes that follow a complete response being parsed as the next one.
 func TestBytesAfterResponse(t *testing.T) {
 	s, conns := listen(t, func(c net.Conn, r *bufio.Reader) {
