Take a stream that ends inside an event for broken off

Callers got such a stream as a complete one, as the rest after the last blank line was forwarded at its end, and a stream whose server closed after the head as an empty answer. Now the complete events are forwarded and the stream is resumed, or ends without looking complete. A body that ends with its connection before the first event counts as broken off too. Events may end with CRLF: formerly such a stream was held back until its end. Other bodies than event streams are forwarded as before.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -106,9 +106,11 @@
 	platform.ResponseInfo
 	Status int
 	Header http.Header
-	// Length is the length of the body, -1 if it is unknown.
-	Length int64
-	Body   io.Reader
+	// Length is the length of the body, -1 if it is unknown. EndsWithConnection is set if the body has neither a length nor
+	// chunks, so that its end is that of the connection.
+	Length             int64
+	EndsWithConnection bool
+	Body               io.Reader
 
 	resp       *http.Response
 	conn       *conn
@@ -355,7 +357,8 @@
 		}
 		out := &Response{
 			ResponseInfo: a, Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-			resp: resp, conn: c, pool: p, stopCancel: stop, reusable: reusable,
+			EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+			resp:               resp, conn: c, pool: p, stopCancel: stop, reusable: reusable,
 		}
 		out.Body = out
 		if resp.Body == http.NoBody {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -911,3 +911,40 @@
 		})
 	}
 }
+
+// TestStreamEndsWithConnection guards against a stream that ends with its connection inside an event, or before its first
+// one, being taken for complete. It is resumed at another group instead.
+func TestStreamEndsWithConnection(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Flamingorudder-Response-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n"
+	for name, first := range map[string]string{
+		"before the first event": "",
+		"inside an event":        event(1) + "id: 2\ndata: e2\n",
+		"between two lines":      event(1) + "id: 2\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+			u := startDaemon(t, store, "a")
+			var sent atomic.Int32
+			for i := 1; i <= 2; i++ {
+				u.putServer(fmt.Sprint("i-", i), "llm", backendServer(t, func(c net.Conn, r *http.Request) {
+					if sent.Add(1) == 1 {
+						_, _ = io.WriteString(c, head+first)
+					} else {
+						from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+						for n := from + 1; n <= 3; n++ {
+							_, _ = io.WriteString(c, map[bool]string{true: head}[n == from+1]+event(n))
+						}
+					}
+					_ = c.Close()
+				}), fmt.Sprintf(openGroup, i))
+			}
+			u.waitReady()
+			eventually(t, "the daemon knows both groups", func() bool { return len(u.d.view.Load().Groups["llm"]) == 2 })
+			r := u.do(http.MethodPost, "/stream/", "k1", "x", "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20")
+			if want := event(1) + event(2) + event(3); r.err != nil || r.status != http.StatusOK || r.body != want {
+				t.Errorf("status %d, error %v, body %q, want %q", r.status, r.err, r.body, want)
+			}
+		})
+	}
+}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -289,13 +290,13 @@
 		buf = buf[:len(buf)+n]
 		whole, count := 0, 0
 		id, orderErr := "", error(nil)
-		if bytes.Contains(buf[searched:], eventEnd) {
+		if eventLength(buf[searched:]) >= 0 {
 			whole, count, id, orderErr = parseEvents(buf, s.lastEvent)
 		}
 		if orderErr != nil {
 			return orderErr
 		}
-		searched = max(len(buf)-whole-len(eventEnd)+1, 0)
+		searched = max(len(buf)-whole-maxEventEnd+1, 0)
 		s.events += count
 		sinceID += n
 		if id != "" {
@@ -308,9 +309,13 @@
 			return &EndlessError{"events without ids"}
 		}
 		eof := errors.Is(err, io.EOF)
-		if eof && whole < len(buf) {
-			// The response is complete even though no blank line follows its last event.
+		switch {
+		case !eof:
+		case !x.isEventStream(a), whole < len(buf) && len(bytes.TrimSpace(buf[whole:])) == 0:
 			whole = len(buf)
+		case whole < len(buf), s.events == 0 && a.EndsWithConnection:
+			// The response ends inside an event, or with its connection before the first one.
+			eof, err = false, io.ErrUnexpectedEOF
 		}
 		if !answered && (s.events-before > maxEventsBeforeCrash || eof && s.events > before) {
 			answered = true
@@ -354,8 +359,34 @@
 	}
 }
 
-// eventEnd is the blank line that terminates an event.
-var eventEnd = []byte("\n\n")
+// isEventStream reports whether a response consists of events. Routes of other kinds may get any body.
+func (x *exchange) isEventStream(a *backend.Response) bool {
+	return x.route.Kind == route.Streaming || strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// Ends of events: a line end and an empty line.
+var (
+	eventEnd   = []byte("\n\n")
+	eventEndCR = []byte("\n\r\n")
+)
+
+// maxEventEnd is the length of the longest end of an event.
+const maxEventEnd = 3
+
+// eventLength returns the length of the first complete event in b with its end, or -1 if there is none.
+func eventLength(b []byte) int {
+	i := bytes.Index(b, eventEnd)
+	if i >= 0 {
+		b = b[:i+1]
+	}
+	if j := bytes.Index(b, eventEndCR); j >= 0 {
+		return j + len(eventEndCR)
+	}
+	if i < 0 {
+		return -1
+	}
+	return i + len(eventEnd)
+}
 
 // parseEvents returns the total length of the complete events in b, their number and the id of the last one. Numeric ids
 // must be consecutive, also with the id last of the previous event; otherwise the response does not continue where the
@@ -366,12 +397,12 @@
 		prev, known = n, true
 	}
 	for {
-		i := bytes.Index(b[whole:], eventEnd)
-		if i < 0 {
+		n := eventLength(b[whole:])
+		if n < 0 {
 			return whole, count, id, nil
 		}
-		event := b[whole : whole+i]
-		whole += i + len(eventEnd)
+		event := b[whole : whole+n]
+		whole += n
 		count++
 		for line := range bytes.SplitSeq(event, []byte("\n")) {
 			v, ok := bytes.CutPrefix(line, []byte("id:"))
