Resume a stream only with events that continue it

Callers of a system like ours found the text of an error, or its head, in the middle of their stream after it had broken off.

It could happen here. A second server that answers with an error status is not joined, nor one whose answer has no signature. But a success with another type of content, and events without ids, were: an error text that a server sends with status 200, or behind the head of a stream, reached the caller as part of a stream that looked complete.

Now the response of a later attempt must have the content type of the first, and its first event an id that follows the last one that the caller got; otherwise the attempt counts as unusable and the caller's stream ends without looking complete.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -337,13 +337,13 @@
 
 // TestStreamOutOfOrder checks that events are rejected that do not continue where the previous attempt ended.
 func TestStreamOutOfOrder(t *testing.T) {
-	if _, _, _, err := parseEvents([]byte(event(2)+event(4)), "1"); err == nil {
+	if _, _, _, err := parseEvents([]byte(event(2)+event(4)), "1", false); err == nil {
 		t.Error("a gap in the event ids was accepted")
 	}
-	if _, _, _, err := parseEvents([]byte(event(2)), "2"); err == nil {
+	if _, _, _, err := parseEvents([]byte(event(2)), "2", false); err == nil {
 		t.Error("a duplicate event id was accepted")
 	}
-	whole, count, id, err := parseEvents([]byte(event(2)+event(3)+"id: 4"), "1")
+	whole, count, id, err := parseEvents([]byte(event(2)+event(3)+"id: 4"), "1", false)
 	if err != nil || id != "3" || whole != len(event(2)+event(3)) || count != 2 {
 		t.Errorf("whole %d, count %d, id %q, error %v", whole, count, id, err)
 	}
@@ -912,6 +912,47 @@
 	}
 }
 
+// TestStreamResumesOnlyWithEvents guards against an error text of the second backend server, or nothing at all, being joined to
+// the stream of a first one that broke off.
+func TestStreamResumesOnlyWithEvents(t *testing.T) {
+	const sse, signed = "Content-Type: text/event-stream\r\n", "X-Flamingorudder-Response-Signature: s\r\n"
+	for name, second := range map[string]string{
+		"error status":       "HTTP/1.1 500 X\r\n" + signed + "Content-Length: 12\r\n\r\nerror text\n\n",
+		"error with success": "HTTP/1.1 200 OK\r\n" + signed + "Content-Type: text/plain\r\nContent-Length: 12\r\n\r\nerror text\n\n",
+		"text in a stream":   "HTTP/1.1 200 OK\r\n" + signed + sse + "Content-Length: 12\r\n\r\nerror text\n\n",
+		"unfinished event":   "HTTP/1.1 200 OK\r\n" + signed + sse + "Content-Length: 10\r\n\r\nid: 3\ndata",
+		"no signature":       "HTTP/1.1 200 OK\r\n" + sse + "Content-Length: 18\r\n\r\n" + event(3),
+		"a head in the body": "HTTP/1.1 200 OK\r\n" + signed + sse + "\r\nHTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
+		"part of a head":     "HTTP/1.1 200 OK\r\n" + signed + "Content-Le",
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+			u := startDaemon(t, store, "a")
+			var sent atomic.Int32
+			for i := 1; i <= 2; i++ {
+				u.putServer(fmt.Sprint("i-", i), "llm", backendServer(t, func(c net.Conn, _ *http.Request) {
+					if sent.Add(1) > 1 {
+						_, _ = io.WriteString(c, second)
+					} else {
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signed+sse+"Content-Length: 100\r\n\r\n"+event(1)+event(2)+"id: 3\nda")
+					}
+					_ = c.Close()
+				}), fmt.Sprintf(openGroup, i))
+			}
+			u.waitReady()
+			eventually(t, "the daemon knows both groups", func() bool { return len(u.d.view.Load().Groups["llm"]) == 2 })
+			r := u.do(http.MethodPost, "/stream/", "k1", "x", "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20")
+			if r.err == nil {
+				t.Errorf("the stream looks complete: %q", r.body)
+			}
+			if want := event(1) + event(2); r.body != want {
+				t.Errorf("body %q, want %q", r.body, want)
+			}
+		})
+	}
+}
+
 // TestStreamEndsWithConnection guards against a stream that ends with its connection inside an event, or before its first
 // one, being taken for complete. It is resumed at another group instead.
 func TestStreamEndsWithConnection(t *testing.T) {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -200,6 +200,8 @@
 	// headerSent is set once the status and headers have been sent to the caller.
 	headerSent bool
 	status     int
+	// contentType is that of the response whose headers were sent.
+	contentType string
 	// lastEvent is the id of the last event that the caller has received completely.
 	lastEvent string
 	// lastForward is when the last event was forwarded.
@@ -256,6 +258,9 @@
 		}
 		return &UnusableError{head.ID, a.Status}
 	}
+	if s.headerSent && a.Header.Get("Content-Type") != s.contentType {
+		return &UnusableError{head.ID, a.Status}
+	}
 	err = s.forward(a, reserved)
 	if err != nil && reserved.ctx.Err() != nil {
 		err = context.Cause(reserved.ctx)
@@ -279,6 +284,7 @@
 	// the last event id.
 	searched, sinceID := 0, 0
 	before, answered := s.events, false
+	resuming := s.headerSent // until the first event, whose id shows that the stream goes on where it was broken off
 	for {
 		if len(buf) == cap(buf) {
 			if cap(buf) >= maxEvent {
@@ -291,7 +297,7 @@
 		whole, count := 0, 0
 		id, orderErr := "", error(nil)
 		if eventLength(buf[searched:]) >= 0 {
-			whole, count, id, orderErr = parseEvents(buf, s.lastEvent)
+			whole, count, id, orderErr = parseEvents(buf, s.lastEvent, resuming)
 		}
 		if orderErr != nil {
 			return orderErr
@@ -300,7 +306,7 @@
 		s.events += count
 		sinceID += n
 		if id != "" {
-			sinceID = 0
+			sinceID, resuming = 0, false
 		}
 		switch maxTokens := x.call.MaxTokens; {
 		case maxTokens > 0 && s.events > maxTokens+extraEvents:
@@ -324,6 +330,7 @@
 		if whole > 0 || eof {
 			if !s.headerSent {
 				s.headerSent, s.status, x.firstAt = true, a.Status, time.Now()
+				s.contentType = a.Header.Get("Content-Type")
 				// The Content-Length of one attempt does not hold for the joined response.
 				a.Length = -1
 				a.Header.Del("Content-Length")
@@ -390,8 +397,8 @@
 
 // parseEvents returns the total length of the complete events in b, their number and the id of the last one. Numeric ids
 // must be consecutive, also with the id last of the previous event; otherwise the response does not continue where the
-// previous attempt ended.
-func parseEvents(b []byte, last string) (whole, count int, id string, err error) {
+// previous attempt ended. If resuming is set, the first event must have an id: text without one may be an error message.
+func parseEvents(b []byte, last string, resuming bool) (whole, count int, id string, err error) {
 	prev, known := -1, false
 	if n, e := strconv.Atoi(last); e == nil {
 		prev, known = n, true
@@ -419,5 +426,18 @@
 			}
 			prev, known = n, true
 		}
+		if resuming && id == "" && !isComment(event) {
+			return 0, 0, "", &OrderError{last, "an event without an id"}
+		}
+	}
+}
+
+// isComment reports whether an event has only comments, which servers send to keep a connection alive.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return false
+		}
 	}
+	return true
 }
