Test responses that are cut off at any byte

It cannot happen here: TestTruncatedAnywhere cuts five responses after every byte, and each gives an error, in the head or in the body.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -220,6 +220,45 @@
 	}
 }
 
+// TestTruncatedAnywhere guards against a response looking complete that was cut off at any byte, in its head above all, whose
+// body would then seem empty.
+func TestTruncatedAnywhere(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Flamingorudder-Request-Id: a\r\nX-Flamingorudder-Response-Signature: s\r\n"
+	for name, full := range map[string]string{
+		"length": head + "Content-Length: 12\r\n\r\ntwelve bytes",
+		"chunks": head + "Transfer-Encoding: chunked\r\n\r\nc\r\ntwelve bytes\r\n0\r\n\r\n",
+		// Only the head: where the end of the body is that of the connection, a shorter body cannot be told.
+		"neither":      head + "Content-Type: text/plain\r\n\r\n",
+		"early hints":  "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + head + "Content-Length: 1\r\n\r\nx",
+		"bare newline": "HTTP/1.1 200 OK\nX-Flamingorudder-Request-Id: a\nContent-Length: 2\n\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var cut atomic.Int32
+			s, _ := listen(t, func(c net.Conn, r *bufio.Reader) {
+				if _, ok := readRequest(r); ok {
+					_, _ = io.WriteString(c, full[:cut.Load()])
+				}
+			})
+			p := pool(t)
+			for n := range len(full) {
+				cut.Store(int32(n))
+				a, err := p.Do(context.Background(), s, request("a"), 0)
+				if err != nil {
+					var noResponse *NoResponseError
+					if !errors.As(err, &noResponse) {
+						t.Fatalf("cut after %d bytes: %v", n, err)
+					}
+					continue
+				}
+				if b, err := io.ReadAll(a.Body); err == nil {
+					t.Errorf("cut after %d of %d bytes: status %d with the whole body %q", n, len(full), a.Status, b)
+				}
+				a.Close()
+			}
+		})
+	}
+}
+
 // TestResetWithoutLength guards against a response without a length looking complete when its connection is reset.
 func TestResetWithoutLength(t *testing.T) {
 	s, _ := listen(t, func(c net.Conn, r *bufio.Reader) {
