--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"flamingorudder.example/internal/fakeplatform"
+	"flamingorudder.example/internal/gossip"
 )
 
 // crashingServer starts a fake model runner that serves one event to each request, but closes its listener and all
@@ -118,3 +119,41 @@
 		}
 	}
 }
+
+// TestQuarantineOutlivesAllDaemons guards against daemons that crash servers again after all of them have been restarted.
+func TestQuarantineOutlivesAllDaemons(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	a := startDaemon(t, store, "a")
+	var crashes atomic.Int32
+	for i := 1; i <= 6; i++ {
+		a.putServer(fmt.Sprint("i-", i), "llm", crashingServer(t, func() { crashes.Add(1) }), fmt.Sprintf(openGroup, i))
+	}
+	a.waitReady()
+	send := func(u *daemonUnderTest) reply {
+		return u.do(http.MethodPost, "/stream/", "k1", "x", "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20",
+			"X-Flamingorudder-Prompt-Prefix", "abc:50,dead:20,1:30")
+	}
+	for a.d.quarantine.len() == 0 && crashes.Load() < 6 {
+		send(a)
+	}
+	written := func() bool {
+		page, err := a.d.store.Rows(t.Context(), tableDaemons)
+		if err != nil || len(page.Rows) == 0 {
+			return false
+		}
+		digest, err := gossip.Decode(page.Rows[0].Value)
+		return err == nil && len(digest.Quarantined) == 1
+	}
+	eventually(t, "the row has the part", written)
+	if err := a.d.Stop(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	before := crashes.Load()
+	b := startDaemon(t, store, "b")
+	b.waitReady()
+	eventually(t, "the new daemon has read the rows", b.d.peersLoaded.Load)
+	if r := send(b); r.status != http.StatusServiceUnavailable || crashes.Load() > before {
+		t.Errorf("reply %+v, %d more servers crashed", r, crashes.Load()-before)
+	}
+}
