Keep half of the soak's callers on their connection until the process is gone

The callers of the soak moved on as soon as a daemon was missing from the addresses, so that hardly any request met the end of a daemon that shuts down. Every second pair of callers now stays with its daemon until a request fails.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -235,7 +235,8 @@
 	return reply
 }
 
-// call is one caller. It keeps its connections until the daemon is gone from the addresses that it is told, or fails it.
+// call is one caller. It keeps its connections until the daemon is gone from the addresses that it is told, or fails it. Every
+// second caller stays with one daemon and its open connection until the process is gone, whatever the addresses say.
 func (r *run) call(ctx context.Context, place int) error {
 	rnd := rand.New(rand.NewPCG(r.o.Seed, uint64(place)+1))
 	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
@@ -243,6 +244,8 @@
 	var addrs []netip.AddrPort
 	var until time.Time
 	org := [...]string{"north", "south"}[place%2]
+	stays := place/2%2 == 1
+	var kept netip.AddrPort // the daemon that the caller stays with
 	for n := 0; ; n++ {
 		if err := timer.Wait(ctx, time.Duration(rnd.ExpFloat64()*float64(callPause))); err != nil {
 			return err
@@ -257,13 +260,19 @@
 		if len(addrs) == 0 {
 			continue
 		}
-		i := rnd.IntN(len(addrs))
+		addr := addrs[rnd.IntN(len(addrs))]
+		if stays && kept.IsValid() {
+			addr = kept
+		}
 		id := fmt.Sprintf("c%d-%d", place, n)
 		kind := [...]Kind{Read, Write, Talk, Talk}[rnd.IntN(4)]
-		reply := r.send(ctx, c, addrs[i], id, kind, org, r.at(addrs[i]), 0)
+		reply := r.send(ctx, c, addr, id, kind, org, r.at(addr), 0)
+		if kept = addr; reply.Err != nil {
+			kept = netip.AddrPort{}
+		}
 		switch {
 		case reply.Err != nil && len(addrs) > 1:
-			addrs = slices.Delete(slices.Clone(addrs), i, i+1)
+			addrs = slices.DeleteFunc(slices.Clone(addrs), func(a netip.AddrPort) bool { return a == addr })
 		case reply.ComeBack > 0:
 			if err := timer.Wait(ctx, min(reply.ComeBack, callerLimit/3)); err != nil {
 				return err
