Let a limited server take what it has saved in a second

The bucket of a limit held half a second of it, so that in bursts a server was left idle although it had got less than its limit. A second is what the limit is named for; the most in four seconds is then five times the limit, and the rule allows six times and five requests.

--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -38,7 +38,7 @@
 
 const (
 	// limitBurst is how much of a limit may be used at once, as the time for which the limit allows it.
-	limitBurst = 500 * time.Millisecond
+	limitBurst = time.Second
 	// minLimit is the rate in requests a second at which a server is tried that takes fewer. Only its answers tell that
 	// the limit has ended.
 	minLimit = 0.25
