Charge requests only to limits in force

Requests to a server whose limit had ended were still taken from its bucket, which was not refilled meanwhile: a server that named a limit again would have got no request for minutes.

--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -144,7 +144,7 @@
 func (l *Limits) Take(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if o := l.servers[id]; o != nil {
+	if o := l.servers[id]; o != nil && !o.lifted {
 		o.tokens--
 	}
 }
--- a/internal/balance/limits_test.go
+++ b/internal/balance/limits_test.go
@@ -78,7 +78,14 @@
 	if l.Observe(now, LimitNotice{Server: "a", Born: 1, SentAgo: 20 * time.Millisecond}, true, zero) != Lifted || limited(1) {
 		t.Error("the limit does not end")
 	}
+	for range 1000 {
+		l.Take("a")
+	}
+	now = now.Add(time.Second)
 	l.Observe(now, named("a", 1, 5), true, zero)
+	if next := l.Next(now, "a", 1, 1); !next.IsZero() {
+		t.Errorf("requests that were sent without a limit hold back the next one for %v", next.Sub(now))
+	}
 	if limited(2) {
 		t.Error("the limit holds for the next lifetime")
 	}
