Check for quarantined parts where a request begins to wait

The check came before the request was added to those that a conviction rejects, so a request between the two was placed all the same. Both happen under the dispatcher's mutex now. No test: the window is a few instructions long.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -129,6 +129,11 @@
 		},
 	}
 	p.mu.Lock()
+	// Checked under the mutex, so that no request begins to wait unnoticed while a part is put in quarantine.
+	if err := p.d.quarantineRejection(now, parts); err != nil {
+		p.mu.Unlock()
+		return nil, err
+	}
 	w.ask.Exclude = append(slices.Clone(exclude), p.excluded(now)...)
 	if p.enqueue(w) {
 		p.sendReport(now, model)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -63,10 +63,6 @@
 			last = err
 			break
 		}
-		if err := x.d.quarantineRejection(time.Now(), x.call.SharedParts); err != nil {
-			last = err
-			break
-		}
 		if !x.allowAttempt() {
 			break
 		}
