Do not report a missing server when a pause has just ended

If the pause of the only server ended between the choice and the question when to retry, the caller was told that the service has no server. The request now looks again after a dispatch period. No test: the answer of another request has to arrive between two lines.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -188,19 +188,23 @@
 // noServer is called when no backend server of a plain service can be used now. It returns how long to wait for one, or zero
 // with an error if the request would become late: then the caller is told when to retry.
 func (x *exchange) noServer(now time.Time, servers []*roster.Server, share float64) (wait time.Duration, err error) {
-	var first time.Time
+	if len(servers) == 0 {
+		return 0, &NoServerError{x.service}
+	}
+	first := x.deadline
 	for _, s := range servers {
-		if from := x.d.usableFrom(now, s, share); first.IsZero() || from.Before(first) {
+		from := x.d.usableFrom(now, s, share)
+		if from.IsZero() {
+			return dispatchPeriod, nil // the answer to another request has ended its pause meanwhile
+		}
+		if from.Before(first) {
 			first = from
 		}
 	}
-	switch {
-	case first.IsZero():
-		return 0, &NoServerError{x.service}
-	case first.Before(x.start.Add(x.route.Objective / 2)):
+	if first.Before(x.start.Add(x.route.Objective / 2)) {
 		return first.Sub(now), nil
 	}
-	return 0, &RejectedError{first.Sub(now), "all backend servers asked for a pause or are at their limit"}
+	return 0, &RejectedError{max(first.Sub(now), 0), "all backend servers asked for a pause or are at their limit"}
 }
 
 // connectionLimit returns this daemon's share of the connections that a backend server of a service accepts, or zero if
