Name the crash detector in the usual terms

The package spoke of evidence, conviction and blame. It now has a Detector that finds parts and a Set of those in quarantine. No change of behaviour.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -283,7 +283,7 @@
 		})
 	}
 	for _, task := range []func(context.Context){
-		d.feed.watchConfig, d.feed.pollServers, d.feed.pollDaemons, d.feed.pollPeers, d.feed.publishConvictions, d.receive, d.sendDigests, d.leader.run, d.dispatch.run, d.sweep,
+		d.feed.watchConfig, d.feed.pollServers, d.feed.pollDaemons, d.feed.pollPeers, d.feed.saveQuarantine, d.receive, d.sendDigests, d.leader.run, d.dispatch.run, d.sweep,
 	} {
 		d.tasks.Go(func() error {
 			task(ctx)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -35,8 +35,8 @@
 	// placements for the requests of this daemon.
 	server  *schedule.Server
 	clients map[schedule.Model]*schedule.Client
-	// evidence blames prompt parts for crashes, from the outcomes that daemons report to this scheduler.
-	evidence *quarantine.Evidence
+	// crashDetector finds prompt parts that crash backend servers, from the outcomes that daemons report to this scheduler.
+	crashDetector *quarantine.Detector
 	// reporters holds the daemons that have sent reports to this scheduler, by name.
 	reporters map[string]reporter
 	// targets caches the daemons that may be the scheduler of each model.
@@ -110,7 +110,7 @@
 
 func newDispatcher(d *Daemon) *dispatcher {
 	return &dispatcher{
-		d: d, server: schedule.NewServer(), evidence: quarantine.NewEvidence(), clients: map[schedule.Model]*schedule.Client{}, reporters: map[string]reporter{},
+		d: d, server: schedule.NewServer(), crashDetector: quarantine.NewDetector(), clients: map[schedule.Model]*schedule.Client{}, reporters: map[string]reporter{},
 		targets: map[schedule.Model]*candidates{}, waiters: map[uint64]*waiter{}, localLoad: map[schedule.Model]map[string]balance.Load{},
 		stalls: balance.NewStallDetector(), suspects: map[string]suspicion{}, running: map[string]map[*balance.Track]*reservation{},
 	}
@@ -129,7 +129,7 @@
 		},
 	}
 	p.mu.Lock()
-	// Checked under the mutex, so that no request begins to wait unnoticed while a part is put in quarantine.
+	// Checked under the mutex, so that no request begins to wait unnoticed while a part is quarantined.
 	if err := p.d.quarantineRejection(now, parts); err != nil {
 		p.mu.Unlock()
 		return nil, err
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -17,12 +17,12 @@
 type quarantineList struct {
 	mu  sync.Mutex
 	set *quarantine.Set
-	// convicted has an entry while the row of this daemon lacks a part that it has convicted.
-	convicted chan struct{}
+	// unsaved has an entry while the row of this daemon lacks a part that it has detected.
+	unsaved chan struct{}
 }
 
 func newQuarantineList() *quarantineList {
-	return &quarantineList{set: quarantine.NewSet(), convicted: make(chan struct{}, 1)}
+	return &quarantineList{set: quarantine.NewSet(), unsaved: make(chan struct{}, 1)}
 }
 
 // QuarantinedError reports a request whose prompt has a part that crashes backend servers.
@@ -94,11 +94,11 @@
 	d.dispatch.rejectQuarantined(now, added)
 }
 
-// observeOutcomes convicts the prompt parts that the reported outcomes blame for crashes.
+// observeOutcomes quarantines the prompt parts that crash backend servers according to the reported outcomes.
 func (p *dispatcher) observeOutcomes(now time.Time) {
 	for _, o := range p.server.TakeOutcomes() {
-		part, convicted := p.evidence.Observe(now, o, func(part uint64) (known, ended bool) { return p.d.quarantine.known(now, part) })
-		if !convicted {
+		part, detected := p.crashDetector.Observe(now, o, func(part uint64) (known, ended bool) { return p.d.quarantine.known(now, part) })
+		if !detected {
 			continue
 		}
 		added := p.d.quarantine.add(now, []quarantine.Part{{ID: part, Left: quarantine.Term}})
@@ -108,8 +108,8 @@
 		p.d.log.Warn("prompt part crashes backend servers; its requests are rejected", "part", strconv.FormatUint(part, 16), "group", o.Group, "term", quarantine.Term)
 		p.rejectQuarantined(now, added)
 		select {
-		case p.d.quarantine.convicted <- struct{}{}:
-		default: // the row has not been written since the last conviction
+		case p.d.quarantine.unsaved <- struct{}{}:
+		default: // the row will be written anyway
 		}
 	}
 }
@@ -155,14 +155,14 @@
 	s.d.client(s.model).RecordOutcome(quarantine.Outcome{Parts: s.parts, Group: s.key, Crashed: crashed}, s.began)
 }
 
-// publishConvictions writes the row of this daemon after each conviction, so that daemons that start later know of it even
-// when no other daemon has run meanwhile.
-func (f *storeSync) publishConvictions(ctx context.Context) {
+// saveQuarantine writes the row of this daemon when it has detected a part, so that daemons that start later know of it even
+// if no daemon has run meanwhile.
+func (f *storeSync) saveQuarantine(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-f.d.quarantine.convicted:
+		case <-f.d.quarantine.unsaved:
 		}
 		var retry storeBackoff
 		for ctx.Err() == nil {
--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -199,7 +199,7 @@
 )
 
 // TestQuarantineReachesAllDaemons guards against daemons, also those of other data centres, that still send requests with a
-// part which one daemon has convicted. The store is away, three digests in a hundred are lost, and daemons restart without
+// part that one daemon has quarantined. The store is away, three digests in a hundred are lost, and daemons restart without
 // memory meanwhile.
 func TestQuarantineReachesAllDaemons(t *testing.T) {
 	const within = 2 * time.Second // the shortest stable window of a deployment
@@ -218,7 +218,7 @@
 				}
 			}
 			f.run(within)
-			check("after the conviction")
+			check("after the detection")
 			for i, d := range f.daemons {
 				if i%2 == 0 {
 					d.quarantined, d.boot, d.seq = quarantine.NewSet(), d.boot+1, 0
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,19 +1,19 @@
-// Package quarantine decides which prompt parts crash backend servers, and keeps the requests with these parts from
-// reaching any more of them.
+// Package quarantine detects prompt parts that crash backend servers, and keeps requests with these parts from reaching
+// any more of them.
 //
-// The scheduler of a model receives the outcomes of all daemons and feeds them to Evidence, which convicts a part. Every
-// daemon keeps the convicted parts in a Set, tells them to the others in its digests, and rejects requests with them.
+// The scheduler of a model receives the outcomes of all daemons and feeds them to its Detector. Every daemon keeps the
+// detected parts in a Set, tells them to the others in its digests, and rejects requests with them.
 //
-// # Which part is to blame
+// # Which part caused a crash
 //
 // A crash also cuts off sound requests at the same server, and the request that caused it has sound parts as well. The
-// parts differ in what happens elsewhere: a sound part is answered soon, a part that crashes servers never is. For
-// example, of the requests [A D 1], [B 2] and [A 3] at a server that D crashes, D and A are suspected at first. When
-// [A 4] is answered, A is cleared, while the next crashes count for D alone.
+// parts differ in what happens elsewhere: requests with a sound part are answered soon, those with a part that crashes
+// servers never are. For example, of the requests [A D 1], [B 2] and [A 3] at a server that D crashes, A, B and D are
+// suspected at first. When [A 4] is answered, A no longer is, while the next crashes count for D alone. The last part of
+// a prompt belongs to one request, so it is not considered.
 //
-// When many servers are lost at once, for example with a data centre, each of the requests sent before counts as one
-// crash together with the others, because a conviction requires a crash of a request that was placed after an earlier
-// crash had become known.
+// Many servers may be lost at once, for example with a data centre. So a part is not quarantined before a request has
+// crashed its server that was placed after an earlier crash was known.
 package quarantine
 
 import (
@@ -27,7 +27,7 @@
 )
 
 const (
-	// minCrashes is the number of different groups whose crash convicts a part. While many requests are cut off by crashes,
+	// minCrashes is the number of crashed groups after which a part is quarantined. While many requests are cut off by crashes,
 	// a sound part may be in all of its last few requests by chance; then up to maxCrashes are required, so that the chance
 	// stays below maxCoincidence.
 	minCrashes     = 3
@@ -58,8 +58,8 @@
 	Crashed bool
 }
 
-// Evidence collects the outcomes of the requests of a fleet. It is not safe for concurrent use.
-type Evidence struct {
+// Detector finds the parts that crash backend servers from the outcomes of requests. It is not safe for concurrent use.
+type Detector struct {
 	suspects *simplelru.LRU[uint64, *suspect]
 	// answered holds when a request with a part was last answered.
 	answered *simplelru.LRU[uint64, time.Time]
@@ -76,66 +76,66 @@
 	repeated bool
 }
 
-// NewEvidence returns an Evidence without outcomes.
-func NewEvidence() *Evidence {
+// NewDetector returns a Detector without outcomes.
+func NewDetector() *Detector {
 	suspects, _ := simplelru.NewLRU[uint64, *suspect](maxSuspects, nil) // fails only for a size below one
 	answered, _ := simplelru.NewLRU[uint64, time.Time](maxAnswered, nil)
-	return &Evidence{suspects: suspects, answered: answered, answers: priorAnswers}
+	return &Detector{suspects: suspects, answered: answered, answers: priorAnswers}
 }
 
-// Observe records an outcome. It returns the part that the outcome convicts, if any. quarantined reports whether a part has
-// been convicted before, and whether its quarantine has ended: then a single crash convicts it again.
-func (e *Evidence) Observe(now time.Time, o Outcome, quarantined func(part uint64) (known, ended bool)) (part uint64, convicted bool) {
-	decay := math.Exp2(-max(now.Sub(e.countedAt), 0).Seconds() / rateHalfLife.Seconds())
-	if e.countedAt.IsZero() {
+// Observe records an outcome. It returns the part that has to be quarantined because of it, if there is one. quarantined
+// reports whether a part is known from an earlier quarantine, and whether that has ended: then a single crash suffices.
+func (d *Detector) Observe(now time.Time, o Outcome, quarantined func(part uint64) (known, ended bool)) (part uint64, detected bool) {
+	decay := math.Exp2(-max(now.Sub(d.countedAt), 0).Seconds() / rateHalfLife.Seconds())
+	if d.countedAt.IsZero() {
 		decay = 1
 	}
-	e.crashes, e.answers, e.countedAt = e.crashes*decay, max(e.answers*decay, priorAnswers), now
+	d.crashes, d.answers, d.countedAt = d.crashes*decay, max(d.answers*decay, priorAnswers), now
 	if !o.Crashed {
-		e.answers++
+		d.answers++
 		for _, p := range o.Parts {
-			e.answered.Add(p, now)
-			e.suspects.Remove(p)
+			d.answered.Add(p, now)
+			d.suspects.Remove(p)
 		}
 		return 0, false
 	}
 	for _, p := range o.Parts {
 		if known, ended := quarantined(p); known {
-			// The request was placed before the part was convicted, or after its quarantine had ended. The other parts
-			// are not to blame.
+			// The request was placed before the part was quarantined, or after that had ended. The other parts did not
+			// cause the crash.
 			return p, ended
 		}
 	}
-	e.crashes++
+	d.crashes++
 	placed := now.Add(-o.Took)
 	most := 0
-	// A tie is decided for the most specific part, which the fewest sound requests share. If a more common one is to
-	// blame, the next crash of another request with it convicts that one.
+	// Of parts with equally many crashes, the most specific one is taken, which the fewest sound requests share. If a more
+	// common one is the cause, the next crash of another request with it shows that.
 	for _, p := range o.Parts {
-		if answered, ok := e.answered.Get(p); ok && placed.Before(answered) {
+		if answered, ok := d.answered.Get(p); ok && placed.Before(answered) {
 			continue
 		}
-		s, _ := e.suspects.Get(p)
+		s, _ := d.suspects.Get(p)
 		if s == nil {
 			s = &suspect{groups: map[string]time.Time{}}
-			e.suspects.Add(p, s)
+			d.suspects.Add(p, s)
 		}
 		s.record(now, placed, o.Group)
-		if n := len(s.groups); s.repeated && n >= e.requiredCrashes(n) && n >= most {
-			part, convicted, most = p, true, n
+		if n := len(s.groups); s.repeated && n >= d.requiredCrashes(n) && n >= most {
+			part, detected, most = p, true, n
 		}
 	}
-	if convicted {
-		e.suspects.Remove(part)
+	if detected {
+		d.suspects.Remove(part)
 	}
-	return part, convicted
+	return part, detected
 }
 
-// requiredCrashes returns the number of crashes that convict a part with n crashes. The rate of crashes of other requests
+// requiredCrashes returns the number of crashes after which a part with n of them is quarantined. The rate of crashes of other requests
 // tells how likely it is that a sound part was in n of them.
-func (e *Evidence) requiredCrashes(n int) int {
-	others := max(e.crashes-float64(n), 0)
-	rate := others / (others + e.answers)
+func (d *Detector) requiredCrashes(n int) int {
+	others := max(d.crashes-float64(n), 0)
+	rate := others / (others + d.answers)
 	required := minCrashes
 	for required < maxCrashes && math.Pow(rate, float64(required)) > maxCoincidence {
 		required++
@@ -157,14 +157,14 @@
 }
 
 const (
-	// Term is how long a part stays in quarantine after its conviction.
+	// Term is how long a part stays in quarantine.
 	Term = 10 * time.Minute
 	// maxExtension is the largest fraction added to the term by each daemon for itself, so that after the term only one
 	// daemon tries the part again. The others learn of another crash before their own term ends.
 	maxExtension = 0.5
-	// maxParts bounds the parts in a Set. Those convicted first are dropped first.
+	// maxParts bounds the parts in a Set. Those whose term ends first are dropped first.
 	maxParts = 1024
-	// maxAdvertised bounds the parts in one digest, the latest convictions first. Daemons read all others from the store.
+	// maxAdvertised bounds the parts in one digest, the latest first. Daemons read all others from the store.
 	maxAdvertised = 64
 )
 
@@ -184,7 +184,7 @@
 // term is the quarantine of one part.
 type term struct {
 	// until is when the term ends for the fleet, and end is when it ends for this daemon, which is not before until. The
-	// entry is kept for another term, in which a single crash convicts the part again.
+	// entry is kept for another term, in which a single crash starts a new quarantine.
 	until, end time.Time
 }
 
@@ -236,7 +236,7 @@
 	return 0, 0, false
 }
 
-// Known reports whether a part has been convicted, and whether its quarantine has ended since.
+// Known reports whether a part is or lately was in quarantine, and whether that has ended.
 func (s *Set) Known(now time.Time, id uint64) (known, ended bool) {
 	t, known := s.parts[id]
 	return known, known && !now.Before(t.end)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -17,52 +17,52 @@
 	deadly
 )
 
-// trial feeds outcomes to an Evidence at a moving clock.
+// trial feeds outcomes to an Detector at a moving clock.
 type trial struct {
-	*Evidence
+	*Detector
 	set *Set
 	now time.Time
 }
 
-func newTrial() *trial { return &trial{NewEvidence(), NewSet(), noon} }
+func newTrial() *trial { return &trial{NewDetector(), NewSet(), noon} }
 
-// observe records an outcome of a request that took 300 ms and returns the convicted part, or zero.
+// observe records an outcome of a request that took 300 ms and returns the detected part, or zero.
 func (e *trial) observe(crashed bool, group string, parts ...uint64) uint64 {
 	return e.observeTook(300*time.Millisecond, crashed, group, parts...)
 }
 
 func (e *trial) observeTook(took time.Duration, crashed bool, group string, parts ...uint64) uint64 {
-	part, convicted := e.Observe(e.now, Outcome{Parts: parts, Group: group, Took: took, Crashed: crashed}, func(p uint64) (bool, bool) { return e.set.Known(e.now, p) })
-	if !convicted {
+	part, detected := e.Observe(e.now, Outcome{Parts: parts, Group: group, Took: took, Crashed: crashed}, func(p uint64) (bool, bool) { return e.set.Known(e.now, p) })
+	if !detected {
 		return 0
 	}
 	e.set.Add(e.now, Part{ID: part, Left: Term}, func() float64 { return 0 })
 	return part
 }
 
-// TestConviction guards against blaming a part that sound requests share, and against blaming none: the part is convicted at
+// TestDetection guards against quarantining a part that sound requests share, and against finding none: the part is found at
 // the third crash.
-func TestConviction(t *testing.T) {
+func TestDetection(t *testing.T) {
 	e := newTrial()
 	for i, group := range []string{"a", "b", "c"} {
 		e.now = e.now.Add(time.Second)
 		e.observe(true, group, uint64(100+i)) // a sound request that was cut off by the same crash
 		got := e.observe(true, group, common, subject, deadly)
 		if want := map[bool]uint64{true: deadly}[i == 2]; got != want {
-			t.Fatalf("crash %d convicts part %d, want %d", i+1, got, want)
+			t.Fatalf("crash %d detects part %d, want %d", i+1, got, want)
 		}
 		e.now = e.now.Add(100 * time.Millisecond)
 		e.observe(false, "d", common, other)
 	}
 	if got := e.observe(true, "e", subject, deadly); got != 0 {
-		t.Errorf("a request that was placed before the conviction convicts part %d", got)
+		t.Errorf("a request that was placed before the detection detects part %d", got)
 	}
 }
 
-// TestFirstPartIsDeadly guards against blaming only the parts that follow the deadly one.
+// TestFirstPartIsDeadly guards against quarantining only the parts that follow the deadly one.
 func TestFirstPartIsDeadly(t *testing.T) {
 	e := newTrial()
-	var convicted []uint64
+	var found []uint64
 	for i := range 6 {
 		e.now = e.now.Add(time.Second)
 		parts := []uint64{deadly, subject}
@@ -70,22 +70,22 @@
 			parts[1] = other
 		}
 		if id, _, ok := e.set.Match(e.now, parts); ok {
-			convicted = append(convicted, id)
+			found = append(found, id)
 			continue
 		}
 		e.observe(true, string(rune('a'+i)), parts...)
 	}
-	if !slices.Contains(convicted, deadly) {
-		t.Errorf("convicted %v, want part %d among them", convicted, deadly)
+	if !slices.Contains(found, deadly) {
+		t.Errorf("quarantined %v, want part %d among them", found, deadly)
 	}
 }
 
-// TestLossOfManyServers guards against blaming a popular part when many servers are lost at the same time.
+// TestLossOfManyServers guards against quarantining a popular part when many servers are lost at the same time.
 func TestLossOfManyServers(t *testing.T) {
 	e := newTrial()
 	for i := range 20 {
 		if got := e.observe(true, string(rune('a'+i)), common, subject); got != 0 {
-			t.Fatalf("loss %d of the same moment convicts part %d", i+1, got)
+			t.Fatalf("loss %d of the same moment detects part %d", i+1, got)
 		}
 		e.now = e.now.Add(10 * time.Millisecond)
 	}
@@ -94,13 +94,13 @@
 		e.now = e.now.Add(time.Second)
 		e.observe(false, "z", common, subject)
 		if got := e.observe(true, string(rune('A'+i)), common, subject); got != 0 {
-			t.Fatalf("crash %d convicts part %d, which is answered elsewhere", i+1, got)
+			t.Fatalf("crash %d detects part %d, which is answered elsewhere", i+1, got)
 		}
 	}
 }
 
-// TestSoundRequestsUnderRandomCrashes guards against blaming a sound part for servers that crash at random, beside requests
-// with a deadly part that has to be convicted within a second of its fifth crash.
+// TestSoundRequestsUnderRandomCrashes guards against quarantining a sound part for servers that crash at random, beside requests
+// with a deadly part that has to be found within a second of its fifth crash.
 func TestSoundRequestsUnderRandomCrashes(t *testing.T) {
 	for seed := range uint64(200) {
 		r := rand.New(rand.NewPCG(seed, 1))
@@ -118,28 +118,28 @@
 					continue
 				}
 				if !fifth.IsZero() && e.now.Sub(fifth) > time.Second {
-					t.Fatalf("seed %d: not convicted %v after the fifth crash", seed, e.now.Sub(fifth))
+					t.Fatalf("seed %d: not quarantined %v after the fifth crash", seed, e.now.Sub(fifth))
 				}
 				if crashes++; crashes == 5 {
 					fifth = e.now
 				}
 				group += fmt.Sprint(i)
 				if got := e.observeTook(took, true, group, parts...); got != 0 && got != deadly {
-					t.Fatalf("seed %d: part %d convicted", seed, got)
+					t.Fatalf("seed %d: part %d quarantined", seed, got)
 				}
 				continue
 			}
 			if got := e.observeTook(took, r.IntN(200) == 0, group, parts...); got != 0 {
-				t.Fatalf("seed %d: sound part %d convicted", seed, got)
+				t.Fatalf("seed %d: sound part %d quarantined", seed, got)
 			}
 		}
 		if known, _ := e.set.Known(e.now, deadly); !known {
-			t.Errorf("seed %d: not convicted after %d crashes", seed, crashes)
+			t.Errorf("seed %d: not quarantined after %d crashes", seed, crashes)
 		}
 	}
 }
 
-// TestManyCrashes guards against blaming a part after few crashes while one request in eight is cut off by some crash.
+// TestManyCrashes guards against quarantining a part after few crashes while one request in eight is cut off by some crash.
 func TestManyCrashes(t *testing.T) {
 	e := newTrial()
 	for i := range uint64(400) {
@@ -149,7 +149,7 @@
 	for i, group := range []string{"A", "B", "C", "D"} {
 		e.now = e.now.Add(400 * time.Millisecond)
 		if got := e.observe(true, group, deadly); (got == deadly) != (i == 3) {
-			t.Errorf("crash %d convicts part %d", i+1, got)
+			t.Errorf("crash %d detects part %d", i+1, got)
 		}
 	}
 }
@@ -176,7 +176,7 @@
 		t.Error("a part is told after its term")
 	}
 	if got := e.observe(true, "a", common, deadly); got != deadly {
-		t.Errorf("one crash after the term convicts part %d, want %d", got, deadly)
+		t.Errorf("one crash after the term detects part %d, want %d", got, deadly)
 	}
 	b.Add(e.now, a.Advertised(e.now)[0], func() float64 { return 0 })
 	if _, left, ok := b.Match(e.now, []uint64{deadly}); !ok || left < Term-time.Minute {
@@ -190,7 +190,7 @@
 
 // TestBounds guards against memory that grows with the parts that callers send.
 func TestBounds(t *testing.T) {
-	e, s := NewEvidence(), NewSet()
+	e, s := NewDetector(), NewSet()
 	zero := func() float64 { return 0 }
 	for i := range uint64(3 * maxAnswered) {
 		now := noon.Add(time.Duration(i) * time.Millisecond)
