--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -50,8 +50,8 @@
 	// maxStrayBody bounds the body of a stray response that is read in order to keep the connection.
 	maxStrayBody = 64 << 10
 	readBuffer   = 4 << 10
-	// maxRefusals is the number of refusals after which a connection is closed.
-	maxRefusals = 8
+	// maxRejections is the number of rejected requests after which a connection is closed.
+	maxRejections = 8
 	// refusalTimeout bounds the wait for the refusal of a connection: a few round trips between regions.
 	refusalTimeout = 150 * time.Millisecond
 )
@@ -177,9 +177,9 @@
 	expires  time.Time
 	// kept is set once the connection has carried a request.
 	kept bool
-	// refused holds the ids of the requests that were refused on this connection, at most maxRefusals. A faulty backend
-	// server may write a refusal again, so no request is sent twice on a connection that refused it.
-	refused []string
+	// rejected holds the ids of the requests that were rejected on this connection, at most maxRejections. A faulty backend
+	// server may write a rejection again, so no request is sent twice on a connection on which it was rejected.
+	rejected []string
 }
 
 // Pool is a pool of connections to backend servers. It is safe for concurrent use.
@@ -261,7 +261,7 @@
 		p.mu.Lock()
 		list := p.idle[addr]
 		i := len(list) - 1
-		for i >= 0 && slices.Contains(list[i].refused, req.ID) {
+		for i >= 0 && slices.Contains(list[i].rejected, req.ID) {
 			i--
 		}
 		if i < 0 || req.ID == "" {
@@ -296,9 +296,8 @@
 	return &conn{net: limiter.net, limit: limiter, br: bufio.NewReaderSize(limiter, readBuffer), addr: addr}, nil
 }
 
-// Refused reports whether nothing listens on an address: a process that has ended, in contrast to one that closed a
-// connection.
-func (p *Pool) Refused(ctx context.Context, addr netip.AddrPort) bool {
+// RefusesConnections reports whether nothing listens on an address any more, as its process has ended.
+func (p *Pool) RefusesConnections(ctx context.Context, addr netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
 	defer cancel()
 	c, err := p.dialer.DialContext(ctx, "tcp", addr.String())
@@ -352,8 +351,8 @@
 		}
 		c.limit.left = -1
 		if a.NotExecuted {
-			c.refused = append(c.refused, req.ID)
-			reusable = reusable && len(c.refused) < maxRefusals
+			c.rejected = append(c.rejected, req.ID)
+			reusable = reusable && len(c.rejected) < maxRejections
 		}
 		out := &Response{
 			ResponseInfo: a, Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -108,9 +108,9 @@
 	}
 }
 
-// TestRepeatedRefusal guards against taking a refusal that a backend server writes once more for the answer to a later
+// TestRepeatedRejection guards against taking a rejection that a backend server writes once more for the answer to a later
 // request on the connection: the server is running that one.
-func TestRepeatedRefusal(t *testing.T) {
+func TestRepeatedRejection(t *testing.T) {
 	refusal := func(id string) string {
 		if id != "" {
 			id = "X-Flamingorudder-Request-Id: " + id + "\r\n"
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -154,7 +154,7 @@
 
 // hasEnded reports whether the process of a backend server has ended, as a new connection to it is refused.
 func (d *Daemon) hasEnded(ctx context.Context, s *roster.Server) bool {
-	ended, _, _ := d.probes.Do(s.ID, func() (any, error) { return d.pool.Refused(context.WithoutCancel(ctx), s.Addr), nil })
+	ended, _, _ := d.probes.Do(s.ID, func() (any, error) { return d.pool.RefusesConnections(context.WithoutCancel(ctx), s.Addr), nil })
 	return ended.(bool)
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -131,8 +131,8 @@
 	return part, detected
 }
 
-// requiredCrashes returns the number of crashes after which a part with n of them is quarantined. The rate of crashes of other requests
-// tells how likely it is that a sound part was in n of them.
+// requiredCrashes returns the number of crashes after which a part with n of them is quarantined. The rate of crashes of
+// other requests tells how likely it is that a sound part was in n of them.
 func (d *Detector) requiredCrashes(n int) int {
 	others := max(d.crashes-float64(n), 0)
 	rate := others / (others + d.answers)
