--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -37,7 +37,7 @@
 }
 
 const (
-	// limitBurst is how much of a limit may be used at once, as the time for which the limit allows it.
+	// limitBurst is the depth of a bucket: the requests that the limit allows in this time may be sent at once.
 	limitBurst = time.Second
 	// minLimit is the rate in requests a second at which a server is tried that takes fewer. Only its answers tell that
 	// the limit has ended.
@@ -78,8 +78,9 @@
 // NewLimits returns an empty set.
 func NewLimits() *Limits { return &Limits{servers: map[string]*limit{}} }
 
-// Observe records what an answer says; direct tells that this daemon got the answer itself. random returns numbers in
-// [0, 1): daemons that use a share each begin with a random part of a request, so that they do not send all at once.
+// Observe records what an answer says and returns what that changes. direct is set if this daemon got the answer itself.
+// random returns numbers in [0, 1): daemons that use a share each begin with a random part of a request, so that they do
+// not all send at once.
 func (l *Limits) Observe(now time.Time, n LimitNotice, direct bool, random func() float64) LimitChange {
 	l.mu.Lock()
 	defer l.mu.Unlock()
