--- a/internal/control/story_test.go
+++ b/internal/control/story_test.go
@@ -245,7 +245,7 @@
 
 // Guards against groups that stop while the table service is unavailable for 10 minutes, against a loss that is not
 // detected meanwhile, and against one that is not repaired once the service is back.
-func TestTableDown(t *testing.T) {
+func TestGroupLossWhileTableDown(t *testing.T) {
 	t.Parallel()
 	s := smallFleet
 	s.period = 5 * time.Second
