Log why a daemon ends an attempt at a group itself

The attempts of the log line "request" said "use of closed network connection" whenever this daemon had closed the connection, so a group without progress, a caller that left and a passed deadline looked the same. They name the reason now, and config_now tells that another version of the configuration was in force when the request ended.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -207,7 +207,11 @@
 	if reason == outcomeServed && !x.sample() {
 		return
 	}
-	x.log("request", "status", status, "outcome", reason, "first", first, "pause", x.maxGap)
+	args := []any{"status", status, "outcome", reason, "first", first, "pause", x.maxGap}
+	if c := x.d.config.Load(); c != nil && x.config != nil && c != x.config {
+		args = append(args, "config_now", c.Version)
+	}
+	x.log("request", args...)
 }
 
 // outcomeServed is the outcome of a request whose response was forwarded completely.
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -225,8 +225,9 @@
 	a, err := x.d.pool.Do(ctx, head, x.buildRequest(head, priority(x.rank), resume), x.d.connectionLimit(svc))
 	ran := x.recordAttempt(head, reserved.key, err, a)
 	if err != nil {
-		if reserved.ctx.Err() != nil {
-			return context.Cause(reserved.ctx)
+		if cause := x.endCause(ctx, reserved, err); !errors.Is(cause, err) {
+			x.attemptLog[len(x.attemptLog)-1] += ", " + cause.Error()
+			err = cause
 		}
 		return err
 	}
@@ -257,16 +258,31 @@
 	if s.headerSent && a.Header.Get("Content-Type") != s.contentType {
 		return &UnusableError{head.ID, a.Status}
 	}
-	err = s.forward(a, reserved)
-	if err != nil && reserved.ctx.Err() != nil {
-		err = context.Cause(reserved.ctx)
-	}
-	if err != nil {
+	if err = s.forward(a, reserved); err != nil {
+		err = x.endCause(ctx, reserved, err)
 		x.attemptLog[len(x.attemptLog)-1] += ", after event " + s.lastEvent + ": " + err.Error()
 	}
 	return err
 }
 
+// AbandonedError reports an attempt that was ended because its caller left or its deadline passed.
+type AbandonedError struct{ Reason string }
+
+func (e *AbandonedError) Error() string { return "abandoned: " + e.Reason }
+
+// endCause returns why an attempt ended: the reason of this daemon if it has closed the connection itself, else err.
+func (x *exchange) endCause(ctx context.Context, reserved *reservation, err error) error {
+	switch {
+	case reserved.ctx.Err() != nil:
+		return context.Cause(reserved.ctx)
+	case x.r.Context().Err() != nil:
+		return &AbandonedError{"the caller left"}
+	case ctx.Err() != nil:
+		return &AbandonedError{"the deadline passed"}
+	}
+	return err
+}
+
 // priority converts a rank to the priority that is sent to a model runner.
 func priority(rank int) int { return min(max(rank, 0), priorityLevels-1) }
 
