Wait for a silent group until another one answers

Callers saw streams cut in the middle, or 502, although the group that worked on them was sound: it had been silent for a moment and went on.

Cause: silence was taken for death. The request then ended if its stream may not be sent again, if no other group took it, if the other group rejected it, or if that one was silent too and the attempts were used up.

Silence is now a reason to prepare. The group gets no new requests and the holder of the lease asks its members, as before; a stream that may be resumed gets one standby attempt at another group, and the first of the two that sends an event goes on; the other one is closed. A stream that may not be sent again waits. So an attempt ends only with its connection, with the deadline, or when another one has answered. The standby counts against the attempts and the retry budget like any other, and goes on after the last forwarded event, so ids stay without gap or repeat. Which attempts the daemon ended itself is in the log, as "makes no progress" or "superseded", and in failed_attempts.

TestStreamLostWhileGroupSilent failed before in all seven cases (4 streams cut off, 502 twice, 504 once); TestStreamHeldAtSilentGroup holds before and after.

--- a/internal/balance/stall.go
+++ b/internal/balance/stall.go
@@ -88,7 +88,7 @@
 		return false
 	}
 	p.lastProgress, p.stalled = now, false
-	t.lastProgress = now
+	t.lastProgress, t.stalled = now, false
 	if t.started {
 		return false
 	}
@@ -97,6 +97,12 @@
 	return true
 }
 
+// Stalled reports whether a group with requests has made no progress since it was found stalled.
+func (s *StallDetector) Stalled(group string) bool {
+	p := s.groups[group]
+	return p != nil && p.stalled
+}
+
 // Started reports whether the request has had its first event.
 func (t *Track) Started() bool { return t.started }
 
--- a/internal/balance/stall_test.go
+++ b/internal/balance/stall_test.go
@@ -68,3 +68,39 @@
 		t.Errorf("%d requests stalled, want only the silent one", len(stalled))
 	}
 }
+
+// TestSecondStall guards against a group, or a request, that went on after a silence not being noticed when it falls silent again,
+// and against a group counting as stalled once it goes on.
+func TestSecondStall(t *testing.T) {
+	limit := testPlan().StallTimeout()
+	now := time.Now()
+	s := NewStallDetector()
+	works, silent := s.Begin(now, "g", limit), s.Begin(now, "g", limit)
+	for round := range 2 {
+		s.Progress(now, works)
+		s.Progress(now, silent)
+		if s.Stalled("g") {
+			t.Fatalf("round %d: the group counts as stalled while it works", round)
+		}
+		requests := 0
+		for end := now.Add((requestStallFactor + 1) * limit); now.Before(end); {
+			now = now.Add(25 * time.Millisecond)
+			s.Progress(now, works)
+			_, stalled := s.Tick(now)
+			requests += len(stalled)
+		}
+		if requests != 1 {
+			t.Errorf("round %d: %d requests stalled, want 1", round, requests)
+		}
+		s.Progress(now, silent)
+		groups := 0
+		for end := now.Add(2 * limit); now.Before(end); {
+			now = now.Add(25 * time.Millisecond)
+			stalled, _ := s.Tick(now)
+			groups += len(stalled)
+		}
+		if groups != 1 || !s.Stalled("g") {
+			t.Errorf("round %d: %d groups stalled, want 1", round, groups)
+		}
+	}
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"flamingorudder.example/internal/balance"
@@ -20,8 +21,12 @@
 // scheduled. Requests are also scheduled when something changes.
 const dispatchPeriod = 25 * time.Millisecond
 
-// suspectFor is how long a group that stalled gets no new requests.
-const suspectFor = 3 * time.Second
+const (
+	// suspectFor is how long a group that stalled gets no new requests.
+	suspectFor = 3 * time.Second
+	// suspectWhileSilent is how long a group that is still silent after that gets none from now.
+	suspectWhileSilent = 500 * time.Millisecond
+)
 
 // rejectedFor is how long a group that rejected a request gets no others. By then the entries in the store show the reason.
 const rejectedFor = 500 * time.Millisecond
@@ -87,12 +92,15 @@
 	head  *roster.Server
 	// parts identifies the shared parts of the prompt.
 	parts []uint64
-	// ctx is cancelled when the group, or this request alone, is found to have stalled, or when a part of the prompt is
-	// put in quarantine. Its cause is the error of the attempt.
+	// ctx is cancelled when a part of the prompt is put in quarantine. Its cause is the error of the attempt.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	prompt int
-	began  time.Time
+	// silent is set while the group, or this request alone, makes no progress. onSilence is called then, with the mutex of
+	// the dispatcher held.
+	silent    atomic.Bool
+	onSilence func()
+	prompt    int
+	began     time.Time
 	// place is the decision of the scheduler.
 	place schedule.Placement
 	track *balance.Track
@@ -228,9 +236,14 @@
 		for _, key := range stalledGroups {
 			p.suspect(now, key)
 		}
+		for key := range p.running {
+			if s := p.suspects[key]; s.until.Before(now.Add(suspectWhileSilent)) && p.stalls.Stalled(key) {
+				p.suspects[key] = suspicion{until: now.Add(suspectWhileSilent), local: true}
+			}
+		}
 		for _, t := range stalledRequests {
 			if s := p.running[t.Group()][t]; s != nil {
-				s.cancel(&StalledError{s.key}) // only the connection of this request stalled, not the group
+				s.fallSilent() // only the connection of this request stalled, not the group
 			}
 		}
 		p.tick(now)
@@ -242,11 +255,14 @@
 	}
 }
 
-// suspect excludes a stalled group temporarily and cancels its requests, which may continue at other groups.
+// suspect excludes a stalled group temporarily. Its requests wait on, as the group may be sound, and prepare to continue at
+// other groups.
 func (p *dispatcher) suspect(now time.Time, key string) {
-	p.suspects[key] = suspicion{until: now.Add(suspectFor), local: true}
+	if s := p.suspects[key]; !s.local || s.closed || now.After(s.until) {
+		p.suspects[key] = suspicion{until: now.Add(suspectFor), local: true}
+	}
 	for _, s := range p.running[key] {
-		s.cancel(&StalledError{key})
+		s.fallSilent()
 	}
 	for k, s := range p.suspects {
 		if now.After(s.until) {
@@ -346,10 +362,25 @@
 	return pressure, urgent
 }
 
+// watch has f called whenever the group, or this request alone, is found to make no progress. f must not block.
+func (s *reservation) watch(f func()) {
+	s.d.mu.Lock()
+	defer s.d.mu.Unlock()
+	s.onSilence = f
+}
+
+func (s *reservation) fallSilent() {
+	s.silent.Store(true)
+	if s.onSilence != nil {
+		s.onSilence()
+	}
+}
+
 // progress records that an event of the response arrived.
 func (s *reservation) progress() {
 	now := time.Now()
 	p := s.d
+	s.silent.Store(false)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s.ended {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -143,7 +143,7 @@
 			last = err
 			break
 		}
-		if !x.allowAttempt() {
+		if !x.allowAttempt(0) {
 			break
 		}
 		if !x.d.pauses.Admit(now, server.ID) {
@@ -237,7 +237,11 @@
 	x.d.plainServers.begin(server.ID)
 	sent := time.Now()
 	a, err := x.d.pool.Do(tryCtx, server, x.buildRequest(server, -1, ""), limit)
-	ran := x.recordAttempt(server, "", err, a)
+	notices, ran := "", true
+	if err == nil {
+		notices, ran = x.d.handleNotices(server, a), !a.NotExecuted
+	}
+	x.recordAttempt(server, "", err, a, notices)
 	if err != nil {
 		cancel()
 		x.d.plainServers.end(server.ID, x.r.Context().Err() == nil, false, time.Now())
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -270,12 +270,14 @@
 	}
 }
 
-// allowAttempt reports whether the request may be sent to one more backend server. A retry is charged to the retry budget.
-func (x *exchange) allowAttempt() bool {
-	if x.attempts == 0 {
+// allowAttempt reports whether the request may be sent to one more backend server, beside the given number of attempts that
+// are under way. A retry is charged to the retry budget.
+func (x *exchange) allowAttempt(underWay int) bool {
+	attempts := x.attempts + underWay
+	if attempts == 0 {
 		return true
 	}
-	if x.mayHaveRun && !x.route.Repeatable() || x.attempts >= x.route.MaxAttempts {
+	if (x.mayHaveRun || underWay > 0) && !x.route.Repeatable() || attempts >= x.route.MaxAttempts {
 		return false
 	}
 	now := time.Now()
@@ -283,8 +285,8 @@
 }
 
 // recordAttempt records the result of an attempt at a backend server. group is the key of its model group, empty for a
-// plain service. It reports whether the request may have run there.
-func (x *exchange) recordAttempt(s *roster.Server, group string, err error, a *backend.Response) (ran bool) {
+// plain service; notices describes what its response announces.
+func (x *exchange) recordAttempt(s *roster.Server, group string, err error, a *backend.Response, notices string) {
 	server := s.ID
 	if group != "" {
 		server += " " + group
@@ -293,23 +295,19 @@
 	switch {
 	case errors.As(err, &notSent):
 		x.attemptLog = append(x.attemptLog, server+": not sent")
-		return false
+		return
 	case err != nil:
 		x.attempts++
 		x.mayHaveRun = true
 		x.attemptLog = append(x.attemptLog, server+": "+err.Error())
-		return true
+		return
 	}
 	x.attempts++
-	x.attemptLog = append(x.attemptLog, fmt.Sprintf("%s: %d", server, a.Status)+x.d.handleNotices(s, a))
+	x.attemptLog = append(x.attemptLog, fmt.Sprintf("%s: %d", server, a.Status)+notices)
 	if a.Limited {
 		x.d.metrics.RecordLimitedAttempt(x.service)
 	}
-	if a.NotExecuted {
-		return false
-	}
-	x.mayHaveRun = true
-	return true
+	x.mayHaveRun = x.mayHaveRun || !a.NotExecuted
 }
 
 // handleNotices processes the headers by which a backend server announces that it is leaving or asks callers to pause. It
--- /dev/null
+++ b/internal/entry/silent_test.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"flamingorudder.example/internal/fakeplatform"
+	"flamingorudder.example/internal/timer"
+)
+
+// silence is how long the backend servers of these tests are silent: many times as long as a group may take for a pass.
+const silence = 900 * time.Millisecond
+
+// onceRoute is the route of a stream that may not be sent again.
+const onceRoute = `,{"name":"once","host":"a.example","prefix":"/once/","kind":"streaming","timeoutMs":4000,"targetLatencyMs":500,"service":"llm","maxAttempts":2}`
+
+// streamer is a backend server that sends four events, goes on after Last-Event-Id, and falls silent before one of them.
+type streamer struct {
+	// silentBefore is the event before which it falls silent for pause, 0 for none.
+	silentBefore int
+	pause        time.Duration
+	// rejects is set if it rejects all requests.
+	rejects bool
+	// arrived counts the requests, left those whose connection was closed before the end of the response.
+	arrived, left atomic.Int32
+}
+
+func (s *streamer) serve(t *testing.T) func(c net.Conn, r *http.Request) {
+	return func(c net.Conn, r *http.Request) {
+		s.arrived.Add(1)
+		if s.rejects {
+			writeAnswer(c, r, http.StatusServiceUnavailable, "", "X-Flamingorudder-Not-Executed: 1\r\n")
+			return
+		}
+		from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for n := from + 1; n <= 4; n++ {
+			if n == s.silentBefore {
+				_ = timer.Wait(t.Context(), s.pause)
+				if closed(c) {
+					s.left.Add(1)
+					return
+				}
+			}
+			out := event(n)
+			if n == from+1 {
+				out = "HTTP/1.1 200 OK\r\nX-Flamingorudder-Response-Signature: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n" + out
+			}
+			if _, err := io.WriteString(c, out); err != nil {
+				return
+			}
+		}
+		_ = c.Close()
+	}
+}
+
+// closed reports whether the other side has closed a connection.
+func closed(c net.Conn) bool {
+	_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.Read(make([]byte, 1))
+	_ = c.SetReadDeadline(time.Time{})
+	return err == io.EOF //nolint:errorlint // as documented
+}
+
+// TestStreamLostWhileGroupSilent guards against a stream being cut off, or run again where it must not, while its group is silent
+// for a moment and goes on: beside no other group, one that rejects the request, and one that is as silent.
+func TestStreamLostWhileGroupSilent(t *testing.T) {
+	for name, test := range map[string]struct {
+		path          string
+		first, second *streamer
+	}{
+		"once, before the first event":  {"/once/", &streamer{silentBefore: 1, pause: silence}, &streamer{}},
+		"once, inside the stream":       {"/once/", &streamer{silentBefore: 3, pause: silence}, &streamer{}},
+		"no other group, first event":   {"/stream/", &streamer{silentBefore: 1, pause: silence}, nil},
+		"no other group":                {"/stream/", &streamer{silentBefore: 3, pause: silence}, nil},
+		"the other group rejects":       {"/stream/", &streamer{silentBefore: 3, pause: silence}, &streamer{rejects: true}},
+		"the other group is silent too": {"/stream/", &streamer{silentBefore: 3, pause: silence}, &streamer{silentBefore: 3, pause: 2 * silence}},
+		"both are silent at the start":  {"/stream/", &streamer{silentBefore: 1, pause: silence}, &streamer{silentBefore: 1, pause: 2 * silence}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, onceRoute)))
+			u := startDaemon(t, store, "a")
+			u.putServer("i-1", "llm", backendServer(t, test.first.serve(t)), fmt.Sprintf(openGroup, 1))
+			u.waitReady()
+			got := make(chan reply, 1)
+			go func() {
+				got <- u.do(http.MethodPost, test.path, "k1", "x", "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20")
+			}()
+			eventually(t, "the request is at the first group", func() bool { return test.first.arrived.Load() == 1 })
+			if test.second != nil {
+				u.putServer("i-2", "llm", backendServer(t, test.second.serve(t)), fmt.Sprintf(openGroup, 2))
+			}
+			if r, want := <-got, event(1)+event(2)+event(3)+event(4); r.err != nil || r.status != http.StatusOK || r.body != want {
+				t.Errorf("status %d, error %v, body %q", r.status, r.err, r.body)
+			}
+			if n := test.first.arrived.Load(); n != 1 {
+				t.Errorf("%d requests at the first group, want 1", n)
+			}
+			if test.second == nil {
+				return
+			}
+			if n := test.second.arrived.Load(); test.path == "/once/" && n != 0 || n > 1 {
+				t.Errorf("%d requests at the second group", n)
+			}
+			if test.second.arrived.Load() == 1 && !test.second.rejects {
+				eventually(t, "the second group no longer works on the request", func() bool { return test.second.left.Load() == 1 })
+			}
+		})
+	}
+}
+
+// TestStreamHeldAtSilentGroup guards against a stream waiting for a silent group while another one would go on, and against the
+// silent one working on.
+func TestStreamHeldAtSilentGroup(t *testing.T) {
+	for _, silentBefore := range []int{1, 3} {
+		t.Run(strconv.Itoa(silentBefore), func(t *testing.T) {
+			t.Parallel()
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+			u := startDaemon(t, store, "a")
+			first, second := &streamer{silentBefore: silentBefore, pause: 2 * silence}, &streamer{}
+			u.putServer("i-1", "llm", backendServer(t, first.serve(t)), fmt.Sprintf(openGroup, 1))
+			u.waitReady()
+			got, start := make(chan reply, 1), time.Now()
+			go func() { got <- u.stream("held") }()
+			eventually(t, "the request is at the first group", func() bool { return first.arrived.Load() == 1 })
+			u.putServer("i-2", "llm", backendServer(t, second.serve(t)), fmt.Sprintf(openGroup, 2))
+			if r := <-got; r.err != nil || strings.Count(r.body, "id: ") != 4 || r.body != event(1)+event(2)+event(3)+event(4) {
+				t.Errorf("status %d, error %v, body %q", r.status, r.err, r.body)
+			}
+			if took := time.Since(start); took > silence {
+				t.Errorf("took %v", took)
+			}
+			eventually(t, "the silent group no longer works on the request", func() bool { return first.left.Load() == 1 })
+		})
+	}
+}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/backend"
 	"flamingorudder.example/internal/balance"
@@ -55,41 +57,28 @@
 
 // serveStream serves a request to a model. The events of several attempts are joined into one response.
 func (x *exchange) serveStream(ctx context.Context, svc *route.Service) {
-	s := &forwardedStream{x: x, lastEvent: x.call.LastEvent}
-	var exclude []string
+	s := &forwardedStream{x: x, svc: svc, lastEvent: x.call.LastEvent}
 	var last error
-	for unsent := 0; unsent < maxUnsent; {
+	for s.unsent < maxUnsent {
 		if err := ctx.Err(); err != nil {
 			last = err
 			break
 		}
-		if !x.allowAttempt() {
+		if !x.allowAttempt(0) {
 			break
 		}
-		reserved, err := x.d.dispatch.acquire(ctx, svc, x.call.Model, x.org, balance.Request{
-			Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: x.requestHash(),
-			Arrived: x.start, Until: x.deadline, Resumed: x.mayHaveRun || x.call.LastEvent != "",
-		}, x.call.SharedParts, exclude)
+		reserved, err := s.acquire(ctx, x.mayHaveRun || x.call.LastEvent != "")
 		if err != nil {
 			last = err
 			break
 		}
-		exclude = append(exclude, reserved.key)
-		before, events := x.attempts, s.events
-		err = s.attempt(ctx, svc, reserved)
-		reserved.release()
-		if err == nil {
-			x.finish(s.status, outcomeServed)
-			return
-		}
-		last = err
-		if ctx.Err() == nil {
-			x.recordFailure(ctx, reserved, err, s.events-events)
-		}
-		if x.attempts == before {
-			unsent++
-		} else if countsAgainstGroup(err) && ctx.Err() == nil {
-			reserved.reportFailure()
+		for a := s.newAttempt(ctx, reserved); a != nil; {
+			var next *streamAttempt
+			if next, err = s.run(ctx, a); err == nil {
+				x.finish(s.status, outcomeServed)
+				return
+			}
+			last, a = err, next
 		}
 		if x.mayHaveRun && !x.route.Repeatable() {
 			break
@@ -110,9 +99,12 @@
 const (
 	causeNotSent  = "not sent"
 	causeRejected = "rejected"
-	causeStalled  = "stalled"
-	causeCutOff   = "cut off"
-	causeUnusable = "unusable"
+	// causeStalled means that another attempt answered while the group was silent, causeSuperseded that the silent group
+	// went on before the other attempt answered.
+	causeStalled    = "stalled"
+	causeSuperseded = "superseded"
+	causeCutOff     = "cut off"
+	causeUnusable   = "unusable"
 	// causeCrashed means that the backend server ended before it had sent more than one event of its response.
 	causeCrashed = "crashed"
 	// causeQuarantined means that the attempt was cancelled as its prompt has a part that crashes backend servers.
@@ -191,8 +183,18 @@
 }
 
 // forwardedStream is the state of the stream that is forwarded to the caller.
+//
+// # Load pattern
+//
+// A group that falls silent may have lost a member, and its head answers only seconds later, or it may be sound and go on.
+// Nothing tells which before it does. So a silent attempt is not given up: a standby attempt at another group is prepared
+// beside it, and the first of the two to send an event goes on.
+//
+// The goroutine of the request owns the state and the bookkeeping of the exchange, except while it waits for a silent group:
+// then the goroutine of the standby attempt does.
 type forwardedStream struct {
-	x *exchange
+	x   *exchange
+	svc *route.Service
 	// headerSent is set once the status and headers have been sent to the caller.
 	headerSent bool
 	status     int
@@ -202,178 +204,388 @@
 	lastEvent string
 	// lastForward is when the last event was forwarded.
 	lastForward time.Time
-	// events counts the complete events that were received from backend servers.
+	// events counts the complete events that were forwarded.
 	events int
 	// failure is an error response, which is forwarded if no later attempt succeeds.
 	failure *bufferedResponse
+	// exclude holds the groups of all attempts, unsent counts the attempts that did not reach their backend server.
+	exclude []string
+	unsent  int
+
+	mu sync.Mutex
+	// awaited is the attempt whose group the request waits for, nil while it does not. standby is the one that is prepared
+	// meanwhile. Both are guarded by mu.
+	awaited *streamAttempt
+	standby *standby
+	tasks   errgroup.Group
 }
 
-// attempt sends the request to one group and forwards its events. It returns nil once the whole response has been
-// forwarded.
-func (s *forwardedStream) attempt(ctx context.Context, svc *route.Service, reserved *reservation) error {
+// standby is an attempt that is prepared while the group of another one is silent.
+type standby struct {
+	cancel context.CancelCauseFunc
+	// attempt has begun to answer; it is nil if there is none. It is set before the task ends.
+	attempt *streamAttempt
+}
+
+// streamAttempt is one attempt to have a group answer the request, or go on with its response.
+type streamAttempt struct {
+	s        *forwardedStream
+	reserved *reservation
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	// detach separates ctx from that of the reservation.
+	detach func() bool
+	// resume is the event after which the response goes on, empty for the beginning or where the caller said.
+	resume string
+	// response is nil until its headers arrive; sendErr is why they did not. notices describes what they announce.
+	response *backend.Response
+	sendErr  error
+	notices  string
+	failure  *bufferedResponse
+	// ready is set while events that were read have not been forwarded.
+	ready  bool
+	events eventReader
+}
+
+// SupersededError reports an attempt that is no longer needed, as another one has answered.
+type SupersededError struct{ By string }
+
+func (e *SupersededError) Error() string { return "superseded by " + e.By }
+
+// AbandonedError reports an attempt that was ended because its caller left or its deadline passed.
+type AbandonedError struct{ Reason string }
+
+func (e *AbandonedError) Error() string { return "abandoned: " + e.Reason }
+
+// acquire waits for a place in a group that has not been tried. goOn is set if a group may have worked on the request.
+func (s *forwardedStream) acquire(ctx context.Context, goOn bool) (*reservation, error) {
 	x := s.x
-	head := reserved.head
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(reserved.ctx, cancel)()
+	reserved, err := x.d.dispatch.acquire(ctx, s.svc, x.call.Model, x.org, balance.Request{
+		Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: x.requestHash(),
+		Arrived: x.start, Until: x.deadline, Resumed: goOn,
+	}, x.call.SharedParts, s.exclude)
+	if err == nil {
+		s.exclude = append(s.exclude, reserved.key)
+	}
+	return reserved, err
+}
+
+// newAttempt returns an attempt that goes on after the last event that was forwarded. The caller settles it.
+func (s *forwardedStream) newAttempt(ctx context.Context, reserved *reservation) *streamAttempt {
+	a := &streamAttempt{s: s, reserved: reserved, events: eventReader{x: s.x, reserved: reserved, last: s.lastEvent, resuming: s.headerSent, base: s.events}}
 	// Until the caller has got an event, its own Last-Event-Id header, which is forwarded, is the position to resume from.
-	resume := ""
 	if s.headerSent {
-		resume = s.lastEvent
+		a.resume = s.lastEvent
+	}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.detach = context.AfterFunc(reserved.ctx, func() { a.cancel(context.Cause(reserved.ctx)) })
+	reserved.watch(func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.startStandby(ctx, a)
+	})
+	return a
+}
+
+// run forwards the response of an attempt. It returns nil once the whole response has been forwarded, or else the error of
+// the attempt and the one that takes its place, if there is one.
+func (s *forwardedStream) run(ctx context.Context, a *streamAttempt) (next *streamAttempt, err error) {
+	defer func() { s.settle(ctx, a, err) }()
+	read := a.open
+	for {
+		if !a.ready {
+			if next, err = s.await(ctx, a, read); err != nil {
+				return next, err
+			}
+		}
+		a.ready, read = false, a.next
+		if err := s.write(a); err != nil || a.events.eof {
+			return nil, err
+		}
+	}
+}
+
+// await calls read, which waits for events of an attempt. If the group falls silent, another attempt is prepared meanwhile; it
+// is returned with an error if it was the first to answer, or if the silent one has failed.
+func (s *forwardedStream) await(ctx context.Context, a *streamAttempt, read func() error) (*streamAttempt, error) {
+	s.mu.Lock()
+	s.awaited = a
+	if a.reserved.silent.Load() {
+		s.startStandby(ctx, a)
+	}
+	s.mu.Unlock()
+	err := read()
+	s.mu.Lock()
+	other := s.standby
+	s.awaited, s.standby = nil, nil
+	s.mu.Unlock()
+	if other != nil {
+		if err == nil {
+			other.cancel(&SupersededError{a.reserved.key})
+		}
+		_ = s.tasks.Wait() // its task returns no error
+		other.cancel(nil)
+		if other.attempt != nil && err == nil {
+			err = &StalledError{a.reserved.key} // both have answered; the silent attempt has been cancelled
+		}
+		return other.attempt, a.cause(err)
+	}
+	return nil, a.cause(err)
+}
+
+// startStandby prepares another attempt while a waits for its group, unless the request must not run at two of them. s.mu is
+// held.
+func (s *forwardedStream) startStandby(ctx context.Context, a *streamAttempt) {
+	if s.awaited != a || s.standby != nil || !s.x.route.Repeatable() {
+		return
+	}
+	// The attempt outlives this context, which ends only the preparation.
+	preparation, cancel := context.WithCancelCause(ctx)
+	other := &standby{cancel: cancel}
+	s.standby = other
+	s.tasks.Go(func() error {
+		other.attempt = s.prepare(ctx, preparation, a)
+		return nil
+	})
+}
+
+// prepare makes attempts at other groups until one has begun to answer, and cancels the silent attempt then.
+func (s *forwardedStream) prepare(ctx, preparation context.Context, silent *streamAttempt) *streamAttempt {
+	for s.unsent < maxUnsent && preparation.Err() == nil && s.x.allowAttempt(1) {
+		reserved, err := s.acquire(preparation, true)
+		if err != nil {
+			return nil
+		}
+		a := s.newAttempt(ctx, reserved)
+		stop := context.AfterFunc(preparation, func() { a.cancel(context.Cause(preparation)) })
+		err = a.cause(a.open())
+		if !stop() {
+			err = context.Cause(preparation)
+		}
+		if err == nil {
+			silent.cancel(&StalledError{silent.reserved.key})
+			return a
+		}
+		s.settle(preparation, a, err)
+	}
+	return nil
+}
+
+// settle ends an attempt and records its result.
+func (s *forwardedStream) settle(ctx context.Context, a *streamAttempt, err error) {
+	x, before := s.x, s.x.attempts
+	if a.response != nil {
+		a.response.Close()
+	}
+	a.detach()
+	a.cancel(nil)
+	a.reserved.release()
+	x.recordAttempt(a.reserved.head, a.reserved.key, a.sendErr, a.response, a.notices)
+	if a.failure != nil {
+		s.failure = a.failure
+	}
+	if err == nil {
+		return
 	}
+	if !errors.Is(err, a.sendErr) {
+		x.attemptLog[len(x.attemptLog)-1] += ", after event " + a.events.last + ": " + err.Error()
+	}
+	var superseded *SupersededError
+	if errors.As(err, &superseded) {
+		x.d.metrics.RecordFailedAttempt(x.service, causeSuperseded)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	x.recordFailure(ctx, a.reserved, err, a.events.count)
+	if x.attempts == before {
+		s.unsent++
+	} else if countsAgainstGroup(err) {
+		a.reserved.reportFailure()
+	}
+}
+
+// cause returns why an attempt failed: the reason of this daemon if it has closed the connection itself, else err.
+func (a *streamAttempt) cause(err error) error {
+	if err == nil || a.ctx.Err() == nil {
+		return err
+	}
+	switch cause := context.Cause(a.ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
+		return &AbandonedError{"the deadline passed"}
+	case errors.Is(cause, context.Canceled):
+		return &AbandonedError{"the caller left"}
+	default:
+		return cause
+	}
+}
+
+// open sends the request to the group and reads the first events of the response.
+func (a *streamAttempt) open() error {
+	x, head := a.s.x, a.reserved.head
 	sent := time.Now()
-	a, err := x.d.pool.Do(ctx, head, x.buildRequest(head, priority(x.rank), resume), x.d.connectionLimit(svc))
-	ran := x.recordAttempt(head, reserved.key, err, a)
+	r, err := x.d.pool.Do(a.ctx, head, x.buildRequest(head, priority(x.rank), a.resume), x.d.connectionLimit(a.s.svc))
 	if err != nil {
-		if cause := x.endCause(ctx, reserved, err); !errors.Is(cause, err) {
-			x.attemptLog[len(x.attemptLog)-1] += ", " + cause.Error()
-			err = cause
-		}
+		a.sendErr = err
 		return err
 	}
-	defer a.Close()
-	if n, relevant := x.d.observeLimit(head, a, sent); relevant {
-		reserved.reportLimit(n, sent)
+	a.response, a.notices = r, x.d.handleNotices(head, r)
+	if n, relevant := x.d.observeLimit(head, r, sent); relevant {
+		a.reserved.reportLimit(n, sent)
 	}
-	if !ran {
-		x.d.dispatch.excludeRejecting(reserved.key, a.Pause)
+	if r.NotExecuted {
+		x.d.dispatch.excludeRejecting(a.reserved.key, r.Pause)
 	}
-	if !ran || !forwardable(a) {
-		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxReadAhead)) // allows the connection to be reused
-		if !ran {
-			return &NotRunError{head.ID, a.Status}
+	if r.NotExecuted || !forwardable(r) {
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxReadAhead)) // allows the connection to be reused
+		if r.NotExecuted {
+			return &NotRunError{head.ID, r.Status}
 		}
-		return &UnusableError{head.ID, a.Status}
+		return &UnusableError{head.ID, r.Status}
 	}
-	if a.Status != http.StatusOK {
-		body, err := io.ReadAll(io.LimitReader(a.Body, maxReadAhead+1))
+	if r.Status != http.StatusOK {
+		body, err := io.ReadAll(io.LimitReader(r.Body, maxReadAhead+1))
 		if err != nil {
 			return &backend.NoResponseError{Server: head.ID, Err: err}
 		}
 		if len(body) <= maxReadAhead {
-			s.failure = &bufferedResponse{a: a, body: body, done: func(bool) {}}
+			a.failure = &bufferedResponse{a: r, body: body, done: func(bool) {}}
 		}
-		return &UnusableError{head.ID, a.Status}
-	}
-	if s.headerSent && a.Header.Get("Content-Type") != s.contentType {
-		return &UnusableError{head.ID, a.Status}
+		return &UnusableError{head.ID, r.Status}
 	}
-	if err = s.forward(a, reserved); err != nil {
-		err = x.endCause(ctx, reserved, err)
-		x.attemptLog[len(x.attemptLog)-1] += ", after event " + s.lastEvent + ": " + err.Error()
+	if a.s.headerSent && r.Header.Get("Content-Type") != a.s.contentType {
+		return &UnusableError{head.ID, r.Status}
 	}
-	return err
+	a.events.response = r
+	return a.next()
 }
 
-// AbandonedError reports an attempt that was ended because its caller left or its deadline passed.
-type AbandonedError struct{ Reason string }
-
-func (e *AbandonedError) Error() string { return "abandoned: " + e.Reason }
-
-// endCause returns why an attempt ended: the reason of this daemon if it has closed the connection itself, else err.
-func (x *exchange) endCause(ctx context.Context, reserved *reservation, err error) error {
-	switch {
-	case reserved.ctx.Err() != nil:
-		return context.Cause(reserved.ctx)
-	case x.r.Context().Err() != nil:
-		return &AbandonedError{"the caller left"}
-	case ctx.Err() != nil:
-		return &AbandonedError{"the deadline passed"}
-	}
+// next reads the next events of the response.
+func (a *streamAttempt) next() error {
+	err := a.events.read()
+	a.ready = err == nil
 	return err
 }
 
 // priority converts a rank to the priority that is sent to a model runner.
 func priority(rank int) int { return min(max(rank, 0), priorityLevels-1) }
 
-// forward forwards the events of one attempt to the caller. Only complete events are forwarded, so that another attempt can
-// resume after the last one.
-func (s *forwardedStream) forward(a *backend.Response, reserved *reservation) error {
-	x := s.x
-	control := http.NewResponseController(x.w)
-	buf := make([]byte, 0, readSize)
-	// searched is the length of the prefix of buf that holds no end of an event. sinceID is the number of bytes read since
-	// the last event id.
-	searched, sinceID := 0, 0
-	before, answered := s.events, false
-	resuming := s.headerSent // until the first event, whose id shows that the stream goes on where it was broken off
+// write forwards the events that were read last to the caller.
+func (s *forwardedStream) write(a *streamAttempt) error {
+	x, r := s.x, &a.events
+	if !s.headerSent {
+		s.headerSent, s.status, x.firstAt = true, a.response.Status, time.Now()
+		s.contentType = a.response.Header.Get("Content-Type")
+		// The Content-Length of one attempt does not hold for the joined response.
+		a.response.Length = -1
+		a.response.Header.Del("Content-Length")
+		x.writeHeader(a.response)
+	}
+	now := time.Now()
+	if !s.lastForward.IsZero() {
+		x.maxGap = max(x.maxGap, now.Sub(s.lastForward))
+	}
+	s.lastForward = now
+	s.events = r.base + r.count
+	if _, err := x.w.Write(r.buf[:r.whole]); err != nil {
+		return err
+	}
+	if !r.eof {
+		if err := http.NewResponseController(x.w).Flush(); err != nil {
+			return err
+		}
+	}
+	s.lastEvent = r.last
+	return nil
+}
+
+// eventReader reads the events of one attempt. Only complete events are forwarded, so that another attempt can resume after the
+// last one.
+type eventReader struct {
+	x        *exchange
+	reserved *reservation
+	response *backend.Response
+	// buf holds what was read; its first whole bytes are complete events, and the first searched bytes hold no other end
+	// of an event.
+	buf             []byte
+	whole, searched int
+	// last is the id of the last event, sinceID the number of bytes read since the last id.
+	last    string
+	sinceID int
+	// resuming is set until the first event, whose id shows that the stream goes on where it was broken off.
+	resuming bool
+	// base counts the events of earlier attempts, count those of this one.
+	base, count int
+	// answered is set once the request can no longer have crashed its backend server.
+	answered bool
+	// eof is set at the end of a complete response, err when it was broken off after the events in buf.
+	eof bool
+	err error
+}
+
+// read reads until there is at least one complete event, or the response ends.
+func (r *eventReader) read() error {
+	if r.err != nil {
+		return r.err
+	}
+	if r.buf == nil {
+		r.buf = make([]byte, 0, readSize)
+	}
+	r.buf = append(r.buf[:0], r.buf[r.whole:]...)
+	r.whole = 0
 	for {
-		if len(buf) == cap(buf) {
-			if cap(buf) >= maxEvent {
+		if len(r.buf) == cap(r.buf) {
+			if cap(r.buf) >= maxEvent {
 				return &EndlessError{"an event is too large"}
 			}
-			buf = append(buf, make([]byte, cap(buf))...)[:len(buf)]
-		}
-		n, err := a.Body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		whole, count := 0, 0
-		id, orderErr := "", error(nil)
-		if eventLength(buf[searched:]) >= 0 {
-			whole, count, id, orderErr = parseEvents(buf, s.lastEvent, resuming)
+			r.buf = append(r.buf, make([]byte, cap(r.buf))...)[:len(r.buf)]
 		}
-		if orderErr != nil {
-			return orderErr
+		n, err := r.response.Body.Read(r.buf[len(r.buf):cap(r.buf)])
+		r.buf = r.buf[:len(r.buf)+n]
+		whole, count, id := 0, 0, ""
+		if eventLength(r.buf[r.searched:]) >= 0 {
+			var orderErr error
+			if whole, count, id, orderErr = parseEvents(r.buf, r.last, r.resuming); orderErr != nil {
+				return orderErr
+			}
 		}
-		searched = max(len(buf)-whole-maxEventEnd+1, 0)
-		s.events += count
-		sinceID += n
+		r.searched = max(len(r.buf)-whole-maxEventEnd+1, 0)
+		r.count += count
+		r.sinceID += n
 		if id != "" {
-			sinceID, resuming = 0, false
+			r.last, r.sinceID, r.resuming = id, 0, false
 		}
-		switch maxTokens := x.call.MaxTokens; {
-		case maxTokens > 0 && s.events > maxTokens+extraEvents:
-			return &EndlessError{strconv.Itoa(s.events) + " events for " + strconv.Itoa(maxTokens) + " tokens"}
-		case sinceID > maxEvent:
+		switch maxTokens, events := r.x.call.MaxTokens, r.base+r.count; {
+		case maxTokens > 0 && events > maxTokens+extraEvents:
+			return &EndlessError{strconv.Itoa(events) + " events for " + strconv.Itoa(maxTokens) + " tokens"}
+		case r.sinceID > maxEvent:
 			return &EndlessError{"events without ids"}
 		}
-		eof := errors.Is(err, io.EOF)
+		r.eof = errors.Is(err, io.EOF)
 		switch {
-		case !eof:
-		case !x.isEventStream(a), whole < len(buf) && len(bytes.TrimSpace(buf[whole:])) == 0:
-			whole = len(buf)
-		case whole < len(buf), s.events == 0 && a.EndsWithConnection:
+		case !r.eof:
+		case !r.x.isEventStream(r.response), whole < len(r.buf) && len(bytes.TrimSpace(r.buf[whole:])) == 0:
+			whole = len(r.buf)
+		case whole < len(r.buf), r.base+r.count == 0 && r.response.EndsWithConnection:
 			// The response ends inside an event, or with its connection before the first one.
-			eof, err = false, io.ErrUnexpectedEOF
+			r.eof, err = false, io.ErrUnexpectedEOF
 		}
-		if !answered && (s.events-before > maxEventsBeforeCrash || eof && s.events > before) {
-			answered = true
-			reserved.recordOutcome(false)
+		if !r.answered && (r.count > maxEventsBeforeCrash || r.eof && r.count > 0) {
+			r.answered = true
+			r.reserved.recordOutcome(false)
 		}
-		if whole > 0 || eof {
-			if !s.headerSent {
-				s.headerSent, s.status, x.firstAt = true, a.Status, time.Now()
-				s.contentType = a.Header.Get("Content-Type")
-				// The Content-Length of one attempt does not hold for the joined response.
-				a.Length = -1
-				a.Header.Del("Content-Length")
-				x.writeHeader(a)
-			}
-			now := time.Now()
-			if !s.lastForward.IsZero() {
-				x.maxGap = max(x.maxGap, now.Sub(s.lastForward))
-			}
-			s.lastForward = now
+		if err != nil && !r.eof {
+			r.err = &backend.NoResponseError{Server: r.reserved.head.ID, Err: err}
+		}
+		if whole > 0 || r.eof {
 			if n > 0 {
-				reserved.progress()
-			}
-			if _, writeErr := x.w.Write(buf[:whole]); writeErr != nil {
-				return writeErr
-			}
-			if !eof {
-				if flushErr := control.Flush(); flushErr != nil {
-					return flushErr
-				}
+				r.reserved.progress()
 			}
-			if id != "" {
-				s.lastEvent = id
-			}
-			buf = append(buf[:0], buf[whole:]...)
-		}
-		if eof {
+			r.whole = whole
 			return nil
 		}
-		if err != nil {
-			return &backend.NoResponseError{Server: reserved.head.ID, Err: err}
+		if r.err != nil {
+			return r.err
 		}
 	}
 }
