Let the stand-in store come back from a copy

Backup and Restore bring the store of the tests back from an earlier copy: writes since then are lost, their versions are given out again, a feed from a version that the store doesn't have gets 410, and the era in the Store-Era header of every answer rises by one. No daemon reads the header yet.

--- a/internal/fakeplatform/store.go
+++ b/internal/fakeplatform/store.go
@@ -26,7 +26,9 @@
 	// changed is closed, and replaced, when a row changes.
 	changed chan struct{}
 	version int64
-	rows    map[string]map[string]stored
+	// era rises with each restoration from a copy.
+	era  int64
+	rows map[string]map[string]stored
 	// kept is the oldest version from which a feed can go on.
 	kept int64
 	// refuse is the status that daemons get for every call; 0 serves them.
@@ -45,7 +47,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{start: time.Now(), changed: make(chan struct{}), rows: map[string]map[string]stored{}, mute: map[string]bool{}}
+	return &Store{start: time.Now(), era: 1, changed: make(chan struct{}), rows: map[string]map[string]stored{}, mute: map[string]bool{}}
 }
 
 // Put writes a row, as operators and backend servers do, and returns its version.
@@ -99,6 +101,42 @@
 	s.kept = s.version
 }
 
+// Copy is the contents of a store at one moment.
+type Copy struct {
+	version, kept int64
+	rows          map[string]map[string]stored
+}
+
+// Backup returns a copy of the contents.
+func (s *Store) Backup() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{version: s.version, kept: s.kept, rows: cloneRows(s.rows)}
+}
+
+// Restore brings the store back from a copy. Writes since then are lost, and their versions are given out again. Entries of
+// backend servers get three beats from now to be renewed.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.kept, s.rows = c.version, c.kept, cloneRows(c.rows)
+	for key, r := range s.rows[platform.TableServers] {
+		r.at = time.Now()
+		s.rows[platform.TableServers][key] = r
+	}
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func cloneRows(rows map[string]map[string]stored) map[string]map[string]stored {
+	out := make(map[string]map[string]stored, len(rows))
+	for table, list := range rows {
+		out[table] = maps.Clone(list)
+	}
+	return out
+}
+
 // Lapse removes the entries of backend servers that have not been renewed for three beats.
 func (s *Store) Lapse(now time.Time, beat time.Duration) {
 	s.mu.Lock()
@@ -143,7 +181,7 @@
 		s.mu.Unlock()
 		switch {
 		case refuse != 0:
-			w.WriteHeader(refuse)
+			s.reject(w, refuse)
 		case mute:
 			<-r.Context().Done()
 		default:
@@ -164,9 +202,9 @@
 	var unknown *platform.UnknownPathError
 	switch {
 	case errors.As(err, &unknown):
-		w.WriteHeader(http.StatusNotFound)
+		s.reject(w, http.StatusNotFound)
 	case err != nil:
-		w.WriteHeader(http.StatusBadRequest)
+		s.reject(w, http.StatusBadRequest)
 	case c.Read:
 		s.get(w, c)
 	case c.Feed:
@@ -190,7 +228,8 @@
 	defer s.mu.Unlock()
 	for over := false; ; {
 		rows := s.list(c.Table, c.After)
-		if c.After < s.kept {
+		if c.After < s.kept || c.After > s.version {
+			platform.SetEra(w.Header(), s.era)
 			w.WriteHeader(http.StatusGone)
 			return
 		}
@@ -234,6 +273,7 @@
 	}
 	for _, x := range slices.Concat(tx.Write, tx.Remove) {
 		if !mayWrite(x.Table) {
+			platform.SetEra(w.Header(), s.era)
 			w.WriteHeader(http.StatusForbidden)
 			return
 		}
@@ -247,12 +287,21 @@
 	s.answer(w, http.StatusOK, nil, false)
 }
 
+func (s *Store) reject(w http.ResponseWriter, status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	platform.SetEra(w.Header(), s.era)
+	w.WriteHeader(status)
+}
+
+// answer sends a page. The caller holds s.mu.
 func (s *Store) answer(w http.ResponseWriter, status int, rows []platform.Row, more bool) {
 	text, err := platform.EncodePage(platform.Page{Rows: rows, Version: s.version, Now: time.Since(s.start)}, more)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	platform.SetEra(w.Header(), s.era)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(text) // a daemon that has left does not read it
