Tell when the store was restored from a backup and what is dropped as outdated

Nothing in logs or metrics told a restore from an outage, and reads of the entries were dropped without a trace. The header Store-Era is decoded in platform and carried by pages and errors; a later era is logged, as are dropped reads and the row versions of a lost write of the lease.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -228,7 +228,7 @@
 		l.d.election.CallFailed()
 		r, v := l.decodeLease(conflict.Rows)
 		l.d.election.Observe(leaseClock(), r, v)
-		l.d.log.Info("lease is another's", "holder", r.Holder, "token", r.Token)
+		l.d.log.Info("lease is another's", "holder", r.Holder, "token", r.Token, "version", v, "expected", version, "era", conflict.Era)
 	default:
 		l.d.election.CallFailed()
 		l.d.log.Warn("cannot write the lease", "error", err)
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -93,7 +93,9 @@
 	rawServers map[string]entryRow
 	version    int64
 	readAt     time.Time
-	tracker    *roster.Tracker
+	// era is the latest era that the store has named, zero before the first.
+	era     int64
+	tracker *roster.Tracker
 	// storeNow is the store's clock as of storeNowAt, zero before the first read of the daemons' rows.
 	storeNow   time.Duration
 	storeNowAt time.Time
@@ -272,9 +274,30 @@
 	page, err := call(ctx, limit, f)
 	d.metrics.RecordStoreCall(purpose, err)
 	d.storeCalls.add(purpose)
+	d.feed.observeEra(max(page.Era, platform.EraOf(err)))
 	return page, err
 }
 
+// observeEra records the era that the store named in a response, zero if it named none.
+func (f *storeSync) observeEra(era int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if era <= f.era {
+		return
+	}
+	if f.era > 0 {
+		f.d.log.Warn("store was restored from a backup", "era", era, "before", f.era, "version", f.version)
+	}
+	f.era = era
+}
+
+// storeEra returns the latest known era of the store.
+func (f *storeSync) storeEra() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 // callCounts counts calls to the store by purpose, for the log.
 type callCounts struct {
 	mu    sync.Mutex
@@ -529,6 +552,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if version < f.version {
+		f.d.metrics.RecordOutdatedRead()
+		f.d.log.Info("outdated entries ignored", "version", version, "known", f.version, "entries", len(rows), "era", f.era)
 		return
 	}
 	f.version, f.readAt = version, now.Add(-age)
