--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -9,8 +9,11 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"flamingorudder.example/internal/election"
 	"flamingorudder.example/internal/fakeplatform"
 	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/internal/roster"
+	"flamingorudder.example/platform"
 )
 
 // counted returns how many calls to the store for a purpose the daemon has counted since it last logged them.
@@ -185,3 +188,89 @@
 		t.Errorf("rows are read every %v, want the period and the delay of the fleet's size", d)
 	}
 }
+
+// plainEntry returns the entry of a plain backend server.
+func plainEntry(id, state string, born, beat int) platform.Row {
+	return platform.Row{Table: platform.TableServers, Key: id, Value: []byte(fmt.Sprintf(`{"service":"plain","address":"127.0.0.1:1","state":%q,"born":%d,"sequence":%d}`, state, born, beat))}
+}
+
+func put(store *fakeplatform.Store, rows ...platform.Row) {
+	for _, r := range rows {
+		store.Put(r.Table, r.Key, r.Value)
+	}
+}
+
+// otherRows returns rows whose writes only raise the store's version.
+func otherRows(n int) []platform.Row {
+	out := make([]platform.Row, n)
+	for i := range out {
+		out[i] = platform.Row{Table: "other", Key: fmt.Sprint(i), Value: []byte("x")}
+	}
+	return out
+}
+
+// TestLeavingServerAfterRestore guards against requests to a backend server that has left after the store was restored: every
+// entry was ignored until the store's versions had caught up, and some forever.
+func TestLeavingServerAfterRestore(t *testing.T) {
+	for name, caughtUp := range map[string]int{"version below the last read": 0, "version above the last read": 60} {
+		t.Run(name, func(t *testing.T) {
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+			put(store, plainEntry("i-1", "ready", 1, 1), plainEntry("i-2", "ready", 1, 1))
+			u := startDaemon(t, store, "a")
+			u.waitReady()
+			backup := store.Backup()
+			put(store, otherRows(50)...)
+			put(store, plainEntry("i-2", "ready", 1, 2))
+			eventually(t, "the daemon has read the store", func() bool { return u.d.view.Load().Servers["i-2"].Beat == 2 })
+			store.Restore(backup, append([]platform.Row{plainEntry("i-1", "draining", 1, 3)}, otherRows(caughtUp)...)...)
+			began := time.Now()
+			eventually(t, "the daemon knows that the server is leaving", func() bool { return u.d.view.Load().Servers["i-1"].State == roster.Draining })
+			if took := time.Since(began); took > u.s.Drain {
+				t.Errorf("known after %v, want %v or less", took, u.s.Drain)
+			}
+		})
+	}
+}
+
+// TestConfigurationAfterRestore guards against a configuration that is never in force: it was written again below the version
+// from which the daemon's long poll went on.
+func TestConfigurationAfterRestore(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	u := startDaemon(t, store, "a")
+	u.waitReady()
+	backup := store.Backup()
+	put(store, otherRows(50)...)
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 2, "")))
+	eventually(t, "the change is in force", func() bool { return u.d.feed.configVersion() == 2 })
+	store.Restore(backup, append([]platform.Row{{Table: "op", Key: "config", Value: []byte(fmt.Sprintf(testConfig, 3, ""))}}, otherRows(60)...)...)
+	began := time.Now()
+	eventually(t, "the change after the restore is in force", func() bool { return u.d.feed.configVersion() == 3 })
+	if took := time.Since(began); took > u.s.Apply {
+		t.Errorf("in force after %v, want %v or less", took, u.s.Apply)
+	}
+}
+
+// TestLeaseAfterRestore guards against a fleet without a holder of the lease for good: the row went back to a version that
+// every daemon took for an old one.
+func TestLeaseAfterRestore(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	all := []*daemonUnderTest{startDaemon(t, store, "a"), startDaemon(t, store, "b")}
+	holds := func() bool { return all[0].d.holdsLease() || all[1].d.holdsLease() }
+	eventually(t, "a daemon holds the lease", holds)
+	backup := store.Backup()
+	put(store, otherRows(50)...)
+	for _, u := range all {
+		eventually(t, "the daemon knows that the lease was renewed", func() bool {
+			u.d.peersMu.Lock()
+			defer u.d.peersMu.Unlock()
+			return u.d.election.Version() > 50
+		})
+	}
+	store.Restore(backup)
+	// The holder may act until its time ends; a daemon that cannot renew the lease loses it by then.
+	<-time.After(election.TTL) //nolint:forbidigo // the holder's time
+	eventually(t, "a daemon holds the lease again", holds)
+}
--- a/internal/fakeplatform/store.go
+++ b/internal/fakeplatform/store.go
@@ -115,8 +115,8 @@
 }
 
 // Restore brings the store back from a copy. Writes since then are lost, and their versions are given out again. Entries of
-// backend servers get three beats from now to be renewed.
-func (s *Store) Restore(c Copy) {
+// backend servers get three beats from now to be renewed. The given rows are written again before the first call.
+func (s *Store) Restore(c Copy, again ...platform.Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version, s.kept, s.rows = c.version, c.kept, cloneRows(c.rows)
@@ -127,6 +127,9 @@
 	s.era++
 	close(s.changed)
 	s.changed = make(chan struct{})
+	for _, r := range again {
+		s.set(r.Table, r.Key, stored{value: r.Value})
+	}
 }
 
 func cloneRows(rows map[string]map[string]stored) map[string]map[string]stored {
