Order the entries of backend servers by the store's era first

Cause: row versions go back with the backup, and the daemons compared those of before with those of after. Every read of the entries below the newest known version was dropped while the cursor moved on, so the view stood still until the store's counter had caught up, and what was dropped was never read again.

A position is now (era, version), ordered by era first. A read that continues a position of an earlier era is not a continuation, even when the counter has caught up and no 410 tells so: everything is read again. Relays between daemons carry the era; a reader in a later era sends all entries, and a state of an earlier era is never applied. Daemons of earlier builds name no era; they are asked with the same query and their relays are passed over for the store.

The backup is older than what the daemons know. An entry that is an older state of the known lifetime does not replace it, a lifetime that has departed doesn't return, entries that the backup lacks get the 2 s that they get after an outage. Once dead servers' entries have lapsed, all are read again if any was held back, so no doubt lasts.

--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -18,6 +19,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"flamingorudder.example/internal/era"
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/netopt"
 	"flamingorudder.example/internal/roster"
@@ -88,10 +90,10 @@
 	// holds last confirmed that this daemon's configuration is current.
 	following         bool
 	configConfirmedAt time.Time
-	// rawServers holds the entries as stored and tombstones of those removed lately. They are complete up to version of
-	// the store, as of readAt.
+	// rawServers holds the entries as stored and tombstones of those removed lately. They are complete up to position, as of
+	// readAt.
 	rawServers map[string]entryRow
-	version    int64
+	position   era.Position
 	readAt     time.Time
 	// era is the latest era that the store has named, zero before the first.
 	era     int64
@@ -285,8 +287,8 @@
 	if era <= f.era {
 		return
 	}
-	if f.era > 0 {
-		f.d.log.Warn("store was restored from a backup", "era", era, "before", f.era, "version", f.version)
+	if f.era > 0 || !f.readAt.IsZero() {
+		f.d.log.Warn("store was restored from a backup", "era", era, "before", f.era, "version", f.position.Version)
 	}
 	f.era = era
 }
@@ -353,16 +355,19 @@
 
 // pollServers keeps the entries of backend servers in sync with the store.
 func (f *storeSync) pollServers(ctx context.Context) {
-	after := int64(-1)
+	after := noPosition
 	var retry storeBackoff
 	f.awaitPeers(ctx)
-	for ctx.Err() == nil && after < 0 && f.shouldAwaitRelay(time.Now()) {
+	for ctx.Err() == nil && after == noPosition && f.shouldAwaitRelay(time.Now()) {
 		f.bootstrap(ctx, &after)
 		_ = timer.Wait(ctx, bootstrapPeriod) // the loop checks ctx
 	}
 	ticks, stop := timer.Every(f.serversPeriod(), 0.1)
 	defer stop()
 	for {
+		if f.takeDoubts() {
+			after = noPosition
+		}
 		err := f.readServers(ctx, &after)
 		f.recordStoreResult(err)
 		if err != nil {
@@ -382,7 +387,7 @@
 }
 
 // bootstrap fetches the complete state from the peer that reads the entries for this daemon.
-func (f *storeSync) bootstrap(ctx context.Context, after *int64) {
+func (f *storeSync) bootstrap(ctx context.Context, after *era.Position) {
 	reader := f.assignedReader(time.Now())
 	if reader == nil {
 		return
@@ -397,11 +402,18 @@
 	}
 	f.applyRelayedConfig(state, reader.Name)
 	f.markSynced(state.WithHeartbeats)
-	f.applyServers(state.Servers, true, state.Version, state.Age)
-	*after = state.Version
+	f.applyServers(state.Servers, true, state.position(), state.Age)
+	*after = state.position()
 	f.recordStoreResult(nil)
 }
 
+// takeDoubts reports whether all entries have to be read again some time after a restore.
+func (f *storeSync) takeDoubts() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tracker.TakeDoubts(time.Now())
+}
+
 // serversPeriod returns how often the entries of backend servers are read. The drain bound asks for a short period; a store
 // with a low read rate makes it longer.
 func (f *storeSync) serversPeriod() time.Duration {
@@ -444,14 +456,17 @@
 	return local[rank%numReaders]
 }
 
-func (f *storeSync) readServers(ctx context.Context, after *int64) error {
-	if r := f.assignedReader(time.Now()); r != nil && *after >= 0 {
-		in, err := f.fetch(ctx, r.PeerAddr, fmt.Sprintf("%s?after=%d&config=%d", pathServers, *after, f.configVersion()))
-		if err == nil && in.Age <= maxRelayAge && in.Version >= *after {
+// readServers reads what has changed after a position, or all entries, from the peer that does so for this daemon or from the
+// store.
+func (f *storeSync) readServers(ctx context.Context, after *era.Position) error {
+	if r := f.assignedReader(time.Now()); r != nil && *after != noPosition {
+		in, err := f.fetch(ctx, r.PeerAddr, f.changesPath(*after))
+		if err == nil && in.Age <= maxRelayAge && in.Era >= f.storeEra() && !in.position().Before(*after) && (in.Whole || in.Era == after.Era) {
+			f.observeEra(in.Era)
 			f.markSynced(in.WithHeartbeats)
-			f.applyServers(in.Servers, false, in.Version, in.Age)
+			f.applyServers(in.Servers, in.Whole, in.position(), in.Age)
 			f.applyRelayedConfig(in, r.Name)
-			*after = in.Version
+			*after = in.position()
 			return nil
 		}
 		if err != nil && ctx.Err() == nil {
@@ -459,30 +474,42 @@
 		}
 	}
 	page, err := f.d.storeCall(ctx, "entries", storeTimeout, func(ctx context.Context) (platform.Page, error) {
-		if *after < 0 {
+		if *after == noPosition {
 			return f.d.store.Rows(ctx, platform.TableServers)
 		}
-		return f.d.store.Feed(ctx, platform.TableServers, *after, 0)
+		return f.d.store.Feed(ctx, platform.TableServers, after.Version, 0)
 	})
 	var history *platform.CompactedError
-	if errors.As(err, &history) && *after >= 0 {
-		*after = -1
+	whole := *after == noPosition
+	if !whole && (errors.As(err, &history) || f.storeEra() > after.Era) {
+		// The feed cannot go on from there. In a later era it may seem to, once the store's version has caught up.
+		*after = noPosition
 		return f.readServers(ctx, after)
 	}
 	if err != nil {
 		return err
 	}
+	if known := f.storeEra(); page.Era < known {
+		*after = noPosition
+		return &OutdatedError{Era: page.Era, Known: known}
+	}
 	f.markSynced(true)
-	whole := *after < 0
-	*after = page.Version
+	*after = page.Position()
 	rows := make([]entryRow, len(page.Rows))
 	for i, r := range page.Rows {
 		rows[i] = entryRow{ID: r.Key, Value: r.Value, Removed: r.Removed, Version: r.Version}
 	}
-	f.applyServers(rows, whole, page.Version, 0)
+	f.applyServers(rows, whole, page.Position(), 0)
 	return nil
 }
 
+// OutdatedError reports an answer of the store from before it was restored from a backup.
+type OutdatedError struct{ Era, Known int64 }
+
+func (e *OutdatedError) Error() string {
+	return fmt.Sprintf("answer is of era %d of the store, which is in era %d", e.Era, e.Known)
+}
+
 // markSynced records that entries are read again, from the store or through a peer. It has to be called before the entries are
 // applied, because the grace period of entries that lapsed during an outage starts at its end. whole is set if the reads
 // include heartbeats.
@@ -545,28 +572,41 @@
 	changed int64
 }
 
-// applyServers applies changed entries, or all entries if whole is set, that were current at the given version of the
-// store age ago.
-func (f *storeSync) applyServers(rows []entryRow, whole bool, version int64, age time.Duration) {
+// rereadSpread is, for each daemon of the fleet, the part of the time over which all of them read the entries again some time
+// after a restore.
+const rereadSpread = 20 * time.Millisecond
+
+// noPosition is the position of a daemon that has to read everything.
+var noPosition = era.Position{Version: -1}
+
+// applyServers applies changed entries, or all entries if whole is set, that were current at the given position of the store
+// age ago.
+func (f *storeSync) applyServers(rows []entryRow, whole bool, position era.Position, age time.Duration) {
 	now := time.Now()
+	spread := time.Duration(f.d.fleetSize(now)) * rereadSpread
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version < f.version {
+	if position.Before(f.position) || position.Era < f.era || position.Era > f.position.Era && !whole && !f.readAt.IsZero() {
 		f.d.metrics.RecordOutdatedRead()
-		f.d.log.Info("outdated entries ignored", "version", version, "known", f.version, "entries", len(rows), "era", f.era)
+		f.d.log.Info("outdated entries ignored", "version", position.Version, "era", position.Era, "known", f.position.Version, "known_era", f.position.Era, "entries", len(rows))
 		return
 	}
-	f.version, f.readAt = version, now.Add(-age)
+	if position.Era > f.position.Era && !f.readAt.IsZero() {
+		f.tracker.MarkRestored(now, time.Duration(rand.Int64N(int64(spread))))
+	}
+	f.position, f.readAt = position, now.Add(-age)
 	for id, r := range f.rawServers {
 		if r.Removed && now.Sub(r.at) > tombstoneTTL {
 			delete(f.rawServers, id)
 		}
 	}
+	known := f.rawServers
 	if whole {
 		// Peers that ask for changes have to learn of removals.
+		known = maps.Clone(f.rawServers)
 		for id, r := range f.rawServers {
 			if !r.Removed {
-				f.rawServers[id] = entryRow{ID: id, Removed: true, Version: version, at: now, changed: version}
+				f.rawServers[id] = entryRow{ID: id, Removed: true, Version: position.Version, at: now, changed: position.Version}
 			}
 		}
 	}
@@ -587,7 +627,20 @@
 			changes = append(changes, roster.Change{ID: r.ID})
 			continue
 		}
-		if old, ok := f.rawServers[r.ID]; ok && !whole && f.tracker.IsRenewal(s) {
+		if whole {
+			holds := f.tracker.Supersede(now, s)
+			if holds == nil {
+				continue
+			}
+			old := known[r.ID]
+			if holds != s && len(old.Value) > 0 {
+				r.Value = old.Value
+			}
+			if s = holds; !bytes.Equal(old.Value, r.Value) {
+				// The row may be older than the position of a peer that lacks it.
+				r.Version, r.changed = position.Version, position.Version
+			}
+		} else if old, ok := known[r.ID]; ok && f.tracker.IsRenewal(s) {
 			r.changed = old.changed
 		}
 		f.rawServers[r.ID] = r
@@ -777,9 +830,12 @@
 	Compressed []byte     `cbor:"config,omitempty"`
 	Config     []byte     `cbor:"-"`
 	Servers    []entryRow `cbor:"servers"`
-	// Servers are complete up to Version of the store, as of Age ago.
+	// Servers are complete up to Version of the store in Era, as of Age ago.
 	Version int64         `cbor:"version"`
+	Era     int64         `cbor:"era,omitempty"`
 	Age     time.Duration `cbor:"age"`
+	// Whole is set if Servers are all entries. The sender decides so for a reader whose position is of an earlier era.
+	Whole bool `cbor:"all,omitempty"`
 	// Store is set if the sender reads the entries from the store, Following if it reads the configuration from there.
 	Store     bool `cbor:"store"`
 	Following bool `cbor:"following"`
@@ -787,6 +843,8 @@
 	WithHeartbeats bool `cbor:"whole,omitempty"`
 }
 
+func (s *peerState) position() era.Position { return era.Position{Era: s.Era, Version: s.Version} }
+
 // servePeer serves the paths for peers.
 func (d *Daemon) servePeer(w http.ResponseWriter, r *http.Request) {
 	f := d.feed
@@ -801,11 +859,18 @@
 			return
 		}
 	}
+	// Daemons of earlier builds name no era and cannot tell all entries from changes.
+	readerEra, err := strconv.ParseInt(r.URL.Query().Get("era"), 10, 64)
+	namesEra := err == nil
 	newer := f.configVersion() > config
 	// In a large fleet only the next few candidates for the lease need every heartbeat, and they read the store themselves.
 	renewals := d.fleetSize(time.Now()) < gossip.FullMeshLimit
 	f.mu.Lock()
-	out.Version, out.Age, out.Following = f.version, time.Since(f.readAt), f.following
+	out.Version, out.Era, out.Age, out.Following = f.position.Version, f.position.Era, time.Since(f.readAt), f.following
+	if namesEra && readerEra < f.position.Era {
+		after = -1
+	}
+	out.Whole = after < 0
 	out.WithHeartbeats = renewals && !f.tracker.RenewalsHidden()
 	if newer {
 		out.Compressed = f.compressConfig()
@@ -920,10 +985,16 @@
 		f.mu.Lock()
 		f.tracker.SetRenewalsVisible(time.Now(), false)
 		f.mu.Unlock()
-		f.applyServers(in.Servers, path == pathAll, in.Version, in.Age)
+		f.observeEra(in.Era)
+		f.applyServers(in.Servers, in.Whole || path == pathAll, in.position(), in.Age)
 	}
 }
 
+// changesPath returns the path for all changes after a position.
+func (f *storeSync) changesPath(after era.Position) string {
+	return fmt.Sprintf("%s?after=%d&era=%d&config=%d", pathServers, after.Version, after.Era, f.configVersion())
+}
+
 // catchUpPath returns the path for all changes since this daemon's last read, or for everything if it has read nothing.
 func (f *storeSync) catchUpPath() string {
 	f.mu.Lock()
@@ -931,7 +1002,7 @@
 	if f.readAt.IsZero() {
 		return pathAll
 	}
-	return fmt.Sprintf("%s?after=%d&config=%d", pathServers, f.version, f.configVersion())
+	return f.changesPath(f.position)
 }
 
 // fetch sends a request to a peer and decodes the response.
--- a/internal/roster/tracker.go
+++ b/internal/roster/tracker.go
@@ -28,6 +28,10 @@
 	renewalsVisibleSince time.Time
 	// lastRead is when the entries were last read.
 	lastRead time.Time
+	// doubtUntil is until when entries that are read may date from before the last restore of the store. outdated holds the
+	// entries that were found to do so and have not changed since.
+	doubtUntil time.Time
+	outdated   map[string]bool
 	// departed holds removed entries with the time of their removal.
 	departed map[string]departure
 	// leaving holds the backend servers whose responses say that they are about to stop. Their entries may say so later
@@ -105,12 +109,60 @@
 // NewTracker returns a tracker that keeps expired entries for grace after an outage of the store. A live backend server
 // renews its entry at least once in renewalTimeout.
 func NewTracker(grace, renewalTimeout time.Duration) *Tracker {
-	return &Tracker{servers: map[string]*Server{}, expired: map[string]bool{}, departed: map[string]departure{}, leaving: map[string]leaveNotice{}, grace: grace, renewalTimeout: renewalTimeout}
+	return &Tracker{servers: map[string]*Server{}, expired: map[string]bool{}, outdated: map[string]bool{}, departed: map[string]departure{}, leaving: map[string]leaveNotice{}, grace: grace, renewalTimeout: renewalTimeout}
 }
 
 // MarkStoreDown records that the store does not answer.
 func (t *Tracker) MarkStoreDown() { t.storeDown = true }
 
+// MarkRestored records that the store was restored from a backup. Entries that are missing from it get the grace period to be
+// written again. For twice the renewal timeout and delay, which is longer than the entry of a dead backend server lasts, a full
+// read may return entries that are older than the known ones.
+func (t *Tracker) MarkRestored(now time.Time, delay time.Duration) {
+	t.storeDown, t.storeRecovered = false, now
+	t.graceUntil, t.doubtUntil = now.Add(t.grace), now.Add(2*t.renewalTimeout+delay)
+	clear(t.outdated)
+}
+
+// Supersede returns the entry that holds although a full read returned s: the known one if s is an older state of the same
+// lifetime, or of an earlier lifetime, and nil if that lifetime has departed. Otherwise s holds. Entries without a start time
+// count as one lifetime.
+func (t *Tracker) Supersede(now time.Time, s *Server) *Server {
+	if !now.Before(t.doubtUntil) {
+		return s
+	}
+	if d, ok := t.departed[s.ID]; ok && s.Born <= d.server.Born {
+		// Heartbeats need not show in the known entry, so they do not tell whether it was renewed since.
+		t.outdated[s.ID] = true
+		return nil
+	}
+	o := t.servers[s.ID]
+	switch {
+	case o == nil || s.Born > o.Born || s.Born == o.Born && s.State == Draining && o.State != Draining:
+		return s
+	case s.Born == o.Born && o.State == Draining && s.State != Draining:
+		if s.Born != 0 {
+			t.MarkLeaving(now, LeavingServer{ID: s.ID, Born: s.Born}, false) // never taken back within the lifetime
+		}
+	case s.Born == o.Born && s.Beat > o.Beat:
+		return s
+	}
+	if !t.IsRenewal(s) {
+		t.outdated[s.ID] = true
+	}
+	return o
+}
+
+// TakeDoubts reports whether all entries have to be read again, because outdated ones can by now be told from those of live
+// backend servers. It does so once after each restore.
+func (t *Tracker) TakeDoubts(now time.Time) bool {
+	if len(t.outdated) == 0 || now.Before(t.doubtUntil) {
+		return false
+	}
+	clear(t.outdated)
+	return true
+}
+
 // Change is a change of one entry. Server is nil when the entry was removed or cannot be decoded.
 type Change struct {
 	ID     string
@@ -181,6 +233,7 @@
 func (t *Tracker) Apply(now time.Time, changes []Change) {
 	t.lastRead = now
 	for _, c := range changes {
+		delete(t.outdated, c.ID)
 		switch {
 		case c.Server != nil:
 			c.Server.RenewedAt = now
--- a/internal/roster/tracker_test.go
+++ b/internal/roster/tracker_test.go
@@ -179,3 +179,68 @@
 		t.Error("a late notice of the earlier lifetime was applied")
 	}
 }
+
+// TestRestoredStoreTellsNothingOlder guards against taking entries from a backup of the store for newer than the known ones:
+// a leaving or departed backend server would get requests again, and one that registered lately would get none.
+func TestRestoredStoreTellsNothingOlder(t *testing.T) {
+	entry := func(id string, state State, born, beat int64) *Server {
+		return &Server{ID: id, Service: "s", State: state, Born: born, Beat: beat}
+	}
+	now := time.Now()
+	tr := NewTracker(testGrace, testRenewalTimeout)
+	tr.Replace(now, []*Server{
+		entry("changed", Ready, 1, 9), entry("leaving", Draining, 1, 9), entry("left", Ready, 1, 2), entry("late", Ready, 1, 1),
+		entry("restarted", Ready, 2, 1), entry("alive", Ready, 1, 2),
+	})
+	tr.Apply(now, []Change{{ID: "left"}, {ID: "alive"}})
+	now = now.Add(time.Second)
+	tr.MarkRestored(now, 0)
+	read := func() {
+		var all []*Server
+		for _, s := range []*Server{
+			entry("changed", Ready, 1, 4), entry("leaving", Ready, 1, 4), entry("left", Ready, 1, 4), entry("restarted", Ready, 1, 4),
+			entry("alive", Ready, 1, 4), entry("new", Ready, 3, 1),
+		} {
+			s.Slots = 7 // an older state that differs by more than its heartbeat
+			if s = tr.Supersede(now, s); s != nil {
+				all = append(all, s)
+			}
+		}
+		tr.Replace(now, all)
+	}
+	check := func(when string, want map[string]State) {
+		t.Helper()
+		v := tr.View(now, size)
+		for _, id := range []string{"changed", "leaving", "left", "late", "restarted", "alive", "new"} {
+			s := v.Servers[id]
+			state, listed := want[id]
+			if (s != nil) != listed || listed && s.State != state {
+				t.Errorf("%s: %s is %+v, want listed %v as %v", when, id, s, listed, state)
+			}
+		}
+	}
+	read()
+	check("first read", map[string]State{"changed": Ready, "leaving": Draining, "late": Ready, "restarted": Ready, "new": Ready})
+	if s := tr.View(now, size).Servers["changed"]; s.Beat != 9 || s.Slots != 0 {
+		t.Errorf("an older state replaced the known one: %+v", s)
+	}
+	if s := tr.View(now, size).Servers["restarted"]; s.Born != 2 {
+		t.Errorf("the entry of an earlier lifetime replaced that of a later one: %+v", s)
+	}
+	now = now.Add(testGrace)
+	tr.Apply(now, []Change{{"alive", entry("alive", Ready, 1, 5)}})
+	if tr.TakeDoubts(now) {
+		t.Error("read again while the entries of dead backend servers may remain")
+	}
+	check("after the grace period", map[string]State{"changed": Ready, "leaving": Draining, "restarted": Ready, "new": Ready, "alive": Ready})
+	if s := tr.View(now, size).Departed["late"]; s == nil || s.Expired {
+		t.Errorf("an entry that the backup lacks counts as expired: %+v", s)
+	}
+	// What the store still holds then is renewed, but a lifetime that was leaving stays so.
+	now = now.Add(2 * testRenewalTimeout)
+	if !tr.TakeDoubts(now) || tr.TakeDoubts(now) {
+		t.Error("outdated entries are not read again once")
+	}
+	read()
+	check("read again", map[string]State{"changed": Ready, "leaving": Draining, "left": Ready, "restarted": Ready, "new": Ready, "alive": Ready})
+}
