Read the configuration anew after the store was restored

A configuration that is written after a restore, below the version from which a daemon's long poll goes on, was never in force: the feed goes on once the store's counter has caught up, and no 410 tells that a part is missing.

The long poll now belongs to the era of the read that it continues. It ends when any call of the daemon names a later era, and the whole table is read then. A 410 is followed by that read at once, without the delay after a failure.

--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -95,8 +95,11 @@
 	rawServers map[string]entryRow
 	position   era.Position
 	readAt     time.Time
-	// era is the latest era that the store has named, zero before the first.
+	// era is the latest era that the store has named, zero before the first. current is done, and replaced, when a later one
+	// becomes known.
 	era     int64
+	current context.Context
+	end     context.CancelFunc
 	tracker *roster.Tracker
 	// storeNow is the store's clock as of storeNowAt, zero before the first read of the daemons' rows.
 	storeNow   time.Duration
@@ -110,8 +113,9 @@
 	t := &http.Transport{
 		DialContext: netopt.Dialer(peerTimeout).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: storeTimeout * 4,
 	}
+	current, end := context.WithCancel(context.Background())
 	return &storeSync{
-		d: d, started: time.Now(), peers: &http.Client{Transport: t}, rawServers: map[string]entryRow{}, tracker: roster.NewTracker(lapseGrace, d.heartbeatTimeout()),
+		d: d, started: time.Now(), peers: &http.Client{Transport: t}, rawServers: map[string]entryRow{}, current: current, end: end, tracker: roster.NewTracker(lapseGrace, d.heartbeatTimeout()),
 	}, t.CloseIdleConnections
 }
 
@@ -174,25 +178,37 @@
 // watchConfig keeps the configuration in sync with the operators' table.
 func (f *storeSync) watchConfig(ctx context.Context) {
 	var retry storeBackoff
-	after := int64(-1)
+	after := noPosition
 	f.awaitPeers(ctx)
 	for ctx.Err() == nil {
 		if now := time.Now(); f.configIsRelayed(now) || f.d.config.Load() == nil && f.shouldAwaitRelay(now) {
-			after = -1
+			after = noPosition
 			_ = timer.Wait(ctx, relayCheckPeriod) // the loop checks ctx
 			continue
 		}
 		var page platform.Page
 		var err error
-		if after < 0 {
+		whole := after == noPosition
+		if whole {
 			page, err = f.d.storeCall(ctx, "configuration", storeTimeout, func(ctx context.Context) (platform.Page, error) {
 				return f.d.store.Rows(ctx, platform.TableOperator)
 			})
 		} else {
 			wait := f.configWait()
-			page, err = f.d.storeCall(ctx, "configuration", wait+f.d.settings().Apply/applyTimeoutDivisor, func(ctx context.Context) (platform.Page, error) {
-				return f.d.store.Feed(ctx, platform.TableOperator, after, wait)
+			callCtx, release := f.untilRestored(ctx, after.Era)
+			page, err = f.d.storeCall(callCtx, "configuration", wait+f.d.settings().Apply/applyTimeoutDivisor, func(ctx context.Context) (platform.Page, error) {
+				return f.d.store.Feed(ctx, platform.TableOperator, after.Version, wait)
 			})
+			release()
+			var compacted *platform.CompactedError
+			if errors.As(err, &compacted) || f.storeEra() > after.Era && ctx.Err() == nil {
+				// The feed cannot go on from there.
+				after = noPosition
+				continue
+			}
+		}
+		if err == nil && page.Era < f.storeEra() {
+			err = &OutdatedError{Era: page.Era, Known: f.storeEra()}
 		}
 		f.mu.Lock()
 		f.following = err == nil
@@ -201,12 +217,12 @@
 			if ctx.Err() == nil {
 				f.d.log.Warn("cannot read the configuration from the store", "error", err)
 			}
-			after = -1
+			after = noPosition
 			retry.wait(ctx, f)
 			continue
 		}
 		retry = storeBackoff{}
-		after = page.Version
+		after = page.Position()
 		for _, r := range page.Rows {
 			if r.Key == platform.ConfigKey && !r.Removed {
 				f.applyConfig(r.Value, "store")
@@ -289,10 +305,29 @@
 	}
 	if f.era > 0 || !f.readAt.IsZero() {
 		f.d.log.Warn("store was restored from a backup", "era", era, "before", f.era, "version", f.position.Version)
+		f.end()
+		f.current, f.end = context.WithCancel(context.Background())
 	}
 	f.era = era
 }
 
+// untilRestored returns a context that is also done once a later era than the given one is known, and a function that
+// releases it.
+func (f *storeSync) untilRestored(ctx context.Context, era int64) (context.Context, func()) {
+	out, cancel := context.WithCancel(ctx)
+	f.mu.Lock()
+	later, current := f.era > era, f.current
+	f.mu.Unlock()
+	if later {
+		cancel()
+	}
+	stop := context.AfterFunc(current, cancel)
+	return out, func() {
+		stop()
+		cancel()
+	}
+}
+
 // storeEra returns the latest known era of the store.
 func (f *storeSync) storeEra() int64 {
 	f.mu.Lock()
