Take the lease again after the store was restored

After a restore nobody held the lease of the orders again, ever, and no group that lost a member was healed.

Cause: the row went back with the backup. Its version was below the known one, so what it holds was ignored, and each write named a version that the row didn't have. Versions are also given out again, so such a write might have met its condition by chance, in a row that another daemon had written since; and tokens given since the backup were forgotten with the row, so a daemon without memory would have given them a second time.

The row is now one of its era (lease/orders in the first, lease/orders/N later), so a write that was sent in an earlier era can't meet another's row, and its success doesn't count if the answer is of another era. What is known of the row is ordered by era first, in announcements too (Digest.LeaseEra; daemons of earlier builds name none and count as earlier). In a new era nobody takes the lease before TTL has passed, as the holder before may act until then, except that holder if its time had not ended when it learned of the era. Tokens of era N begin at N << 16, above all earlier ones; epochs of groups made of them stay below 2^53.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -8,9 +8,19 @@
 // the machine is suspended. A holder that has restarted takes its lease again at once.
 //
 // The fencing token grows with each change of holder, so that orders of earlier holders can be rejected.
+//
+// A store that is restored from a backup begins a new era, in which the row is one of its own: a write that was sent in an
+// earlier era can then not meet its condition by a version that was given out again. Nobody takes the lease in a new era
+// before TTL has passed, as the holder of the era before may act until then, except that holder if its time had not ended when
+// it learned of the new era. The tokens that were given since the backup may be forgotten, so those of a new era begin above
+// all earlier ones. A store counts its eras from 1, or names none.
 package election
 
-import "time"
+import (
+	"time"
+
+	"flamingorudder.example/internal/era"
+)
 
 const (
 	// TTL is how long the other daemons consider a renewal valid. It bounds the time without group repair after the
@@ -29,8 +39,15 @@
 	// by another readInterval. While the store is unavailable the daemons at the front of the order retry often enough,
 	// and the calls of a large fleet would only be rejected.
 	backoffPositions = 4
+	// tokensPerEra is the number of tokens below those of the next era. Epochs of groups are made of a token and 20 more bits and
+	// have to stay exact in JSON, below 2^53, which maxTokenEra ensures; later eras no longer begin at a higher token.
+	tokensPerEra = 1 << 16
+	maxTokenEra  = 1<<17 - 1
 )
 
+// FirstEra is the era of a store that was never restored, unless it names none.
+const FirstEra = 1
+
 // Record is the value of the lease row.
 type Record struct {
 	Holder string `cbor:"holder"`
@@ -53,12 +70,14 @@
 // arbitrary fixed point.
 type Election struct {
 	self string
-	// record and version are the last known contents of the row, and learnedAt is when this version became known.
-	// initialized is false until the contents of the row, or its absence, are known.
+	// record and position are the last known contents of the row, and learnedAt is when this version became known. The version
+	// is 0 when nothing is known in this era. initialized is false until the contents of the row, or its absence, are known.
 	record      Record
-	version     int64
+	position    era.Position
 	initialized bool
 	learnedAt   time.Duration
+	// token is the highest token seen in any era.
+	token int64
 	// heldUntil is when this daemon stops acting as holder.
 	heldUntil time.Duration
 	holding   bool
@@ -82,24 +101,40 @@
 }
 
 // LastRecord returns the last known contents of the row. The version is 0 when nothing is known.
-func (e *Election) LastRecord() (Record, int64) { return e.record, e.version }
+func (e *Election) LastRecord() (Record, era.Position) { return e.record, e.position }
 
-// Version returns the last known version of the lease row.
-func (e *Election) Version() int64 { return e.version }
+// Position returns the last known position of the lease row.
+func (e *Election) Position() era.Position { return e.position }
 
 // Holder returns the name of the last known holder.
 func (e *Election) Holder() string { return e.record.Holder }
 
+// ObserveEra records that the store is in an era. A holder whose time has not ended stays the holder in a later one, since
+// nobody else can have taken the lease before.
+func (e *Election) ObserveEra(now time.Duration, n int64) {
+	if n <= e.position.Era {
+		return
+	}
+	e.position, e.learnedAt = era.Position{Era: n}, now
+	e.holding = e.holding && now < e.heldUntil
+	e.initialized = e.holding
+	if !e.holding {
+		e.record = Record{}
+	}
+}
+
 // Observe records the contents of the row, as read from the store or announced by the holder. A version of 0 means that
 // there is no row.
-func (e *Election) Observe(now time.Duration, r Record, version int64) {
-	if e.initialized && version <= e.version {
+func (e *Election) Observe(now time.Duration, r Record, position era.Position) {
+	e.token = max(e.token, r.Token)
+	e.ObserveEra(now, position.Era)
+	if position.Era < e.position.Era || e.initialized && position.Version <= e.position.Version {
 		return
 	}
 	if r.Holder != e.self {
 		e.holding = false
 	}
-	e.record, e.version, e.initialized, e.learnedAt = r, version, true, now
+	e.record, e.position, e.initialized, e.learnedAt = r, position, true, now
 }
 
 // Resign stops acting as holder until the lease is acquired again.
@@ -117,7 +152,7 @@
 		return e.begin(now, WriteLease)
 	}
 	// A row that names this daemon is of an earlier lifetime, which has ended, or of a write whose response was lost.
-	free := e.initialized && (e.version == 0 || e.record.Holder == e.self || now-e.learnedAt >= TTL+time.Duration(position)*Stagger)
+	free := e.initialized && (e.position.Version == 0 && e.position.Era <= FirstEra || e.record.Holder == e.self || now-e.learnedAt >= TTL+time.Duration(position)*Stagger)
 	if !free && e.initialized {
 		return Wait
 	}
@@ -140,19 +175,33 @@
 	return a
 }
 
-// Next returns the record to write, and the version that the row must have.
-func (e *Election) Next() (Record, int64) {
+// Next returns the record to write, and the position that the row must have in its era.
+func (e *Election) Next() (Record, era.Position) {
 	token := e.record.Token
 	if !e.holding {
-		token++
+		token = max(e.token+1, firstToken(e.position.Era))
 	}
-	return Record{Holder: e.self, Token: token}, e.version
+	return Record{Holder: e.self, Token: token}, e.position
 }
 
-// WriteSucceeded records the success of a WriteLease that was sent at the given time.
-func (e *Election) WriteSucceeded(sent time.Duration, r Record, version int64) {
+// firstToken returns the lowest token of an era.
+func firstToken(n int64) int64 {
+	if n <= FirstEra {
+		return 1
+	}
+	return min(n, maxTokenEra) * tokensPerEra
+}
+
+// WriteSucceeded records the success of a WriteLease of the era of position, which was sent at the given time. A success in
+// another era than that of the write, or in one that has ended, does not count.
+func (e *Election) WriteSucceeded(sent time.Duration, r Record, written int64, position era.Position) {
 	e.inFlight, e.failed = false, false
-	e.record, e.version, e.initialized, e.learnedAt = r, version, true, sent
+	if written != position.Era || position.Era != e.position.Era {
+		e.failed = true
+		return
+	}
+	e.record, e.position, e.initialized, e.learnedAt = r, position, true, sent
+	e.token = max(e.token, r.Token)
 	e.holding, e.renewedAt, e.heldUntil = true, sent, sent+TTL-Guard
 }
 
@@ -163,11 +212,15 @@
 }
 
 // ReadSucceeded records the contents of the row that a ReadLease returned.
-func (e *Election) ReadSucceeded(now time.Duration, r Record, version int64) {
-	e.inFlight, e.failed = false, false
-	if version == 0 && !e.initialized {
-		e.initialized, e.learnedAt = true, now
+func (e *Election) ReadSucceeded(now time.Duration, r Record, position era.Position) {
+	e.ObserveEra(now, position.Era)
+	e.inFlight, e.failed = false, position.Era < e.position.Era
+	if e.failed {
+		return
+	}
+	if position.Version == 0 && !e.initialized {
+		e.initialized = true // the time counts from when the era became known
 		return
 	}
-	e.Observe(now, r, version)
+	e.Observe(now, r, position)
 }
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -1,11 +1,18 @@
 package election
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
+
+	"flamingorudder.example/internal/era"
 )
 
+// at returns a position in a store that names no era.
+func at(version int64) era.Position { return era.Position{Version: version} }
+
 // row is the lease row of a store that answers immediately.
 type row struct {
 	r       Record
@@ -17,12 +24,12 @@
 func (s *row) step(e *Election, now time.Duration, position int, lost bool) {
 	switch e.Step(now, position) {
 	case ReadLease:
-		e.ReadSucceeded(now, s.r, s.version)
+		e.ReadSucceeded(now, s.r, at(s.version))
 	case WriteLease:
-		next, version := e.Next()
-		if version != s.version {
+		next, position := e.Next()
+		if position != at(s.version) {
 			e.CallFailed()
-			e.Observe(now, s.r, s.version)
+			e.Observe(now, s.r, at(s.version))
 			return
 		}
 		s.r, s.version = next, s.version+1
@@ -30,7 +37,7 @@
 			e.CallFailed()
 			return
 		}
-		e.WriteSucceeded(now, next, s.version)
+		e.WriteSucceeded(now, next, 0, at(s.version))
 	}
 }
 
@@ -61,7 +68,7 @@
 					// Announcements of the holder reach the others only sometimes.
 					for _, o := range elections {
 						if o != e && r.IntN(3) == 0 {
-							o.Observe(now, e.record, e.version)
+							o.Observe(now, e.record, e.position)
 						}
 					}
 				}
@@ -89,7 +96,7 @@
 	now := time.Duration(0)
 	for ; now < 3*time.Second; now += 50 * time.Millisecond {
 		s.step(a, now, 0, false)
-		b.Observe(now, s.r, s.version)
+		b.Observe(now, s.r, at(s.version))
 	}
 	if _, ok := a.Holding(now); !ok {
 		t.Fatal("a does not hold the lease")
@@ -114,8 +121,8 @@
 // lease.
 func TestStopsBeforeTakeover(t *testing.T) {
 	e := New("a")
-	e.ReadSucceeded(0, Record{}, 0)
-	e.WriteSucceeded(time.Second, Record{Holder: "a", Token: 1}, 5)
+	e.ReadSucceeded(0, Record{}, at(0))
+	e.WriteSucceeded(time.Second, Record{Holder: "a", Token: 1}, 0, at(5))
 	if _, ok := e.Holding(time.Second + TTL - Guard - 1); !ok {
 		t.Error("does not hold the lease before the guard time")
 	}
@@ -131,7 +138,7 @@
 	calls := 0
 	for position := range 200 {
 		e := New("a")
-		e.Observe(0, Record{Holder: "x", Token: 1}, 5)
+		e.Observe(0, Record{Holder: "x", Token: 1}, at(5))
 		own := 0
 		for now := time.Duration(0); now < away; now += 50 * time.Millisecond {
 			if e.Step(now, position) != Wait {
@@ -148,7 +155,7 @@
 		t.Errorf("%d calls by 200 daemons, want at most %d", calls, limit)
 	}
 	holder := New("a")
-	holder.WriteSucceeded(0, Record{Holder: "a", Token: 1}, 5)
+	holder.WriteSucceeded(0, Record{Holder: "a", Token: 1}, 0, at(5))
 	calls = 0
 	for now := time.Duration(0); now < away; now += 50 * time.Millisecond {
 		if holder.Step(now, 0) != Wait {
@@ -177,3 +184,191 @@
 		t.Errorf("token %d, holding %v one second after the restart, want 8 and true", token, ok)
 	}
 }
+
+// restorable is a store that keeps a lease row for each era and may be restored from an earlier copy of itself.
+type restorable struct {
+	era, version int64
+	rows         map[int64]row
+}
+
+func (s *restorable) copy() restorable {
+	out := *s
+	out.rows = map[int64]row{}
+	for n, r := range s.rows {
+		out.rows[n] = r
+	}
+	return out
+}
+
+// leaseCall is a call for the lease under way. The store performs it at one time and the daemon learns the outcome at another.
+type leaseCall struct {
+	e                     *Election
+	write                 bool
+	next                  Record
+	expected              era.Position
+	sent, performed, done time.Duration
+	// lost is set if the answer does not arrive, ended when the daemon has it or gave up.
+	lost, ended bool
+	answer      func(now time.Duration)
+}
+
+func (c *leaseCall) perform(s *restorable) {
+	if !c.write {
+		n, r := s.era, s.rows[s.era]
+		c.answer = func(now time.Duration) { c.e.ReadSucceeded(now, r.r, era.Position{Era: n, Version: r.version}) }
+		return
+	}
+	key, n := c.expected.Era, s.era
+	if r := s.rows[key]; r.version != c.expected.Version {
+		c.answer = func(now time.Duration) {
+			c.e.CallFailed()
+			c.e.ObserveEra(now, n)
+			if n == key {
+				c.e.Observe(now, r.r, era.Position{Era: n, Version: r.version})
+			}
+		}
+		return
+	}
+	s.version++
+	s.rows[key] = row{c.next, s.version}
+	position := era.Position{Era: n, Version: s.version}
+	c.answer = func(now time.Duration) {
+		c.e.ObserveEra(now, n)
+		c.e.WriteSucceeded(c.sent, c.next, key, position)
+	}
+}
+
+// TestOneHolderAcrossRestores guards against two daemons sending orders at the same time, or under one token, after the store
+// was restored from a backup, and against a lease that nobody takes again. Calls are late, answers are lost, daemons pause and
+// restart without memory.
+func TestOneHolderAcrossRestores(t *testing.T) {
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		s := &restorable{era: 1, rows: map[int64]row{}}
+		copies := []restorable{s.copy()}
+		names := []string{"a", "b", "c"}
+		elections := []*Election{New("a"), New("b"), New("c")}
+		lifetimes, pausedUntil := make([]int, 3), make([]time.Duration, 3)
+		tokens := map[int64]string{}
+		var calls []*leaseCall
+		calm, held := time.Duration(0), time.Duration(0)
+		for now := time.Duration(0); now < 90*time.Second; now += 25 * time.Millisecond {
+			s.version += r.Int64N(3) // other rows
+			if quiet := now > 75*time.Second; !quiet {
+				calm = now
+				if r.IntN(40) == 0 {
+					copies = append(copies, s.copy())
+				}
+				if r.IntN(200) == 0 {
+					back := copies[max(0, len(copies)-1-r.IntN(12))].copy()
+					back.era = s.era + 1
+					*s = back
+				}
+			}
+			for i, e := range elections {
+				if now < pausedUntil[i] {
+					continue
+				}
+				if now == calm && r.IntN(400) == 0 {
+					pausedUntil[i] = now + time.Duration(r.IntN(6000))*time.Millisecond
+					continue
+				}
+				if now == calm && r.IntN(600) == 0 {
+					lifetimes[i]++
+					elections[i] = New(names[i])
+					e = elections[i]
+				}
+				if r.IntN(8) == 0 {
+					e.ObserveEra(now, s.era) // by another call
+				}
+				action := e.Step(now, i)
+				if action == Wait {
+					continue
+				}
+				c := &leaseCall{e: e, write: action == WriteLease, sent: now}
+				c.next, c.expected = e.Next()
+				c.performed = now + time.Duration(r.IntN(100))*time.Millisecond
+				if now == calm && r.IntN(10) == 0 {
+					c.performed = now + time.Duration(r.IntN(8000))*time.Millisecond
+				}
+				c.done = c.performed + time.Duration(r.IntN(100))*time.Millisecond
+				c.lost = now == calm && r.IntN(20) == 0
+				calls = append(calls, c)
+			}
+			calls = slices.DeleteFunc(calls, func(c *leaseCall) bool {
+				if c.answer == nil && now >= c.performed {
+					c.perform(s)
+				}
+				i := slices.Index(elections, c.e)
+				switch {
+				case i < 0:
+					c.ended = true // the daemon has restarted
+				case c.ended || now < pausedUntil[i]:
+				case now >= c.sent+1500*time.Millisecond:
+					c.ended = true
+					c.e.CallFailed()
+				case c.answer != nil && now >= c.done && !c.lost:
+					c.ended = true
+					c.answer(now)
+				}
+				return c.ended && c.answer != nil
+			})
+			holders := 0
+			for i, e := range elections {
+				token, ok := e.Holding(now)
+				if !ok {
+					continue
+				}
+				holders++
+				held = now
+				who := fmt.Sprint(e.self, lifetimes[i])
+				if tokens[token] != "" && tokens[token] != who {
+					t.Fatalf("seed %d: token %d held by %s and %s", seed, token, tokens[token], who)
+				}
+				tokens[token] = who
+				for _, o := range elections {
+					if o != e && r.IntN(3) == 0 {
+						o.Observe(now, e.record, e.position)
+					}
+				}
+			}
+			if holders > 1 {
+				t.Fatalf("seed %d: %d holders at %v", seed, holders, now)
+			}
+		}
+		if held < 89*time.Second {
+			t.Fatalf("seed %d: nobody holds the lease at the end, last at %v", seed, held)
+		}
+	}
+}
+
+// TestHolderInNewEra guards against a former holder, whose time had ended when the store was restored, taking the lease at once
+// while its successor still acts, and against a gap in orders when the holder's time had not ended.
+func TestHolderInNewEra(t *testing.T) {
+	for learned, want := range map[time.Duration]struct {
+		after time.Duration
+		token int64
+	}{
+		TTL - Guard - 1: {0, 1},
+		TTL - Guard:     {TTL, firstToken(2)},
+	} {
+		e := New("a")
+		e.ReadSucceeded(0, Record{}, era.Position{Era: 1})
+		e.WriteSucceeded(0, Record{Holder: "a", Token: 1}, 1, era.Position{Era: 1, Version: 5})
+		e.ObserveEra(learned, 2)
+		for now := learned; ; now += 50 * time.Millisecond {
+			switch e.Step(now, 0) {
+			case ReadLease:
+				e.ReadSucceeded(now, Record{}, era.Position{Era: 2})
+				continue
+			case Wait:
+				continue
+			}
+			next, expected := e.Next()
+			if took := now - learned; took < want.after || took > want.after+Renewal || next.Token != want.token || expected != (era.Position{Era: 2}) {
+				t.Errorf("learned %v after its renewal, the holder takes the lease after %v with token %d at %v, want %v and token %d", learned, took, next.Token, expected, want.after, want.token)
+			}
+			break
+		}
+	}
+}
--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"reflect"
+	"strconv"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/election"
+	"flamingorudder.example/internal/era"
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/replica"
 	"flamingorudder.example/internal/roster"
@@ -20,7 +22,6 @@
 
 const (
 	tableLease = "lease"
-	leaseKey   = "orders"
 	// votePeriod is how often this daemon checks whether to renew or take the lease.
 	votePeriod = 50 * time.Millisecond
 	// planPeriod is how often the planner of each service runs.
@@ -159,7 +160,7 @@
 	}
 	d.peersMu.Lock()
 	action := d.election.Step(leaseClock(), place)
-	next, version := d.election.Next()
+	next, expected := d.election.Next()
 	d.peersMu.Unlock()
 	switch action {
 	case election.ReadLease:
@@ -169,7 +170,7 @@
 		})
 	case election.WriteLease:
 		l.calls.Go(func() error {
-			l.writeLease(ctx, next, version)
+			l.writeLease(ctx, next, expected)
 			return nil
 		})
 	}
@@ -186,32 +187,41 @@
 		l.d.log.Warn("cannot read the lease", "error", err)
 		return
 	}
-	r, v := l.decodeLease(page.Rows)
-	l.d.election.ReadSucceeded(leaseClock(), r, v)
+	r, position := l.decodeLease(page.Rows, page.Era)
+	l.d.election.ReadSucceeded(leaseClock(), r, position)
 }
 
-func (l *leader) decodeLease(rows []platform.Row) (election.Record, int64) {
+// leaseKey returns the key of the lease row of an era.
+func leaseKey(n int64) string {
+	if n <= election.FirstEra {
+		return "orders"
+	}
+	return "orders/" + strconv.FormatInt(n, 10)
+}
+
+// decodeLease returns the record and the position of the lease row of an era, without a version if there is none.
+func (l *leader) decodeLease(rows []platform.Row, n int64) (election.Record, era.Position) {
 	for _, row := range rows {
-		if row.Key != leaseKey || row.Version == 0 {
+		if row.Key != leaseKey(n) || row.Version == 0 {
 			continue
 		}
 		var r election.Record
 		if err := cbor.Unmarshal(row.Value, &r); err != nil {
 			l.d.log.Error("cannot decode the lease", "error", err)
 		}
-		return r, row.Version
+		return r, era.Position{Era: n, Version: row.Version}
 	}
-	return election.Record{}, 0
+	return election.Record{}, era.Position{Era: n}
 }
 
-func (l *leader) writeLease(ctx context.Context, next election.Record, version int64) {
+func (l *leader) writeLease(ctx context.Context, next election.Record, expected era.Position) {
 	value, err := cbor.Marshal(next)
 	if err != nil {
 		l.d.log.Error("cannot encode the lease", "error", err)
 		return
 	}
 	sent := leaseClock()
-	row := platform.Row{Table: tableLease, Key: leaseKey, Value: value, Version: version}
+	row := platform.Row{Table: tableLease, Key: leaseKey(expected.Era), Value: value, Version: expected.Version}
 	page, err := l.d.storeCall(ctx, "lease", storeTimeout, func(ctx context.Context) (platform.Page, error) {
 		return l.d.store.Commit(ctx, platform.Tx{Check: []platform.Row{row}, Write: []platform.Row{row}})
 	})
@@ -220,15 +230,20 @@
 	var conflict *platform.ConflictError
 	switch {
 	case err == nil:
-		if l.d.election.Holder() != l.d.settings().Name {
-			l.d.log.Info("lease taken", "token", next.Token, "version", page.Version)
+		taken := l.d.election.Holder() != l.d.settings().Name || expected.Version == 0
+		l.d.election.WriteSucceeded(sent, next, expected.Era, page.Position())
+		if l.d.election.Position() != page.Position() {
+			l.d.log.Warn("lease was written in another era", "token", next.Token, "version", page.Version, "era", page.Era, "expected_era", expected.Era)
+		} else if taken {
+			l.d.log.Info("lease taken", "token", next.Token, "version", page.Version, "era", page.Era)
 		}
-		l.d.election.WriteSucceeded(sent, next, page.Version)
 	case errors.As(err, &conflict):
 		l.d.election.CallFailed()
-		r, v := l.decodeLease(conflict.Rows)
-		l.d.election.Observe(leaseClock(), r, v)
-		l.d.log.Info("lease is another's", "holder", r.Holder, "token", r.Token, "version", v, "expected", version, "era", conflict.Era)
+		r, position := l.decodeLease(conflict.Rows, expected.Era)
+		if conflict.Era == expected.Era {
+			l.d.election.Observe(leaseClock(), r, position)
+		}
+		l.d.log.Info("lease is another's", "holder", r.Holder, "token", r.Token, "version", position.Version, "expected", expected.Version, "era", conflict.Era, "expected_era", expected.Era)
 	default:
 		l.d.election.CallFailed()
 		l.d.log.Warn("cannot write the lease", "error", err)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -12,6 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"flamingorudder.example/internal/era"
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/schedule"
 	"flamingorudder.example/internal/timer"
@@ -38,9 +39,10 @@
 	defer d.peersMu.Unlock()
 	out.Hub, out.LiveInDataCentre = d.members.Hub(now), d.members.LiveInDataCentre(now)
 	if token, ok := d.election.Holding(leaseClock()); ok {
-		out.Lease, out.LeaseVersion = d.leader.record(token), d.election.Version()
-	} else if record, version := d.election.LastRecord(); out.Hub && version > 0 {
-		out.Lease, out.LeaseVersion = &record, version
+		position := d.election.Position()
+		out.Lease, out.LeaseVersion, out.LeaseEra = d.leader.record(token), position.Version, position.Era
+	} else if record, position := d.election.LastRecord(); out.Hub && position.Version > 0 {
+		out.Lease, out.LeaseVersion, out.LeaseEra = &record, position.Version, position.Era
 	}
 	return out
 }
@@ -181,7 +183,7 @@
 	d.peersMu.Lock()
 	isNew := d.members.Receive(time.Now(), m)
 	if m.Lease != nil {
-		d.election.Observe(leaseClock(), *m.Lease, m.LeaseVersion)
+		d.election.Observe(leaseClock(), *m.Lease, era.Position{Era: m.LeaseEra, Version: m.LeaseVersion})
 	}
 	d.peersMu.Unlock()
 	if isNew {
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -298,10 +298,20 @@
 
 // observeEra records the era that the store named in a response, zero if it named none.
 func (f *storeSync) observeEra(era int64) {
+	if !f.advanceEra(era) {
+		return
+	}
+	f.d.peersMu.Lock()
+	defer f.d.peersMu.Unlock()
+	f.d.election.ObserveEra(leaseClock(), era)
+}
+
+// advanceEra reports whether the era is a later one than that known.
+func (f *storeSync) advanceEra(era int64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if era <= f.era {
-		return
+		return false
 	}
 	if f.era > 0 || !f.readAt.IsZero() {
 		f.d.log.Warn("store was restored from a backup", "era", era, "before", f.era, "version", f.position.Version)
@@ -309,6 +319,7 @@
 		f.current, f.end = context.WithCancel(context.Background())
 	}
 	f.era = era
+	return true
 }
 
 // untilRestored returns a context that is also done once a later era than the given one is known, and a function that
--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -266,7 +266,7 @@
 		eventually(t, "the daemon knows that the lease was renewed", func() bool {
 			u.d.peersMu.Lock()
 			defer u.d.peersMu.Unlock()
-			return u.d.election.Version() > 50
+			return u.d.election.Position().Version > 50
 		})
 	}
 	store.Restore(backup)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -88,6 +88,8 @@
 	// lease, the last known ones if it is a hub.
 	Lease        *election.Record `cbor:"lease,omitempty"`
 	LeaseVersion int64            `cbor:"version,omitempty"`
+	// LeaseEra is the era of the store in which the row has that version.
+	LeaseEra int64 `cbor:"era,omitempty"`
 	// Demands is the demand for the models that the sender schedules. DemandKey returns the keys.
 	Demands map[string]schedule.Demand `cbor:"demands,omitempty"`
 	// SuspectGroups are the groups that make no progress as seen by the sender.
