Write the daemons' rows again soon after the store was restored

The rows that daemons wrote since the backup are lost with the prompt parts in quarantine that they name. They were written again with their usual period of 10 s or more, so a daemon that started meanwhile didn't know the others, and a fleet that restarted let requests through that crash servers.

A daemon that learns of a later era than that of its last write reads the rows and writes its own again, after a random delay of up to 20 ms for each daemon of the fleet, so that all of them together make 50 writes a second.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -166,7 +166,7 @@
 		}
 		var retry storeBackoff
 		for ctx.Err() == nil {
-			err := f.writeDaemon(ctx)
+			_, err := f.writeDaemon(ctx)
 			if err == nil {
 				break
 			}
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -618,9 +618,14 @@
 	changed int64
 }
 
-// rereadSpread is, for each daemon of the fleet, the part of the time over which all of them read the entries again some time
-// after a restore.
-const rereadSpread = 20 * time.Millisecond
+// restoreSpread is, for each daemon of the fleet, its part of the time over which all of them write their rows again after a
+// restore of the store, and read all entries again later.
+const restoreSpread = 20 * time.Millisecond
+
+// restoreDelay bounds the random delay of such a call.
+func (f *storeSync) restoreDelay(now time.Time) time.Duration {
+	return time.Duration(f.d.fleetSize(now)) * restoreSpread
+}
 
 // noPosition is the position of a daemon that has to read everything.
 var noPosition = era.Position{Version: -1}
@@ -629,7 +634,7 @@
 // age ago.
 func (f *storeSync) applyServers(rows []entryRow, whole bool, position era.Position, age time.Duration) {
 	now := time.Now()
-	spread := time.Duration(f.d.fleetSize(now)) * rereadSpread
+	delay := rand.N(f.restoreDelay(now))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if position.Before(f.position) || position.Era < f.era || position.Era > f.position.Era && !whole && !f.readAt.IsZero() {
@@ -638,7 +643,7 @@
 		return
 	}
 	if position.Era > f.position.Era && !f.readAt.IsZero() {
-		f.tracker.MarkRestored(now, time.Duration(rand.Int64N(int64(spread))))
+		f.tracker.MarkRestored(now, delay)
 	}
 	f.position, f.readAt = position, now.Add(-age)
 	for id, r := range f.rawServers {
@@ -760,15 +765,22 @@
 }
 
 // pollDaemons reads the rows of the other daemons and writes this daemon's own. Reading comes first because a daemon that
-// has just started needs to know its peers before anything else.
+// has just started needs to know its peers before anything else. After a restore of the store the row may be lost.
 func (f *storeSync) pollDaemons(ctx context.Context) {
 	var wrote time.Time
+	writtenEra := int64(0)
 	var retry storeBackoff
 	rounds := 0
 	for ctx.Err() == nil {
+		if !wrote.IsZero() && writtenEra < f.storeEra() {
+			wrote = time.Time{}
+			if timer.Wait(ctx, rand.N(f.restoreDelay(time.Now()))) != nil {
+				return
+			}
+		}
 		err := f.readDaemons(ctx)
 		if err == nil && time.Since(wrote) >= rowPeriod+f.rowDelay() {
-			if err = f.writeDaemon(ctx); err == nil {
+			if writtenEra, err = f.writeDaemon(ctx); err == nil {
 				wrote = time.Now()
 			}
 		}
@@ -778,9 +790,9 @@
 			continue
 		}
 		retry = storeBackoff{}
-		if timer.Wait(ctx, rowReadPeriod(rounds == 0 && f.d.settings().FirstStart, f.rowDelay())) != nil {
-			return
-		}
+		waitCtx, release := f.untilRestored(ctx, writtenEra)
+		_ = timer.Wait(waitCtx, rowReadPeriod(rounds == 0 && f.d.settings().FirstStart, f.rowDelay())) // the loop checks ctx
+		release()
 		rounds++
 	}
 }
@@ -808,17 +820,18 @@
 	return spread
 }
 
-func (f *storeSync) writeDaemon(ctx context.Context) error {
+// writeDaemon writes the row of this daemon and returns the era of the store in which it did.
+func (f *storeSync) writeDaemon(ctx context.Context) (int64, error) {
 	digest := f.d.digest()
 	digest.WrittenAt = f.storeClock()
 	value, err := cbor.Marshal(digest)
 	if err != nil {
-		return fmt.Errorf("encode daemon row: %w", err)
+		return 0, fmt.Errorf("encode daemon row: %w", err)
 	}
-	_, err = f.d.storeCall(ctx, "row", storeTimeout, func(ctx context.Context) (platform.Page, error) {
+	page, err := f.d.storeCall(ctx, "row", storeTimeout, func(ctx context.Context) (platform.Page, error) {
 		return f.d.store.Commit(ctx, platform.Tx{Write: []platform.Row{{Table: tableDaemons, Key: f.d.settings().Name, Value: value}}})
 	})
-	return err
+	return page.Era, err
 }
 
 func (f *storeSync) setStoreClock(now time.Duration) {
--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -274,3 +274,19 @@
 	<-time.After(election.TTL) //nolint:forbidigo // the holder's time
 	eventually(t, "a daemon holds the lease again", holds)
 }
+
+// TestRowAfterRestore guards against daemons that start after a restore and know neither the others nor the prompt parts in
+// quarantine, as the rows were written again with their usual period only.
+func TestRowAfterRestore(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	backup := store.Backup()
+	startDaemon(t, store, "a")
+	eventually(t, "the daemon has written its row", func() bool { return store.Len(tableDaemons) == 1 })
+	store.Restore(backup)
+	began := time.Now()
+	eventually(t, "the daemon has written its row again", func() bool { return store.Len(tableDaemons) == 1 })
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("written after %v", took)
+	}
+}
