Keep a group whose head an entry of another service claims

Callers got no places in a group after another writer had left an entry with the group's name and epoch, rank 0 and another service: the view held groups by name and epoch alone, so the odd entry became the head, and the group counted for the service that it named. TestEntryOfAnotherServiceTakesNoGroup found no group of the service before. Groups are now held by service, name and epoch, as orders are given by service.

--- a/internal/roster/tracker.go
+++ b/internal/roster/tracker.go
@@ -234,7 +234,12 @@
 			v.Servers[id] = &leaver
 		}
 	}
-	groups := map[Membership]*Group{}
+	// Names of groups are unique only within a service.
+	type groupKey struct {
+		service, name string
+		epoch         int64
+	}
+	groups := map[groupKey]*Group{}
 	for _, id := range slices.Sorted(maps.Keys(v.Servers)) {
 		s := v.Servers[id]
 		if s.State == Ready {
@@ -243,7 +248,7 @@
 		if s.Group == "" {
 			continue
 		}
-		key := Membership{Group: s.Group, Epoch: s.Epoch}
+		key := groupKey{s.Service, s.Group, s.Epoch}
 		g := groups[key]
 		if g == nil {
 			g = &Group{Name: s.Group, Epoch: s.Epoch, Key: GroupKey(s.Group, s.Epoch)}
--- a/internal/roster/tracker_test.go
+++ b/internal/roster/tracker_test.go
@@ -31,6 +31,19 @@
 	}
 }
 
+// TestEntryOfAnotherServiceTakesNoGroup guards against a group that gets no requests as an entry of another service, left by
+// another writer, claims its head.
+func TestEntryOfAnotherServiceTakesNoGroup(t *testing.T) {
+	tr := NewTracker(testGrace, testRenewalTimeout)
+	now := time.Now()
+	odd := member("z", 0, Open)
+	odd.Service = "other"
+	tr.Replace(now, []*Server{member("a", 0, Open), member("b", 1, Joined), odd})
+	if g := tr.View(now, size).Groups["s"]; len(g) != 1 || !g[0].Complete() || g[0].Head.ID != "a" {
+		t.Errorf("groups %v, want one complete group with head a", g)
+	}
+}
+
 // TestDrainingGetsNoRequests guards against sending new requests to a draining backend server.
 func TestDrainingGetsNoRequests(t *testing.T) {
 	tr := NewTracker(testGrace, testRenewalTimeout)
