Read all entries anew when a change feed is larger than a response

Daemons stopped following the list of backend servers when more than 4 MB of it changed between two reads, for example after another writer had left 100 entries of 60 KB: the response was cut off at the limit, could not be decoded, and was asked for again from the same version for as long as the daemon ran. No row was applied, so that new backend servers got no requests and removed ones did. A response over the limit is now an error of its own, and the daemon reads all entries, which come in pages of at most 1 MB.

TestOddEntryStopsNothing leaves 114 odd entries beside two good ones, in front of three daemons of which one gets the entries from another; it timed out before, and passes without the large ones. The fake store now bounds its pages as the platform's does.

--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -442,7 +442,8 @@
 		return f.d.store.Feed(ctx, platform.TableServers, *after, 0)
 	})
 	var history *platform.CompactedError
-	if errors.As(err, &history) && *after >= 0 {
+	var large *platform.ResponseSizeError // a read of all entries comes in pages
+	if (errors.As(err, &history) || errors.As(err, &large)) && *after >= 0 {
 		*after = -1
 		return f.readServers(ctx, after)
 	}
--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -185,3 +188,46 @@
 		t.Errorf("rows are read every %v, want the period and the delay of the fleet's size", d)
 	}
 }
+
+// TestOddEntryStopsNothing guards against daemons that end, or stop following the list of backend servers, after another
+// writer has left odd entries there. One of the daemons gets the entries from another one.
+func TestOddEntryStopsNothing(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	all := []*daemonUnderTest{startDaemon(t, store, "a"), startDaemon(t, store, "b"), startDaemon(t, store, "c")}
+	serves := backendServer(t, func(c net.Conn, r *http.Request) { writeAnswer(c, r, 200, "fine") })
+	all[0].putServer("i-first", "plain", serves, "null")
+	for _, u := range all {
+		u.waitReady()
+	}
+	eventually(t, "a peer relays the entries to one daemon", func() bool {
+		now := time.Now()
+		return all[1].d.feed.assignedReader(now) != nil || all[2].d.feed.assignedReader(now) != nil
+	})
+	nested := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	entry := `{"service":%s,"address":%q,"state":"ready","slots":%s,"born":1,"domain":%s,"group":%s}`
+	for i, odd := range []string{
+		"", "null", nested, "\xff\x00", `{"x":` + nested + `}`, fmt.Sprintf(entry, `"plain"`, "127.0.0.1:99999", "8", `"d"`, "null"), fmt.Sprintf(entry, `"plain"`, serves, "1e400", `"d"`, "null"),
+		fmt.Sprintf(entry, `"llm"`, serves, "8", nested, "null"), fmt.Sprintf(entry, `"plain"`, "0.0.0.0:0", "8", `"d"`, "null"), fmt.Sprintf(entry, "7", serves, "8", `"d"`, "null"),
+		fmt.Sprintf(entry, `"llm"`, serves, "8", `"d"`, `{"name":"g","epoch":1e30,"rank":0,"state":"open"}`), fmt.Sprintf(entry, `"llm"`, serves, "8", `"d"`, `{"name":"g","epoch":1,"rank":1000000000,"state":"open"}`),
+		fmt.Sprintf(entry, `"llm"`, serves, "8", `"d"`, `{"name":"`+strings.Repeat("g", 60_000)+`","epoch":1,"rank":0,"state":"open"}`),
+	} {
+		store.Put("servers", fmt.Sprintf("i-odd-%d", i), []byte(odd))
+	}
+	store.Put("servers", "i-\x01\u00e9", []byte(fmt.Sprintf(entry, `"plain"`, serves, "8", `"d"`, "null")))
+	for i := range 100 { // more than a response holds
+		store.Put("servers", fmt.Sprintf("i-long-%d", i), bytes.Repeat([]byte("x"), 60_000))
+	}
+	all[0].putServer("i-second", "plain", serves, "null")
+	for _, u := range all {
+		eventually(t, "the daemon knows the backend servers, and no other", func() bool { v := u.d.view.Load(); return len(v.Servers) == 2 && v.Servers["i-second"] != nil })
+		if r := u.do(http.MethodPost, "/unsafe/", "k1", "x"); r.status != 200 {
+			t.Errorf("daemon %s: reply %+v", u.s.Name, r)
+		}
+	}
+	store.Remove("servers", "i-first")
+	store.Forget() // the daemons have to read all entries again
+	for _, u := range all {
+		eventually(t, "the daemon follows the list", func() bool { v := u.d.view.Load(); return len(v.Servers) == 1 && v.Servers["i-second"] != nil })
+	}
+}
--- a/internal/fakeplatform/store.go
+++ b/internal/fakeplatform/store.go
@@ -180,9 +180,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rows := slices.DeleteFunc(s.list(c.Table, -1), func(r platform.Row) bool { return r.Key < c.From })
-	s.answer(w, http.StatusOK, rows[:min(c.Limit, len(rows))], len(rows) > c.Limit)
+	n, size := 0, 0
+	for n < min(c.Limit, len(rows)) && size < maxPageBytes {
+		size += len(rows[n].Value)
+		n++
+	}
+	s.answer(w, http.StatusOK, rows[:n], len(rows) > n)
 }
 
+// maxPageBytes bounds the values of a page.
+const maxPageBytes = 1 << 20
+
 func (s *Store) feed(ctx context.Context, w http.ResponseWriter, c platform.StoreCall) {
 	end := make(chan struct{})
 	defer timer.AfterFunc(c.Wait, func() { close(end) })()
