Keep nothing of an odd entry

A daemon held each entry that names no backend server as it was, up to 64 KB, sent it to the daemons that it reads for, and wrote a warning each time that the entry changed or all entries were read.

--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -518,9 +518,11 @@
 	Value   []byte `cbor:"value"`
 	Removed bool   `cbor:"removed,omitempty"`
 	Version int64  `cbor:"version"`
-	// at is when the row was read, changed the version of its last change other than a heartbeat.
+	// at is when the row was read, changed the version of its last change other than a heartbeat. odd is set if the entry
+	// names no backend server.
 	at      time.Time
 	changed int64
+	odd     bool
 }
 
 // applyServers applies changed entries, or all entries if whole is set, that were current at the given version of the
@@ -557,8 +559,11 @@
 		}
 		s, err := platform.DecodeServer(r.ID, r.Value)
 		if err != nil {
-			// The entry was not written by a backend server.
-			f.d.log.Warn("invalid entry of a backend server ignored", "id", r.ID, "error", err)
+			// The entry was not written by a backend server. To peers it is the same as a removed one.
+			if !f.rawServers[r.ID].odd {
+				f.d.log.Warn("invalid entry of a backend server ignored", "id", r.ID, "error", err)
+			}
+			r.Value, r.Removed, r.odd = nil, true, true
 			f.rawServers[r.ID] = r
 			changes = append(changes, roster.Change{ID: r.ID})
 			continue
--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
 
 	"flamingorudder.example/internal/fakeplatform"
 	"flamingorudder.example/internal/gossip"
@@ -111,6 +114,32 @@
 	}
 }
 
+// TestOddEntryIsNotKept guards against a daemon that holds and relays what another writer has left, up to 64 KB an entry, and
+// against a line of the log each time that such an entry changes.
+func TestOddEntryIsNotKept(t *testing.T) {
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	u := startDaemon(t, fakeplatform.NewStore(), "a", func(d *Daemon) { d.log = hclog.New(&hclog.LoggerOptions{Output: log}) })
+	odd := entryRow{ID: "i-odd", Value: []byte(`{"address":"` + strings.Repeat("x", 60_000) + `"}`)}
+	for version := int64(1000); version < 1010; version++ {
+		odd.Version = version
+		u.d.feed.applyServers([]entryRow{odd}, version%2 == 0, version, 0)
+	}
+	u.d.feed.mu.Lock()
+	kept := u.d.feed.rawServers["i-odd"]
+	u.d.feed.mu.Unlock()
+	if len(kept.Value) > 0 || !kept.Removed || kept.Version != 1009 {
+		t.Errorf("%d bytes kept, removed %v, version %d", len(kept.Value), kept.Removed, kept.Version)
+	}
+	text, err := os.ReadFile(log.Name())
+	if lines := strings.Count(string(text), "invalid entry"); err != nil || lines != 1 || len(text) > 10_000 {
+		t.Errorf("%d lines about the entry, %d bytes of log, error %v", lines, len(text), err)
+	}
+}
+
 // TestFleetProbesTheStore checks that a large fleet calls an unreachable store rarely, so that calls during outages are not
 // most of a day's calls, and that a daemon returns to the store once a peer reaches it.
 func TestFleetProbesTheStore(t *testing.T) {
