--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -251,7 +251,7 @@
 	}
 	if !ran || !forwardable(a) {
 		_, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxReadAhead))
-		end(err != nil)
+		end(err != nil || a.Status == http.StatusMisdirectedRequest) // another backend server has the address
 		return nil, &UnusableError{server.ID, a.Status}
 	}
 	out := &bufferedResponse{a: a, done: end}
--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -260,3 +260,30 @@
 		eventually(t, "the daemon follows the list", func() bool { v := u.d.view.Load(); return len(v.Servers) == 1 && v.Servers["i-second"] != nil })
 	}
 }
+
+// TestEntryWithAnotherServersAddress guards against requests that are rejected, as they may be sent only once, while an entry
+// has the address of another backend server.
+func TestEntryWithAnotherServersAddress(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	u := startDaemon(t, store, "a")
+	addr := backendServer(t, func(c net.Conn, r *http.Request) {
+		if r.Header.Get("X-Flamingorudder-Target-Instance") != "i-1" {
+			writeAnswer(c, r, http.StatusMisdirectedRequest, "")
+			return
+		}
+		writeAnswer(c, r, 200, "fine")
+	})
+	u.putServer("i-1", "plain", addr, "null")
+	u.putServer("i-odd", "plain", addr, "null")
+	u.waitReady()
+	rejected := 0
+	for start := time.Now(); time.Since(start) < minServerBackoff; {
+		if r := u.do(http.MethodPost, "/unsafe/", "k1", "x"); r.status != 200 {
+			rejected++
+		}
+	}
+	if rejected > 1 {
+		t.Errorf("%d requests rejected, want at most the first that is sent there", rejected)
+	}
+}
