Keep the fencing token when the lease cannot be decoded

A daemon now goes on from the last token that it knows; one that has just started and has heard of none still begins at 1.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -190,6 +190,7 @@
 	l.d.election.ReadSucceeded(leaseClock(), r, v)
 }
 
+// decodeLease returns the record of the lease and its version. The caller holds d.peersMu.
 func (l *leader) decodeLease(rows []platform.Row) (election.Record, int64) {
 	for _, row := range rows {
 		if row.Key != leaseKey || row.Version == 0 {
@@ -198,6 +199,8 @@
 		var r election.Record
 		if err := cbor.Unmarshal(row.Value, &r); err != nil {
 			l.d.log.Error("cannot decode the lease", "error", err)
+			last, _ := l.d.election.LastRecord()
+			r = election.Record{Token: last.Token} // backend servers reject lower ones
 		}
 		return r, row.Version
 	}
--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -15,8 +15,10 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 
+	"flamingorudder.example/internal/election"
 	"flamingorudder.example/internal/fakeplatform"
 	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/platform"
 )
 
 // counted returns how many calls to the store for a purpose the daemon has counted since it last logged them.
@@ -287,3 +289,20 @@
 		t.Errorf("%d requests rejected, want at most the first that is sent there", rejected)
 	}
 }
+
+// TestOddLeaseKeepsTheToken guards against orders that all backend servers reject, as the fencing tokens start anew after
+// another writer has overwritten the lease.
+func TestOddLeaseKeepsTheToken(t *testing.T) {
+	u := startDaemon(t, fakeplatform.NewStore(), "a")
+	eventually(t, "the daemon holds the lease", u.d.holdsLease)
+	u.d.peersMu.Lock()
+	defer u.d.peersMu.Unlock()
+	u.d.election.Observe(leaseClock(), election.Record{Holder: "b", Token: 70}, 1000)
+	for _, value := range []string{"", "odd", strings.Repeat("\x81", 60_000), "\x9b\xff\xff\xff\xff\xff\xff\xff\xff"} {
+		r, version := u.d.leader.decodeLease([]platform.Row{{Table: tableLease, Key: leaseKey, Value: []byte(value), Version: 1001}})
+		u.d.election.Observe(leaseClock(), r, version)
+		if next, _ := u.d.election.Next(); next.Token != 71 || version != 1001 {
+			t.Errorf("%.20q: token %d, version %d", value, next.Token, version)
+		}
+	}
+}
