Write the last answers before the process ends

At the end of a planned stop, a caller could get a closed connection instead of the answer that its request had got: the daemon ended as soon as the last handler had returned, and closed all connections, while net/http still wrote the end of the answer. The request had been passed on, and one that may not be repeated was lost. The daemon now waits for connections to become idle, not for handlers to return. TestAnswerAtTheEndOfShutdown stretches that moment to 200 ms; it got EOF before.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -66,8 +66,10 @@
 	view   atomic.Pointer[roster.View]
 	// shuttingDown is set once shutdown has begun, closing when new requests are no longer taken.
 	shuttingDown, closing atomic.Bool
-	// inFlight counts requests of callers in progress.
+	// inFlight counts requests of callers in progress. active holds the connections on which one is in progress or its
+	// answer still being written.
 	inFlight atomic.Int64
+	active   activeConns
 	// served is set once the first request of a caller has been accepted.
 	served atomic.Bool
 	// bufferedBytes is the size of all request bodies held in memory, in bytes.
@@ -188,6 +190,9 @@
 		// The handler replaces the router of kratos, which normalizes paths; requests must be forwarded unchanged.
 		srv.Handler = l.h
 		srv.IdleTimeout = callerIdleTimeout
+		if l.addr == s.Caller {
+			srv.ConnState = d.active.track
+		}
 		d.httpServers = append(d.httpServers, srv)
 		cleanups = append(cleanups, func() { _ = srv.Close() })
 	}
@@ -293,6 +298,33 @@
 	return d.tasks.Wait()
 }
 
+// activeConns is the set of connections between the header of a request and the last byte of its answer. net/http writes the
+// end of an answer after the handler has returned.
+type activeConns struct {
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// track is called by net/http when the state of a connection changes.
+func (a *activeConns) track(c net.Conn, state http.ConnState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if state != http.StateActive {
+		delete(a.conns, c)
+		return
+	}
+	if a.conns == nil {
+		a.conns = map[net.Conn]struct{}{}
+	}
+	a.conns[c] = struct{}{}
+}
+
+func (a *activeConns) len() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.conns)
+}
+
 // Stop shuts the daemon down gracefully. The daemon is no longer listed to callers, accepts requests until the address
 // lists that contain it have expired, and exits once the last response has been sent.
 func (d *Daemon) Stop(ctx context.Context) error {
@@ -309,7 +341,7 @@
 	// not run.
 	d.closing.Store(true)
 	d.httpServers[0].SetKeepAlivesEnabled(false)
-	for time.Now().Before(deadline) && d.inFlight.Load() > 0 {
+	for time.Now().Before(deadline) && d.active.len() > 0 {
 		if err := timer.Wait(ctx, 20*time.Millisecond); err != nil {
 			break
 		}
--- /dev/null
+++ b/internal/entry/shutdown_test.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"flamingorudder.example/internal/fakeplatform"
+	"flamingorudder.example/internal/timer"
+)
+
+// stop shuts the daemon down and returns a function that waits for the end.
+func (u *daemonUnderTest) stop() (wait func()) {
+	stopped := make(chan error, 1)
+	go func() { stopped <- u.d.Stop(context.Background()) }()
+	eventually(u.t, "the shutdown has begun", u.d.shuttingDown.Load)
+	return func() {
+		if err := <-stopped; err != nil {
+			u.t.Error(err)
+		}
+	}
+}
+
+// TestAnswerAtTheEndOfShutdown guards against an answer that the end of the process cuts off as it is complete but not yet
+// written to the connection.
+func TestAnswerAtTheEndOfShutdown(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	u := startDaemon(t, store, "a", func(d *Daemon) {
+		serve := d.httpServers[0].Handler
+		d.httpServers[0].Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			serve.ServeHTTP(w, r)
+			_ = timer.Wait(context.Background(), 200*time.Millisecond) // net/http writes the rest of the answer afterwards
+		})
+	})
+	arrived, release := make(chan struct{}), make(chan struct{})
+	u.putServer("i-1", "plain", backendServer(t, func(c net.Conn, r *http.Request) {
+		close(arrived)
+		<-release
+		writeAnswer(c, r, 200, "fine")
+	}), "null")
+	u.waitReady()
+	got := make(chan reply, 1)
+	go func() { got <- u.do(http.MethodPost, "/unsafe/", "k1", "x") }()
+	<-arrived
+	wait := u.stop()
+	eventually(t, "requests are rejected", u.d.closing.Load)
+	close(release)
+	if r := <-got; r.status != 200 || r.body != "fine" {
+		t.Errorf("reply %+v", r)
+	}
+	wait()
+}
