Reject a request whose body arrives late in a shutdown

A request whose header came while the daemon still took requests, and the rest of whose body after that, was passed on, at any time until the end of the grace period. The end of the process then cut its answer off, although it may not be repeated. It is now rejected as not run when its body is complete, without Retry-After, so that another daemon gets it at once. TestBodyLateInShutdown: it was passed on before.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -77,12 +77,9 @@
 		// Closing the connection with the response makes the caller move on to another daemon.
 		w.Header().Set("Connection", "close")
 	}
-	if d.closing.Load() {
-		// The end of the process would break the answer off. Another daemon takes the request at once.
-		x.reject(http.StatusServiceUnavailable, 0, "shutting down")
-		return
-	}
-	if !x.admit() {
+	// The end of the process would break the answer off. Another daemon takes the request at once. The second check is for
+	// those whose body has taken long to arrive.
+	if x.rejectedByShutdown() || !x.admit() || x.rejectedByShutdown() {
 		return
 	}
 	d.served.Store(true)
@@ -97,6 +94,15 @@
 	x.servePlain(ctx, svc)
 }
 
+// rejectedByShutdown rejects the request if the daemon takes no new ones any more, and reports whether it has done so.
+func (x *exchange) rejectedByShutdown() bool {
+	if !x.d.closing.Load() {
+		return false
+	}
+	x.reject(http.StatusServiceUnavailable, 0, "shutting down")
+	return true
+}
+
 // admit finds the route and the organisation of the request and reads its body. It reports false after it has rejected a
 // request that cannot be served.
 func (x *exchange) admit() bool {
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -54,3 +56,36 @@
 	}
 	wait()
 }
+
+// TestBodyLateInShutdown guards against passing on a request whose body arrives only after new requests are rejected: the end
+// of the process may cut its answer off, and it may not be repeated.
+func TestBodyLateInShutdown(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	u := startDaemon(t, store, "a")
+	passedOn := make(chan struct{}, 1)
+	u.putServer("i-1", "plain", backendServer(t, func(c net.Conn, r *http.Request) {
+		passedOn <- struct{}{}
+		writeAnswer(c, r, 200, "fine")
+	}), "null")
+	u.waitReady()
+	c, err := net.Dial("tcp", u.s.Caller.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "POST /unsafe/ HTTP/1.1\r\nHost: a.example\r\nX-Api-Key: k1\r\nX-Flamingorudder-Request-Id: id-1\r\nContent-Length: 2\r\n\r\nx")
+	eventually(t, "the daemon has read the header", func() bool { return u.d.inFlight.Load() == 1 })
+	wait := u.stop()
+	eventually(t, "requests are rejected", u.d.closing.Load)
+	_, _ = io.WriteString(c, "x")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") != "" || len(passedOn) > 0 {
+		t.Errorf("status %d, Retry-After %q, passed on %d times", resp.StatusCode, resp.Header.Get("Retry-After"), len(passedOn))
+	}
+	wait()
+}
