Answer the requests that outlast a shutdown

Requests that were taken early in a planned stop, or before it, and for which a backend server needed longer than the rest of the grace period were cut with no answer when the process ended, and so were those that still waited for a backend server, which had not run.

Shortly before the process ends (at 0.95 of the grace period; it ends at 0.97 as before), all requests in progress end: with 503 if they have not run, with 504 if they may have. Only streams that have begun are broken off. A request that is taken during a shutdown has no later deadline than that, also at the scheduler and at the backend server. One that may not be repeated and still waits when new requests are no longer taken is rejected then, as not run and without Retry-After: another daemon takes it at once, with seconds left, while here the end of the process might cut off its only answer.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -47,7 +47,9 @@
 	// acceptFraction is the fraction of the grace period during which a daemon that shuts down still accepts requests.
 	// Callers may cache an address list for up to three times its time to live. The rest is for the answers.
 	acceptFraction = 0.36
-	// exitFraction is the fraction of the grace period after which the daemon exits even if responses are outstanding.
+	// endFraction is the fraction of the grace period after which requests in progress are ended, so that their callers get an
+	// answer before the process exits. exitFraction is that after which the daemon exits even if answers are outstanding.
+	endFraction  = 0.95
 	exitFraction = 0.97
 )
 
@@ -66,6 +68,11 @@
 	view   atomic.Pointer[roster.View]
 	// shuttingDown is set once shutdown has begun, closing when new requests are no longer taken.
 	shuttingDown, closing atomic.Bool
+	// closed is done once new requests are no longer taken, ended when requests in progress have to end. endAt is when that
+	// will be; nil before the shutdown.
+	closed, ended context.Context
+	close, end    context.CancelFunc
+	endAt         atomic.Pointer[time.Time]
 	// inFlight counts requests of callers in progress. active holds the connections on which one is in progress or its
 	// answer still being written.
 	inFlight atomic.Int64
@@ -124,6 +131,8 @@
 	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryLimitPercent / 100)
 	d := &Daemon{log: log, boot: time.Now().UnixMilli(), members: gossip.NewPeerSet(s.Name, s.DataCentre, s.Cores), election: election.New(s.Name), stopped: make(chan struct{})}
 	d.currentSettings.Store(&s)
+	d.closed, d.close = context.WithCancel(context.Background())
+	d.ended, d.end = context.WithCancel(context.Background())
 	var cleanups []func()
 	cleanup := func() {
 		for i := len(cleanups) - 1; i >= 0; i-- {
@@ -329,19 +338,25 @@
 // lists that contain it have expired, and exits once the last response has been sent.
 func (d *Daemon) Stop(ctx context.Context) error {
 	start := time.Now()
+	grace := float64(d.settings().Grace)
+	accept := time.Duration(grace * acceptFraction)
+	endAt, exitAt := start.Add(time.Duration(grace*endFraction)), start.Add(time.Duration(grace*exitFraction))
+	d.endAt.Store(&endAt)
 	d.shuttingDown.Store(true)
 	d.leader.resign()
 	d.log.Info("leaving", "in_flight", d.inFlight.Load())
-	accept := time.Duration(float64(d.settings().Grace) * acceptFraction)
-	deadline := start.Add(time.Duration(float64(d.settings().Grace) * exitFraction))
 	if err := timer.Wait(ctx, accept); err != nil {
 		d.log.Warn("shutdown interrupted before the accept period ended", "error", err)
 	}
 	// Closes idle connections. A request that arrives while its connection is being closed has not been read, so it has
 	// not run.
 	d.closing.Store(true)
+	d.close()
 	d.httpServers[0].SetKeepAlivesEnabled(false)
-	for time.Now().Before(deadline) && d.active.len() > 0 {
+	for now := start; now.Before(exitAt) && d.active.len() > 0; now = time.Now() {
+		if !now.Before(endAt) {
+			d.end()
+		}
 		if err := timer.Wait(ctx, 20*time.Millisecond); err != nil {
 			break
 		}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -128,6 +128,8 @@
 func (x *exchange) servePlain(ctx context.Context, svc *route.Service) {
 	tried := map[string]bool{}
 	limit := x.d.connectionLimit(svc)
+	waiting, stopWaiting := x.untilClosing(ctx)
+	defer stopWaiting()
 	var last error
 	var answer *bufferedResponse
 	for unsent := 0; unsent < maxUnsent && ctx.Err() == nil; {
@@ -137,7 +139,7 @@
 		server := x.d.plainServers.choose(servers, usable, tried, x.d.settings().DataCentre, now)
 		if server == nil {
 			wait, err := x.noServer(now, servers, share)
-			if wait > 0 && timer.Wait(ctx, wait) == nil {
+			if wait > 0 && timer.Wait(waiting, wait) == nil {
 				continue
 			}
 			last = err
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -54,7 +54,8 @@
 	rank    int
 	body    []byte
 	start   time.Time
-	// deadline is the earlier one of the caller's deadline and the timeout of the route, less a margin for the response.
+	// deadline is the earlier one of the caller's deadline and the timeout of the route, less a margin for the response, and
+	// no later than the end of all requests in a shutdown.
 	deadline time.Time
 	// attempts counts the attempts that reached a backend server. mayHaveRun is set when one of them may have run the
 	// request.
@@ -85,6 +86,7 @@
 	d.served.Store(true)
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(d.ended, cancel)()
 	svc := x.config.Service(x.service)
 	d.budget.countRequest(x.service, x.start, d.settings().RetryWindow)
 	if svc != nil && svc.Engine != nil && svc.Engine.Model(x.call.Model) != nil {
@@ -99,10 +101,25 @@
 	if !x.d.closing.Load() {
 		return false
 	}
-	x.reject(http.StatusServiceUnavailable, 0, "shutting down")
+	x.reject(http.StatusServiceUnavailable, 0, outcomeShutdown)
 	return true
 }
 
+// untilClosing returns the context in which the request may wait for a backend server. One that may not be repeated waits
+// only as long as new requests are taken: if it was sent later, the end of the process might cut off its only answer, while
+// another daemon can take it.
+func (x *exchange) untilClosing(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if x.route.Repeatable() {
+		return ctx, cancel
+	}
+	stop := context.AfterFunc(x.d.closed, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // admit finds the route and the organisation of the request and reads its body. It reports false after it has rejected a
 // request that cannot be served.
 func (x *exchange) admit() bool {
@@ -138,6 +155,9 @@
 		left = defaultTimeout
 	}
 	x.deadline = x.start.Add(max(left-responseMargin, left/2))
+	if end := d.endAt.Load(); end != nil && end.Before(x.deadline) {
+		x.deadline = *end
+	}
 	return x.readBody()
 }
 
@@ -216,8 +236,12 @@
 	x.log("request", "status", status, "outcome", reason, "first", first, "pause", x.maxGap)
 }
 
-// outcomeServed is the outcome of a request whose response was forwarded completely.
-const outcomeServed = "served"
+const (
+	// outcomeServed is the outcome of a request whose response was forwarded completely.
+	outcomeServed = "served"
+	// outcomeShutdown is that of a request which has not run and ends with the daemon.
+	outcomeShutdown = "shutting down"
+)
 
 // sample reports whether the request is logged even though it was served normally.
 func (x *exchange) sample() bool {
@@ -251,8 +275,11 @@
 		retryAfter := balance.RetryDelay(time.Now(), x.deadline, rand.Float64)
 		var rejected *RejectedError
 		reason := "not run"
-		if errors.As(cause, &rejected) {
+		switch {
+		case errors.As(cause, &rejected):
 			retryAfter, reason = rejected.RetryAfter, "rejected: "+rejected.Reason
+		case x.d.closing.Load():
+			retryAfter, reason = 0, outcomeShutdown // another daemon takes it at once
 		}
 		x.reject(http.StatusServiceUnavailable, retryAfter, reason)
 	case ctx.Err() != nil:
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -89,3 +90,49 @@
 	}
 	wait()
 }
+
+// TestRequestsOutlastShutdown guards against requests that are cut with no answer at the end of the grace period: those that a
+// backend server still works on, and those that still wait for one.
+func TestRequestsOutlastShutdown(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, `,
+ {"name":"once","host":"a.example","prefix":"/once/","kind":"streaming","timeoutMs":9000,"targetLatencyMs":9000,"service":"llm","maxAttempts":1}`)))
+	u := startDaemon(t, store, "a")
+	deadlines := make(chan time.Duration, 10)
+	u.putServer("i-1", "plain", backendServer(t, func(_ net.Conn, r *http.Request) {
+		ms, _ := strconv.Atoi(r.Header.Get("X-Flamingorudder-Deadline-Ms"))
+		deadlines <- time.Duration(ms) * time.Millisecond
+		<-u.d.stopped
+	}), "null")
+	u.waitReady()
+	began := time.Now()
+	early, late, waiting := make(chan reply, 1), make(chan reply, 1), make(chan reply, 1)
+	go func() { early <- u.do(http.MethodPost, "/unsafe/", "k1", "x") }()
+	<-deadlines
+	go func() {
+		waiting <- u.do(http.MethodPost, "/once/", "k1", "x", "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "10,10", "X-Flamingorudder-Deadline-Ms", "9000")
+	}()
+	eventually(t, "a request waits for a group", func() bool {
+		u.d.dispatch.mu.Lock()
+		defer u.d.dispatch.mu.Unlock()
+		return len(u.d.dispatch.waiters) == 1
+	})
+	stopping := time.Now()
+	wait := u.stop()
+	go func() { late <- u.do(http.MethodPost, "/unsafe/", "k1", "x") }()
+	if d := <-deadlines; d > u.s.Grace {
+		t.Errorf("a backend server may work for %v, the process ends within %v", d, u.s.Grace)
+	}
+	if r := <-waiting; r.status != http.StatusServiceUnavailable || r.h.Get("Retry-After") != "" || time.Since(stopping) > u.s.Grace/2 {
+		t.Errorf("the waiting request: %v after the beginning of the shutdown, reply %+v", time.Since(stopping), r)
+	}
+	for name, r := range map[string]reply{"early": <-early, "late": <-late} {
+		if r.status != http.StatusGatewayTimeout || time.Since(began) < u.s.Grace*3/4 {
+			t.Errorf("the %s request: after %v, reply %+v", name, time.Since(began), r)
+		}
+	}
+	wait()
+	if took := time.Since(stopping); took > u.s.Grace {
+		t.Errorf("stopped after %v", took)
+	}
+}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -66,10 +66,12 @@
 		if !x.allowAttempt() {
 			break
 		}
-		reserved, err := x.d.dispatch.acquire(ctx, svc, x.call.Model, x.org, balance.Request{
+		waiting, stopWaiting := x.untilClosing(ctx)
+		reserved, err := x.d.dispatch.acquire(waiting, svc, x.call.Model, x.org, balance.Request{
 			Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: x.requestHash(),
 			Arrived: x.start, Until: x.deadline, Resumed: x.mayHaveRun || x.call.LastEvent != "",
 		}, x.call.SharedParts, exclude)
+		stopWaiting()
 		if err != nil {
 			last = err
 			break
