Shut down by the grace period in force

When the settings had been changed to a longer grace period while a daemon ran, a planned stop still ended after the one of the start: kratos ends the context of Stop then, and Stop took that as the end of the shutdown. Requests in progress were cut with no answer although the platform would have waited. TestGraceChangesBeforeShutdown got EOF before. Stop, which bounds itself by the settings in force, no longer looks at that context.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -337,6 +337,7 @@
 // Stop shuts the daemon down gracefully. The daemon is no longer listed to callers, accepts requests until the address
 // lists that contain it have expired, and exits once the last response has been sent.
 func (d *Daemon) Stop(ctx context.Context) error {
+	ctx = context.WithoutCancel(ctx) // ends after the grace period of the start, which the settings may have changed since
 	start := time.Now()
 	grace := float64(d.settings().Grace)
 	accept := time.Duration(grace * acceptFraction)
@@ -345,9 +346,7 @@
 	d.shuttingDown.Store(true)
 	d.leader.resign()
 	d.log.Info("leaving", "in_flight", d.inFlight.Load())
-	if err := timer.Wait(ctx, accept); err != nil {
-		d.log.Warn("shutdown interrupted before the accept period ended", "error", err)
-	}
+	_ = timer.Wait(ctx, accept) // ctx does not end
 	// Closes idle connections. A request that arrives while its connection is being closed has not been read, so it has
 	// not run.
 	d.closing.Store(true)
@@ -357,9 +356,7 @@
 		if !now.Before(endAt) {
 			d.end()
 		}
-		if err := timer.Wait(ctx, 20*time.Millisecond); err != nil {
-			break
-		}
+		_ = timer.Wait(ctx, 20*time.Millisecond) // ctx does not end
 	}
 	d.log.Info("stop", "in_flight", d.inFlight.Load(), "after", time.Since(start))
 	close(d.stopped)
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -136,3 +136,33 @@
 		t.Errorf("stopped after %v", took)
 	}
 }
+
+// TestGraceChangesBeforeShutdown guards against answers that are cut off as the process ends after the grace period with
+// which it was started, although the settings now have a longer one.
+func TestGraceChangesBeforeShutdown(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	u := startDaemon(t, store, "a")
+	arrived, release := make(chan struct{}), make(chan struct{})
+	u.putServer("i-1", "plain", backendServer(t, func(c net.Conn, r *http.Request) {
+		close(arrived)
+		<-release
+		writeAnswer(c, r, 200, "fine")
+	}), "null")
+	u.waitReady()
+	got, stopped := make(chan reply, 1), make(chan error, 1)
+	go func() { got <- u.do(http.MethodPost, "/unsafe/", "k1", "x") }()
+	<-arrived
+	// kratos ends the context after the grace period of the start.
+	ctx, cancel := context.WithTimeout(context.Background(), u.s.Grace/20)
+	defer cancel()
+	go func() { stopped <- u.d.Stop(ctx) }()
+	_ = timer.Wait(context.Background(), u.s.Grace/2)
+	close(release)
+	if r := <-got; r.status != 200 {
+		t.Errorf("reply %+v", r)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
