Take requests no longer than callers' address lists hold

A daemon that shuts down took requests for 0.36 of the grace period, however long that is: with 30 s, for 10.8 s. Callers' address lists name it for 2.7 s at most, and a request that is sent later and outlasts the end is cut off. TestLongGraceTakesNoRequestsForLonger; the function that it calls is new.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -44,9 +44,11 @@
 	memoryLimitPercent = 70
 	// sweepPeriod is how often idle connections are closed and state about removed groups and backend servers is dropped.
 	sweepPeriod = time.Second
-	// acceptFraction is the fraction of the grace period during which a daemon that shuts down still accepts requests.
-	// Callers may cache an address list for up to three times its time to live. The rest is for the answers.
+	// acceptFraction is the fraction of the grace period during which a daemon that shuts down still accepts requests, and
+	// maxAccept the longest such time. Callers may cache an address list for up to three times its time to live. The rest is
+	// for the answers.
 	acceptFraction = 0.36
+	maxAccept      = 3*addressListTTL + 180*time.Millisecond
 	// endFraction is the fraction of the grace period after which requests in progress are ended, so that their callers get an
 	// answer before the process exits. exitFraction is that after which the daemon exits even if answers are outstanding.
 	endFraction  = 0.95
@@ -334,13 +336,18 @@
 	return len(a.conns)
 }
 
+// acceptPeriod returns how long a daemon that shuts down still accepts requests.
+func acceptPeriod(grace time.Duration) time.Duration {
+	return min(time.Duration(float64(grace)*acceptFraction), maxAccept)
+}
+
 // Stop shuts the daemon down gracefully. The daemon is no longer listed to callers, accepts requests until the address
 // lists that contain it have expired, and exits once the last response has been sent.
 func (d *Daemon) Stop(ctx context.Context) error {
 	ctx = context.WithoutCancel(ctx) // ends after the grace period of the start, which the settings may have changed since
 	start := time.Now()
 	grace := float64(d.settings().Grace)
-	accept := time.Duration(grace * acceptFraction)
+	accept := acceptPeriod(d.settings().Grace)
 	endAt, exitAt := start.Add(time.Duration(grace*endFraction)), start.Add(time.Duration(grace*exitFraction))
 	d.endAt.Store(&endAt)
 	d.shuttingDown.Store(true)
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -166,3 +166,15 @@
 		t.Error(err)
 	}
 }
+
+// TestLongGraceTakesNoRequestsForLonger guards against requests that are taken so late in a long grace period that their
+// callers count on an answer, and that its end cuts off.
+func TestLongGraceTakesNoRequestsForLonger(t *testing.T) {
+	for _, test := range []struct{ grace, accept time.Duration }{
+		{0, 0}, {2 * time.Second, 720 * time.Millisecond}, {8 * time.Second, 2880 * time.Millisecond}, {30 * time.Second, 2880 * time.Millisecond}, {time.Hour, 2880 * time.Millisecond},
+	} {
+		if got := acceptPeriod(test.grace); got != test.accept {
+			t.Errorf("grace period %v: requests are taken for %v, want %v", test.grace, got, test.accept)
+		}
+	}
+}
