Take no SIGHUP for the end while starting

A SIGHUP that arrived while the daemon read its settings or opened its sockets ended the process, as nothing listened for the signal yet. The platform may change the settings at any time, also right after a start. A second SIGTERM changes nothing, and a SIGHUP during a shutdown doesn't change its times (by reading: kratos keeps its channel, and Stop reads the grace period once).

--- a/cmd/flamingod/entry.go
+++ b/cmd/flamingod/entry.go
@@ -30,6 +30,10 @@
 }
 
 func runEntry(_ context.Context, c *cli.Command) error {
+	// A signal that arrives before would end the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	file := c.Args().First()
 	if file == "" {
 		file = os.Getenv(settingsVariable)
@@ -52,9 +56,6 @@
 		return err
 	}
 	defer closeDaemon()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	d.WatchSettings(file, text, hup)
 	return kratos.New(kratos.Name("flamingod"), kratos.ID(settings.Name), kratos.Logger(logging.NewKratosLogger(log.Named("kratos"))),
 		kratos.Server(d), kratos.StopTimeout(settings.Grace)).Run()
