--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -44,10 +44,14 @@
 	memoryLimitPercent = 70
 	// sweepPeriod is how often idle connections are closed and state about removed groups and backend servers is dropped.
 	sweepPeriod = time.Second
-	// acceptFraction is the fraction of the grace period during which a daemon that shuts down still accepts requests.
-	// Callers may cache an address list for up to three times its time to live. The rest is for the answers.
+	// acceptFraction is the fraction of the grace period during which a daemon that shuts down still accepts requests, and
+	// maxAccept the longest such time. Callers may cache an address list for up to three times its time to live. The rest is
+	// for the answers.
 	acceptFraction = 0.36
-	// exitFraction is the fraction of the grace period after which the daemon exits even if responses are outstanding.
+	maxAccept      = 3*addressListTTL + 180*time.Millisecond
+	// endFraction is the fraction of the grace period after which requests in progress are ended, so that their callers get an
+	// answer before the process exits. exitFraction is that after which the daemon exits even if answers are outstanding.
+	endFraction  = 0.95
 	exitFraction = 0.97
 )
 
@@ -66,8 +70,15 @@
 	view   atomic.Pointer[roster.View]
 	// shuttingDown is set once shutdown has begun, closing when new requests are no longer taken.
 	shuttingDown, closing atomic.Bool
-	// inFlight counts requests of callers in progress.
+	// closed is done once new requests are no longer taken, ended when requests in progress have to end. endAt is when that
+	// will be; nil before the shutdown.
+	closed, ended context.Context
+	close, end    context.CancelFunc
+	endAt         atomic.Pointer[time.Time]
+	// inFlight counts requests of callers in progress. active holds the connections on which one is in progress or its
+	// answer still being written.
 	inFlight atomic.Int64
+	active   activeConns
 	// served is set once the first request of a caller has been accepted.
 	served atomic.Bool
 	// bufferedBytes is the size of all request bodies held in memory, in bytes.
@@ -122,6 +133,8 @@
 	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * memoryLimitPercent / 100)
 	d := &Daemon{log: log, boot: time.Now().UnixMilli(), members: gossip.NewPeerSet(s.Name, s.DataCentre, s.Cores), election: election.New(s.Name), stopped: make(chan struct{})}
 	d.currentSettings.Store(&s)
+	d.closed, d.close = context.WithCancel(context.Background())
+	d.ended, d.end = context.WithCancel(context.Background())
 	var cleanups []func()
 	cleanup := func() {
 		for i := len(cleanups) - 1; i >= 0; i-- {
@@ -188,6 +201,9 @@
 		// The handler replaces the router of kratos, which normalizes paths; requests must be forwarded unchanged.
 		srv.Handler = l.h
 		srv.IdleTimeout = callerIdleTimeout
+		if l.addr == s.Caller {
+			srv.ConnState = d.active.track
+		}
 		d.httpServers = append(d.httpServers, srv)
 		cleanups = append(cleanups, func() { _ = srv.Close() })
 	}
@@ -294,26 +310,61 @@
 	return d.tasks.Wait()
 }
 
+// activeConns is the set of connections between the header of a request and the last byte of its answer. net/http writes the
+// end of an answer after the handler has returned.
+type activeConns struct {
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// track is called by net/http when the state of a connection changes.
+func (a *activeConns) track(c net.Conn, state http.ConnState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if state != http.StateActive {
+		delete(a.conns, c)
+		return
+	}
+	if a.conns == nil {
+		a.conns = map[net.Conn]struct{}{}
+	}
+	a.conns[c] = struct{}{}
+}
+
+func (a *activeConns) len() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.conns)
+}
+
+// acceptPeriod returns how long a daemon that shuts down still accepts requests.
+func acceptPeriod(grace time.Duration) time.Duration {
+	return min(time.Duration(float64(grace)*acceptFraction), maxAccept)
+}
+
 // Stop shuts the daemon down gracefully. The daemon is no longer listed to callers, accepts requests until the address
 // lists that contain it have expired, and exits once the last response has been sent.
 func (d *Daemon) Stop(ctx context.Context) error {
+	ctx = context.WithoutCancel(ctx) // ends after the grace period of the start, which the settings may have changed since
 	start := time.Now()
+	grace := float64(d.settings().Grace)
+	accept := acceptPeriod(d.settings().Grace)
+	endAt, exitAt := start.Add(time.Duration(grace*endFraction)), start.Add(time.Duration(grace*exitFraction))
+	d.endAt.Store(&endAt)
 	d.shuttingDown.Store(true)
 	d.leader.resign()
 	d.log.Info("leaving", "in_flight", d.inFlight.Load())
-	accept := time.Duration(float64(d.settings().Grace) * acceptFraction)
-	deadline := start.Add(time.Duration(float64(d.settings().Grace) * exitFraction))
-	if err := timer.Wait(ctx, accept); err != nil {
-		d.log.Warn("shutdown interrupted before the accept period ended", "error", err)
-	}
+	_ = timer.Wait(ctx, accept) // ctx does not end
 	// Closes idle connections. A request that arrives while its connection is being closed has not been read, so it has
 	// not run.
 	d.closing.Store(true)
+	d.close()
 	d.httpServers[0].SetKeepAlivesEnabled(false)
-	for time.Now().Before(deadline) && d.inFlight.Load() > 0 {
-		if err := timer.Wait(ctx, 20*time.Millisecond); err != nil {
-			break
+	for now := start; now.Before(exitAt) && d.active.len() > 0; now = time.Now() {
+		if !now.Before(endAt) {
+			d.end()
 		}
+		_ = timer.Wait(ctx, 20*time.Millisecond) // ctx does not end
 	}
 	d.log.Info("stop", "in_flight", d.inFlight.Load(), "after", time.Since(start))
 	close(d.stopped)
--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -208,6 +208,7 @@
 		var r election.Record
 		if err := cbor.Unmarshal(row.Value, &r); err != nil {
 			l.d.log.Error("cannot decode the lease", "error", err)
+			r = election.Record{}
 		}
 		return r, era.Position{Era: n, Version: row.Version}
 	}
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -526,8 +526,9 @@
 		return f.d.store.Feed(ctx, platform.TableServers, after.Version, 0)
 	})
 	var history *platform.CompactedError
+	var large *platform.ResponseSizeError // a read of all entries comes in pages
 	whole := *after == noPosition
-	if !whole && (errors.As(err, &history) || f.storeEra() > after.Era) {
+	if !whole && (errors.As(err, &history) || errors.As(err, &large) || f.storeEra() > after.Era) {
 		// The feed cannot go on from there. In a later era it may seem to, once the store's version has caught up.
 		*after = noPosition
 		return f.readServers(ctx, after)
@@ -613,9 +614,11 @@
 	Value   []byte `cbor:"value"`
 	Removed bool   `cbor:"removed,omitempty"`
 	Version int64  `cbor:"version"`
-	// at is when the row was read, changed the version of its last change other than a heartbeat.
+	// at is when the row was read, changed the version of its last change other than a heartbeat. odd is set if the entry
+	// names no backend server.
 	at      time.Time
 	changed int64
+	odd     bool
 }
 
 // restoreSpread is, for each daemon of the fleet, its part of the time over which all of them write their rows again after a
@@ -672,8 +675,11 @@
 		}
 		s, err := platform.DecodeServer(r.ID, r.Value)
 		if err != nil {
-			// The entry was not written by a backend server.
-			f.d.log.Warn("invalid entry of a backend server ignored", "id", r.ID, "error", err)
+			// The entry was not written by a backend server. To peers it is the same as a removed one.
+			if !f.rawServers[r.ID].odd {
+				f.d.log.Warn("invalid entry of a backend server ignored", "id", r.ID, "error", err)
+			}
+			r.Value, r.Removed, r.odd = nil, true, true
 			f.rawServers[r.ID] = r
 			changes = append(changes, roster.Change{ID: r.ID})
 			continue
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -67,7 +67,9 @@
 		if !x.allowAttempt(0) {
 			break
 		}
-		reserved, err := s.acquire(ctx, x.mayHaveRun || x.call.LastEvent != "")
+		waiting, stopWaiting := x.untilClosing(ctx)
+		reserved, err := s.acquire(waiting, x.mayHaveRun || x.call.LastEvent != "")
+		stopWaiting()
 		if err != nil {
 			last = err
 			break
