--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -401,9 +401,10 @@
 	eventually(t, "the daemon holds the lease", u.d.holdsLease)
 	u.d.peersMu.Lock()
 	defer u.d.peersMu.Unlock()
-	u.d.election.Observe(leaseClock(), election.Record{Holder: "b", Token: 70}, era.Position{Version: 1000})
+	storeEra := u.d.election.Position().Era
+	u.d.election.Observe(leaseClock(), election.Record{Holder: "b", Token: 70}, era.Position{Era: storeEra, Version: 1000})
 	for _, value := range []string{"", "odd", strings.Repeat("\x81", 60_000), "\x9b\xff\xff\xff\xff\xff\xff\xff\xff"} {
-		r, position := u.d.leader.decodeLease([]platform.Row{{Table: tableLease, Key: leaseKey(0), Value: []byte(value), Version: 1001}}, 0)
+		r, position := u.d.leader.decodeLease([]platform.Row{{Table: tableLease, Key: leaseKey(storeEra), Value: []byte(value), Version: 1001}}, storeEra)
 		u.d.election.Observe(leaseClock(), r, position)
 		if next, _ := u.d.election.Next(); next.Token != 71 || position.Version != 1001 {
 			t.Errorf("%.20q: token %d, version %d", value, next.Token, position.Version)
