Keep a silent attempt of a safe request beside its retry

Callers got 500, 502 or 504 for a safe request although the first server that had it was sound: it had been silent for one and a half times the objective and went on.

The attempt was ended by a timeout before another server had answered; if that one failed, rejected the request or was silent too, there was no answer left.

The second attempt now runs beside the first, and the first usable response is forwarded; the other attempt is closed. At most two are under way, and both count as before. A server that is silent so long is avoided for a moment, and none is tried again for that reason. Requests that may run once are not affected: they have one attempt and wait.

A response that is not forwarded, as a later one took its place or the caller left, is closed now; the count of requests at its server stayed too high before.

TestSafeRequestLostWhileServerSilent failed before in all four cases: 500, 502, 504, and a second request at the only server.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"flamingorudder.example/internal/backend"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
@@ -16,8 +20,8 @@
 )
 
 const (
-	// attemptTimeoutFactor times the latency objective is the timeout of an attempt, after which a safe request is retried
-	// at another backend server.
+	// attemptTimeoutFactor times the latency objective is how long an attempt may be silent before a safe request is also sent
+	// to another backend server.
 	attemptTimeoutFactor = 1.5
 	// minServerBackoff and maxServerBackoff are the first and the longest time for which a backend server that gave no
 	// response is avoided; the time doubles with each failure in a row.
@@ -119,61 +123,190 @@
 	}
 }
 
+// avoid has a silent backend server avoided for a while.
+func (s *healthTable) avoid(id string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st := s.servers[id]; st != nil && st.avoidUntil.Before(now.Add(minServerBackoff)) {
+		st.avoidUntil = now.Add(minServerBackoff)
+	}
+}
+
 // NoServerError reports that a service has no backend server that can be used.
 type NoServerError struct{ Service string }
 
 func (e *NoServerError) Error() string { return "no usable backend server for service " + e.Service }
 
+// maxPlainAttempts bounds the attempts of one request that are under way at the same time.
+const maxPlainAttempts = 2
+
+// plainRequest is the state of a request to a plain service. A safe request is sent to a second backend server if the first
+// one is silent, which may be sound and go on: the first usable response is forwarded.
+type plainRequest struct {
+	x     *exchange
+	limit int
+	tried map[string]bool
+	// underWay holds the attempts that have not been settled. ended receives each of them once and never blocks.
+	underWay []*plainAttempt
+	ended    chan *plainAttempt
+	tasks    errgroup.Group
+	unsent   int
+	// answer is the best response, last the last error.
+	answer *bufferedResponse
+	last   error
+}
+
+// plainAttempt is one attempt at a plain service.
+type plainAttempt struct {
+	server *roster.Server
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// sent is when the attempt began, patience how long the backend server may be silent.
+	sent     time.Time
+	patience time.Duration
+	// response is nil if there was none, sendErr is the reason. notices describes what the response announces.
+	response *backend.Response
+	notices  string
+	sendErr  error
+	// out is nil if there is no response to forward, err is the reason.
+	out *bufferedResponse
+	err error
+}
+
 // servePlain serves a request to a plain service, one that runs no models.
 func (x *exchange) servePlain(ctx context.Context, svc *route.Service) {
-	tried := map[string]bool{}
-	limit := x.d.connectionLimit(svc)
-	var last error
-	var answer *bufferedResponse
-	for unsent := 0; unsent < maxUnsent && ctx.Err() == nil; {
-		servers, now := x.d.view.Load().Services[x.service], time.Now()
-		share := 1 / float64(x.d.fleetSize(now)) // of a limit, as callers spread over all daemons
-		usable := func(s *roster.Server) bool { return x.d.usableFrom(now, s, share).IsZero() }
-		server := x.d.plainServers.choose(servers, usable, tried, x.d.settings().DataCentre, now)
+	p := &plainRequest{x: x, limit: x.d.connectionLimit(svc), tried: map[string]bool{}, ended: make(chan *plainAttempt, maxPlainAttempts)}
+	for done := false; !done && (len(p.underWay) > 0 || p.unsent < maxUnsent && ctx.Err() == nil); {
+		if len(p.underWay) == 0 && !p.start(ctx) {
+			break
+		}
+		done = p.settle(p.await(ctx))
+	}
+	for _, a := range p.underWay {
+		a.cancel(&SupersededError{"another server"})
+	}
+	_ = p.tasks.Wait() // its tasks return no error
+	for len(p.underWay) > 0 {
+		p.settle(<-p.ended)
+	}
+	if p.answer != nil && x.r.Context().Err() == nil {
+		p.answer.forward(x)
+		return
+	}
+	p.answer.discard()
+	x.respondFailure(ctx, p.last)
+}
+
+// start sends the request to a backend server as soon as one can be used. It reports false if none can in time, or if no
+// attempt is left.
+func (p *plainRequest) start(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		servers, now, share := p.candidates()
+		server := p.choose(servers, now, share, false)
 		if server == nil {
-			wait, err := x.noServer(now, servers, share)
+			wait, err := p.x.noServer(now, servers, share)
 			if wait > 0 && timer.Wait(ctx, wait) == nil {
 				continue
 			}
-			last = err
-			break
-		}
-		if !x.allowAttempt(0) {
-			break
-		}
-		if !x.d.pauses.Admit(now, server.ID) {
-			continue // another request is already probing whether the pause is over
-		}
-		x.d.limits.Take(server.ID)
-		before := x.attempts
-		out, err := x.tryPlain(ctx, server, limit)
-		tried[server.ID] = true
-		if out != nil {
-			answer = out
-			if out.a.Status < http.StatusInternalServerError {
-				break
-			}
+			p.last = err
+			return false
 		}
-		if err != nil {
-			last = err
+		if !p.x.allowAttempt(0) {
+			return false
 		}
-		if x.attempts == before {
-			unsent++
+		if p.send(ctx, now, server) {
+			return true
 		}
-		if out != nil && !x.route.Repeatable() {
-			break
+	}
+	return false
+}
+
+// candidates returns the backend servers of the service, and the share of a limit that this daemon may use, as callers spread
+// over all daemons.
+func (p *plainRequest) candidates() (servers []*roster.Server, now time.Time, share float64) {
+	now = time.Now()
+	return p.x.d.view.Load().Services[p.x.service], now, 1 / float64(p.x.d.fleetSize(now))
+}
+
+// choose returns the backend server to use now, one that has not been tried if fresh is set, or nil if there is none.
+func (p *plainRequest) choose(servers []*roster.Server, now time.Time, share float64, fresh bool) *roster.Server {
+	usable := func(s *roster.Server) bool {
+		return (!fresh || !p.tried[s.ID]) && p.x.d.usableFrom(now, s, share).IsZero()
+	}
+	return p.x.d.plainServers.choose(servers, usable, p.tried, p.x.d.settings().DataCentre, now)
+}
+
+// send starts an attempt. It reports false if another request is already probing whether the pause of the server is over.
+func (p *plainRequest) send(ctx context.Context, now time.Time, server *roster.Server) bool {
+	x := p.x
+	if !x.d.pauses.Admit(now, server.ID) {
+		return false
+	}
+	x.d.limits.Take(server.ID)
+	p.tried[server.ID] = true
+	a := &plainAttempt{server: server, sent: now, patience: time.Duration(float64(x.route.Objective) * attemptTimeoutFactor)}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	p.underWay = append(p.underWay, a)
+	x.d.plainServers.begin(server.ID)
+	p.tasks.Go(func() error {
+		x.tryPlain(a, p.limit)
+		p.ended <- a
+		return nil
+	})
+	return true
+}
+
+// await waits for the end of an attempt. If the backend server is silent, it may send the request to another one meanwhile.
+func (p *plainRequest) await(ctx context.Context) *plainAttempt {
+	x := p.x
+	if x.route.Kind != route.Safe || x.route.Objective == 0 || len(p.underWay) == maxPlainAttempts || x.attempts+len(p.underWay) >= x.route.MaxAttempts {
+		return <-p.ended
+	}
+	waiting := p.underWay[0]
+	silent := make(chan struct{})
+	stop := timer.AfterFunc(waiting.patience-time.Since(waiting.sent), func() { close(silent) })
+	defer stop()
+	select {
+	case a := <-p.ended:
+		return a
+	case <-silent:
+	}
+	x.d.plainServers.avoid(waiting.server.ID, time.Now())
+	servers, now, share := p.candidates()
+	if server := p.choose(servers, now, share, true); server != nil && x.allowAttempt(len(p.underWay)) {
+		p.send(ctx, now, server)
+	}
+	return <-p.ended
+}
+
+// settle records the result of an attempt. It reports whether no other attempt is needed.
+func (p *plainRequest) settle(a *plainAttempt) (done bool) {
+	x := p.x
+	p.underWay = slices.DeleteFunc(p.underWay, func(o *plainAttempt) bool { return o == a })
+	before := x.attempts
+	x.recordAttempt(a.server, "", a.sendErr, a.response, a.notices)
+	if x.attempts == before {
+		p.unsent++
+	}
+	if a.err != nil {
+		p.last = a.err
+		var superseded *SupersededError
+		switch {
+		case errors.As(context.Cause(a.ctx), &superseded):
+			x.attemptLog[len(x.attemptLog)-1] += ", " + superseded.Error()
+		case a.sendErr == nil:
+			x.attemptLog[len(x.attemptLog)-1] += ", " + a.err.Error()
 		}
+		return false
 	}
-	if answer != nil && x.r.Context().Err() == nil {
-		answer.forward(x)
-		return
+	good := a.out.a.Status < http.StatusInternalServerError
+	if p.answer != nil && (!good || p.answer.a.Status < http.StatusInternalServerError) {
+		a.out.discard()
+		return good
 	}
-	x.respondFailure(ctx, last)
+	p.answer.discard()
+	p.answer = a.out
+	return good || !x.route.Repeatable()
 }
 
 // usableFrom returns when a plain backend server may be sent a request, or zero if it may be now. share is the part of its
@@ -228,48 +361,53 @@
 	done func(lost bool)
 }
 
-// tryPlain sends the request to one backend server and reads the response.
-func (x *exchange) tryPlain(ctx context.Context, server *roster.Server, limit int) (*bufferedResponse, error) {
-	tryCtx, cancel := ctx, context.CancelFunc(func() {})
-	if x.route.Kind == route.Safe && x.attempts+1 < x.route.MaxAttempts && x.route.Objective > 0 {
-		tryCtx, cancel = context.WithTimeout(ctx, time.Duration(float64(x.route.Objective)*attemptTimeoutFactor))
+// discard ends a response that is not forwarded.
+func (o *bufferedResponse) discard() {
+	if o != nil && o.tail {
+		o.done(false)
 	}
-	x.d.plainServers.begin(server.ID)
-	sent := time.Now()
-	a, err := x.d.pool.Do(tryCtx, server, x.buildRequest(server, -1, ""), limit)
-	notices, ran := "", true
-	if err == nil {
-		notices, ran = x.d.handleNotices(server, a), !a.NotExecuted
+}
+
+// tryPlain sends the request to one backend server and reads the response.
+func (x *exchange) tryPlain(a *plainAttempt, limit int) {
+	end := func(lost, failed bool) {
+		var superseded *SupersededError
+		if errors.As(context.Cause(a.ctx), &superseded) && time.Since(a.sent) < a.patience {
+			lost = false // it had no time to answer
+		}
+		a.cancel(nil)
+		x.d.plainServers.end(a.server.ID, lost && x.r.Context().Err() == nil, failed, time.Now())
 	}
-	x.recordAttempt(server, "", err, a, notices)
+	r, err := x.d.pool.Do(a.ctx, a.server, x.buildRequest(a.server, -1, ""), limit)
 	if err != nil {
-		cancel()
-		x.d.plainServers.end(server.ID, x.r.Context().Err() == nil, false, time.Now())
-		return nil, err
-	}
-	x.d.observeLimit(server, a, sent)
-	end := func(lost bool) {
-		a.Close()
-		cancel()
-		x.d.plainServers.end(server.ID, lost && x.r.Context().Err() == nil, a.Status >= http.StatusInternalServerError && ran, time.Now())
-	}
-	if !ran || !forwardable(a) {
-		_, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxReadAhead))
-		end(err != nil)
-		return nil, &UnusableError{server.ID, a.Status}
-	}
-	out := &bufferedResponse{a: a, done: end}
-	out.body, err = io.ReadAll(io.LimitReader(a.Body, maxReadAhead+1))
+		a.sendErr, a.err = err, err
+		end(true, false)
+		return
+	}
+	a.response, a.notices = r, x.d.handleNotices(a.server, r)
+	x.d.observeLimit(a.server, r, a.sent)
+	done := func(lost bool) {
+		r.Close()
+		end(lost, r.Status >= http.StatusInternalServerError && !r.NotExecuted)
+	}
+	if r.NotExecuted || !forwardable(r) {
+		_, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxReadAhead))
+		done(err != nil)
+		a.err = &UnusableError{a.server.ID, r.Status}
+		return
+	}
+	out := &bufferedResponse{a: r, done: done}
+	out.body, err = io.ReadAll(io.LimitReader(r.Body, maxReadAhead+1))
 	out.tail = len(out.body) > maxReadAhead
 	if err != nil {
-		end(true)
-		x.attemptLog[len(x.attemptLog)-1] += ", broken off"
-		return nil, &backend.NoResponseError{Server: server.ID, Err: err}
+		done(true)
+		a.err = &backend.NoResponseError{Server: a.server.ID, Err: err}
+		return
 	}
 	if !out.tail {
-		end(false)
+		done(false)
 	}
-	return out, nil
+	a.out = out
 }
 
 // UnusableError reports a response that must not be forwarded.
--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -143,3 +143,43 @@
 		})
 	}
 }
+
+// TestSafeRequestLostWhileServerSilent guards against giving up a backend server of a plain service that is silent for a moment
+// when no other one answers the request.
+func TestSafeRequestLostWhileServerSilent(t *testing.T) {
+	fail := func(c net.Conn, r *http.Request) { writeAnswer(c, r, http.StatusInternalServerError, "broken") }
+	hang := func(net.Conn, *http.Request) { _ = timer.Wait(t.Context(), 2*silence) }
+	shed := func(c net.Conn, r *http.Request) {
+		writeAnswer(c, r, http.StatusServiceUnavailable, "", "X-Flamingorudder-Not-Executed: 1\r\n")
+	}
+	for name, other := range map[string]func(c net.Conn, r *http.Request){"fails": fail, "is silent": hang, "rejects": shed, "does not exist": nil} {
+		t.Run("the other "+name, func(t *testing.T) {
+			t.Parallel()
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+			u := startDaemon(t, store, "a")
+			var arrived atomic.Int32
+			serve := func(c net.Conn, r *http.Request) {
+				if arrived.Add(1) > 1 && other != nil {
+					other(c, r)
+					return
+				}
+				_ = timer.Wait(t.Context(), silence)
+				writeAnswer(c, r, 200, "fine")
+			}
+			u.putServer("i-1", "plain", backendServer(t, serve), "null")
+			most := int32(1)
+			if other != nil {
+				u.putServer("i-2", "plain", backendServer(t, serve), "null")
+				most = 2
+			}
+			u.waitReady()
+			if r := u.do(http.MethodGet, "/safe/", "k1", ""); r.status != 200 || r.body != "fine" {
+				t.Errorf("reply %+v", r)
+			}
+			if n := arrived.Load(); n > most {
+				t.Errorf("%d requests at the servers, want %d at most", n, most)
+			}
+		})
+	}
+}
