Release the memory of request bodies that were not read whole

A caller that leaves while it sends its body left the body counted. After enough of them, a quarter of the daemon's memory, every later request with a body would get 503 until the daemon starts again.

Cause: the size is counted before the error of the read is handled, and taken off in finish, which that path does not reach. Found while listing the ways on which a request can end without an answer.

TestAbortedBodiesFillMemory failed before: 900 bytes are held after one aborted body, 905 after a second one.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -952,6 +952,27 @@
 	}
 }
 
+// TestAbortedBodiesFillMemory guards against rejecting all requests with bodies after many callers have left while they sent theirs.
+func TestAbortedBodiesFillMemory(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	u := startDaemon(t, store, "a")
+	u.waitReady()
+	for _, head := range []string{"Content-Length: 900\r\n\r\nhello", "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"} {
+		c, err := net.Dial("tcp4", u.s.Caller.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(c, "POST /unsafe/ HTTP/1.1\r\nHost: a.example\r\nX-Api-Key: k1\r\n"+head)
+		eventually(t, "the request is being read", func() bool { return u.d.inFlight.Load() == 1 })
+		_ = c.Close()
+		eventually(t, "the request has ended", func() bool { return u.d.inFlight.Load() == 0 })
+		if n := u.d.bufferedBytes.Load(); n != 0 {
+			t.Errorf("%d bytes of bodies are held", n)
+		}
+	}
+}
+
 // TestStreamResumesOnlyWithEvents guards against an error text of the second backend server, or nothing at all, being joined to
 // the stream of a first one that broke off.
 func TestStreamResumesOnlyWithEvents(t *testing.T) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -174,6 +174,7 @@
 	x.d.bufferedBytes.Add(int64(len(x.body)))
 	if err != nil {
 		x.log("request was not read", "error", err)
+		x.d.bufferedBytes.Add(-int64(len(x.body)))
 		panic(http.ErrAbortHandler)
 	}
 	if limit > 0 && int64(len(x.body)) > limit {
