Reject a retry window of zero in the settings

A settings file with retry-window-s = 0, also one that is read while the daemon runs, made every request end with its connection closed: the retry budget divides by a twentieth of the window, and the handler panics. Found while listing the ways on which a request can end without an answer; a trial of countRequest with a window of zero panicked with "integer divide by zero".

The window is at least 0.1 s now, so the file is refused and the settings in force stay. TestSettings failed before.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -551,6 +551,10 @@
 	if err == nil || !strings.Contains(err.Error(), "grace-s") {
 		t.Errorf("misspelt key: error %v", err)
 	}
+	// Each request would divide by it.
+	if _, err = ParseSettings("f.ini", []byte(strings.Replace(text, "grace-s = 4", "retry-window-s = 0", 1))); err == nil {
+		t.Error("a retry window of zero is accepted")
+	}
 }
 
 // TestOrdersToAnotherServer checks that orders stop when another backend server has taken over an address. Each order once
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -86,7 +86,8 @@
 	s.Apply = milli("apply-ms", 2000)
 	s.Drain, s.Grace, s.AddressTTL = milli("drain-ms", 2000), second("grace-s", 8), second("hold-s", 5)
 	s.Stall, s.LoadWindow, s.HeartbeatPeriod = milli("stall-ms", 6000), second("load-window-s", 5), milli("beat-ms", 1200)
-	s.RetryRatio, s.RetrySlack, s.RetryWindow = b.Float("retry-ratio", 0.2, 0, 1e3), b.Float("retry-slack", 0, 0, 1e9), second("retry-window-s", 10)
+	s.RetryRatio, s.RetrySlack = b.Float("retry-ratio", 0.2, 0, 1e3), b.Float("retry-slack", 0, 0, 1e9)
+	s.RetryWindow = time.Duration(b.Float("retry-window-s", 10, 0.1, 1e6) * float64(time.Second))
 
 	g := f.Section("log")
 	s.LogLevel = g.Choice("level", "info", "trace", "debug", "info", "warn", "error")
