Test that changes of the configuration end no request

A stream and a request that may run once, both silent for a moment, and a request that waits for a group, while a new configuration drops the key, the model, the engine, or all services and routes. All of them get an answer.

--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -183,3 +183,68 @@
 		})
 	}
 }
+
+// TestRequestLostAtConfigChange guards against a request that runs or waits ending without an answer when a new configuration has
+// no place for it any more.
+func TestRequestLostAtConfigChange(t *testing.T) {
+	old := fmt.Sprintf(testConfig, 1, onceRoute)
+	changes := map[string]func(string) string{
+		"key": func(c string) string { return strings.Replace(c, `"k1"`, `"k2"`, 1) },
+		"model": func(c string) string {
+			return strings.Replace(c, `"name":"m","size"`, `"name":"other","size"`, 1)
+		},
+		"engine": func(c string) string {
+			i := strings.Index(c, `,"engine"`)
+			return c[:i] + `}],` + c[strings.Index(c, `"limits"`):]
+		},
+		"services and routes": func(c string) string {
+			return `{"version":1,"routes":[],"services":[],` + c[strings.Index(c, `"limits"`):]
+		},
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", []byte(old))
+			u := startDaemon(t, store, "a")
+			stream := &streamer{silentBefore: 3, pause: silence}
+			u.putServer("i-1", "llm", backendServer(t, stream.serve(t)), fmt.Sprintf(openGroup, 1))
+			var plain atomic.Int32
+			u.putServer("i-2", "plain", backendServer(t, func(c net.Conn, r *http.Request) {
+				plain.Add(1)
+				_ = timer.Wait(t.Context(), silence)
+				writeAnswer(c, r, 200, "fine")
+			}), "null")
+			u.waitReady()
+			served, once, waits := make(chan reply, 1), make(chan reply, 1), make(chan reply, 1)
+			go func() {
+				served <- u.do(http.MethodPost, "/once/", "k1", "x", "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20")
+			}()
+			go func() { once <- u.do(http.MethodPost, "/unsafe/", "k1", "x") }()
+			eventually(t, "the requests are at their servers", func() bool { return stream.arrived.Load() == 1 && plain.Load() == 1 })
+			u.putServer("i-1", "llm", "127.0.0.1:9", "null") // no other request can be placed
+			eventually(t, "no group is open", func() bool {
+				return len(u.d.view.Load().Groups["llm"]) == 0 || !u.d.view.Load().Groups["llm"][0].Complete()
+			})
+			go func() {
+				waits <- u.do(http.MethodPost, "/once/", "k1", "x", "X-Flamingorudder-Request-Id", "id-2", "X-Flamingorudder-Deadline-Ms", "1500", "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20")
+			}()
+			eventually(t, "a request waits", func() bool {
+				u.d.dispatch.mu.Lock()
+				defer u.d.dispatch.mu.Unlock()
+				return len(u.d.dispatch.waiters) == 1
+			})
+			store.Put("op", "config", []byte(strings.Replace(change(old), `"version":1`, `"version":2`, 1)))
+			eventually(t, "the new configuration is in force", func() bool { return u.d.config.Load().Version == 2 })
+			if r, want := <-served, event(1)+event(2)+event(3)+event(4); r.err != nil || r.status != 200 || r.body != want {
+				t.Errorf("stream: status %d, error %v, body %q", r.status, r.err, r.body)
+			}
+			if r := <-once; r.status != 200 || r.body != "fine" {
+				t.Errorf("unsafe request: %+v", r)
+			}
+			if r := <-waits; r.status != http.StatusServiceUnavailable {
+				t.Errorf("waiting request: %+v", r)
+			}
+		})
+	}
+}
