Give each page of a read of all entries its time

A daemon read all pages of the entries within one time limit of 1.5 s. With slow answers of a few hundred milliseconds each, or with 6 MB of odd entries, the read failed each time, and the daemon knew no backend servers for as long as that lasted. Each page now has the limit, and all of them 20 times as much.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -147,6 +147,7 @@
 	}
 	var closeIdle func()
 	d.store, closeIdle = platform.NewStore(s.Store)
+	d.store.PageTimeout = storeTimeout
 	cleanups = append(cleanups, closeIdle)
 	d.servers, closeIdle = platform.NewServerClient()
 	cleanups = append(cleanups, closeIdle)
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -26,8 +26,10 @@
 )
 
 const (
-	// storeTimeout bounds a call to the store. Slow answers take a few hundred milliseconds.
-	storeTimeout = 1500 * time.Millisecond
+	// storeTimeout bounds a call to the store. Slow answers take a few hundred milliseconds. allEntriesTimeout bounds a read
+	// of all entries, which takes a call for each page.
+	storeTimeout      = 1500 * time.Millisecond
+	allEntriesTimeout = 20 * storeTimeout
 	// longPollTime is the duration of a long poll for configuration changes on a daemon that also learns of them from peers.
 	longPollTime = 25 * time.Second
 	// applyTimeoutDivisor divides the time allowed for applying a configuration: a long poll whose answer is later than
@@ -435,7 +437,11 @@
 			f.d.log.Warn("cannot fetch entries from the assigned reader", "name", r.Name, "error", err)
 		}
 	}
-	page, err := f.d.storeCall(ctx, "entries", storeTimeout, func(ctx context.Context) (platform.Page, error) {
+	limit := storeTimeout
+	if *after < 0 {
+		limit = allEntriesTimeout
+	}
+	page, err := f.d.storeCall(ctx, "entries", limit, func(ctx context.Context) (platform.Page, error) {
 		if *after < 0 {
 			return f.d.store.Rows(ctx, platform.TableServers)
 		}
