Test that an odd row names no daemon

The rows of daemons may hold anything too: none of 10 odd rows was decoded, and neither the own name nor a row without an address is taken for another daemon. No change was needed.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,3 +76,30 @@
 		}
 	})
 }
+
+// TestOddRowNamesNoDaemon guards against a row of another writer that ends the daemon or is taken for another one.
+func TestOddRowNamesNoDaemon(t *testing.T) {
+	good, err := cbor.Marshal(digest("a", 5, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, row := range map[string]string{
+		"empty": "", "text": "odd", "nested": strings.Repeat("\x81", 60_000), "huge array": "\x9b\x7f\xff\xff\xff\xff\xff\xff\xff", "huge map": "\xbb\x7f\xff\xff\xff\xff\xff\xff\xff",
+		"huge text": "\x7b\x7f\xff\xff\xff\xff\xff\xff\xff", "number too large": "\xa1\x64boot\x1b\xff\xff\xff\xff\xff\xff\xff\xff", "cut off": string(good[:len(good)-1]), "name of another type": "\xa1\x64name\x07",
+		"address of another type": "\xa1\x64peer\x43\x01\x02\x03",
+	} {
+		if d, err := Decode([]byte(row)); err == nil {
+			t.Errorf("%s: %+v", name, d)
+		}
+	}
+	m := NewPeerSet("self", "dc", 1)
+	now := time.Now()
+	noAddr := digest("b", 5, 1)
+	noAddr.PeerAddr = netip.AddrPort{}
+	for _, d := range []Digest{digest("self", 9, 9), noAddr} {
+		m.AddFromRow(now, d)
+	}
+	if all := m.All(now); len(all) != 0 {
+		t.Errorf("daemons %+v", all)
+	}
+}
