--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -127,10 +127,11 @@
 	}
 	defer func() { _ = log.Close() }()
 	u := startDaemon(t, fakeplatform.NewStore(), "a", func(d *Daemon) { d.log = hclog.New(&hclog.LoggerOptions{Output: log}) })
+	eventually(t, "the daemon has read the store", func() bool { return u.d.feed.storeEra() > 0 && u.d.storeOK.Load() })
 	odd := entryRow{ID: "i-odd", Value: []byte(`{"address":"` + strings.Repeat("x", 60_000) + `"}`)}
 	for version := int64(1000); version < 1010; version++ {
 		odd.Version = version
-		u.d.feed.applyServers([]entryRow{odd}, version%2 == 0, era.Position{Version: version}, 0)
+		u.d.feed.applyServers([]entryRow{odd}, version%2 == 0, era.Position{Era: u.d.feed.storeEra(), Version: version}, 0)
 	}
 	u.d.feed.mu.Lock()
 	kept := u.d.feed.rawServers["i-odd"]
