--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -8,10 +8,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/hashicorp/go-hclog"
 
 	"flamingorudder.example/internal/election"
-	"flamingorudder.example/internal/era"
 	"flamingorudder.example/internal/fakeplatform"
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/roster"
