Keep the delay between reads of a store that discards its history at once

Since the configuration is read anew after a restore, a 410 was followed by the next read without a delay. A store that answers each feed with 410 would have been called without pause. Only a later era, which each read names once, skips the delay.

--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -200,9 +200,8 @@
 				return f.d.store.Feed(ctx, platform.TableOperator, after.Version, wait)
 			})
 			release()
-			var compacted *platform.CompactedError
-			if errors.As(err, &compacted) || f.storeEra() > after.Era && ctx.Err() == nil {
-				// The feed cannot go on from there.
+			if f.storeEra() > after.Era {
+				// The feed cannot go on from there, even if it seems to because the store's version has caught up.
 				after = noPosition
 				continue
 			}
@@ -528,7 +527,7 @@
 	var history *platform.CompactedError
 	whole := *after == noPosition
 	if !whole && (errors.As(err, &history) || f.storeEra() > after.Era) {
-		// The feed cannot go on from there. In a later era it may seem to, once the store's version has caught up.
+		// See watchConfig.
 		*after = noPosition
 		return f.readServers(ctx, after)
 	}
@@ -1040,11 +1039,11 @@
 		return
 	}
 	f.applyRelayedConfig(in, peer.String())
-	if path != pathConfig && in.Store {
+	if path != pathConfig && in.Store && in.Era >= f.storeEra() {
+		f.observeEra(in.Era)
 		f.mu.Lock()
 		f.tracker.SetRenewalsVisible(time.Now(), false)
 		f.mu.Unlock()
-		f.observeEra(in.Era)
 		f.applyServers(in.Servers, in.Whole || path == pathAll, in.position(), in.Age)
 	}
 }
