--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"flamingorudder.example/internal/election"
+	"flamingorudder.example/internal/era"
 	"flamingorudder.example/internal/fakeplatform"
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/roster"
@@ -290,3 +291,36 @@
 		t.Errorf("written after %v", took)
 	}
 }
+
+// TestRelayAfterRestore guards against relayed entries of before a restore that replace those of after it, and against a reader
+// that goes on from a version of an earlier era.
+func TestRelayAfterRestore(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	put(store, plainEntry("i-1", "ready", 1, 1))
+	u := startDaemon(t, store, "a")
+	u.waitReady()
+	backup := store.Backup()
+	put(store, otherRows(50)...)
+	put(store, plainEntry("i-2", "ready", 1, 1))
+	eventually(t, "the daemon has read the store", func() bool { return u.d.view.Load().Servers["i-2"] != nil })
+	store.Restore(backup, plainEntry("i-3", "ready", 1, 1))
+	eventually(t, "the daemon has read the restored store", func() bool { return u.d.view.Load().Servers["i-3"] != nil })
+	ask := func(path string) peerState {
+		in, err := u.d.feed.fetch(context.Background(), u.s.Peer, path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return in
+	}
+	if in := ask(u.d.feed.changesPath(era.Position{Era: 1, Version: 1000})); !in.Whole || in.Era != 2 || len(in.Servers) != 2 {
+		t.Errorf("a reader of the era before gets %d entries, whole %v, era %d, want all 2 of era 2", len(in.Servers), in.Whole, in.Era)
+	}
+	if in := ask(pathServers + "?after=1000&config=0"); in.Whole || len(in.Servers) != 0 {
+		t.Errorf("a reader that names no era gets %d entries, whole %v, want changes only", len(in.Servers), in.Whole)
+	}
+	u.d.feed.applyServers(nil, true, era.Position{Era: 1, Version: 1000}, 0)
+	if u.d.view.Load().Servers["i-3"] == nil {
+		t.Error("a state of the era before was applied")
+	}
+}
