Log the hash of the prompt and crashes in the line of a request

Operators could not tell whether the requests that crash servers are one and the same: no line named a request beyond its id, which differs with each repeat, and the line about a crash is left out when there are many.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -230,7 +230,7 @@
 	}
 	x.d.log.Info(msg, append([]any{
 		"id", x.call.ID, "route", name, "service", x.service, "model", x.call.Model, "organisation", x.org, "rank", x.rank,
-		"config", version, "took", time.Since(x.start).Round(time.Millisecond), "attempts", x.attemptLog,
+		"config", version, "prompt", formatHash(x.requestHash()), "took", time.Since(x.start).Round(time.Millisecond), "attempts", x.attemptLog,
 	}, args...)...)
 }
 
@@ -357,6 +357,7 @@
 	noteLeaving = "server leaving"
 	notePause   = "server asked for a pause of"
 	noteLimit   = "server takes a second"
+	noteCrashed = "server crashed"
 )
 
 // forwardable reports whether a response was sent by the backend server itself and may be forwarded.
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -145,8 +145,9 @@
 		if events <= maxEventsBeforeCrash && x.d.hasEnded(ctx, s.head) {
 			cause = causeCrashed
 			s.recordOutcome(true)
+			x.attemptLog[len(x.attemptLog)-1] += ", " + noteCrashed
 			x.d.log.Warn("backend server crashed while it worked on a request", "server", s.head.ID, "group", s.key, "id", x.call.ID,
-				"route", x.route.Name, "prompt_parts", formatParts(x.call.SharedParts), "events", events)
+				"route", x.route.Name, "prompt", formatHash(x.requestHash()), "prompt_parts", formatParts(x.call.SharedParts), "events", events)
 		}
 	}
 	x.d.metrics.RecordFailedAttempt(x.service, cause)
@@ -158,6 +159,14 @@
 	return ended.(bool)
 }
 
+// formatHash returns a hash as the log shows it, or "" for zero.
+func formatHash(h uint64) string {
+	if h == 0 {
+		return ""
+	}
+	return strconv.FormatUint(h, 16)
+}
+
 // formatParts returns the ids of prompt parts as callers send them.
 func formatParts(parts []uint64) []string {
 	out := make([]string, len(parts))
