--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -35,7 +35,8 @@
 	// placements for the requests of this daemon.
 	server  *schedule.Server
 	clients map[schedule.Model]*schedule.Client
-	// crashDetector finds prompt parts that crash backend servers, from the outcomes that daemons report to this scheduler.
+	// crashDetector finds requests and prompt parts that crash backend servers, from the outcomes that daemons report to this
+	// scheduler.
 	crashDetector *quarantine.Detector
 	// reporters holds the daemons that have sent reports to this scheduler, by name.
 	reporters map[string]reporter
@@ -66,8 +67,7 @@
 	// ask is the request as it is reported to the scheduler, with its latest ticket as the id.
 	ask            schedule.PlacementRequest
 	arrived, until time.Time
-	// parts identifies the shared parts of the prompt.
-	parts []uint64
+	ids            suspectIDs
 	// limit is how long a group of the model may make no progress before it counts as stalled.
 	limit time.Duration
 	// result receives the reserved place in a group, or the reason for the rejection.
@@ -85,10 +85,9 @@
 	model schedule.Model
 	key   string
 	head  *roster.Server
-	// parts identifies the shared parts of the prompt.
-	parts []uint64
-	// ctx is cancelled when the group, or this request alone, is found to have stalled, or when a part of the prompt is
-	// put in quarantine. Its cause is the error of the attempt.
+	ids   suspectIDs
+	// ctx is cancelled when the group, or this request alone, is found to have stalled, or when the request or a part of its
+	// prompt is put in quarantine. Its cause is the error of the attempt.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	prompt int
@@ -118,19 +117,19 @@
 
 // acquire waits until the scheduler has assigned a request to a group or has rejected it. exclude holds the groups that
 // must not be used as earlier attempts there failed.
-func (p *dispatcher) acquire(ctx context.Context, service *route.Service, name, org string, r balance.Request, parts []uint64, exclude []string) (*reservation, error) {
+func (p *dispatcher) acquire(ctx context.Context, service *route.Service, name, org string, r balance.Request, ids suspectIDs, exclude []string) (*reservation, error) {
 	now := time.Now()
 	model := schedule.Model{Service: service.Name, Name: name}
 	plan := &balance.Plan{Engine: service.Engine, Model: service.Engine.Model(name)}
 	w := &waiter{
-		model: model, arrived: r.Arrived, until: r.Until, parts: parts, limit: plan.StallTimeout(), result: make(chan outcome, 1),
+		model: model, arrived: r.Arrived, until: r.Until, ids: ids, limit: plan.StallTimeout(), result: make(chan outcome, 1),
 		ask: schedule.PlacementRequest{
 			Rank: r.Rank, Prompt: r.Prompt, Organisation: org, Objective: r.Objective, Gap: r.Gap, CallerTimeout: r.CallerTimeout, Fingerprint: r.Fingerprint, Resumed: r.Resumed,
 		},
 	}
 	p.mu.Lock()
-	// Checked under the mutex, so that no request begins to wait unnoticed while a part is quarantined.
-	if err := p.d.quarantineRejection(now, parts); err != nil {
+	// Checked under the mutex, so that no request begins to wait unnoticed while it is quarantined.
+	if err := p.d.quarantineRejection(now, ids); err != nil {
 		p.mu.Unlock()
 		return nil, err
 	}
@@ -185,7 +184,7 @@
 // reserve takes the place in a group that the scheduler has assigned to a request, and starts tracking its progress.
 func (p *dispatcher) reserve(now time.Time, w *waiter, place *schedule.Placement, head *roster.Server) *reservation {
 	s := &reservation{
-		d: p, model: w.model, key: place.Group, head: head, parts: w.parts, prompt: w.ask.Prompt, began: now, place: *place,
+		d: p, model: w.model, key: place.Group, head: head, ids: w.ids, prompt: w.ask.Prompt, began: now, place: *place,
 		track: p.stalls.Begin(now, place.Group, w.limit),
 	}
 	p.addLoad(s, balance.Load{Requests: 1, QueuedTokens: w.ask.Prompt})
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -123,6 +123,7 @@
 			p.sendReport(now, m)
 		}
 	}
+	p.quarantine(now, p.crashDetector.Settle(now))
 	p.scheduleAll(now)
 	for name, peer := range p.reporters {
 		if now.Sub(peer.heard) > reporterTTL {
@@ -195,6 +196,9 @@
 		Plan: &balance.Plan{Engine: service.Engine, Model: spec}, Heads: map[string]*roster.Server{}, Daemons: p.d.fleetSize(now), Random: rand.Float64,
 		Limits: p.d.limits, Preferred: p.isScheduler(now, m),
 	}
+	if p.d.quarantine.len() > 0 {
+		in.Reject = p.d.rejectPlacement
+	}
 	for _, g := range p.d.view.Load().Groups[m.Service] {
 		if g.Model != m.Name || !g.Complete() {
 			continue
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -5,19 +5,19 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
 	"flamingorudder.example/internal/quarantine"
+	"flamingorudder.example/internal/schedule"
 )
 
-// quarantineList is the set of prompt parts that crash backend servers, as this daemon knows it. It is safe for concurrent
-// use.
+// quarantineList is the set of requests and prompt parts that crash backend servers, as this daemon knows it. It is safe for
+// concurrent use.
 type quarantineList struct {
 	mu  sync.Mutex
 	set *quarantine.Set
-	// unsaved has an entry while the row of this daemon lacks a part that it has detected.
+	// unsaved has an entry while the row of this daemon, and the other daemons, lack something that it has detected.
 	unsaved chan struct{}
 }
 
@@ -25,30 +25,59 @@
 	return &quarantineList{set: quarantine.NewSet(), unsaved: make(chan struct{}, 1)}
 }
 
-// QuarantinedError reports a request whose prompt has a part that crashes backend servers.
-type QuarantinedError struct{ Part uint64 }
+// QuarantinedError reports a request that crashes backend servers, or whose prompt has a part that does.
+type QuarantinedError struct {
+	ID uint64
+	// Request is set if ID identifies the request, not a part.
+	Request bool
+}
 
 func (e *QuarantinedError) Error() string {
-	return fmt.Sprintf("prompt part %x crashes backend servers", e.Part)
+	if e.Request {
+		return fmt.Sprintf("request with prompt %x crashes backend servers", e.ID)
+	}
+	return fmt.Sprintf("prompt part %x crashes backend servers", e.ID)
+}
+
+// suspectIDs identifies what a request may crash backend servers with: itself and the shared parts of its prompt.
+type suspectIDs struct {
+	// request is the same for all attempts and repeats of a request, and zero if it has no prompt.
+	request uint64
+	parts   []uint64
+	// all holds both.
+	all []uint64
+}
+
+func newSuspectIDs(request uint64, parts []uint64) suspectIDs {
+	if request == 0 {
+		return suspectIDs{parts: parts, all: parts}
+	}
+	all := append([]uint64{request}, parts...)
+	return suspectIDs{request, all[1:], all}
 }
 
-// match returns the first of the given parts that is in quarantine, and how long it stays.
-func (q *quarantineList) match(now time.Time, parts []uint64) (part uint64, left time.Duration, ok bool) {
-	if len(parts) == 0 {
+// quarantinedError returns the error for the requests of these ids of which one is in quarantine.
+func (s suspectIDs) quarantinedError(id uint64) error {
+	return &QuarantinedError{id, id == s.request}
+}
+
+// match returns the first of the given ids that is in quarantine, and how long it stays.
+func (q *quarantineList) match(now time.Time, ids []uint64) (id uint64, left time.Duration, ok bool) {
+	if len(ids) == 0 {
 		return 0, 0, false
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.set.Match(now, parts)
+	return q.set.Match(now, ids)
 }
 
-func (q *quarantineList) known(now time.Time, part uint64) (known, ended bool) {
+func (q *quarantineList) known(now time.Time, id uint64) (known, ended bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.set.Known(now, part)
+	return q.set.Known(now, id)
 }
 
-func (q *quarantineList) advertised(now time.Time) []quarantine.Part {
+func (q *quarantineList) advertised(now time.Time) []quarantine.Entry {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.set.Advertised(now)
@@ -60,13 +89,13 @@
 	return int64(q.set.Len(time.Now()))
 }
 
-// add adds parts and returns those that were not in quarantine before.
-func (q *quarantineList) add(now time.Time, parts []quarantine.Part) (added []uint64) {
+// add adds entries and returns the ids that were not in quarantine before.
+func (q *quarantineList) add(now time.Time, entries []quarantine.Entry) (added []uint64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, p := range parts {
-		if q.set.Add(now, p, rand.Float64) {
-			added = append(added, p.ID)
+	for _, e := range entries {
+		if q.set.Add(now, e, rand.Float64) {
+			added = append(added, e.ID)
 		}
 	}
 	return added
@@ -78,35 +107,42 @@
 	q.set.Expire(now)
 }
 
-// addQuarantined puts parts in quarantine that another daemon or its row told.
-func (d *Daemon) addQuarantined(parts []quarantine.Part, source string) {
-	if len(parts) == 0 {
+// addQuarantined puts in quarantine what another daemon or its row told.
+func (d *Daemon) addQuarantined(entries []quarantine.Entry, source string) {
+	if len(entries) == 0 {
 		return
 	}
 	now := time.Now()
-	added := d.quarantine.add(now, parts)
+	added := d.quarantine.add(now, entries)
 	if len(added) == 0 {
 		return
 	}
-	d.log.Warn("prompt parts in quarantine", "parts", formatParts(added), "source", source)
+	d.log.Warn("requests or prompt parts in quarantine", "ids", formatHashes(added), "source", source)
 	d.dispatch.mu.Lock()
 	defer d.dispatch.mu.Unlock()
 	d.dispatch.rejectQuarantined(now, added)
 }
 
-// observeOutcomes quarantines the prompt parts that crash backend servers according to the reported outcomes.
+// observeOutcomes quarantines the requests and prompt parts that crash backend servers according to the reported outcomes.
 func (p *dispatcher) observeOutcomes(now time.Time) {
 	for _, o := range p.server.TakeOutcomes() {
-		part, detected := p.crashDetector.Observe(now, o, func(part uint64) (known, ended bool) { return p.d.quarantine.known(now, part) })
-		if !detected {
-			continue
-		}
-		added := p.d.quarantine.add(now, []quarantine.Part{{ID: part, Left: quarantine.Term}})
-		if len(added) == 0 {
-			continue
+		p.quarantine(now, p.crashDetector.Observe(now, o, func(id uint64) (known, ended bool) { return p.d.quarantine.known(now, id) }))
+	}
+	p.quarantine(now, p.crashDetector.Settle(now))
+}
+
+// quarantine puts what the crash detector has found in quarantine.
+func (p *dispatcher) quarantine(now time.Time, found []quarantine.Finding) {
+	for _, f := range found {
+		added := p.d.quarantine.add(now, []quarantine.Entry{{ID: f.ID, Left: f.Term}})
+		if len(added) > 0 {
+			if f.Request {
+				p.d.log.Warn("request crashes backend servers; it is rejected", "prompt", formatHash(f.ID), "group", f.Group, "crashes", f.Crashes, "term", f.Term)
+			} else {
+				p.d.log.Warn("prompt part crashes backend servers; its requests are rejected", "part", formatHash(f.ID), "group", f.Group, "crashes", f.Crashes, "term", f.Term)
+			}
+			p.rejectQuarantined(now, added)
 		}
-		p.d.log.Warn("prompt part crashes backend servers; its requests are rejected", "part", strconv.FormatUint(part, 16), "group", o.Group, "term", quarantine.Term)
-		p.rejectQuarantined(now, added)
 		select {
 		case p.d.quarantine.unsaved <- struct{}{}:
 		default: // the row will be written anyway
@@ -114,49 +150,62 @@
 	}
 }
 
-// rejectQuarantined rejects the waiting requests with one of the given parts, and cancels those that wait for the first
-// event of a group, before the group begins to write.
-func (p *dispatcher) rejectQuarantined(now time.Time, parts []uint64) {
+// rejectQuarantined rejects the waiting requests with one of the given ids, and cancels those that wait for the first event
+// of a group, before the group begins to write.
+func (p *dispatcher) rejectQuarantined(now time.Time, ids []uint64) {
+	affected := func(id uint64) bool { return slices.Contains(ids, id) }
 	for id, w := range p.waiters {
-		if !slices.ContainsFunc(w.parts, func(part uint64) bool { return slices.Contains(parts, part) }) {
+		if !slices.ContainsFunc(w.ids.all, affected) {
 			continue
 		}
 		delete(p.waiters, id)
 		p.client(w.model).Withdraw(id)
-		w.result <- outcome{err: p.d.quarantineRejection(now, w.parts)}
+		w.result <- outcome{err: p.d.quarantineRejection(now, w.ids)}
 	}
 	for _, reservations := range p.running {
 		for track, s := range reservations {
-			i := slices.IndexFunc(s.parts, func(part uint64) bool { return slices.Contains(parts, part) })
-			if i >= 0 && !track.Started() {
-				s.cancel(&QuarantinedError{s.parts[i]})
+			if i := slices.IndexFunc(s.ids.all, affected); i >= 0 && !track.Started() {
+				s.cancel(s.ids.quarantinedError(s.ids.all[i]))
 			}
 		}
 	}
 }
 
-// quarantineRejection returns the error for a request with one of the given parts if one is in quarantine, else nil. The
-// caller may retry when the quarantine ends.
-func (d *Daemon) quarantineRejection(now time.Time, parts []uint64) error {
-	part, left, ok := d.quarantine.match(now, parts)
+// quarantineRejection returns the error for a request with the given ids if one is in quarantine, else nil. The caller may
+// retry when the quarantine ends.
+func (d *Daemon) quarantineRejection(now time.Time, ids suspectIDs) error {
+	id, left, ok := d.quarantine.match(now, ids.all)
 	if !ok {
 		return nil
 	}
-	return &RejectedError{left, (&QuarantinedError{part}).Error()}
+	return &RejectedError{left, ids.quarantinedError(id).Error()}
+}
+
+// rejectPlacement returns the rejection of a request in quarantine, by its fingerprint, that waits at this scheduler. Its daemon
+// may not know of the quarantine yet.
+func (d *Daemon) rejectPlacement(fingerprint uint64) (place schedule.Placement, rejected bool) {
+	id, left, ok := d.quarantine.match(time.Now(), []uint64{fingerprint})
+	if !ok {
+		return place, false
+	}
+	return schedule.Placement{RetryAfter: left, Reason: (&QuarantinedError{id, true}).Error()}, true
 }
 
 // recordOutcome reports to the scheduler that the group has answered the request or crashed.
 func (s *reservation) recordOutcome(crashed bool) {
-	if len(s.parts) == 0 {
+	if len(s.ids.all) == 0 {
 		return
 	}
 	s.d.mu.Lock()
 	defer s.d.mu.Unlock()
-	s.d.client(s.model).RecordOutcome(quarantine.Outcome{Parts: s.parts, Group: s.key, Crashed: crashed}, s.began)
+	s.d.client(s.model).RecordOutcome(quarantine.Outcome{Request: s.ids.request, Parts: s.ids.parts, Group: s.key, Crashed: crashed}, s.began)
+	if crashed {
+		s.d.sendReport(time.Now(), s.model) // other servers may crash before the next report is due
+	}
 }
 
-// saveQuarantine writes the row of this daemon when it has detected a part, so that daemons that start later know of it even
-// if no daemon has run meanwhile.
+// saveQuarantine tells the other daemons at once when this daemon has put something in quarantine, and writes its row, so that
+// daemons that start later know of it even if no daemon has run meanwhile.
 func (f *storeSync) saveQuarantine(ctx context.Context) {
 	for {
 		select {
@@ -164,23 +213,24 @@
 			return
 		case <-f.d.quarantine.unsaved:
 		}
+		f.d.announce()
 		var retry storeBackoff
 		for ctx.Err() == nil {
 			err := f.writeDaemon(ctx)
 			if err == nil {
 				break
 			}
-			f.d.log.Warn("cannot write the quarantined prompt parts to the store", "error", err)
+			f.d.log.Warn("cannot write the quarantine to the store", "error", err)
 			retry.wait(ctx, f)
 		}
 	}
 }
 
-// addQuarantineRow puts the parts in quarantine that the row of a daemon holds, less the time since it was written. now is
-// the store's clock.
-func (f *storeSync) addQuarantineRow(parts []quarantine.Part, written, now time.Duration, source string) {
-	for i := range parts {
-		parts[i].Left -= max(now-written, 0)
+// addQuarantineRow puts in quarantine what the row of a daemon holds, less the time since it was written. now is the store's
+// clock.
+func (f *storeSync) addQuarantineRow(entries []quarantine.Entry, written, now time.Duration, source string) {
+	for i := range entries {
+		entries[i].Left -= max(now-written, 0)
 	}
-	f.d.addQuarantined(parts, source)
+	f.d.addQuarantined(entries, source)
 }
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -14,6 +14,7 @@
 
 	"flamingorudder.example/internal/fakeplatform"
 	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/internal/schedule"
 )
 
 // crashingServer starts a fake model runner that serves one event to each request, but closes its listener and all
@@ -97,7 +98,10 @@
 		t.Errorf("%d servers crashed at the first daemon, want at most %d", n, tolerated)
 	}
 	before, start := crashes.Load(), time.Now()
-	eventually(t, "the other daemon knows of the part", func() bool { return b.d.quarantine.len() == 1 })
+	eventually(t, "the other daemon knows of the part", func() bool {
+		_, _, ok := b.d.quarantine.match(time.Now(), []uint64{0xdead})
+		return ok
+	})
 	if took := time.Since(start); took > 2*time.Second {
 		t.Errorf("the other daemon learnt of the part only after %v", took)
 	}
@@ -120,6 +124,56 @@
 	}
 }
 
+// TestRequestCrashesServers guards against one request crashing backend servers whenever its callers repeat it, at any daemon,
+// and against rejecting sound requests that share its first part.
+func TestRequestCrashesServers(t *testing.T) {
+	for name, prompt := range map[string]string{"with a shared part": "abc:50,dead:30", "without shared parts": "dead:30"} {
+		t.Run(name, func(t *testing.T) {
+			const groups, tolerated = 12, 3
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+			a, b := startDaemon(t, store, "a"), startDaemon(t, store, "b")
+			var crashes atomic.Int32
+			for i := 1; i <= groups; i++ {
+				a.putServer(fmt.Sprint("i-", i), "llm", crashingServer(t, func() { crashes.Add(1) }), fmt.Sprintf(openGroup, i))
+			}
+			for _, u := range []*daemonUnderTest{a, b} {
+				u.waitReady()
+			}
+			schedules := func(u *daemonUnderTest) bool {
+				u.d.dispatch.mu.Lock()
+				defer u.d.dispatch.mu.Unlock()
+				return u.d.dispatch.isScheduler(time.Now(), schedule.Model{Service: "llm", Name: "m"})
+			}
+			eventually(t, "exactly one daemon is the scheduler", func() bool {
+				return len(a.d.livePeers(time.Now())) == 1 && len(b.d.livePeers(time.Now())) == 1 && schedules(a) != schedules(b)
+			})
+			send := func(u *daemonUnderTest, prompt string) reply {
+				return u.do(http.MethodPost, "/stream/", "k1", "x", "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20",
+					"X-Flamingorudder-Prompt-Prefix", prompt)
+			}
+			var last reply
+			for i := range 6 {
+				last = send([]*daemonUnderTest{a, b}[i%2], prompt)
+				send(a, fmt.Sprintf("abc:50,%x:30", i))
+			}
+			if n := crashes.Load(); n > tolerated {
+				t.Errorf("%d servers crashed, want at most %d", n, tolerated)
+			}
+			if last.status != http.StatusServiceUnavailable || last.h.Get("Retry-After") == "" {
+				t.Errorf("the last repeat gets reply %+v, want 503 with Retry-After", last)
+			}
+			for i := range 3 {
+				for _, u := range []*daemonUnderTest{a, b} {
+					if r := send(u, fmt.Sprintf("abc:50,%x:30", 100+i)); r.status != http.StatusOK {
+						t.Errorf("sound request with the same first part: reply %+v", r)
+					}
+				}
+			}
+		})
+	}
+}
+
 // TestQuarantineOutlivesAllDaemons guards against daemons that crash servers again after all of them have been restarted.
 func TestQuarantineOutlivesAllDaemons(t *testing.T) {
 	store := fakeplatform.NewStore()
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -58,6 +58,7 @@
 	s := &forwardedStream{x: x, lastEvent: x.call.LastEvent}
 	var exclude []string
 	var last error
+	ids := newSuspectIDs(x.requestHash(), x.call.SharedParts)
 	for unsent := 0; unsent < maxUnsent; {
 		if err := ctx.Err(); err != nil {
 			last = err
@@ -67,9 +68,9 @@
 			break
 		}
 		reserved, err := x.d.dispatch.acquire(ctx, svc, x.call.Model, x.org, balance.Request{
-			Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: x.requestHash(),
+			Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: ids.request,
 			Arrived: x.start, Until: x.deadline, Resumed: x.mayHaveRun || x.call.LastEvent != "",
-		}, x.call.SharedParts, exclude)
+		}, ids, exclude)
 		if err != nil {
 			last = err
 			break
@@ -115,7 +116,7 @@
 	causeUnusable = "unusable"
 	// causeCrashed means that the backend server ended before it had sent more than one event of its response.
 	causeCrashed = "crashed"
-	// causeQuarantined means that the attempt was cancelled as its prompt has a part that crashes backend servers.
+	// causeQuarantined means that the attempt was cancelled as the request or a part of its prompt crashes backend servers.
 	causeQuarantined = "quarantined"
 )
 
@@ -147,7 +148,7 @@
 			s.recordOutcome(true)
 			x.attemptLog[len(x.attemptLog)-1] += ", " + noteCrashed
 			x.d.log.Warn("backend server crashed while it worked on a request", "server", s.head.ID, "group", s.key, "id", x.call.ID,
-				"route", x.route.Name, "prompt", formatHash(x.requestHash()), "prompt_parts", formatParts(x.call.SharedParts), "events", events)
+				"route", x.route.Name, "prompt", formatHash(x.requestHash()), "prompt_parts", formatHashes(x.call.SharedParts), "events", events)
 		}
 	}
 	x.d.metrics.RecordFailedAttempt(x.service, cause)
@@ -167,18 +168,18 @@
 	return strconv.FormatUint(h, 16)
 }
 
-// formatParts returns the ids of prompt parts as callers send them.
-func formatParts(parts []uint64) []string {
-	out := make([]string, len(parts))
-	for i, p := range parts {
-		out[i] = strconv.FormatUint(p, 16)
+// formatHashes returns hashes as formatHash does. Those of prompt parts look as callers send them.
+func formatHashes(hashes []uint64) []string {
+	out := make([]string, len(hashes))
+	for i, h := range hashes {
+		out[i] = formatHash(h)
 	}
 	return out
 }
 
 // countsAgainstGroup reports whether the failure of an attempt counts against its group. Stalls are reported separately,
-// a response which proves that the request has not run is only a rejection, and this daemon itself cancels requests whose
-// prompt is put in quarantine.
+// a response which proves that the request has not run is only a rejection, and this daemon itself cancels requests
+// that are put in quarantine.
 func countsAgainstGroup(err error) bool {
 	var silent *StalledError
 	var rejected *NotRunError
--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -208,7 +208,7 @@
 			f := newTestFleet(uint64(size), size, 5, 3)
 			f.run(5 * time.Second)
 			const part = 0xdead
-			f.daemons[size-1].quarantined.Add(f.now, quarantine.Part{ID: part, Left: quarantine.Term}, f.r.Float64)
+			f.daemons[size-1].quarantined.Add(f.now, quarantine.Entry{ID: part, Left: quarantine.Term}, f.r.Float64)
 			check := func(when string) {
 				t.Helper()
 				for _, d := range f.daemons {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -99,9 +99,9 @@
 	LeavingServers []roster.LeavingServer `cbor:"leavers,omitempty"`
 	// Limits are limits that backend servers have lately named to the sender.
 	Limits []balance.LimitNotice `cbor:"limits,omitempty"`
-	// Quarantined are prompt parts that crash backend servers. Every daemon passes on all that it knows of, so that they
-	// also reach other data centres.
-	Quarantined []quarantine.Part `cbor:"quarantined,omitempty"`
+	// Quarantined are requests and prompt parts that crash backend servers. Every daemon passes on all that it knows of, so
+	// that they also reach other data centres.
+	Quarantined []quarantine.Entry `cbor:"quarantined,omitempty"`
 	// WrittenAt is when a row with the digest was written, by the store's clock; zero in a datagram.
 	WrittenAt time.Duration `cbor:"written,omitempty"`
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,19 +1,22 @@
-// Package quarantine detects prompt parts that crash backend servers, and keeps requests with these parts from reaching
-// any more of them.
+// Package quarantine detects requests and prompt parts that crash backend servers, and keeps them from reaching any more
+// servers.
 //
-// The scheduler of a model receives the outcomes of all daemons and feeds them to its Detector. Every daemon keeps the
-// detected parts in a Set, tells them to the others in its digests, and rejects requests with them.
+// The scheduler of a model receives the outcomes of all daemons and feeds them to its Detector. Every daemon keeps what was
+// detected in a Set, tells it to the others in its digests, and rejects the requests concerned.
 //
-// # Which part caused a crash
+// # What caused a crash
 //
-// A crash also cuts off sound requests at the same server, and the request that caused it has sound parts as well. The
-// parts differ in what happens elsewhere: requests with a sound part are answered soon, those with a part that crashes
-// servers never are. For example, of the requests [A D 1], [B 2] and [A 3] at a server that D crashes, A, B and D are
-// suspected at first. When [A 4] is answered, A no longer is, while the next crashes count for D alone. The last part of
-// a prompt belongs to one request, so it is not considered.
+// A crash also cuts off sound requests at the same server, and the request that caused it has sound parts as well. They
+// differ in what happens elsewhere: requests with a sound part are answered soon, those with a part that crashes servers
+// never are. For example, of the requests [A D 1], [B 2] and [A 3] at a server that D crashes, A, B and D are suspected at
+// first. When [A 4] is answered, A no longer is, while the next crashes count for D alone.
 //
-// Many servers may be lost at once, for example with a data centre. So a part is not quarantined before a request has
-// crashed its server that was placed after an earlier crash was known.
+// The last part of a prompt makes a request what it is, and callers repeat requests. So a whole request is suspected beside
+// its parts. If [A 1] crashes servers again and again, the request is the cause: a part is so only if different requests with
+// it crash servers. Crashes that a quarantined request or part explains do not count against any other.
+//
+// Many servers may be lost at once, for example with a data centre. So nothing is quarantined before a request has crashed
+// its server that was placed after an earlier crash was known, unless the request was at every server that crashed.
 package quarantine
 
 import (
@@ -27,22 +30,30 @@
 )
 
 const (
-	// minCrashes is the number of crashed groups after which a part is quarantined. While many requests are cut off by crashes,
-	// a sound part may be in all of its last few requests by chance; then up to maxCrashes are required, so that the chance
-	// stays below maxCoincidence.
-	minCrashes     = 3
-	maxCrashes     = 5
-	maxCoincidence = 1e-3
+	// minRequestCrashes and minPartCrashes are the numbers of crashed groups after which a request or a part is quarantined.
+	// While many requests are cut off by other crashes, a sound one may be in all of its last few attempts by chance; then up
+	// to maxCrashes are required, so that the chance stays below maxCoincidence.
+	minRequestCrashes = 2
+	minPartCrashes    = 3
+	maxCrashes        = 5
+	maxCoincidence    = 1e-3
+	// settleTime is how much later than the first report of a crash the others may come. A request with minRequestCrashes is
+	// judged only then, and a part with fewer than minOtherCrashes that are not crashes of one and the same request.
+	settleTime      = 30 * time.Millisecond
+	minOtherCrashes = 2
 	// rateHalfLife is the half-life of the outcomes in the rate of crashes, and priorAnswers how many answers are assumed
 	// before the first outcome.
 	rateHalfLife = 10 * time.Second
 	priorAnswers = 50
 	// crashMemory is how long a crash counts.
 	crashMemory = 10 * time.Minute
-	// maxSuspects and maxAnswered bound the parts with crashes and those known to have been answered. The ones that
-	// have been seen least recently are dropped first. An answered part that is dropped can be suspected sooner.
+	// maxSuspects and maxAnswered bound the requests, and the parts, with crashes and those known to have been answered. The
+	// ones that have been seen least recently are dropped first. One that was answered can be suspected sooner when dropped.
 	maxSuspects = 1024
 	maxAnswered = 4096
+	// maxGroups bounds the crashed groups, and maxRequestsPerGroup the requests that are known to have been at one.
+	maxGroups           = 256
+	maxRequestsPerGroup = 64
 )
 
 // Outcome is what happened to a request at a group.
@@ -56,19 +67,43 @@
 	Took time.Duration
 	// Crashed is set when the server ended before it had answered; otherwise it has answered.
 	Crashed bool
+	// Request identifies the request, the same in all of its attempts and repeats; zero when unknown. It is sent apart from
+	// the other fields, as daemons of another version accept no longer arrays.
+	Request uint64 `cbor:"-"`
+}
+
+// Finding is a request or part to be quarantined.
+type Finding struct {
+	ID uint64
+	// Request is set if ID identifies a request, not a part.
+	Request bool
+	// Crashes is the number of groups that it crashed, Group the last one.
+	Crashes int
+	Group   string
+	Term    time.Duration
 }
 
-// Detector finds the parts that crash backend servers from the outcomes of requests. It is not safe for concurrent use.
+// Detector finds the requests and parts that crash backend servers from the outcomes of requests. It is not safe for
+// concurrent use.
 type Detector struct {
+	requests, parts evidence
+	// groups holds the crashed groups by key.
+	groups *simplelru.LRU[string, *crash]
+	// settling holds the crashes that may lead to a quarantine once they have settled.
+	settling []settlingCrash
+	// cutOff and answers are decaying counts of outcomes, as of countedAt.
+	cutOff, answers float64
+	countedAt       time.Time
+}
+
+// evidence holds what is known for and against requests, or against parts.
+type evidence struct {
 	suspects *simplelru.LRU[uint64, *suspect]
-	// answered holds when a request with a part was last answered.
+	// answered holds when a request, or one with a part, was last answered.
 	answered *simplelru.LRU[uint64, time.Time]
-	// crashes and answers are decaying counts of outcomes, as of countedAt.
-	crashes, answers float64
-	countedAt        time.Time
 }
 
-// suspect is a part of which requests have crashed servers and none has been answered since.
+// suspect is a request that has crashed servers and was not answered since, or a part of such requests.
 type suspect struct {
 	// groups holds the crashed groups with the time at which the crash became known.
 	groups map[string]time.Time
@@ -76,73 +111,327 @@
 	repeated bool
 }
 
+// crash is the crash of a group.
+type crash struct {
+	// cutOff counts the reports of requests that were cut off, the first at the given time.
+	cutOff float64
+	first  time.Time
+	// requests holds the parts of the requests that were cut off.
+	requests map[uint64][]uint64
+	// causes holds the requests and parts in quarantine that explain the crash.
+	causes []cause
+}
+
+// cause is a request or part that explains a crash.
+type cause struct {
+	id uint64
+	// parts holds the parts of the request, one of which may be the true cause.
+	parts []uint64
+}
+
+// settlingCrash is the crash of a request, after which the request and its parts are to be judged: once when it is known, and
+// again when it has settled.
+type settlingCrash struct {
+	Outcome
+	due    time.Time
+	judged bool
+}
+
 // NewDetector returns a Detector without outcomes.
 func NewDetector() *Detector {
+	groups, _ := simplelru.NewLRU[string, *crash](maxGroups, nil) // fails only for a size below one
+	return &Detector{requests: newEvidence(), parts: newEvidence(), groups: groups, answers: priorAnswers}
+}
+
+func newEvidence() evidence {
 	suspects, _ := simplelru.NewLRU[uint64, *suspect](maxSuspects, nil) // fails only for a size below one
 	answered, _ := simplelru.NewLRU[uint64, time.Time](maxAnswered, nil)
-	return &Detector{suspects: suspects, answered: answered, answers: priorAnswers}
+	return evidence{suspects, answered}
 }
 
-// Observe records an outcome. It returns the part that has to be quarantined because of it, if there is one. quarantined
-// reports whether a part is known from an earlier quarantine, and whether that has ended: then a single crash suffices.
-func (d *Detector) Observe(now time.Time, o Outcome, quarantined func(part uint64) (known, ended bool)) (part uint64, detected bool) {
-	decay := math.Exp2(-max(now.Sub(d.countedAt), 0).Seconds() / rateHalfLife.Seconds())
-	if d.countedAt.IsZero() {
-		decay = 1
-	}
-	d.crashes, d.answers, d.countedAt = d.crashes*decay, max(d.answers*decay, priorAnswers), now
+// Observe records an outcome. quarantined reports whether a request or part is known from an earlier quarantine, and whether
+// that has ended: then a single crash suffices, and Observe returns what is to be quarantined again.
+func (d *Detector) Observe(now time.Time, o Outcome, quarantined func(id uint64) (known, ended bool)) []Finding {
+	d.decay(now)
 	if !o.Crashed {
 		d.answers++
 		for _, p := range o.Parts {
-			d.answered.Add(p, now)
-			d.suspects.Remove(p)
+			d.parts.recordAnswer(now, p)
+		}
+		if o.Request != 0 {
+			d.requests.recordAnswer(now, o.Request)
 		}
-		return 0, false
+		return nil
 	}
+	c := d.group(now, o.Group)
+	if o.Request != 0 && (c.requests[o.Request] != nil || len(c.requests) < maxRequestsPerGroup) {
+		c.requests[o.Request] = o.Parts
+	}
+	if id, ok := findKnown(o, quarantined); ok {
+		return d.recordKnown(c, o, id, quarantined)
+	}
+	d.cutOff++
+	c.cutOff++
+	placed := now.Add(-o.Took)
+	crashes := 0
 	for _, p := range o.Parts {
-		if known, ended := quarantined(p); known {
-			// The request was placed before the part was quarantined, or after that had ended. The other parts did not
-			// cause the crash.
-			return p, ended
+		crashes = max(crashes, d.parts.recordCrash(now, placed, p, o.Group))
+	}
+	if o.Request != 0 {
+		crashes = max(crashes, d.requests.recordCrash(now, placed, o.Request, o.Group))
+	}
+	if crashes >= min(minRequestCrashes, minPartCrashes) {
+		d.settling = append(d.settling, settlingCrash{Outcome: o, due: now.Add(settleTime)})
+	}
+	return nil
+}
+
+// Settle returns what is to be quarantined because of the outcomes so far.
+func (d *Detector) Settle(now time.Time) (found []Finding) {
+	for i := range d.settling {
+		c := &d.settling[i]
+		settled := !now.Before(c.due)
+		if c.judged && !settled {
+			continue
+		}
+		c.judged = true
+		if d.hasCause(c.Outcome) {
+			continue
+		}
+		if f, ok := d.judgeParts(now, c.Outcome, settled); ok {
+			found = append(found, f)
+		}
+		if f, ok := d.judgeRequest(now, c.Outcome, settled); ok {
+			found = append(found, f)
 		}
 	}
-	d.crashes++
-	placed := now.Add(-o.Took)
-	most := 0
+	d.settling = slices.DeleteFunc(d.settling, func(c settlingCrash) bool { return !now.Before(c.due) })
+	return found
+}
+
+// judgeRequest judges the request of a crash, which may have settled.
+func (d *Detector) judgeRequest(now time.Time, o Outcome, settled bool) (f Finding, ok bool) {
+	s, ok := d.requests.suspects.Peek(o.Request)
+	if !ok {
+		return f, false // answered or quarantined meanwhile
+	}
+	n, others := d.unexplained(s, o.Request), d.otherCrashes(now, s)
+	switch {
+	case n < requiredCrashes(minRequestCrashes, others, d.answers):
+		return f, false
+	case n == minRequestCrashes && (!settled || !s.repeated || d.ambiguous(s, o)):
+		return f, false
+	case !s.repeated && others >= 1:
+		return f, false
+	}
+	f = Finding{ID: o.Request, Request: true, Crashes: n, Group: o.Group, Term: Term}
+	if n == minRequestCrashes {
+		f.Term = requestTerm
+	}
+	d.conclude(d.requests, s, o.Request, o.Parts)
+	return f, true
+}
+
+// judgeParts judges the parts of the request of a crash, which may have settled.
+func (d *Detector) judgeParts(now time.Time, o Outcome, settled bool) (f Finding, ok bool) {
+	f = Finding{Group: o.Group, Term: Term}
+	var culprit *suspect
 	// Of parts with equally many crashes, the most specific one is taken, which the fewest sound requests share. If a more
 	// common one is the cause, the next crash of another request with it shows that.
 	for _, p := range o.Parts {
-		if answered, ok := d.answered.Get(p); ok && placed.Before(answered) {
+		s, ok := d.parts.suspects.Peek(p)
+		if !ok || !s.repeated {
+			continue
+		}
+		n := d.unexplained(s, p)
+		if n < f.Crashes || n < requiredCrashes(minPartCrashes, d.otherCrashes(now, s), d.answers) {
+			continue
+		}
+		// Crashes of one and the same request do not tell its parts from the rest of it.
+		if others := n - d.mostOfOneRequest(s, p); others < 1 || others < minOtherCrashes && !settled {
+			continue
+		}
+		if n >= maxCrashes || !d.ambiguous(s, o) {
+			f.ID, f.Crashes, culprit = p, n, s
+		}
+	}
+	if culprit == nil {
+		return f, false
+	}
+	d.conclude(d.parts, culprit, f.ID, o.Parts)
+	return f, true
+}
+
+// mostOfOneRequest returns the largest number of crashes of a part that were crashes of one and the same request.
+func (d *Detector) mostOfOneRequest(s *suspect, part uint64) int {
+	crashes, most := map[uint64]int{}, 0
+	for key := range s.groups {
+		if c, ok := d.groups.Peek(key); ok {
+			for request, parts := range c.requests {
+				if slices.Contains(parts, part) {
+					crashes[request]++
+					most = max(most, crashes[request])
+				}
+			}
+		}
+	}
+	return most
+}
+
+// ambiguous reports whether something else than the request of an outcome and its parts was in all crashes of a suspect.
+func (d *Detector) ambiguous(s *suspect, o Outcome) bool {
+	inAll := func(e evidence, id uint64) bool {
+		other, ok := e.suspects.Peek(id)
+		if !ok {
+			return false
+		}
+		for key := range s.groups {
+			if _, ok := other.groups[key]; !ok {
+				return false
+			}
+		}
+		return true
+	}
+	for key := range s.groups {
+		c, ok := d.groups.Peek(key)
+		if !ok {
 			continue
 		}
-		s, _ := d.suspects.Get(p)
-		if s == nil {
-			s = &suspect{groups: map[string]time.Time{}}
-			d.suspects.Add(p, s)
+		for other, parts := range c.requests {
+			if other != o.Request && inAll(d.requests, other) {
+				return true
+			}
+			if slices.ContainsFunc(parts, func(p uint64) bool { return !slices.Contains(o.Parts, p) && inAll(d.parts, p) }) {
+				return true
+			}
 		}
-		s.record(now, placed, o.Group)
-		if n := len(s.groups); s.repeated && n >= d.requiredCrashes(n) && n >= most {
-			part, detected, most = p, true, n
+		break // what was in all crashes was in this one
+	}
+	return false
+}
+
+// otherCrashes returns the decayed count of the requests that were cut off by crashes that a suspect was not in.
+func (d *Detector) otherCrashes(now time.Time, s *suspect) float64 {
+	others := d.cutOff
+	for key := range s.groups {
+		if c, ok := d.groups.Peek(key); ok {
+			others -= c.cutOff * decayed(now.Sub(c.first))
 		}
 	}
-	if detected {
-		d.suspects.Remove(part)
+	return max(others, 0)
+}
+
+// hasCause reports whether a request, or a part of it, has been quarantined for a crash.
+func (d *Detector) hasCause(o Outcome) bool {
+	c, ok := d.groups.Peek(o.Group)
+	return ok && slices.ContainsFunc(c.causes, func(c cause) bool { return c.id == o.Request || slices.Contains(o.Parts, c.id) })
+}
+
+func (d *Detector) decay(now time.Time) {
+	if !d.countedAt.IsZero() {
+		f := decayed(now.Sub(d.countedAt))
+		d.cutOff, d.answers = d.cutOff*f, max(d.answers*f, priorAnswers)
+	}
+	d.countedAt = now
+}
+
+func decayed(age time.Duration) float64 {
+	return math.Exp2(-max(age, 0).Seconds() / rateHalfLife.Seconds())
+}
+
+// group returns the record of a crashed group.
+func (d *Detector) group(now time.Time, key string) *crash {
+	c, ok := d.groups.Get(key)
+	if !ok {
+		c = &crash{first: now, requests: map[uint64][]uint64{}}
+		d.groups.Add(key, c)
 	}
-	return part, detected
+	return c
 }
 
-// requiredCrashes returns the number of crashes after which a part with n of them is quarantined. The rate of crashes of
-// other requests tells how likely it is that a sound part was in n of them.
-func (d *Detector) requiredCrashes(n int) int {
-	others := max(d.crashes-float64(n), 0)
-	rate := others / (others + d.answers)
-	required := minCrashes
+// findKnown returns the first id of a request that is known from a quarantine.
+func findKnown(o Outcome, quarantined func(uint64) (known, ended bool)) (id uint64, ok bool) {
+	if known, _ := quarantined(o.Request); known && o.Request != 0 {
+		return o.Request, true
+	}
+	for _, p := range o.Parts {
+		if known, _ := quarantined(p); known {
+			return p, true
+		}
+	}
+	return 0, false
+}
+
+// recordKnown records the crash of a request that is or was in quarantine, or has such a part: id. It was placed before the
+// quarantine began, or after it had ended. id explains the crash.
+func (d *Detector) recordKnown(c *crash, o Outcome, id uint64, quarantined func(uint64) (known, ended bool)) []Finding {
+	if slices.ContainsFunc(c.causes, func(c cause) bool { return c.id == id }) {
+		return nil // reported before
+	}
+	f := Finding{ID: id, Request: id == o.Request, Crashes: 1, Group: o.Group, Term: Term}
+	c.causes = append(c.causes, cause{id, o.Parts})
+	// The quarantine of a request may have begun with a short term.
+	if _, ended := quarantined(id); ended || f.Request {
+		return []Finding{f}
+	}
+	return nil
+}
+
+// conclude ends the suspicion of a request or part that is to be quarantined, and that explains its crashes. parts holds the
+// parts of the request.
+func (d *Detector) conclude(e evidence, s *suspect, id uint64, parts []uint64) {
+	for key := range s.groups {
+		if c, ok := d.groups.Peek(key); ok {
+			c.causes = append(c.causes, cause{id, parts})
+		}
+	}
+	e.suspects.Remove(id)
+}
+
+// unexplained returns the number of crashes of a suspect that nothing in quarantine explains. What is in quarantine does not
+// exculpate the parts of the same request, as one of them may be the true cause.
+func (d *Detector) unexplained(s *suspect, id uint64) int {
+	n := 0
+	for key := range s.groups {
+		c, ok := d.groups.Peek(key)
+		if !ok || !slices.ContainsFunc(c.causes, func(c cause) bool { return c.id != id && !slices.Contains(c.parts, id) }) {
+			n++
+		}
+	}
+	return n
+}
+
+// requiredCrashes returns the number of crashes, at least least, that are required while so many other requests are cut off
+// and answered. The rate of crashes of other requests tells how likely it is that a sound one was in so many.
+func requiredCrashes(least int, others, answers float64) int {
+	rate := others / (others + answers)
+	required := least
 	for required < maxCrashes && math.Pow(rate, float64(required)) > maxCoincidence {
 		required++
 	}
 	return required
 }
 
+func (e evidence) recordAnswer(now time.Time, id uint64) {
+	e.answered.Add(id, now)
+	e.suspects.Remove(id)
+}
+
+// recordCrash records that a request, or one with a part, crashed a group, unless it was answered after it had been placed. It
+// returns the number of groups that crashed.
+func (e evidence) recordCrash(now, placed time.Time, id uint64, group string) int {
+	if answered, ok := e.answered.Get(id); ok && placed.Before(answered) {
+		return 0
+	}
+	s, _ := e.suspects.Get(id)
+	if s == nil {
+		s = &suspect{groups: map[string]time.Time{}}
+		e.suspects.Add(id, s)
+	}
+	s.record(now, placed, group)
+	return len(s.groups)
+}
+
 func (s *suspect) record(now, placed time.Time, group string) {
 	maps.DeleteFunc(s.groups, func(_ string, at time.Time) bool { return now.Sub(at) > crashMemory })
 	if len(s.groups) == 0 {
@@ -157,31 +446,33 @@
 }
 
 const (
-	// Term is how long a part stays in quarantine.
-	Term = 10 * time.Minute
+	// Term is how long a request or part stays in quarantine. requestTerm is the first term of a request after
+	// minRequestCrashes, which may have been in these crashes by chance.
+	Term        = 10 * time.Minute
+	requestTerm = time.Minute
 	// maxExtension is the largest fraction added to the term by each daemon for itself, so that after the term only one
-	// daemon tries the part again. The others learn of another crash before their own term ends.
+	// daemon tries the request or part again. The others learn of another crash before their own term ends.
 	maxExtension = 0.5
-	// maxParts bounds the parts in a Set. Those whose term ends first are dropped first.
-	maxParts = 1024
-	// maxAdvertised bounds the parts in one digest, the latest first. Daemons read all others from the store.
+	// maxEntries bounds the entries of a Set. Those whose term ends first are dropped first.
+	maxEntries = 1024
+	// maxAdvertised bounds the entries in one digest, the latest first. Daemons read all others from the store.
 	maxAdvertised = 64
 )
 
-// Part is a part in quarantine, as daemons tell it to each other.
-type Part struct {
+// Entry is a request or part in quarantine, as daemons tell it to each other.
+type Entry struct {
 	_  struct{} `cbor:",toarray"`
 	ID uint64
 	// Left is the rest of the term.
 	Left time.Duration
 }
 
-// Set holds the parts in quarantine. It is not safe for concurrent use.
+// Set holds the requests and parts in quarantine. It is not safe for concurrent use.
 type Set struct {
-	parts map[uint64]term
+	entries map[uint64]term
 }
 
-// term is the quarantine of one part.
+// term is the quarantine of one request or part.
 type term struct {
 	// until is when the term ends for the fleet, and end is when it ends for this daemon, which is not before until. The
 	// entry is kept for another term, in which a single crash starts a new quarantine.
@@ -189,21 +480,21 @@
 }
 
 // NewSet returns an empty set.
-func NewSet() *Set { return &Set{parts: map[uint64]term{}} }
+func NewSet() *Set { return &Set{entries: map[uint64]term{}} }
 
-// Add adds a part. It reports whether the part was not in quarantine before. random returns numbers in [0, 1).
-func (s *Set) Add(now time.Time, p Part, random func() float64) bool {
-	left := min(p.Left, Term)
+// Add adds an entry. It reports whether its request or part was not in quarantine before. random returns numbers in [0, 1).
+func (s *Set) Add(now time.Time, e Entry, random func() float64) bool {
+	left := min(e.Left, Term)
 	if left <= 0 {
 		return false
 	}
-	old, ok := s.parts[p.ID]
+	old, ok := s.entries[e.ID]
 	until := now.Add(left)
 	if ok && !until.After(old.until.Add(renewalMargin)) {
 		return false
 	}
-	s.parts[p.ID] = term{until, until.Add(time.Duration(random() * maxExtension * float64(Term)))}
-	if len(s.parts) > maxParts {
+	s.entries[e.ID] = term{until, until.Add(time.Duration(random() * maxExtension * float64(left)))}
+	if len(s.entries) > maxEntries {
 		s.dropEarliest(now)
 	}
 	return !ok || !now.Before(old.end)
@@ -215,49 +506,49 @@
 
 func (s *Set) dropEarliest(now time.Time) {
 	s.Expire(now)
-	for len(s.parts) > maxParts {
+	for len(s.entries) > maxEntries {
 		earliest, first := uint64(0), time.Time{}
-		for id, t := range s.parts {
+		for id, t := range s.entries {
 			if first.IsZero() || t.until.Before(first) {
 				earliest, first = id, t.until
 			}
 		}
-		delete(s.parts, earliest)
+		delete(s.entries, earliest)
 	}
 }
 
-// Match returns the first of the given parts that is in quarantine, and how long it stays.
-func (s *Set) Match(now time.Time, parts []uint64) (id uint64, left time.Duration, ok bool) {
-	for _, id := range parts {
-		if t, ok := s.parts[id]; ok && now.Before(t.end) {
+// Match returns the first of the given ids that is in quarantine, and how long it stays.
+func (s *Set) Match(now time.Time, ids []uint64) (id uint64, left time.Duration, ok bool) {
+	for _, id := range ids {
+		if t, ok := s.entries[id]; ok && now.Before(t.end) {
 			return id, t.end.Sub(now), true
 		}
 	}
 	return 0, 0, false
 }
 
-// Known reports whether a part is or lately was in quarantine, and whether that has ended.
+// Known reports whether an id is or lately was in quarantine, and whether that has ended.
 func (s *Set) Known(now time.Time, id uint64) (known, ended bool) {
-	t, known := s.parts[id]
+	t, known := s.entries[id]
 	return known, known && !now.Before(t.end)
 }
 
-// Advertised returns the parts to tell to other daemons.
-func (s *Set) Advertised(now time.Time) []Part {
-	var out []Part
-	for id, t := range s.parts {
+// Advertised returns the entries to tell to other daemons.
+func (s *Set) Advertised(now time.Time) []Entry {
+	var out []Entry
+	for id, t := range s.entries {
 		if left := t.until.Sub(now); left > 0 {
-			out = append(out, Part{ID: id, Left: left})
+			out = append(out, Entry{ID: id, Left: left})
 		}
 	}
-	slices.SortFunc(out, func(a, b Part) int { return cmp.Or(cmp.Compare(b.Left, a.Left), cmp.Compare(a.ID, b.ID)) })
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Or(cmp.Compare(b.Left, a.Left), cmp.Compare(a.ID, b.ID)) })
 	return out[:min(len(out), maxAdvertised)]
 }
 
-// Len returns the number of parts in quarantine.
+// Len returns the number of requests and parts in quarantine.
 func (s *Set) Len(now time.Time) int {
 	n := 0
-	for _, t := range s.parts {
+	for _, t := range s.entries {
 		if now.Before(t.end) {
 			n++
 		}
@@ -265,13 +556,13 @@
 	return n
 }
 
-// Expire drops the parts whose quarantine ended a term ago, and returns them.
+// Expire drops the entries whose quarantine ended a term ago, and returns their ids.
 func (s *Set) Expire(now time.Time) []uint64 {
 	var out []uint64
-	for id, t := range s.parts {
+	for id, t := range s.entries {
 		if now.Sub(t.end) > Term {
 			out = append(out, id)
-			delete(s.parts, id)
+			delete(s.entries, id)
 		}
 	}
 	return out
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -32,12 +32,26 @@
 }
 
 func (e *trial) observeTook(took time.Duration, crashed bool, group string, parts ...uint64) uint64 {
-	part, detected := e.Observe(e.now, Outcome{Parts: parts, Group: group, Took: took, Crashed: crashed}, func(p uint64) (bool, bool) { return e.set.Known(e.now, p) })
-	if !detected {
+	found := e.report(Outcome{Parts: parts, Group: group, Took: took, Crashed: crashed})
+	if len(found) == 0 {
 		return 0
 	}
-	e.set.Add(e.now, Part{ID: part, Left: Term}, func() float64 { return 0 })
-	return part
+	return found[0]
+}
+
+// report records outcomes and returns what is detected once they have settled.
+func (e *trial) report(outcomes ...Outcome) (found []uint64) {
+	var findings []Finding
+	for _, o := range outcomes {
+		findings = append(findings, e.Observe(e.now, o, func(id uint64) (bool, bool) { return e.set.Known(e.now, id) })...)
+	}
+	findings = append(findings, e.Settle(e.now.Add(settleTime))...)
+	for _, f := range findings {
+		if e.set.Add(e.now, Entry{ID: f.ID, Left: f.Term}, func() float64 { return 0 }) {
+			found = append(found, f.ID)
+		}
+	}
+	return found
 }
 
 // TestDetection guards against quarantining a part that sound requests share, and against finding none: the part is found at
@@ -80,6 +94,130 @@
 	}
 }
 
+// TestRequestCrashesServers guards against a request that crashes servers whenever it is repeated, as its parts are answered in
+// other requests, and against blaming a sound part of it for what the request does.
+func TestRequestCrashesServers(t *testing.T) {
+	const request = 1000
+	e := newTrial()
+	for i, group := range []string{"a", "b"} {
+		e.now = e.now.Add(time.Second)
+		e.report(Outcome{Request: uint64(2000 + i), Parts: []uint64{common}, Group: group, Took: time.Second / 4, Crashed: true})
+		got := e.report(Outcome{Request: request, Parts: []uint64{common, subject}, Group: group, Took: time.Second / 3, Crashed: true})
+		if want := [][]uint64{nil, {request}}[i]; !slices.Equal(got, want) {
+			t.Fatalf("crash %d detects %v, want %v", i+1, got, want)
+		}
+		e.now = e.now.Add(100 * time.Millisecond)
+		e.report(Outcome{Request: uint64(3000 + i), Parts: []uint64{common, other}, Group: "z"})
+	}
+	if _, left, _ := e.set.Match(e.now, []uint64{request}); left > requestTerm {
+		t.Errorf("a request with two crashes is rejected for %v", left)
+	}
+	// Copies that were on their way crash more servers, beside requests with the same parts.
+	for i, group := range []string{"c", "d", "e"} {
+		e.now = e.now.Add(10 * time.Millisecond)
+		if got := e.report(
+			Outcome{Request: uint64(4000 + i), Parts: []uint64{common, subject}, Group: group, Took: time.Second, Crashed: true},
+			Outcome{Request: request, Parts: []uint64{common, subject}, Group: group, Took: time.Second, Crashed: true},
+		); got != nil {
+			t.Errorf("the explained crash of group %s detects %v", group, got)
+		}
+	}
+	if _, left, _ := e.set.Match(e.now, []uint64{request}); left <= requestTerm {
+		t.Errorf("a request with three crashes is rejected only for %v", left)
+	}
+}
+
+// TestCutOffTwice guards against quarantining a sound request whose retry was sent to the same group as that of the request that
+// crashes servers.
+func TestCutOffTwice(t *testing.T) {
+	const sound, request = 1000, 1001
+	e := newTrial()
+	for _, group := range []string{"a", "b"} {
+		e.now = e.now.Add(time.Second)
+		if got := e.report(
+			Outcome{Request: sound, Group: group, Took: time.Second / 3, Crashed: true},
+			Outcome{Request: request, Group: group, Took: time.Second / 3, Crashed: true},
+		); got != nil {
+			t.Errorf("the crash of group %s detects %v though both requests were at each crashed group", group, got)
+		}
+	}
+	e.now = e.now.Add(time.Second)
+	e.report(Outcome{Request: sound, Group: "c"})
+	if got := e.report(Outcome{Request: request, Group: "d", Took: time.Second / 3, Crashed: true}); !slices.Equal(got, []uint64{request}) {
+		t.Errorf("the third crash detects %v, want %v", got, request)
+	}
+}
+
+// TestRequestAmongManyGroups guards against rejecting sound requests and parts while a request crashes servers. Groups serve
+// four requests at a time, and each request that is cut off is sent once more.
+func TestRequestAmongManyGroups(t *testing.T) {
+	const request, seeds = 1 << 20, 200
+	type attempt struct {
+		Outcome
+		placed time.Time
+		retry  bool
+	}
+	soundRequests := 0
+	for seed := range uint64(seeds) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		e := newTrial()
+		groups, epoch, crashes := make([][]attempt, 12), 0, 0
+		place := func(a attempt, busy int) {
+			a.placed = e.now
+			for {
+				if g := r.IntN(len(groups)); g != busy {
+					groups[g] = append(groups[g], a)
+					return
+				}
+			}
+		}
+		for i := range uint64(1500) {
+			e.now = e.now.Add(time.Duration(r.IntN(20)) * time.Millisecond)
+			a := attempt{Outcome: Outcome{Request: i + 1, Parts: []uint64{common, 10 + r.Uint64N(20)}}}
+			if r.IntN(33) == 0 {
+				a.Request, a.Parts[1] = request, subject
+			}
+			if _, _, ok := e.set.Match(e.now, []uint64{a.Request}); !ok {
+				place(a, -1)
+			}
+			g := r.IntN(len(groups))
+			if len(groups[g]) < 4 {
+				continue
+			}
+			at := groups[g]
+			groups[g] = nil
+			crashed := slices.ContainsFunc(at, func(a attempt) bool { return a.Request == request })
+			if crashed {
+				epoch++
+				crashes++
+				r.Shuffle(len(at), func(i, j int) { at[i], at[j] = at[j], at[i] })
+			}
+			for _, a := range at {
+				a.Group, a.Crashed, a.Took = fmt.Sprint(g, "/", epoch), crashed, e.now.Sub(a.placed)
+				for _, f := range append(e.Settle(e.now), e.Observe(e.now, a.Outcome, func(id uint64) (bool, bool) { return e.set.Known(e.now, id) })...) {
+					e.set.Add(e.now, Entry{ID: f.ID, Left: f.Term}, r.Float64)
+					if !f.Request {
+						t.Fatalf("seed %d: sound part %d quarantined", seed, f.ID)
+					}
+					if f.ID != request {
+						soundRequests++
+					}
+				}
+				if _, _, ok := e.set.Match(e.now, []uint64{a.Request}); crashed && !a.retry && !ok {
+					a.retry = true
+					place(a, g)
+				}
+			}
+			if known, _ := e.set.Known(e.now, request); !known && crashes > 3 {
+				t.Fatalf("seed %d: not quarantined after %d crashes", seed, crashes)
+			}
+		}
+	}
+	if soundRequests > seeds/50 {
+		t.Errorf("%d sound requests quarantined in %d seeds", soundRequests, seeds)
+	}
+}
+
 // TestLossOfManyServers guards against quarantining a popular part when many servers are lost at the same time.
 func TestLossOfManyServers(t *testing.T) {
 	e := newTrial()
@@ -158,7 +296,7 @@
 func TestTerm(t *testing.T) {
 	e := newTrial()
 	a, b := e.set, NewSet()
-	a.Add(noon, Part{ID: deadly, Left: Term}, func() float64 { return 0 })
+	a.Add(noon, Entry{ID: deadly, Left: Term}, func() float64 { return 0 })
 	if !b.Add(noon.Add(time.Second), a.Advertised(noon)[0], func() float64 { return 0.5 }) {
 		t.Fatal("a part of another daemon is not new")
 	}
@@ -194,11 +332,19 @@
 	zero := func() float64 { return 0 }
 	for i := range uint64(3 * maxAnswered) {
 		now := noon.Add(time.Duration(i) * time.Millisecond)
-		e.Observe(now, Outcome{Parts: []uint64{i}, Crashed: i%2 == 0, Group: "g"}, func(uint64) (bool, bool) { return false, false })
-		s.Add(now, Part{ID: i, Left: Term}, zero)
+		e.Observe(now, Outcome{Request: i, Parts: []uint64{i}, Crashed: i%2 == 0, Group: fmt.Sprint(i / 200)}, func(uint64) (bool, bool) { return false, false })
+		s.Add(now, Entry{ID: i, Left: Term}, zero)
+	}
+	for _, key := range e.groups.Keys() {
+		if c, _ := e.groups.Peek(key); len(c.requests) > maxRequestsPerGroup {
+			t.Errorf("%d requests are known at a crashed group", len(c.requests))
+		}
+	}
+	if e.requests.suspects.Len() > maxSuspects || e.requests.answered.Len() > maxAnswered || e.groups.Len() > maxGroups {
+		t.Errorf("%d suspected requests, %d answered ones, %d groups", e.requests.suspects.Len(), e.requests.answered.Len(), e.groups.Len())
 	}
-	if e.suspects.Len() > maxSuspects || e.answered.Len() > maxAnswered || len(s.parts) > maxParts {
-		t.Errorf("%d suspects, %d answered, %d in quarantine", e.suspects.Len(), e.answered.Len(), len(s.parts))
+	if e.parts.suspects.Len() > maxSuspects || e.parts.answered.Len() > maxAnswered || len(s.entries) > maxEntries {
+		t.Errorf("%d suspects, %d answered, %d in quarantine", e.parts.suspects.Len(), e.parts.answered.Len(), len(s.entries))
 	}
 	if got := s.Advertised(noon); len(got) != maxAdvertised || got[0].ID != 3*maxAnswered-1 {
 		t.Errorf("%d parts in a digest, the first %v", len(got), got[0])
@@ -208,8 +354,8 @@
 // BenchmarkMatch measures the check of each request.
 func BenchmarkMatch(b *testing.B) {
 	s := NewSet()
-	for i := range uint64(maxParts) {
-		s.Add(noon, Part{ID: i + 1000, Left: Term}, func() float64 { return 0 })
+	for i := range uint64(maxEntries) {
+		s.Add(noon, Entry{ID: i + 1000, Left: Term}, func() float64 { return 0 })
 	}
 	parts := []uint64{1, 2, 3}
 	b.ReportAllocs()
--- a/internal/schedule/client.go
+++ b/internal/schedule/client.go
@@ -224,6 +224,7 @@
 	for _, o := range slices.Concat(c.crashes, c.outcomes) {
 		o.Took = now.Sub(o.placed)
 		r.Outcomes = append(r.Outcomes, o.Outcome)
+		r.OutcomeRequests = append(r.OutcomeRequests, o.Request)
 	}
 	for _, server := range slices.Sorted(maps.Keys(c.limits)) {
 		if len(r.Limits) == maxLimitsPerReport {
--- a/internal/schedule/message.go
+++ b/internal/schedule/message.go
@@ -41,8 +41,10 @@
 	// entry for each failure.
 	FirstEvents []FirstEvent `cbor:"11,keyasint,omitempty"`
 	Failed      []string     `cbor:"12,keyasint,omitempty"`
-	// Outcomes holds what happened to requests with shared prompt parts. A crash is in two reports, as one may be lost.
-	Outcomes []quarantine.Outcome `cbor:"13,keyasint,omitempty"`
+	// Outcomes holds what happened to requests with a prompt. A crash is in two reports, as one may be lost. OutcomeRequests
+	// identifies their requests, in the same order.
+	Outcomes        []quarantine.Outcome `cbor:"13,keyasint,omitempty"`
+	OutcomeRequests []uint64             `cbor:"15,keyasint,omitempty"`
 	// Limits holds what answers said since the report before about the limits of backend servers.
 	Limits []balance.LimitNotice `cbor:"14,keyasint,omitempty"`
 }
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -49,11 +49,16 @@
 	lastReport time.Time
 	work       []Work
 	suspects   []string
-	// waiting holds the ids of the waiting requests, decided the decisions that no report has confirmed yet.
-	waiting map[uint64]bool
+	// waiting holds the fingerprints of the waiting requests by id, decided the decisions that no report has confirmed yet.
+	waiting map[uint64]uint64
 	decided map[uint64]sentDecision
 }
 
+func (c *daemonState) isWaiting(id uint64) bool {
+	_, ok := c.waiting[id]
+	return ok
+}
+
 // sentDecision is a decision and the prompt tokens that count as queued until a report counts them.
 type sentDecision struct {
 	place  Placement
@@ -85,7 +90,7 @@
 		if c != nil {
 			m.removeDaemon(r.From, c)
 		}
-		c = &daemonState{boot: r.Boot, waiting: map[uint64]bool{}, decided: map[uint64]sentDecision{}}
+		c = &daemonState{boot: r.Boot, waiting: map[uint64]uint64{}, decided: map[uint64]sentDecision{}}
 		m.daemons[r.From] = c
 	}
 	m.setReported(c, nil, nil)
@@ -94,7 +99,12 @@
 	for _, f := range r.FirstEvents {
 		m.scheduler.RecordFirstEvent(now, f.Group, balance.Estimate{Passes: f.Passes, QueuedPrefill: f.QueuedPrefill, Full: f.Full}, f.Took)
 	}
-	s.outcomes = append(s.outcomes, r.Outcomes...)
+	for i, o := range r.Outcomes {
+		if i < len(r.OutcomeRequests) {
+			o.Request = r.OutcomeRequests[i]
+		}
+		s.outcomes = append(s.outcomes, o)
+	}
 	s.limits = append(s.limits, r.Limits...)
 	for _, key := range r.Failed {
 		m.scheduler.RecordFailure(now, key)
@@ -114,13 +124,13 @@
 		return ok
 	}
 	for i := range r.Unacknowledged {
-		if a := &r.Unacknowledged[i]; !repeat(a.ID) && !c.waiting[a.ID] {
-			c.waiting[a.ID] = true
+		if a := &r.Unacknowledged[i]; !repeat(a.ID) && !c.isWaiting(a.ID) {
+			c.waiting[a.ID] = a.Fingerprint
 			m.scheduler.Put(now, a.waiter(now, r))
 		}
 	}
 	for _, id := range r.Acknowledged {
-		if !repeat(id) && !c.waiting[id] {
+		if !repeat(id) && !c.isWaiting(id) {
 			out.Unknown = append(out.Unknown, id)
 		}
 	}
@@ -240,6 +250,8 @@
 	// may use them whole; otherwise it uses the share of the daemons that it has reports from.
 	Limits    *balance.Limits
 	Preferred bool
+	// Reject returns the decision on a request that no group may run, by its fingerprint. It is nil if there are none.
+	Reject func(fingerprint uint64) (p Placement, rejected bool)
 	// Random returns numbers in [0, 1).
 	Random func() float64
 }
@@ -264,8 +276,28 @@
 		return nil
 	}
 	m.removeSilent(now)
+	out := map[string]*Answer{}
+	answer := func(daemon string, c *daemonState, p Placement, prompt int) {
+		delete(c.waiting, p.ID)
+		c.decided[p.ID] = sentDecision{place: p, prompt: prompt, sent: now}
+		if out[daemon] == nil {
+			out[daemon] = &Answer{Model: model, Boot: c.boot, Seq: c.seq}
+		}
+		out[daemon].Placements = append(out[daemon].Placements, p)
+	}
+	if in.Reject != nil {
+		for name, c := range m.daemons {
+			for id, fingerprint := range c.waiting {
+				if p, rejected := in.Reject(fingerprint); rejected {
+					p.ID = id
+					m.scheduler.Drop(balance.Ticket{Daemon: name, Boot: c.boot, ID: id})
+					answer(name, c, p, 0)
+				}
+			}
+		}
+	}
 	if m.scheduler.Waiting() == 0 {
-		return nil
+		return out
 	}
 	unreported := 1 - float64(min(len(m.daemons), in.Daemons))/float64(max(in.Daemons, 1))
 	share := 1 - unreported
@@ -280,7 +312,6 @@
 			g.Allowance, g.Limited = in.Limits.Allowance(now, h.ID, h.Born, share)
 		}
 	}
-	out := map[string]*Answer{}
 	for _, d := range m.scheduler.Step(now, in.Plan, in.Groups, unreported, in.Random) {
 		c := m.daemons[d.Daemon]
 		if c == nil {
@@ -293,13 +324,8 @@
 				in.Limits.Take(h.ID)
 			}
 		}
-		delete(c.waiting, d.ID)
-		c.decided[d.ID] = sentDecision{place: p, prompt: d.Prompt, sent: now}
 		m.addLoad(p.Group, balance.Load{Requests: 1, QueuedTokens: d.Prompt})
-		if out[d.Daemon] == nil {
-			out[d.Daemon] = &Answer{Model: model, Boot: c.boot, Seq: c.seq}
-		}
-		out[d.Daemon].Placements = append(out[d.Daemon].Placements, p)
+		answer(d.Daemon, c, p, d.Prompt)
 	}
 	return out
 }
