Do not quarantine a second part for crashes that are explained

A crash that something in quarantine explains leads to no other quarantine now; a companion of the part is still found by the next crash. TestPartBesideDeadlyPart failed before: "quarantined [4 1], want 4 alone".

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -195,8 +195,8 @@
 			continue
 		}
 		c.judged = true
-		if d.hasCause(c.Outcome) {
-			continue
+		if g, ok := d.groups.Peek(c.Group); ok && len(g.causes) > 0 {
+			continue // something that was in quarantine or has been put there explains the crash
 		}
 		if f, ok := d.judgeParts(now, c.Outcome, settled); ok {
 			found = append(found, f)
@@ -321,12 +321,6 @@
 	return max(others, 0)
 }
 
-// hasCause reports whether a request, or a part of it, has been quarantined for a crash.
-func (d *Detector) hasCause(o Outcome) bool {
-	c, ok := d.groups.Peek(o.Group)
-	return ok && slices.ContainsFunc(c.causes, func(c cause) bool { return c.id == o.Request || slices.Contains(o.Parts, c.id) })
-}
-
 func (d *Detector) decay(now time.Time) {
 	if !d.countedAt.IsZero() {
 		f := decayed(now.Sub(d.countedAt))
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -73,6 +73,22 @@
 	}
 }
 
+// TestPartBesideDeadlyPart guards against quarantining, for the same crashes, also a sound part that was in all of them.
+func TestPartBesideDeadlyPart(t *testing.T) {
+	e := newTrial()
+	var found []uint64
+	for i, group := range []string{"a", "b", "c"} {
+		e.now = e.now.Add(time.Second)
+		found = append(found, e.report(
+			Outcome{Request: uint64(1000 + i), Parts: []uint64{common, deadly}, Group: group, Took: time.Second / 3, Crashed: true},
+			Outcome{Request: uint64(2000 + i), Parts: []uint64{common}, Group: group, Took: time.Second / 3, Crashed: true},
+		)...)
+	}
+	if !slices.Equal(found, []uint64{deadly}) {
+		t.Errorf("quarantined %v, want %d alone", found, deadly)
+	}
+}
+
 // TestFirstPartIsDeadly guards against quarantining only the parts that follow the deadly one.
 func TestFirstPartIsDeadly(t *testing.T) {
 	e := newTrial()
