--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -57,7 +57,7 @@
 
 // serveStream serves a request to a model. The events of several attempts are joined into one response.
 func (x *exchange) serveStream(ctx context.Context, svc *route.Service) {
-	s := &forwardedStream{x: x, svc: svc, lastEvent: x.call.LastEvent}
+	s := &forwardedStream{x: x, svc: svc, ids: newSuspectIDs(x.requestHash(), x.call.SharedParts), lastEvent: x.call.LastEvent}
 	var last error
 	for s.unsent < maxUnsent {
 		if err := ctx.Err(); err != nil {
@@ -109,7 +109,7 @@
 	causeUnusable   = "unusable"
 	// causeCrashed means that the backend server ended before it had sent more than one event of its response.
 	causeCrashed = "crashed"
-	// causeQuarantined means that the attempt was cancelled as its prompt has a part that crashes backend servers.
+	// causeQuarantined means that the attempt was cancelled as the request or a part of its prompt crashes backend servers.
 	causeQuarantined = "quarantined"
 )
 
@@ -139,8 +139,9 @@
 		if events <= maxEventsBeforeCrash && x.d.hasEnded(ctx, s.head) {
 			cause = causeCrashed
 			s.recordOutcome(true)
+			x.attemptLog[len(x.attemptLog)-1] += ", " + noteCrashed
 			x.d.log.Warn("backend server crashed while it worked on a request", "server", s.head.ID, "group", s.key, "id", x.call.ID,
-				"route", x.route.Name, "prompt_parts", formatParts(x.call.SharedParts), "events", events)
+				"route", x.route.Name, "prompt", formatHash(x.requestHash()), "prompt_parts", formatHashes(x.call.SharedParts), "events", events)
 		}
 	}
 	x.d.metrics.RecordFailedAttempt(x.service, cause)
@@ -152,18 +153,26 @@
 	return ended.(bool)
 }
 
-// formatParts returns the ids of prompt parts as callers send them.
-func formatParts(parts []uint64) []string {
-	out := make([]string, len(parts))
-	for i, p := range parts {
-		out[i] = strconv.FormatUint(p, 16)
+// formatHash returns a hash as the log shows it, or "" for zero.
+func formatHash(h uint64) string {
+	if h == 0 {
+		return ""
+	}
+	return strconv.FormatUint(h, 16)
+}
+
+// formatHashes returns hashes as formatHash does. Those of prompt parts look as callers send them.
+func formatHashes(hashes []uint64) []string {
+	out := make([]string, len(hashes))
+	for i, h := range hashes {
+		out[i] = formatHash(h)
 	}
 	return out
 }
 
 // countsAgainstGroup reports whether the failure of an attempt counts against its group. Stalls are reported separately,
-// a response which proves that the request has not run is only a rejection, and this daemon itself cancels requests whose
-// prompt is put in quarantine.
+// a response which proves that the request has not run is only a rejection, and this daemon itself cancels requests
+// that are put in quarantine.
 func countsAgainstGroup(err error) bool {
 	var silent *StalledError
 	var rejected *NotRunError
@@ -197,6 +206,7 @@
 type forwardedStream struct {
 	x   *exchange
 	svc *route.Service
+	ids suspectIDs
 	// headerSent is set once the status and headers have been sent to the caller.
 	headerSent bool
 	status     int
@@ -263,9 +273,9 @@
 func (s *forwardedStream) acquire(ctx context.Context, goOn bool) (*reservation, error) {
 	x := s.x
 	reserved, err := x.d.dispatch.acquire(ctx, s.svc, x.call.Model, x.org, balance.Request{
-		Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: x.requestHash(),
+		Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: s.ids.request,
 		Arrived: x.start, Until: x.deadline, Resumed: goOn,
-	}, x.call.SharedParts, s.exclude)
+	}, s.ids, s.exclude)
 	if err == nil {
 		s.exclude = append(s.exclude, reserved.key)
 	}
