Try a silent group again when its suspicion ends

Callers were rejected as crowded while sound groups got no requests: with the wait for silent groups, one request whose connection alone had stalled kept its group suspect until the request ended, as nothing else ran there that could show progress. The suspicion was renewed for as long.

A standby attempt that ends with its request names the reason as other attempts do.

--- a/internal/balance/stall.go
+++ b/internal/balance/stall.go
@@ -75,6 +75,10 @@
 		p = &groupProgress{lastProgress: now, requests: map[*Track]struct{}{}}
 		s.groups[group] = p
 	}
+	if p.stalled {
+		// The group gets another chance: only the connections of the earlier requests may have stalled.
+		p.lastProgress, p.stalled = now, false
+	}
 	t := &Track{group: group, lastProgress: now}
 	p.requests[t] = struct{}{}
 	p.limit = limit
@@ -97,12 +101,6 @@
 	return true
 }
 
-// Stalled reports whether a group with requests has made no progress since it was found stalled.
-func (s *StallDetector) Stalled(group string) bool {
-	p := s.groups[group]
-	return p != nil && p.stalled
-}
-
 // Started reports whether the request has had its first event.
 func (t *Track) Started() bool { return t.started }
 
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -21,12 +21,8 @@
 // scheduled. Requests are also scheduled when something changes.
 const dispatchPeriod = 25 * time.Millisecond
 
-const (
-	// suspectFor is how long a group that stalled gets no new requests.
-	suspectFor = 3 * time.Second
-	// suspectWhileSilent is how long a group that is still silent after that gets none from now.
-	suspectWhileSilent = 500 * time.Millisecond
-)
+// suspectFor is how long a group that stalled gets no new requests.
+const suspectFor = 3 * time.Second
 
 // rejectedFor is how long a group that rejected a request gets no others. By then the entries in the store show the reason.
 const rejectedFor = 500 * time.Millisecond
@@ -235,11 +231,6 @@
 		for _, key := range stalledGroups {
 			p.suspect(now, key)
 		}
-		for key := range p.running {
-			if s := p.suspects[key]; s.until.Before(now.Add(suspectWhileSilent)) && p.stalls.Stalled(key) {
-				p.suspects[key] = suspicion{until: now.Add(suspectWhileSilent), local: true}
-			}
-		}
 		for _, t := range stalledRequests {
 			if s := p.running[t.Group()][t]; s != nil {
 				s.fallSilent() // only the connection of this request stalled, not the group
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -372,7 +372,8 @@
 		stop := context.AfterFunc(preparation, func() { a.cancel(context.Cause(preparation)) })
 		err = a.cause(a.open())
 		if !stop() {
-			err = context.Cause(preparation)
+			a.cancel(context.Cause(preparation))
+			err = a.cause(context.Canceled)
 		}
 		if err == nil {
 			silent.cancel(&StalledError{silent.reserved.key})
