--- /dev/null
+++ b/internal/entry/review_test.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"flamingorudder.example/internal/era"
+	"flamingorudder.example/internal/fakeplatform"
+	"flamingorudder.example/internal/timer"
+)
+
+// TestTwoSilentGroupsHoldAStream guards against a request that waits for two silent groups while a third one is free and its route
+// allows another attempt.
+func TestTwoSilentGroupsHoldAStream(t *testing.T) {
+	t.Parallel()
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, `,{"name":"three","host":"a.example","prefix":"/three/","kind":"streaming","timeoutMs":4000,"targetLatencyMs":500,"service":"llm","maxAttempts":3,"streamResume":true}`)))
+	u := startDaemon(t, store, "a")
+	// Both silent groups go on only after the time limit of the route.
+	first, second, third := &streamer{silentBefore: 1, pause: 5 * time.Second}, &streamer{silentBefore: 1, pause: 5 * time.Second}, &streamer{}
+	u.putServer("i-1", "llm", backendServer(t, first.serve(t)), fmt.Sprintf(openGroup, 1))
+	u.waitReady()
+	got, start := make(chan reply, 1), time.Now()
+	go func() {
+		got <- u.do(http.MethodPost, "/three/", "k1", "x", "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20")
+	}()
+	eventually(t, "the request is at the first group", func() bool { return first.arrived.Load() == 1 })
+	u.putServer("i-2", "llm", backendServer(t, second.serve(t)), fmt.Sprintf(openGroup, 2))
+	eventually(t, "the request is at the second group", func() bool { return second.arrived.Load() == 1 })
+	u.putServer("i-3", "llm", backendServer(t, third.serve(t)), fmt.Sprintf(openGroup, 3))
+	if r := <-got; r.status != 200 || r.body != event(1)+event(2)+event(3)+event(4) {
+		t.Errorf("after %v: status %d, error %v, body %q, requests at the groups %d, %d, %d", time.Since(start), r.status, r.err, r.body, first.arrived.Load(), second.arrived.Load(), third.arrived.Load())
+	}
+}
+
+// TestLostRequestKeepsGroupOut guards against a sound group that gets no requests as long as one lost request, which may not be
+// repeated, waits for its answer there.
+func TestLostRequestKeepsGroupOut(t *testing.T) {
+	t.Parallel()
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, `,{"name":"long","host":"a.example","prefix":"/long/","kind":"streaming","timeoutMs":15000,"targetLatencyMs":500,"service":"llm","maxAttempts":1}`)))
+	u := startDaemon(t, store, "a")
+	var arrived atomic.Int32
+	u.putServer("i-1", "llm", backendServer(t, func(c net.Conn, r *http.Request) {
+		if arrived.Add(1) == 1 {
+			_ = timer.Wait(t.Context(), 14*time.Second) // only this request is lost
+			return
+		}
+		(&streamer{}).serve(t)(c, r)
+	}), fmt.Sprintf(openGroup, 1))
+	u.waitReady()
+	lost := make(chan reply, 1)
+	go func() {
+		lost <- u.do(http.MethodPost, "/long/", "k1", "x", "X-Flamingorudder-Deadline-Ms", "12000", "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20")
+	}()
+	eventually(t, "the request is at the group", func() bool { return arrived.Load() == 1 })
+	_ = timer.Wait(t.Context(), suspectFor+2*time.Second)
+	if r := u.stream("next"); r.status != 200 {
+		t.Errorf("another request, %v after the first: status %d, error %v", suspectFor+2*time.Second, r.status, r.err)
+	}
+	if r := <-lost; r.status != http.StatusGatewayTimeout {
+		t.Logf("the lost request: status %d, error %v", r.status, r.err)
+	}
+}
+
+// TestFailedSilentGroupKeepsItsLoad guards against counting a request at a group that has broken it off, and against that group
+// counting as silent, while the request waits for another one.
+func TestFailedSilentGroupKeepsItsLoad(t *testing.T) {
+	t.Parallel()
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	u := startDaemon(t, store, "a")
+	var arrived, broken atomic.Int32
+	u.putServer("i-1", "llm", backendServer(t, func(c net.Conn, _ *http.Request) {
+		arrived.Add(1)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Flamingorudder-Response-Signature: s\r\nContent-Type: text/event-stream\r\nContent-Length: 1000\r\n\r\n"+event(1))
+		_ = timer.Wait(t.Context(), silence)
+		_ = c.Close()
+		broken.Add(1)
+	}), fmt.Sprintf(openGroup, 1))
+	u.waitReady()
+	got := make(chan reply, 1)
+	go func() { got <- u.stream("s") }()
+	eventually(t, "the request is at the first group", func() bool { return arrived.Load() == 1 })
+	second := &streamer{silentBefore: 2, pause: 2 * silence}
+	u.putServer("i-2", "llm", backendServer(t, second.serve(t)), fmt.Sprintf(openGroup, 2))
+	eventually(t, "the request is at the second group", func() bool { return second.arrived.Load() == 1 })
+	eventually(t, "the first group has broken the request off", func() bool { return broken.Load() == 1 })
+	_ = timer.Wait(t.Context(), 200*time.Millisecond)
+	if len(got) > 0 {
+		t.Fatalf("the request has ended: %+v", <-got)
+	}
+	u.d.dispatch.mu.Lock()
+	running, stalled := len(u.d.dispatch.running), u.d.dispatch.stalls.Stalled("g1/1")
+	u.d.dispatch.mu.Unlock()
+	if running != 1 {
+		t.Errorf("%d groups count the request, one works on it; the first counts as silent: %v", running, stalled)
+	}
+	<-got
+}
+
+// TestStoreThatBeginsToNameItsEra guards against taking a store for restored that only begins to name its era, as with a daemon of
+// an earlier build that has relayed the entries: a removed entry would then stay in the view.
+func TestStoreThatBeginsToNameItsEra(t *testing.T) {
+	t.Parallel()
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	u := startDaemon(t, store, "a")
+	f, closeIdle := newStoreSync(u.d)
+	defer closeIdle()
+	entry := []byte(`{"service":"plain","address":"127.0.0.1:9","zone":"z","state":"ready","slots":4,"born":5,"sequence":1}`)
+	rows := []entryRow{{ID: "i-1", Value: entry, Version: 10}}
+	f.applyServers(rows, true, era.Position{Version: 10}, 0) // relayed by a daemon of an earlier build
+	f.observeEra(1)
+	f.applyServers(rows, true, era.Position{Era: 1, Version: 10}, 0)
+	f.applyServers([]entryRow{{ID: "i-1", Removed: true, Version: 11}}, false, era.Position{Era: 1, Version: 11}, 0)
+	if v := f.tracker.View(time.Now(), f.size); v.Servers["i-1"] != nil {
+		t.Error("the removed backend server is still in the view")
+	}
+}
