Give back the place at a silent group once it has broken a request off

While a request waited for another group, the group that had broken it off went on to count it, and counted as silent, so that no request was sent there. The place is given back when the attempt ends. TestFailedSilentGroupKeepsItsLoad failed before: "2 groups count the request, one works on it; the first counts as silent: true".

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -326,7 +326,7 @@
 		s.startStandby(ctx, a)
 	}
 	s.mu.Unlock()
-	err := read()
+	err := a.cause(read())
 	s.mu.Lock()
 	other := s.standby
 	s.awaited, s.standby = nil, nil
@@ -334,15 +334,18 @@
 	if other != nil {
 		if err == nil {
 			other.cancel(&SupersededError{a.reserved.key})
+		} else {
+			a.detach()
+			a.reserved.release() // the group no longer works on the request
 		}
 		_ = s.tasks.Wait() // its task returns no error
 		other.cancel(nil)
 		if other.attempt != nil && err == nil {
 			err = &StalledError{a.reserved.key} // both have answered; the silent attempt has been cancelled
 		}
-		return other.attempt, a.cause(err)
+		return other.attempt, err
 	}
-	return nil, a.cause(err)
+	return nil, err
 }
 
 // startStandby prepares another attempt while a waits for its group, unless the request must not run at two of them. s.mu is
