Take no store for restored that begins to name its era

Entries relayed by a daemon of an earlier build have no era. The first read that named one counted as a restore, after which removed backend servers stay in the view for two seconds. TestStoreThatBeginsToNameItsEra failed before.

--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -671,7 +671,8 @@
 		f.d.log.Info("outdated entries ignored", "version", position.Version, "era", position.Era, "known", f.position.Version, "known_era", f.position.Era, "entries", len(rows))
 		return
 	}
-	if position.Era > f.position.Era && !f.readAt.IsZero() {
+	// Entries relayed by a daemon of an earlier build have no era.
+	if position.Era > f.position.Era && f.position.Era > 0 {
 		f.tracker.MarkRestored(now, delay)
 	}
 	f.position, f.readAt = position, now.Add(-age)
