Clear the silence of a request under the mutex that guards its cause

An event that arrived while the dispatcher found the group silent could leave the request marked as silent: its next wait would charge a retry for nothing. Found by reading; no test shows it.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -370,9 +370,9 @@
 func (s *reservation) progress() {
 	now := time.Now()
 	p := s.d
-	s.silent.Store(false)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	s.silent.Store(false)
 	if s.ended {
 		return
 	}
