Send a stream to a third group while two are silent

A stream that may be sent to three groups waited for two silent ones although a third was free: only one standby attempt was made, and it waited as long as the first. A standby whose own group falls silent now makes room for one at another group, if the route allows it.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -291,12 +291,17 @@
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.detach = context.AfterFunc(reserved.ctx, func() { a.cancel(context.Cause(reserved.ctx)) })
-	reserved.watch(func() {
+	s.watch(ctx, a)
+	return a
+}
+
+// watch has a standby prepared when the group of an attempt falls silent while the request waits for it.
+func (s *forwardedStream) watch(ctx context.Context, a *streamAttempt) {
+	a.reserved.watch(func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.startStandby(ctx, a)
 	})
-	return a
 }
 
 // run forwards the response of an attempt. It returns nil once the whole response has been forwarded, or else the error of
@@ -372,6 +377,10 @@
 			return nil
 		}
 		a := s.newAttempt(ctx, reserved)
+		if s.x.attempts+2 < s.x.route.MaxAttempts {
+			// A standby at a group that is silent too makes room for one at a third group.
+			reserved.watch(func() { a.cancel(&StalledError{reserved.key}) })
+		}
 		stop := context.AfterFunc(preparation, func() { a.cancel(context.Cause(preparation)) })
 		err = a.cause(a.open())
 		if !stop() {
@@ -379,6 +388,7 @@
 			err = a.cause(context.Canceled)
 		}
 		if err == nil {
+			s.watch(ctx, a)
 			silent.cancel(&StalledError{silent.reserved.key})
 			return a
 		}
