Show the soak's callers a connection cut under a read

The HTTP client of the stand-in callers repeats a GET by itself when a connection that it has kept ends without an answer, so the audit never saw such reads as lost. The client repeats only requests without a body; an empty one that it cannot rewind keeps it from that and changes nothing on the wire.

TestCallerSeesCutConnection fails without it: "request 2: <nil>, 3 arrived".

Requests whose id asks for a long answer also ask for as many tokens.

--- a/internal/fakeplatform/caller.go
+++ b/internal/fakeplatform/caller.go
@@ -46,8 +46,13 @@
 	if err != nil {
 		return Reply{Err: fmt.Errorf("make request: %w", err)}
 	}
+	if len(a.Body) == 0 {
+		// The client repeats a request of this method on a connection that ends without an answer, unless it may have a body. The
+		// caller is to see that end.
+		req.Body, req.GetBody = struct{ io.ReadCloser }{http.NoBody}, nil
+	}
 	req.Host = a.Host
-	call := platform.RequestInfo{ID: a.ID, Timeout: a.Left, Key: a.Key, Model: a.Model, PromptTokens: tokens, MaxTokens: tokens}
+	call := platform.RequestInfo{ID: a.ID, Timeout: a.Left, Key: a.Key, Model: a.Model, PromptTokens: tokens, MaxTokens: max(tokens, Length(a.ID))}
 	if a.After > 0 {
 		call.LastEvent = strconv.Itoa(a.After)
 	}
@@ -63,7 +68,7 @@
 	return r
 }
 
-// tokens is the size of each prompt, and the most of each answer.
+// tokens is the size of each prompt, and the most of each answer that is not slow.
 const tokens = 100
 
 // Resolve asks a daemon where to connect.
