Silence sound backend servers in the soak, and check the drain

Seeds from 1000 on draw a new fault: a sound backend server is stopped for up to 1.2 s and goes on. It is no trouble, so nothing may be lost around it. Entries are renewed every 0.8 s there, so that none lapses meanwhile, and the head of a group goes on when a silent member is back before the stall time.

In these seeds one request in twelve of each caller takes up to 2.6 s, so that a planned stop meets it, and backend servers that drain serve on for another drain time. New promises: no request reaches a server after the drain, no daemon or server ends by itself, every daemon sends requests to every plain server in the calm at the end.

--- a/internal/fakeplatform/server.go
+++ b/internal/fakeplatform/server.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -46,6 +47,8 @@
 	Closed  Kind = "closed"
 	Broken  Kind = "broken"
 	Left    Kind = "left"
+	// Drains means that the store has acknowledged that the server drains.
+	Drains Kind = "drains"
 )
 
 // Event is what a backend server did, for those who check the promises of the whole system.
@@ -78,8 +81,9 @@
 	Slots int
 	// Beat is how often the entry is renewed.
 	Beat time.Duration
-	// Drain is how long it serves after it has told that it drains.
-	Drain time.Duration
+	// Drain is how long it serves after it has told that it drains, or, with Linger, after the store has acknowledged that. Linger
+	// is how long it serves on, so that later requests are seen.
+	Drain, Linger time.Duration
 	// Models is empty for a plain service.
 	Models []route.Model
 	// Form is how long a head takes to open, Stall how long one that lost a member takes to find the group broken.
@@ -115,6 +119,8 @@
 	gone chan struct{}
 	// renew asks for the entry to be written at once.
 	renew chan struct{}
+	// drains is closed when the store has acknowledged that the server drains.
+	drains chan struct{}
 }
 
 // Serve runs a backend server until ctx ends; it then drains, leaves the list and returns.
@@ -125,6 +131,7 @@
 	defer closePeers()
 	s := &Server{
 		o: o, store: store, peers: peers, born: time.Now().UnixMilli(), gone: make(chan struct{}), renew: make(chan struct{}, 1),
+		drains: make(chan struct{}),
 	}
 	l, err := net.Listen("tcp", o.Listen.String())
 	if err != nil {
@@ -160,7 +167,15 @@
 	s.state = roster.Draining
 	s.mu.Unlock()
 	s.changed()
-	_ = timer.Wait(ctx, s.o.Drain) // an early end only shortens the drain
+	if s.o.Linger > 0 {
+		acknowledged, cancel := context.WithTimeout(ctx, longestDrain)
+		defer cancel()
+		select {
+		case <-s.drains:
+		case <-acknowledged.Done():
+		}
+	}
+	_ = timer.Wait(ctx, s.o.Drain+s.o.Linger) // an early end only shortens the drain
 	for end := time.Now().Add(longestDrain); time.Now().Before(end) && s.needed(ctx); {
 		if timer.Wait(ctx, probePeriod) != nil {
 			break
@@ -214,16 +229,24 @@
 func (s *Server) keepEntry(ctx context.Context) error {
 	tick, stop := timer.Every(s.o.Beat, 0)
 	defer stop()
-	for {
+	for told := false; ; {
 		s.mu.Lock()
 		s.beats++
+		draining := s.state == roster.Draining
 		text, err := platform.EncodeServer(s.self())
 		s.mu.Unlock()
 		if err != nil {
 			return fmt.Errorf("encode entry: %w", err)
 		}
 		// A write that fails is made up for by the next.
-		_, _ = s.store.Commit(ctx, platform.Tx{Write: []platform.Row{{Table: platform.TableServers, Key: s.o.ID, Value: text}}})
+		_, err = s.store.Commit(ctx, platform.Tx{Write: []platform.Row{{Table: platform.TableServers, Key: s.o.ID, Value: text}}})
+		if err == nil && draining && !told {
+			s.mu.Lock()
+			s.tell(Event{Kind: Drains})
+			s.mu.Unlock()
+			close(s.drains)
+			told = true
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -437,9 +460,11 @@
 		s.mu.Lock()
 		switch {
 		case s.group != group:
+		case misses == 0 && !s.lost.IsZero() && time.Since(s.lost) < s.o.Stall:
+			s.lost = time.Time{} // a member that was silent goes on
 		case misses >= probeLosses && s.lost.IsZero():
 			s.lost = time.Now()
-		case !s.lost.IsZero() && time.Since(s.lost) > s.o.Stall:
+		case !s.lost.IsZero() && time.Since(s.lost) >= s.o.Stall:
 			group.State = roster.Broken
 			s.end(Broken)
 			s.changed()
@@ -533,7 +558,11 @@
 }
 
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, id string, body []byte) bool {
-	if timer.Wait(r.Context(), s.o.Work) != nil {
+	work := s.o.Work
+	if strings.HasPrefix(id, SlowPrefix) {
+		work *= time.Duration(Length(id)) // as long as a stream
+	}
+	if timer.Wait(r.Context(), work) != nil {
 		return false
 	}
 	text := Text(id, body)
@@ -569,6 +598,12 @@
 	return true
 }
 
+// SlowPrefix begins the ids of requests that take seconds, slowness is how many times as long.
+const (
+	SlowPrefix = "slow-"
+	slowness   = 6
+)
+
 // Sum is the checksum of a body.
 func Sum(body []byte) uint32 {
 	h := fnv.New32a()
@@ -580,7 +615,13 @@
 func Text(id string, body []byte) string { return fmt.Sprintf("answer to %s of %d\n", id, Sum(body)) }
 
 // Length is the number of events of the answer to a stream.
-func Length(id string) int { return 3 + int(Sum([]byte(id))%20) }
+func Length(id string) int {
+	n := 3 + int(Sum([]byte(id))%20)
+	if strings.HasPrefix(id, SlowPrefix) {
+		n *= slowness
+	}
+	return n
+}
 
 // EventText is one event of the answer to a stream.
 func EventText(id string, n int) string {
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -40,9 +40,9 @@
 
 	reply *fakeplatform.Reply
 	ended time.Time
-	// runs counts the backend servers that ran it, and ran is the first.
-	runs int
-	ran  time.Time
+	// runs counts the backend servers that ran it, ran is when the first began and done when one came to a good end.
+	runs      int
+	ran, done time.Time
 }
 
 // membership is one group, of one epoch, as its members told.
@@ -65,6 +65,9 @@
 	Apply, Calm time.Duration
 	// Recover is how long the fleet may take after the last fault until a quarter of the requests is served.
 	Recover time.Duration
+	// Drain is how long requests may reach a backend server after the store has acknowledged that it drains, Grace how long a
+	// daemon may go on after it was told to stop.
+	Drain, Grace time.Duration
 }
 
 // arrival is one request that reached a backend server.
@@ -88,8 +91,13 @@
 	// newest is the version that may be in force last, stored the one that the store has acknowledged last, and when.
 	newest int
 	stored version
-	// trouble holds the spans of unplanned faults; those of a daemon by its name, the others under "".
-	trouble map[string][]span
+	// trouble holds the spans of unplanned faults; those of a daemon by its name, the others under "". touched holds those of all
+	// faults by the name of the process that they act on.
+	trouble, touched spans
+	// stops holds when each lifetime of a daemon was told to stop, drains when the store acknowledged that a server drains.
+	stops, drains map[string]time.Time
+	// reached holds when each daemon last had a request run at each backend server.
+	reached map[[2]string]time.Time
 	// Failures lists broken promises, one line each.
 	Failures []string
 	told     map[string]int
@@ -103,11 +111,33 @@
 // span is a fault's time; to is zero while it lasts.
 type span struct{ from, to time.Time }
 
+type spans map[string][]span
+
+// begin notes that a fault begins. The function that it returns tells its end.
+func (s spans) begin(from time.Time, name string) (end func(to time.Time)) {
+	i := len(s[name])
+	s[name] = append(s[name], span{from: from})
+	return func(to time.Time) { s[name][i].to = to }
+}
+
+// none tells whether no fault under any of the names falls between two times.
+func (s spans) none(from, to time.Time, names ...string) bool {
+	for _, name := range names {
+		for _, x := range s[name] {
+			if x.from.Before(to) && (x.to.IsZero() || x.to.After(from)) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // NewAudit returns an audit that has seen nothing.
 func NewAudit(b Bounds) *Audit {
 	return &Audit{
 		b: b, requests: map[string]*sent{}, groups: map[string]*membership{}, in: map[string]string{}, arrivals: map[string][]arrival{},
-		requested: map[string][]time.Time{}, seen: map[string]version{}, trouble: map[string][]span{}, told: map[string]int{},
+		requested: map[string][]time.Time{}, seen: map[string]version{}, trouble: spans{}, touched: spans{}, told: map[string]int{},
+		stops: map[string]time.Time{}, drains: map[string]time.Time{}, reached: map[[2]string]time.Time{},
 	}
 }
 
@@ -213,22 +243,36 @@
 // Trouble tells that an unplanned fault begins, at a daemon or, with an empty name, elsewhere. The function that it returns
 // tells its end.
 func (a *Audit) Trouble(from time.Time, daemon string) (end func(to time.Time)) {
-	i := len(a.trouble[daemon])
-	a.trouble[daemon] = append(a.trouble[daemon], span{from: from})
-	return func(to time.Time) { a.trouble[daemon][i].to = to }
+	return a.trouble.begin(from, daemon)
 }
 
-// calm tells whether no unplanned fault touched a daemon, nor anything but daemons, from Calm before a time until another.
-func (a *Audit) calm(daemon string, from, to time.Time) bool {
-	from = from.Add(-a.b.Calm)
-	for _, name := range []string{"", daemon} {
-		for _, s := range a.trouble[name] {
-			if s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
-				return false
+// Touched tells that a fault, planned or not, begins at a process. The function that it returns tells its end.
+func (a *Audit) Touched(from time.Time, process string) (end func(to time.Time)) {
+	return a.touched.begin(from, process)
+}
+
+// Stopped tells that a daemon was told to stop.
+func (a *Audit) Stopped(at time.Time, lifetime string) { a.stops[lifetime] = at }
+
+// Ended tells that the process of a daemon or backend server ended without being told to.
+func (a *Audit) Ended(process, how string) {
+	a.fail("no process ends by itself", "%s: %s", process, how)
+}
+
+// Followed checks that each of the daemons has sent requests to each of the plain backend servers since a time.
+func (a *Audit) Followed(since time.Time, daemons, servers []string) {
+	for _, d := range daemons {
+		for _, s := range servers {
+			if a.reached[[2]string{d, s}].Before(since) {
+				a.fail("servers are followed", "%s sent nothing to %s in the calm at the end", d, s)
 			}
 		}
 	}
-	return true
+}
+
+// calm tells whether no unplanned fault touched a daemon, nor anything but daemons, from Calm before a time until another.
+func (a *Audit) calm(daemon string, from, to time.Time) bool {
+	return a.trouble.none(from.Add(-a.b.Calm), to, "", daemon)
 }
 
 // Stored tells that the store has acknowledged a version of the configuration.
@@ -241,6 +285,11 @@
 		if s.reply == nil || s.reply.Err == nil || s.runs == 0 || s.ended.Sub(s.at) > s.ask.Left*9/10 || !a.calm(name(s.daemon), s.at, s.ended) {
 			continue
 		}
+		// A slow request that was sent before three eighths of the grace time, and still ran in its last sixth, is not lost.
+		if stop := a.stops[s.daemon]; strings.HasPrefix(id, fakeplatform.SlowPrefix) && !stop.IsZero() && !s.at.After(stop.Add(a.b.Grace*3/8)) &&
+			s.ended.After(stop.Add(a.b.Grace*5/6)) && s.done.IsZero() {
+			continue
+		}
 		a.fail("planned work loses nothing", "%s %s at %s ran and got no whole answer: %v", s.kind, id, s.daemon, s.reply.Err)
 	}
 }
@@ -293,6 +342,11 @@
 	case fakeplatform.Run:
 		a.run(e, g, key)
 	case fakeplatform.Done:
+		if s := a.requests[e.ID]; s != nil && s.done.IsZero() {
+			s.done = e.At
+		}
+	case fakeplatform.Drains:
+		a.drains[e.Server] = e.At
 	}
 }
 
@@ -315,6 +369,15 @@
 		a.fail("at most once", "%s ran %d times", e.ID, s.runs)
 	}
 	a.refused(s)
+	a.reached[[2]string{name(s.daemon), e.Server}] = e.At
+	// Both the acknowledgement and the daemon count only in touch: the store up to the bound, the daemon and its way to the server
+	// up to the request.
+	if acked, ok := a.drains[e.Server]; ok && e.At.Sub(acked) > a.b.Drain && s.daemon != "" {
+		from, until := acked.Add(-a.b.Calm), acked.Add(a.b.Drain)
+		if a.touched.none(from, until, "store") && a.touched.none(from, e.At, "", name(s.daemon), e.Server) {
+			a.fail("no request after the drain", "%s ran %s of %s %v after it had told that it drains", e.Server, e.ID, s.daemon, e.At.Sub(acked))
+		}
+	}
 	if g == nil {
 		return
 	}
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/netip"
@@ -41,6 +42,27 @@
 	return e
 }
 
+// slowInStop sends a slow request to a daemon that is told to stop at t0 and ends with its grace time.
+func slowInStop(a *Audit, sent time.Time) {
+	id := fakeplatform.SlowPrefix + "r"
+	a.Stopped(t0, "d#1")
+	a.Sent(sent, ask(id, Talk), Talk, "north", "d#1", 0)
+	a.Event(ran("s", id, Talk))
+	a.Answered(at(grace), id, fakeplatform.Reply{Err: io.ErrUnexpectedEOF})
+	a.Lost()
+}
+
+// sentAfterDrain has a request run at a server that has told at t0 that it drains.
+func sentAfterDrain(a *Audit) {
+	a.Event(fakeplatform.Event{Kind: fakeplatform.Drains, Server: "s", At: t0})
+	for id, after := range map[string]time.Duration{"q": drain, "r": drain + time.Second} {
+		a.Sent(t0, ask(id, Read), Read, "north", "d#1", 0)
+		e := ran("s", id, Read)
+		e.At = at(after)
+		a.Event(e)
+	}
+}
+
 // TestAudit guards against an audit that passes over a broken promise, and against one that sees one where none is.
 func TestAudit(t *testing.T) {
 	for _, test := range []struct {
@@ -183,6 +205,27 @@
 			a.Answered(at(time.Second), "r", fakeplatform.Reply{Err: io.ErrUnexpectedEOF})
 			a.Lost()
 		}},
+		{"a slow request cut off at the end of the grace time", "", func(a *Audit) { slowInStop(a, at(grace*3/8)) }},
+		{"a slow request taken late in a stop and cut off", "planned work loses nothing", func(a *Audit) { slowInStop(a, at(grace*3/8+time.Second/10)) }},
+		{"sent after the drain", "no request after the drain", func(a *Audit) {
+			a.Touched(at(1500*time.Millisecond), "store") // the drain has ended by then
+			a.Touched(t0, "e")                            // another daemon
+			sentAfterDrain(a)
+		}},
+		{"sent after the drain while the store was down", "", func(a *Audit) {
+			a.Touched(at(-time.Second), "store")(t0)
+			sentAfterDrain(a)
+		}},
+		{"read after the drain by a server that was silent", "", func(a *Audit) {
+			a.Touched(at(1500*time.Millisecond), "s")
+			sentAfterDrain(a)
+		}},
+		{"ended", "no process ends by itself", func(a *Audit) { a.Ended("daemon-1", "exit status 2") }},
+		{"a server that a daemon does not follow", "servers are followed: d sent nothing to t", func(a *Audit) {
+			a.Sent(t0, ask("r", Read), Read, "north", "d#2", 0)
+			a.Event(ran("s", "r", Read))
+			a.Followed(at(time.Second), []string{"d"}, []string{"s", "t"})
+		}},
 		{"too many repeats", "budget of repeats", func(a *Audit) {
 			for i := range bounds.RetrySlack + 5 {
 				id := fmt.Sprint(i)
@@ -216,7 +259,8 @@
 // TestPlan guards against a seed that does not give the same faults again, and against a fault that is never drawn.
 func TestPlan(t *testing.T) {
 	drawn := map[Fault]int{}
-	for seed := range uint64(20) {
+	for i := range uint64(40) {
+		seed := i%20 + i/20*firstOfAll
 		plan := Plan(seed, 20*time.Second, 4, 10)
 		if again := Plan(seed, 20*time.Second, 4, 10); !reflect.DeepEqual(plan, again) {
 			t.Errorf("seed %d gives two plans", seed)
@@ -233,6 +277,18 @@
 			t.Errorf("no %s in 20 seeds", f)
 		}
 	}
+	// A sound server's entry stays while it is silent.
+	if 3*longBeat-longBeat <= silence {
+		t.Errorf("an entry that is renewed every %v may lapse in a silence of %v", longBeat, silence)
+	}
+	// Seeds of before firstOfAll give what they gave.
+	h := fnv.New32a()
+	for _, s := range Plan(731, 6*time.Second, 4, 10) {
+		_, _ = fmt.Fprintln(h, s)
+	}
+	if got := h.Sum32(); got != 0xeff47785 {
+		t.Errorf("the plan of seed 731 has another sum: %#x", got)
+	}
 }
 
 // TestProxy guards against harms that do not harm, and against a proxy that changes bytes.
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,9 +39,14 @@
 	cmd  *exec.Cmd
 	// done is closed when it has ended.
 	done chan struct{}
+	// told is set when it has been told to end.
+	told atomic.Bool
 }
 
 func (p *process) signal(s syscall.Signal) {
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		p.told.Store(true)
+	}
 	select {
 	case <-p.done:
 	default:
@@ -105,10 +111,18 @@
 	closeProxy            func()
 }
 
+// id is that of the server's present process.
+func (s *server) id() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("%s-%d", s.name, s.life)
+}
+
 // fleet is the processes of a run.
 type fleet struct {
-	o Options
-	g *errgroup.Group
+	o    Options
+	g    *errgroup.Group
+	beat time.Duration
 	// host is the address on which all parts of the fleet listen.
 	host     netip.Addr
 	platform netip.AddrPort
@@ -120,14 +134,18 @@
 	// events takes what backend servers tell, gone the ids of those whose process has ended.
 	events chan fakeplatform.Event
 	gone   chan string
-	mu     sync.Mutex
-	stops  []func()
-	taken  map[netip.AddrPort]bool
+	// ended takes processes that ended without being told to.
+	ended chan *process
+	mu    sync.Mutex
+	stops []func()
+	taken map[netip.AddrPort]bool
 }
 
 const (
-	// beat is how often backend servers renew their entries; short, so that lapses happen within a run.
-	beat = 400 * time.Millisecond
+	// beat is how often backend servers renew their entries; short, so that lapses happen within a run. longBeat is that of runs
+	// in which sound ones are silent, whose entries must not lapse meanwhile.
+	beat     = 400 * time.Millisecond
+	longBeat = 800 * time.Millisecond
 	// drain, grace and stall are the platform's bounds, as its installations have them but shorter.
 	drain = time.Second
 	grace = 4 * time.Second
@@ -184,10 +202,14 @@
 // 127.0.0.1 that is free while a process is down may be taken by any other connection of the machine.
 func newFleet(o Options) *fleet {
 	pid := os.Getpid()
-	return &fleet{
-		o: o, g: &errgroup.Group{}, events: make(chan fakeplatform.Event, 4096), gone: make(chan string, 64), taken: map[netip.AddrPort]bool{},
+	f := &fleet{
+		o: o, g: &errgroup.Group{}, beat: beat, events: make(chan fakeplatform.Event, 4096), gone: make(chan string, 64), ended: make(chan *process, 64), taken: map[netip.AddrPort]bool{},
 		host: netip.AddrFrom4([4]byte{127, 1 + byte(pid>>16)%200, byte(pid >> 8), byte(pid)}),
 	}
+	if o.Seed >= firstOfAll {
+		f.beat = longBeat
+	}
+	return f
 }
 
 // free returns an address whose port is free for TCP and UDP, and that no other part of the fleet is given.
@@ -251,6 +273,9 @@
 		}
 		_ = cmd.Wait() // its state tells how it ended
 		close(p.done)
+		if !p.told.Load() {
+			f.ended <- p
+		}
 		_, err := fmt.Fprintf(log, "%s %s: %v\n", time.Now().Format(time.RFC3339Nano), name, cmd.ProcessState)
 		return errors.Join(err, log.Close())
 	})
@@ -265,7 +290,7 @@
 	if f.serves, err = f.free(); err != nil {
 		return err
 	}
-	f.store, err = f.start("store", nil, "standin", "store", "--daemons", f.serves.String(), "--platform", f.platform.String(), "--beat", beat.String())
+	f.store, err = f.start("store", nil, "standin", "store", "--daemons", f.serves.String(), "--platform", f.platform.String(), "--beat", f.beat.String())
 	if err != nil {
 		return err
 	}
@@ -332,7 +357,7 @@
 [log]
 level = info
 `, d.name, d.caller, d.readiness, d.directory, d.peer, store.Addr, drain.Milliseconds(), apply.Milliseconds(), grace.Seconds(),
-		stall.Milliseconds(), bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow.Seconds(), beat.Milliseconds())
+		stall.Milliseconds(), bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow.Seconds(), f.beat.Milliseconds())
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
@@ -383,7 +408,10 @@
 	s.mu.Unlock()
 	args := []string{
 		"server", "--id", id, "--service", s.service, "--domain", s.domain, "--listen", listen.String(), "--address", proxy.Addr.String(),
-		"--store", f.platform.String(), "--beat", beat.String(), "--drain", drain.String(), "--stall", stall.String(),
+		"--store", f.platform.String(), "--beat", f.beat.String(), "--drain", drain.String(), "--stall", stall.String(),
+	}
+	if f.o.Seed >= firstOfAll {
+		args = append(args, "--linger", drain.String())
 	}
 	if s.service == modelService {
 		models, err := json.Marshal(models)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -24,13 +24,15 @@
 	Configure
 	// KillAll kills every daemon at once.
 	KillAll
+	// SilenceServer stops a sound backend server for so short a time that its entry stays.
+	SilenceServer
 	faults
 )
 
 func (f Fault) String() string {
 	return [...]string{
 		"kill daemon", "stop daemon", "pause daemon", "reload daemon", "kill server", "drain server", "pause server", "pause store",
-		"harm store", "harm server", "configure", "kill all daemons",
+		"harm store", "harm server", "configure", "kill all daemons", "silence server",
 	}[f]
 }
 
@@ -57,9 +59,13 @@
 // weights is how often each fault is drawn against the others.
 var weights = [faults]int{
 	KillDaemon: 4, StopDaemon: 3, PauseDaemon: 4, ReloadDaemon: 1, KillServer: 5, DrainServer: 3, PauseServer: 2, PauseStore: 2, HarmStore: 5,
-	HarmServer: 5, Configure: 4, KillAll: 1,
+	HarmServer: 5, Configure: 4, KillAll: 1, SilenceServer: 4,
 }
 
+// firstOfAll is the first seed that draws faults of all kinds, slow requests and odd entries. Those below it give what they gave
+// before those kinds existed.
+const firstOfAll = 1000
+
 const (
 	// meanGap is the mean time between two faults; they overlap, since most last longer.
 	meanGap = 500 * time.Millisecond
@@ -69,17 +75,21 @@
 	seriesGap   = 80 * time.Millisecond
 )
 
+// silence is how long a sound backend server may be silent.
+const silence = 1200 * time.Millisecond
+
 // longest is how long each fault lasts at most. A backend server that stands still for longer than that may be taken for
-// gone, which the platform does not do to one that lives; a paused store is one that is down.
+// gone, which the platform does not do to one that lives: its entry lapses three beats after it was written, up to a beat before
+// it stopped. A paused store is one that is down.
 var longest = [faults]time.Duration{
 	KillDaemon: 2 * time.Second, StopDaemon: time.Second, PauseDaemon: 4 * time.Second, KillServer: 3 * time.Second, DrainServer: time.Second,
 	PauseServer: 500 * time.Millisecond, PauseStore: 4 * time.Second, HarmStore: 5 * time.Second, HarmServer: 4 * time.Second,
-	KillAll: time.Second,
+	KillAll: time.Second, SilenceServer: silence,
 }
 
-// planned tells whether a fault is planned work, around which nothing may be lost.
+// planned tells whether a fault is planned work or no fault in the eyes of the platform, so that nothing may be lost around it.
 func (f Fault) planned() bool {
-	return f == StopDaemon || f == ReloadDaemon || f == DrainServer || f == Configure
+	return f == StopDaemon || f == ReloadDaemon || f == DrainServer || f == Configure || f == SilenceServer
 }
 
 // plannedOnly is how often a seed draws planned work only: one in that many.
@@ -91,7 +101,7 @@
 	weights := weights
 	total := 0
 	for f := range weights {
-		if seed%plannedOnly == 0 && !Fault(f).planned() {
+		if seed%plannedOnly == 0 && !Fault(f).planned() || seed < firstOfAll && Fault(f) > KillAll {
 			weights[f] = 0
 		}
 		total += weights[f]
@@ -116,7 +126,7 @@
 			switch f {
 			case KillDaemon, StopDaemon, PauseDaemon, ReloadDaemon, HarmStore:
 				s.Target = r.IntN(daemons)
-			case KillServer, DrainServer, PauseServer, HarmServer:
+			case KillServer, DrainServer, PauseServer, HarmServer, SilenceServer:
 				s.Target = r.IntN(servers)
 			}
 			if f == HarmStore || f == HarmServer {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -23,7 +23,7 @@
 // bounds are those of a run; the daemons get the same in their settings.
 var bounds = Bounds{
 	RetryRatio: 0.2, RetrySlack: 40, RetryWindow: 10 * time.Second, Rollback: 250 * time.Millisecond, Apply: apply,
-	Calm: 3 * time.Second, Recover: 8 * time.Second,
+	Calm: 3 * time.Second, Recover: 8 * time.Second, Drain: drain, Grace: grace,
 }
 
 const (
@@ -40,6 +40,8 @@
 	eventDelay = time.Second
 	// callerLimit is how long a caller waits.
 	callerLimit = 4 * time.Second
+	// slowShare is one slow request in that many.
+	slowShare = 12
 )
 
 // run is a run under way.
@@ -156,6 +158,14 @@
 		r.auditMu.Lock()
 		defer r.auditMu.Unlock()
 		r.audit.Recovered(last, time.Now().Add(-callerLimit/2))
+		var daemons, servers []string
+		for _, d := range r.daemons {
+			daemons = append(daemons, d.name)
+		}
+		for _, s := range r.servers[:plains] {
+			servers = append(servers, s.id())
+		}
+		r.audit.Followed(last.Add(bounds.Recover/2), daemons, servers)
 		return nil
 	})
 	if err := g.Wait(); err != nil && ctx.Err() == nil && !errors.Is(err, context.Canceled) {
@@ -265,6 +275,9 @@
 			addr = kept
 		}
 		id := fmt.Sprintf("c%d-%d", place, n)
+		if r.o.Seed >= firstOfAll && n%slowShare == 0 {
+			id = fakeplatform.SlowPrefix + id
+		}
 		kind := [...]Kind{Read, Write, Talk, Talk}[rnd.IntN(4)]
 		reply := r.send(ctx, c, addr, id, kind, org, r.at(addr), 0)
 		if kept = addr; reply.Err != nil {
@@ -320,6 +333,8 @@
 			r.late = append(r.late, timed{e.At, func() { r.audit.Event(e) }})
 		case id := <-r.gone:
 			r.late = append(r.late, timed{time.Now(), func() { r.audit.Gone(id) }})
+		case p := <-r.ended:
+			r.late = append(r.late, timed{time.Now(), func() { r.audit.Ended(p.name, p.cmd.ProcessState.String()) }})
 		case now := <-tick:
 			r.settle(now.Add(-eventDelay))
 		}
@@ -355,21 +370,22 @@
 
 // inject carries out one fault and ends it.
 func (r *run) inject(ctx context.Context, store *platform.Store, s Step) error {
+	daemon, process := "", ""
+	switch s.Fault {
+	case KillDaemon, StopDaemon, PauseDaemon, HarmStore:
+		daemon = r.daemons[s.Target].name
+		process = daemon
+	case PauseServer, HarmServer, SilenceServer:
+		process = r.servers[s.Target].id()
+	case PauseStore:
+		process = r.store.name
+	default:
+	}
 	if !s.Fault.planned() {
-		where := ""
-		switch s.Fault {
-		case KillDaemon, PauseDaemon, HarmStore:
-			where = r.daemons[s.Target].name
-		default:
-		}
-		r.auditMu.Lock()
-		end := r.audit.Trouble(time.Now(), where)
-		r.auditMu.Unlock()
-		defer func() {
-			r.auditMu.Lock()
-			defer r.auditMu.Unlock()
-			end(time.Now())
-		}()
+		defer r.note(r.audit.Trouble, daemon)()
+	}
+	if process != "" || s.Fault == KillAll {
+		defer r.note(r.audit.Touched, process)()
 	}
 	switch s.Fault {
 	case KillDaemon, StopDaemon, KillAll:
@@ -388,7 +404,7 @@
 		r.daemons[s.Target].process().signal(syscall.SIGHUP)
 	case KillServer, DrainServer:
 		return r.restartServer(ctx, r.servers[s.Target], s)
-	case PauseServer:
+	case PauseServer, SilenceServer:
 		return pause(ctx, r.servers[s.Target].process(), s.For)
 	case PauseStore:
 		return pause(ctx, r.store, s.For)
@@ -406,6 +422,18 @@
 	return nil
 }
 
+// note tells the audit that a fault begins. The function that it returns tells its end.
+func (r *run) note(begin func(time.Time, string) func(time.Time), name string) func() {
+	r.auditMu.Lock()
+	defer r.auditMu.Unlock()
+	end := begin(time.Now(), name)
+	return func() {
+		r.auditMu.Lock()
+		defer r.auditMu.Unlock()
+		end(time.Now())
+	}
+}
+
 // pause stops a process for a while. Pauses may overlap; the first end of one continues the process.
 func pause(ctx context.Context, p *process, length time.Duration) error {
 	p.signal(syscall.SIGSTOP)
@@ -427,6 +455,9 @@
 		return nil // it is down already
 	}
 	if s.Fault == StopDaemon {
+		r.auditMu.Lock()
+		r.audit.Stopped(time.Now(), d.lifetime())
+		r.auditMu.Unlock()
 		p.signal(syscall.SIGTERM)
 		stopping, cancel := context.WithTimeout(ctx, grace)
 		defer cancel()
