Bring the soak's store back from a copy, beside an odd entry

Like the platform's, the stand-in store counts no renewed entry as a change, which would raise its versions.

Another writer leaves a row among the entries all the while: deeply nested, a number too large, a port out of range, an unknown state.

In the calm at the end a configuration is stored and two backend servers drain, so that a fleet that no longer follows its store shows. Silences come in series; the time limit of a request excuses no daemon that left the last backend server before it.

--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -21,7 +22,7 @@
 func storeCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "store",
-		Usage: "run a stand-in for the users' store",
+		Usage: "run a stand-in for the users' store; POST /copy to its platform address keeps a copy, POST /restore brings it back",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "daemons", Usage: "listen address for daemons", Required: true},
 			&cli.StringFlag{Name: "platform", Usage: "listen address for operators and backend servers", Required: true},
@@ -34,7 +35,21 @@
 func runStore(ctx context.Context, c *cli.Command) error {
 	store := fakeplatform.NewStore()
 	g, ctx := errgroup.WithContext(ctx)
-	for addr, handler := range map[string]http.Handler{c.String("daemons"): store.Daemons(), c.String("platform"): store.Platform()} {
+	var mu sync.Mutex
+	kept := store.Backup()
+	platformSide := http.NewServeMux()
+	platformSide.Handle("/", store.Platform())
+	platformSide.HandleFunc("POST /copy", func(http.ResponseWriter, *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		kept = store.Backup()
+	})
+	platformSide.HandleFunc("POST /restore", func(http.ResponseWriter, *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		store.Restore(kept)
+	})
+	for addr, handler := range map[string]http.Handler{c.String("daemons"): store.Daemons(), c.String("platform"): platformSide} {
 		srv := &http.Server{Addr: addr, Handler: handler, ReadHeaderTimeout: time.Minute}
 		g.Go(func() error {
 			if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/fakeplatform/server.go
+++ b/internal/fakeplatform/server.go
@@ -37,9 +37,10 @@
 
 // Kinds of events.
 const (
-	// Run and Done are a request's begin and good end.
-	Run  Kind = "run"
-	Done Kind = "done"
+	// Run and Done are a request's begin and good end. Abandoned means that the daemon left before that.
+	Run       Kind = "run"
+	Done      Kind = "done"
+	Abandoned Kind = "abandoned"
 	// Joining, Ready, Opened, Closed, Broken and Left are changes of a membership.
 	Joining Kind = "joining"
 	Ready   Kind = "ready"
@@ -534,12 +535,16 @@
 	} else {
 		done = s.stream(w, r, id, after, gone)
 	}
+	end := Event{Kind: Done, ID: id}
 	if !done {
-		panic(http.ErrAbortHandler)
+		defer panic(http.ErrAbortHandler)
+		if end.Kind = Abandoned; r.Context().Err() == nil {
+			return // by this server
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tell(Event{Kind: Done, ID: id})
+	s.tell(end)
 }
 
 // rejects returns the status for a request that is not to run, 0 for one that may. s.mu is held.
--- a/internal/fakeplatform/store.go
+++ b/internal/fakeplatform/store.go
@@ -3,11 +3,13 @@
 package fakeplatform
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
 	"maps"
 	"net/http"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -282,6 +284,10 @@
 		}
 	}
 	for _, x := range tx.Write {
+		if was := s.rows[x.Table][x.Key]; x.Table == platform.TableServers && !was.removed && sameEntry(x.Key, was.value, x.Value) {
+			s.rows[x.Table][x.Key] = stored{value: x.Value, version: was.version, at: time.Now()}
+			continue
+		}
 		s.set(x.Table, x.Key, stored{value: x.Value})
 	}
 	for _, x := range tx.Remove {
@@ -290,6 +296,17 @@
 	s.answer(w, http.StatusOK, nil, false)
 }
 
+// sameEntry tells whether an entry of a backend server is renewed only, which is no change.
+func sameEntry(id string, was, now []byte) bool {
+	a, errWas := platform.DecodeServer(id, was)
+	b, errNow := platform.DecodeServer(id, now)
+	if errWas != nil || errNow != nil {
+		return bytes.Equal(was, now)
+	}
+	a.Beat, b.Beat = 0, 0
+	return reflect.DeepEqual(a, b)
+}
+
 func (s *Store) reject(w http.ResponseWriter, status int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -40,9 +40,10 @@
 
 	reply *fakeplatform.Reply
 	ended time.Time
-	// runs counts the backend servers that ran it, ran is when the first began and done when one came to a good end.
-	runs      int
-	ran, done time.Time
+	// runs counts the backend servers that ran it, ran is when the first began, done when one came to a good end, and abandoned
+	// when the daemon left the last one.
+	runs                 int
+	ran, done, abandoned time.Time
 }
 
 // membership is one group, of one epoch, as its members told.
@@ -282,7 +283,12 @@
 // the end of the run.
 func (a *Audit) Lost() {
 	for id, s := range a.requests {
-		if s.reply == nil || s.reply.Err == nil || s.runs == 0 || s.ended.Sub(s.at) > s.ask.Left*9/10 || !a.calm(name(s.daemon), s.at, s.ended) {
+		if s.reply == nil || s.reply.Err == nil || s.runs == 0 || !a.calm(name(s.daemon), s.at, s.ended) {
+			continue
+		}
+		// The time limit excuses only what a backend server worked on until then.
+		limit := s.at.Add(s.ask.Left * 9 / 10)
+		if s.ended.After(limit) && (s.abandoned.IsZero() || s.abandoned.After(limit)) {
 			continue
 		}
 		// A slow request that was sent before three eighths of the grace time, and still ran in its last sixth, is not lost.
@@ -345,6 +351,10 @@
 		if s := a.requests[e.ID]; s != nil && s.done.IsZero() {
 			s.done = e.At
 		}
+	case fakeplatform.Abandoned:
+		if s := a.requests[e.ID]; s != nil {
+			s.abandoned = e.At
+		}
 	case fakeplatform.Drains:
 		a.drains[e.Server] = e.At
 	}
@@ -363,6 +373,7 @@
 		a.fail("only what was asked", "%s ran %s for %q, not for %q", e.Server, e.ID, e.Organisation, s.org)
 	}
 	a.arrivals[service(s.kind)] = append(a.arrivals[service(s.kind)], arrival{e.At, s.runs > 0})
+	s.abandoned = time.Time{}
 	if s.runs++; s.runs == 1 {
 		s.ran = e.At
 	} else if s.kind == Write {
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -52,6 +52,15 @@
 	a.Lost()
 }
 
+// untilLimit has a request run out of time, after its daemon has left the backend server.
+func untilLimit(a *Audit, left time.Time) {
+	a.Sent(t0, ask("r", Talk), Talk, "north", "d#1", 0)
+	a.Event(ran("s", "r", Talk))
+	a.Event(fakeplatform.Event{Kind: fakeplatform.Abandoned, Server: "s", ID: "r", At: left})
+	a.Answered(at(callerLimit), "r", fakeplatform.Reply{Err: io.ErrUnexpectedEOF})
+	a.Lost()
+}
+
 // sentAfterDrain has a request run at a server that has told at t0 that it drains.
 func sentAfterDrain(a *Audit) {
 	a.Event(fakeplatform.Event{Kind: fakeplatform.Drains, Server: "s", At: t0})
@@ -205,6 +214,8 @@
 			a.Answered(at(time.Second), "r", fakeplatform.Reply{Err: io.ErrUnexpectedEOF})
 			a.Lost()
 		}},
+		{"left by its daemon in a silence, never taken up again", "planned work loses nothing", func(a *Audit) { untilLimit(a, at(time.Second)) }},
+		{"run until its time limit", "", func(a *Audit) { untilLimit(a, at(callerLimit)) }},
 		{"a slow request cut off at the end of the grace time", "", func(a *Audit) { slowInStop(a, at(grace*3/8)) }},
 		{"a slow request taken late in a stop and cut off", "planned work loses nothing", func(a *Audit) { slowInStop(a, at(grace*3/8+time.Second/10)) }},
 		{"sent after the drain", "no request after the drain", func(a *Audit) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -26,6 +26,8 @@
 	KillAll
 	// SilenceServer stops a sound backend server for so short a time that its entry stays.
 	SilenceServer
+	// RestoreStore brings the store back from a copy that is as old as the fault is long.
+	RestoreStore
 	faults
 )
 
@@ -33,6 +35,7 @@
 	return [...]string{
 		"kill daemon", "stop daemon", "pause daemon", "reload daemon", "kill server", "drain server", "pause server", "pause store",
 		"harm store", "harm server", "configure", "kill all daemons", "silence server",
+		"restore store",
 	}[f]
 }
 
@@ -59,7 +62,7 @@
 // weights is how often each fault is drawn against the others.
 var weights = [faults]int{
 	KillDaemon: 4, StopDaemon: 3, PauseDaemon: 4, ReloadDaemon: 1, KillServer: 5, DrainServer: 3, PauseServer: 2, PauseStore: 2, HarmStore: 5,
-	HarmServer: 5, Configure: 4, KillAll: 1, SilenceServer: 4,
+	HarmServer: 5, Configure: 4, KillAll: 1, SilenceServer: 4, RestoreStore: 4,
 }
 
 // firstOfAll is the first seed that draws faults of all kinds, slow requests and odd entries. Those below it give what they gave
@@ -69,7 +72,8 @@
 const (
 	// meanGap is the mean time between two faults; they overlap, since most last longer.
 	meanGap = 500 * time.Millisecond
-	// seriesShare is how often a fault is followed by more of its kind at once, up to maxSeries in all.
+	// seriesShare is how often a fault is followed by more of its kind at once, up to maxSeries in all. A silence always is: a
+	// request that leaves one silent server may meet another.
 	seriesShare = 0.2
 	maxSeries   = 4
 	seriesGap   = 80 * time.Millisecond
@@ -84,7 +88,7 @@
 var longest = [faults]time.Duration{
 	KillDaemon: 2 * time.Second, StopDaemon: time.Second, PauseDaemon: 4 * time.Second, KillServer: 3 * time.Second, DrainServer: time.Second,
 	PauseServer: 500 * time.Millisecond, PauseStore: 4 * time.Second, HarmStore: 5 * time.Second, HarmServer: 4 * time.Second,
-	KillAll: time.Second, SilenceServer: silence,
+	KillAll: time.Second, SilenceServer: silence, RestoreStore: 4 * time.Second,
 }
 
 // planned tells whether a fault is planned work or no fault in the eyes of the platform, so that nothing may be lost around it.
@@ -92,16 +96,32 @@
 	return f == StopDaemon || f == ReloadDaemon || f == DrainServer || f == Configure || f == SilenceServer
 }
 
-// plannedOnly is how often a seed draws planned work only: one in that many.
+// closing is the planned work in the calm at the end. A fleet that no longer follows its store shows by it.
+var closing = []Step{{Fault: Configure}, {Fault: DrainServer}, {Fault: DrainServer, Target: plains}}
+
+// plannedOnly is how often a seed draws planned work only: one in that many. From firstOfAll on, the seed after it draws that and
+// restored stores, so that their effects show by themselves.
 const plannedOnly = 4
 
+func draws(seed uint64, f Fault) bool {
+	switch {
+	case seed < firstOfAll && f > KillAll:
+		return false
+	case seed%plannedOnly == 0:
+		return f.planned()
+	case seed >= firstOfAll && seed%plannedOnly == 1:
+		return f.planned() || f == RestoreStore
+	}
+	return true
+}
+
 // Plan draws the faults of a run.
 func Plan(seed uint64, length time.Duration, daemons, servers int) []Step {
 	r := rand.New(rand.NewPCG(seed, 0))
 	weights := weights
 	total := 0
 	for f := range weights {
-		if seed%plannedOnly == 0 && !Fault(f).planned() || seed < firstOfAll && Fault(f) > KillAll {
+		if !draws(seed, Fault(f)) {
 			weights[f] = 0
 		}
 		total += weights[f]
@@ -118,7 +138,7 @@
 	var out []Step
 	for at := time.Duration(0); at < length; at += time.Duration(r.ExpFloat64() * float64(meanGap)) {
 		f, series := draw(), 1
-		if r.Float64() < seriesShare {
+		if r.Float64() < seriesShare || f == SilenceServer {
 			series = 2 + r.IntN(maxSeries-1)
 		}
 		for i := range series {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -42,6 +43,8 @@
 	callerLimit = 4 * time.Second
 	// slowShare is one slow request in that many.
 	slowShare = 12
+	// restoreTime is how long the store is away before it comes back from a copy, and the operator needs to write again.
+	restoreTime = 400 * time.Millisecond
 )
 
 // run is a run under way.
@@ -50,10 +53,10 @@
 	plan []Step
 	out  io.Writer
 
-	// operator is held while a configuration is stored.
-	operator sync.Mutex
-	auditMu  sync.Mutex
-	audit    *Audit
+	// operator is held while a configuration is stored, drill while the store is to come back from a copy.
+	operator, drill sync.Mutex
+	auditMu         sync.Mutex
+	audit           *Audit
 	// version is the newest one that the store has acknowledged.
 	version int
 	late    []timed
@@ -138,6 +141,9 @@
 	for _, d := range r.daemons {
 		g.Go(func() error { return r.probe(work, d) })
 	}
+	if r.o.Seed >= firstOfAll {
+		g.Go(func() error { return r.disturb(work, store) })
+	}
 	g.Go(func() error {
 		select {
 		case <-work.Done():
@@ -148,11 +154,19 @@
 	})
 	g.Go(func() error {
 		defer end()
-		last, err := r.harm(work, store)
+		last, err := r.harm(work, store, r.plan)
 		if err != nil {
 			return err
 		}
-		if err := timer.Wait(work, calm); err != nil {
+		if r.o.Seed >= firstOfAll {
+			if err := timer.Wait(work, bounds.Calm); err != nil {
+				return err
+			}
+			if _, err := r.harm(work, store, closing); err != nil {
+				return err
+			}
+		}
+		if err := timer.Wait(work, time.Until(last.Add(calm))); err != nil {
 			return err
 		}
 		r.auditMu.Lock()
@@ -183,6 +197,11 @@
 	n := r.version + 1
 	r.audit.Configured(n)
 	r.auditMu.Unlock()
+	return r.write(ctx, store, n)
+}
+
+// write stores one version of the configuration. r.operator is held.
+func (r *run) write(ctx context.Context, store *platform.Store, n int) error {
 	text, err := platform.EncodeConfig(configuration(n))
 	if err != nil {
 		return fmt.Errorf("encode configuration %d: %w", n, err)
@@ -275,10 +294,10 @@
 			addr = kept
 		}
 		id := fmt.Sprintf("c%d-%d", place, n)
-		if r.o.Seed >= firstOfAll && n%slowShare == 0 {
+		kind := [...]Kind{Read, Write, Talk, Talk}[rnd.IntN(4)]
+		if r.o.Seed >= firstOfAll && n%slowShare == 0 && kind != Read {
 			id = fakeplatform.SlowPrefix + id
 		}
-		kind := [...]Kind{Read, Write, Talk, Talk}[rnd.IntN(4)]
 		reply := r.send(ctx, c, addr, id, kind, org, r.at(addr), 0)
 		if kept = addr; reply.Err != nil {
 			kept = netip.AddrPort{}
@@ -353,11 +372,11 @@
 	r.audit.Budget(until)
 }
 
-// harm carries out the plan and returns when the last fault ended.
-func (r *run) harm(ctx context.Context, store *platform.Store) (time.Time, error) {
+// harm carries out faults and returns when the last one ended.
+func (r *run) harm(ctx context.Context, store *platform.Store, steps []Step) (time.Time, error) {
 	began := time.Now()
 	var g errgroup.Group
-	for _, s := range r.plan {
+	for _, s := range steps {
 		if err := timer.Wait(ctx, time.Until(began.Add(s.At))); err != nil {
 			return time.Time{}, err
 		}
@@ -381,7 +400,7 @@
 		process = r.store.name
 	default:
 	}
-	if !s.Fault.planned() {
+	if !s.Fault.planned() && s.Fault != RestoreStore {
 		defer r.note(r.audit.Trouble, daemon)()
 	}
 	if process != "" || s.Fault == KillAll {
@@ -418,10 +437,80 @@
 		return harmFor(ctx, p, s)
 	case Configure:
 		return r.configure(ctx, store)
+	case RestoreStore:
+		return r.restore(ctx, store, s.For)
 	}
 	return nil
 }
 
+// restore has the store go away for a moment and come back from a copy. The operator then writes its configuration again, and
+// backend servers their entries.
+func (r *run) restore(ctx context.Context, store *platform.Store, age time.Duration) error {
+	if !r.drill.TryLock() {
+		return nil // another is under way
+	}
+	defer r.drill.Unlock()
+	if err := r.tellStore(ctx, "copy"); err != nil {
+		return err
+	}
+	if err := timer.Wait(ctx, age); err != nil {
+		return err
+	}
+	r.operator.Lock()
+	defer r.operator.Unlock()
+	endTrouble, endTouched := r.note(r.audit.Trouble, ""), r.note(r.audit.Touched, r.store.name)
+	err := pause(ctx, r.store, restoreTime)
+	if err == nil {
+		err = r.tellStore(ctx, "restore")
+	}
+	endTrouble()
+	endTouched()
+	if err != nil {
+		return err
+	}
+	if err := timer.Wait(ctx, restoreTime); err != nil {
+		return err
+	}
+	return r.write(ctx, store, r.version)
+}
+
+// tellStore has the store keep a copy of itself, or come back from it.
+func (r *run) tellStore(ctx context.Context, what string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.platform.String()+"/"+what, nil)
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("have the store %s: %w", what, err)
+	}
+	return resp.Body.Close()
+}
+
+// oddEntries are what another writer left among the entries of backend servers. None names a server to use.
+var oddEntries = []string{
+	strings.Repeat("[", 60000),
+	`{"service":"desk","state":"ready","slots":16,"address":"127.0.0.1:70000"}`,
+	`{"service":"desk","state":"ready","slots":1e30,"sequence":1e400,"address":"127.0.0.1:9"}`,
+	`{"service":"odd","state":"ready","slots":16,"address":"127.0.0.1:9","domain":` + strings.Repeat("[", 9000) + strings.Repeat("]", 9000) + "}",
+	`{"service":"desk","state":"odd","address":"127.0.0.1:9","group":{"rank":-9e18,"members":{}}}`,
+}
+
+// oddBeats is how often an odd entry is renewed before another takes its place.
+const oddBeats = 4
+
+// disturb keeps an odd entry in the store.
+func (r *run) disturb(ctx context.Context, store *platform.Store) error {
+	for i := 0; ; i++ {
+		row := platform.Row{Table: platform.TableServers, Key: "odd", Value: []byte(oddEntries[i/oddBeats%len(oddEntries)])}
+		// A write that fails is made up for by the next.
+		_, _ = store.Commit(ctx, platform.Tx{Write: []platform.Row{row}})
+		if err := timer.Wait(ctx, r.beat); err != nil {
+			return err
+		}
+	}
+}
+
 // note tells the audit that a fault begins. The function that it returns tells its end.
 func (r *run) note(begin func(time.Time, string) func(time.Time), name string) func() {
 	r.auditMu.Lock()
