--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -218,7 +218,7 @@
 		d.metrics.RegisterGauge("daemons", "{daemon}", "Other daemons that live, as far as this one knows", func() int64 { return int64(d.fleetSize(time.Now()) - 1) }),
 		d.metrics.RegisterGauge("quarantined_parts", "{part}", "Prompt parts whose requests are rejected because they crash backend servers", func() int64 { return d.quarantine.len() }),
 		d.metrics.RegisterGauge("limited_servers", "{server}", "Backend servers that have named a limit of requests", func() int64 { return int64(d.limits.Len()) }),
-		d.metrics.RegisterGauge("store_era", "1", "Number of times that the platform's store was restored from a backup, as it tells", func() int64 { return d.feed.storeEra() }),
+		d.metrics.RegisterGauge("store_era", "1", "Era of the platform's store, which rises by one with each restore from a backup; zero if it names none", func() int64 { return d.feed.storeEra() }),
 		d.metrics.RegisterGauge("config_version", "1", "Version of the configuration in force", func() int64 {
 			if c := d.config.Load(); c != nil {
 				return c.Version
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -297,38 +297,38 @@
 	return page, err
 }
 
-// observeEra records the era that the store named in a response, zero if it named none.
-func (f *storeSync) observeEra(era int64) {
-	if !f.advanceEra(era) {
+// observeEra records the era n that the store named in a response, zero if it named none.
+func (f *storeSync) observeEra(n int64) {
+	if !f.advanceEra(n) {
 		return
 	}
 	f.d.peersMu.Lock()
 	defer f.d.peersMu.Unlock()
-	f.d.election.ObserveEra(leaseClock(), era)
+	f.d.election.ObserveEra(leaseClock(), n)
 }
 
 // advanceEra reports whether the era is a later one than that known.
-func (f *storeSync) advanceEra(era int64) bool {
+func (f *storeSync) advanceEra(n int64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if era <= f.era {
+	if n <= f.era {
 		return false
 	}
 	if f.era > 0 || !f.readAt.IsZero() {
-		f.d.log.Warn("store was restored from a backup", "era", era, "before", f.era, "version", f.position.Version)
+		f.d.log.Warn("store was restored from a backup", "era", n, "before", f.era, "version", f.position.Version)
 		f.end()
 		f.current, f.end = context.WithCancel(context.Background())
 	}
-	f.era = era
+	f.era = n
 	return true
 }
 
 // untilRestored returns a context that is also done once a later era than the given one is known, and a function that
 // releases it.
-func (f *storeSync) untilRestored(ctx context.Context, era int64) (context.Context, func()) {
+func (f *storeSync) untilRestored(ctx context.Context, n int64) (context.Context, func()) {
 	out, cancel := context.WithCancel(ctx)
 	f.mu.Lock()
-	later, current := f.era > era, f.current
+	later, current := f.era > n, f.current
 	f.mu.Unlock()
 	if later {
 		cancel()
@@ -415,7 +415,7 @@
 	ticks, stop := timer.Every(f.serversPeriod(), 0.1)
 	defer stop()
 	for {
-		if f.takeDoubts() {
+		if f.rereadDue() {
 			after = noPosition
 		}
 		err := f.readServers(ctx, &after)
@@ -475,11 +475,11 @@
 	f.tracker.InheritDoubt(time.Now(), left)
 }
 
-// takeDoubts reports whether all entries have to be read again some time after a restore.
-func (f *storeSync) takeDoubts() bool {
+// rereadDue reports whether all entries have to be read again some time after a restore.
+func (f *storeSync) rereadDue() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.tracker.TakeDoubts(time.Now())
+	return f.tracker.RereadDue(time.Now())
 }
 
 // serversPeriod returns how often the entries of backend servers are read. The drain bound asks for a short period; a store
--- a/internal/roster/tracker.go
+++ b/internal/roster/tracker.go
@@ -153,9 +153,9 @@
 	return o
 }
 
-// TakeDoubts reports whether all entries have to be read again, because outdated ones can by now be told from those of live
+// RereadDue reports whether all entries have to be read again, because outdated ones can by now be told from those of live
 // backend servers. It does so once after each restore.
-func (t *Tracker) TakeDoubts(now time.Time) bool {
+func (t *Tracker) RereadDue(now time.Time) bool {
 	if len(t.outdated) == 0 || now.Before(t.doubtUntil) {
 		return false
 	}
--- a/internal/roster/tracker_test.go
+++ b/internal/roster/tracker_test.go
@@ -242,7 +242,7 @@
 	}
 	now = now.Add(testGrace)
 	tr.Apply(now, []Change{{"alive", entry("alive", Ready, 1, 5)}})
-	if tr.TakeDoubts(now) {
+	if tr.RereadDue(now) {
 		t.Error("read again while the entries of dead backend servers may remain")
 	}
 	check("after the grace period", map[string]State{"changed": Ready, "leaving": Draining, "restarted": Ready, "new": Ready, "alive": Ready})
@@ -251,7 +251,7 @@
 	}
 	// What the store still holds then is renewed, but a lifetime that was leaving stays so.
 	now = now.Add(2 * testRenewalTimeout)
-	if !tr.TakeDoubts(now) || tr.TakeDoubts(now) {
+	if !tr.RereadDue(now) || tr.RereadDue(now) {
 		t.Error("outdated entries are not read again once")
 	}
 	read()
