Find a store that is back within a second in a large fleet

Of 195 daemons 188 lost the store at second 15; it was back at 17, and the first read of the entries came at 26.4 (trace with the logs of all daemons, until second 27).

While no daemon reaches the store, each waits for a time that grows with the fleet, 19.5 s at most there, so that all of them together make ten calls a second. All lose the store at the same moment, and the wait was drawn from the upper half of that time: for the first 9.8 s nobody called at all. It is drawn from zero on now, up to twice the time, so that the rate stays and the first call comes at once.

TestFleetFindsStoreSoon fails with the delays as they were: no call for 3.1, 9.8 and 18.5 s at 60, 195 and 370 daemons. Fleets of up to ten daemons wait as before.

--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -125,8 +125,8 @@
 type storeBackoff struct{ d time.Duration }
 
 const (
-	// fleetProbe is the delay between calls for each daemon of a fleet that cannot reach the store, so that the rate of
-	// all their calls is the same at any fleet size. The first daemon that gets an answer tells the others by its digest.
+	// fleetProbe is the mean time between two calls of a fleet of which no daemon can reach the store, whatever its size. The
+	// first daemon that gets an answer tells the others by its digest.
 	fleetProbe = 100 * time.Millisecond
 	// relayedMax is the longest delay while a peer relays the entries.
 	relayedMax = 3 * time.Second
@@ -138,27 +138,33 @@
 // the fleet; it is cut short when one does.
 func (b *storeBackoff) wait(ctx context.Context, f *storeSync) {
 	b.d = max(b.d*2, firstBackoff)
-	start, jitter := time.Now(), 0.5+rand.Float64()/2
+	start, random := time.Now(), rand.Float64()
 	for ctx.Err() == nil {
 		now := time.Now()
-		limit := maxBackoff
+		delay := min(b.d, maxBackoff)
 		switch {
 		case f.storeIsUnreachable(now):
-			if fleetDelay := time.Duration(f.d.fleetSize(now)) * fleetProbe; fleetDelay > limit {
-				limit, b.d = fleetDelay, time.Duration(float64(fleetDelay)*jitter)
+			if daemons := f.d.fleetSize(now); time.Duration(daemons)*fleetProbe > maxBackoff {
+				delay = max(delay, fleetDelay(daemons, random))
 			}
 		case f.isRelayed(now):
-			limit = relayedMax
+			delay = min(b.d, relayedMax)
 		}
-		remaining := min(b.d, limit) - now.Sub(start)
+		remaining := delay - now.Sub(start)
 		if remaining <= 0 {
-			b.d = min(b.d, limit)
+			b.d = delay
 			return
 		}
 		_ = timer.Wait(ctx, min(remaining, storeRecheckPeriod)) // the loop checks ctx
 	}
 }
 
+// fleetDelay returns the delay of one of the daemons of a large fleet that cannot reach the store; random is in [0, 1). All of them lose
+// the store at the same moment, so the delays are spread from zero on: the first one ends after fleetProbe, at any fleet size.
+func fleetDelay(daemons int, random float64) time.Duration {
+	return time.Duration(2 * random * float64(daemons) * float64(fleetProbe))
+}
+
 // storeIsUnreachable reports whether peers are heard and none of them reaches the store.
 func (f *storeSync) storeIsUnreachable(now time.Time) bool {
 	live := f.d.livePeers(now)
--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -157,6 +159,32 @@
 	eventually(t, "the daemon reaches the store again", u.d.storeOK.Load)
 }
 
+// TestFleetFindsStoreSoon guards against a fleet of which no daemon calls the store for seconds after its return, as all have lost
+// it at the same moment and wait for a time that grows with the fleet.
+func TestFleetFindsStoreSoon(t *testing.T) {
+	const outage = 20 * time.Second
+	for _, daemons := range []int{7, 60, 195, 370} {
+		random := rand.New(rand.NewPCG(1, uint64(daemons)))
+		var calls []time.Duration
+		for range daemons {
+			for at := fleetDelay(daemons, random.Float64()); at < outage; at += firstBackoff + fleetDelay(daemons, random.Float64()) {
+				calls = append(calls, at)
+			}
+		}
+		slices.Sort(calls)
+		last := time.Duration(0)
+		for _, at := range append(calls, outage) {
+			if gap := at - last; gap > lapseGrace {
+				t.Errorf("%d daemons: no call for %v after %v", daemons, gap, last)
+			}
+			last = at
+		}
+		if most := int(outage/fleetProbe) * 3 / 2; len(calls) > most {
+			t.Errorf("%d daemons: %d calls, want at most %d", daemons, len(calls), most)
+		}
+	}
+}
+
 // TestBusyReportPeriod guards against asking a backend server for its report seven times a second during a load of weights
 // of many seconds, and against noticing late that a short order has ended.
 func TestBusyReportPeriod(t *testing.T) {
