--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -196,7 +196,7 @@
 		Plan: &balance.Plan{Engine: service.Engine, Model: spec}, Heads: map[string]*roster.Server{}, Daemons: p.d.fleetSize(now), Random: rand.Float64,
 		Limits: p.d.limits, Preferred: p.isScheduler(now, m),
 	}
-	if p.d.quarantine.len() > 0 {
+	if !p.d.quarantine.empty() {
 		in.Reject = p.d.rejectPlacement
 	}
 	for _, g := range p.d.view.Load().Groups[m.Service] {
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -83,6 +83,12 @@
 	return q.set.Advertised(now)
 }
 
+func (q *quarantineList) empty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.set.Empty()
+}
+
 func (q *quarantineList) len() int64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -550,6 +550,9 @@
 	return n
 }
 
+// Empty reports whether nothing is or lately was in quarantine.
+func (s *Set) Empty() bool { return len(s.entries) == 0 }
+
 // Expire drops the entries whose quarantine ended a term ago, and returns their ids.
 func (s *Set) Expire(now time.Time) []uint64 {
 	var out []uint64
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -10,7 +10,10 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"flamingorudder.example/internal/balance"
+	"flamingorudder.example/internal/quarantine"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
 )
@@ -449,3 +452,73 @@
 		}
 	})
 }
+
+// TestReportsBetweenVersions guards against daemons that cannot read the reports of those that do not know the requests of
+// outcomes, and the other way round.
+func TestReportsBetweenVersions(t *testing.T) {
+	type olderOutcome struct {
+		_       struct{} `cbor:",toarray"`
+		Parts   []uint64
+		Group   string
+		Took    time.Duration
+		Crashed bool
+	}
+	type olderReport struct {
+		From     string         `cbor:"1,keyasint"`
+		Seq      uint64         `cbor:"3,keyasint"`
+		Model    Model          `cbor:"5,keyasint"`
+		Outcomes []olderOutcome `cbor:"13,keyasint,omitempty"`
+	}
+	c := NewClient(model)
+	c.RecordOutcome(quarantine.Outcome{Request: 7, Parts: []uint64{1, 2}, Group: "g", Crashed: true}, noon)
+	text, err := Encode(c.NewReport(noon.Add(time.Second), "d0", 1, "dc", nil, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var older olderReport
+	if err := cbor.Unmarshal(text, &older); err != nil || len(older.Outcomes) != 1 || older.Outcomes[0].Group != "g" {
+		t.Errorf("an older daemon reads %+v, error %v", older, err)
+	}
+	older.From = "d1"
+	olderText, err := Encode(older)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer()
+	for _, text := range [][]byte{text, olderText} {
+		r, err := DecodeReport(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.HandleReport(noon, r)
+	}
+	var requests []uint64
+	for _, o := range s.TakeOutcomes() {
+		requests = append(requests, o.Request)
+	}
+	if !slices.Equal(requests, []uint64{7, 0}) {
+		t.Errorf("requests of the outcomes: %v, want 7 and an unknown one", requests)
+	}
+}
+
+// TestQuarantinedRequestIsNotPlaced guards against placing a request that has been quarantined while it waited.
+func TestQuarantinedRequestIsNotPlaced(t *testing.T) {
+	s, in := NewServer(), input(1)
+	c := NewClient(model)
+	for id := range uint64(2) {
+		c.Submit(PlacementRequest{ID: id + 1, Prompt: 100, Fingerprint: id + 7}, noon, noon.Add(time.Second))
+	}
+	s.HandleReport(noon, c.NewReport(noon, "d0", 1, "dc", nil, nil))
+	in.Reject = func(fingerprint uint64) (Placement, bool) {
+		return Placement{RetryAfter: time.Minute, Reason: "quarantined"}, fingerprint == 8
+	}
+	a := s.Step(noon, model, in)["d0"]
+	if a == nil || len(a.Placements) != 2 {
+		t.Fatalf("answer %+v, want two decisions", a)
+	}
+	for _, p := range a.Placements {
+		if rejected := p.Group == ""; rejected != (p.ID == 2) || rejected != (p.RetryAfter > 0) {
+			t.Errorf("decision %+v", p)
+		}
+	}
+}
