Forget the quarantine of a request that was answered after its term

For a second term after its quarantine, one crash was enough to reject a request or part again, for ten minutes, even if it had been answered in between and was only cut off beside the cause. An answer after the term clears it now. TestAnsweredAfterTerm failed before: "one crash after an answer detects [1000]".

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -167,7 +167,7 @@
 	if o.Request != 0 && (c.requests[o.Request] != nil || len(c.requests) < maxRequestsPerGroup) {
 		c.requests[o.Request] = o.Parts
 	}
-	if id, ok := findKnown(o, quarantined); ok {
+	if id, ok := d.findKnown(o, quarantined); ok {
 		return d.recordKnown(c, o, id, quarantined)
 	}
 	d.cutOff++
@@ -343,13 +343,17 @@
 	return c
 }
 
-// findKnown returns the first id of a request that is known from a quarantine.
-func findKnown(o Outcome, quarantined func(uint64) (known, ended bool)) (id uint64, ok bool) {
-	if known, _ := quarantined(o.Request); known && o.Request != 0 {
+// findKnown returns the first id of a request that is known from a quarantine, and was not answered since.
+func (d *Detector) findKnown(o Outcome, quarantined func(uint64) (known, ended bool)) (id uint64, ok bool) {
+	isKnown := func(e evidence, id uint64) bool {
+		known, ended := quarantined(id)
+		return known && (!ended || !e.answered.Contains(id))
+	}
+	if o.Request != 0 && isKnown(d.requests, o.Request) {
 		return o.Request, true
 	}
 	for _, p := range o.Parts {
-		if known, _ := quarantined(p); known {
+		if isKnown(d.parts, p) {
 			return p, true
 		}
 	}
@@ -380,6 +384,7 @@
 		}
 	}
 	e.suspects.Remove(id)
+	e.answered.Remove(id)
 }
 
 // unexplained returns the number of crashes of a suspect that nothing in quarantine explains. What is in quarantine does not
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -342,6 +342,27 @@
 	}
 }
 
+// TestAnsweredAfterTerm guards against quarantining a request or part again, for the next crash that it is beside, though it was
+// answered after its term.
+func TestAnsweredAfterTerm(t *testing.T) {
+	const request = 1000
+	e := newTrial()
+	o := Outcome{Request: request, Parts: []uint64{subject}, Took: time.Second / 3, Crashed: true}
+	for _, group := range []string{"a", "b"} {
+		e.now = e.now.Add(time.Second)
+		o.Group = group
+		e.report(o)
+	}
+	e.set.Add(e.now, Entry{ID: subject, Left: requestTerm}, func() float64 { return 0 })
+	e.now = e.now.Add(requestTerm + time.Second)
+	e.report(Outcome{Request: request, Parts: []uint64{subject}, Group: "c"})
+	e.now = e.now.Add(time.Minute)
+	o.Group = "d"
+	if got := e.report(o); got != nil {
+		t.Errorf("one crash after an answer detects %v", got)
+	}
+}
+
 // TestBounds guards against memory that grows with the parts that callers send.
 func TestBounds(t *testing.T) {
 	e, s := NewDetector(), NewSet()
