--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -172,14 +172,11 @@
 		r.auditMu.Lock()
 		defer r.auditMu.Unlock()
 		r.audit.Recovered(last, time.Now().Add(-callerLimit/2))
-		var daemons, servers []string
-		for _, d := range r.daemons {
-			daemons = append(daemons, d.name)
-		}
+		var servers []string
 		for _, s := range r.servers[:plains] {
 			servers = append(servers, s.id())
 		}
-		r.audit.Followed(last.Add(bounds.Recover/2), daemons, servers)
+		r.audit.Followed(last.Add(bounds.Recover/2), servers)
 		return nil
 	})
 	if err := g.Wait(); err != nil && ctx.Err() == nil && !errors.Is(err, context.Canceled) {
