Take no silent head for dead while it renews its entry

The planner takes a server for dead when it neither responds nor renews its entry. So every entry seemed not to be renewed, and two reports without an answer, 0.85 s, were enough.

The holder of the lease now reads all entries each time, which shows the heartbeats; reads from a feed no longer count as showing them. To peers a renewed entry is still unchanged, so relays stay small. A server whose address refuses connections while its entry is listed, or has another process at its address, counts as dead at once, so crashed heads are replaced as fast as before; dark ones after two missed heartbeats.

TestHolderReadsHeartbeats and TestSilentServerIsNotDead; the first one found RenewalsHidden unset after a feed on the code before.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -86,7 +87,9 @@
 	// at is when the last report arrived, next when the next request is due.
 	at, next time.Time
 	failures int
-	asking   bool
+	// ended is set when the process is known to have ended while its entry was listed.
+	ended  bool
+	asking bool
 }
 
 // ReplacedError reports that another process now runs at a backend server's address.
@@ -329,7 +332,7 @@
 			q.next = now
 		}
 		if listed || q.failures < maxReportFailures {
-			l.requestReport(ctx, now, s, q)
+			l.requestReport(ctx, now, s, listed, q)
 		}
 	}
 	for _, s := range v.Servers {
@@ -349,7 +352,7 @@
 
 // mergeReport adds the report of a backend server to a member made from its entry; the newer of the two decides.
 func (l *leader) mergeReport(m *replica.ServerStatus, q *reportPoll) *replica.ServerStatus {
-	m.Reported, m.Responding = q.reported, q.failures < maxReportFailures
+	m.Reported, m.Responding, m.Ended = q.reported, q.failures < maxReportFailures, q.ended
 	if !q.reported {
 		return m
 	}
@@ -364,7 +367,7 @@
 }
 
 // requestReport requests a report if it is due.
-func (l *leader) requestReport(ctx context.Context, now time.Time, s *roster.Server, q *reportPoll) {
+func (l *leader) requestReport(ctx context.Context, now time.Time, s *roster.Server, listed bool, q *reportPoll) {
 	if q.asking || now.Before(q.next) {
 		return
 	}
@@ -381,11 +384,16 @@
 			// Another process has the address, so this one has ended.
 			err = &ReplacedError{s.ID}
 			q.failures = maxReportFailures - 1
+			q.ended = true
+		}
+		// A backend server that leaves may stop listening before it has finished its requests.
+		if errors.Is(err, syscall.ECONNREFUSED) && listed && s.State == roster.Ready {
+			q.ended = true
 		}
 		var pause *platform.PauseError
 		if errors.As(err, &pause) {
 			// The backend server is alive but asks for a pause in requests.
-			q.failures, q.next = 0, now.Add(pause.Pause)
+			q.failures, q.ended, q.next = 0, false, now.Add(pause.Pause)
 			return nil
 		}
 		if err != nil {
@@ -402,7 +410,7 @@
 		if q.failures >= maxReportFailures {
 			l.d.log.Info("backend server answers again", "id", s.ID)
 		}
-		q.failures = 0
+		q.failures, q.ended = 0, false
 		q.next = now.Add(reportPeriod)
 		if r.Membership != q.report.Membership {
 			q.changed = now
@@ -480,7 +488,7 @@
 			q.report.Orders++
 		case out == platform.Misdirected:
 			// Another backend server has the address, so this one has ended.
-			q.failures = maxReportFailures
+			q.failures, q.ended = maxReportFailures, true
 		}
 	}
 	if err != nil {
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -421,7 +421,8 @@
 	ticks, stop := timer.Every(f.serversPeriod(), 0.1)
 	defer stop()
 	for {
-		if f.rereadDue() {
+		// The holder of the lease needs every heartbeat, which only a read of all entries shows.
+		if f.rereadDue() || f.d.holdsLease() {
 			after = noPosition
 		}
 		err := f.readServers(ctx, &after)
@@ -572,7 +573,7 @@
 		*after = noPosition
 		return &OutdatedError{Era: page.Era, Known: known}
 	}
-	f.markSynced(true)
+	f.markSynced(whole) // a feed shows no entry of which only the heartbeat has changed
 	*after = page.Position()
 	rows := make([]entryRow, len(page.Rows))
 	for i, r := range page.Rows {
@@ -590,14 +591,14 @@
 }
 
 // markSynced records that entries are read again, from the store or through a peer. It has to be called before the entries are
-// applied, because the grace period of entries that lapsed during an outage starts at its end. whole is set if the reads
-// include heartbeats.
-func (f *storeSync) markSynced(whole bool) {
+// applied, because the grace period of entries that lapsed during an outage starts at its end. renewals is set if the read
+// shows heartbeats.
+func (f *storeSync) markSynced(renewals bool) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.tracker.MarkStoreUp(now)
-	f.tracker.SetRenewalsVisible(now, whole)
+	f.tracker.SetRenewalsVisible(now, renewals)
 }
 
 // configVersion returns the version of the configuration in force, 0 if there is none.
@@ -729,6 +730,9 @@
 			if s = holds; !bytes.Equal(old.Value, r.Value) {
 				// The row may be older than the position of a peer that lacks it.
 				r.Version, r.changed = position.Version, position.Version
+				if f.tracker.IsRenewal(s) {
+					r.changed = old.changed
+				}
 			}
 		} else if old, ok := known[r.ID]; ok && f.tracker.IsRenewal(s) {
 			r.changed = old.changed
--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -401,3 +401,31 @@
 		t.Error("the removed backend server is still in the view")
 	}
 }
+
+// TestHolderReadsHeartbeats guards against taking a silent member of a group for dead although its entry is renewed: a feed shows no
+// entry of which only the heartbeat has changed.
+func TestHolderReadsHeartbeats(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	all := []*daemonUnderTest{startDaemon(t, store, "a"), startDaemon(t, store, "b")}
+	renew := func(beat int) { put(store, plainEntry("i-1", "ready", 1, beat)) }
+	renew(1)
+	for _, u := range all {
+		u.waitReady()
+	}
+	eventually(t, "a daemon holds the lease", func() bool { return all[0].d.holdsLease() || all[1].d.holdsLease() })
+	holder, other := all[0], all[1]
+	if !holder.d.holdsLease() {
+		holder, other = other, holder
+	}
+	for beat := 2; beat < 5; beat++ {
+		renew(beat)
+		eventually(t, "the holder reads the heartbeat", func() bool {
+			v := holder.d.view.Load()
+			return !v.RenewalsHidden && v.Servers["i-1"].Beat == int64(beat)
+		})
+	}
+	if !other.d.view.Load().RenewalsHidden {
+		t.Error("the other daemon counts on heartbeats that its feed does not show")
+	}
+}
--- a/internal/replica/losses_test.go
+++ b/internal/replica/losses_test.go
@@ -11,6 +11,7 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
+	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
 )
 
@@ -423,3 +424,26 @@
 		}
 	}
 }
+
+// TestSilentServerIsNotDead guards against a server that counts as dead as soon as it does not respond, and against one that has
+// ended counting as alive as long as its entry lasts.
+func TestSilentServerIsNotDead(t *testing.T) {
+	now := time.Now()
+	in := Input{RenewalTimeout: 2400 * time.Millisecond, StoreRecovered: now.Add(-time.Minute)}
+	for name, test := range map[string]struct {
+		status ServerStatus
+		dead   bool
+	}{
+		"silent, renewed":       {ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Second)}, Listed: true}, false},
+		"silent, not renewed":   {ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-3 * time.Second)}, Listed: true}, true},
+		"ended, renewed":        {ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Second)}, Listed: true, Ended: true}, true},
+		"ended, not listed":     {ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Second)}, Ended: true}, true},
+		"left, not listed":      {ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Second)}}, false},
+		"responds":              {ServerStatus{Server: &roster.Server{}, Listed: true, Responding: true}, false},
+		"draining, not renewed": {ServerStatus{Server: &roster.Server{State: roster.Draining}, Listed: true}, false},
+	} {
+		if dead := test.status.dead(now, &in); dead != test.dead {
+			t.Errorf("%s: dead %v, want %v", name, dead, test.dead)
+		}
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -36,6 +36,8 @@
 	Orders int64
 	// Responding is false when the backend server has not responded for a while.
 	Responding bool
+	// Ended is set when its process is known to have ended.
+	Ended bool
 	// Listed is false when its entry was removed.
 	Listed bool
 	// Reported is set when a report of this lifetime was received.
@@ -56,12 +58,15 @@
 	return !m.Responding || m.State != roster.Ready || !m.Listed && m.Rank == 0
 }
 
-// dead reports whether a backend server neither responds nor renews its entry. A draining one may do neither and still
-// finish its requests, so it does not count as dead.
+// dead reports whether a backend server has ended, or neither responds nor renews its entry. A draining one may do neither and
+// still finish its requests, so it does not count as dead.
 func (m *ServerStatus) dead(now time.Time, in *Input) bool {
 	if m.Responding || m.State != roster.Ready {
 		return false
 	}
+	if m.Ended {
+		return true
+	}
 	if !m.Listed {
 		return m.Expired
 	}
