Run the tests of silent servers one after the other

Beside each other, their daemons took ports that a connection of another test already had: "listen for directory on 127.0.0.1:33707: address already in use", once in a run of the package. They check the same; the silence is 0.7 s, still several times what a group or a safe attempt may take.

--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -16,7 +16,7 @@
 )
 
 // silence is how long the backend servers of these tests are silent: many times as long as a group may take for a pass.
-const silence = 900 * time.Millisecond
+const silence = 700 * time.Millisecond
 
 // onceRoute is the route of a stream that may not be sent again.
 const onceRoute = `,{"name":"once","host":"a.example","prefix":"/once/","kind":"streaming","timeoutMs":4000,"targetLatencyMs":500,"service":"llm","maxAttempts":2}`
@@ -84,7 +84,6 @@
 		"both are silent at the start":  {"/stream/", &streamer{silentBefore: 1, pause: silence}, &streamer{silentBefore: 1, pause: 2 * silence}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			store := fakeplatform.NewStore()
 			store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, onceRoute)))
 			u := startDaemon(t, store, "a")
@@ -122,7 +121,6 @@
 func TestStreamHeldAtSilentGroup(t *testing.T) {
 	for _, silentBefore := range []int{1, 3} {
 		t.Run(strconv.Itoa(silentBefore), func(t *testing.T) {
-			t.Parallel()
 			store := fakeplatform.NewStore()
 			store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 			u := startDaemon(t, store, "a")
@@ -154,7 +152,6 @@
 	}
 	for name, other := range map[string]func(c net.Conn, r *http.Request){"fails": fail, "is silent": hang, "rejects": shed, "does not exist": nil} {
 		t.Run("the other "+name, func(t *testing.T) {
-			t.Parallel()
 			store := fakeplatform.NewStore()
 			store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 			u := startDaemon(t, store, "a")
@@ -203,7 +200,6 @@
 	}
 	for name, change := range changes {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			store := fakeplatform.NewStore()
 			store.Put("op", "config", []byte(old))
 			u := startDaemon(t, store, "a")
