Log which request a server of a plain service crashed under

The log could not tell one request that crashes servers again and again from servers that end by themselves: requests without a prompt prefix had no hash, and only attempts at models told a crash from a broken connection.

The hash of a request without a prefix covers its organisation, method, host, target, model and body. An attempt at a plain service that is cut off probes whether the server refuses connections, as attempts at models do. The field prompt of the log is called hash, since it names requests without a prompt too.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -168,6 +168,8 @@
 	response *backend.Response
 	notices  string
 	sendErr  error
+	// crashed is set if the process of the backend server ended before its response did.
+	crashed bool
 	// out is nil if there is no response to forward, err is the reason.
 	out *bufferedResponse
 	err error
@@ -299,6 +301,9 @@
 		case a.sendErr == nil:
 			x.attemptLog[len(x.attemptLog)-1] += ", " + a.err.Error()
 		}
+		if a.crashed {
+			x.logCrash(a.server, "", 0)
+		}
 		return false
 	}
 	good := a.out.a.Status < http.StatusInternalServerError
@@ -383,6 +388,7 @@
 	r, err := x.d.pool.Do(a.ctx, a.server, x.buildRequest(a.server, -1, ""), limit)
 	if err != nil {
 		a.sendErr, a.err = err, err
+		a.crashed = x.hasCrashed(a)
 		end(true, false)
 		return
 	}
@@ -402,8 +408,9 @@
 	out.body, err = io.ReadAll(io.LimitReader(r.Body, maxReadAhead+1))
 	out.tail = len(out.body) > maxReadAhead
 	if err != nil {
-		done(true)
 		a.err = &backend.NoResponseError{Server: a.server.ID, Err: err}
+		a.crashed = x.hasCrashed(a)
+		done(true)
 		return
 	}
 	if !out.tail {
@@ -412,6 +419,12 @@
 	a.out = out
 }
 
+// hasCrashed reports whether an attempt was cut off because the process of its backend server ended.
+func (x *exchange) hasCrashed(a *plainAttempt) bool {
+	var cutOff *backend.NoResponseError
+	return errors.As(a.err, &cutOff) && a.ctx.Err() == nil && x.d.hasEnded(a.ctx, a.server)
+}
+
 // UnusableError reports a response that must not be forwarded.
 type UnusableError struct {
 	Server string
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -143,7 +143,7 @@
 		added := p.d.quarantine.add(now, []quarantine.Entry{{ID: f.ID, Left: f.Term}})
 		if len(added) > 0 {
 			if f.Request {
-				p.d.log.Warn("request crashes backend servers; it is rejected", "prompt", formatHash(f.ID), "group", f.Group, "crashes", f.Crashes, "term", f.Term)
+				p.d.log.Warn("request crashes backend servers; it is rejected", "hash", formatHash(f.ID), "group", f.Group, "crashes", f.Crashes, "term", f.Term)
 			} else {
 				p.d.log.Warn("prompt part crashes backend servers; its requests are rejected", "part", formatHash(f.ID), "group", f.Group, "crashes", f.Crashes, "term", f.Term)
 			}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -53,7 +53,9 @@
 	org     string
 	rank    int
 	body    []byte
-	start   time.Time
+	// hash identifies the request in all its attempts and repeats; zero until the body has been read.
+	hash  uint64
+	start time.Time
 	// deadline is the earlier one of the caller's deadline and the timeout of the route, less a margin for the response, and
 	// no later than the end of all requests in a shutdown.
 	deadline time.Time
@@ -158,7 +160,11 @@
 	if end := d.endAt.Load(); end != nil && end.Before(x.deadline) {
 		x.deadline = *end
 	}
-	return x.readBody()
+	if !x.readBody() {
+		return false
+	}
+	x.hash = x.requestHash()
+	return true
 }
 
 // routeRanks is the number of route ranks that are distinguished within one organisation rank.
@@ -265,7 +271,7 @@
 	}
 	x.d.log.Info(msg, append([]any{
 		"id", x.call.ID, "route", name, "service", x.service, "model", x.call.Model, "organisation", x.org, "rank", x.rank,
-		"config", version, "prompt", formatHash(x.requestHash()), "took", time.Since(x.start).Round(time.Millisecond), "attempts", x.attemptLog,
+		"config", version, "hash", formatHash(x.hash), "took", time.Since(x.start).Round(time.Millisecond), "attempts", x.attemptLog,
 	}, args...)...)
 }
 
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -57,7 +57,7 @@
 
 // serveStream serves a request to a model. The events of several attempts are joined into one response.
 func (x *exchange) serveStream(ctx context.Context, svc *route.Service) {
-	s := &forwardedStream{x: x, svc: svc, ids: newSuspectIDs(x.requestHash(), x.call.SharedParts), lastEvent: x.call.LastEvent}
+	s := &forwardedStream{x: x, svc: svc, ids: newSuspectIDs(x.hash, x.call.SharedParts), lastEvent: x.call.LastEvent}
 	var last error
 	for s.unsent < maxUnsent {
 		if err := ctx.Err(); err != nil {
@@ -139,9 +139,7 @@
 		if events <= maxEventsBeforeCrash && x.d.hasEnded(ctx, s.head) {
 			cause = causeCrashed
 			s.recordOutcome(true)
-			x.attemptLog[len(x.attemptLog)-1] += ", " + noteCrashed
-			x.d.log.Warn("backend server crashed while it worked on a request", "server", s.head.ID, "group", s.key, "id", x.call.ID,
-				"route", x.route.Name, "prompt", formatHash(x.requestHash()), "prompt_parts", formatHashes(x.call.SharedParts), "events", events)
+			x.logCrash(s.head, s.key, events)
 		}
 	}
 	x.d.metrics.RecordFailedAttempt(x.service, cause)
@@ -180,19 +178,32 @@
 	return !errors.As(err, &silent) && !errors.As(err, &rejected) && !errors.As(err, &quarantined)
 }
 
-// requestHash returns a hash that is the same for all attempts of a caller at one request, or zero if there is none.
+// requestHash returns a hash that is the same for all attempts of a caller at one request and for its repeats. A request without
+// a prompt prefix is identified by everything that is sent to the backend server.
 func (x *exchange) requestHash() uint64 {
+	identity := []string{x.org, x.r.URL.Path, x.call.Fingerprint}
 	if x.call.Fingerprint == "" {
-		return 0
+		identity = []string{x.org, x.r.Method, x.r.Host, x.r.RequestURI, x.call.Model}
 	}
 	h := xxhash.New()
-	for _, part := range []string{x.org, x.r.URL.Path, x.call.Fingerprint} {
+	for _, part := range identity {
 		_, _ = h.WriteString(part) // never fails
 		_, _ = h.Write([]byte{0})
 	}
+	if x.call.Fingerprint == "" {
+		_, _ = h.Write(x.body)
+	}
 	return h.Sum64()
 }
 
+// logCrash logs that a backend server ended while it worked on the request, after so many events of its response. group is empty
+// for a plain service.
+func (x *exchange) logCrash(server *roster.Server, group string, events int) {
+	x.attemptLog[len(x.attemptLog)-1] += ", " + noteCrashed
+	x.d.log.Warn("backend server crashed while it worked on a request", "server", server.ID, "group", group, "id", x.call.ID,
+		"route", x.route.Name, "hash", formatHash(x.hash), "prompt_parts", formatHashes(x.call.SharedParts), "events", events)
+}
+
 // forwardedStream is the state of the stream that is forwarded to the caller.
 //
 // # Load pattern
