--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -17,9 +17,21 @@
 	"flamingorudder.example/internal/schedule"
 )
 
-// crashingServer starts a fake model runner that serves one event to each request, but closes its listener and all
-// connections when the prompt of a request contains the part "dead". It calls crashed then.
+// crashingServer starts a fake backend server that serves two events to each request, but closes its listener and all
+// connections when the prompt of a request contains the part "dead", or its body is "dead". It calls crashed then.
 func crashingServer(t *testing.T, crashed func()) string {
+	return serverThatEnds(t, func(r *http.Request, body string) bool {
+		ends := strings.Contains(r.Header.Get("X-Flamingorudder-Prompt-Prefix"), "dead:") || body == "dead"
+		if ends {
+			crashed()
+		}
+		return ends
+	})
+}
+
+// serverThatEnds starts a fake backend server as crashingServer does, which ends instead of answering the request when ends
+// reports true.
+func serverThatEnds(t *testing.T, ends func(r *http.Request, body string) bool) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -43,10 +55,9 @@
 			if err != nil {
 				return
 			}
-			_, _ = io.Copy(io.Discard, r.Body)
-			if strings.Contains(r.Header.Get("X-Flamingorudder-Prompt-Prefix"), "dead:") {
+			body, _ := io.ReadAll(r.Body)
+			if ends(r, string(body)) {
 				crash()
-				crashed()
 				return
 			}
 			if r.URL.Path == "/api/report" {
@@ -174,6 +185,86 @@
 	}
 }
 
+// TestRequestWithoutPromptCrashesServers guards against a request without a prompt that crashes backend servers whenever its
+// callers repeat it, at any daemon, and against rejecting other requests of the same caller.
+func TestRequestWithoutPromptCrashesServers(t *testing.T) {
+	for _, test := range []struct {
+		name, path, service string
+		headers             []string
+		// Every request of a caller may crash as many servers as it has attempts, and the third crash is the one that counts.
+		tolerated int32
+	}{
+		{"unsafe", "/unsafe/", "plain", nil, 3},
+		{"safe", "/safe/", "plain", nil, 4},
+		{"model", "/stream/", "llm", []string{"X-Flamingorudder-Model", "m"}, 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+			daemons := []*daemonUnderTest{startDaemon(t, store, "a"), startDaemon(t, store, "b"), startDaemon(t, store, "c")}
+			var crashes atomic.Int32
+			for i := 1; i <= 12; i++ {
+				group := "null"
+				if test.service == "llm" {
+					group = fmt.Sprintf(openGroup, i)
+				}
+				daemons[0].putServer(fmt.Sprint("i-", i), test.service, crashingServer(t, func() { crashes.Add(1) }), group)
+			}
+			for _, u := range daemons {
+				u.waitReady()
+				eventually(t, "the daemon hears the others", func() bool { return len(u.d.livePeers(time.Now())) == 2 })
+			}
+			var last reply
+			for i := range 9 {
+				last = daemons[i%3].do(http.MethodPost, test.path, "k1", "dead", test.headers...)
+				if r := daemons[i%3].do(http.MethodPost, test.path, "k1", fmt.Sprint("sound ", i), test.headers...); r.status != http.StatusOK {
+					t.Errorf("sound request beside it: reply %+v", r)
+				}
+				time.Sleep(200 * time.Millisecond) //nolint:forbidigo // callers repeat the request after its answer, not at once
+			}
+			if n := crashes.Load(); n > test.tolerated {
+				t.Errorf("%d servers crashed, want at most %d", n, test.tolerated)
+			}
+			if last.status != http.StatusServiceUnavailable || last.h.Get("Retry-After") == "" {
+				t.Errorf("the last repeat gets reply %+v, want 503 with Retry-After", last)
+			}
+		})
+	}
+}
+
+// TestSharedRequestOutlivesServers guards against rejecting a request that all callers send alike because servers end, one after
+// the other, while they work on it.
+func TestSharedRequestOutlivesServers(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	daemons := []*daemonUnderTest{startDaemon(t, store, "a"), startDaemon(t, store, "b"), startDaemon(t, store, "c")}
+	var due, ended atomic.Int32
+	for i := 1; i <= 12; i++ {
+		daemons[0].putServer(fmt.Sprint("i-", i), "plain", serverThatEnds(t, func(*http.Request, string) bool {
+			ends := due.CompareAndSwap(1, 0)
+			if ends {
+				ended.Add(1)
+			}
+			return ends
+		}), "null")
+	}
+	for _, u := range daemons {
+		u.waitReady()
+		eventually(t, "the daemon hears the others", func() bool { return len(u.d.livePeers(time.Now())) == 2 })
+	}
+	for i := range 8 {
+		due.Store(1)
+		for j := range 3 {
+			if r := daemons[(i+j)%3].do(http.MethodGet, "/safe/", "k1", ""); r.status != http.StatusOK {
+				t.Errorf("after %d servers have ended: reply %+v", ended.Load(), r)
+			}
+		}
+	}
+	if n := ended.Load(); n < 6 {
+		t.Errorf("%d servers ended, want 6 and more", n)
+	}
+}
+
 // TestQuarantineOutlivesAllDaemons guards against daemons that crash servers again after all of them have been restarted.
 func TestQuarantineOutlivesAllDaemons(t *testing.T) {
 	store := fakeplatform.NewStore()
