Quarantine requests without a prompt that crash backend servers

Cause: the crashes of a plain service met nowhere. Each daemon saw one or two and took each for the loss of a server.

One daemon collects the crashes of each plain service, chosen as the scheduler of a model is. It names the requests that it suspects in its digests, and daemons that have had an answer since the first crash report that. So a request that all callers send alike is cleared, and nothing is sent while no server crashes. After three crashes the request is rejected at once at every daemon. Daemons of earlier builds neither report nor collect.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -101,6 +101,9 @@
 	pauses       *balance.Pauses
 	limits       *balance.Limits
 	quarantine   *quarantineList
+	answered     *answeredRequests
+	// announcements has an entry while a digest is to be sent to all known daemons at once.
+	announcements chan struct{}
 	// probes joins the concurrent checks whether the same backend server has ended.
 	probes      singleflight.Group
 	budget      *budget
@@ -168,6 +171,7 @@
 	d.pauses = balance.NewPauses()
 	d.limits = balance.NewLimits()
 	d.quarantine = newQuarantineList()
+	d.answered, d.announcements = newAnsweredRequests(), make(chan struct{}, 1)
 	d.feed, closeIdle = newStoreSync(d)
 	cleanups = append(cleanups, closeIdle)
 	d.leader = newLeader(d)
@@ -301,7 +305,7 @@
 		})
 	}
 	for _, task := range []func(context.Context){
-		d.feed.watchConfig, d.feed.pollServers, d.feed.pollDaemons, d.feed.pollPeers, d.feed.saveQuarantine, d.receive, d.sendDigests, d.leader.run, d.dispatch.run, d.sweep,
+		d.feed.watchConfig, d.feed.pollServers, d.feed.pollDaemons, d.feed.pollPeers, d.feed.saveQuarantine, d.receive, d.sendDigests, d.sendAnnouncements, d.leader.run, d.dispatch.run, d.sweep,
 	} {
 		d.tasks.Go(func() error {
 			task(ctx)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -39,6 +40,8 @@
 	// crashDetector finds requests and prompt parts that crash backend servers, from the outcomes that daemons report to this
 	// scheduler.
 	crashDetector *quarantine.Detector
+	// plainDetectors does the same for the plain services whose crashes this daemon collects.
+	plainDetectors map[string]*quarantine.Detector
 	// reporters holds the daemons that have sent reports to this scheduler, by name.
 	reporters map[string]reporter
 	// targets caches the daemons that may be the scheduler of each model.
@@ -113,7 +116,7 @@
 
 func newDispatcher(d *Daemon) *dispatcher {
 	return &dispatcher{
-		d: d, server: schedule.NewServer(), crashDetector: quarantine.NewDetector(), clients: map[schedule.Model]*schedule.Client{}, reporters: map[string]reporter{},
+		d: d, server: schedule.NewServer(), crashDetector: quarantine.NewDetector(), plainDetectors: map[string]*quarantine.Detector{}, clients: map[schedule.Model]*schedule.Client{}, reporters: map[string]reporter{},
 		targets: map[schedule.Model]*candidates{}, waiters: map[uint64]*waiter{}, localLoad: map[schedule.Model]map[string]balance.Load{},
 		stalls: balance.NewStallDetector(), suspects: map[string]suspicion{}, running: map[string]map[*balance.Track]*reservation{},
 	}
@@ -282,8 +285,8 @@
 	}
 }
 
-// fillDigest fills in the demand for the models that this daemon schedules, the groups that it found stalled, and those
-// that it has ordered to close.
+// fillDigest fills in the demand for the models that this daemon schedules, the requests to plain services that it suspects, the
+// groups that it found stalled, and those that it has ordered to close.
 func (p *dispatcher) fillDigest(d *gossip.Digest) {
 	now := time.Now()
 	p.mu.Lock()
@@ -299,6 +302,9 @@
 			d.Demands[gossip.DemandKey(m.Service, m.Name)] = demand
 		}
 	}
+	for _, service := range slices.Sorted(maps.Keys(p.plainDetectors)) {
+		d.Suspicions = append(d.Suspicions, p.plainDetectors[service].Suspicions(now, service)...)
+	}
 	for key, s := range p.suspects {
 		switch {
 		case now.After(s.until) || !s.local:
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -25,7 +25,7 @@
 func (d *Daemon) digest() gossip.Digest {
 	out := gossip.Digest{
 		Name: d.settings().Name, Boot: d.boot, CallerAddr: d.settings().Caller, PeerAddr: d.settings().Peer,
-		DataCentre: d.settings().DataCentre, Cores: d.settings().Cores, Ready: d.ready(), StoreUp: d.storeOK.Load(),
+		DataCentre: d.settings().DataCentre, Cores: d.settings().Cores, Ready: d.ready(), StoreUp: d.storeOK.Load(), Collects: true,
 	}
 	if c := d.config.Load(); c != nil {
 		out.ConfigVersion = c.Version
@@ -196,6 +196,11 @@
 		d.limits.Observe(time.Now(), n, false, rand.Float64)
 	}
 	d.addQuarantined(m.Quarantined, m.Name)
+	if len(m.Suspicions) > 0 {
+		d.dispatch.mu.Lock()
+		d.dispatch.reportAnswers(time.Now(), m.Suspicions)
+		d.dispatch.mu.Unlock()
+	}
 	for _, key := range m.ClosedGroups {
 		d.dispatch.excludeClosed(key, false)
 	}
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -47,8 +47,9 @@
 	return c
 }
 
-// candidates returns the daemons that may schedule a model. Daemons with a much smaller CPU quota than the largest one are
-// not among them.
+// candidates returns the daemons that may schedule a model, or collect the crashes of a plain service. Daemons with a much
+// smaller CPU quota than the largest one are not among them, nor those of earlier builds that would collect crashes without
+// asking for answers.
 func (p *dispatcher) candidates(now time.Time, m schedule.Model) *candidates {
 	c := p.targets[m]
 	if c == nil {
@@ -73,7 +74,7 @@
 		names = append(names, self.Name)
 	}
 	for _, peer := range live {
-		if peer.Ready && peer.Hub && peer.Cores >= maxCores*minCoresFraction {
+		if peer.Ready && peer.Hub && peer.Cores >= maxCores*minCoresFraction && (m.Name != "" || peer.Collects) {
 			names = append(names, peer.Name)
 			c.peers[peer.Name] = peer.PeerAddr
 		}
@@ -123,7 +124,7 @@
 			p.sendReport(now, m)
 		}
 	}
-	p.quarantine(now, p.crashDetector.Settle(now))
+	p.settleCrashes(now)
 	p.scheduleAll(now)
 	for name, peer := range p.reporters {
 		if now.Sub(peer.heard) > reporterTTL {
@@ -136,7 +137,7 @@
 func (p *dispatcher) processReport(now time.Time, r *schedule.Report) {
 	idle := !p.server.Waiting(r.Model)
 	first := p.server.HandleReport(now, r)
-	p.observeOutcomes(now)
+	p.observeOutcomes(now, r.Model)
 	for _, n := range p.server.TakeLimits() {
 		p.d.limits.Observe(now, n, false, rand.Float64)
 	}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -144,6 +144,7 @@
 // silent, which may be sound and go on: the first usable response is forwarded.
 type plainRequest struct {
 	x     *exchange
+	ids   suspectIDs
 	limit int
 	tried map[string]bool
 	// underWay holds the attempts that have not been settled. ended receives each of them once and never blocks.
@@ -177,7 +178,7 @@
 
 // servePlain serves a request to a plain service, one that runs no models.
 func (x *exchange) servePlain(ctx context.Context, svc *route.Service) {
-	p := &plainRequest{x: x, limit: x.d.connectionLimit(svc), tried: map[string]bool{}, ended: make(chan *plainAttempt, maxPlainAttempts)}
+	p := &plainRequest{x: x, ids: newSuspectIDs(x.hash, nil), limit: x.d.connectionLimit(svc), tried: map[string]bool{}, ended: make(chan *plainAttempt, maxPlainAttempts)}
 	for done := false; !done && (len(p.underWay) > 0 || p.unsent < maxUnsent && ctx.Err() == nil); {
 		if len(p.underWay) == 0 && !p.start(ctx) {
 			break
@@ -206,6 +207,10 @@
 	defer stopWaiting()
 	for ctx.Err() == nil {
 		servers, now, share := p.candidates()
+		if err := p.x.d.quarantineRejection(now, p.ids); err != nil {
+			p.last = err
+			return false
+		}
 		server := p.choose(servers, now, share, false)
 		if server == nil {
 			wait, err := p.x.noServer(now, servers, share)
@@ -276,7 +281,7 @@
 		x.d.plainServers.avoid(latest.server.ID, time.Now())
 		servers, now, share := p.candidates()
 		server := p.choose(servers, now, share, true)
-		if server == nil || !x.allowAttempt(len(p.underWay)) || !p.send(ctx, now, server) {
+		if server == nil || x.d.quarantineRejection(now, p.ids) != nil || !x.allowAttempt(len(p.underWay)) || !p.send(ctx, now, server) {
 			break
 		}
 	}
@@ -303,9 +308,11 @@
 		}
 		if a.crashed {
 			x.logCrash(a.server, "", 0)
+			x.d.dispatch.recordPlainCrash(x.service, x.hash, a.server, a.sent)
 		}
 		return false
 	}
+	x.d.answered.add(x.hash, time.Now())
 	good := a.out.a.Status < http.StatusInternalServerError
 	if p.answer != nil && (!good || p.answer.a.Status < http.StatusInternalServerError) {
 		a.out.discard()
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -8,7 +8,10 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"flamingorudder.example/internal/quarantine"
+	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/schedule"
 )
 
@@ -34,14 +37,14 @@
 
 func (e *QuarantinedError) Error() string {
 	if e.Request {
-		return fmt.Sprintf("request with prompt %x crashes backend servers", e.ID)
+		return fmt.Sprintf("request %x crashes backend servers", e.ID)
 	}
 	return fmt.Sprintf("prompt part %x crashes backend servers", e.ID)
 }
 
 // suspectIDs identifies what a request may crash backend servers with: itself and the shared parts of its prompt.
 type suspectIDs struct {
-	// request is the same for all attempts and repeats of a request, and zero if it has no prompt.
+	// request is the same for all attempts and repeats of a request.
 	request uint64
 	parts   []uint64
 	// all holds both.
@@ -129,12 +132,33 @@
 	d.dispatch.rejectQuarantined(now, added)
 }
 
-// observeOutcomes quarantines the requests and prompt parts that crash backend servers according to the reported outcomes.
-func (p *dispatcher) observeOutcomes(now time.Time) {
+// observeOutcomes quarantines the requests and prompt parts that crash backend servers according to the outcomes that were just
+// reported for a model, or for a plain service.
+func (p *dispatcher) observeOutcomes(now time.Time, m schedule.Model) {
+	detector, crashed := p.crashDetector, false
+	if m.Name == "" {
+		if detector = p.plainDetectors[m.Service]; detector == nil {
+			detector = quarantine.NewPlainDetector()
+			p.plainDetectors[m.Service] = detector
+		}
+	}
 	for _, o := range p.server.TakeOutcomes() {
-		p.quarantine(now, p.crashDetector.Observe(now, o, func(id uint64) (known, ended bool) { return p.d.quarantine.known(now, id) }))
+		crashed = crashed || o.Crashed
+		p.quarantine(now, detector.Observe(now, o, func(id uint64) (known, ended bool) { return p.d.quarantine.known(now, id) }))
 	}
+	if crashed && m.Name == "" {
+		p.reportAnswers(now, detector.Suspicions(now, m.Service))
+		p.d.requestAnnouncement()
+	}
+	p.settleCrashes(now)
+}
+
+// settleCrashes quarantines what is to blame for crashes that have settled.
+func (p *dispatcher) settleCrashes(now time.Time) {
 	p.quarantine(now, p.crashDetector.Settle(now))
+	for _, detector := range p.plainDetectors {
+		p.quarantine(now, detector.Settle(now))
+	}
 }
 
 // quarantine puts what the crash detector has found in quarantine.
@@ -197,6 +221,64 @@
 	return schedule.Placement{RetryAfter: left, Reason: (&QuarantinedError{id, true}).Error()}, true
 }
 
+// answeredRequests holds when requests to plain services were last answered. It is safe for concurrent use.
+type answeredRequests struct {
+	mu   sync.Mutex
+	last *simplelru.LRU[uint64, answeredRequest]
+}
+
+// answeredRequest is the time of the last answer to a request, and whether the collector of crashes has been told of it.
+type answeredRequest struct {
+	at       time.Time
+	reported bool
+}
+
+// maxAnsweredRequests bounds the remembered answers. A shared request is answered far more often than it is displaced.
+const maxAnsweredRequests = 4096
+
+func newAnsweredRequests() *answeredRequests {
+	last, _ := simplelru.NewLRU[uint64, answeredRequest](maxAnsweredRequests, nil) // fails only for a size below one
+	return &answeredRequests{last: last}
+}
+
+func (a *answeredRequests) add(id uint64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.last.Add(id, answeredRequest{at: now})
+}
+
+// take reports whether a request was answered after since, once for each answer.
+func (a *answeredRequests) take(id uint64, since time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r, ok := a.last.Peek(id)
+	if !ok || r.reported || !r.at.After(since) {
+		return false
+	}
+	a.last.Add(id, answeredRequest{r.at, true})
+	return true
+}
+
+// reportAnswers reports which of the suspected requests this daemon has seen answered since their first crash.
+func (p *dispatcher) reportAnswers(now time.Time, suspicions []quarantine.Suspicion) {
+	for _, s := range suspicions {
+		if p.d.answered.take(s.ID, now.Add(-s.Age)) {
+			// The next tick sends the report, together with other answers.
+			p.client(schedule.Model{Service: s.Service}).RecordOutcome(quarantine.Outcome{Request: s.ID}, now)
+		}
+	}
+}
+
+// recordPlainCrash reports to the daemon that collects the crashes of a plain service that a server crashed under a request that
+// was sent at the given time.
+func (p *dispatcher) recordPlainCrash(service string, request uint64, server *roster.Server, sent time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := schedule.Model{Service: service}
+	p.client(m).RecordOutcome(quarantine.Outcome{Request: request, Group: roster.GroupKey(server.ID, server.Born), Crashed: true}, sent)
+	p.sendReport(time.Now(), m)
+}
+
 // recordOutcome reports to the scheduler that the group has answered the request or crashed.
 func (s *reservation) recordOutcome(crashed bool) {
 	if len(s.ids.all) == 0 {
@@ -210,6 +292,26 @@
 	}
 }
 
+// requestAnnouncement has a digest sent to all known daemons at once.
+func (d *Daemon) requestAnnouncement() {
+	select {
+	case d.announcements <- struct{}{}:
+	default: // one is due anyway
+	}
+}
+
+// sendAnnouncements sends the requested digests until ctx ends.
+func (d *Daemon) sendAnnouncements(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.announcements:
+		}
+		d.announce()
+	}
+}
+
 // saveQuarantine tells the other daemons at once when this daemon has put something in quarantine, and writes its row, so that
 // daemons that start later know of it even if no daemon has run meanwhile.
 func (f *storeSync) saveQuarantine(ctx context.Context) {
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -232,6 +232,26 @@
 	}
 }
 
+// TestEarlierBuildCollectsNoCrashes guards against reporting the crashes of a plain service to a daemon of a build that does not
+// ask for answers, and so would reject requests that all callers send alike.
+func TestEarlierBuildCollectsNoCrashes(t *testing.T) {
+	u := startDaemon(t, fakeplatform.NewStore(), "a")
+	for i := range 8 {
+		digest := gossip.Digest{Name: fmt.Sprint("p", i), Boot: 1, Seq: 1, PeerAddr: freeAddr(t), DataCentre: "dc", Ready: true, Hub: true, Interval: time.Second, Collects: i%2 == 0}
+		u.d.handleDigest(digest)
+	}
+	u.d.dispatch.mu.Lock()
+	defer u.d.dispatch.mu.Unlock()
+	for _, name := range u.d.dispatch.candidates(time.Now(), schedule.Model{Service: "plain"}).names {
+		if name != "a" && (name[1]-'0')%2 != 0 {
+			t.Errorf("%s collects crashes", name)
+		}
+	}
+	if n := len(u.d.dispatch.candidates(time.Now(), schedule.Model{Service: "llm", Name: "m"}).names); n < 8 {
+		t.Errorf("%d daemons may schedule a model, want 8 and more", n)
+	}
+}
+
 // TestSharedRequestOutlivesServers guards against rejecting a request that all callers send alike because servers end, one after
 // the other, while they work on it.
 func TestSharedRequestOutlivesServers(t *testing.T) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -104,6 +104,10 @@
 	// Quarantined are requests and prompt parts that crash backend servers. Every daemon passes on all that it knows of, so
 	// that they also reach other data centres.
 	Quarantined []quarantine.Entry `cbor:"quarantined,omitempty"`
+	// Collects is set by daemons that collect the crashes of plain services. Suspicions are requests to plain services that
+	// have crashed a server, of which the sender wants to know whether they have been answered.
+	Collects   bool                   `cbor:"collects,omitempty"`
+	Suspicions []quarantine.Suspicion `cbor:"suspicions,omitempty"`
 	// WrittenAt is when a row with the digest was written, by the store's clock; zero in a datagram.
 	WrittenAt time.Duration `cbor:"written,omitempty"`
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -2,7 +2,8 @@
 // servers.
 //
 // The scheduler of a model receives the outcomes of all daemons and feeds them to its Detector. Every daemon keeps what was
-// detected in a Set, tells it to the others in its digests, and rejects the requests concerned.
+// detected in a Set, tells it to the others in its digests, and rejects the requests concerned. A plain service has no
+// scheduler, so one daemon collects its crashes. Answers are reported only for the requests that it suspects.
 //
 // # What caused a crash
 //
@@ -41,6 +42,14 @@
 	// judged only then, and a part with fewer than minOtherCrashes that are not crashes of one and the same request.
 	settleTime      = 30 * time.Millisecond
 	minOtherCrashes = 2
+	// minPlainCrashes and plainSettleTime are the same for requests to plain services. Many callers send the same request there,
+	// and the other daemons have to report first that it was answered.
+	minPlainCrashes = 3
+	plainSettleTime = 100 * time.Millisecond
+	// suspicionTerm is how long after its last crash a suspected request is told to the other daemons, and maxSuspicions how
+	// many are, the latest first.
+	suspicionTerm = 3 * time.Second
+	maxSuspicions = 16
 	// rateHalfLife is the half-life of the outcomes in the rate of crashes, and priorAnswers how many answers are assumed
 	// before the first outcome.
 	rateHalfLife = 10 * time.Second
@@ -86,6 +95,12 @@
 // Detector finds the requests and parts that crash backend servers from the outcomes of requests. It is not safe for
 // concurrent use.
 type Detector struct {
+	// minCrashes is the number of crashes after which a request may be quarantined, and settleTime how long after its last one
+	// it is judged. plain is set for a plain service, where the last crash must have followed an earlier known one.
+	minCrashes int
+	settleTime time.Duration
+	plain      bool
+
 	requests, parts evidence
 	// groups holds the crashed groups by key.
 	groups *simplelru.LRU[string, *crash]
@@ -137,10 +152,52 @@
 	judged bool
 }
 
-// NewDetector returns a Detector without outcomes.
+// NewDetector returns a Detector without outcomes for the models of a daemon.
 func NewDetector() *Detector {
 	groups, _ := simplelru.NewLRU[string, *crash](maxGroups, nil) // fails only for a size below one
-	return &Detector{requests: newEvidence(), parts: newEvidence(), groups: groups, answers: priorAnswers}
+	return &Detector{minCrashes: minRequestCrashes, settleTime: settleTime, requests: newEvidence(), parts: newEvidence(), groups: groups, answers: priorAnswers}
+}
+
+// NewPlainDetector returns a Detector without outcomes for a plain service. Its groups are single servers.
+func NewPlainDetector() *Detector {
+	d := NewDetector()
+	d.minCrashes, d.settleTime, d.plain = minPlainCrashes, plainSettleTime, true
+	return d
+}
+
+// Suspicion is a request to a plain service that has crashed a server. Daemons report whether it has been answered since.
+type Suspicion struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	ID      uint64
+	// Age is the time since its first crash became known.
+	Age time.Duration
+}
+
+// Suspicions returns the requests that have crashed a server lately and are not known to have been answered since, as those of
+// a service.
+func (d *Detector) Suspicions(now time.Time, service string) []Suspicion {
+	var out []Suspicion
+	latest := map[uint64]time.Time{}
+	for _, id := range d.requests.suspects.Keys() {
+		s, _ := d.requests.suspects.Peek(id)
+		var first time.Time
+		for _, at := range s.groups {
+			if first.IsZero() || at.Before(first) {
+				first = at
+			}
+			if at.After(latest[id]) {
+				latest[id] = at
+			}
+		}
+		if now.Sub(latest[id]) <= suspicionTerm {
+			out = append(out, Suspicion{Service: service, ID: id, Age: now.Sub(first)})
+		}
+	}
+	slices.SortFunc(out, func(a, b Suspicion) int {
+		return cmp.Or(latest[b.ID].Compare(latest[a.ID]), cmp.Compare(a.ID, b.ID))
+	})
+	return out[:min(len(out), maxSuspicions)]
 }
 
 func newEvidence() evidence {
@@ -180,8 +237,8 @@
 	if o.Request != 0 {
 		crashes = max(crashes, d.requests.recordCrash(now, placed, o.Request, o.Group))
 	}
-	if crashes >= min(minRequestCrashes, minPartCrashes) {
-		d.settling = append(d.settling, settlingCrash{Outcome: o, due: now.Add(settleTime)})
+	if crashes >= min(d.minCrashes, minPartCrashes) {
+		d.settling = append(d.settling, settlingCrash{Outcome: o, due: now.Add(d.settleTime)})
 	}
 	return nil
 }
@@ -217,15 +274,17 @@
 	}
 	n, others := d.unexplained(s, o.Request), d.otherCrashes(now, s)
 	switch {
-	case n < requiredCrashes(minRequestCrashes, others, d.answers):
+	case n < requiredCrashes(d.minCrashes, others, d.answers):
+		return f, false
+	case (n == d.minCrashes || d.plain) && (!settled || !s.repeated):
 		return f, false
-	case n == minRequestCrashes && (!settled || !s.repeated || d.ambiguous(s, o)):
+	case (n == d.minCrashes || d.plain && n < maxCrashes) && d.ambiguous(s, o):
 		return f, false
 	case !s.repeated && others >= 1:
 		return f, false
 	}
 	f = Finding{ID: o.Request, Request: true, Crashes: n, Group: o.Group, Term: Term}
-	if n == minRequestCrashes {
+	if n == d.minCrashes {
 		f.Term = requestTerm
 	}
 	d.conclude(d.requests, s, o.Request, o.Parts)
@@ -445,8 +504,8 @@
 }
 
 const (
-	// Term is how long a request or part stays in quarantine. requestTerm is the first term of a request after
-	// minRequestCrashes, which may have been in these crashes by chance.
+	// Term is how long a request or part stays in quarantine. requestTerm is the first term of a request after the fewest
+	// crashes that suffice, in which it may have been by chance.
 	Term        = 10 * time.Minute
 	requestTerm = time.Minute
 	// maxExtension is the largest fraction added to the term by each daemon for itself, so that after the term only one
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -26,6 +26,56 @@
 
 func newTrial() *trial { return &trial{NewDetector(), NewSet(), noon} }
 
+// TestPlainRequestCrashesServers guards against a request to a plain service that crashes every server, and against rejecting
+// the requests that were cut off beside it, whether they are repeated and answered or not.
+func TestPlainRequestCrashesServers(t *testing.T) {
+	const request = 1000
+	e := &trial{NewPlainDetector(), NewSet(), noon}
+	for i, server := range []string{"a", "b", "c"} {
+		e.now = e.now.Add(2 * time.Second)
+		got := e.report(
+			Outcome{Request: 2000, Group: server, Took: time.Second / 4, Crashed: true},
+			Outcome{Request: uint64(3000 + i), Group: server, Took: time.Second / 4, Crashed: true},
+			Outcome{Request: request, Group: server, Took: time.Second / 3, Crashed: true},
+		)
+		if want := [][]uint64{nil, nil, {request}}[i]; !slices.Equal(got, want) {
+			t.Fatalf("crash %d detects %v, want %v", i+1, got, want)
+		}
+		e.now = e.now.Add(time.Second)
+		if s := e.Suspicions(e.now, "plain"); i < 2 && !slices.ContainsFunc(s, func(s Suspicion) bool { return s.ID == request && s.Age >= time.Second }) {
+			t.Errorf("crash %d: suspicions %v lack the request", i+1, s)
+		}
+		e.report(Outcome{Request: 2000, Group: "z"})
+	}
+	if s := e.Suspicions(e.now.Add(suspicionTerm), "plain"); len(s) > 0 {
+		t.Errorf("suspicions %v are told for too long", s)
+	}
+}
+
+// TestSharedRequestIsNotBlamed guards against rejecting a request that all callers send alike, because it was at servers that
+// were lost at once, or one after the other while it was answered elsewhere.
+func TestSharedRequestIsNotBlamed(t *testing.T) {
+	const request = 1000
+	e := &trial{NewPlainDetector(), NewSet(), noon}
+	var at []Outcome
+	for i := range 6 {
+		at = append(at, Outcome{Request: request, Group: fmt.Sprint("s", i), Took: time.Second / 4, Crashed: true})
+	}
+	if got := e.report(at...); got != nil {
+		t.Errorf("servers lost at once detect %v", got)
+	}
+	e.report(Outcome{Request: request, Group: "z"})
+	for i := range 12 {
+		e.now = e.now.Add(time.Second)
+		if got := e.report(Outcome{Request: request, Group: fmt.Sprint("t", i), Took: time.Second / 4, Crashed: true}); got != nil {
+			t.Errorf("loss %d of one server after the other detects %v", i, got)
+		}
+		if i%2 == 1 {
+			e.report(Outcome{Request: request, Group: "z"})
+		}
+	}
+}
+
 // observe records an outcome of a request that took 300 ms and returns the detected part, or zero.
 func (e *trial) observe(crashed bool, group string, parts ...uint64) uint64 {
 	return e.observeTook(300*time.Millisecond, crashed, group, parts...)
@@ -45,7 +95,7 @@
 	for _, o := range outcomes {
 		findings = append(findings, e.Observe(e.now, o, func(id uint64) (bool, bool) { return e.set.Known(e.now, id) })...)
 	}
-	findings = append(findings, e.Settle(e.now.Add(settleTime))...)
+	findings = append(findings, e.Settle(e.now.Add(e.settleTime))...)
 	for _, f := range findings {
 		if e.set.Add(e.now, Entry{ID: f.ID, Left: f.Term}, func() float64 { return 0 }) {
 			found = append(found, f.ID)
