Hand the dial functions of backend servers in

Tests have to cut one daemon off from backend servers that others reach. The pool and the client of state queries and orders take a dial function; the daemon passes those that it used before. No change of behaviour.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -150,7 +150,7 @@
 // headerLimiter passes on at most left bytes while the headers of a response are read, because net/http limits neither the
 // length of the lines nor the number of headers of a response. There is no limit if left is negative.
 type headerLimiter struct {
-	net  *net.TCPConn
+	net  net.Conn
 	left int
 }
 
@@ -169,7 +169,7 @@
 }
 
 type conn struct {
-	net      *net.TCPConn
+	net      net.Conn
 	limit    *headerLimiter
 	br       *bufio.Reader
 	addr     netip.AddrPort
@@ -184,8 +184,8 @@
 
 // Pool is a pool of connections to backend servers. It is safe for concurrent use.
 type Pool struct {
-	dialer *net.Dialer
-	mu     sync.Mutex
+	dial netopt.DialFunc
+	mu   sync.Mutex
 	// idle holds the idle connections to each address, the most recently used one last.
 	idle map[netip.AddrPort][]*conn
 	// open counts all connections to each address.
@@ -194,10 +194,17 @@
 	writers errgroup.Group
 }
 
-// NewPool returns a pool and a function that closes its idle connections and waits for its writers.
-func NewPool() (*Pool, func()) {
-	p := &Pool{dialer: netopt.Dialer(dialTimeout), idle: map[netip.AddrPort][]*conn{}, open: map[netip.AddrPort]int{}}
-	p.dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+// Dialer returns the dialer for connections to backend servers.
+func Dialer() *net.Dialer {
+	d := netopt.Dialer(dialTimeout)
+	d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+	return d
+}
+
+// NewPool returns a pool whose TCP connections dial opens, and a function that closes its idle connections and waits for its
+// writers.
+func NewPool(dial netopt.DialFunc) (*Pool, func()) {
+	p := &Pool{dial: dial, idle: map[netip.AddrPort][]*conn{}, open: map[netip.AddrPort]int{}}
 	return p, func() {
 		p.CloseExpired(time.Time{})
 		_ = p.writers.Wait() // writers return no error
@@ -285,14 +292,14 @@
 	}
 	p.open[addr]++
 	p.mu.Unlock()
-	n, err := p.dialer.DialContext(ctx, "tcp", addr.String())
+	n, err := p.dial(ctx, "tcp", addr.String())
 	if err != nil {
 		p.mu.Lock()
 		p.release(addr)
 		p.mu.Unlock()
 		return nil, err
 	}
-	limiter := &headerLimiter{net: n.(*net.TCPConn), left: -1}
+	limiter := &headerLimiter{net: n, left: -1}
 	return &conn{net: limiter.net, limit: limiter, br: bufio.NewReaderSize(limiter, readBuffer), addr: addr}, nil
 }
 
@@ -300,7 +307,7 @@
 func (p *Pool) RefusesConnections(ctx context.Context, addr netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
 	defer cancel()
-	c, err := p.dialer.DialContext(ctx, "tcp", addr.String())
+	c, err := p.dial(ctx, "tcp", addr.String())
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -62,7 +62,7 @@
 
 func pool(t *testing.T) *Pool {
 	t.Helper()
-	p, closePool := NewPool()
+	p, closePool := NewPool(Dialer().DialContext)
 	t.Cleanup(closePool)
 	return p
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -65,6 +65,9 @@
 	store   *platform.Store
 	servers *platform.ServerClient
 	pool    *backend.Pool
+	// dial opens the connections for requests to backend servers, dialControl those for state queries and orders. Tests replace
+	// them before the daemon starts.
+	dial, dialControl netopt.DialFunc
 
 	config atomic.Pointer[route.Config]
 	view   atomic.Pointer[roster.View]
@@ -152,9 +155,12 @@
 	d.store, closeIdle = platform.NewStore(s.Store)
 	d.store.PageTimeout = storeTimeout
 	cleanups = append(cleanups, closeIdle)
-	d.servers, closeIdle = platform.NewServerClient()
+	d.dial, d.dialControl = backend.Dialer().DialContext, platform.Dialer().DialContext
+	d.servers, closeIdle = platform.NewServerClient(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		return d.dialControl(ctx, network, addr)
+	})
 	cleanups = append(cleanups, closeIdle)
-	d.pool, closeIdle = backend.NewPool()
+	d.pool, closeIdle = backend.NewPool(func(ctx context.Context, network, addr string) (net.Conn, error) { return d.dial(ctx, network, addr) })
 	cleanups = append(cleanups, closeIdle)
 	var closeMetrics func()
 	var err error
--- a/internal/fakeplatform/server.go
+++ b/internal/fakeplatform/server.go
@@ -128,7 +128,7 @@
 func Serve(ctx context.Context, o Options) error {
 	store, closeStore := platform.NewStore(o.Store)
 	defer closeStore()
-	peers, closePeers := platform.NewServerClient()
+	peers, closePeers := platform.NewServerClient(platform.Dialer().DialContext)
 	defer closePeers()
 	s := &Server{
 		o: o, store: store, peers: peers, born: time.Now().UnixMilli(), gone: make(chan struct{}), renew: make(chan struct{}, 1),
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -2,6 +2,7 @@
 package netopt
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -13,6 +14,9 @@
 // loss of the network path, a connection would otherwise hang for minutes.
 const userTimeout = 1500 * time.Millisecond
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Dialer returns a dialer whose connections fail when sent data stays unacknowledged for userTimeout.
 func Dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{Timeout: timeout, Control: setUserTimeout}
@@ -31,8 +35,12 @@
 
 // Idle reports whether a pooled connection can be reused for a request: it must have nothing to read, neither leftover
 // response bytes nor the end of the connection.
-func Idle(c *net.TCPConn) bool {
-	raw, err := c.SyscallConn()
+func Idle(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
 	if err != nil {
 		return false
 	}
