--- /dev/null
+++ b/internal/entry/path_test.go
@@ -0,0 +1,399 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"flamingorudder.example/internal/fakeplatform"
+	"flamingorudder.example/internal/member"
+	"flamingorudder.example/internal/netopt"
+	"flamingorudder.example/internal/schedule"
+	"flamingorudder.example/internal/timer"
+)
+
+// pathCut cuts a daemon off from the backend servers: new connections hang or are refused. Open ones carry no bytes, or are
+// reset, or live on.
+type pathCut struct {
+	mu    sync.Mutex
+	mode  string
+	conns []*cutConn
+}
+
+// cutConn is a connection through a pathCut.
+type cutConn struct {
+	net.Conn
+	cut *pathCut
+}
+
+func (c *cutConn) silent() bool {
+	c.cut.mu.Lock()
+	defer c.cut.mu.Unlock()
+	return c.cut.mode == "hang"
+}
+
+// SyscallConn is needed for checks of idle connections.
+func (c *cutConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(*net.TCPConn).SyscallConn() }
+
+func (c *cutConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	for err == nil && c.silent() {
+		if timer.Wait(context.Background(), 20*time.Millisecond) != nil {
+			break
+		}
+		if _, e := c.Conn.Write(nil); e != nil {
+			return 0, e // closed by this side
+		}
+	}
+	return n, err
+}
+
+func (c *cutConn) Write(b []byte) (int, error) {
+	if c.silent() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// dial returns a dial function through the cut.
+func (p *pathCut) dial(dial netopt.DialFunc) netopt.DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		p.mu.Lock()
+		mode := p.mode
+		p.mu.Unlock()
+		switch mode {
+		case "hang":
+			ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+			defer cancel()
+			<-ctx.Done()
+			return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+		case "reset", "kept":
+			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+		}
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		out := &cutConn{c, p}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.conns = append(p.conns, out)
+		return out, nil
+	}
+}
+
+// set begins a cut, or ends it if mode is empty.
+func (p *pathCut) set(mode string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+	if mode == "reset" {
+		for _, c := range p.conns {
+			_ = c.Close()
+		}
+		p.conns = nil
+	}
+}
+
+// apply routes the connections of a daemon through the cut, before it starts.
+func (p *pathCut) apply(d *Daemon) {
+	d.dial, d.dialControl = p.dial(d.dial), p.dial(d.dialControl)
+}
+
+// pathFleet is two daemons with backend servers of both kinds; the path of the first one can be cut.
+type pathFleet struct {
+	a, b *daemonUnderTest
+	cut  pathCut
+	// ran counts the requests that began at backend servers, left those whose connection ended before their answer.
+	ran, left atomic.Int32
+	// pause is how long the backend servers work on a request, in nanoseconds.
+	pause atomic.Int64
+	// targets holds the X-Flamingorudder-Deadline-Ms of each request.
+	mu        sync.Mutex
+	deadlines []string
+}
+
+// newPathFleet starts the daemons. schedules tells whether the first one, whose path can be cut, schedules the model.
+func newPathFleet(t *testing.T, schedules bool) *pathFleet {
+	t.Helper()
+	f := &pathFleet{}
+	names := member.RendezvousOrder("llm/m", []string{"a", "b"})
+	if !schedules {
+		slices.Reverse(names)
+	}
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	f.a, f.b = startDaemon(t, store, names[0], f.cut.apply), startDaemon(t, store, names[1])
+	serve := func(c net.Conn, r *http.Request) {
+		f.ran.Add(1)
+		f.mu.Lock()
+		f.deadlines = append(f.deadlines, r.Header.Get("X-Flamingorudder-Deadline-Ms"))
+		f.mu.Unlock()
+		_ = timer.Wait(t.Context(), time.Duration(f.pause.Load()))
+		if f.pause.Load() > 0 && closed(c) {
+			f.left.Add(1)
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		if strings.HasPrefix(r.URL.Path, "/stream/") {
+			writeAnswer(c, r, http.StatusOK, event(1)+event(2), "Content-Type: text/event-stream\r\n")
+			return
+		}
+		writeAnswer(c, r, http.StatusOK, "echo "+string(body))
+	}
+	for i := 1; i <= 4; i++ {
+		f.a.putServer(fmt.Sprint("p-", i), "plain", backendServer(t, serve), "null")
+		f.a.putServer(fmt.Sprint("i-", i), "llm", backendServer(t, serve), fmt.Sprintf(openGroup, i))
+	}
+	for _, u := range []*daemonUnderTest{f.a, f.b} {
+		u.waitReady()
+		eventually(t, "the daemon hears the other one", func() bool { return len(u.d.livePeers(time.Now())) == 1 })
+	}
+	return f
+}
+
+// pathSettle is the time for which RECOVER does not count failures after a path was lost (stableWindowMs of the deployments).
+const pathSettle = 3 * time.Second
+
+// settle sends requests at the first daemon for as long as RECOVER leaves it to find out that it has no path.
+func (f *pathFleet) settle(t *testing.T) {
+	t.Helper()
+	for deadline := time.Now().Add(pathSettle); time.Now().Before(deadline); {
+		for _, path := range []string{"/safe/", "/stream/"} {
+			_ = f.send(f.a, path, "warm", 600)
+		}
+		time.Sleep(50 * time.Millisecond) //nolint:forbidigo // a steady load
+	}
+}
+
+// send sends a request with a time limit in milliseconds.
+func (f *pathFleet) send(u *daemonUnderTest, path, body string, limit int) reply {
+	headers := []string{"X-Flamingorudder-Deadline-Ms", fmt.Sprint(limit)}
+	if path == "/stream/" {
+		headers = append(headers, "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20")
+	}
+	return u.do(http.MethodPost, path, "k1", body, headers...)
+}
+
+// TestDaemonWithoutPath guards against failing the callers of a daemon that cannot reach the backend servers while another one
+// can: however the path is lost, for all kinds of requests, and also after it has come back.
+func TestDaemonWithoutPath(t *testing.T) {
+	t.Parallel()
+	for _, mode := range []string{"hang", "reset", "kept"} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			f := newPathFleet(t, mode == "reset")
+			for _, path := range []string{"/safe/", "/unsafe/", "/stream/"} {
+				if r := f.send(f.a, path, "before", 2000); r.status != http.StatusOK {
+					t.Fatalf("%s before the cut: reply %+v", path, r)
+				}
+			}
+			f.cut.set(mode)
+			f.settle(t)
+			for i := range 5 {
+				for _, path := range []string{"/safe/", "/unsafe/", "/stream/"} {
+					before, start := f.ran.Load(), time.Now()
+					r := f.send(f.a, path, fmt.Sprint("cut ", i), 600)
+					if r.status != http.StatusOK || path != "/stream/" && r.body != fmt.Sprint("echo cut ", i) || path == "/stream/" && r.body != event(1)+event(2) {
+						t.Errorf("%s without a path: reply %+v after %v", path, r, time.Since(start))
+					}
+					if n := f.ran.Load() - before; n != 1 {
+						t.Errorf("%s ran %d times", path, n)
+					}
+				}
+			}
+			f.cut.set("")
+			eventually(t, "the daemon uses its own path again", func() bool {
+				f.cut.mu.Lock()
+				n := len(f.cut.conns)
+				f.cut.mu.Unlock()
+				r := f.send(f.a, "/safe/", "after", 600)
+				f.cut.mu.Lock()
+				defer f.cut.mu.Unlock()
+				return r.status == http.StatusOK && len(f.cut.conns) > n
+			})
+		})
+	}
+}
+
+// TestRequestHandedOver guards against a request that another daemon serves outliving its caller or its deadline, and against
+// callers being sent to the daemon without a path.
+func TestRequestHandedOver(t *testing.T) {
+	t.Parallel()
+	f := newPathFleet(t, false)
+	f.cut.set("hang")
+	f.settle(t)
+	f.mu.Lock()
+	f.deadlines = nil
+	f.mu.Unlock()
+	if r := f.send(f.a, "/unsafe/", "x", 700); r.status != http.StatusOK {
+		t.Errorf("reply %+v", r)
+	}
+	f.mu.Lock()
+	for _, ms := range f.deadlines {
+		if len(ms) > 3 || ms > "700" {
+			t.Errorf("forwarded deadline %s ms, want 700 at most", ms)
+		}
+	}
+	f.mu.Unlock()
+	eventually(t, "callers are no longer sent to the daemon", func() bool {
+		resp, err := http.Get("http://" + f.b.s.Directory.String() + "/api/resolve?zone=dc")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = resp.Body.Close() }()
+		text, _ := io.ReadAll(resp.Body)
+		return strings.Contains(string(text), f.b.s.Caller.String()) && !strings.Contains(string(text), f.a.s.Caller.String())
+	})
+	f.pause.Store(int64(400 * time.Millisecond))
+	ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.a.s.Caller.String()+"/unsafe/", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "a.example"
+	req.Header.Set("X-Api-Key", "k1")
+	req.Header.Set("X-Flamingorudder-Request-Id", "left")
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_ = resp.Body.Close()
+		t.Error("the caller did not leave")
+	}
+	eventually(t, "the backend server no longer works on the request", func() bool { return f.left.Load() == 1 })
+}
+
+// TestNoDaemonHasPath guards against handing requests round among daemons that all have no path, and against callers waiting
+// for a path until their deadline.
+func TestNoDaemonHasPath(t *testing.T) {
+	t.Parallel()
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	var cut pathCut
+	a, b := startDaemon(t, store, "a", cut.apply), startDaemon(t, store, "b", cut.apply)
+	for i := 1; i <= 4; i++ {
+		a.putServer(fmt.Sprint("p-", i), "plain", backendServer(t, func(c net.Conn, r *http.Request) { writeAnswer(c, r, 200, "fine") }), "null")
+	}
+	for _, u := range []*daemonUnderTest{a, b} {
+		u.waitReady()
+		eventually(t, "the daemon hears the other one", func() bool { return len(u.d.livePeers(time.Now())) == 1 })
+	}
+	cut.set("hang")
+	for deadline := time.Now().Add(pathSettle); time.Now().Before(deadline); {
+		for _, u := range []*daemonUnderTest{a, b} {
+			_ = u.do(http.MethodPost, "/safe/", "k1", "x", "X-Flamingorudder-Deadline-Ms", "600")
+		}
+	}
+	for _, u := range []*daemonUnderTest{a, b} {
+		start := time.Now()
+		if r := u.do(http.MethodPost, "/unsafe/", "k1", "x"); r.status != http.StatusServiceUnavailable || r.h.Get("Retry-After") == "" || time.Since(start) > time.Second {
+			t.Errorf("reply %+v after %v, want 503 with Retry-After at once", r, time.Since(start))
+		}
+	}
+	cut.set("")
+	eventually(t, "requests are served again", func() bool {
+		return a.do(http.MethodPost, "/unsafe/", "k1", "x").status == http.StatusOK && b.do(http.MethodPost, "/unsafe/", "k1", "x").status == http.StatusOK
+	})
+}
+
+// TestSchedulerWithoutPath guards against rejecting the requests of all daemons because the one that schedules their model cannot
+// reach the groups itself.
+func TestSchedulerWithoutPath(t *testing.T) {
+	t.Parallel()
+	f := newPathFleet(t, true)
+	model := schedule.Model{Service: "llm", Name: "m"}
+	schedules := func(u *daemonUnderTest) bool {
+		u.d.dispatch.mu.Lock()
+		defer u.d.dispatch.mu.Unlock()
+		return u.d.dispatch.isScheduler(time.Now(), model)
+	}
+	eventually(t, "the daemon that is to be cut off is the scheduler", func() bool { return schedules(f.a) && !schedules(f.b) })
+	f.cut.set("hang")
+	for i := range 60 {
+		_ = f.send(f.a, "/stream/", "x", 400)
+		if r := f.send(f.b, "/stream/", "x", 2000); r.status != http.StatusOK {
+			t.Errorf("request %d at the daemon with a path: reply %+v", i, r)
+		}
+	}
+}
+
+// TestHolderWithoutPath guards against a holder of the lease that cannot reach the backend servers and so takes all of them for
+// lost, and against it keeping the lease while another daemon reaches them.
+func TestHolderWithoutPath(t *testing.T) {
+	t.Parallel()
+	for _, mode := range []string{"hang", "reset"} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+			var cuts [2]pathCut
+			all := []*daemonUnderTest{startDaemon(t, store, "a", cuts[0].apply), startDaemon(t, store, "b", cuts[1].apply)}
+			var orders atomic.Int32
+			addrs := make([]string, 6)
+			for i := range addrs {
+				addrs[i] = backendServer(t, func(c net.Conn, r *http.Request) {
+					orders.Add(1)
+					writeAnswer(c, r, http.StatusConflict, "")
+				})
+			}
+			beat := 0
+			renew := func() {
+				beat++
+				for i, addr := range addrs {
+					store.Put("servers", fmt.Sprint("i-", i), []byte(fmt.Sprintf(`{"service":"llm","address":%q,"zone":"dc","slots":8,"state":"ready","born":1,"sequence":%d,"models":[{"name":"m"}],"domain":"d","staged":["m"],"group":`+openGroup+`}`, addr, beat, i)))
+				}
+			}
+			renew()
+			for _, u := range all {
+				u.waitReady()
+			}
+			eventually(t, "a daemon holds the lease", func() bool { return all[0].d.holdsLease() || all[1].d.holdsLease() })
+			holder, other, cut := all[0], all[1], &cuts[0]
+			if !holder.d.holdsLease() {
+				holder, other, cut = all[1], all[0], &cuts[1]
+			}
+			lost := func() int {
+				n := 0
+				for _, u := range all {
+					u.d.leader.mu.Lock()
+					if u.d.holdsLease() {
+						n = max(n, u.d.leader.tallies["llm"].Lost)
+					}
+					u.d.leader.mu.Unlock()
+				}
+				return n
+			}
+			_ = timer.Wait(t.Context(), time.Second) // the holder has got reports
+			before := orders.Load()
+			cut.set(mode)
+			most := 0
+			for range 30 {
+				renew()
+				_ = timer.Wait(t.Context(), 200*time.Millisecond)
+				most = max(most, lost())
+			}
+			if most > 0 {
+				t.Errorf("%d of 6 backend servers count as lost", most)
+			}
+			if !other.d.holdsLease() {
+				t.Error("the lease did not move to the daemon with a path within 6 s")
+			}
+			cut.set("")
+			for range 10 {
+				renew()
+				_ = timer.Wait(t.Context(), 200*time.Millisecond)
+			}
+			if n := orders.Load() - before; n > 0 {
+				t.Errorf("%d orders were given to sound groups", n)
+			}
+		})
+	}
+}
--- a/internal/replica/losses_test.go
+++ b/internal/replica/losses_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -447,3 +449,62 @@
 		}
 	}
 }
+
+// TestUnreachableFleetIsNotLost guards against breaking groups up, or forming new ones of their members, because the holder of the
+// lease reaches few of the backend servers, or reaches them again one after the other. Their entries are renewed all the time.
+func TestUnreachableFleetIsNotLost(t *testing.T) {
+	f := newFleet(t, 2, 12)
+	f.run(8 * time.Second)
+	f.in.StartingUp = false
+	f.run(8 * time.Second)
+	large, small := f.open("large"), f.open("small")
+	if large+small < 4 {
+		t.Fatalf("%d large and %d small groups open at the start", large, small)
+	}
+	epochs := f.epochs()
+	for _, s := range f.servers[3:] {
+		s.unreachable = true
+	}
+	f.run(10 * time.Second)
+	for _, s := range f.servers[3:] {
+		s.unreachable = false
+		f.run(200 * time.Millisecond)
+	}
+	f.run(2 * time.Second)
+	if got := f.epochs(); !maps.Equal(got, epochs) {
+		t.Errorf("memberships changed: %v, before %v", got, epochs)
+	}
+}
+
+// epochs returns the epoch of each server's group, without spares.
+func (f *fleet) epochs() map[string]int64 {
+	out := map[string]int64{}
+	for _, s := range f.servers {
+		if s.Group != "" && !strings.HasPrefix(s.Group, sparePrefix) {
+			out[s.ID] = s.Epoch
+		}
+	}
+	return out
+}
+
+// TestUnreachableHeadKeepsItsMembers guards against taking the members of a group whose head cannot be reached, but works on and
+// renews its entry.
+func TestUnreachableHeadKeepsItsMembers(t *testing.T) {
+	f := newFleet(t, 2, 12)
+	f.run(8 * time.Second)
+	f.in.StartingUp = false
+	f.run(8 * time.Second)
+	var head *fakeServer
+	for _, s := range f.servers {
+		if s.open && len(s.members) == 4 {
+			head = s
+		}
+	}
+	head.unreachable = true
+	f.run(20 * time.Second) // execute fails the test if a member joins another group
+	head.unreachable = false
+	f.run(2 * time.Second)
+	if !head.open {
+		t.Error("the group was closed")
+	}
+}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -27,6 +27,8 @@
 type fakeServer struct {
 	ServerStatus
 	alive, listed bool
+	// unreachable is set while neither requests for its report nor orders reach it.
+	unreachable bool
 	// readyAt is when a join completes, and stagedAt is when the weights are on the host.
 	readyAt, stagedAt time.Time
 	staging           string
@@ -89,7 +91,7 @@
 		if s.removed {
 			continue
 		}
-		if s.alive {
+		if s.alive && !s.unreachable {
 			s.lastHeard = f.now
 		}
 		m := s.ServerStatus
@@ -138,7 +140,7 @@
 // execute carries out an order, and checks the invariants of groups.
 func (f *fleet) execute(o Order) {
 	s := f.find(o.Server.ID)
-	if !s.alive || o.ExpectedOrders >= 0 && o.ExpectedOrders != s.Orders {
+	if !s.alive || s.unreachable || o.ExpectedOrders >= 0 && o.ExpectedOrders != s.Orders {
 		f.planner.OrderFailed(s.ID)
 		return
 	}
