Keep the groups of backend servers that renew their entries

Cause: the planner took the members of a head that it could not reach after the stall time, as that head would find its group broken. A head that reaches its members does not. And each server that did not respond counted as lost, however many there were.

A head whose entry is renewed keeps its members until the entry says that its group is broken, or is no longer renewed. While most servers of a service do not respond, those whose entries are renewed are presumed alive, until they respond again or their entries lapse (2.4 s at a heartbeat of 1.2 s): they keep their groups and get no new ones. So it does not matter in which order they respond after a cut.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -301,7 +301,7 @@
 		}
 		orders := p.Step(now, replica.Input{
 			Pressure: pressure, UrgentModel: urgent,
-			Servers: members, RenewalTimeout: silence, StoreRecovered: back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, LoadWindow: d.settings().LoadWindow, StartingUp: early && len(pressure) == 0,
+			Servers: members, RenewalTimeout: silence, RenewalsVisible: silence != outageSilence, StoreRecovered: back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, LoadWindow: d.settings().LoadWindow, StartingUp: early && len(pressure) == 0,
 			DemandLag: d.demandLag(now),
 		})
 		for _, o := range orders {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -45,11 +45,13 @@
 	Busy     bool
 	// Pace is greater than 1 while the backend server is slow.
 	Pace float64
+	// presumedAlive is set when the backend server does not respond, but neither do most others.
+	presumedAlive bool
 }
 
 // usable reports whether the backend server may join a group.
 func (m *ServerStatus) usable() bool {
-	return m.Listed && m.State == roster.Ready && m.Responding && m.Reported
+	return m.Listed && m.State == roster.Ready && m.Responding && m.Reported && !m.presumedAlive
 }
 
 // lost reports whether a member cannot serve in its group any more. A member that is disconnected from the store, but
@@ -70,11 +72,48 @@
 	if !m.Listed {
 		return m.Expired
 	}
+	return !m.renewed(now, in)
+}
+
+// renewed reports whether the entry of a backend server has been renewed in time, as far as its renewals can be seen.
+func (m *ServerStatus) renewed(now time.Time, in *Input) bool {
 	last := m.RenewedAt
 	if in.StoreRecovered.After(last) {
 		last = in.StoreRecovered
 	}
-	return now.Sub(last) > in.RenewalTimeout
+	return now.Sub(last) <= in.RenewalTimeout
+}
+
+// presumeAlive returns the backend servers as they are taken to be. While most of them do not respond, it is more likely that the
+// path to them is lost than that they all fail within the time for which an entry is good. So those whose entries are renewed
+// are alive until they respond again: they keep their groups, and get no new ones.
+func (p *Planner) presumeAlive(now time.Time, in *Input) []*ServerStatus {
+	silent := func(m *ServerStatus) bool {
+		return m.Listed && m.State == roster.Ready && !m.Responding && !m.dead(now, in)
+	}
+	listed, unresponsive := 0, 0
+	for _, m := range in.Servers {
+		if m.Listed && m.State == roster.Ready {
+			listed++
+		}
+		if silent(m) {
+			unresponsive++
+		}
+	}
+	lost := 2*unresponsive > listed
+	presumed := map[string]int64{}
+	out := make([]*ServerStatus, len(in.Servers))
+	for i, m := range in.Servers {
+		out[i] = m
+		if born, ok := p.presumed[m.ID]; silent(m) && (lost || ok && born == m.Born) {
+			presumed[m.ID] = m.Born
+			alive := *m
+			alive.Responding, alive.presumedAlive = true, true
+			out[i] = &alive
+		}
+	}
+	p.presumed = presumed
+	return out
 }
 
 // Order is an order to one backend server.
@@ -119,6 +158,8 @@
 	// pressure is the smoothed pressure on each model, as of pressureAt.
 	pressure   map[string]float64
 	pressureAt time.Time
+	// presumed holds the lifetimes of the backend servers that are presumed alive, by id.
+	presumed map[string]int64
 }
 
 // history is what the planner remembers about a group.
@@ -167,6 +208,9 @@
 	// RenewalTimeout is the longest time between two renewals of the entry of a live backend server. It is longer than
 	// any outage while the store does not answer, since entries cannot be renewed then.
 	RenewalTimeout time.Duration
+	// RenewalsVisible is set while all renewals are read, so that an entry that was not renewed shows that its backend server
+	// has ended.
+	RenewalsVisible bool
 	// StoreRecovered is when the store last recovered from an outage.
 	StoreRecovered time.Time
 	// Stall is the time within which a head that lost a member detects that its group is broken.
@@ -197,6 +241,7 @@
 // Step returns the orders to send now.
 func (p *Planner) Step(now time.Time, in Input) []Order {
 	p.startedLoads = 0
+	in.Servers = p.presumeAlive(now, &in)
 	in.Pressure = p.smoothPressure(now, in.Pressure)
 	p.clearPending(now, in.Servers)
 	p.recordServed(in.Servers)
@@ -389,9 +434,12 @@
 	case head.dead(now, &in):
 		return nil, false
 	}
-	// The head may be running although it does not respond. A head that left in order first finishes its requests.
+	// The head may be running although it does not respond. A head that left in order first finishes its requests. One whose
+	// entry is renewed runs, and its entry says when it finds its group broken.
 	if !head.Listed {
 		in.Stall += leaveGrace
+	} else if in.RenewalsVisible && head.Membership.State != roster.Broken {
+		return nil, true
 	}
 	return nil, g.maybeRunning(now, in)
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -61,7 +61,7 @@
 		}
 	}
 	f.planner = New(f.engine, 1, f.now)
-	f.in = Input{Stall: 6 * time.Second, RenewalTimeout: 2400 * time.Millisecond, LoadRate: 4, LoadWindow: 5 * time.Second, StartingUp: true}
+	f.in = Input{Stall: 6 * time.Second, RenewalTimeout: 2400 * time.Millisecond, RenewalsVisible: true, LoadRate: 4, LoadWindow: 5 * time.Second, StartingUp: true}
 	return f
 }
 
