Hand requests over to daemons that have a path to the backend servers

Cause: what a daemon cannot reach counted for it as what does not exist. It tried one server after the other, excluded all groups for itself, and rejected requests as crowded, although other daemons served the same groups.

Without a path it hands each request over to a daemon that has one, in its own data centre if possible, with the API key, the time left, the attempts and whether it may have run; the response streams through, the end of the caller's connection cancels, and a request that was handed over stays. If that daemon is lost with the response, the same rules hold as for a backend server: what may run once ends with 502. Digests say which services a daemon cannot reach; such daemons are listed to callers only while there are no others. With no path anywhere requests are rejected at once. What such a daemon finds out about groups is not reported, as it says nothing about them. Daemons of earlier builds get no requests handed over.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -65,6 +65,8 @@
 	store   *platform.Store
 	servers *platform.ServerClient
 	pool    *backend.Pool
+	// peerPool holds the connections to daemons that requests are handed over to.
+	peerPool *backend.Pool
 	// dial opens the connections for requests to backend servers, dialControl those for state queries and orders. Tests replace
 	// them before the daemon starts.
 	dial, dialControl netopt.DialFunc
@@ -101,6 +103,7 @@
 
 	dispatch     *dispatcher
 	plainServers healthTable
+	paths        *paths
 	pauses       *balance.Pauses
 	limits       *balance.Limits
 	quarantine   *quarantineList
@@ -162,6 +165,11 @@
 	cleanups = append(cleanups, closeIdle)
 	d.pool, closeIdle = backend.NewPool(func(ctx context.Context, network, addr string) (net.Conn, error) { return d.dial(ctx, network, addr) })
 	cleanups = append(cleanups, closeIdle)
+	d.peerPool, closeIdle = backend.NewPool(backend.Dialer().DialContext)
+	cleanups = append(cleanups, closeIdle)
+	prober, closeIdle := platform.NewProber(func(ctx context.Context, network, addr string) (net.Conn, error) { return d.dial(ctx, network, addr) })
+	cleanups = append(cleanups, closeIdle)
+	d.paths = newPaths(d, prober)
 	var closeMetrics func()
 	var err error
 	if d.metrics, closeMetrics, err = metric.New(); err != nil {
@@ -212,8 +220,12 @@
 		// The handler replaces the router of kratos, which normalizes paths; requests must be forwarded unchanged.
 		srv.Handler = l.h
 		srv.IdleTimeout = callerIdleTimeout
-		if l.addr == s.Caller {
+		switch l.addr {
+		case s.Caller:
 			srv.ConnState = d.active.track
+		case s.Peer:
+			srv.ConnContext = withConn
+			srv.ConnState = d.active.trackEnd
 		}
 		d.httpServers = append(d.httpServers, srv)
 		cleanups = append(cleanups, func() { _ = srv.Close() })
@@ -311,7 +323,7 @@
 		})
 	}
 	for _, task := range []func(context.Context){
-		d.feed.watchConfig, d.feed.pollServers, d.feed.pollDaemons, d.feed.pollPeers, d.feed.saveQuarantine, d.receive, d.sendDigests, d.sendAnnouncements, d.leader.run, d.dispatch.run, d.sweep,
+		d.feed.watchConfig, d.feed.pollServers, d.feed.pollDaemons, d.feed.pollPeers, d.feed.saveQuarantine, d.receive, d.sendDigests, d.sendAnnouncements, d.leader.run, d.dispatch.run, d.paths.run, d.sweep,
 	} {
 		d.tasks.Go(func() error {
 			task(ctx)
@@ -342,6 +354,28 @@
 	a.conns[c] = struct{}{}
 }
 
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
+
+// withConn adds a connection to the context of its requests. It is called by net/http.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// begin adds the connection of a request that another daemon has handed over. Those of other requests of daemons do not count.
+func (a *activeConns) begin(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(net.Conn); ok {
+		a.track(c, http.StateActive)
+	}
+}
+
+// trackEnd is called by net/http when the state of a connection of another daemon changes.
+func (a *activeConns) trackEnd(c net.Conn, state http.ConnState) {
+	if state != http.StateActive && state != http.StateNew {
+		a.track(c, state)
+	}
+}
+
 func (a *activeConns) len() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -396,6 +430,7 @@
 			return
 		case now := <-ticks:
 			d.pool.CloseExpired(now)
+			d.peerPool.CloseExpired(now)
 			v := d.view.Load()
 			d.plainServers.forget(v)
 			d.quarantine.expire(now)
@@ -483,12 +518,18 @@
 			far = append(far, addr)
 		}
 	}
-	if d.ready() {
-		add(d.settings().Caller, d.settings().DataCentre)
-	}
-	for _, m := range d.livePeers(time.Now()) {
-		if m.Ready {
-			add(m.CallerAddr, m.DataCentre)
+	// Daemons that lack the path to a service are listed only while there are no others: what they hand over is served more slowly.
+	for _, withPaths := range []bool{true, false} {
+		if d.ready() && withPaths == (len(d.paths.lostServices()) == 0) {
+			add(d.settings().Caller, d.settings().DataCentre)
+		}
+		for _, m := range d.livePeers(time.Now()) {
+			if m.Ready && withPaths == (len(m.Unreachable) == 0) {
+				add(m.CallerAddr, m.DataCentre)
+			}
+		}
+		if len(near)+len(far) > 0 {
+			break
 		}
 	}
 	addrs := selectAddresses(near, far, rand.Shuffle)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -103,6 +103,8 @@
 	place schedule.Placement
 	track *balance.Track
 	ended bool
+	// peer is the daemon to which the request is handed over; empty for a place in a group, which the dispatcher counts.
+	peer string
 }
 
 // RejectedError reports that a request was not assigned to any backend server. The request has not run.
@@ -188,6 +190,13 @@
 	return keys
 }
 
+// handOver returns a reservation for an attempt that has another daemon serve the request.
+func (p *dispatcher) handOver(m schedule.Model, ids suspectIDs, taker *gossip.Peer) *reservation {
+	s := &reservation{d: p, model: m, key: "", head: peerServer(taker), ids: ids, began: time.Now(), peer: taker.Name}
+	s.ctx, s.cancel = context.WithCancelCause(context.Background())
+	return s
+}
+
 // reserve takes the place in a group that the scheduler has assigned to a request, and starts tracking its progress.
 func (p *dispatcher) reserve(now time.Time, w *waiter, place *schedule.Placement, head *roster.Server) *reservation {
 	s := &reservation{
@@ -231,7 +240,12 @@
 		now := time.Now()
 		p.mu.Lock()
 		stalledGroups, stalledRequests := p.stalls.Tick(now)
+		var doubted []string
 		for _, key := range stalledGroups {
+			for _, s := range p.running[key] {
+				doubted = append(doubted, s.model.Service)
+				break
+			}
 			p.suspect(now, key)
 		}
 		for _, t := range stalledRequests {
@@ -245,6 +259,9 @@
 			p.d.log.Warn("group makes no progress", "group", key)
 			p.d.leader.suspect(key)
 		}
+		for _, service := range doubted {
+			p.d.paths.doubt(service)
+		}
 	}
 }
 
@@ -305,9 +322,10 @@
 	for _, service := range slices.Sorted(maps.Keys(p.plainDetectors)) {
 		d.Suspicions = append(d.Suspicions, p.plainDetectors[service].Suspicions(now, service)...)
 	}
+	pathLost := len(p.d.paths.lostServices()) > 0
 	for key, s := range p.suspects {
 		switch {
-		case now.After(s.until) || !s.local:
+		case now.After(s.until) || !s.local || pathLost && !s.closed:
 		case s.closed:
 			d.ClosedGroups = append(d.ClosedGroups, key)
 		default:
@@ -360,6 +378,9 @@
 
 // watch has f called whenever the group, or this request alone, is found to make no progress. f must not block.
 func (s *reservation) watch(f func()) {
+	if s.peer != "" {
+		return // that daemon watches the group
+	}
 	s.d.mu.Lock()
 	defer s.d.mu.Unlock()
 	s.onSilence = f
@@ -374,6 +395,9 @@
 
 // progress records that an event of the response arrived.
 func (s *reservation) progress() {
+	if s.peer != "" {
+		return
+	}
 	now := time.Now()
 	p := s.d
 	p.mu.Lock()
@@ -397,6 +421,9 @@
 
 // reportFailure reports to the scheduler that the group failed the request.
 func (s *reservation) reportFailure() {
+	if s.peer != "" {
+		return
+	}
 	s.d.mu.Lock()
 	defer s.d.mu.Unlock()
 	s.d.client(s.model).RecordFailure(s.key)
@@ -404,6 +431,10 @@
 
 // release gives the place in the group back.
 func (s *reservation) release() {
+	if s.peer != "" {
+		s.cancel(nil)
+		return
+	}
 	p := s.d
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/entry/path.go
@@ -0,0 +1,366 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"flamingorudder.example/internal/backend"
+	"flamingorudder.example/internal/balance"
+	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/internal/reach"
+	"flamingorudder.example/internal/roster"
+	"flamingorudder.example/internal/timer"
+	"flamingorudder.example/platform"
+)
+
+// paths holds whether this daemon has a path to the backend servers of each service. It is safe for concurrent use.
+type paths struct {
+	d *Daemon
+	// prober asks servers over new connections, as open ones may live on when new ones are refused.
+	prober *platform.ServerClient
+
+	mu      sync.Mutex
+	tracker reach.Tracker
+	samples errgroup.Group
+	// doubts has an entry while a sample is due because of a failure. verdicts holds, for each service in doubt, a channel that
+	// is closed when it is known whether there is a path.
+	doubts   chan sampleDue
+	verdicts map[string]chan struct{}
+}
+
+// sampleDue is a sample of the backend servers of a service to be asked.
+type sampleDue struct {
+	service string
+	size    int
+}
+
+const (
+	// pathPeriod is how often paths that are lost are looked at.
+	pathPeriod = 50 * time.Millisecond
+	// probeTimeout bounds the wait for a response of a sample: several round trips between regions.
+	probeTimeout = 350 * time.Millisecond
+	// maxDoubts bounds the samples that are due. One that finds no room is asked for by the next failure.
+	maxDoubts = 16
+)
+
+func newPaths(d *Daemon, prober *platform.ServerClient) *paths {
+	return &paths{d: d, prober: prober, doubts: make(chan sampleDue, maxDoubts), verdicts: map[string]chan struct{}{}}
+}
+
+// doubt has other backend servers of a service asked, as one of them did not respond.
+func (p *paths) doubt(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.doubts) == cap(p.doubts) {
+		return
+	}
+	if n := p.tracker.Doubt(time.Now(), service); n > 0 {
+		p.verdicts[service] = make(chan struct{})
+		p.doubts <- sampleDue{service, n} // only this method sends, under the mutex
+	}
+}
+
+// await waits while it is in doubt whether there is a path to a service.
+func (p *paths) await(ctx context.Context, service string) {
+	p.mu.Lock()
+	verdict := p.verdicts[service]
+	p.mu.Unlock()
+	if verdict == nil {
+		return
+	}
+	select {
+	case <-verdict:
+	case <-ctx.Done():
+	}
+}
+
+// lost reports whether there is no path to a service.
+func (p *paths) lost(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.Lost(service)
+}
+
+// lostServices returns the services without a path.
+func (p *paths) lostServices() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.LostServices()
+}
+
+// run asks the samples that are due until ctx ends.
+func (p *paths) run(ctx context.Context) {
+	ticks, stop := timer.Every(pathPeriod, 0.2)
+	defer stop()
+	ask := func(due sampleDue) {
+		p.samples.Go(func() error {
+			p.ask(ctx, due)
+			return nil
+		})
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			_ = p.samples.Wait() // its tasks return no error
+			return
+		case due := <-p.doubts:
+			ask(due)
+		case now := <-ticks:
+			p.mu.Lock()
+			services := p.tracker.Retry(now)
+			p.mu.Unlock()
+			for _, service := range services {
+				ask(sampleDue{service, reach.LostSample})
+			}
+		}
+	}
+}
+
+// ask asks a sample of the backend servers of a service, and then another one if that is due.
+func (p *paths) ask(ctx context.Context, due sampleDue) {
+	for due.size > 0 {
+		responded := p.anyResponds(ctx, due)
+		if ctx.Err() != nil {
+			return
+		}
+		p.mu.Lock()
+		next, changed := p.tracker.Record(time.Now(), due.service, responded)
+		if verdict := p.verdicts[due.service]; next == 0 && verdict != nil {
+			close(verdict)
+			delete(p.verdicts, due.service)
+		}
+		p.mu.Unlock()
+		due.size = next
+		if !changed {
+			continue
+		}
+		if responded {
+			p.d.log.Info("path to backend servers found again", "service", due.service)
+		} else {
+			p.d.log.Warn("no path to the backend servers of a service", "service", due.service)
+		}
+		p.d.dispatch.pathChanged(due.service)
+		p.d.requestAnnouncement()
+	}
+}
+
+// anyResponds reports whether one of some backend servers, chosen at random, responds. A service without servers counts as one
+// that responds: there is nothing to reach.
+func (p *paths) anyResponds(ctx context.Context, due sampleDue) bool {
+	servers := p.d.view.Load().Listed(due.service)
+	if len(servers) == 0 {
+		return true
+	}
+	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	servers = servers[:min(len(servers), due.size)]
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	responses := make(chan bool, len(servers))
+	for _, s := range servers {
+		p.samples.Go(func() error {
+			_, err := p.prober.Report(ctx, s)
+			responses <- platform.Responded(err)
+			return nil
+		})
+	}
+	for range servers {
+		if <-responses {
+			return true
+		}
+	}
+	return false
+}
+
+// taker returns a daemon to hand the request over to, one that has not been tried, or nil if this daemon has a path or no other one
+// is known to have one. A request that was handed over stays.
+func (x *exchange) taker(tried []string) *gossip.Peer {
+	if x.from != "" || !x.d.paths.lost(x.service) {
+		return nil
+	}
+	return choosePeer(x.d.peersWithPath(x.service), tried, x.d.settings().DataCentre)
+}
+
+// peersWithPath returns the live daemons that serve others' requests and do not say that they have no path to a service.
+func (d *Daemon) peersWithPath(service string) []*gossip.Peer {
+	return slices.DeleteFunc(d.livePeers(time.Now()), func(m *gossip.Peer) bool {
+		return !m.Ready || !m.Relays || slices.Contains(m.Unreachable, service)
+	})
+}
+
+// choosePeer returns a random daemon that has not been tried, by its number of cores. One of the same data centre comes first, as
+// bytes between data centres are costly.
+func choosePeer(peers []*gossip.Peer, tried []string, dataCentre string) *gossip.Peer {
+	var near, far []*gossip.Peer
+	for _, m := range peers {
+		switch {
+		case slices.Contains(tried, m.Name):
+		case m.DataCentre == dataCentre:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	cores := 0.0
+	for _, m := range near {
+		cores += m.Cores
+	}
+	at := rand.Float64() * cores
+	for i, m := range near {
+		if at -= m.Cores; at < 0 || i == len(near)-1 {
+			return m
+		}
+	}
+	return nil
+}
+
+// Headers between daemons, for a request that one of them hands over to another.
+const (
+	// headerFrom names the daemon that hands a request over. Only that of a peer is looked at, since the address for peers is
+	// another one than that for callers.
+	headerFrom = "Daemon-From"
+	// headerAttempts is the number of attempts that reached a backend server, headerMayHaveRun is set if one may have run.
+	headerAttempts   = "Daemon-Attempts"
+	headerMayHaveRun = "Daemon-May-Have-Run"
+	// headerOutcome is set on responses of the daemon itself: outcomeNotRun or outcomeUnknown.
+	headerOutcome  = "Daemon-Outcome"
+	outcomeNotRun  = "not-run"
+	outcomeUnknown = "unknown"
+)
+
+// HandOverError reports that the daemon to which a request was handed over has not got a response for it.
+type HandOverError struct {
+	Daemon string
+	Status int
+}
+
+func (e *HandOverError) Error() string {
+	return "daemon " + e.Daemon + " has no answer: " + strconv.Itoa(e.Status)
+}
+
+// PathLostError reports that this daemon has lost its path to the backend servers while a request waited for one.
+type PathLostError struct{ Service string }
+
+func (e *PathLostError) Error() string {
+	return "no path to the backend servers of service " + e.Service
+}
+
+// buildHandOver builds the request that is handed over to another daemon.
+func (x *exchange) buildHandOver(lastEvent string) *backend.Request {
+	h := platform.RelayHeader(x.r.Header, time.Until(x.deadline), lastEvent)
+	h.Set(headerFrom, x.d.settings().Name)
+	h.Set(headerAttempts, strconv.Itoa(x.attempts))
+	if x.mayHaveRun {
+		h.Set(headerMayHaveRun, "1")
+	}
+	return &backend.Request{ID: x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body, AtMostOnce: !x.route.Repeatable()}
+}
+
+// handOverResult returns why the response of another daemon is none of a backend server, or nil if it is one. A request that has not
+// run there may be rejected or handed over again.
+func handOverResult(daemon string, r *backend.Response) error {
+	switch r.Header.Get(headerOutcome) {
+	case "":
+		return nil
+	case outcomeNotRun:
+		r.NotExecuted = true
+		return &RejectedError{retryAfter(r.Header), "by daemon " + daemon}
+	}
+	return &HandOverError{daemon, r.Status}
+}
+
+// isFinal reports whether a request that another daemon has rejected is to be rejected here too. Without a time to retry, that daemon
+// could not serve any request.
+func isFinal(err error) bool {
+	var rejected *RejectedError
+	return errors.As(err, &rejected) && rejected.RetryAfter > 0
+}
+
+// retryAfter returns the Retry-After time of another daemon's response.
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(s * float64(time.Second))
+}
+
+// peerServer returns a daemon in the form in which the pool of connections addresses backend servers.
+func peerServer(m *gossip.Peer) *roster.Server {
+	return &roster.Server{ID: "daemon " + m.Name, Addr: m.PeerAddr}
+}
+
+// serveHandedOver serves a request that another daemon, which has no path to the backend servers, has handed over. It is not
+// handed over again.
+func (d *Daemon) serveHandedOver(w http.ResponseWriter, r *http.Request) {
+	attempts, err := strconv.Atoi(r.Header.Get(headerAttempts))
+	if err != nil || attempts < 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	x := &exchange{d: d, w: w, r: r, from: r.Header.Get(headerFrom), attempts: attempts, mayHaveRun: r.Header.Get(headerMayHaveRun) != ""}
+	for _, name := range []string{headerFrom, headerAttempts, headerMayHaveRun} {
+		r.Header.Del(name)
+	}
+	x.serve()
+}
+
+// suggestsLostPath reports whether a lost path may have made an attempt fail, whose context is ctx: it got no response, or none
+// before its deadline.
+func suggestsLostPath(ctx context.Context, err error) bool {
+	var notSent *backend.NotSentError
+	var noResponse *backend.NoResponseError
+	var limit *backend.ConnectionLimitError
+	return (errors.As(err, &notSent) || errors.As(err, &noResponse)) && !errors.As(err, &limit) &&
+		(ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded))
+}
+
+// noPath returns the rejection of a request that neither this daemon nor another one can send to a backend server. One that was
+// handed over may be handed to a third daemon.
+func (x *exchange) noPath() error {
+	if x.from != "" {
+		return &RejectedError{0, "no path to the backend servers"}
+	}
+	return &RejectedError{balance.RetryDelay(time.Now(), x.deadline, rand.Float64), "no path to the backend servers"}
+}
+
+// pathChanged is called when the path to a service was lost or found again. Requests that wait for a group are handed over, and what
+// this daemon has found out about single groups no longer counts.
+func (p *dispatcher) pathChanged(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.suspects, func(_ string, s suspicion) bool { return s.local && !s.closed })
+	for id, w := range p.waiters {
+		if w.model.Service != service || !p.d.paths.lost(service) {
+			continue
+		}
+		delete(p.waiters, id)
+		p.client(w.model).Withdraw(id)
+		w.result <- outcome{err: &PathLostError{service}}
+	}
+}
+
+// serversChanged has the servers of services without a path asked at once when there are new ones.
+func (p *paths) serversChanged(before, now *roster.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, service := range p.tracker.LostServices() {
+		if slices.ContainsFunc(now.Services[service], func(s *roster.Server) bool {
+			o := before.Servers[s.ID]
+			return o == nil || o.Born != s.Born
+		}) {
+			p.tracker.Hasten(service)
+		}
+	}
+}
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -356,9 +356,9 @@
 				u.waitReady()
 			}
 			eventually(t, "a daemon holds the lease", func() bool { return all[0].d.holdsLease() || all[1].d.holdsLease() })
-			holder, other, cut := all[0], all[1], &cuts[0]
-			if !holder.d.holdsLease() {
-				holder, other, cut = all[1], all[0], &cuts[1]
+			other, cut := all[1], &cuts[0]
+			if !all[0].d.holdsLease() {
+				other, cut = all[0], &cuts[1]
 			}
 			lost := func() int {
 				n := 0
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -108,7 +108,16 @@
 	for key, l := range p.localLoad[m] {
 		work = append(work, schedule.Work{Group: key, Requests: l.Requests, QueuedTokens: l.QueuedTokens})
 	}
-	return p.client(m).NewReport(now, p.d.settings().Name, p.d.boot, p.d.settings().DataCentre, work, p.excluded(now))
+	return p.client(m).NewReport(now, p.d.settings().Name, p.d.boot, p.d.settings().DataCentre, work, p.reportedSuspects(now, m.Service))
+}
+
+// reportedSuspects returns the groups to report as suspects. What a daemon without a path finds out about groups says nothing about
+// them.
+func (p *dispatcher) reportedSuspects(now time.Time, service string) []string {
+	if p.d.paths.lost(service) {
+		return nil
+	}
+	return p.excluded(now)
 }
 
 // tick sends due reports, schedules requests locally whose scheduler does not respond, and runs a scheduling round for the
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/backend"
+	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
 	"flamingorudder.example/internal/timer"
@@ -147,6 +148,8 @@
 	ids   suspectIDs
 	limit int
 	tried map[string]bool
+	// takers are the daemons to which the request was handed over.
+	takers []string
 	// underWay holds the attempts that have not been settled. ended receives each of them once and never blocks.
 	underWay []*plainAttempt
 	ended    chan *plainAttempt
@@ -160,6 +163,8 @@
 // plainAttempt is one attempt at a plain service.
 type plainAttempt struct {
 	server *roster.Server
+	// peer is the daemon to which the request is handed over; empty for an attempt at a backend server.
+	peer   string
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// sent is when the attempt began, patience how long the backend server may be silent.
@@ -205,12 +210,26 @@
 func (p *plainRequest) start(ctx context.Context) bool {
 	waiting, stopWaiting := p.x.untilClosing(ctx)
 	defer stopWaiting()
+	if p.last != nil {
+		p.x.d.paths.await(waiting, p.x.service)
+	}
 	for ctx.Err() == nil {
 		servers, now, share := p.candidates()
 		if err := p.x.d.quarantineRejection(now, p.ids); err != nil {
 			p.last = err
 			return false
 		}
+		if taker := p.x.taker(p.takers); taker != nil {
+			if !p.x.allowAttempt(0) {
+				return false
+			}
+			p.handOver(ctx, now, taker)
+			return true
+		}
+		if p.x.d.paths.lost(p.x.service) {
+			p.last = p.x.noPath()
+			return false
+		}
 		server := p.choose(servers, now, share, false)
 		if server == nil {
 			wait, err := p.x.noServer(now, servers, share)
@@ -265,11 +284,27 @@
 	return true
 }
 
+// handOver has another daemon serve the request.
+func (p *plainRequest) handOver(ctx context.Context, now time.Time, taker *gossip.Peer) {
+	p.takers = append(p.takers, taker.Name)
+	a := &plainAttempt{server: peerServer(taker), peer: taker.Name, sent: now}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	p.underWay = append(p.underWay, a)
+	p.tasks.Go(func() error {
+		p.x.tryPeer(a)
+		p.ended <- a
+		return nil
+	})
+}
+
 // await waits for the end of an attempt. While the backend servers are silent, it may send the request to others.
 func (p *plainRequest) await(ctx context.Context) *plainAttempt {
 	x := p.x
 	for x.route.Kind == route.Safe && x.route.Objective > 0 && len(p.underWay) < maxPlainAttempts {
 		latest := p.underWay[len(p.underWay)-1]
+		if latest.peer != "" {
+			break // that daemon sends it to another backend server if one is silent
+		}
 		silent := make(chan struct{})
 		stop := timer.AfterFunc(latest.patience-time.Since(latest.sent), func() { close(silent) })
 		select {
@@ -279,7 +314,14 @@
 		case <-silent:
 		}
 		x.d.plainServers.avoid(latest.server.ID, time.Now())
+		x.d.paths.doubt(x.service)
 		servers, now, share := p.candidates()
+		if taker := x.taker(p.takers); taker != nil {
+			if x.allowAttempt(len(p.underWay)) {
+				p.handOver(ctx, now, taker)
+			}
+			break
+		}
 		server := p.choose(servers, now, share, true)
 		if server == nil || x.d.quarantineRejection(now, p.ids) != nil || !x.allowAttempt(len(p.underWay)) || !p.send(ctx, now, server) {
 			break
@@ -303,6 +345,8 @@
 		switch {
 		case errors.As(context.Cause(a.ctx), &superseded):
 			x.attemptLog[len(x.attemptLog)-1] += ", " + superseded.Error()
+		case isFinal(a.err):
+			return true
 		case a.sendErr == nil:
 			x.attemptLog[len(x.attemptLog)-1] += ", " + a.err.Error()
 		}
@@ -312,7 +356,9 @@
 		}
 		return false
 	}
-	x.d.answered.add(x.hash, time.Now())
+	if a.peer == "" {
+		x.d.answered.add(x.hash, time.Now())
+	}
 	good := a.out.a.Status < http.StatusInternalServerError
 	if p.answer != nil && (!good || p.answer.a.Status < http.StatusInternalServerError) {
 		a.out.discard()
@@ -395,6 +441,9 @@
 	r, err := x.d.pool.Do(a.ctx, a.server, x.buildRequest(a.server, -1, ""), limit)
 	if err != nil {
 		a.sendErr, a.err = err, err
+		if suggestsLostPath(a.ctx, err) {
+			x.d.paths.doubt(x.service)
+		}
 		a.crashed = x.hasCrashed(a)
 		end(true, false)
 		return
@@ -426,6 +475,39 @@
 	a.out = out
 }
 
+// tryPeer hands the request over to another daemon and reads the response.
+func (x *exchange) tryPeer(a *plainAttempt) {
+	r, err := x.d.peerPool.Do(a.ctx, a.server, x.buildHandOver(""), 0)
+	if err != nil {
+		a.sendErr, a.err = err, err
+		a.cancel(nil)
+		return
+	}
+	a.response = r
+	end := func() {
+		r.Close()
+		a.cancel(nil)
+	}
+	if err := handOverResult(a.peer, r); err != nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxReadAhead)) // allows the connection to be reused
+		end()
+		a.err = err
+		return
+	}
+	out := &bufferedResponse{a: r, done: func(bool) { end() }}
+	out.body, err = io.ReadAll(io.LimitReader(r.Body, maxReadAhead+1))
+	out.tail = len(out.body) > maxReadAhead
+	if err != nil {
+		end()
+		a.err = &backend.NoResponseError{Server: a.server.ID, Err: err}
+		return
+	}
+	if !out.tail {
+		end()
+	}
+	a.out = out
+}
+
 // hasCrashed reports whether an attempt was cut off because the process of its backend server ended.
 func (x *exchange) hasCrashed(a *plainAttempt) bool {
 	var cutOff *backend.NoResponseError
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -281,7 +281,7 @@
 
 // recordOutcome reports to the scheduler that the group has answered the request or crashed.
 func (s *reservation) recordOutcome(crashed bool) {
-	if len(s.ids.all) == 0 {
+	if len(s.ids.all) == 0 || s.peer != "" {
 		return
 	}
 	s.d.mu.Lock()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -46,6 +46,8 @@
 	w    http.ResponseWriter
 	r    *http.Request
 	call platform.RequestInfo
+	// from is the daemon that has handed the request over; empty if it came from its caller.
+	from string
 	// config is the configuration in force when the request arrived; it is used throughout.
 	config  *route.Config
 	route   *route.Route
@@ -73,9 +75,15 @@
 
 // serveCaller serves one request of a caller.
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
+	(&exchange{d: d, w: w, r: r}).serve()
+}
+
+// serve serves a request of a caller, which another daemon may have handed over.
+func (x *exchange) serve() {
+	d, w, r := x.d, x.w, x.r
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
-	x := &exchange{d: d, w: w, r: r, call: platform.ParseRequestInfo(r.Header), start: time.Now()}
+	x.call, x.start = platform.ParseRequestInfo(r.Header), time.Now()
 	if d.shuttingDown.Load() {
 		// Closing the connection with the response makes the caller move on to another daemon.
 		w.Header().Set("Connection", "close")
@@ -90,7 +98,9 @@
 	defer cancel()
 	defer context.AfterFunc(d.ended, cancel)()
 	svc := x.config.Service(x.service)
-	d.budget.countRequest(x.service, x.start, d.settings().RetryWindow)
+	if x.from == "" {
+		d.budget.countRequest(x.service, x.start, d.settings().RetryWindow)
+	}
 	if svc != nil && svc.Engine != nil && svc.Engine.Model(x.call.Model) != nil {
 		x.serveStream(ctx, svc)
 		return
@@ -221,6 +231,14 @@
 	if retryAfter > 0 {
 		x.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
+	if x.from != "" {
+		platform.SetRequestID(x.w.Header(), x.call.ID)
+		outcome := outcomeNotRun
+		if x.mayHaveRun {
+			outcome = outcomeUnknown
+		}
+		x.w.Header().Set(headerOutcome, outcome)
+	}
 	x.w.Header().Set("Content-Length", "0")
 	x.w.WriteHeader(status)
 	x.finish(status, reason)
@@ -241,6 +259,9 @@
 		return
 	}
 	args := []any{"status", status, "outcome", reason, "first", first, "pause", x.maxGap}
+	if x.from != "" {
+		args = append(args, "from", x.from)
+	}
 	if c := x.d.config.Load(); c != nil && x.config != nil && c != x.config {
 		args = append(args, "config_now", c.Version)
 	}
@@ -336,6 +357,9 @@
 	case errors.As(err, &notSent):
 		x.attemptLog = append(x.attemptLog, server+": not sent")
 		return
+	case a != nil && a.Header.Get(headerOutcome) == outcomeNotRun:
+		x.attemptLog = append(x.attemptLog, fmt.Sprintf("%s: %d, not run", server, a.Status))
+		return
 	case err != nil:
 		x.attempts++
 		x.mayHaveRun = true
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -754,6 +754,7 @@
 	old := f.d.view.Load()
 	v := f.tracker.View(now, f.size)
 	f.d.view.Store(v)
+	f.d.paths.serversChanged(old, v)
 	f.logChanges(old, v)
 	f.d.dispatch.groupsChanged()
 }
@@ -951,6 +952,11 @@
 
 // servePeer serves the paths for peers.
 func (d *Daemon) servePeer(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(headerFrom) != "" {
+		d.active.begin(r.Context())
+		d.serveHandedOver(w, r)
+		return
+	}
 	f := d.feed
 	out := peerState{Store: d.storeOK.Load()}
 	after, config := int64(-1), int64(-1)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -18,6 +18,7 @@
 	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
+	"flamingorudder.example/internal/schedule"
 )
 
 const (
@@ -68,8 +69,16 @@
 			break
 		}
 		waiting, stopWaiting := x.untilClosing(ctx)
+		if last != nil {
+			x.d.paths.await(waiting, x.service)
+		}
 		reserved, err := s.acquire(waiting, x.mayHaveRun || x.call.LastEvent != "")
 		stopWaiting()
+		var pathLost *PathLostError
+		if errors.As(err, &pathLost) {
+			s.unsent++
+			continue
+		}
 		if err != nil {
 			last = err
 			break
@@ -82,7 +91,7 @@
 			}
 			last, a = err, next
 		}
-		if x.mayHaveRun && !x.route.Repeatable() {
+		if x.mayHaveRun && !x.route.Repeatable() || isFinal(last) {
 			break
 		}
 	}
@@ -234,6 +243,8 @@
 	// exclude holds the groups of all attempts, unsent counts the attempts that did not reach their backend server.
 	exclude []string
 	unsent  int
+	// takers are the daemons to which the request was handed over.
+	takers []string
 
 	mu sync.Mutex
 	// awaited is the attempt whose group the request waits for, nil while it does not. standby is the one that is prepared
@@ -280,9 +291,21 @@
 
 func (e *AbandonedError) Error() string { return "abandoned: " + e.Reason }
 
-// acquire waits for a place in a group that has not been tried. goOn is set if a group may have worked on the request.
+// acquire waits for a place in a group that has not been tried. Without a path to the groups it has another daemon serve the
+// request. goOn is set if a group may have worked on the request.
 func (s *forwardedStream) acquire(ctx context.Context, goOn bool) (*reservation, error) {
 	x := s.x
+	if x.d.paths.lost(x.service) {
+		if err := x.d.quarantineRejection(time.Now(), s.ids); err != nil {
+			return nil, err
+		}
+		taker := x.taker(s.takers)
+		if taker == nil {
+			return nil, x.noPath()
+		}
+		s.takers = append(s.takers, taker.Name)
+		return x.d.dispatch.handOver(schedule.Model{Service: s.svc.Name, Name: x.call.Model}, s.ids, taker), nil
+	}
 	reserved, err := x.d.dispatch.acquire(ctx, s.svc, x.call.Model, x.org, balance.Request{
 		Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: s.ids.request,
 		Arrived: x.start, Until: x.deadline, Resumed: goOn,
@@ -384,6 +407,11 @@
 func (s *forwardedStream) prepare(ctx, preparation context.Context, silent *streamAttempt) *streamAttempt {
 	for s.unsent < maxUnsent && preparation.Err() == nil && s.x.allowAttempt(1) {
 		reserved, err := s.acquire(preparation, true)
+		var pathLost *PathLostError
+		if errors.As(err, &pathLost) {
+			s.unsent++
+			continue
+		}
 		if err != nil {
 			return nil
 		}
@@ -434,7 +462,9 @@
 	if ctx.Err() != nil {
 		return
 	}
-	x.recordFailure(ctx, a.reserved, err, a.events.count)
+	if a.reserved.peer == "" {
+		x.recordFailure(ctx, a.reserved, err, a.events.count)
+	}
 	if x.attempts == before {
 		s.unsent++
 	} else if countsAgainstGroup(err) {
@@ -461,12 +491,25 @@
 func (a *streamAttempt) open() error {
 	x, head := a.s.x, a.reserved.head
 	sent := time.Now()
-	r, err := x.d.pool.Do(a.ctx, head, x.buildRequest(head, priority(x.rank), a.resume), x.d.connectionLimit(a.s.svc))
+	var r *backend.Response
+	var err error
+	if a.reserved.peer != "" {
+		r, err = x.d.peerPool.Do(a.ctx, head, x.buildHandOver(a.resume), 0)
+	} else {
+		r, err = x.d.pool.Do(a.ctx, head, x.buildRequest(head, priority(x.rank), a.resume), x.d.connectionLimit(a.s.svc))
+	}
 	if err != nil {
 		a.sendErr = err
+		if a.reserved.peer == "" && suggestsLostPath(a.ctx, err) {
+			x.d.paths.doubt(x.service)
+		}
 		return err
 	}
-	a.response, a.notices = r, x.d.handleNotices(head, r)
+	a.response = r
+	if a.reserved.peer != "" {
+		return a.openPeer(r)
+	}
+	a.notices = x.d.handleNotices(head, r)
 	if n, relevant := x.d.observeLimit(head, r, sent); relevant {
 		a.reserved.reportLimit(n, sent)
 	}
@@ -480,6 +523,21 @@
 		}
 		return &UnusableError{head.ID, r.Status}
 	}
+	return a.readResponse(r)
+}
+
+// openPeer reads the first events of the response of the daemon to which the request was handed over.
+func (a *streamAttempt) openPeer(r *backend.Response) error {
+	if err := handOverResult(a.reserved.peer, r); err != nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxReadAhead)) // allows the connection to be reused
+		return err
+	}
+	return a.readResponse(r)
+}
+
+// readResponse reads the first events of a response of a backend server.
+func (a *streamAttempt) readResponse(r *backend.Response) error {
+	head := a.reserved.head
 	if r.Status != http.StatusOK {
 		body, err := io.ReadAll(io.LimitReader(r.Body, maxReadAhead+1))
 		if err != nil {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -108,6 +108,10 @@
 	// have crashed a server, of which the sender wants to know whether they have been answered.
 	Collects   bool                   `cbor:"collects,omitempty"`
 	Suspicions []quarantine.Suspicion `cbor:"suspicions,omitempty"`
+	// Unreachable are the services to whose backend servers the sender has no path. Relays is set by daemons that serve the
+	// requests that others hand over, and query the state of backend servers for them.
+	Unreachable []string `cbor:"unreachable,omitempty"`
+	Relays      bool     `cbor:"relays,omitempty"`
 	// WrittenAt is when a row with the digest was written, by the store's clock; zero in a datagram.
 	WrittenAt time.Duration `cbor:"written,omitempty"`
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -120,5 +120,18 @@
 	Groups map[string][]*Group
 }
 
+// Listed returns the backend servers of a service that get requests, or all ready ones if there are none: heads of open groups for a
+// model service.
+func (v *View) Listed(service string) []*Server {
+	var heads []*Server
+	for _, g := range v.Groups[service] {
+		heads = append(heads, g.Head)
+	}
+	if len(heads) > 0 {
+		return heads
+	}
+	return append([]*Server(nil), v.Services[service]...)
+}
+
 // Size returns the number of members of a group for the model, or zero when the model is not configured.
 type Size func(service, model string) int
