Schedule requests at groups that only the scheduler cannot reach

Cause: the scheduler excluded the groups that it suspected itself for all daemons, while the suspicion of another daemon counts only if as many suspect a group as work there. Its own suspicion is in its own report already, so it counts like any other now. What holds for all remains: groups that were ordered to close, and those that said that they take no requests.

TestSchedulerWithoutPath failed before (all 60 requests at the other daemon got 503).

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -65,6 +65,12 @@
 	local, closed bool
 }
 
+// excludesForAll reports whether the scheduler places no request of any daemon at the group: it was ordered to close, or it said
+// itself that it takes none. That this daemon finds it stalled counts like the suspicion of another one, in its report.
+func (s suspicion) excludesForAll(now time.Time) bool {
+	return now.Before(s.until) && (s.closed || !s.local)
+}
+
 // waiter is a request that waits for a placement.
 type waiter struct {
 	model schedule.Model
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -213,7 +213,7 @@
 		if g.Model != m.Name || !g.Complete() {
 			continue
 		}
-		in.Groups = append(in.Groups, balance.Group{Key: g.Key, DataCentre: g.Head.DataCentre, Suspect: now.Before(p.suspects[g.Key].until)})
+		in.Groups = append(in.Groups, balance.Group{Key: g.Key, DataCentre: g.Head.DataCentre, Suspect: p.suspects[g.Key].excludesForAll(now)})
 		in.Heads[g.Key] = g.Head
 	}
 	return p.server.Step(now, m, in)
@@ -301,7 +301,7 @@
 		demand, _ := p.server.Demand(now, m)
 		groups := 0
 		for _, g := range p.d.view.Load().Groups[m.Service] {
-			if g.Model == m.Name && g.Complete() && now.After(p.suspects[g.Key].until) {
+			if g.Model == m.Name && g.Complete() && !p.suspects[g.Key].excludesForAll(now) {
 				groups++
 			}
 		}
