Have other daemons vouch for servers that the holder cannot reach

Cause: the holder took each server for lost that gave it no report twice, or refused its connections, and acted on that for the whole fleet. The entries of all servers were renewed, and other daemons reached them all the while.

Before the holder takes a server for lost, two other daemons query it, of different data centres if possible, at the same time as its own second query, so that a server that has ended is not found lost any later. If one of them gets a report, the server is alive, keeps its group, and gets no new one from this holder. A daemon that does not reach the server either makes sure that it reaches others first; if it does not, it knows nothing. With no answer, the entry decides. Without daemons to ask, all is as before. A holder without a path leaves the lease to a daemon that has one, and does not take it.

TestHolderWithoutPath failed before (6 of 6 servers lost, the lease stayed).

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -87,6 +87,8 @@
 	// at is when the last report arrived, next when the next request is due.
 	at, next time.Time
 	failures int
+	// relayed is set if the last report came through another daemon.
+	relayed bool
 	// ended is set when the process is known to have ended while its entry was listed.
 	ended  bool
 	asking bool
@@ -155,9 +157,19 @@
 	if d.shuttingDown.Load() || time.Since(d.feed.started) < discoveryTime {
 		return
 	}
+	if d.shouldLeaveLease() {
+		d.peersMu.Lock()
+		_, held := d.election.Holding(leaseClock())
+		d.election.Resign()
+		d.peersMu.Unlock()
+		if held {
+			d.log.Warn("lease left to a daemon with a path to the backend servers", "services", d.paths.lostServices())
+		}
+		return
+	}
 	place := 0
 	for _, m := range d.livePeers(time.Now()) {
-		if m.Ready && gossip.Precedes(m.Cores, m.Name, d.settings().Cores, d.settings().Name) {
+		if m.Ready && len(m.Unreachable) == 0 && gossip.Precedes(m.Cores, m.Name, d.settings().Cores, d.settings().Name) {
 			place++
 		}
 	}
@@ -179,6 +191,20 @@
 	}
 }
 
+// shouldLeaveLease reports whether another daemon reaches the backend servers of a service with groups to which this one has no path.
+func (d *Daemon) shouldLeaveLease() bool {
+	c := d.config.Load()
+	if c == nil {
+		return false
+	}
+	for _, name := range d.paths.lostServices() {
+		if s := c.Service(name); s != nil && s.Engine != nil && len(d.peersWithPath(name)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *leader) readLease(ctx context.Context) {
 	page, err := l.d.storeCall(ctx, "lease", storeTimeout, func(ctx context.Context) (platform.Page, error) {
 		return l.d.store.Rows(ctx, tableLease)
@@ -352,7 +378,7 @@
 
 // mergeReport adds the report of a backend server to a member made from its entry; the newer of the two decides.
 func (l *leader) mergeReport(m *replica.ServerStatus, q *reportPoll) *replica.ServerStatus {
-	m.Reported, m.Responding, m.Ended = q.reported, q.failures < maxReportFailures, q.ended
+	m.Reported, m.Responding, m.Ended, m.Unreachable = q.reported, q.failures < maxReportFailures, q.ended, q.relayed
 	if !q.reported {
 		return m
 	}
@@ -372,13 +398,12 @@
 		return
 	}
 	q.asking = true
+	decisive := q.failures == maxReportFailures-1
 	ok := l.calls.TryGo(func() error {
-		r, err := call(ctx, reportTimeout, func(ctx context.Context) (platform.Report, error) {
-			return l.d.servers.Report(ctx, s)
-		})
+		r, relayed, lost, err := l.query(ctx, s, decisive)
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		q.asking = false
+		q.asking, q.relayed = false, relayed
 		now := time.Now()
 		if err == nil && r.Born != s.Born {
 			// Another process has the address, so this one has ended.
@@ -387,7 +412,7 @@
 			q.ended = true
 		}
 		// A backend server that leaves may stop listening before it has finished its requests.
-		if errors.Is(err, syscall.ECONNREFUSED) && listed && s.State == roster.Ready {
+		if errors.Is(err, syscall.ECONNREFUSED) && lost && listed && s.State == roster.Ready {
 			q.ended = true
 		}
 		var pause *platform.PauseError
@@ -396,6 +421,10 @@
 			q.failures, q.ended, q.next = 0, false, now.Add(pause.Pause)
 			return nil
 		}
+		if err != nil && decisive && !lost && l.d.isRenewed(now, s.ID) {
+			q.next = now.Add(fastReportPeriod)
+			return nil
+		}
 		if err != nil {
 			q.failures++
 			q.next = now.Add(fastReportPeriod)
@@ -440,6 +469,53 @@
 	}
 }
 
+// query queries the state of a backend server. If it is not reached and that decides whether it counts as lost, or its address refuses
+// connections, other daemons are asked. relayed is set if the report is theirs. lost is set if the server may be taken for lost:
+// they do not reach it either, or there are none.
+func (l *leader) query(ctx context.Context, s *roster.Server, decisive bool) (r platform.Report, relayed, lost bool, err error) {
+	type answer struct {
+		testimony
+		asked int
+	}
+	var others chan answer
+	ask := func() {
+		others = make(chan answer, 1)
+		l.d.paths.samples.Go(func() error {
+			t, asked := l.d.askPeers(ctx, s)
+			others <- answer{t, asked}
+			return nil
+		})
+	}
+	if decisive {
+		ask() // at the same time, so that a server that has ended is not found lost any later
+	}
+	r, err = call(ctx, reportTimeout, func(ctx context.Context) (platform.Report, error) {
+		return l.d.servers.Report(ctx, s)
+	})
+	if err == nil || platform.Responded(err) {
+		return r, false, true, err
+	}
+	l.d.paths.doubt(s.Service)
+	if others == nil && errors.Is(err, syscall.ECONNREFUSED) {
+		ask()
+	}
+	if others == nil {
+		return r, false, false, err
+	}
+	a := <-others
+	if a.Report != nil {
+		return *a.Report, true, false, nil
+	}
+	return r, false, a.asked == 0 || a.Failed, err
+}
+
+// isRenewed reports whether the entry of a backend server has been renewed in time, as far as this daemon can see.
+func (d *Daemon) isRenewed(now time.Time, id string) bool {
+	v := d.view.Load()
+	s := v.Servers[id]
+	return s != nil && (!d.storeOK.Load() || v.RenewalsHidden || now.Sub(s.RenewedAt) <= d.heartbeatTimeout())
+}
+
 // busyReportPeriod returns how often a backend server is asked for its report that has been executing an order for the
 // given time. A load of weights takes many times as long as another order, and its end may be noticed later.
 func busyReportPeriod(busy time.Duration) time.Duration {
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -354,6 +354,7 @@
 			renew()
 			for _, u := range all {
 				u.waitReady()
+				eventually(t, "the daemon hears the other one", func() bool { return len(u.d.livePeers(time.Now())) == 1 })
 			}
 			eventually(t, "a daemon holds the lease", func() bool { return all[0].d.holdsLease() || all[1].d.holdsLease() })
 			other, cut := all[1], &cuts[0]
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -957,6 +957,10 @@
 		d.serveHandedOver(w, r)
 		return
 	}
+	if r.URL.Path == pathReport {
+		d.serveReport(w, r)
+		return
+	}
 	f := d.feed
 	out := peerState{Store: d.storeOK.Load()}
 	after, config := int64(-1), int64(-1)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -154,12 +154,6 @@
 	x.d.metrics.RecordFailedAttempt(x.service, cause)
 }
 
-// hasEnded reports whether the process of a backend server has ended, as a new connection to it is refused.
-func (d *Daemon) hasEnded(ctx context.Context, s *roster.Server) bool {
-	ended, _, _ := d.probes.Do(s.ID, func() (any, error) { return d.pool.RefusesConnections(context.WithoutCancel(ctx), s.Addr), nil })
-	return ended.(bool)
-}
-
 // formatHash returns a hash as the log shows it, or "" for zero.
 func formatHash(h uint64) string {
 	if h == 0 {
--- /dev/null
+++ b/internal/entry/vouch.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"syscall"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/internal/roster"
+	"flamingorudder.example/platform"
+)
+
+// A backend server that one daemon cannot reach may be reached by others. Before a daemon acts on that for all of them, it asks two
+// others to query the server: one of its own data centre and one of another, so that neither a lost link nor a data centre that is
+// cut off decides alone. A daemon that does not reach the server either first makes sure that it reaches others.
+
+const (
+	// pathReport is the path for peers under which a daemon queries the state of a backend server for another one.
+	pathReport = "/report"
+	// vouchSample is how many other servers a daemon asks that does not reach one.
+	vouchSample = 3
+	// vouchTimeout bounds the wait for other daemons: a query and, after it, a sample.
+	vouchTimeout = reportTimeout + probeTimeout + 50*time.Millisecond
+	// maxVouchBytes bounds the response of another daemon.
+	maxVouchBytes = 1 << 20
+)
+
+// testimony is what a daemon has found out about a backend server for another one. It knows nothing if no field is set.
+type testimony struct {
+	// Report is the state of the server if it was reached.
+	Report *platform.Report `cbor:"report,omitempty"`
+	// Failed is set if it was not, while others were. Refused is set if nothing listens on its address.
+	Failed  bool `cbor:"failed,omitempty"`
+	Refused bool `cbor:"refused,omitempty"`
+}
+
+// askPeers has other daemons query the state of a backend server. asked is the number of daemons that were asked.
+func (d *Daemon) askPeers(ctx context.Context, s *roster.Server) (t testimony, asked int) {
+	peers := d.witnesses(s.Service)
+	if len(peers) == 0 {
+		return t, 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
+	defer cancel()
+	answers := make(chan testimony, len(peers))
+	for _, m := range peers {
+		d.paths.samples.Go(func() error {
+			answer, err := d.askPeer(ctx, m, s)
+			if err != nil && ctx.Err() == nil {
+				d.log.Debug("cannot query a backend server through a peer", "peer", m.Name, "id", s.ID, "error", err)
+			}
+			answers <- answer
+			return nil
+		})
+	}
+	t.Failed, t.Refused = true, true
+	for range peers {
+		answer := <-answers
+		if answer.Report != nil {
+			return answer, len(peers)
+		}
+		t.Failed, t.Refused = t.Failed && answer.Failed, t.Refused && answer.Refused
+	}
+	return t, len(peers)
+}
+
+// witnesses returns up to two daemons that may reach the backend servers of a service, of different data centres if possible.
+func (d *Daemon) witnesses(service string) []*gossip.Peer {
+	peers := d.peersWithPath(service)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for i, m := range peers {
+		if m.DataCentre != d.settings().DataCentre {
+			peers[0], peers[i] = peers[i], peers[0]
+			break
+		}
+	}
+	for i := 1; i < len(peers); i++ {
+		if peers[i].DataCentre != peers[0].DataCentre {
+			peers[1], peers[i] = peers[i], peers[1]
+			break
+		}
+	}
+	return peers[:min(len(peers), 2)]
+}
+
+// askPeer has another daemon query the state of a backend server.
+func (d *Daemon) askPeer(ctx context.Context, m *gossip.Peer, s *roster.Server) (t testimony, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.PeerAddr.String()+pathReport+"?id="+url.QueryEscape(s.ID), nil)
+	if err != nil {
+		return t, fmt.Errorf("create request: %w", err)
+	}
+	resp, err := d.feed.peers.Do(req)
+	if err != nil {
+		return t, err
+	}
+	defer func() { _ = resp.Body.Close() }() // the body was read or the request failed
+	if resp.StatusCode != http.StatusOK {
+		return t, &platform.StatusError{Status: resp.StatusCode}
+	}
+	if err := cbor.NewDecoder(io.LimitReader(resp.Body, maxVouchBytes)).Decode(&t); err != nil {
+		return testimony{}, fmt.Errorf("decode response: %w", err)
+	}
+	return t, nil
+}
+
+// serveReport queries the state of a backend server for another daemon.
+func (d *Daemon) serveReport(w http.ResponseWriter, r *http.Request) {
+	v, id := d.view.Load(), r.URL.Query().Get("id")
+	s := v.Servers[id]
+	if s == nil {
+		s = v.Departed[id]
+	}
+	if s == nil {
+		w.WriteHeader(http.StatusNotFound) // this daemon knows less than the one that asks
+		return
+	}
+	text, err := cbor.Marshal(d.testify(r.Context(), s))
+	if err != nil {
+		d.log.Error("cannot encode the state of a backend server", "error", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if _, err := w.Write(text); err != nil {
+		d.log.Debug("cannot write the response to a peer", "error", err)
+	}
+}
+
+// testify queries the state of a backend server.
+func (d *Daemon) testify(ctx context.Context, s *roster.Server) (t testimony) {
+	report, err := call(ctx, reportTimeout, func(ctx context.Context) (platform.Report, error) { return d.servers.Report(ctx, s) })
+	if err == nil {
+		return testimony{Report: &report}
+	}
+	if platform.Responded(err) {
+		return t // it is alive, but does not say in what state
+	}
+	if d.paths.lost(s.Service) {
+		return t
+	}
+	others := d.paths.anyResponds(ctx, sampleDue{s.Service, vouchSample})
+	if !others {
+		d.paths.doubt(s.Service)
+		return t
+	}
+	return testimony{Failed: true, Refused: errors.Is(err, syscall.ECONNREFUSED)}
+}
+
+// hasEnded reports whether the process of a backend server has ended, as a new connection to it is refused.
+func (d *Daemon) hasEnded(ctx context.Context, s *roster.Server) bool {
+	ended, _, _ := d.probes.Do(s.ID, func() (any, error) {
+		return d.pool.RefusesConnections(context.WithoutCancel(ctx), s.Addr), nil
+	})
+	return ended.(bool)
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -45,13 +45,14 @@
 	Busy     bool
 	// Pace is greater than 1 while the backend server is slow.
 	Pace float64
-	// presumedAlive is set when the backend server does not respond, but neither do most others.
-	presumedAlive bool
+	// Unreachable is set when the holder of the lease does not reach the backend server, though it is alive: another daemon reaches
+	// it, or most others do not respond either.
+	Unreachable bool
 }
 
 // usable reports whether the backend server may join a group.
 func (m *ServerStatus) usable() bool {
-	return m.Listed && m.State == roster.Ready && m.Responding && m.Reported && !m.presumedAlive
+	return m.Listed && m.State == roster.Ready && m.Responding && m.Reported && !m.Unreachable
 }
 
 // lost reports whether a member cannot serve in its group any more. A member that is disconnected from the store, but
@@ -108,7 +109,7 @@
 		if born, ok := p.presumed[m.ID]; silent(m) && (lost || ok && born == m.Born) {
 			presumed[m.ID] = m.Born
 			alive := *m
-			alive.Responding, alive.presumedAlive = true, true
+			alive.Responding, alive.Unreachable = true, true
 			out[i] = &alive
 		}
 	}
