Take refused connections for a crash only if other daemons get them too

What callers would see: a sound request is rejected for a minute, or ten, at every daemon, because a daemon whose connections were reset while it was there also got its new ones refused, and reported that the request had crashed its servers. Found by looking for the cause of the holder's and the scheduler's faults elsewhere: what one daemon cannot reach counted as what does not exist.

Other daemons are asked before a crash is reported, as before a server is taken for lost. The crash of a server is reported a round trip later. Without other daemons all is as before.

TestResetConnectionsAreNoCrashes fails without it (503 with Retry-After 62 s at both daemons).

--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -398,3 +398,33 @@
 		})
 	}
 }
+
+// TestResetConnectionsAreNoCrashes guards against rejecting a sound request because the daemon that sent it lost its path again and
+// again meanwhile, and took refused connections for the end of the backend servers.
+func TestResetConnectionsAreNoCrashes(t *testing.T) {
+	t.Parallel()
+	f := newPathFleet(t, false)
+	f.pause.Store(int64(300 * time.Millisecond))
+	for range 5 {
+		got := make(chan reply, 1)
+		ran := f.ran.Load()
+		go func() { got <- f.send(f.a, "/unsafe/", "same", 2000) }()
+		eventually(t, "the request runs", func() bool { return f.ran.Load() > ran })
+		f.cut.set("reset")
+		if r := <-got; r.status != http.StatusBadGateway {
+			t.Errorf("request whose connection was reset: reply %+v", r)
+		}
+		_ = timer.Wait(t.Context(), 200*time.Millisecond)
+		f.cut.set("")
+		eventually(t, "there is a path", func() bool { return !f.a.d.paths.lost("plain") })
+		_ = timer.Wait(t.Context(), 200*time.Millisecond)
+	}
+	for _, u := range []*daemonUnderTest{f.a, f.b} {
+		if r := f.send(u, "/unsafe/", "same", 2000); r.status != http.StatusOK {
+			t.Errorf("the request afterwards: reply %+v", r)
+		}
+		if n := u.d.quarantine.len(); n > 0 {
+			t.Errorf("%d requests in quarantine", n)
+		}
+	}
+}
--- a/internal/entry/vouch.go
+++ b/internal/entry/vouch.go
@@ -153,10 +153,16 @@
 	return testimony{Failed: true, Refused: errors.Is(err, syscall.ECONNREFUSED)}
 }
 
-// hasEnded reports whether the process of a backend server has ended, as a new connection to it is refused.
+// hasEnded reports whether the process of a backend server has ended: new connections to it are refused, also those of other
+// daemons if there are any.
 func (d *Daemon) hasEnded(ctx context.Context, s *roster.Server) bool {
 	ended, _, _ := d.probes.Do(s.ID, func() (any, error) {
-		return d.pool.RefusesConnections(context.WithoutCancel(ctx), s.Addr), nil
+		ctx := context.WithoutCancel(ctx)
+		if !d.pool.RefusesConnections(ctx, s.Addr) {
+			return false, nil
+		}
+		t, asked := d.askPeers(ctx, s)
+		return asked == 0 || t.Refused, nil
 	})
 	return ended.(bool)
 }
