Let daemons with a path use the share of those without one

What callers saw: while most daemons had no path, the one that served for them rejected half of the requests as crowded, though the groups were idle.

Cause: capacity, limits of servers and connections are shared by the number of live daemons, and the scheduler keeps back what daemons that report nothing may use. Daemons without a path use none of it. The number is now that of the daemons that have one.

TestCapacityOfDaemonsWithoutPath failed before (10 daemons share the service of two, 5 connections in place of 25).

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -18,6 +18,7 @@
 	"net/url"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -483,6 +484,18 @@
 	return live
 }
 
+// sharers returns the estimated number of daemons, this one included, that share the capacity of the backend servers of a service:
+// those that have no path hand their requests over to the others.
+func (d *Daemon) sharers(now time.Time, service string) int {
+	n := d.fleetSize(now)
+	for _, m := range d.livePeers(now) {
+		if slices.Contains(m.Unreachable, service) {
+			n--
+		}
+	}
+	return max(n, 1)
+}
+
 // assumedFleetSize is the fleet size assumed by a daemon that knows no other daemon and has not read their rows yet. It is
 // large on purpose: the daemon takes only a small share of the capacity until the store has answered.
 const assumedFleetSize = 400
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"flamingorudder.example/internal/fakeplatform"
+	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/member"
 	"flamingorudder.example/internal/netopt"
 	"flamingorudder.example/internal/schedule"
@@ -428,3 +429,27 @@
 		}
 	}
 }
+
+// TestCapacityOfDaemonsWithoutPath guards against daemons with a path leaving capacity of backend servers to those that hand their
+// requests over, and so rejecting requests while the servers are idle.
+func TestCapacityOfDaemonsWithoutPath(t *testing.T) {
+	t.Parallel()
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	u := startDaemon(t, store, "a")
+	u.waitReady()
+	for i := range 9 {
+		m := gossip.Digest{Name: fmt.Sprint("p", i), Boot: 1, Seq: 1, PeerAddr: freeAddr(t), DataCentre: "dc", Ready: true, Relays: true, Interval: time.Second}
+		if i > 0 {
+			m.Unreachable = []string{"plain"}
+		}
+		u.d.handleDigest(m)
+	}
+	c := u.d.config.Load()
+	if plain, llm := u.d.connectionLimit(c.Service("plain")), u.d.connectionLimit(c.Service("llm")); plain != 25 || llm != 5 {
+		t.Errorf("this daemon may use %d and %d of 50 connections, want 25 and 5", plain, llm)
+	}
+	if plain, llm := u.d.sharers(time.Now(), "plain"), u.d.sharers(time.Now(), "llm"); plain != 2 || llm != 10 {
+		t.Errorf("%d and %d daemons share the services, want 2 and 10", plain, llm)
+	}
+}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -253,7 +253,7 @@
 // over all daemons.
 func (p *plainRequest) candidates() (servers []*roster.Server, now time.Time, share float64) {
 	now = time.Now()
-	return p.x.d.view.Load().Services[p.x.service], now, 1 / float64(p.x.d.fleetSize(now))
+	return p.x.d.view.Load().Services[p.x.service], now, 1 / float64(p.x.d.sharers(now, p.x.service))
 }
 
 // choose returns the backend server to use now, one that has not been tried if fresh is set, or nil if there is none.
@@ -406,7 +406,7 @@
 	if svc == nil || svc.MaxConnections <= 0 {
 		return 0
 	}
-	return max(svc.MaxConnections/d.fleetSize(time.Now()), 1)
+	return max(svc.MaxConnections/d.sharers(time.Now(), svc.Name), 1)
 }
 
 // maxUnsent bounds the attempts for one request that cannot reach their backend server.
