Give tests ports that no connection takes

TestDaemonWithoutPath failed once with "bind: address already in use": a port that was free when it was chosen was taken by a connection of a parallel test before the daemon used it. Ports come from below the range of connections now, each once in a process.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -85,15 +85,23 @@
 	s     Settings
 }
 
+// nextPort is the next port to try. It begins below the range from which the system takes the ports of connections, so that no
+// connection takes one between its choice and its use, and at another port in each process.
+var nextPort = func() *atomic.Int32 {
+	var p atomic.Int32
+	p.Store(int32(10000 + os.Getpid()%20000)) //nolint:gosec // in range
+	return &p
+}()
+
 // freeAddr returns a loopback address whose port is free for both TCP and UDP.
 func freeAddr(t *testing.T) netip.AddrPort {
 	t.Helper()
-	for range 20 {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+	for range 2000 {
+		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(nextPort.Add(1))) //nolint:gosec // in range
+		l, err := net.Listen("tcp4", addr.String())
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		addr := netip.MustParseAddrPort(l.Addr().String())
 		u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
 		_ = l.Close()
 		if err == nil {
