Free the members of a dark head when several daemons agree

Where the store shows no heartbeats, a server that four other daemons do not reach either, each of which reaches others, is dead. With fewer daemons to ask, or if some daemon has reached it since this one could not, its entry decides as before.

Queries of other daemons run in groups of their own, which their callers wait for.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -89,9 +89,10 @@
 	failures int
 	// relayed is set if the last report came through another daemon: it is known that only this one does not reach the server.
 	relayed bool
-	// ended is set when the process is known to have ended while its entry was listed.
-	ended  bool
-	asking bool
+	// ended is set when the process is known to have ended while its entry was listed. agreed is set when as many other daemons as
+	// are asked do not reach it either.
+	ended, agreed bool
+	asking        bool
 }
 
 // ReplacedError reports that another process now runs at a backend server's address.
@@ -328,7 +329,7 @@
 		}
 		orders := p.Step(now, replica.Input{
 			Pressure: pressure, UrgentModel: urgent,
-			Servers: members, RenewalTimeout: silence, EntriesCurrent: d.storeOK.Load(), StoreRecovered: back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, LoadWindow: d.settings().LoadWindow, StartingUp: early && len(pressure) == 0,
+			Servers: members, RenewalTimeout: silence, HeartbeatsHidden: silence == outageSilence && d.storeOK.Load() && !v.RenewalsHidden, EntriesCurrent: d.storeOK.Load(), StoreRecovered: back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, LoadWindow: d.settings().LoadWindow, StartingUp: early && len(pressure) == 0,
 			DemandLag: d.demandLag(now),
 		})
 		for _, o := range orders {
@@ -379,7 +380,7 @@
 
 // mergeReport adds the report of a backend server to a member made from its entry; the newer of the two decides.
 func (l *leader) mergeReport(m *replica.ServerStatus, q *reportPoll) *replica.ServerStatus {
-	m.Reported, m.Responding, m.Ended, m.Unreachable = q.reported, q.failures < maxReportFailures, q.ended, q.relayed
+	m.Reported, m.Responding, m.Ended, m.Agreed, m.Unreachable = q.reported, q.failures < maxReportFailures, q.ended, q.agreed, q.relayed
 	if !q.reported {
 		return m
 	}
@@ -401,12 +402,12 @@
 	q.asking = true
 	decisive := q.failures == maxReportFailures-1
 	ok := l.calls.TryGo(func() error {
-		r, relayed, lost, err := l.query(ctx, s, decisive)
+		r, relayed, deniers, lost, err := l.query(ctx, s, decisive)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		q.asking = false
 		if err == nil {
-			q.relayed = relayed
+			q.relayed, q.agreed = relayed, false
 		}
 		now := time.Now()
 		if err == nil && r.Born != s.Born {
@@ -432,6 +433,7 @@
 		}
 		if err != nil {
 			q.failures++
+			q.agreed = q.agreed || deniers >= maxWitnesses
 			q.next = now.Add(fastReportPeriod)
 			if q.failures >= maxReportFailures {
 				q.next = now.Add(reportPeriod)
@@ -476,16 +478,22 @@
 
 // query queries the state of a backend server. If it is not reached and that decides whether it counts as lost, or its address refuses
 // connections, other daemons are asked. relayed is set if the report is theirs. lost is set if the server may be taken for lost:
-// they do not reach it either, or there are none.
-func (l *leader) query(ctx context.Context, s *roster.Server, decisive bool) (r platform.Report, relayed, lost bool, err error) {
+// they do not reach it either, deniers in number, or there are none.
+func (l *leader) query(ctx context.Context, s *roster.Server, decisive bool) (r platform.Report, relayed bool, deniers int, lost bool, err error) {
 	type answer struct {
 		testimony
 		asked int
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	var queries errgroup.Group
+	defer func() {
+		cancel()
+		_ = queries.Wait() // they return no error
+	}()
 	var others chan answer
 	ask := func() {
 		others = make(chan answer, 1)
-		l.d.paths.samples.Go(func() error {
+		queries.Go(func() error {
 			t, asked := l.d.askPeers(ctx, s)
 			others <- answer{t, asked}
 			return nil
@@ -498,20 +506,23 @@
 		return l.d.servers.Report(ctx, s)
 	})
 	if err == nil || platform.Responded(err) {
-		return r, false, true, err
+		return r, false, 0, true, err
 	}
 	l.d.paths.doubt(s.Service)
 	if others == nil && errors.Is(err, syscall.ECONNREFUSED) {
 		ask()
 	}
 	if others == nil {
-		return r, false, false, err
+		return r, false, 0, false, err
 	}
 	a := <-others
 	if a.Report != nil {
-		return *a.Report, true, false, nil
+		return *a.Report, true, 0, false, nil
 	}
-	return r, false, a.asked == 0 || a.Failed, err
+	if a.Failed {
+		deniers = a.asked
+	}
+	return r, false, deniers, a.asked == 0 || a.Failed, err
 }
 
 // isListed reports whether the entry of a backend server has not lapsed.
--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -163,10 +163,14 @@
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
 	servers = servers[:min(len(servers), due.size)]
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
+	var queries errgroup.Group
+	defer func() {
+		cancel()
+		_ = queries.Wait() // they return no error
+	}()
 	responses := make(chan bool, len(servers))
 	for _, s := range servers {
-		p.samples.Go(func() error {
+		queries.Go(func() error {
 			_, err := p.prober.Report(ctx, s)
 			responses <- platform.Responded(err)
 			return nil
--- a/internal/entry/vouch.go
+++ b/internal/entry/vouch.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/roster"
@@ -53,10 +54,14 @@
 		return t, 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
-	defer cancel()
+	var queries errgroup.Group
+	defer func() {
+		cancel()
+		_ = queries.Wait() // they return no error
+	}()
 	answers := make(chan testimony, len(peers))
 	for _, m := range peers {
-		d.paths.samples.Go(func() error {
+		queries.Go(func() error {
 			answer, err := d.askPeer(ctx, m, s)
 			if err != nil && ctx.Err() == nil {
 				d.log.Debug("cannot query a backend server through a peer", "peer", m.Name, "id", s.ID, "error", err)
--- a/internal/replica/losses_test.go
+++ b/internal/replica/losses_test.go
@@ -442,12 +442,20 @@
 		"ended, not listed":     {ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Second)}, Ended: true}, true},
 		"left, not listed":      {ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Second)}}, false},
 		"responds":              {ServerStatus{Server: &roster.Server{}, Listed: true, Responding: true}, false},
+		"silent, others agree":  {ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Second)}, Listed: true, Agreed: true}, false},
 		"draining, not renewed": {ServerStatus{Server: &roster.Server{State: roster.Draining}, Listed: true}, false},
 	} {
 		if dead := test.status.dead(now, &in); dead != test.dead {
 			t.Errorf("%s: dead %v, want %v", name, dead, test.dead)
 		}
 	}
+	in.RenewalTimeout, in.HeartbeatsHidden = time.Hour, true
+	for _, agreed := range []bool{false, true} {
+		silent := ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Minute)}, Listed: true, Agreed: agreed}
+		if dead := silent.dead(now, &in); dead != agreed {
+			t.Errorf("heartbeats hidden, others agree %v: dead %v", agreed, dead)
+		}
+	}
 }
 
 // TestUnreachableFleetIsNotLost guards against breaking groups up, or forming new ones of their members, because the holder of the
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -36,8 +36,8 @@
 	Orders int64
 	// Responding is false when the backend server has not responded for a while.
 	Responding bool
-	// Ended is set when its process is known to have ended.
-	Ended bool
+	// Ended is set when its process is known to have ended. Agreed is set when several daemons that reach others do not reach it.
+	Ended, Agreed bool
 	// Listed is false when its entry was removed.
 	Listed bool
 	// Reported is set when a report of this lifetime was received.
@@ -61,7 +61,8 @@
 	return !m.Responding || m.State != roster.Ready || !m.Listed && m.Rank == 0
 }
 
-// dead reports whether a backend server has ended, or neither responds nor renews its entry. A draining one may do neither and
+// dead reports whether a backend server has ended, or neither responds nor renews its entry. Where renewals cannot be seen, several
+// daemons have to agree that it does not respond. A draining one may do neither and
 // still finish its requests, so it does not count as dead.
 func (m *ServerStatus) dead(now time.Time, in *Input) bool {
 	if m.Responding || m.State != roster.Ready {
@@ -73,6 +74,9 @@
 	if !m.Listed {
 		return m.Expired
 	}
+	if in.HeartbeatsHidden {
+		return m.Agreed
+	}
 	return !m.renewed(now, in)
 }
 
@@ -209,6 +213,8 @@
 	// RenewalTimeout is the longest time between two renewals of the entry of a live backend server. It is longer than
 	// any outage while the store does not answer, since entries cannot be renewed then.
 	RenewalTimeout time.Duration
+	// HeartbeatsHidden is set while the store answers and shows no renewals of any entry.
+	HeartbeatsHidden bool
 	// EntriesCurrent is set while the store answers. It then removes the entry of a backend server that has not renewed it for a
 	// few heartbeats.
 	EntriesCurrent bool
