Cut daemons off from the backend servers in the soak

Seeds from 2000 on take the way to all backend servers from single daemons, in series and overlapping with the other faults, by resets or by silence. The proxies before the servers tell the daemons apart by the system's table of connections. Older seeds draw what they drew.

--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -333,7 +333,7 @@
 			go func() { _, _ = io.Copy(c, c); _ = c.Close() }()
 		}
 	}()
-	p, stop, err := NewProxy(netip.MustParseAddrPort("127.0.0.1:0"), netip.MustParseAddrPort(l.Addr().String()))
+	p, stop, err := newProxy(netip.MustParseAddrPort("127.0.0.1:0"), netip.MustParseAddrPort(l.Addr().String()), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -399,7 +399,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		p, stop, err := f.proxy(addr)
+		p, stop, err := f.proxy(addr, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -123,6 +123,8 @@
 	o    Options
 	g    *errgroup.Group
 	beat time.Duration
+	// cuts is nil if no daemon is ever cut off.
+	cuts *cuts
 	// host is the address on which all parts of the fleet listen.
 	host     netip.Addr
 	platform netip.AddrPort
@@ -209,9 +211,23 @@
 	if o.Seed >= firstOfAll {
 		f.beat = longBeat
 	}
+	if o.Seed >= firstOfCuts {
+		f.cuts = &cuts{harms: map[string]Harm{}, pids: f.daemonPids}
+	}
 	return f
 }
 
+// daemonPids returns the processes of the daemons by name.
+func (f *fleet) daemonPids() map[string]int {
+	out := map[string]int{}
+	for _, d := range f.daemons {
+		if p := d.process(); p != nil {
+			out[d.name] = p.cmd.Process.Pid
+		}
+	}
+	return out
+}
+
 // free returns an address whose port is free for TCP and UDP, and that no other part of the fleet is given.
 func (f *fleet) free() (netip.AddrPort, error) {
 	f.mu.Lock()
@@ -237,12 +253,12 @@
 }
 
 // proxy returns a proxy to an address, at one that no other part of the fleet is given.
-func (f *fleet) proxy(to netip.AddrPort) (*Proxy, func(), error) {
+func (f *fleet) proxy(to netip.AddrPort, cuts *cuts) (*Proxy, func(), error) {
 	at, err := f.free()
 	if err != nil {
 		return nil, nil, err
 	}
-	return NewProxy(at, to)
+	return newProxy(at, to, cuts)
 }
 
 // start starts a program. What it writes to standard output goes to out, or to its log when out is nil.
@@ -318,7 +334,7 @@
 			return err
 		}
 	}
-	store, stop, err := f.proxy(f.serves)
+	store, stop, err := f.proxy(f.serves, nil)
 	if err != nil {
 		return err
 	}
@@ -394,7 +410,7 @@
 	if err != nil {
 		return err
 	}
-	proxy, stop, err := f.proxy(listen)
+	proxy, stop, err := f.proxy(listen, f.cuts)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -28,6 +28,8 @@
 	SilenceServer
 	// RestoreStore brings the store back from a copy that is as old as the fault is long.
 	RestoreStore
+	// CutDaemon takes the way to all backend servers from a daemon.
+	CutDaemon
 	faults
 )
 
@@ -35,7 +37,7 @@
 	return [...]string{
 		"kill daemon", "stop daemon", "pause daemon", "reload daemon", "kill server", "drain server", "pause server", "pause store",
 		"harm store", "harm server", "configure", "kill all daemons", "silence server",
-		"restore store",
+		"restore store", "cut daemon",
 	}[f]
 }
 
@@ -62,13 +64,16 @@
 // weights is how often each fault is drawn against the others.
 var weights = [faults]int{
 	KillDaemon: 4, StopDaemon: 3, PauseDaemon: 4, ReloadDaemon: 1, KillServer: 5, DrainServer: 3, PauseServer: 2, PauseStore: 2, HarmStore: 5,
-	HarmServer: 5, Configure: 4, KillAll: 1, SilenceServer: 4, RestoreStore: 4,
+	HarmServer: 5, Configure: 4, KillAll: 1, SilenceServer: 4, RestoreStore: 4, CutDaemon: 8,
 }
 
 // firstOfAll is the first seed that draws faults of all kinds, slow requests and odd entries. Those below it give what they gave
 // before those kinds existed.
 const firstOfAll = 1000
 
+// firstOfCuts is the first seed that also cuts daemons off from all backend servers.
+const firstOfCuts = 2000
+
 const (
 	// meanGap is the mean time between two faults; they overlap, since most last longer.
 	meanGap = 500 * time.Millisecond
@@ -88,7 +93,7 @@
 var longest = [faults]time.Duration{
 	KillDaemon: 2 * time.Second, StopDaemon: time.Second, PauseDaemon: 4 * time.Second, KillServer: 3 * time.Second, DrainServer: time.Second,
 	PauseServer: 500 * time.Millisecond, PauseStore: 4 * time.Second, HarmStore: 5 * time.Second, HarmServer: 4 * time.Second,
-	KillAll: time.Second, SilenceServer: silence, RestoreStore: 4 * time.Second,
+	KillAll: time.Second, SilenceServer: silence, RestoreStore: 4 * time.Second, CutDaemon: 6 * time.Second,
 }
 
 // planned tells whether a fault is planned work or no fault in the eyes of the platform, so that nothing may be lost around it.
@@ -105,7 +110,7 @@
 
 func draws(seed uint64, f Fault) bool {
 	switch {
-	case seed < firstOfAll && f > KillAll:
+	case seed < firstOfAll && f > KillAll, seed < firstOfCuts && f == CutDaemon:
 		return false
 	case seed%plannedOnly == 0:
 		return f.planned()
@@ -144,7 +149,7 @@
 		for i := range series {
 			s := Step{At: at + time.Duration(i)*seriesGap, Fault: f}
 			switch f {
-			case KillDaemon, StopDaemon, PauseDaemon, ReloadDaemon, HarmStore:
+			case KillDaemon, StopDaemon, PauseDaemon, ReloadDaemon, HarmStore, CutDaemon:
 				s.Target = r.IntN(daemons)
 			case KillServer, DrainServer, PauseServer, HarmServer, SilenceServer:
 				s.Target = r.IntN(servers)
@@ -152,6 +157,9 @@
 			if f == HarmStore || f == HarmServer {
 				s.Harm = Delay + Harm(r.IntN(int(Dumb)))
 			}
+			if f == CutDaemon {
+				s.Harm = []Harm{Reset, Silence}[r.IntN(2)]
+			}
 			s.For = time.Duration((0.05 + 0.95*r.Float64()) * float64(longest[f]))
 			out = append(out, s)
 		}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -48,20 +48,24 @@
 	l  net.Listener
 	g  errgroup.Group
 
-	mu    sync.Mutex
-	harm  Harm
-	conns map[*net.TCPConn]struct{}
+	// cuts harms the connections of single daemons; nil if none is ever cut off.
+	cuts *cuts
+
+	mu   sync.Mutex
+	harm Harm
+	// conns holds all connections, by the daemon that has opened them or for which they were opened.
+	conns map[*net.TCPConn]string
 	// changed is closed, and replaced, when harm changes.
 	changed chan struct{}
 }
 
-// NewProxy returns a proxy at an address and a function that ends it.
-func NewProxy(at, to netip.AddrPort) (*Proxy, func(), error) {
+// newProxy returns a proxy at an address and a function that ends it. cuts may be nil.
+func newProxy(at, to netip.AddrPort, cuts *cuts) (*Proxy, func(), error) {
 	l, err := net.Listen("tcp4", at.String())
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for the proxy: %w", err)
 	}
-	p := &Proxy{Addr: netip.MustParseAddrPort(l.Addr().String()), to: to, l: l, conns: map[*net.TCPConn]struct{}{}, changed: make(chan struct{})}
+	p := &Proxy{Addr: netip.MustParseAddrPort(l.Addr().String()), to: to, l: l, cuts: cuts, conns: map[*net.TCPConn]string{}, changed: make(chan struct{})}
 	p.g.Go(func() error {
 		for {
 			c, err := l.Accept()
@@ -95,6 +99,17 @@
 	}
 }
 
+// resetOwned resets the connections of a daemon.
+func (p *Proxy) resetOwned(daemon string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c, owner := range p.conns {
+		if owner == daemon {
+			reset(c)
+		}
+	}
+}
+
 func reset(c *net.TCPConn) {
 	_ = c.SetLinger(0) // fails only on a closed connection
 	_ = c.Close()
@@ -106,7 +121,8 @@
 	p.mu.Lock()
 	harm := p.harm
 	p.mu.Unlock()
-	if harm == Reset {
+	owner := p.cuts.owner(netip.MustParseAddrPort(in.RemoteAddr().String()), p.Addr)
+	if harm == Reset || p.cuts.harm(owner) == Reset {
 		return
 	}
 	c, err := net.DialTimeout("tcp4", p.to.String(), time.Second)
@@ -116,7 +132,7 @@
 	out := c.(*net.TCPConn)
 	defer reset(out)
 	p.mu.Lock()
-	p.conns[in], p.conns[out] = struct{}{}, struct{}{}
+	p.conns[in], p.conns[out] = owner, owner
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
@@ -125,13 +141,16 @@
 		delete(p.conns, out)
 	}()
 	var g errgroup.Group
-	g.Go(func() error { return p.copy(out, in, Deaf) })
-	g.Go(func() error { return p.copy(in, out, Dumb) })
+	g.Go(func() error { return p.copy(out, in, Deaf, owner) })
+	g.Go(func() error { return p.copy(in, out, Dumb, owner) })
 	_ = g.Wait() // both directions have ended
 }
 
-// copy passes bytes on in one direction. drop is the harm that swallows them.
-func (p *Proxy) copy(to, from *net.TCPConn, drop Harm) error {
+// cutPeriod is how often a silent connection of a daemon that is cut off is looked at.
+const cutPeriod = 50 * time.Millisecond
+
+// copy passes bytes of a daemon's connection on in one direction. drop is the harm that swallows them.
+func (p *Proxy) copy(to, from *net.TCPConn, drop Harm, owner string) error {
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
@@ -145,6 +164,14 @@
 		p.mu.Lock()
 		harm, changed := p.harm, p.changed
 		p.mu.Unlock()
+		if p.cuts.harm(owner) == Silence {
+			for p.cuts.harm(owner) == Silence {
+				_ = timer.Wait(context.Background(), cutPeriod) // never ends early
+			}
+			reset(to)
+			reset(from)
+			return nil
+		}
 		switch harm {
 		case Silence, drop:
 			// Later bytes must not follow a gap, so the connection goes when the harm ends.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -388,7 +388,7 @@
 func (r *run) inject(ctx context.Context, store *platform.Store, s Step) error {
 	daemon, process := "", ""
 	switch s.Fault {
-	case KillDaemon, StopDaemon, PauseDaemon, HarmStore:
+	case KillDaemon, StopDaemon, PauseDaemon, HarmStore, CutDaemon:
 		daemon = r.daemons[s.Target].name
 		process = daemon
 	case PauseServer, HarmServer, SilenceServer:
@@ -432,6 +432,8 @@
 		p := sv.proxy
 		sv.mu.Unlock()
 		return harmFor(ctx, p, s)
+	case CutDaemon:
+		return r.cutOff(ctx, r.daemons[s.Target], s)
 	case Configure:
 		return r.configure(ctx, store)
 	case RestoreStore:
@@ -533,6 +535,22 @@
 	return timer.Wait(ctx, s.For)
 }
 
+// cutOff takes the way to all backend servers from a daemon for a while. Cuts of one daemon may overlap; the first end of one ends
+// them all.
+func (r *run) cutOff(ctx context.Context, d *daemon, s Step) error {
+	r.cuts.set(d.name, s.Harm)
+	defer r.cuts.set(d.name, Clear)
+	if s.Harm == Reset {
+		for _, sv := range r.servers {
+			sv.mu.Lock()
+			p := sv.proxy
+			sv.mu.Unlock()
+			p.resetOwned(d.name)
+		}
+	}
+	return timer.Wait(ctx, s.For)
+}
+
 // restartDaemon ends a daemon, by a request to stop or by force, and starts it again later.
 func (r *run) restartDaemon(ctx context.Context, d *daemon, s Step) error {
 	p, release := d.claim()
