--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -285,7 +285,7 @@
 // TestPlan guards against a seed that does not give the same faults again, and against a fault that is never drawn.
 func TestPlan(t *testing.T) {
 	drawn := map[Fault]int{}
-	for i := range uint64(40) {
+	for i := range uint64(60) {
 		seed := i%20 + i/20*firstOfAll
 		plan := Plan(seed, 20*time.Second, 4, 10)
 		if again := Plan(seed, 20*time.Second, 4, 10); !reflect.DeepEqual(plan, again) {
