Report crashes while all servers of a plain service are down

Cause: the daemons that are asked whether a server refuses their connections too make sure first that they reach others of its service. A plain service of three servers had none left, so they said nothing. For a plain service, servers of other services count as well.

TestWitnessWithoutPlainServers failed before (testimony without failed and refused).

--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -128,7 +128,7 @@
 // ask asks a sample of the backend servers of a service, and then another one if that is due.
 func (p *paths) ask(ctx context.Context, due sampleDue) {
 	for due.size > 0 {
-		responded := p.anyResponds(ctx, due)
+		responded := p.anyResponds(ctx, p.d.view.Load().Listed(due.service), due.size)
 		if ctx.Err() != nil {
 			return
 		}
@@ -153,15 +153,14 @@
 	}
 }
 
-// anyResponds reports whether one of some backend servers, chosen at random, responds. A service without servers counts as one
-// that responds: there is nothing to reach.
-func (p *paths) anyResponds(ctx context.Context, due sampleDue) bool {
-	servers := p.d.view.Load().Listed(due.service)
+// anyResponds reports whether one of a sample of backend servers, chosen at random, responds. It changes the order of servers. No
+// servers count as ones that respond: there is nothing to reach.
+func (p *paths) anyResponds(ctx context.Context, servers []*roster.Server, sample int) bool {
 	if len(servers) == 0 {
 		return true
 	}
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
-	servers = servers[:min(len(servers), due.size)]
+	servers = servers[:min(len(servers), sample)]
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	var queries errgroup.Group
 	defer func() {
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -453,3 +453,27 @@
 		t.Errorf("%d and %d daemons share the services, want 2 and 10", plain, llm)
 	}
 }
+
+// TestWitnessWithoutPlainServers guards against crashes that are not reported because all servers of a plain service are down, and
+// against a witness that says something about a model service of which it reaches no server.
+func TestWitnessWithoutPlainServers(t *testing.T) {
+	t.Parallel()
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	u := startDaemon(t, store, "a")
+	alive := backendServer(t, func(c net.Conn, r *http.Request) { writeAnswer(c, r, http.StatusOK, "") })
+	for _, id := range []string{"p-1", "p-2", "p-3"} {
+		u.putServer(id, "plain", freeAddr(t).String(), "null")
+	}
+	u.putServer("i-1", "llm", alive, fmt.Sprintf(openGroup, 1))
+	u.waitReady()
+	if got := u.d.testify(t.Context(), u.d.view.Load().Servers["p-1"]); !got.Failed || !got.Refused {
+		t.Errorf("plain service: testimony %+v, want failed and refused", got)
+	}
+	u.putServer("i-1", "llm", freeAddr(t).String(), fmt.Sprintf(openGroup, 1))
+	u.putServer("p-1", "plain", alive, "null")
+	eventually(t, "the entries are read", func() bool { return u.d.view.Load().Servers["p-1"].Addr.String() == alive })
+	if got := u.d.testify(t.Context(), u.d.view.Load().Servers["i-1"]); got.Failed || got.Refused || got.Report != nil {
+		t.Errorf("model service: testimony %+v, want none", got)
+	}
+}
--- a/internal/entry/vouch.go
+++ b/internal/entry/vouch.go
@@ -32,8 +32,8 @@
 	maxWitnesses = 4
 	// vouchSample is how many other servers a daemon asks that does not reach one.
 	vouchSample = 3
-	// vouchTimeout bounds the wait for other daemons: a query and, after it, a sample.
-	vouchTimeout = reportTimeout + probeTimeout + 50*time.Millisecond
+	// vouchTimeout bounds the wait for other daemons: a query and, after it, up to two samples.
+	vouchTimeout = reportTimeout + 2*probeTimeout + 50*time.Millisecond
 	// maxVouchBytes bounds the response of another daemon.
 	maxVouchBytes = 1 << 20
 )
@@ -147,15 +147,35 @@
 	if platform.Responded(err) {
 		return t // it is alive, but does not say in what state
 	}
-	if d.paths.lost(s.Service) {
+	if !d.reachesOthers(ctx, s) {
 		return t
 	}
-	others := d.paths.anyResponds(ctx, sampleDue{s.Service, vouchSample})
-	if !others {
+	return testimony{Failed: true, Refused: errors.Is(err, syscall.ECONNREFUSED)}
+}
+
+// reachesOthers reports whether this daemon reaches other backend servers than one that it does not reach. A plain service has few
+// servers, and all of them may be down at once, for example while a request crashes them, so then servers of other services count.
+func (d *Daemon) reachesOthers(ctx context.Context, s *roster.Server) bool {
+	if !d.paths.lost(s.Service) {
+		if d.paths.anyResponds(ctx, d.view.Load().Listed(s.Service), vouchSample) {
+			return true
+		}
 		d.paths.doubt(s.Service)
-		return t
 	}
-	return testimony{Failed: true, Refused: errors.Is(err, syscall.ECONNREFUSED)}
+	c := d.config.Load()
+	if c == nil {
+		return false
+	}
+	if service := c.Service(s.Service); service == nil || service.Engine != nil {
+		return false
+	}
+	var others []*roster.Server
+	for i := range c.Services {
+		if c.Services[i].Name != s.Service {
+			others = append(others, d.view.Load().Listed(c.Services[i].Name)...)
+		}
+	}
+	return d.paths.anyResponds(ctx, others, vouchSample)
 }
 
 // hasEnded reports whether the process of a backend server has ended: new connections to it are refused, also those of other
