--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -484,9 +484,9 @@
 	return live
 }
 
-// sharers returns the estimated number of daemons, this one included, that share the capacity of the backend servers of a service:
+// sharingDaemons returns the estimated number of daemons, this one included, that share the capacity of the backend servers of a service:
 // those that have no path hand their requests over to the others.
-func (d *Daemon) sharers(now time.Time, service string) int {
+func (d *Daemon) sharingDaemons(now time.Time, service string) int {
 	n := d.fleetSize(now)
 	for _, m := range d.livePeers(now) {
 		if slices.Contains(m.Unreachable, service) {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -197,8 +197,8 @@
 }
 
 // handOver returns a reservation for an attempt that has another daemon serve the request.
-func (p *dispatcher) handOver(m schedule.Model, ids suspectIDs, taker *gossip.Peer) *reservation {
-	s := &reservation{d: p, model: m, key: "", head: peerServer(taker), ids: ids, began: time.Now(), peer: taker.Name}
+func (p *dispatcher) handOver(m schedule.Model, ids suspectIDs, target *gossip.Peer) *reservation {
+	s := &reservation{d: p, model: m, key: "", head: peerServer(target), ids: ids, began: time.Now(), peer: target.Name}
 	s.ctx, s.cancel = context.WithCancelCause(context.Background())
 	return s
 }
--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -402,7 +402,7 @@
 	q.asking = true
 	decisive := q.failures == maxReportFailures-1
 	ok := l.calls.TryGo(func() error {
-		r, relayed, deniers, lost, err := l.query(ctx, s, decisive)
+		r, relayed, failedProbes, lost, err := l.query(ctx, s, decisive)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		q.asking = false
@@ -433,7 +433,7 @@
 		}
 		if err != nil {
 			q.failures++
-			q.agreed = q.agreed || deniers >= maxWitnesses
+			q.agreed = q.agreed || failedProbes >= maxProbers
 			q.next = now.Add(fastReportPeriod)
 			if q.failures >= maxReportFailures {
 				q.next = now.Add(reportPeriod)
@@ -478,10 +478,10 @@
 
 // query queries the state of a backend server. If it is not reached and that decides whether it counts as lost, or its address refuses
 // connections, other daemons are asked. relayed is set if the report is theirs. lost is set if the server may be taken for lost:
-// they do not reach it either, deniers in number, or there are none.
-func (l *leader) query(ctx context.Context, s *roster.Server, decisive bool) (r platform.Report, relayed bool, deniers int, lost bool, err error) {
+// they do not reach it either, failedProbes in number, or there are none.
+func (l *leader) query(ctx context.Context, s *roster.Server, decisive bool) (r platform.Report, relayed bool, failedProbes int, lost bool, err error) {
 	type answer struct {
-		testimony
+		probeResult
 		asked int
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -494,7 +494,7 @@
 	ask := func() {
 		others = make(chan answer, 1)
 		queries.Go(func() error {
-			t, asked := l.d.askPeers(ctx, s)
+			t, asked := l.d.probeIndirectly(ctx, s)
 			others <- answer{t, asked}
 			return nil
 		})
@@ -520,9 +520,9 @@
 		return *a.Report, true, 0, false, nil
 	}
 	if a.Failed {
-		deniers = a.asked
+		failedProbes = a.asked
 	}
-	return r, false, deniers, a.asked == 0 || a.Failed, err
+	return r, false, failedProbes, a.asked == 0 || a.Failed, err
 }
 
 // isListed reports whether the entry of a backend server has not lapsed.
--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -183,9 +183,9 @@
 	return false
 }
 
-// taker returns a daemon to hand the request over to, one that has not been tried, or nil if this daemon has a path or no other one
+// handOverTarget returns a daemon to hand the request over to, one that has not been tried, or nil if this daemon has a path or no other one
 // is known to have one. A request that was handed over stays.
-func (x *exchange) taker(tried []string) *gossip.Peer {
+func (x *exchange) handOverTarget(tried []string) *gossip.Peer {
 	if x.from != "" || !x.d.paths.lost(x.service) {
 		return nil
 	}
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -449,14 +449,14 @@
 	if plain, llm := u.d.connectionLimit(c.Service("plain")), u.d.connectionLimit(c.Service("llm")); plain != 25 || llm != 5 {
 		t.Errorf("this daemon may use %d and %d of 50 connections, want 25 and 5", plain, llm)
 	}
-	if plain, llm := u.d.sharers(time.Now(), "plain"), u.d.sharers(time.Now(), "llm"); plain != 2 || llm != 10 {
+	if plain, llm := u.d.sharingDaemons(time.Now(), "plain"), u.d.sharingDaemons(time.Now(), "llm"); plain != 2 || llm != 10 {
 		t.Errorf("%d and %d daemons share the services, want 2 and 10", plain, llm)
 	}
 }
 
-// TestWitnessWithoutPlainServers guards against crashes that are not reported because all servers of a plain service are down, and
-// against a witness that says something about a model service of which it reaches no server.
-func TestWitnessWithoutPlainServers(t *testing.T) {
+// TestProbeWithoutPlainServers guards against crashes that are not reported because all servers of a plain service are down, and
+// against a probe that says something about a model service of which it reaches no server.
+func TestProbeWithoutPlainServers(t *testing.T) {
 	t.Parallel()
 	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
@@ -467,13 +467,13 @@
 	}
 	u.putServer("i-1", "llm", alive, fmt.Sprintf(openGroup, 1))
 	u.waitReady()
-	if got := u.d.testify(t.Context(), u.d.view.Load().Servers["p-1"]); !got.Failed || !got.Refused {
-		t.Errorf("plain service: testimony %+v, want failed and refused", got)
+	if got := u.d.probeServer(t.Context(), u.d.view.Load().Servers["p-1"]); !got.Failed || !got.Refused {
+		t.Errorf("plain service: probeResult %+v, want failed and refused", got)
 	}
 	u.putServer("i-1", "llm", freeAddr(t).String(), fmt.Sprintf(openGroup, 1))
 	u.putServer("p-1", "plain", alive, "null")
 	eventually(t, "the entries are read", func() bool { return u.d.view.Load().Servers["p-1"].Addr.String() == alive })
-	if got := u.d.testify(t.Context(), u.d.view.Load().Servers["i-1"]); got.Failed || got.Refused || got.Report != nil {
-		t.Errorf("model service: testimony %+v, want none", got)
+	if got := u.d.probeServer(t.Context(), u.d.view.Load().Servers["i-1"]); got.Failed || got.Refused || got.Report != nil {
+		t.Errorf("model service: probeResult %+v, want none", got)
 	}
 }
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -203,7 +203,7 @@
 		return nil
 	}
 	in := schedule.Input{
-		Plan: &balance.Plan{Engine: service.Engine, Model: spec}, Heads: map[string]*roster.Server{}, Daemons: p.d.sharers(now, m.Service), Random: rand.Float64,
+		Plan: &balance.Plan{Engine: service.Engine, Model: spec}, Heads: map[string]*roster.Server{}, Daemons: p.d.sharingDaemons(now, m.Service), Random: rand.Float64,
 		Limits: p.d.limits, Preferred: p.isScheduler(now, m),
 	}
 	if !p.d.quarantine.empty() {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -148,8 +148,8 @@
 	ids   suspectIDs
 	limit int
 	tried map[string]bool
-	// takers are the daemons to which the request was handed over.
-	takers []string
+	// handedTo are the daemons to which the request was handed over.
+	handedTo []string
 	// underWay holds the attempts that have not been settled. ended receives each of them once and never blocks.
 	underWay []*plainAttempt
 	ended    chan *plainAttempt
@@ -219,11 +219,11 @@
 			p.last = err
 			return false
 		}
-		if taker := p.x.taker(p.takers); taker != nil {
+		if target := p.x.handOverTarget(p.handedTo); target != nil {
 			if !p.x.allowAttempt(0) {
 				return false
 			}
-			p.handOver(ctx, now, taker)
+			p.handOver(ctx, now, target)
 			return true
 		}
 		if p.x.d.paths.lost(p.x.service) {
@@ -253,7 +253,7 @@
 // over all daemons.
 func (p *plainRequest) candidates() (servers []*roster.Server, now time.Time, share float64) {
 	now = time.Now()
-	return p.x.d.view.Load().Services[p.x.service], now, 1 / float64(p.x.d.sharers(now, p.x.service))
+	return p.x.d.view.Load().Services[p.x.service], now, 1 / float64(p.x.d.sharingDaemons(now, p.x.service))
 }
 
 // choose returns the backend server to use now, one that has not been tried if fresh is set, or nil if there is none.
@@ -285,9 +285,9 @@
 }
 
 // handOver has another daemon serve the request.
-func (p *plainRequest) handOver(ctx context.Context, now time.Time, taker *gossip.Peer) {
-	p.takers = append(p.takers, taker.Name)
-	a := &plainAttempt{server: peerServer(taker), peer: taker.Name, sent: now}
+func (p *plainRequest) handOver(ctx context.Context, now time.Time, target *gossip.Peer) {
+	p.handedTo = append(p.handedTo, target.Name)
+	a := &plainAttempt{server: peerServer(target), peer: target.Name, sent: now}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	p.underWay = append(p.underWay, a)
 	p.tasks.Go(func() error {
@@ -316,9 +316,9 @@
 		x.d.plainServers.avoid(latest.server.ID, time.Now())
 		x.d.paths.doubt(x.service)
 		servers, now, share := p.candidates()
-		if taker := x.taker(p.takers); taker != nil {
+		if target := x.handOverTarget(p.handedTo); target != nil {
 			if x.allowAttempt(len(p.underWay)) {
-				p.handOver(ctx, now, taker)
+				p.handOver(ctx, now, target)
 			}
 			break
 		}
@@ -406,7 +406,7 @@
 	if svc == nil || svc.MaxConnections <= 0 {
 		return 0
 	}
-	return max(svc.MaxConnections/d.sharers(time.Now(), svc.Name), 1)
+	return max(svc.MaxConnections/d.sharingDaemons(time.Now(), svc.Name), 1)
 }
 
 // maxUnsent bounds the attempts for one request that cannot reach their backend server.
--- a/internal/entry/vouch.go
+++ b/internal/entry/probe.go
@@ -28,18 +28,18 @@
 const (
 	// pathReport is the path for peers under which a daemon queries the state of a backend server for another one.
 	pathReport = "/report"
-	// maxWitnesses is how many daemons are asked. If two in five cannot reach a server, all of them fail in one of 40 cases.
-	maxWitnesses = 4
-	// vouchSample is how many other servers a daemon asks that does not reach one.
-	vouchSample = 3
-	// vouchTimeout bounds the wait for other daemons: a query and, after it, up to two samples.
-	vouchTimeout = reportTimeout + 2*probeTimeout + 50*time.Millisecond
-	// maxVouchBytes bounds the response of another daemon.
-	maxVouchBytes = 1 << 20
+	// maxProbers is how many daemons are asked. If two in five cannot reach a server, all of them fail in one of 40 cases.
+	maxProbers = 4
+	// otherSample is how many other servers a daemon asks that does not reach one.
+	otherSample = 3
+	// indirectTimeout bounds the wait for other daemons: a query and, after it, up to two samples.
+	indirectTimeout = reportTimeout + 2*probeTimeout + 50*time.Millisecond
+	// maxProbeBytes bounds the response of another daemon.
+	maxProbeBytes = 1 << 20
 )
 
-// testimony is what a daemon has found out about a backend server for another one. It knows nothing if no field is set.
-type testimony struct {
+// probeResult is what a daemon has found out about a backend server for another one. It knows nothing if no field is set.
+type probeResult struct {
 	// Report is the state of the server if it was reached.
 	Report *platform.Report `cbor:"report,omitempty"`
 	// Failed is set if it was not, while others were. Refused is set if nothing listens on its address.
@@ -47,22 +47,22 @@
 	Refused bool `cbor:"refused,omitempty"`
 }
 
-// askPeers has other daemons query the state of a backend server. asked is the number of daemons that were asked.
-func (d *Daemon) askPeers(ctx context.Context, s *roster.Server) (t testimony, asked int) {
-	peers := d.witnesses(s.Service)
+// probeIndirectly has other daemons query the state of a backend server. asked is the number of daemons that were asked.
+func (d *Daemon) probeIndirectly(ctx context.Context, s *roster.Server) (t probeResult, asked int) {
+	peers := d.probers(s.Service)
 	if len(peers) == 0 {
 		return t, 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, indirectTimeout)
 	var queries errgroup.Group
 	defer func() {
 		cancel()
 		_ = queries.Wait() // they return no error
 	}()
-	answers := make(chan testimony, len(peers))
+	answers := make(chan probeResult, len(peers))
 	for _, m := range peers {
 		queries.Go(func() error {
-			answer, err := d.askPeer(ctx, m, s)
+			answer, err := d.probeThrough(ctx, m, s)
 			if err != nil && ctx.Err() == nil {
 				d.log.Debug("cannot query a backend server through a peer", "peer", m.Name, "id", s.ID, "error", err)
 			}
@@ -81,9 +81,9 @@
 	return t, len(peers)
 }
 
-// witnesses returns up to maxWitnesses daemons that may reach the backend servers of a service, of different data centres if
+// probers returns up to maxProbers daemons that may reach the backend servers of a service, of different data centres if
 // possible.
-func (d *Daemon) witnesses(service string) []*gossip.Peer {
+func (d *Daemon) probers(service string) []*gossip.Peer {
 	peers := d.peersWithPath(service)
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	// Orders the daemons by how many of the same data centre come before them.
@@ -93,11 +93,11 @@
 		before[m.DataCentre]++
 	}
 	slices.SortStableFunc(peers, func(a, b *gossip.Peer) int { return cmp.Compare(place[a.Name], place[b.Name]) })
-	return peers[:min(len(peers), maxWitnesses)]
+	return peers[:min(len(peers), maxProbers)]
 }
 
-// askPeer has another daemon query the state of a backend server.
-func (d *Daemon) askPeer(ctx context.Context, m *gossip.Peer, s *roster.Server) (t testimony, err error) {
+// probeThrough has another daemon query the state of a backend server.
+func (d *Daemon) probeThrough(ctx context.Context, m *gossip.Peer, s *roster.Server) (t probeResult, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.PeerAddr.String()+pathReport+"?id="+url.QueryEscape(s.ID), nil)
 	if err != nil {
 		return t, fmt.Errorf("create request: %w", err)
@@ -110,8 +110,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return t, &platform.StatusError{Status: resp.StatusCode}
 	}
-	if err := cbor.NewDecoder(io.LimitReader(resp.Body, maxVouchBytes)).Decode(&t); err != nil {
-		return testimony{}, fmt.Errorf("decode response: %w", err)
+	if err := cbor.NewDecoder(io.LimitReader(resp.Body, maxProbeBytes)).Decode(&t); err != nil {
+		return probeResult{}, fmt.Errorf("decode response: %w", err)
 	}
 	return t, nil
 }
@@ -127,7 +127,7 @@
 		w.WriteHeader(http.StatusNotFound) // this daemon knows less than the one that asks
 		return
 	}
-	text, err := cbor.Marshal(d.testify(r.Context(), s))
+	text, err := cbor.Marshal(d.probeServer(r.Context(), s))
 	if err != nil {
 		d.log.Error("cannot encode the state of a backend server", "error", err)
 		w.WriteHeader(http.StatusInternalServerError)
@@ -138,11 +138,11 @@
 	}
 }
 
-// testify queries the state of a backend server.
-func (d *Daemon) testify(ctx context.Context, s *roster.Server) (t testimony) {
+// probeServer queries the state of a backend server.
+func (d *Daemon) probeServer(ctx context.Context, s *roster.Server) (t probeResult) {
 	report, err := call(ctx, reportTimeout, func(ctx context.Context) (platform.Report, error) { return d.servers.Report(ctx, s) })
 	if err == nil {
-		return testimony{Report: &report}
+		return probeResult{Report: &report}
 	}
 	if platform.Responded(err) {
 		return t // it is alive, but does not say in what state
@@ -150,14 +150,14 @@
 	if !d.reachesOthers(ctx, s) {
 		return t
 	}
-	return testimony{Failed: true, Refused: errors.Is(err, syscall.ECONNREFUSED)}
+	return probeResult{Failed: true, Refused: errors.Is(err, syscall.ECONNREFUSED)}
 }
 
 // reachesOthers reports whether this daemon reaches other backend servers than one that it does not reach. A plain service has few
 // servers, and all of them may be down at once, for example while a request crashes them, so then servers of other services count.
 func (d *Daemon) reachesOthers(ctx context.Context, s *roster.Server) bool {
 	if !d.paths.lost(s.Service) {
-		if d.paths.anyResponds(ctx, d.view.Load().Listed(s.Service), vouchSample) {
+		if d.paths.anyResponds(ctx, d.view.Load().Listed(s.Service), otherSample) {
 			return true
 		}
 		d.paths.doubt(s.Service)
@@ -175,7 +175,7 @@
 			others = append(others, d.view.Load().Listed(c.Services[i].Name)...)
 		}
 	}
-	return d.paths.anyResponds(ctx, others, vouchSample)
+	return d.paths.anyResponds(ctx, others, otherSample)
 }
 
 // hasEnded reports whether the process of a backend server has ended: new connections to it are refused, also those of other
@@ -186,7 +186,7 @@
 		if !d.pool.RefusesConnections(ctx, s.Addr) {
 			return false, nil
 		}
-		t, asked := d.askPeers(ctx, s)
+		t, asked := d.probeIndirectly(ctx, s)
 		return asked == 0 || t.Refused, nil
 	})
 	return ended.(bool)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -237,8 +237,8 @@
 	// exclude holds the groups of all attempts, unsent counts the attempts that did not reach their backend server.
 	exclude []string
 	unsent  int
-	// takers are the daemons to which the request was handed over.
-	takers []string
+	// handedTo are the daemons to which the request was handed over.
+	handedTo []string
 
 	mu sync.Mutex
 	// awaited is the attempt whose group the request waits for, nil while it does not. standby is the one that is prepared
@@ -293,12 +293,12 @@
 		if err := x.d.quarantineRejection(time.Now(), s.ids); err != nil {
 			return nil, err
 		}
-		taker := x.taker(s.takers)
-		if taker == nil {
+		target := x.handOverTarget(s.handedTo)
+		if target == nil {
 			return nil, x.noPath()
 		}
-		s.takers = append(s.takers, taker.Name)
-		return x.d.dispatch.handOver(schedule.Model{Service: s.svc.Name, Name: x.call.Model}, s.ids, taker), nil
+		s.handedTo = append(s.handedTo, target.Name)
+		return x.d.dispatch.handOver(schedule.Model{Service: s.svc.Name, Name: x.call.Model}, s.ids, target), nil
 	}
 	reserved, err := x.d.dispatch.acquire(ctx, s.svc, x.call.Model, x.org, balance.Request{
 		Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: s.ids.request,
