--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -123,8 +123,3 @@
 		p.next = time.Time{}
 	}
 }
-
-// Forget drops the state of services for which kept is false.
-func (t *Tracker) Forget(kept func(service string) bool) {
-	maps.DeleteFunc(t.services, func(service string, p *path) bool { return !p.asking && !kept(service) })
-}
