soak: Keep the listener with which a proxy's port was chosen

Cause: the port of a proxy was chosen with a listener that was closed and opened again. Between fork and exec a child holds a copy of every descriptor, so the first listener lives on in a child that is being started at this moment, and the second one fails.

Evidence: TestProxyWhileProcessesStart opens proxies while other goroutines start processes.

The proxy now takes the listener with which its port was chosen, so nothing is opened twice. Addresses of processes are not affected: a process is forked only when the child before it has executed.

--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -7,12 +7,15 @@
 	"io"
 	"net"
 	"net/netip"
+	"os/exec"
 	"reflect"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"flamingorudder.example/internal/fakeplatform"
 )
 
@@ -333,7 +336,7 @@
 			go func() { _, _ = io.Copy(c, c); _ = c.Close() }()
 		}
 	}()
-	p, stop, err := newProxy(netip.MustParseAddrPort("127.0.0.1:0"), netip.MustParseAddrPort(l.Addr().String()), nil)
+	p, stop, err := newFleet(Options{}).proxy(netip.MustParseAddrPort(l.Addr().String()), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -415,3 +418,37 @@
 		}
 	}
 }
+
+// TestProxyWhileProcessesStart guards against a proxy that cannot listen because a process that is being started still holds
+// the listener with which its port was chosen.
+func TestProxyWhileProcessesStart(t *testing.T) {
+	f := newFleet(Options{})
+	var starts errgroup.Group
+	ended := make(chan struct{})
+	for range 4 {
+		starts.Go(func() error {
+			for {
+				select {
+				case <-ended:
+					return nil
+				default:
+				}
+				if err := exec.Command("true").Run(); err != nil {
+					return err
+				}
+			}
+		})
+	}
+	for range 2000 {
+		_, stop, err := f.proxy(netip.MustParseAddrPort("127.0.0.1:1"), nil)
+		if err != nil {
+			t.Error(err)
+			break
+		}
+		stop()
+	}
+	close(ended)
+	if err := starts.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -230,35 +230,45 @@
 
 // free returns an address whose port is free for TCP and UDP, and that no other part of the fleet is given.
 func (f *fleet) free() (netip.AddrPort, error) {
+	l, addr, err := f.listen()
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	_ = l.Close() // only its port is wanted
+	return addr, nil
+}
+
+// listen returns a listener at an address whose port is free for TCP and UDP, and that no other part of the fleet is given.
+func (f *fleet) listen() (net.Listener, netip.AddrPort, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for range 50 {
 		l, err := net.Listen("tcp4", netip.AddrPortFrom(f.host, 0).String())
 		if err != nil {
-			return netip.AddrPort{}, fmt.Errorf("find a free port: %w", err)
+			return nil, netip.AddrPort{}, fmt.Errorf("find a free port: %w", err)
 		}
 		addr := netip.MustParseAddrPort(l.Addr().String())
-		u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
-		_ = l.Close() // only its port is wanted
-		if err != nil {
-			continue
-		}
-		_ = u.Close() // the same
-		if !f.taken[addr] {
-			f.taken[addr] = true
-			return addr, nil
+		if u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr)); err == nil {
+			_ = u.Close() // only its port is wanted
+			if !f.taken[addr] {
+				f.taken[addr] = true
+				return l, addr, nil
+			}
 		}
+		_ = l.Close() // its port cannot be used
 	}
-	return netip.AddrPort{}, &PortError{}
+	return nil, netip.AddrPort{}, &PortError{}
 }
 
-// proxy returns a proxy to an address, at one that no other part of the fleet is given.
+// proxy returns a proxy to an address, at one that no other part of the fleet is given. It keeps the listener with which its port
+// was chosen: a child between fork and exec holds a copy of each, so the port may stay in use after a listener is closed.
 func (f *fleet) proxy(to netip.AddrPort, cuts *cuts) (*Proxy, func(), error) {
-	at, err := f.free()
+	l, at, err := f.listen()
 	if err != nil {
 		return nil, nil, err
 	}
-	return newProxy(at, to, cuts)
+	p, stop := newProxy(l, at, to, cuts)
+	return p, stop, nil
 }
 
 // start starts a program. What it writes to standard output goes to out, or to its log when out is nil.
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -59,13 +58,9 @@
 	changed chan struct{}
 }
 
-// newProxy returns a proxy at an address and a function that ends it. cuts may be nil.
-func newProxy(at, to netip.AddrPort, cuts *cuts) (*Proxy, func(), error) {
-	l, err := net.Listen("tcp4", at.String())
-	if err != nil {
-		return nil, nil, fmt.Errorf("listen for the proxy: %w", err)
-	}
-	p := &Proxy{Addr: netip.MustParseAddrPort(l.Addr().String()), to: to, l: l, cuts: cuts, conns: map[*net.TCPConn]string{}, changed: make(chan struct{})}
+// newProxy returns a proxy that takes the connections of a listener at an address, and a function that ends both. cuts may be nil.
+func newProxy(l net.Listener, at, to netip.AddrPort, cuts *cuts) (*Proxy, func()) {
+	p := &Proxy{Addr: at, to: to, l: l, cuts: cuts, conns: map[*net.TCPConn]string{}, changed: make(chan struct{})}
 	p.g.Go(func() error {
 		for {
 			c, err := l.Accept()
@@ -82,7 +77,7 @@
 		_ = l.Close() // ends Accept
 		p.Set(Reset)
 		_ = p.g.Wait() // returns no error
-	}, nil
+	}
 }
 
 // Set changes what is done to connections.
