Repeat unexplained crashes to the next collector or scheduler

What callers saw: a request that crashes its servers crashed up to three more of them when the daemon that collects the crashes of its service (the scheduler, for a model) stopped or restarted. The same happened when the first crashes came before the daemons had heard of each other: then a daemon reports to itself, and its crashes never reached the collector.

Cause: a crash was sent in two reports and then known to their receiver only. What only one daemon knows was lost with it.

Each daemon now keeps its last 16 crashes that no quarantine explains and whose request or parts it has not seen answered since, for as long as a crash counts, and repeats them to a new target, or to one that restarted. A collector asks for answers since the first placement of a suspect, not since it learned of the crash, so answers to a shared request count at the next collector too, and daemons report them once to each collector.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -188,6 +188,7 @@
 	d.peersMu.Unlock()
 	if isNew {
 		d.log.Info("daemon", "name", m.Name, "peer", m.PeerAddr, "boot", m.Boot)
+		d.dispatch.targetRestarted(m.Name)
 	}
 	for _, l := range m.LeavingServers {
 		d.feed.markLeaving(l, m.Name)
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -180,9 +181,12 @@
 	}
 }
 
-// rejectQuarantined rejects the waiting requests with one of the given ids, and cancels those that wait for the first event
+// rejectQuarantined forgets the crashes by the requests with one of the given ids, rejects the waiting requests with one of the given ids, and cancels those that wait for the first event
 // of a group, before the group begins to write.
 func (p *dispatcher) rejectQuarantined(now time.Time, ids []uint64) {
+	for _, c := range p.clients {
+		c.Explain(ids)
+	}
 	affected := func(id uint64) bool { return slices.Contains(ids, id) }
 	for id, w := range p.waiters {
 		if !slices.ContainsFunc(w.ids.all, affected) {
@@ -227,10 +231,10 @@
 	last *simplelru.LRU[uint64, answeredRequest]
 }
 
-// answeredRequest is the time of the last answer to a request, and whether the collector of crashes has been told of it.
+// answeredRequest is the time of the last answer to a request, and the collector of crashes that has been told of it, if any.
 type answeredRequest struct {
-	at       time.Time
-	reported bool
+	at        time.Time
+	collector string
 }
 
 // maxAnsweredRequests bounds the remembered answers. A shared request is answered far more often than it is displaced.
@@ -247,24 +251,26 @@
 	a.last.Add(id, answeredRequest{at: now})
 }
 
-// take reports whether a request was answered after since, once for each answer.
-func (a *answeredRequests) take(id uint64, since time.Time) bool {
+// take reports whether a request was answered after since, once for each answer and collector.
+func (a *answeredRequests) take(id uint64, since time.Time, collector string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r, ok := a.last.Peek(id)
-	if !ok || r.reported || !r.at.After(since) {
+	if !ok || r.collector == collector || !r.at.After(since) {
 		return false
 	}
-	a.last.Add(id, answeredRequest{r.at, true})
+	a.last.Add(id, answeredRequest{r.at, collector})
 	return true
 }
 
 // reportAnswers reports which of the suspected requests this daemon has seen answered since their first crash.
 func (p *dispatcher) reportAnswers(now time.Time, suspicions []quarantine.Suspicion) {
 	for _, s := range suspicions {
-		if p.d.answered.take(s.ID, now.Add(-s.Age)) {
+		m := schedule.Model{Service: s.Service}
+		c := p.client(m)
+		if p.d.answered.take(s.ID, now.Add(-s.Age), cmp.Or(c.SelectTarget(now, p.candidates(now, m).names), p.d.settings().Name)) {
 			// The next tick sends the report, together with other answers.
-			p.client(schedule.Model{Service: s.Service}).RecordOutcome(quarantine.Outcome{Request: s.ID}, now)
+			c.RecordOutcome(quarantine.Outcome{Request: s.ID}, now)
 		}
 	}
 }
@@ -292,6 +298,15 @@
 	}
 }
 
+// targetRestarted has the crashes reported again that another daemon knew in its last lifetime.
+func (p *dispatcher) targetRestarted(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		c.TargetRestarted(name)
+	}
+}
+
 // requestAnnouncement has a digest sent to all known daemons at once.
 func (d *Daemon) requestAnnouncement() {
 	select {
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -232,6 +233,58 @@
 	}
 }
 
+// TestCollectorStops guards against forgetting crashes when the daemon that collects them stops, or is not yet known to the others
+// when they happen.
+func TestCollectorStops(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	var crashes atomic.Int32
+	daemons := map[string]*daemonUnderTest{}
+	for _, name := range []string{"a", "b", "c"} {
+		daemons[name] = startDaemon(t, store, name)
+	}
+	for i := 1; i <= 12; i++ {
+		daemons["a"].putServer(fmt.Sprint("i-", i), "plain", crashingServer(t, func() { crashes.Add(1) }), "null")
+	}
+	for _, u := range daemons {
+		u.waitReady()
+		eventually(t, "the daemon knows who collects crashes", func() bool {
+			u.d.dispatch.mu.Lock()
+			defer u.d.dispatch.mu.Unlock()
+			return len(u.d.dispatch.candidates(time.Now(), schedule.Model{Service: "plain"}).names) == 3
+		})
+	}
+	u := daemons["a"]
+	u.d.dispatch.mu.Lock()
+	order := slices.Clone(u.d.dispatch.candidates(time.Now(), schedule.Model{Service: "plain"}).names)
+	u.d.dispatch.mu.Unlock()
+	first, second := daemons[order[1]], daemons[order[2]]
+	for _, u := range []*daemonUnderTest{first, second} {
+		u.do(http.MethodPost, "/unsafe/", "k1", "dead")
+	}
+	// Answers to some requests must not make up for the crashes of another one.
+	for _, u := range []*daemonUnderTest{first, second} {
+		if r := u.do(http.MethodPost, "/unsafe/", "k1", "sound"); r.status != http.StatusOK {
+			t.Errorf("sound request: reply %+v", r)
+		}
+	}
+	if err := daemons[order[0]].d.Stop(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for _, u := range []*daemonUnderTest{first, second} {
+		eventually(t, "the daemon knows that the collector has stopped", func() bool { return len(u.d.livePeers(time.Now())) == 1 })
+	}
+	for range 3 {
+		for _, u := range []*daemonUnderTest{first, second} {
+			u.do(http.MethodPost, "/unsafe/", "k1", "dead")
+			time.Sleep(500 * time.Millisecond) //nolint:forbidigo // callers repeat the request after its answer, not at once
+		}
+	}
+	if n := crashes.Load(); n > 3 {
+		t.Errorf("%d servers crashed, want at most 3", n)
+	}
+}
+
 // TestEarlierBuildCollectsNoCrashes guards against reporting the crashes of a plain service to a daemon of a build that does not
 // ask for answers, and so would reject requests that all callers send alike.
 func TestEarlierBuildCollectsNoCrashes(t *testing.T) {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -54,8 +54,8 @@
 	// before the first outcome.
 	rateHalfLife = 10 * time.Second
 	priorAnswers = 50
-	// crashMemory is how long a crash counts.
-	crashMemory = 10 * time.Minute
+	// CrashMemory is how long a crash counts.
+	CrashMemory = 10 * time.Minute
 	// maxSuspects and maxAnswered bound the requests, and the parts, with crashes and those known to have been answered. The
 	// ones that have been seen least recently are dropped first. One that was answered can be suspected sooner when dropped.
 	maxSuspects = 1024
@@ -122,6 +122,8 @@
 type suspect struct {
 	// groups holds the crashed groups with the time at which the crash became known.
 	groups map[string]time.Time
+	// placed is when it was placed at the first of them, which may have been long before the crash became known here.
+	placed time.Time
 	// repeated is set when a request crashed its server that was placed after an earlier crash had become known.
 	repeated bool
 }
@@ -170,7 +172,7 @@
 	_       struct{} `cbor:",toarray"`
 	Service string
 	ID      uint64
-	// Age is the time since its first crash became known.
+	// Age is the time since its placement at the first server that it crashed.
 	Age time.Duration
 }
 
@@ -181,17 +183,13 @@
 	latest := map[uint64]time.Time{}
 	for _, id := range d.requests.suspects.Keys() {
 		s, _ := d.requests.suspects.Peek(id)
-		var first time.Time
 		for _, at := range s.groups {
-			if first.IsZero() || at.Before(first) {
-				first = at
-			}
 			if at.After(latest[id]) {
 				latest[id] = at
 			}
 		}
 		if now.Sub(latest[id]) <= suspicionTerm {
-			out = append(out, Suspicion{Service: service, ID: id, Age: now.Sub(first)})
+			out = append(out, Suspicion{Service: service, ID: id, Age: now.Sub(s.placed)})
 		}
 	}
 	slices.SortFunc(out, func(a, b Suspicion) int {
@@ -491,9 +489,12 @@
 }
 
 func (s *suspect) record(now, placed time.Time, group string) {
-	maps.DeleteFunc(s.groups, func(_ string, at time.Time) bool { return now.Sub(at) > crashMemory })
+	maps.DeleteFunc(s.groups, func(_ string, at time.Time) bool { return now.Sub(at) > CrashMemory })
 	if len(s.groups) == 0 {
-		s.repeated = false
+		s.placed, s.repeated = placed, false
+	}
+	if placed.Before(s.placed) {
+		s.placed = placed
 	}
 	for _, at := range s.groups {
 		s.repeated = s.repeated || placed.After(at)
--- a/internal/schedule/client.go
+++ b/internal/schedule/client.go
@@ -43,6 +43,8 @@
 	maxLimitsPerReport = 32
 	// maxOutcomesPerReport bounds the outcomes between two reports, so that they fit a datagram.
 	maxOutcomesPerReport = 32
+	// maxUnexplained bounds the crashes that another target is told.
+	maxUnexplained = 16
 )
 
 // Client is a daemon's side of the protocol with the scheduler of one model. It is not safe for concurrent use.
@@ -66,6 +68,9 @@
 	failures    []string
 	// outcomes holds the outcomes since the last report, crashes the crashes in that report, which the next one repeats.
 	outcomes, crashes []placedOutcome
+	// unexplained holds the latest crashes whose cause is not known, for the next target. Requests and parts that were answered
+	// since are left out.
+	unexplained []placedOutcome
 	// limits holds the latest notice of each backend server since the last report.
 	limits map[string]limitNotice
 }
@@ -76,7 +81,7 @@
 	sent time.Time
 }
 
-// placedOutcome is the outcome of a request that was placed at the given time.
+// placedOutcome is the outcome of a request that was placed at the given time. Parts are not changed in place.
 type placedOutcome struct {
 	quarantine.Outcome
 	placed time.Time
@@ -144,6 +149,57 @@
 	}
 	c.outcomes = append(c.outcomes, placedOutcome{o, placed})
 	c.dirty = true
+	if o.Crashed {
+		c.unexplained = append(c.unexplained, placedOutcome{o, placed})
+		c.unexplained = c.unexplained[max(len(c.unexplained)-maxUnexplained, 0):]
+		return
+	}
+	answered := func(part uint64) bool { return slices.Contains(o.Parts, part) }
+	for i := range c.unexplained {
+		if crash := &c.unexplained[i]; slices.ContainsFunc(crash.Parts, answered) {
+			crash.Parts = slices.DeleteFunc(slices.Clone(crash.Parts), answered)
+		}
+	}
+	c.forgetCrashes(func(crash placedOutcome) bool {
+		return o.Request != 0 && crash.Request == o.Request || crash.Request == 0 && len(crash.Parts) == 0
+	})
+}
+
+func (c *Client) forgetCrashes(forgotten func(crash placedOutcome) bool) {
+	c.unexplained = slices.DeleteFunc(c.unexplained, forgotten)
+}
+
+// Explain records that the given requests or prompt parts are quarantined, which explains their crashes.
+func (c *Client) Explain(ids []uint64) {
+	explained := func(id uint64) bool { return slices.Contains(ids, id) }
+	c.forgetCrashes(func(crash placedOutcome) bool {
+		return explained(crash.Request) || slices.ContainsFunc(crash.Parts, explained)
+	})
+}
+
+// TargetRestarted records that a daemon has begun a new lifetime, so that it no longer knows what it was told if it is the target.
+func (c *Client) TargetRestarted(name string) {
+	if name == c.target {
+		c.repeatCrashes()
+	}
+}
+
+// repeatCrashes has the next report repeat the crashes without a known cause.
+func (c *Client) repeatCrashes() {
+	// The report repeats all crashes of the last one, too.
+	for _, crash := range slices.Backward(c.unexplained) {
+		reported := func(o placedOutcome) bool { return o.Crashed && o.Request == crash.Request && o.Group == crash.Group }
+		if len(c.outcomes) < maxOutcomesPerReport && !slices.ContainsFunc(c.outcomes, reported) && !slices.ContainsFunc(c.crashes, reported) {
+			c.outcomes = append(c.outcomes, crash)
+		}
+	}
+	c.dirty = c.dirty || len(c.unexplained) > 0
+}
+
+// HoldsCrashes reports whether there are crashes that another target would have to be told.
+func (c *Client) HoldsCrashes(now time.Time) bool {
+	c.forgetCrashes(func(crash placedOutcome) bool { return now.Sub(crash.placed) > quarantine.CrashMemory })
+	return len(c.unexplained) > 0
 }
 
 // RecordLimit records what the answer to a request that was sent at the given time says about the limit of its server.
@@ -165,6 +221,7 @@
 	if next != c.target {
 		c.target, c.dirty = next, true
 		c.resetSent()
+		c.repeatCrashes()
 	}
 	return next
 }
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -522,3 +522,59 @@
 		}
 	}
 }
+
+// TestCrashesForNextScheduler guards against crashes that only a scheduler knows which has ended or restarted, and against repeating
+// those that answers or a quarantine have explained since.
+func TestCrashesForNextScheduler(t *testing.T) {
+	d := newDaemon("a")
+	d.SelectTarget(noon, []string{"first", "second"})
+	crash := func(request uint64, group string, parts ...uint64) {
+		d.RecordOutcome(quarantine.Outcome{Request: request, Parts: parts, Group: group, Crashed: true}, noon)
+	}
+	// repeated returns the requests and parts whose crashes are reported after a change.
+	repeated := func(change func()) (out [][]uint64) {
+		for range 3 {
+			d.report(noon)
+		}
+		change()
+		if due := d.Due(noon, false); due != (len(d.unexplained) > 0) {
+			t.Errorf("due: %v, with %d crashes to repeat", due, len(d.unexplained))
+		}
+		for _, o := range d.report(noon).Outcomes {
+			if o.Crashed {
+				out = append(out, append([]uint64{o.Request}, o.Parts...))
+			}
+		}
+		return out
+	}
+	crash(1, "g1", 10, 11)
+	crash(2, "g1", 10, 12)
+	crash(1, "g2", 10, 11)
+	crash(3, "g3")
+	restart := func() { d.TargetRestarted(d.target) }
+	if got := repeated(restart); fmt.Sprint(got) != "[[3] [1 10 11] [2 10 12] [1 10 11]]" {
+		t.Errorf("after a restart: %v", got)
+	}
+	d.RecordOutcome(quarantine.Outcome{Request: 4, Parts: []uint64{10}}, noon)
+	d.RecordOutcome(quarantine.Outcome{Request: 3}, noon)
+	if got := repeated(restart); fmt.Sprint(got) != "[[1 11] [2 12] [1 11]]" {
+		t.Errorf("after answers: %v", got)
+	}
+	d.Explain([]uint64{12})
+	if got := repeated(restart); fmt.Sprint(got) != "[[1 11] [1 11]]" {
+		t.Errorf("after a quarantine: %v", got)
+	}
+	d.SelectTarget(noon, []string{"second"})
+	if r := d.report(noon); len(r.Outcomes) != 2 {
+		t.Errorf("the next scheduler is told %+v", r.Outcomes)
+	}
+	if d.HoldsCrashes(noon.Add(quarantine.CrashMemory + 1)) {
+		t.Error("a crash that counts no more is kept")
+	}
+	for i := range uint64(100) {
+		crash(100+i, "g4")
+	}
+	if n := len(repeated(restart)); n != maxUnexplained {
+		t.Errorf("%d crashes are repeated", n)
+	}
+}
