Try all plain servers that may be reached before rejecting a request

What callers saw: 503 with Retry-After 0.65 for a sound request whose first four servers had crashed, while other servers of the service were idle.

Cause: a request gave up after four attempts that were not sent, however many servers were left. A refused connection takes less than a millisecond, and the daemon avoids that server afterwards, so the limit saved next to nothing.

Past four such attempts a request now goes on to servers that it has not tried and that no request of this daemon has lately failed to reach. Each costs at most one connection in its backoff, for all requests together. The retry budget is not touched, as nothing was sent.

--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -477,3 +477,25 @@
 		t.Errorf("model service: probeResult %+v, want none", got)
 	}
 }
+
+// TestIdleServersDown guards against rejecting a request to a plain service because the least loaded servers are all down while others
+// serve.
+func TestIdleServersDown(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	u := startDaemon(t, store, "a")
+	for i := range 8 {
+		u.putServer(fmt.Sprint("i-down-", i), "plain", freeAddr(t).String(), "null")
+		id := fmt.Sprint("i-", i)
+		u.putServer(id, "plain", backendServer(t, func(c net.Conn, r *http.Request) { writeAnswer(c, r, 200, "fine") }), "null")
+		for range 4 {
+			u.d.plainServers.begin(id) // requests that keep it half busy
+		}
+	}
+	u.waitReady()
+	for range 10 {
+		if r := u.do(http.MethodPost, "/unsafe/", "k1", "x"); r.status != http.StatusOK {
+			t.Fatalf("reply %+v", r)
+		}
+	}
+}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -124,6 +124,14 @@
 	}
 }
 
+// avoided reports whether a backend server gave no response lately.
+func (s *healthTable) avoided(id string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.servers[id]
+	return st != nil && now.Before(st.avoidUntil)
+}
+
 // avoid has a silent backend server avoided for a while.
 func (s *healthTable) avoid(id string, now time.Time) {
 	s.mu.Lock()
@@ -184,7 +192,7 @@
 // servePlain serves a request to a plain service, one that runs no models.
 func (x *exchange) servePlain(ctx context.Context, svc *route.Service) {
 	p := &plainRequest{x: x, ids: newSuspectIDs(x.hash, nil), limit: x.d.connectionLimit(svc), tried: map[string]bool{}, ended: make(chan *plainAttempt, maxPlainAttempts)}
-	for done := false; !done && (len(p.underWay) > 0 || p.unsent < maxUnsent && ctx.Err() == nil); {
+	for done := false; !done && (len(p.underWay) > 0 || ctx.Err() == nil); {
 		if len(p.underWay) == 0 && !p.start(ctx) {
 			break
 		}
@@ -220,7 +228,7 @@
 			return false
 		}
 		if target := p.x.handOverTarget(p.handedTo); target != nil {
-			if !p.x.allowAttempt(0) {
+			if p.unsent >= maxUnsent || !p.x.allowAttempt(0) {
 				return false
 			}
 			p.handOver(ctx, now, target)
@@ -231,6 +239,9 @@
 			return false
 		}
 		server := p.choose(servers, now, share, false)
+		if server != nil && p.unsent >= maxUnsent && (p.tried[server.ID] || p.x.d.plainServers.avoided(server.ID, now)) {
+			return false
+		}
 		if server == nil {
 			wait, err := p.x.noServer(now, servers, share)
 			if wait > 0 && timer.Wait(waiting, wait) == nil {
@@ -409,7 +420,8 @@
 	return max(svc.MaxConnections/d.sharingDaemons(time.Now(), svc.Name), 1)
 }
 
-// maxUnsent bounds the attempts for one request that cannot reach their backend server.
+// maxUnsent bounds the attempts for one request that cannot reach their backend server. For a plain service, those that no request
+// has lately failed to reach are tried beyond it, as each costs this daemon one connection in its backoff.
 const maxUnsent = 4
 
 // bufferedResponse is a response whose body has been read ahead, completely unless tail is set.
