Use no group for a while that this daemon cannot connect to

What callers saw: during a cut between a daemon and some of the servers each of its requests was placed at a group out of reach, waited up to 0.4 s for a connection, and was placed again. Nothing runs at such a group for this daemon, so it looks the least loaded of all.

Cause: a failed connection was known to its request only; plain services have a backoff for each server, groups had none.

TestUnreachableGroup: 40 of 40 requests tried the group out of reach first on the code before, one to three now; it is used again afterwards. Others may reach the group, so it is not reported as suspected, and if no group of the model can be reached, none is left out.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -54,6 +54,8 @@
 	stalls    *balance.StallDetector
 	// suspects holds the groups that are temporarily excluded: they stalled, rejected a request, or are being closed.
 	suspects map[string]suspicion
+	// unreachable holds the groups to whose heads this daemon could not connect, by their keys.
+	unreachable map[string]unreachableGroup
 	// running holds the requests in progress at each group, by their tracks in stalls.
 	running map[string]map[*balance.Track]*reservation
 }
@@ -126,7 +128,7 @@
 	return &dispatcher{
 		d: d, server: schedule.NewServer(), crashDetector: quarantine.NewDetector(), plainDetectors: map[string]*quarantine.Detector{}, clients: map[schedule.Model]*schedule.Client{}, reporters: map[string]reporter{},
 		targets: map[schedule.Model]*candidates{}, waiters: map[uint64]*waiter{}, localLoad: map[schedule.Model]map[string]balance.Load{},
-		stalls: balance.NewStallDetector(), suspects: map[string]suspicion{}, running: map[string]map[*balance.Track]*reservation{},
+		stalls: balance.NewStallDetector(), suspects: map[string]suspicion{}, unreachable: map[string]unreachableGroup{}, running: map[string]map[*balance.Track]*reservation{},
 	}
 }
 
@@ -148,7 +150,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	w.ask.Exclude = append(slices.Clone(exclude), p.excluded(now)...)
+	w.ask.Exclude = slices.Concat(exclude, p.excluded(now), p.unreachableGroups(now, model))
 	if p.enqueue(w) {
 		p.sendReport(now, model)
 	}
@@ -196,6 +198,53 @@
 	return keys
 }
 
+// unreachableGroup is a group that this daemon does not use for a while because it could not connect to its head. Others may reach
+// it, so they are not told, unlike of a suspicion. The time doubles with each failure in a row.
+type unreachableGroup struct {
+	until   time.Time
+	backoff time.Duration
+}
+
+// maxUnreachableGroups bounds the unreachable groups that a request excludes, so that its report fits a datagram.
+const maxUnreachableGroups = 32
+
+// recordConnection records whether this daemon could connect to the head of a group.
+func (p *dispatcher) recordConnection(key string, connected bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if connected {
+		delete(p.unreachable, key)
+		return
+	}
+	now := time.Now()
+	if g := p.unreachable[key]; !now.Before(g.until) {
+		g.backoff = min(max(2*g.backoff, minServerBackoff), maxServerBackoff)
+		p.unreachable[key] = unreachableGroup{now.Add(g.backoff), g.backoff}
+	}
+}
+
+// unreachableGroups returns the groups of a model that this daemon does not use as it could not connect to them; none if all are, as
+// then a failure is told sooner than a wait for one ends.
+func (p *dispatcher) unreachableGroups(now time.Time, m schedule.Model) (keys []string) {
+	if len(p.unreachable) == 0 {
+		return nil
+	}
+	reached := false
+	for _, g := range p.d.view.Load().Groups[m.Service] {
+		switch {
+		case g.Model != m.Name || !g.Complete():
+		case now.Before(p.unreachable[g.Key].until):
+			keys = append(keys, g.Key)
+		default:
+			reached = true
+		}
+	}
+	if !reached {
+		return nil
+	}
+	return keys[:min(len(keys), maxUnreachableGroups)]
+}
+
 // handOver returns a reservation for an attempt that has another daemon serve the request.
 func (p *dispatcher) handOver(m schedule.Model, ids suspectIDs, target *gossip.Peer) *reservation {
 	s := &reservation{d: p, model: m, key: "", head: peerServer(target), ids: ids, began: time.Now(), peer: target.Name}
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -499,3 +499,49 @@
 		}
 	}
 }
+
+// TestUnreachableGroup guards against placing one request after the other at a group that this daemon cannot connect to, while others are
+// idle, and against leaving out such a group for good.
+func TestUnreachableGroup(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	var failed atomic.Int32
+	var down atomic.Pointer[string]
+	u := startDaemon(t, store, "a", func(d *Daemon) {
+		dial := d.dial
+		d.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if to := down.Load(); to != nil && *to == addr {
+				failed.Add(1)
+				return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+			}
+			return dial(ctx, network, addr)
+		}
+	})
+	var served [5]atomic.Int32
+	for i := 1; i <= 4; i++ {
+		addr := backendServer(t, func(c net.Conn, r *http.Request) {
+			served[i].Add(1)
+			writeAnswer(c, r, http.StatusOK, event(1)+event(2), "Content-Type: text/event-stream\r\n")
+			_ = c.Close()
+		})
+		if i == 1 {
+			down.Store(&addr)
+		}
+		u.putServer(fmt.Sprint("i-", i), "llm", addr, fmt.Sprintf(openGroup, i))
+	}
+	u.waitReady()
+	send := func() {
+		t.Helper()
+		if r := u.do(http.MethodPost, "/stream/", "k1", "x", "X-Flamingorudder-Model", "m"); r.status != http.StatusOK {
+			t.Fatalf("reply %+v", r)
+		}
+	}
+	for range 40 {
+		send()
+	}
+	if n := failed.Load(); n < 1 || n > 3 {
+		t.Errorf("%d of 40 requests could not connect, want 1 to 3", n)
+	}
+	down.Store(nil)
+	eventually(t, "the group is used again", func() bool { send(); return served[1].Load() > 0 })
+}
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -290,6 +291,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.server.Forget(func(group string) bool { return keys[group] })
+	maps.DeleteFunc(p.unreachable, func(key string, _ unreachableGroup) bool { return !keys[key] })
 }
 
 // logState logs the scheduler's state for each model that this daemon schedules and that had requests.
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -496,6 +496,10 @@
 		a.sendErr = err
 		if a.reserved.peer == "" && suggestsLostPath(a.ctx, err) {
 			x.d.paths.doubt(x.service)
+			var notSent *backend.NotSentError
+			if errors.As(err, &notSent) {
+				x.d.dispatch.recordConnection(a.reserved.key, false)
+			}
 		}
 		return err
 	}
@@ -503,6 +507,7 @@
 	if a.reserved.peer != "" {
 		return a.openPeer(r)
 	}
+	x.d.dispatch.recordConnection(a.reserved.key, true)
 	a.notices = x.d.handleNotices(head, r)
 	if n, relevant := x.d.observeLimit(head, r, sent); relevant {
 		a.reserved.reportLimit(n, sent)
