Keep a suspected group in use while it answers other daemons

What callers saw: while more daemons were cut off from a group than used it, no daemon was sent there, also not those that reached it.

Cause: a group was excluded for all daemons when as many suspected it as had work there, though answers that others got from it meanwhile say that it works. What some daemons cannot reach was taken for what does not work.

A first event that another daemon reports more than 100 ms after the first suspicion now keeps the group in use for the others for 2 s. A group that has stalled gives no such event, so it is excluded as early as before. TestGroupOutOfReachOfMost failed to build before; without the new condition its second check fails.

--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -272,7 +272,7 @@
 	exchange(s, noon, works.report(noon), input(1))
 	cut := NewClient(model)
 	exchange(s, noon, cut.NewReport(noon, "cut", 1, "dc", nil, []string{"g0"}), input(1))
-	if !s.models[model].isSuspect("g0") {
+	if !s.models[model].isSuspect(noon, "g0") {
 		t.Error("the group is not excluded although as many daemons suspect it as use it")
 	}
 	for _, name := range []string{"b", "c"} {
@@ -280,11 +280,54 @@
 		d.work["g0"] = 1
 		exchange(s, noon, d.report(noon), input(1))
 	}
-	if s.models[model].isSuspect("g0") {
+	if s.models[model].isSuspect(noon, "g0") {
 		t.Error("one daemon excludes the group for all")
 	}
 }
 
+// TestGroupOutOfReachOfMost guards against excluding a group for all daemons because most cannot reach it, while it answers the
+// others, and against using one that answers nobody.
+func TestGroupOutOfReachOfMost(t *testing.T) {
+	s, works := NewServer(), newDaemon("works")
+	works.work["g0"] = 1
+	exchange(s, noon, works.report(noon), input(1))
+	cut := map[string]*Client{}
+	suspect := func(now time.Time) {
+		for _, name := range []string{"b", "c", "d"} {
+			if cut[name] == nil {
+				cut[name] = NewClient(model)
+			}
+			exchange(s, now, cut[name].NewReport(now, name, 1, "dc", nil, []string{"g0"}), input(1))
+		}
+	}
+	answer := func(now time.Time) {
+		works.RecordFirstEvent(FirstEvent{Group: "g0", Passes: 1, Took: time.Second})
+		exchange(s, now, works.report(now), input(1))
+	}
+	suspect(noon)
+	answer(noon.Add(maxResponseDelay))
+	if now := noon.Add(maxResponseDelay); !s.models[model].isSuspect(now, "g0") {
+		t.Error("an answer from before the suspicion counts")
+	}
+	now := noon.Add(time.Second)
+	answer(now)
+	suspect(now)
+	if s.models[model].isSuspect(now, "g0") {
+		t.Error("the group is excluded while it answers")
+	}
+	if now = now.Add(respondingFor + 1); !s.models[model].isSuspect(now, "g0") {
+		t.Error("the group is not excluded though it answers nobody any more")
+	}
+	// A later suspicion is another one.
+	for name, c := range cut {
+		exchange(s, now, c.NewReport(now, name, 1, "dc", nil, nil), input(1))
+	}
+	suspect(now)
+	if !s.models[model].isSuspect(now, "g0") {
+		t.Error("answers from before a suspicion count")
+	}
+}
+
 // TestManyRequests guards against reports that exceed a datagram, and against requests that are never reported for
 // lack of space.
 func TestManyRequests(t *testing.T) {
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -40,6 +40,9 @@
 	// request needs them.
 	loads             map[string]balance.Load
 	workers, suspects map[string]int
+	// suspectedSince is when the first daemon reported that it suspects a group, responding when the group last answered a
+	// request of a daemon that does not, after that. Both have entries for suspected groups only.
+	suspectedSince, responding map[string]time.Time
 }
 
 // daemonState is what a daemon last reported.
@@ -72,7 +75,7 @@
 func (s *Server) model(m Model) *modelState {
 	out := s.models[m]
 	if out == nil {
-		out = &modelState{scheduler: balance.NewScheduler(), daemons: map[string]*daemonState{}, loads: map[string]balance.Load{}, workers: map[string]int{}, suspects: map[string]int{}}
+		out = &modelState{scheduler: balance.NewScheduler(), daemons: map[string]*daemonState{}, loads: map[string]balance.Load{}, workers: map[string]int{}, suspects: map[string]int{}, suspectedSince: map[string]time.Time{}, responding: map[string]time.Time{}}
 		s.models[m] = out
 	}
 	return out
@@ -96,6 +99,7 @@
 	m.setReported(c, nil, nil)
 	c.seq, c.lastReport = r.Seq, now
 	m.setReported(c, r.Work, r.Suspects)
+	m.recordResponses(now, r)
 	for _, f := range r.FirstEvents {
 		m.scheduler.RecordFirstEvent(now, f.Group, balance.Estimate{Passes: f.Passes, QueuedPrefill: f.QueuedPrefill, Full: f.Full}, f.Took)
 	}
@@ -205,12 +209,44 @@
 	}
 }
 
+// maxResponseDelay is how much later than a first event its report may come. respondingFor is how long a first event shows that a
+// suspected group responds.
+const (
+	maxResponseDelay = 100 * time.Millisecond
+	respondingFor    = 2 * time.Second
+)
+
+// recordResponses records the first events of suspected groups that a report contains.
+func (m *modelState) recordResponses(now time.Time, r *Report) {
+	for key := range m.suspectedSince {
+		if m.suspects[key] == 0 {
+			delete(m.suspectedSince, key)
+			delete(m.responding, key)
+		}
+	}
+	for _, key := range r.Suspects {
+		if m.suspectedSince[key].IsZero() {
+			m.suspectedSince[key] = now
+		}
+	}
+	for _, f := range r.FirstEvents {
+		// An event that was on its way when the group stalled proves nothing.
+		if since, ok := m.suspectedSince[f.Group]; ok && now.Sub(since) > maxResponseDelay && !slices.Contains(r.Suspects, f.Group) {
+			m.responding[f.Group] = now
+		}
+	}
+}
+
 // isSuspect reports whether a group is excluded for all daemons. A daemon excludes the groups that it suspects by
-// itself. For the others such a group may work well, so it is excluded for all only when at least as many daemons
-// suspect it as have work there.
-func (m *modelState) isSuspect(group string) bool {
+// itself. For the others such a group may work well, as for those that are cut off from its head, so it is excluded for all
+// only when at least as many daemons suspect it as have work there, and it has answered none of the others since.
+func (m *modelState) isSuspect(now time.Time, group string) bool {
 	n := m.suspects[group]
-	return n > 0 && n >= m.workers[group]
+	if n == 0 || n < m.workers[group] {
+		return false
+	}
+	at, responds := m.responding[group]
+	return !responds || now.Sub(at) > respondingFor
 }
 
 // addLoad changes the load of a group.
@@ -307,7 +343,7 @@
 	for i := range in.Groups {
 		g := &in.Groups[i]
 		g.Load = m.loads[g.Key]
-		g.Suspect = g.Suspect || m.isSuspect(g.Key)
+		g.Suspect = g.Suspect || m.isSuspect(now, g.Key)
 		if h := in.Heads[g.Key]; h != nil && in.Limits != nil {
 			g.Allowance, g.Limited = in.Limits.Allowance(now, h.ID, h.Born, share)
 		}
