Ask six daemons before a server counts as lost, none in a partial cut

What callers saw: two open groups with the same servers (TWO), while six of seven daemons were cut off from the same 17 servers.

Cause: the holder asked four other daemons, all four were cut off as well, and where heartbeats are hidden four that agree were proof that a server is dead. The one daemon that reached it was not asked. The log shows the head i-1a4fbb2688 "does not answer" at 6.026 s, and its members joined to another group at 6.869 s, while the head served on.

The holder now asks six, which is all of them in a small fleet. And once it knows that other daemons reach a server of the service that it does not reach, it takes no listed server for lost on the word of any sample: the entry decides, which lapses at most 3.6 s after an end. Whether a process has ended, for the report of a crash, is still asked of four, as an answer that is missing there delays the report.

TestServerReachedByOneDaemon failed in two of two runs with four probers, and in two of two without the second rule; it passed in four of four. The first form of the test failed once by itself: it used a kept connection.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -89,8 +89,8 @@
 	failures int
 	// relayed is set if the last report came through another daemon: it is known that only this one does not reach the server.
 	relayed bool
-	// ended is set when the process is known to have ended while its entry was listed. agreed is set when as many other daemons as
-	// are asked do not reach it either.
+	// ended is set when the process is known to have ended while its entry was listed. agreed is set when all other daemons
+	// that were asked, at least minAgreed, do not reach it either.
 	ended, agreed bool
 	asking        bool
 }
@@ -409,6 +409,9 @@
 		if err == nil {
 			q.relayed, q.agreed = relayed, false
 		}
+		// If only some daemons reach a server, or others of its service, those that were asked may all be cut off from it. Then its
+		// entry decides.
+		lost = lost && (platform.Responded(err) || !l.d.isListed(s) || !l.partlyCutOff(s.Service))
 		now := time.Now()
 		if err == nil && r.Born != s.Born {
 			// Another process has the address, so this one has ended.
@@ -426,14 +429,13 @@
 			q.failures, q.ended, q.next = 0, false, now.Add(pause.Pause)
 			return nil
 		}
-		// If some daemons reach it and others do not, those that were asked last may all be of the others. Then its entry decides.
-		if err != nil && decisive && (!lost || q.relayed) && l.d.isListed(s) {
+		if err != nil && decisive && !lost && l.d.isListed(s) {
 			q.next = now.Add(fastReportPeriod)
 			return nil
 		}
 		if err != nil {
 			q.failures++
-			q.agreed = q.agreed || failedProbes >= maxProbers
+			q.agreed = q.agreed || failedProbes >= minAgreed
 			q.next = now.Add(fastReportPeriod)
 			if q.failures >= maxReportFailures {
 				q.next = now.Add(reportPeriod)
@@ -476,6 +478,18 @@
 	}
 }
 
+// partlyCutOff reports whether other daemons reach backend servers of a service that this one does not reach.
+func (l *leader) partlyCutOff(service string) bool {
+	for id, q := range l.polls {
+		if q.relayed {
+			if s := l.d.view.Load().Servers[id]; s != nil && s.Service == service && s.Born == q.born {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // query queries the state of a backend server. If it is not reached and that decides whether it counts as lost, or its address refuses
 // connections, other daemons are asked. relayed is set if the report is theirs. lost is set if the server may be taken for lost:
 // they do not reach it either, failedProbes in number, or there are none.
@@ -494,7 +508,7 @@
 	ask := func() {
 		others = make(chan answer, 1)
 		queries.Go(func() error {
-			t, asked := l.d.probeIndirectly(ctx, s)
+			t, asked := l.d.probeIndirectly(ctx, s, maxProbers)
 			others <- answer{t, asked}
 			return nil
 		})
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -545,3 +545,63 @@
 	down.Store(nil)
 	eventually(t, "the group is used again", func() bool { send(); return served[1].Load() > 0 })
 }
+
+// TestServerReachedByOneDaemon guards against taking a backend server for lost that one daemon of seven reaches, and against taking one
+// for lost that no daemon reaches while its entry is listed and some daemons are cut off from others of its service.
+func TestServerReachedByOneDaemon(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	alive := backendServer(t, func(c net.Conn, r *http.Request) { writeAnswer(c, r, http.StatusOK, `{"born":1}`) })
+	through := func(dial netopt.DialFunc) netopt.DialFunc {
+		return func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if addr == alive {
+				return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+			}
+			return dial(ctx, network, addr)
+		}
+	}
+	daemons := []*daemonUnderTest{startDaemon(t, store, "g")}
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		daemons = append(daemons, startDaemon(t, store, name, func(d *Daemon) { d.dial, d.dialControl = through(d.dial), through(d.dialControl) }))
+	}
+	daemons[0].putServer("i-1", "llm", alive, fmt.Sprintf(openGroup, 1))
+	daemons[0].putServer("i-2", "llm", backendServer(t, func(c net.Conn, r *http.Request) { writeAnswer(c, r, http.StatusOK, `{"born":1}`) }), fmt.Sprintf(openGroup, 2))
+	daemons[0].putServer("i-3", "llm", freeAddr(t).String(), fmt.Sprintf(openGroup, 3))
+	for _, u := range daemons {
+		u.waitReady()
+		eventually(t, "the daemon hears the others", func() bool { return len(u.d.peersWithPath("llm")) == 6 })
+	}
+	// A daemon that does not hold the lease queries no server by itself.
+	u := daemons[1]
+	if u.d.holdsLease() {
+		u = daemons[2]
+	}
+	holder, servers := u.d.leader, u.d.view.Load().Servers
+	for range 20 {
+		if r, relayed, _, lost, err := holder.query(t.Context(), servers["i-1"], true); err != nil || !relayed || lost || r.Born != 1 {
+			t.Fatalf("the server that one daemon reaches: relayed %v, lost %v, error %v", relayed, lost, err)
+		}
+	}
+	// poll has it ask for the report of a server until that is decided.
+	poll := func(q *reportPoll, id string) {
+		for range maxReportFailures {
+			holder.mu.Lock()
+			holder.requestReport(t.Context(), q.next, servers[id], true, q)
+			holder.mu.Unlock()
+			eventually(t, "the query ends", func() bool { holder.mu.Lock(); defer holder.mu.Unlock(); return !q.asking })
+		}
+	}
+	q := &reportPoll{born: 1}
+	poll(q, "i-3")
+	if !q.ended || q.failures < maxReportFailures {
+		t.Errorf("the server that has ended, before the holder knows of the cut: %+v", q)
+	}
+	holder.mu.Lock()
+	holder.polls["i-1"] = &reportPoll{born: 1, relayed: true, next: time.Now().Add(time.Hour)}
+	holder.mu.Unlock()
+	q = &reportPoll{born: 1}
+	poll(q, "i-3")
+	if q.ended || q.failures >= maxReportFailures {
+		t.Errorf("a server that no daemon reaches counts as lost during a cut: %+v", q)
+	}
+}
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -28,8 +28,12 @@
 const (
 	// pathReport is the path for peers under which a daemon queries the state of a backend server for another one.
 	pathReport = "/report"
-	// maxProbers is how many daemons are asked. If two in five cannot reach a server, all of them fail in one of 40 cases.
-	maxProbers = 4
+	// maxProbers is how many daemons are asked whether a server is alive: in a small fleet all of them, as most may be cut off from
+	// the same servers. If minAgreed and all that were asked do not reach it, it may be dead. maxCrashProbers are asked whether its
+	// process has ended, which must be known before the next one crashes.
+	maxProbers      = 6
+	minAgreed       = 4
+	maxCrashProbers = 4
 	// otherSample is how many other servers a daemon asks that does not reach one.
 	otherSample = 3
 	// indirectTimeout bounds the wait for other daemons: a query and, after it, up to two samples.
@@ -47,9 +51,9 @@
 	Refused bool `cbor:"refused,omitempty"`
 }
 
-// probeIndirectly has other daemons query the state of a backend server. asked is the number of daemons that were asked.
-func (d *Daemon) probeIndirectly(ctx context.Context, s *roster.Server) (t probeResult, asked int) {
-	peers := d.probers(s.Service)
+// probeIndirectly has up to most other daemons query the state of a backend server. asked is the number of daemons that were asked.
+func (d *Daemon) probeIndirectly(ctx context.Context, s *roster.Server, most int) (t probeResult, asked int) {
+	peers := d.probers(s.Service, most)
 	if len(peers) == 0 {
 		return t, 0
 	}
@@ -81,9 +85,8 @@
 	return t, len(peers)
 }
 
-// probers returns up to maxProbers daemons that may reach the backend servers of a service, of different data centres if
-// possible.
-func (d *Daemon) probers(service string) []*gossip.Peer {
+// probers returns up to most daemons that may reach the backend servers of a service, of different data centres if possible.
+func (d *Daemon) probers(service string, most int) []*gossip.Peer {
 	peers := d.peersWithPath(service)
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	// Orders the daemons by how many of the same data centre come before them.
@@ -93,7 +96,7 @@
 		before[m.DataCentre]++
 	}
 	slices.SortStableFunc(peers, func(a, b *gossip.Peer) int { return cmp.Compare(place[a.Name], place[b.Name]) })
-	return peers[:min(len(peers), maxProbers)]
+	return peers[:min(len(peers), most)]
 }
 
 // probeThrough has another daemon query the state of a backend server.
@@ -186,7 +189,7 @@
 		if !d.pool.RefusesConnections(ctx, s.Addr) {
 			return false, nil
 		}
-		t, asked := d.probeIndirectly(ctx, s)
+		t, asked := d.probeIndirectly(ctx, s, maxCrashProbers)
 		return asked == 0 || t.Refused, nil
 	})
 	return ended.(bool)
