Try a failing plain server again after some seconds

After a cut of some seconds the server was out of use for that daemon for good, unless all others were busy.

Cause: the rate of failures above which a server is a last resort fell with each further request only, and a last resort gets none.

TestFailingServerIsTriedAgain: 0 of 100 requests go to a server that failed 10 s ago on the code before.

--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -18,6 +18,7 @@
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/member"
 	"flamingorudder.example/internal/netopt"
+	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/schedule"
 	"flamingorudder.example/internal/timer"
 )
@@ -605,3 +606,30 @@
 		t.Errorf("a server that no daemon reaches counts as lost during a cut: %+v", q)
 	}
 }
+
+// TestFailingServerIsTriedAgain guards against leaving out a plain server for good after a few failures in a row. Found by seed 302 of
+// the soak.
+func TestFailingServerIsTriedAgain(t *testing.T) {
+	var health healthTable
+	servers := []*roster.Server{{ID: "failed", Slots: 8}, {ID: "sound", Slots: 8}}
+	now := time.Now()
+	for range 10 {
+		health.begin("failed")
+		health.end("failed", false, true, now)
+	}
+	// chosen returns how many of 100 requests are sent to the server that failed.
+	chosen := func(now time.Time) (n int) {
+		for range 100 {
+			if health.choose(servers, func(*roster.Server) bool { return true }, nil, "", now).ID == "failed" {
+				n++
+			}
+		}
+		return n
+	}
+	if n := chosen(now); n > 0 {
+		t.Errorf("%d of 100 requests are sent to a failing server", n)
+	}
+	if n := chosen(now.Add(10 * time.Second)); n < 10 {
+		t.Errorf("%d of 100 requests are sent to a server that failed 10 s ago", n)
+	}
+}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -30,6 +31,9 @@
 	maxServerBackoff = 4 * time.Second
 	// failingRate is the failure rate above which a backend server is used only as a last resort.
 	failingRate = 0.3
+	// failureHalfLife is the half-life of the failure rate since the last failure, so that a server is tried again when it may have
+	// recovered.
+	failureHalfLife = 2 * time.Second
 )
 
 // serverHealth is the health of a plain backend server as this daemon observes it from its own requests.
@@ -40,6 +44,8 @@
 	backoff    time.Duration
 	// failures is the failure rate, an exponentially weighted moving average.
 	failures float64
+	// failedAt is when the last attempt failed.
+	failedAt time.Time
 }
 
 // healthTable holds the health of all plain backend servers, by id.
@@ -68,8 +74,8 @@
 			if now.Before(st.avoidUntil) {
 				score += 100
 			}
-			if st.failures > failingRate {
-				score += 10 * st.failures
+			if failures := st.failures * math.Exp2(-now.Sub(st.failedAt).Seconds()/failureHalfLife.Seconds()); failures > failingRate {
+				score += 10 * failures
 			}
 		}
 		if server.DataCentre == dc {
@@ -115,6 +121,7 @@
 	st.failures *= 1 - failureWeight
 	if lost || failed {
 		st.failures += failureWeight
+		st.failedAt = now
 	}
 	if lost {
 		st.backoff = min(max(st.backoff*2, minServerBackoff), maxServerBackoff)
