Use all groups again when a lost path comes back

What callers saw: for up to four seconds after a daemon's path had come back, it left out the groups to which it could not connect just before the loss, so the load went to the others.

Cause: what a daemon has found out about single groups is forgotten when its path changes, but the unreachable groups, which are new, were not. Found by reading the diff.

It also cuts all daemons of one of two data centres: their callers are served by the other one. This part had never been red; it is a case that nothing had played.

--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -344,6 +344,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.suspects, func(_ string, s suspicion) bool { return s.local && !s.closed })
+	clear(p.unreachable)
 	for id, w := range p.waiters {
 		if w.model.Service != service || !p.d.paths.lost(service) {
 			continue
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -306,6 +306,61 @@
 	})
 }
 
+// TestDataCentreWithoutPath guards against failing the callers of a data centre all of whose daemons have no path, and against
+// leaving out groups that a daemon could not connect to after its path has come back.
+func TestDataCentreWithoutPath(t *testing.T) {
+	t.Parallel()
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	var cut pathCut
+	other := func(d *Daemon) {
+		s := *d.settings()
+		s.DataCentre = "other"
+		d.currentSettings.Store(&s)
+	}
+	f := &pathFleet{}
+	all := []*daemonUnderTest{startDaemon(t, store, "a", cut.apply), startDaemon(t, store, "b", cut.apply), startDaemon(t, store, "c", other), startDaemon(t, store, "d", other)}
+	for i := 1; i <= 4; i++ {
+		addr := backendServer(t, func(c net.Conn, r *http.Request) {
+			writeAnswer(c, r, http.StatusOK, event(1)+event(2), "Content-Type: text/event-stream\r\n")
+		})
+		all[0].putServer(fmt.Sprint("p-", i), "plain", addr, "null")
+		all[0].putServer(fmt.Sprint("i-", i), "llm", addr, fmt.Sprintf(openGroup, i))
+	}
+	for _, u := range all {
+		u.waitReady()
+		eventually(t, "the daemon hears the others", func() bool { return len(u.d.livePeers(time.Now())) == 3 })
+	}
+	cut.set("reset")
+	for deadline := time.Now().Add(pathSettle); time.Now().Before(deadline); {
+		for _, u := range all[:2] {
+			_ = f.send(u, "/safe/", "warm", 600)
+			_ = f.send(u, "/stream/", "warm", 600)
+		}
+		time.Sleep(50 * time.Millisecond) //nolint:forbidigo // a steady load
+	}
+	for range 10 {
+		for _, u := range all {
+			for _, path := range []string{"/safe/", "/unsafe/", "/stream/"} {
+				if r := f.send(u, path, "x", 600); r.status != http.StatusOK {
+					t.Errorf("daemon %s, %s: reply %+v", u.s.Name, path, r)
+				}
+			}
+		}
+	}
+	u := all[0]
+	u.d.dispatch.mu.Lock()
+	u.d.dispatch.unreachable["g1/1"] = unreachableGroup{time.Now().Add(time.Minute), maxServerBackoff}
+	u.d.dispatch.mu.Unlock()
+	cut.set("")
+	eventually(t, "the path comes back", func() bool { return len(u.d.paths.lostServices()) == 0 })
+	u.d.dispatch.mu.Lock()
+	defer u.d.dispatch.mu.Unlock()
+	if left := u.d.dispatch.unreachableGroups(time.Now(), schedule.Model{Service: "llm", Name: "m"}); len(left) > 0 {
+		t.Errorf("groups %v are left out after the path has come back", left)
+	}
+}
+
 // TestSchedulerWithoutPath guards against rejecting the requests of all daemons because the one that schedules their model cannot
 // reach the groups itself.
 func TestSchedulerWithoutPath(t *testing.T) {
