--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -198,8 +198,8 @@
 	return keys
 }
 
-// unreachableGroup is a group that this daemon does not use for a while because it could not connect to its head. Others may reach
-// it, so they are not told, unlike of a suspicion. The time doubles with each failure in a row.
+// unreachableGroup is a group that this daemon does not use for a while because it could not connect to its head. Unlike a
+// suspicion, this is not reported, as other daemons may reach the group. The time doubles with each failure in a row.
 type unreachableGroup struct {
 	until   time.Time
 	backoff time.Duration
@@ -223,8 +223,8 @@
 	}
 }
 
-// unreachableGroups returns the groups of a model that this daemon does not use as it could not connect to them; none if all are, as
-// then a failure is told sooner than a wait for one ends.
+// unreachableGroups returns the groups of a model that this daemon does not use as it could not connect to them. If those are all
+// groups of the model, it returns none: an attempt that fails is answered sooner than a request that waits for a group.
 func (p *dispatcher) unreachableGroups(now time.Time, m schedule.Model) (keys []string) {
 	if len(p.unreachable) == 0 {
 		return nil
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -125,8 +125,8 @@
 // requests that wait at this scheduler.
 func (p *dispatcher) tick(now time.Time) {
 	for m, c := range p.clients {
-		if c.HoldsCrashes(now) {
-			c.SelectTarget(now, p.candidates(now, m).names) // another one has to learn of them before there is a new one
+		if c.HasUnexplainedCrashes(now) {
+			c.SelectTarget(now, p.candidates(now, m).names) // a new target must learn of them before the next crash
 		}
 		if c.TargetTimedOut(now) {
 			p.d.log.Warn("scheduler does not respond; scheduling its requests locally", "service", m.Service, "model", m.Name, "scheduler", c.SelectTarget(now, p.candidates(now, m).names), "open", c.Open())
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -185,7 +185,7 @@
 // of a group, before the group begins to write.
 func (p *dispatcher) rejectQuarantined(now time.Time, ids []uint64) {
 	for _, c := range p.clients {
-		c.Explain(ids)
+		c.ForgetQuarantined(ids)
 	}
 	affected := func(id uint64) bool { return slices.Contains(ids, id) }
 	for id, w := range p.waiters {
@@ -298,7 +298,7 @@
 	}
 }
 
-// targetRestarted has the crashes reported again that another daemon knew in its last lifetime.
+// targetRestarted repeats crashes to a daemon that has restarted and so has forgotten them.
 func (p *dispatcher) targetRestarted(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -62,8 +62,8 @@
 }
 
 // dead reports whether a backend server has ended, or neither responds nor renews its entry. Where renewals cannot be seen, several
-// daemons have to agree that it does not respond. A draining one may do neither and
-// still finish its requests, so it does not count as dead.
+// daemons have to agree that it does not respond. A draining one may do neither and still finish its requests, so it does not count
+// as dead.
 func (m *ServerStatus) dead(now time.Time, in *Input) bool {
 	if m.Responding || m.State != roster.Ready {
 		return false
--- a/internal/schedule/client.go
+++ b/internal/schedule/client.go
@@ -81,7 +81,7 @@
 	sent time.Time
 }
 
-// placedOutcome is the outcome of a request that was placed at the given time. Parts are not changed in place.
+// placedOutcome is the outcome of a request that was placed at the given time. Its Parts may be shared and are not changed in place.
 type placedOutcome struct {
 	quarantine.Outcome
 	placed time.Time
@@ -169,15 +169,15 @@
 	c.unexplained = slices.DeleteFunc(c.unexplained, forgotten)
 }
 
-// Explain records that the given requests or prompt parts are quarantined, which explains their crashes.
-func (c *Client) Explain(ids []uint64) {
-	explained := func(id uint64) bool { return slices.Contains(ids, id) }
+// ForgetQuarantined forgets the crashes by requests or prompt parts that are quarantined.
+func (c *Client) ForgetQuarantined(ids []uint64) {
+	quarantined := func(id uint64) bool { return slices.Contains(ids, id) }
 	c.forgetCrashes(func(crash placedOutcome) bool {
-		return explained(crash.Request) || slices.ContainsFunc(crash.Parts, explained)
+		return quarantined(crash.Request) || slices.ContainsFunc(crash.Parts, quarantined)
 	})
 }
 
-// TargetRestarted records that a daemon has begun a new lifetime, so that it no longer knows what it was told if it is the target.
+// TargetRestarted records that a daemon has restarted. If it is the target, it has forgotten the reports.
 func (c *Client) TargetRestarted(name string) {
 	if name == c.target {
 		c.repeatCrashes()
@@ -196,8 +196,8 @@
 	c.dirty = c.dirty || len(c.unexplained) > 0
 }
 
-// HoldsCrashes reports whether there are crashes that another target would have to be told.
-func (c *Client) HoldsCrashes(now time.Time) bool {
+// HasUnexplainedCrashes reports whether there are crashes to repeat to the next target. It forgets those that count no more.
+func (c *Client) HasUnexplainedCrashes(now time.Time) bool {
 	c.forgetCrashes(func(crash placedOutcome) bool { return now.Sub(crash.placed) > quarantine.CrashMemory })
 	return len(c.unexplained) > 0
 }
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -603,7 +603,7 @@
 	if got := repeated(restart); fmt.Sprint(got) != "[[1 11] [2 12] [1 11]]" {
 		t.Errorf("after answers: %v", got)
 	}
-	d.Explain([]uint64{12})
+	d.ForgetQuarantined([]uint64{12})
 	if got := repeated(restart); fmt.Sprint(got) != "[[1 11] [1 11]]" {
 		t.Errorf("after a quarantine: %v", got)
 	}
@@ -611,7 +611,7 @@
 	if r := d.report(noon); len(r.Outcomes) != 2 {
 		t.Errorf("the next scheduler is told %+v", r.Outcomes)
 	}
-	if d.HoldsCrashes(noon.Add(quarantine.CrashMemory + 1)) {
+	if d.HasUnexplainedCrashes(noon.Add(quarantine.CrashMemory + 1)) {
 		t.Error("a crash that counts no more is kept")
 	}
 	for i := range uint64(100) {
