Take no server for lost that is silent for up to 2.5 s

A sound head or member that answered nothing for a second had its group ordered to leave ("a member is lost"), which cuts off every stream there and loses those that may run once.

Cause: two unanswered requests for a report in a row decided, 0.85 s after the first, and the daemons that were asked hear the same silence. It takes a request that falls into the start of the silence: the holder asks a server every 1.2 s, but at once when a daemon suspects its group, as daemons do 0.45 s into a silence. With suspicion, a silence of 0.5 s is enough if nothing is acknowledged (the second request lost its SYN), and one of 1.2 s if only the process stands still.

Now silence decides only if the server also answers neither the holder nor the daemons that are asked 2.5 s or more after the first unanswered request was sent. Refused connections, another process at the address, answers that are errors and entries that have lapsed count as before. Other daemons are still asked early, once, so that a server that only the holder does not reach is known as soon as before.

TestSoundServerLostWhileSilent: eight groups of two, seven daemons, silences of 0.5 to 2.4 s, heartbeats hidden and visible.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -45,6 +45,9 @@
 	orderTimeout  = time.Second
 	// maxReportFailures is the number of consecutive failed requests for a report after which a backend server counts as lost.
 	maxReportFailures = 2
+	// soundSilence is the longest silence of a sound backend server, during which no work there may end. One whose entry is listed and
+	// whose process is not known to have ended counts as lost only if it answers no query that is sent later than that either.
+	soundSilence = 2500 * time.Millisecond
 	// maxMissedHeartbeats is how many heartbeat periods a live backend server may take to renew its entry. It includes the
 	// delay of reading the entry.
 	maxMissedHeartbeats = 2
@@ -87,6 +90,10 @@
 	// at is when the last report arrived, next when the next request is due.
 	at, next time.Time
 	failures int
+	// silentSince is when the first of the unanswered requests in a row was sent; zero if the last one was answered. asked is set if
+	// other daemons were asked meanwhile.
+	silentSince time.Time
+	asked       bool
 	// relayed is set if the last report came through another daemon: it is known that only this one does not reach the server.
 	relayed bool
 	// ended is set when the process is known to have ended while its entry was listed. agreed is set when all other daemons
@@ -400,15 +407,26 @@
 		return
 	}
 	q.asking = true
-	decisive := q.failures == maxReportFailures-1
+	late := !listed || q.ended || !q.silentSince.IsZero() && now.Sub(q.silentSince) >= soundSilence
+	// The first time, other daemons are asked because they may reach the server.
+	ask := q.failures == maxReportFailures-1 && (late || !q.asked)
 	ok := l.calls.TryGo(func() error {
-		r, relayed, failedProbes, lost, err := l.query(ctx, s, decisive)
+		r, relayed, failedProbes, lost, err := l.query(ctx, s, ask)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		q.asking = false
 		if err == nil {
 			q.relayed, q.agreed = relayed, false
 		}
+		switch {
+		case platform.Responded(err):
+			q.silentSince, q.asked = time.Time{}, false
+		case q.silentSince.IsZero():
+			q.silentSince = now
+		default:
+			q.asked = q.asked || ask
+		}
+		lost = lost && (late || platform.Responded(err) || errors.Is(err, syscall.ECONNREFUSED) || !l.d.isListed(s))
 		// If only some daemons reach a server, or others of its service, those that were asked may all be cut off from it. Then its
 		// entry decides.
 		lost = lost && (platform.Responded(err) || !l.d.isListed(s) || !l.partlyCutOff(s.Service))
@@ -429,7 +447,7 @@
 			q.failures, q.ended, q.next = 0, false, now.Add(pause.Pause)
 			return nil
 		}
-		if err != nil && decisive && !lost && l.d.isListed(s) {
+		if err != nil && q.failures == maxReportFailures-1 && !lost && l.d.isListed(s) {
 			q.next = now.Add(fastReportPeriod)
 			return nil
 		}
@@ -490,10 +508,10 @@
 	return false
 }
 
-// query queries the state of a backend server. If it is not reached and that decides whether it counts as lost, or its address refuses
-// connections, other daemons are asked. relayed is set if the report is theirs. lost is set if the server may be taken for lost:
-// they do not reach it either, failedProbes in number, or there are none.
-func (l *leader) query(ctx context.Context, s *roster.Server, decisive bool) (r platform.Report, relayed bool, failedProbes int, lost bool, err error) {
+// query queries the state of a backend server. If it is not reached, and askOthers is set or its address refuses connections, other
+// daemons are asked. relayed is set if the report is theirs. lost is set if the server may be taken for lost: they do not reach it
+// either, failedProbes in number, or there are none.
+func (l *leader) query(ctx context.Context, s *roster.Server, askOthers bool) (r platform.Report, relayed bool, failedProbes int, lost bool, err error) {
 	type answer struct {
 		probeResult
 		asked int
@@ -513,7 +531,7 @@
 			return nil
 		})
 	}
-	if decisive {
+	if askOthers {
 		ask() // at the same time, so that a server that has ended is not found lost any later
 	}
 	r, err = call(ctx, reportTimeout, func(ctx context.Context) (platform.Report, error) {
