Reject requests at once when the configuration drops their model

A request that waited for a group of a model which a new configuration drops, with the model, the engine or the service, got its 503 only at its deadline: no scheduler decides on a model that its configuration lacks. It was the same for a request that waited at another daemon's scheduler, and for later attempts and standbys.

The daemon that holds the request now rejects it when the configuration takes force there, and takes no request for placement whose model the configuration in force lacks. It names no time to retry where the caller gets another answer at once: route or key are gone, or the route leads to another service. Otherwise it names the usual time, as the model may come back.

TestWaysAtConfigChange and TestWaysAtRemoteScheduler hold requests at the steps of their way (running, silent with a second attempt under way, waiting for a group or for the end of a pause, body being read) and change the configuration in thirteen ways. What runs goes on in all of them.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -150,6 +150,10 @@
 		p.mu.Unlock()
 		return nil, err
 	}
+	if err := p.dropped(model); err != nil {
+		p.mu.Unlock()
+		return nil, err
+	}
 	w.ask.Exclude = slices.Concat(exclude, p.excluded(now), p.unreachableGroups(now, model))
 	if p.enqueue(w) {
 		p.sendReport(now, model)
--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -349,9 +349,7 @@
 		if w.model.Service != service || !p.d.paths.lost(service) {
 			continue
 		}
-		delete(p.waiters, id)
-		p.client(w.model).Withdraw(id)
-		w.result <- outcome{err: &PathLostError{service}}
+		p.withdraw(id, w, &PathLostError{service})
 	}
 }
 
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -178,6 +178,39 @@
 	p.scheduleAll(time.Now())
 }
 
+// DroppedError reports that the configuration in force has no longer the model of a request. No scheduler places it.
+type DroppedError struct{ Model schedule.Model }
+
+func (e *DroppedError) Error() string {
+	return "the configuration no longer has model " + e.Model.Name + " of service " + e.Model.Service
+}
+
+// dropped returns an error if the configuration in force lacks a model that an earlier one had.
+func (p *dispatcher) dropped(m schedule.Model) error {
+	if p.d.config.Load().Model(m.Service, m.Name) == nil {
+		return &DroppedError{m}
+	}
+	return nil
+}
+
+// configChanged rejects the requests that wait for models which the configuration in force no longer has.
+func (p *dispatcher) configChanged() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, w := range p.waiters {
+		if err := p.dropped(w.model); err != nil {
+			p.withdraw(id, w, err)
+		}
+	}
+}
+
+// withdraw ends the wait of a request for a group. p.mu is held.
+func (p *dispatcher) withdraw(id uint64, w *waiter, err error) {
+	delete(p.waiters, id)
+	p.client(w.model).Withdraw(id)
+	w.result <- outcome{err: err}
+}
+
 // scheduleAll runs a scheduling round for each model with requests that wait at this scheduler, and sends the decisions.
 func (p *dispatcher) scheduleAll(now time.Time) {
 	for _, m := range p.server.Models() {
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -192,9 +192,7 @@
 		if !slices.ContainsFunc(w.ids.all, affected) {
 			continue
 		}
-		delete(p.waiters, id)
-		p.client(w.model).Withdraw(id)
-		w.result <- outcome{err: p.d.quarantineRejection(now, w.ids)}
+		p.withdraw(id, w, p.d.quarantineRejection(now, w.ids))
 	}
 	for _, reservations := range p.running {
 		for track, s := range reservations {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -147,16 +148,13 @@
 		return false
 	}
 	x.rank = combineRanks(-1, x.route.Rank)
-	if x.config.Keyed() {
-		o := x.config.Organisation(x.call.Key)
-		if o == nil && !x.route.Anonymous {
-			x.reject(http.StatusUnauthorized, 0, "unknown key")
-			return false
-		}
-		if o != nil {
-			x.org = o.Name
-			x.rank = combineRanks(o.Rank, x.route.Rank)
-		}
+	if !x.config.Admits(x.route, x.call.Key) {
+		x.reject(http.StatusUnauthorized, 0, "unknown key")
+		return false
+	}
+	if o := x.config.Organisation(x.call.Key); o != nil {
+		x.org = o.Name
+		x.rank = combineRanks(o.Rank, x.route.Rank)
 	}
 	x.service = x.route.Pick()
 	left := x.call.Timeout
@@ -321,6 +319,18 @@
 	}
 }
 
+// rejectDropped returns the rejection of a request whose model the configuration in force no longer has. Its caller comes back at once
+// where the answer is another one now, as the route or the key is gone or the route leads to another service; else after the usual
+// time, as the model may return. A daemon that has handed the request over tries another one at once.
+func (x *exchange) rejectDropped(reason error) error {
+	c := x.d.config.Load()
+	r := c.Find(x.r.Host, x.r.URL.Path)
+	if x.from != "" || r == nil || !c.Admits(r, x.call.Key) || slices.ContainsFunc(r.Split, func(w route.Weighted) bool { return w.Service != x.service }) {
+		return &RejectedError{0, reason.Error()}
+	}
+	return &RejectedError{balance.RetryDelay(time.Now(), x.deadline, rand.Float64), reason.Error()}
+}
+
 // buildRequest builds the request that is sent to a backend server.
 func (x *exchange) buildRequest(server *roster.Server, priority int, lastEvent string) *backend.Request {
 	h := platform.ForwardHeader(x.r.Header, platform.Forwarding{
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -399,6 +399,7 @@
 	}
 	f.rawConfig, f.compressedConfig = text, nil
 	f.d.config.Store(c)
+	f.d.dispatch.configChanged()
 	oldVersion := int64(0)
 	if old != nil {
 		oldVersion = old.Version
@@ -785,11 +786,7 @@
 	if c == nil {
 		return 0
 	}
-	s := c.Service(service)
-	if s == nil || s.Engine == nil {
-		return 0
-	}
-	if m := s.Engine.Model(model); m != nil {
+	if m := c.Model(service, model); m != nil {
 		return m.Size
 	}
 	return 0
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -288,22 +288,29 @@
 // acquire waits for a place in a group that has not been tried. Without a path to the groups it has another daemon serve the
 // request. goOn is set if a group may have worked on the request.
 func (s *forwardedStream) acquire(ctx context.Context, goOn bool) (*reservation, error) {
-	x := s.x
+	x, model := s.x, schedule.Model{Service: s.svc.Name, Name: s.x.call.Model}
 	if x.d.paths.lost(x.service) {
 		if err := x.d.quarantineRejection(time.Now(), s.ids); err != nil {
 			return nil, err
 		}
+		if err := x.d.dispatch.dropped(model); err != nil {
+			return nil, x.rejectDropped(err)
+		}
 		target := x.handOverTarget(s.handedTo)
 		if target == nil {
 			return nil, x.noPath()
 		}
 		s.handedTo = append(s.handedTo, target.Name)
-		return x.d.dispatch.handOver(schedule.Model{Service: s.svc.Name, Name: x.call.Model}, s.ids, target), nil
+		return x.d.dispatch.handOver(model, s.ids, target), nil
 	}
 	reserved, err := x.d.dispatch.acquire(ctx, s.svc, x.call.Model, x.org, balance.Request{
 		Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: s.ids.request,
 		Arrived: x.start, Until: x.deadline, Resumed: goOn,
 	}, s.ids, s.exclude)
+	var dropped *DroppedError
+	if errors.As(err, &dropped) {
+		return nil, x.rejectDropped(err)
+	}
 	if err == nil {
 		s.exclude = append(s.exclude, reserved.key)
 	}
--- /dev/null
+++ b/internal/entry/ways_test.go
@@ -0,0 +1,377 @@
+package entry
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"flamingorudder.example/internal/fakeplatform"
+	"flamingorudder.example/internal/member"
+	"flamingorudder.example/internal/timer"
+)
+
+// soon is a few scheduling periods, with room for a busy machine. The requests of these tests have 8 s.
+const soon = 500 * time.Millisecond
+
+// waysConfig is a configuration in the form of the operators' table, as changes are made to it.
+type waysConfig struct {
+	Version  int64            `json:"version"`
+	Routes   []map[string]any `json:"routes"`
+	Services []map[string]any `json:"services"`
+	Limits   map[string]any   `json:"limits"`
+	Tenants  []map[string]any `json:"tenants"`
+}
+
+// newWaysConfig returns a configuration with a route to a service whose servers ask for pauses, and a second model, of which no
+// group is open at first.
+func newWaysConfig(t *testing.T) *waysConfig {
+	t.Helper()
+	var c waysConfig
+	if err := json.Unmarshal([]byte(fmt.Sprintf(testConfig, 1, onceRoute+`
+ ,{"name":"pause","host":"a.example","prefix":"/pause/","kind":"unsafe","timeoutMs":4000,"targetLatencyMs":4000,"service":"pausing","maxAttempts":2}`)), &c); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range c.Routes {
+		r["timeoutMs"] = 8000
+		if r["kind"] == "streaming" {
+			r["targetLatencyMs"] = 3000 // a request that waits for a group is not late
+		}
+	}
+	c.Services = append(c.Services, map[string]any{"name": "pausing"}, map[string]any{"name": "other"})
+	engine := c.Services[1]["engine"].(map[string]any)
+	engine["models"] = append(engine["models"].([]any), map[string]any{"name": "n", "size": 1, "share": 0, "pace": 1, "loadS": 1, "warmS": 1})
+	return &c
+}
+
+func (c *waysConfig) text(t *testing.T) []byte {
+	t.Helper()
+	text, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// waysChange is a change of the configuration while requests are under way.
+type waysChange struct {
+	name string
+	do   func(c *waysConfig)
+	// drops is set if no request to a model can be placed afterwards. retries is set if callers should come back later,
+	// as their requests are still allowed.
+	drops, retries bool
+}
+
+var waysChanges = []waysChange{
+	{"nothing", func(*waysConfig) {}, false, false},
+	{"key dropped", func(c *waysConfig) { c.Tenants[0]["apiKeys"] = []string{"k2"} }, false, false},
+	{"models dropped", func(c *waysConfig) {
+		c.Services[1]["engine"].(map[string]any)["models"] = []any{map[string]any{"name": "x", "size": 1, "share": 1, "pace": 1, "loadS": 1, "warmS": 1}}
+	}, true, true},
+	{"engine dropped", func(c *waysConfig) { delete(c.Services[1], "engine") }, true, true},
+	{"services dropped", func(c *waysConfig) { c.Services = c.Services[3:] }, true, true},
+	{"services and key dropped", func(c *waysConfig) { c.Services, c.Tenants[0]["apiKeys"] = c.Services[3:], []string{"k2"} }, true, false},
+	{"routes dropped", func(c *waysConfig) { c.Routes = c.Routes[:0] }, false, false},
+	{"routes moved", func(c *waysConfig) {
+		for _, r := range c.Routes {
+			r["service"] = "other"
+		}
+	}, false, false},
+	{"routes moved, services dropped", func(c *waysConfig) {
+		for _, r := range c.Routes {
+			r["service"] = "other"
+		}
+		c.Services = c.Services[3:]
+	}, true, false},
+	{"time limits lowered", func(c *waysConfig) {
+		for _, r := range c.Routes {
+			r["timeoutMs"] = 10
+		}
+	}, false, false},
+	{"attempts lowered", func(c *waysConfig) {
+		for _, r := range c.Routes {
+			r["maxAttempts"] = 1
+		}
+	}, false, false},
+	{"body size lowered", func(c *waysConfig) { c.Limits["maxBodyBytes"] = 1 }, false, false},
+	{"everything dropped", func(c *waysConfig) { c.Routes, c.Services = c.Routes[:0], c.Services[:0] }, true, false},
+}
+
+// waysServers are backend servers that hold their answers, at the place that the last element of the path names, until they are
+// released.
+type waysServers struct {
+	t        *testing.T
+	released chan struct{}
+	mu       sync.Mutex
+	// at holds the paths of the requests that arrived, in order.
+	at []string
+}
+
+func newWaysServers(t *testing.T) *waysServers {
+	t.Helper()
+	return &waysServers{t: t, released: make(chan struct{})}
+}
+
+// arrived returns how many requests with a path have arrived.
+func (s *waysServers) arrived(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, p := range s.at {
+		if p == path {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *waysServers) hold() {
+	select {
+	case <-s.released:
+	case <-s.t.Context().Done():
+	}
+}
+
+func (s *waysServers) serve(c net.Conn, r *http.Request) {
+	s.mu.Lock()
+	first := !slices.Contains(s.at, r.URL.Path)
+	s.at = append(s.at, r.URL.Path)
+	s.mu.Unlock()
+	place := path.Base(r.URL.Path)
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/api/"): // an order
+		writeAnswer(c, r, http.StatusConflict, "")
+		return
+	case place == "pause" && first:
+		writeAnswer(c, r, http.StatusServiceUnavailable, "", "X-Flamingorudder-Not-Executed: 1\r\nRetry-After: 1\r\n")
+		return
+	case r.Header.Get("X-Flamingorudder-Model") == "":
+		if place == "run" {
+			s.hold()
+		}
+		body, _ := io.ReadAll(r.Body)
+		writeAnswer(c, r, http.StatusOK, "echo "+string(body))
+		return
+	}
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := from + 1; n <= 4; n++ {
+		if n == 1 && place == "first" || n == 3 && place == "middle" {
+			s.hold()
+		}
+		out := event(n)
+		if n == from+1 {
+			out = "HTTP/1.1 200 OK\r\nX-Flamingorudder-Response-Signature: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n" + out
+		}
+		if _, err := io.WriteString(c, out); err != nil {
+			return
+		}
+	}
+	_ = c.Close()
+}
+
+// way is a request on its way.
+type way struct {
+	path, model string
+	// waits is set if it waits for a group of its model.
+	waits bool
+	done  chan reply
+}
+
+// begin sends a request.
+func (u *daemonUnderTest) begin(w *way) {
+	w.done = make(chan reply, 1)
+	go func() {
+		headers := []string{"X-Flamingorudder-Request-Id", w.path + w.model, "X-Flamingorudder-Deadline-Ms", "8000"}
+		if w.model != "" {
+			headers = append(headers, "X-Flamingorudder-Model", w.model, "X-Flamingorudder-Token-Usage", "100,20")
+		}
+		w.done <- u.do(http.MethodPost, w.path, "k1", "xy", headers...)
+	}()
+}
+
+// check reports an end of the request that is neither a whole answer nor a refusal. served is set if there must be an answer.
+func (w *way) check(t *testing.T, r reply, served bool) {
+	t.Helper()
+	want := "echo xy"
+	if w.model != "" {
+		want = event(1) + event(2) + event(3) + event(4)
+	}
+	switch {
+	case r.err == nil && r.status == http.StatusOK && r.body == want:
+	case r.err == nil && r.status == http.StatusServiceUnavailable && !served:
+	default:
+		t.Errorf("%s, model %q: reply %+v, must be served: %v", w.path, w.model, r, served)
+	}
+}
+
+func (p *dispatcher) waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiters)
+}
+
+// endWays checks the ends of the requests after a change. Those that wait and can no longer be placed are rejected at once; the others
+// are served once their servers go on and a group of the second model opens.
+func endWays(t *testing.T, ways []*way, change waysChange, release func()) {
+	t.Helper()
+	since := time.Now()
+	for _, w := range ways {
+		if !w.waits || !change.drops {
+			continue
+		}
+		select {
+		case r := <-w.done:
+			if r.status != http.StatusServiceUnavailable || (r.h.Get("Retry-After") != "") != change.retries {
+				t.Errorf("%s: reply %+v, want 503, with Retry-After: %v", w.path, r, change.retries)
+			}
+		case <-time.After(soon): //nolint:forbidigo // bounds the test
+			t.Errorf("%s: not rejected %v after the change", w.path, time.Since(since))
+			w.check(t, <-w.done, false)
+		}
+	}
+	release()
+	for _, w := range ways {
+		if !w.waits || !change.drops {
+			w.check(t, <-w.done, true)
+		}
+	}
+}
+
+// TestWaysAtConfigChange guards against a request ending without a whole answer or a refusal, or being refused later than known,
+// when the configuration changes while it is on one of the steps of its way through one daemon.
+func TestWaysAtConfigChange(t *testing.T) {
+	t.Parallel()
+	for _, change := range waysChanges {
+		t.Run(change.name, func(t *testing.T) {
+			t.Parallel()
+			c := newWaysConfig(t)
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", c.text(t))
+			u, servers := startDaemon(t, store, "a"), newWaysServers(t)
+			for i := 1; i <= 2; i++ {
+				u.putServer(fmt.Sprint("p-", i), "plain", backendServer(t, servers.serve), "null")
+				u.putServer(fmt.Sprint("i-", i), "llm", backendServer(t, servers.serve), fmt.Sprintf(openGroup, i))
+			}
+			u.putServer("s-1", "pausing", backendServer(t, servers.serve), "null")
+			u.waitReady()
+			eventually(t, "the groups are open", func() bool { return len(u.d.view.Load().Groups["llm"]) == 2 })
+			ways := []*way{
+				{path: "/unsafe/run"},
+				{path: "/safe/run"},
+				{path: "/pause/pause"},
+				{path: "/once/first", model: "m"},
+				{path: "/once/middle", model: "m"},
+				{path: "/stream/first", model: "m"},
+				{path: "/stream/middle", model: "m"},
+				{path: "/once/wait", model: "n", waits: true},
+				{path: "/stream/wait", model: "n", waits: true},
+			}
+			for _, w := range ways {
+				u.begin(w)
+			}
+			body, err := net.Dial("tcp", u.s.Caller.String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = body.Close() }()
+			_, _ = io.WriteString(body, "POST /unsafe/body HTTP/1.1\r\nHost: a.example\r\nX-Api-Key: k1\r\nX-Flamingorudder-Request-Id: id-b\r\nContent-Length: 2\r\n\r\nx")
+			// at reports whether requests have arrived at that many servers.
+			at := func(want int, paths ...string) func() bool {
+				return func() bool {
+					return !slices.ContainsFunc(paths, func(path string) bool { return servers.arrived(path) < want })
+				}
+			}
+			eventually(t, "the requests have arrived", at(1, "/unsafe/run", "/safe/run", "/pause/pause", "/once/first", "/once/middle", "/stream/first", "/stream/middle"))
+			u.putServer("i-4", "llm", backendServer(t, servers.serve), fmt.Sprintf(openGroup, 4))
+			eventually(t, "others are asked beside the silent ones", at(2, "/safe/run", "/stream/first", "/stream/middle"))
+			eventually(t, "all requests are under way", func() bool { return u.d.dispatch.waiting() == 2 && u.d.inFlight.Load() == int64(len(ways))+1 })
+			change.do(c)
+			c.Version = 2
+			store.Put("op", "config", c.text(t))
+			eventually(t, "the change is in force", func() bool { return u.d.config.Load().Version == 2 })
+			_, _ = io.WriteString(body, "y")
+			resp, err := http.ReadResponse(bufio.NewReader(body), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				t.Errorf("request whose body was being read: status %d", resp.StatusCode)
+			}
+			endWays(t, ways, change, func() {
+				close(servers.released)
+				u.putModel(servers, "n")
+			})
+		})
+	}
+}
+
+// putModel puts the head of an open group of a model into the store.
+func (u *daemonUnderTest) putModel(servers *waysServers, model string) {
+	u.store.Put("servers", "head-"+model, []byte(fmt.Sprintf(`{"service":"llm","address":%q,"zone":"dc","slots":8,"state":"ready","born":1,"models":[{"name":%q}],"domain":"d","staged":[%q],"group":%s}`,
+		backendServer(u.t, servers.serve), model, model, fmt.Sprintf(openGroup, 9))))
+}
+
+// TestWaysAtRemoteScheduler guards against the same for a request that waits at a scheduler of another daemon, which learns of the
+// change sooner or later than its own.
+func TestWaysAtRemoteScheduler(t *testing.T) {
+	t.Parallel()
+	for _, order := range []string{"both", "scheduler later", "scheduler first"} {
+		for _, change := range waysChanges {
+			if order != "both" && !change.drops {
+				continue
+			}
+			t.Run(order+", "+change.name, func(t *testing.T) {
+				t.Parallel()
+				c := newWaysConfig(t)
+				store := fakeplatform.NewStore()
+				store.Put("op", "config", c.text(t))
+				names := member.RendezvousOrder("llm/n", []string{"a", "b"})
+				scheduler, u := startDaemon(t, store, names[0]), startDaemon(t, store, names[1])
+				for _, v := range []*daemonUnderTest{scheduler, u} {
+					v.waitReady()
+					eventually(t, "the daemon hears the other one", func() bool { return len(v.d.livePeers(time.Now())) == 1 })
+				}
+				_ = timer.Wait(t.Context(), 2*candidatesTTL)
+				ways := []*way{{path: "/once/wait", model: "n", waits: true}, {path: "/stream/wait", model: "n", waits: true}}
+				for _, w := range ways {
+					u.begin(w)
+				}
+				eventually(t, "the requests wait at the scheduler", func() bool {
+					scheduler.d.dispatch.mu.Lock()
+					defer scheduler.d.dispatch.mu.Unlock()
+					for _, m := range scheduler.d.dispatch.server.Models() {
+						if s, _ := scheduler.d.dispatch.server.State(time.Now(), m); m.Name == "n" && s.Waiting == 2 {
+							return true
+						}
+					}
+					return false
+				})
+				change.do(c)
+				c.Version = 2
+				switch order {
+				case "both":
+					store.Put("op", "config", c.text(t))
+				case "scheduler later":
+					u.d.feed.applyConfig(c.text(t), "test")
+				case "scheduler first":
+					scheduler.d.feed.applyConfig(c.text(t), "test")
+				}
+				eventually(t, "the change is in force", func() bool { return u.d.config.Load().Version == 2 })
+				endWays(t, ways, change, func() {
+					servers := newWaysServers(t)
+					u.putModel(servers, "n")
+				})
+			})
+		}
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -207,9 +207,23 @@
 // Keyed reports whether requests need a key.
 func (c *Config) Keyed() bool { return len(c.Organisations) > 0 }
 
+// Admits reports whether requests of a route may have that key, or none.
+func (c *Config) Admits(r *Route, key string) bool {
+	return !c.Keyed() || r.Anonymous || c.keys[key] != nil
+}
+
 // Service returns the service of that name, nil when it is not configured.
 func (c *Config) Service(name string) *Service { return c.services[name] }
 
+// Model returns the model of a service, nil when it is not configured.
+func (c *Config) Model(service, name string) *Model {
+	s := c.services[service]
+	if s == nil || s.Engine == nil {
+		return nil
+	}
+	return s.Engine.Model(name)
+}
+
 // Model returns the model of that name, nil when the engine has none.
 func (e *Engine) Model(name string) *Model {
 	for i := range e.Models {
