Go on with open streams through a daemon that has a path

When a daemon lost its path in the middle of streams, callers left after two seconds without an event. The standby of a silent stream went at once to another group, which is behind the same cut and has the least load as it is silent; so the attempts were used up before the path was found lost, and only new requests were handed over.

A standby now waits until a response shows that there is a path, one that came in the last third of the silence; with a path that takes a few milliseconds. Without one the stream is handed over with its last event, and where no daemon has a path, or no place is found, it looks again while the silent attempt lives. All silent streams look for a way when the path is found lost, not only those of stalled groups, and a group whose answers have not begun raises the doubt after the limit of a stall, not after the time of a queue.

A hand-over tells the attempts under way too, its rejection tells how many were made, and only the daemon that sends a request to a backend server pays for the retry. Before, the silent attempt did not count.

--- a/internal/balance/stall.go
+++ b/internal/balance/stall.go
@@ -26,7 +26,9 @@
 	lastProgress time.Time
 	limit        time.Duration
 	stalled      bool
-	requests     map[*Track]struct{}
+	// quiet is set when Quiet has returned the group since its last progress.
+	quiet    bool
+	requests map[*Track]struct{}
 	// started counts the requests that have had a first event.
 	started int
 }
@@ -91,7 +93,7 @@
 	if p == nil {
 		return false
 	}
-	p.lastProgress, p.stalled = now, false
+	p.lastProgress, p.stalled, p.quiet = now, false, false
 	t.lastProgress, t.stalled = now, false
 	if t.started {
 		return false
@@ -153,3 +155,21 @@
 	}
 	return groups, requests
 }
+
+// Silent reports whether a group has made no progress for its limit. Unlike for a stall, it does not matter whether its requests have
+// had a first event, so they may also wait for a slot.
+func (s *StallDetector) Silent(now time.Time, group string) bool {
+	p := s.groups[group]
+	return p != nil && now.Sub(p.lastProgress) > p.limit
+}
+
+// Quiet returns the groups that have become silent since the last call.
+func (s *StallDetector) Quiet(now time.Time) (groups []string) {
+	for name, p := range s.groups {
+		if !p.quiet && s.Silent(now, name) {
+			p.quiet = true
+			groups = append(groups, name)
+		}
+	}
+	return groups
+}
--- a/internal/balance/stall_test.go
+++ b/internal/balance/stall_test.go
@@ -121,3 +121,25 @@
 		s.Begin(now, "g", limit)
 	}
 }
+
+// TestQuietGroup guards against noticing only at the end of a queue's time that a group answers nothing, and against naming it again
+// while nothing has changed.
+func TestQuietGroup(t *testing.T) {
+	s, start, limit := NewStallDetector(), time.Unix(1000, 0), 100*time.Millisecond
+	track := s.Begin(start, "g", limit)
+	for _, step := range []struct {
+		after time.Duration
+		quiet int
+	}{{limit, 0}, {limit + 1, 1}, {2 * limit, 0}} {
+		if got := s.Quiet(start.Add(step.after)); len(got) != step.quiet {
+			t.Errorf("after %v: groups %v, want %d", step.after, got, step.quiet)
+		}
+	}
+	s.Progress(start.Add(3*limit), track)
+	if s.Silent(start.Add(4*limit), "g") || !s.Silent(start.Add(4*limit+1), "g") {
+		t.Error("the silence does not begin with the last progress")
+	}
+	if got := s.Quiet(start.Add(5 * limit)); len(got) != 1 {
+		t.Errorf("in the next silence: groups %v, want one", got)
+	}
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -110,6 +110,8 @@
 	// place is the decision of the scheduler.
 	place schedule.Placement
 	track *balance.Track
+	// limit is how long the group may make no progress.
+	limit time.Duration
 	ended bool
 	// peer is the daemon to which the request is handed over; empty for a place in a group, which the dispatcher counts.
 	peer string
@@ -256,7 +258,7 @@
 func (p *dispatcher) reserve(now time.Time, w *waiter, place *schedule.Placement, head *roster.Server) *reservation {
 	s := &reservation{
 		d: p, model: w.model, key: place.Group, head: head, ids: w.ids, prompt: w.ask.Prompt, began: now, place: *place,
-		track: p.stalls.Begin(now, place.Group, w.limit),
+		track: p.stalls.Begin(now, place.Group, w.limit), limit: w.limit,
 	}
 	p.addLoad(s, balance.Load{Requests: 1, QueuedTokens: w.ask.Prompt})
 	s.ctx, s.cancel = context.WithCancelCause(context.Background())
@@ -295,14 +297,18 @@
 		now := time.Now()
 		p.mu.Lock()
 		stalledGroups, stalledRequests := p.stalls.Tick(now)
-		var doubted []string
 		for _, key := range stalledGroups {
+			p.suspect(now, key)
+		}
+		// A group that may only be busy is no suspect yet, but it is a reason to ask whether there is a path.
+		var doubted []string
+		for _, key := range slices.Concat(stalledGroups, p.stalls.Quiet(now)) {
 			for _, s := range p.running[key] {
 				doubted = append(doubted, s.model.Service)
 				break
 			}
-			p.suspect(now, key)
 		}
+		p.silenceWithoutPath(now)
 		for _, t := range stalledRequests {
 			if s := p.running[t.Group()][t]; s != nil {
 				s.fallSilent() // only the connection of this request stalled, not the group
--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -60,20 +60,43 @@
 func (p *paths) doubt(service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.request(service, func() int { return p.tracker.Doubt(time.Now(), service) })
+}
+
+// request has the servers asked that sample counts, if there are any. p.mu is held.
+func (p *paths) request(service string, sample func() int) {
 	if len(p.doubts) == cap(p.doubts) {
 		return
 	}
-	if n := p.tracker.Doubt(time.Now(), service); n > 0 {
+	if n := sample(); n > 0 {
 		p.verdicts[service] = make(chan struct{})
 		p.doubts <- sampleDue{service, n} // only this method sends, under the mutex
 	}
 }
 
+// verdict returns a channel that is closed when it is known whether there was a path to a service within the last age, or nil if
+// that is known.
+func (p *paths) verdict(service string, age time.Duration) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.request(service, func() int { return p.tracker.Verify(time.Now(), service, age) })
+	return p.verdicts[service]
+}
+
 // await waits while it is in doubt whether there is a path to a service.
 func (p *paths) await(ctx context.Context, service string) {
 	p.mu.Lock()
 	verdict := p.verdicts[service]
 	p.mu.Unlock()
+	awaitVerdict(ctx, verdict)
+}
+
+// verify waits until it is known whether there was a path to a service within the last age.
+func (p *paths) verify(ctx context.Context, service string, age time.Duration) {
+	awaitVerdict(ctx, p.verdict(service, age))
+}
+
+func awaitVerdict(ctx context.Context, verdict <-chan struct{}) {
 	if verdict == nil {
 		return
 	}
@@ -233,7 +256,8 @@
 	// headerFrom names the daemon that hands a request over. Only that of a peer is looked at, since the address for peers is
 	// another one than that for callers.
 	headerFrom = "Daemon-From"
-	// headerAttempts is the number of attempts that reached a backend server, headerMayHaveRun is set if one may have run.
+	// headerAttempts is the number of attempts that reached a backend server or are under way, headerMayHaveRun is set if one may
+	// have run. On responses of the daemon itself, headerAttempts counts its own attempts.
 	headerAttempts   = "Daemon-Attempts"
 	headerMayHaveRun = "Daemon-May-Have-Run"
 	// headerOutcome is set on responses of the daemon itself: outcomeNotRun or outcomeUnknown.
@@ -259,12 +283,12 @@
 	return "no path to the backend servers of service " + e.Service
 }
 
-// buildHandOver builds the request that is handed over to another daemon.
-func (x *exchange) buildHandOver(lastEvent string) *backend.Request {
+// buildHandOver builds the request that is handed over to another daemon, beside the given number of attempts that are under way.
+func (x *exchange) buildHandOver(lastEvent string, underWay int) *backend.Request {
 	h := platform.RelayHeader(x.r.Header, time.Until(x.deadline), lastEvent)
 	h.Set(headerFrom, x.d.settings().Name)
-	h.Set(headerAttempts, strconv.Itoa(x.attempts))
-	if x.mayHaveRun {
+	h.Set(headerAttempts, strconv.Itoa(x.attempts+underWay))
+	if x.mayHaveRun || underWay > 0 {
 		h.Set(headerMayHaveRun, "1")
 	}
 	return &backend.Request{ID: x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body, AtMostOnce: !x.route.Repeatable()}
@@ -312,7 +336,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	x := &exchange{d: d, w: w, r: r, from: r.Header.Get(headerFrom), attempts: attempts, mayHaveRun: r.Header.Get(headerMayHaveRun) != ""}
+	x := &exchange{d: d, w: w, r: r, from: r.Header.Get(headerFrom), attempts: attempts, before: attempts, mayHaveRun: r.Header.Get(headerMayHaveRun) != ""}
 	for _, name := range []string{headerFrom, headerAttempts, headerMayHaveRun} {
 		r.Header.Del(name)
 	}
@@ -338,8 +362,8 @@
 	return &RejectedError{balance.RetryDelay(time.Now(), x.deadline, rand.Float64), "no path to the backend servers"}
 }
 
-// pathChanged is called when the path to a service was lost or found again. Requests that wait for a group are handed over, and what
-// this daemon has found out about single groups no longer counts.
+// pathChanged is called when the path to a service was lost or found again. Requests that wait for a group are handed over, and so are
+// those whose group is silent. What this daemon has found out about single groups no longer counts.
 func (p *dispatcher) pathChanged(service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -353,6 +377,24 @@
 		p.client(w.model).Withdraw(id)
 		w.result <- outcome{err: &PathLostError{service}}
 	}
+	p.silenceWithoutPath(time.Now())
+}
+
+// silenceWithoutPath has the requests of silent groups handed over whose service has no path. A group whose answers have not begun
+// is not given the time of a queue then.
+func (p *dispatcher) silenceWithoutPath(now time.Time) {
+	for _, service := range p.d.paths.lostServices() {
+		for key, reservations := range p.running {
+			for _, s := range reservations {
+				if s.model.Service != service || !p.stalls.Silent(now, key) {
+					break // all requests of a group have the same service
+				}
+				if !s.silent.Load() {
+					s.fallSilent()
+				}
+			}
+		}
+	}
 }
 
 // serversChanged has the servers of services without a path asked at once when there are new ones.
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"flamingorudder.example/internal/fakeplatform"
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/member"
@@ -114,11 +117,14 @@
 // pathFleet is two daemons with backend servers of both kinds; the path of the first one can be cut.
 type pathFleet struct {
 	a, b *daemonUnderTest
-	cut  pathCut
+	// cut is between the first daemon and the backend servers, otherCut between the second one and them.
+	cut, otherCut pathCut
 	// ran counts the requests that began at backend servers, left those whose connection ended before their answer.
 	ran, left atomic.Int32
 	// pause is how long the backend servers work on a request, in nanoseconds.
 	pause atomic.Int64
+	// steady is set if they send pathEvents events of a stream, one every pathEventGap, and go on after Last-Event-Id.
+	steady bool
 	// targets holds the X-Flamingorudder-Deadline-Ms of each request.
 	mu        sync.Mutex
 	deadlines []string
@@ -127,14 +133,43 @@
 // newPathFleet starts the daemons. schedules tells whether the first one, whose path can be cut, schedules the model.
 func newPathFleet(t *testing.T, schedules bool) *pathFleet {
 	t.Helper()
-	f := &pathFleet{}
+	return startPathFleet(t, schedules, false)
+}
+
+// newSteadyFleet starts daemons whose backend servers send streams event by event. The first daemon has open connections to all of them.
+func newSteadyFleet(t *testing.T) *pathFleet {
+	t.Helper()
+	f := startPathFleet(t, false, true)
+	var warm errgroup.Group
+	for i := range 16 {
+		warm.Go(func() error {
+			for _, path := range []string{"/stream/", "/unsafe/"} {
+				if r := f.sendTimed(f.a, path, fmt.Sprint("warm ", i), func() {}); r.status != http.StatusOK {
+					t.Errorf("%s before the cut: reply %+v", path, r)
+				}
+			}
+			return nil
+		})
+	}
+	_ = warm.Wait() // its tasks return no error
+	f.ran.Store(0)
+	return f
+}
+
+func startPathFleet(t *testing.T, schedules, steady bool) *pathFleet {
+	t.Helper()
+	f := &pathFleet{steady: steady}
 	names := member.RendezvousOrder("llm/m", []string{"a", "b"})
 	if !schedules {
 		slices.Reverse(names)
 	}
 	store := fakeplatform.NewStore()
-	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
-	f.a, f.b = startDaemon(t, store, names[0], f.cut.apply), startDaemon(t, store, names[1])
+	config := fmt.Sprintf(testConfig, 1, pathRoutes)
+	if steady {
+		config = strings.Replace(config, `"step_ms":5`, `"step_ms":40`, 1) // a pass takes as long as from event to event
+	}
+	store.Put("op", "config", []byte(config))
+	f.a, f.b = startDaemon(t, store, names[0], f.cut.apply), startDaemon(t, store, names[1], f.otherCut.apply)
 	serve := func(c net.Conn, r *http.Request) {
 		f.ran.Add(1)
 		f.mu.Lock()
@@ -146,6 +181,10 @@
 			return
 		}
 		body, _ := io.ReadAll(r.Body)
+		if r.Header.Get("X-Flamingorudder-Model") != "" && f.steady {
+			f.sendSteadily(t, c, r)
+			return
+		}
 		if strings.HasPrefix(r.URL.Path, "/stream/") {
 			writeAnswer(c, r, http.StatusOK, event(1)+event(2), "Content-Type: text/event-stream\r\n")
 			return
@@ -163,6 +202,193 @@
 	return f
 }
 
+// pathRoutes are routes that allow more attempts than those of testConfig, or none after the first.
+const pathRoutes = onceRoute + `,{"name":"stream3","host":"a.example","prefix":"/stream3/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":500,"service":"llm","maxAttempts":3,"streamResume":true},
+ {"name":"safe3","host":"a.example","prefix":"/safe3/","kind":"safe","timeoutMs":6000,"targetLatencyMs":150,"service":"plain","maxAttempts":3},
+ {"name":"unsafe3","host":"a.example","prefix":"/unsafe3/","kind":"unsafe","timeoutMs":6000,"targetLatencyMs":150,"service":"plain","maxAttempts":3}`
+
+const (
+	pathEvents   = 12
+	pathEventGap = 40 * time.Millisecond
+)
+
+// sendSteadily sends a stream event by event.
+func (f *pathFleet) sendSteadily(t *testing.T, c net.Conn, r *http.Request) {
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Flamingorudder-Request-Id: %s\r\nX-Flamingorudder-Response-Signature: s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n",
+		r.Header.Get("X-Flamingorudder-Request-Id"), len(wholeStream(from)))
+	for n := from + 1; n <= pathEvents; n++ {
+		if _, err := io.WriteString(c, head+event(n)); err != nil || closed(c) {
+			f.left.Add(1)
+			return
+		}
+		head = ""
+		if n < pathEvents {
+			_ = timer.Wait(t.Context(), pathEventGap)
+		}
+	}
+}
+
+// wholeStream is the stream that sendSteadily sends after an event.
+func wholeStream(after int) (body string) {
+	for n := after + 1; n <= pathEvents; n++ {
+		body += event(n)
+	}
+	return body
+}
+
+// timedReply is a reply with the time until its first byte and its longest pause.
+type timedReply struct {
+	reply
+	first, pause time.Duration
+}
+
+// sendTimed sends a request and notes when the bytes of its answer arrive. begun is called after each of them.
+func (f *pathFleet) sendTimed(u *daemonUnderTest, path, body string, begun func()) (out timedReply) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+u.s.Caller.String()+path, strings.NewReader(body))
+	if err != nil {
+		return timedReply{reply: reply{err: err}}
+	}
+	req.Host = "a.example"
+	for name, value := range map[string]string{"X-Flamingorudder-Request-Id": "id-" + body, "X-Flamingorudder-Deadline-Ms": "5000", "X-Api-Key": "k1"} {
+		req.Header.Set(name, value)
+	}
+	if strings.HasPrefix(path, "/stream") || path == "/once/" {
+		req.Header.Set("X-Flamingorudder-Model", "m")
+		req.Header.Set("X-Flamingorudder-Token-Usage", "100,20")
+	}
+	last := time.Now()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return timedReply{reply: reply{err: err}}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out.status, out.h, out.first = resp.StatusCode, resp.Header, time.Since(last)
+	buf := make([]byte, 4096)
+	for {
+		n, err := resp.Body.Read(buf)
+		out.body += string(buf[:n])
+		out.pause = max(out.pause, time.Since(last))
+		last = time.Now()
+		if n > 0 {
+			begun()
+		}
+		if err != nil {
+			if err != io.EOF { //nolint:errorlint // as documented
+				out.err = err
+			}
+			return out
+		}
+	}
+}
+
+// callerPatience is how long callers wait for the next event, or for an answer, before they leave.
+const callerPatience = 2 * time.Second
+
+// TestPathLostInMidRequest guards against losing the requests that are open or wait for their answer when their daemon loses its path
+// while another one has one: they go on there before callers leave, with each event once and no more attempts than the route allows.
+func TestPathLostInMidRequest(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		path     string
+		inStream bool
+		attempts int32
+		// back is how long after the cut the path comes back, if it does.
+		back time.Duration
+	}{
+		"stream, in the middle":                 {path: "/stream/", inStream: true, attempts: 2},
+		"stream, in the middle, three attempts": {path: "/stream3/", inStream: true, attempts: 3},
+		"stream, before its first event":        {path: "/stream/", attempts: 2},
+		"stream, first event, three attempts":   {path: "/stream3/", attempts: 3},
+		"stream, in the middle, back in 1.2 s":  {path: "/stream/", inStream: true, attempts: 2, back: 1200 * time.Millisecond},
+		"stream, first event, back in 2 s":      {path: "/stream3/", attempts: 3, back: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newSteadyFleet(t)
+			if !test.inStream {
+				f.pause.Store(int64(300 * time.Millisecond))
+			}
+			got, events := make(chan timedReply, 1), make(chan struct{}, 100)
+			go func() { got <- f.sendTimed(f.a, test.path, "x", func() { events <- struct{}{} }) }()
+			eventually(t, "the request runs", func() bool { return f.ran.Load() == 1 })
+			if test.inStream {
+				<-events
+			}
+			f.cut.set("hang")
+			cut := time.Now()
+			if test.back > 0 {
+				_ = timer.Wait(t.Context(), test.back)
+				f.cut.set("")
+			}
+			r := <-got
+			want := wholeStream(0)
+			if strings.HasPrefix(test.path, "/safe") {
+				want = "echo x"
+			}
+			if r.err != nil || r.status != http.StatusOK || r.body != want {
+				t.Errorf("%v after the cut: status %d, error %v, body %q", time.Since(cut), r.status, r.err, r.body)
+			}
+			if wait := max(r.first, r.pause); wait > callerPatience {
+				t.Errorf("the caller waited %v", wait)
+			}
+			if n := f.ran.Load(); n > test.attempts {
+				t.Errorf("it ran %d times, %d are allowed", n, test.attempts)
+			}
+		})
+	}
+}
+
+// TestOnlyWaitWithoutPath guards against repeating requests that may run once, and against ending requests that no daemon can serve
+// elsewhere, while there is no path: they are answered when it comes back before their deadline, and else get a status.
+func TestOnlyWaitWithoutPath(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		path string
+		// back is how long after the cut the path comes back, if it does. both is set if no daemon has one.
+		back time.Duration
+		both bool
+	}{
+		"once, back in 2 s":              {path: "/once/", back: 2 * time.Second},
+		"once":                           {path: "/once/"},
+		"no daemon, stream, back in 2 s": {path: "/stream/", back: 2 * time.Second, both: true},
+		"no daemon, stream, three":       {path: "/stream3/", back: 2 * time.Second, both: true},
+		"no daemon, stream":              {path: "/stream/", both: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newSteadyFleet(t)
+			f.pause.Store(int64(300 * time.Millisecond))
+			got := make(chan timedReply, 1)
+			start := time.Now()
+			go func() { got <- f.sendTimed(f.a, test.path, "x", func() {}) }()
+			eventually(t, "the request runs", func() bool { return f.ran.Load() == 1 })
+			f.cut.set("hang")
+			if test.both {
+				f.otherCut.set("hang")
+			}
+			if test.back > 0 {
+				_ = timer.Wait(t.Context(), test.back)
+				f.cut.set("")
+			}
+			r := <-got
+			want, status := wholeStream(0), http.StatusOK
+			if !strings.Contains(test.path, "stream") && test.path != "/once/" {
+				want = "echo x"
+			}
+			if test.back == 0 {
+				want, status = "", http.StatusGatewayTimeout
+			}
+			if r.err != nil || r.status != status || r.body != want {
+				t.Errorf("after %v: status %d, error %v, body %q", time.Since(start), r.status, r.err, r.body)
+			}
+			if n := f.ran.Load(); n != 1 && !test.both {
+				t.Errorf("it ran %d times", n)
+			}
+		})
+	}
+}
+
 // pathSettle is the time for which RECOVER does not count failures after a path was lost (stableWindowMs of the deployments).
 const pathSettle = 3 * time.Second
 
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -235,7 +235,7 @@
 			return false
 		}
 		if target := p.x.handOverTarget(p.handedTo); target != nil {
-			if p.unsent >= maxUnsent || !p.x.allowAttempt(0) {
+			if p.unsent >= maxUnsent || !p.x.attemptLeft(0) {
 				return false
 			}
 			p.handOver(ctx, now, target)
@@ -307,9 +307,10 @@
 	p.handedTo = append(p.handedTo, target.Name)
 	a := &plainAttempt{server: peerServer(target), peer: target.Name, sent: now}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	request := p.x.buildHandOver("", len(p.underWay))
 	p.underWay = append(p.underWay, a)
 	p.tasks.Go(func() error {
-		p.x.tryPeer(a)
+		p.x.tryPeer(a, request)
 		p.ended <- a
 		return nil
 	})
@@ -335,7 +336,7 @@
 		x.d.paths.doubt(x.service)
 		servers, now, share := p.candidates()
 		if target := x.handOverTarget(p.handedTo); target != nil {
-			if x.allowAttempt(len(p.underWay)) {
+			if x.attemptLeft(len(p.underWay)) {
 				p.handOver(ctx, now, target)
 			}
 			break
@@ -495,8 +496,8 @@
 }
 
 // tryPeer hands the request over to another daemon and reads the response.
-func (x *exchange) tryPeer(a *plainAttempt) {
-	r, err := x.d.peerPool.Do(a.ctx, a.server, x.buildHandOver(""), 0)
+func (x *exchange) tryPeer(a *plainAttempt, request *backend.Request) {
+	r, err := x.d.peerPool.Do(a.ctx, a.server, request, 0)
 	if err != nil {
 		a.sendErr, a.err = err, err
 		a.cancel(nil)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -65,6 +65,10 @@
 	// request.
 	attempts   int
 	mayHaveRun bool
+	// before is the number of attempts before the request was handed over to this daemon. ranHere is set when one of the attempts of
+	// this daemon may have run the request.
+	before  int
+	ranHere bool
 	// firstAt is when the first event or the response arrived; zero before.
 	firstAt time.Time
 	// maxGap is the longest gap between two events.
@@ -234,10 +238,11 @@
 	if x.from != "" {
 		platform.SetRequestID(x.w.Header(), x.call.ID)
 		outcome := outcomeNotRun
-		if x.mayHaveRun {
+		if x.ranHere {
 			outcome = outcomeUnknown
 		}
 		x.w.Header().Set(headerOutcome, outcome)
+		x.w.Header().Set(headerAttempts, strconv.Itoa(x.attempts-x.before))
 	}
 	x.w.Header().Set("Content-Length", "0")
 	x.w.WriteHeader(status)
@@ -331,20 +336,27 @@
 	}
 }
 
-// allowAttempt reports whether the request may be sent to one more backend server, beside the given number of attempts that
-// are under way. A retry is charged to the retry budget.
-func (x *exchange) allowAttempt(underWay int) bool {
+// attemptLeft reports whether the request may run at one more backend server, beside the given number of attempts that are under way.
+func (x *exchange) attemptLeft(underWay int) bool {
 	attempts := x.attempts + underWay
-	if attempts == 0 {
+	return attempts == 0 || attempts < x.route.MaxAttempts && (x.route.Repeatable() || !x.mayHaveRun && underWay == 0)
+}
+
+// payRetry charges an attempt beside the given number of others to the retry budget, unless it is the first. It reports false if the
+// budget is used up. The daemon that sends the request to a backend server pays, not one that hands it over.
+func (x *exchange) payRetry(underWay int) bool {
+	if x.attempts+underWay == 0 {
 		return true
 	}
-	if (x.mayHaveRun || underWay > 0) && !x.route.Repeatable() || attempts >= x.route.MaxAttempts {
-		return false
-	}
 	now := time.Now()
 	return x.d.budget.takeRetry(x.service, now, x.d.settings(), x.d.fleetSize(now))
 }
 
+// allowAttempt reports whether the request may be sent to one more backend server, and pays for it.
+func (x *exchange) allowAttempt(underWay int) bool {
+	return x.attemptLeft(underWay) && x.payRetry(underWay)
+}
+
 // recordAttempt records the result of an attempt at a backend server. group is the key of its model group, empty for a
 // plain service; notices describes what its response announces.
 func (x *exchange) recordAttempt(s *roster.Server, group string, err error, a *backend.Response, notices string) {
@@ -362,16 +374,21 @@
 		return
 	case err != nil:
 		x.attempts++
-		x.mayHaveRun = true
+		x.mayHaveRun, x.ranHere = true, true
 		x.attemptLog = append(x.attemptLog, server+": "+err.Error())
 		return
 	}
 	x.attempts++
+	if n, err := strconv.Atoi(a.Header.Get(headerAttempts)); err == nil && a.Header.Get(headerOutcome) != "" {
+		x.attempts += max(n-1, 0) // those of the daemon to which the request was handed over
+	}
 	x.attemptLog = append(x.attemptLog, fmt.Sprintf("%s: %d", server, a.Status)+notices)
 	if a.Limited {
 		x.d.metrics.RecordLimitedAttempt(x.service)
 	}
-	x.mayHaveRun = x.mayHaveRun || !a.NotExecuted
+	if !a.NotExecuted {
+		x.mayHaveRun, x.ranHere = true, true
+	}
 }
 
 // handleNotices processes the headers by which a backend server announces that it is leaving or asks callers to pause. It
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -19,6 +19,7 @@
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
 	"flamingorudder.example/internal/schedule"
+	"flamingorudder.example/internal/timer"
 )
 
 const (
@@ -65,25 +66,28 @@
 			last = err
 			break
 		}
-		if !x.allowAttempt(0) {
+		if !x.attemptLeft(0) {
 			break
 		}
 		waiting, stopWaiting := x.untilClosing(ctx)
 		if last != nil {
 			x.d.paths.await(waiting, x.service)
 		}
-		reserved, err := s.acquire(waiting, x.mayHaveRun || x.call.LastEvent != "")
+		reserved, err := s.reserve(waiting, 0)
 		stopWaiting()
 		var pathLost *PathLostError
-		if errors.As(err, &pathLost) {
+		var noRetry *NoRetryError
+		switch {
+		case errors.As(err, &pathLost):
 			s.unsent++
 			continue
+		case err != nil && !errors.As(err, &noRetry):
+			last = err
 		}
 		if err != nil {
-			last = err
 			break
 		}
-		for a := s.newAttempt(ctx, reserved); a != nil; {
+		for a := s.newAttempt(ctx, reserved, 0); a != nil; {
 			var next *streamAttempt
 			if next, err = s.run(ctx, a); err == nil {
 				x.finish(s.status, outcomeServed)
@@ -237,6 +241,8 @@
 	// exclude holds the groups of all attempts, unsent counts the attempts that did not reach their backend server.
 	exclude []string
 	unsent  int
+	// paid is set while an attempt has been paid for that has not been made.
+	paid bool
 	// handedTo are the daemons to which the request was handed over.
 	handedTo []string
 
@@ -251,6 +257,8 @@
 // standby is an attempt that is prepared while the group of another one is silent.
 type standby struct {
 	cancel context.CancelCauseFunc
+	// alone is called when the silent attempt has ended: then an attempt that is under way goes on, and no other one is begun.
+	alone context.CancelFunc
 	// attempt has begun to answer; it is nil if there is none. It is set before the task ends.
 	attempt *streamAttempt
 }
@@ -265,6 +273,8 @@
 	detach func() bool
 	// resume is the event after which the response goes on, empty for the beginning or where the caller said.
 	resume string
+	// underWay is the number of attempts beside which this one was made.
+	underWay int
 	// response is nil until its headers arrive; sendErr is why they did not. notices describes what they announce.
 	response *backend.Response
 	sendErr  error
@@ -285,6 +295,36 @@
 
 func (e *AbandonedError) Error() string { return "abandoned: " + e.Reason }
 
+// NoRetryError reports that the retry budget of a service is used up.
+type NoRetryError struct{ Service string }
+
+func (e *NoRetryError) Error() string { return "no retry is left for service " + e.Service }
+
+// reserve acquires a place for an attempt beside the given number of others, and pays for it if this daemon sends it.
+func (s *forwardedStream) reserve(ctx context.Context, underWay int) (*reservation, error) {
+	x := s.x
+	if !x.d.paths.lost(x.service) && !s.pay(underWay) {
+		return nil, &NoRetryError{x.service}
+	}
+	reserved, err := s.acquire(ctx, underWay > 0 || x.mayHaveRun || x.call.LastEvent != "")
+	if err != nil || reserved.peer != "" {
+		return reserved, err
+	}
+	if !s.pay(underWay) {
+		reserved.release()
+		return nil, &NoRetryError{x.service}
+	}
+	s.paid = false
+	s.exclude = append(s.exclude, reserved.key)
+	return reserved, nil
+}
+
+// pay pays for the next attempt once, however often a place for it is sought.
+func (s *forwardedStream) pay(underWay int) bool {
+	s.paid = s.paid || s.x.payRetry(underWay)
+	return s.paid
+}
+
 // acquire waits for a place in a group that has not been tried. Without a path to the groups it has another daemon serve the
 // request. goOn is set if a group may have worked on the request.
 func (s *forwardedStream) acquire(ctx context.Context, goOn bool) (*reservation, error) {
@@ -300,19 +340,16 @@
 		s.handedTo = append(s.handedTo, target.Name)
 		return x.d.dispatch.handOver(schedule.Model{Service: s.svc.Name, Name: x.call.Model}, s.ids, target), nil
 	}
-	reserved, err := x.d.dispatch.acquire(ctx, s.svc, x.call.Model, x.org, balance.Request{
+	return x.d.dispatch.acquire(ctx, s.svc, x.call.Model, x.org, balance.Request{
 		Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: s.ids.request,
 		Arrived: x.start, Until: x.deadline, Resumed: goOn,
 	}, s.ids, s.exclude)
-	if err == nil {
-		s.exclude = append(s.exclude, reserved.key)
-	}
-	return reserved, err
 }
 
-// newAttempt returns an attempt that goes on after the last event that was forwarded. The caller settles it.
-func (s *forwardedStream) newAttempt(ctx context.Context, reserved *reservation) *streamAttempt {
-	a := &streamAttempt{s: s, reserved: reserved, events: eventReader{x: s.x, reserved: reserved, last: s.lastEvent, resuming: s.headerSent, base: s.events}}
+// newAttempt returns an attempt that goes on after the last event that was forwarded, beside the given number of others. The caller
+// settles it.
+func (s *forwardedStream) newAttempt(ctx context.Context, reserved *reservation, underWay int) *streamAttempt {
+	a := &streamAttempt{s: s, reserved: reserved, underWay: underWay, events: eventReader{x: s.x, reserved: reserved, last: s.lastEvent, resuming: s.headerSent, base: s.events}}
 	// Until the caller has got an event, its own Last-Event-Id header, which is forwarded, is the position to resume from.
 	if s.headerSent {
 		a.resume = s.lastEvent
@@ -368,6 +405,7 @@
 		if err == nil {
 			other.cancel(&SupersededError{a.reserved.key})
 		} else {
+			other.alone()
 			a.detach()
 			a.reserved.release() // the group no longer works on the request
 		}
@@ -389,28 +427,51 @@
 	}
 	// The attempt outlives this context, which ends only the preparation.
 	preparation, cancel := context.WithCancelCause(ctx)
-	other := &standby{cancel: cancel}
+	beside, alone := context.WithCancel(preparation)
+	other := &standby{cancel: cancel, alone: alone}
 	s.standby = other
 	s.tasks.Go(func() error {
-		other.attempt = s.prepare(ctx, preparation, a)
+		defer alone()
+		other.attempt = s.prepare(ctx, preparation, beside, a)
 		return nil
 	})
 }
 
-// prepare makes attempts at other groups until one has begun to answer, and cancels the silent attempt then.
-func (s *forwardedStream) prepare(ctx, preparation context.Context, silent *streamAttempt) *streamAttempt {
-	for s.unsent < maxUnsent && preparation.Err() == nil && s.x.allowAttempt(1) {
-		reserved, err := s.acquire(preparation, true)
+const (
+	// standbyRetry and maxStandbyRetry are the shortest and the longest time after which a place for a standby is sought again.
+	standbyRetry    = 50 * time.Millisecond
+	maxStandbyRetry = 250 * time.Millisecond
+)
+
+// prepare makes attempts at other groups until one has begun to answer, and cancels the silent attempt then. Where there is no place
+// for an attempt, it looks again until beside ends, which is when the silent attempt does.
+func (s *forwardedStream) prepare(ctx, preparation, beside context.Context, silent *streamAttempt) *streamAttempt {
+	x := s.x
+	for s.unsent < maxUnsent && preparation.Err() == nil && x.attemptLeft(1) {
+		// Without a path, an attempt at another group would be as silent. A response that came in the last part of the silence
+		// shows that there is one.
+		x.d.paths.verify(beside, x.service, silent.reserved.limit/3)
+		if beside.Err() != nil {
+			return nil
+		}
+		reserved, err := s.reserve(preparation, 1)
 		var pathLost *PathLostError
-		if errors.As(err, &pathLost) {
-			s.unsent++
+		switch {
+		case errors.As(err, &pathLost):
+			continue
+		case err != nil:
+			pause := standbyRetry
+			var rejected *RejectedError
+			if errors.As(err, &rejected) && !x.d.paths.lost(x.service) {
+				pause = min(max(rejected.RetryAfter, standbyRetry), maxStandbyRetry)
+			}
+			if timer.Wait(beside, pause) != nil {
+				return nil
+			}
 			continue
 		}
-		if err != nil {
-			return nil
-		}
-		a := s.newAttempt(ctx, reserved)
-		if s.x.attempts+2 < s.x.route.MaxAttempts {
+		a := s.newAttempt(ctx, reserved, 1)
+		if x.attempts+2 < x.route.MaxAttempts {
 			// A standby at a group that is silent too makes room for one at a third group.
 			reserved.watch(func() { a.cancel(&StalledError{reserved.key}) })
 		}
@@ -488,7 +549,7 @@
 	var r *backend.Response
 	var err error
 	if a.reserved.peer != "" {
-		r, err = x.d.peerPool.Do(a.ctx, head, x.buildHandOver(a.resume), 0)
+		r, err = x.d.peerPool.Do(a.ctx, head, x.buildHandOver(a.resume, a.underWay), 0)
 	} else {
 		r, err = x.d.pool.Do(a.ctx, head, x.buildRequest(head, priority(x.rank), a.resume), x.d.connectionLimit(a.s.svc))
 	}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -39,10 +39,11 @@
 	// asking is set while a sample is being asked, second if it is the second of two. next is when another may begin.
 	asking, second bool
 	next           time.Time
+	// responded is when a server last responded.
+	responded time.Time
 }
 
-// Doubt records that a server of a service did not respond. It returns how many servers to ask, or zero.
-func (t *Tracker) Doubt(now time.Time, service string) (sample int) {
+func (t *Tracker) path(service string) *path {
 	if t.services == nil {
 		t.services = map[string]*path{}
 	}
@@ -51,13 +52,37 @@
 		p = &path{}
 		t.services[service] = p
 	}
-	if p.asking || !p.lostSince.IsZero() || now.Before(p.next) {
+	return p
+}
+
+// begin begins a sample, unless one is being asked or there is no path. It returns how many servers to ask, or zero.
+func (p *path) begin() (sample int) {
+	if p.asking || !p.lostSince.IsZero() {
 		return 0
 	}
 	p.asking, p.second = true, false
 	return firstSample
 }
 
+// Doubt records that a server of a service did not respond. It returns how many servers to ask, or zero.
+func (t *Tracker) Doubt(now time.Time, service string) (sample int) {
+	p := t.path(service)
+	if now.Before(p.next) {
+		return 0
+	}
+	return p.begin()
+}
+
+// Verify returns how many servers to ask so that it is known whether there was a path to a service within the last age, or zero.
+// Unlike Doubt it counts on no earlier response: a path may be lost just after one.
+func (t *Tracker) Verify(now time.Time, service string, age time.Duration) (sample int) {
+	p := t.path(service)
+	if now.Sub(p.responded) <= age {
+		return 0
+	}
+	return p.begin()
+}
+
 // LostSample is how many servers of a service without a path are asked at a time.
 const LostSample = 2
 
@@ -85,7 +110,7 @@
 	wasLost := !p.lostSince.IsZero()
 	switch {
 	case responded:
-		p.lostSince, p.next = time.Time{}, now.Add(doubtInterval)
+		p.lostSince, p.next, p.responded = time.Time{}, now.Add(doubtInterval), now
 	case !wasLost && !p.second:
 		p.second = true
 		return secondSample, false
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -72,3 +72,21 @@
 		t.Errorf("the path was lost in %d of 10000 cases", lost)
 	}
 }
+
+// TestPathLostAfterResponse guards against counting on a path because a server responded before it was lost, and against asking again
+// while a response is recent enough.
+func TestPathLostAfterResponse(t *testing.T) {
+	var tracker Tracker
+	now := time.Unix(1000, 0)
+	ask(&tracker, now, tracker.Doubt(now, "s"), func() bool { return true })
+	now = now.Add(doubtInterval / 5)
+	if tracker.Verify(now, "s", doubtInterval/4) != 0 {
+		t.Error("servers are asked although one has just responded")
+	}
+	if asked := ask(&tracker, now, tracker.Verify(now, "s", doubtInterval/10), func() bool { return false }); asked != 8 || !tracker.Lost("s") {
+		t.Errorf("%d servers asked, lost %v; want eight and no path", asked, tracker.Lost("s"))
+	}
+	if tracker.Verify(now.Add(time.Second), "s", 0) != 0 {
+		t.Error("servers are asked although the path is known to be lost")
+	}
+}
