Hand silent safe requests over once the path is known to be lost

A safe request whose server was silent went to the next server at once, which is behind the same cut while the path is lost; with its attempts used up it got 504. It now waits for a response that shows that there is a path before another server is asked, for a few milliseconds if there is one, and is handed over if there is none. While no daemon has a path it looks again. A rejection by another daemon no longer ends the attempts that are under way, and silence of requests that are not safe raises the doubt, too.

On the code before, the safe rows of TestPathLostInMidRequest whose path stays lost failed with 504 (1.97 and 4.98 s after the cut).

--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -302,6 +302,9 @@
 		"stream, first event, three attempts":   {path: "/stream3/", attempts: 3},
 		"stream, in the middle, back in 1.2 s":  {path: "/stream/", inStream: true, attempts: 2, back: 1200 * time.Millisecond},
 		"stream, first event, back in 2 s":      {path: "/stream3/", attempts: 3, back: 2 * time.Second},
+		"safe request":                          {path: "/safe/", attempts: 2},
+		"safe request, three attempts":          {path: "/safe3/", attempts: 3},
+		"safe request, three attempts, back":    {path: "/safe3/", attempts: 3, back: 1200 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -351,9 +354,14 @@
 	}{
 		"once, back in 2 s":              {path: "/once/", back: 2 * time.Second},
 		"once":                           {path: "/once/"},
+		"unsafe, back in 1.2 s":          {path: "/unsafe3/", back: 1200 * time.Millisecond},
+		"unsafe, back in 2 s":            {path: "/unsafe3/", back: 2 * time.Second},
+		"unsafe":                         {path: "/unsafe3/"},
 		"no daemon, stream, back in 2 s": {path: "/stream/", back: 2 * time.Second, both: true},
 		"no daemon, stream, three":       {path: "/stream3/", back: 2 * time.Second, both: true},
 		"no daemon, stream":              {path: "/stream/", both: true},
+		"no daemon, safe, back in 1.2 s": {path: "/safe3/", back: 1200 * time.Millisecond, both: true},
+		"no daemon, safe, back in 2 s":   {path: "/safe3/", back: 2 * time.Second, both: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -290,7 +290,7 @@
 	}
 	x.d.limits.Take(server.ID)
 	p.tried[server.ID] = true
-	a := &plainAttempt{server: server, sent: now, patience: time.Duration(float64(x.route.Objective) * attemptTimeoutFactor)}
+	a := &plainAttempt{server: server, sent: now, patience: x.patience()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	p.underWay = append(p.underWay, a)
 	x.d.plainServers.begin(server.ID)
@@ -302,6 +302,15 @@
 	return true
 }
 
+// patience returns how long a backend server of a plain service may be silent. Without an objective, silence is only a reason to ask
+// whether there is a path.
+func (x *exchange) patience() time.Duration {
+	if x.route.Objective == 0 {
+		return probeTimeout
+	}
+	return time.Duration(float64(x.route.Objective) * attemptTimeoutFactor)
+}
+
 // handOver has another daemon serve the request.
 func (p *plainRequest) handOver(ctx context.Context, now time.Time, target *gossip.Peer) {
 	p.handedTo = append(p.handedTo, target.Name)
@@ -319,36 +328,61 @@
 // await waits for the end of an attempt. While the backend servers are silent, it may send the request to others.
 func (p *plainRequest) await(ctx context.Context) *plainAttempt {
 	x := p.x
-	for x.route.Kind == route.Safe && x.route.Objective > 0 && len(p.underWay) < maxPlainAttempts {
+	for {
 		latest := p.underWay[len(p.underWay)-1]
 		if latest.peer != "" {
 			break // that daemon sends it to another backend server if one is silent
 		}
-		silent := make(chan struct{})
-		stop := timer.AfterFunc(latest.patience-time.Since(latest.sent), func() { close(silent) })
-		select {
-		case a := <-p.ended:
-			stop()
+		if a := p.awaitFor(latest.patience - time.Since(latest.sent)); a != nil {
 			return a
-		case <-silent:
 		}
 		x.d.plainServers.avoid(latest.server.ID, time.Now())
-		x.d.paths.doubt(x.service)
+		if x.route.Kind != route.Safe || len(p.underWay) >= maxPlainAttempts || !x.attemptLeft(len(p.underWay)) {
+			x.d.paths.doubt(x.service)
+			break
+		}
+		// Without a path, another server would be as silent. A response that came in the last part of the silence shows that
+		// there is one.
+		if verdict := x.d.paths.verdict(x.service, latest.patience/3); verdict != nil {
+			select {
+			case a := <-p.ended:
+				return a
+			case <-verdict:
+			}
+		}
 		servers, now, share := p.candidates()
-		if target := x.handOverTarget(p.handedTo); target != nil {
-			if x.attemptLeft(len(p.underWay)) {
+		if x.d.quarantineRejection(now, p.ids) != nil {
+			break
+		}
+		if x.d.paths.lost(x.service) {
+			if target := x.handOverTarget(p.handedTo); target != nil && p.unsent < maxUnsent {
 				p.handOver(ctx, now, target)
+			} else if a := p.awaitFor(standbyRetry); a != nil {
+				return a
 			}
-			break
+			continue
 		}
 		server := p.choose(servers, now, share, true)
-		if server == nil || x.d.quarantineRejection(now, p.ids) != nil || !x.allowAttempt(len(p.underWay)) || !p.send(ctx, now, server) {
+		if server == nil || x.route.Objective == 0 || !x.payRetry(len(p.underWay)) || !p.send(ctx, now, server) {
 			break
 		}
 	}
 	return <-p.ended
 }
 
+// awaitFor waits for the end of an attempt, or returns nil when the time is over.
+func (p *plainRequest) awaitFor(d time.Duration) *plainAttempt {
+	over := make(chan struct{})
+	stop := timer.AfterFunc(d, func() { close(over) })
+	defer stop()
+	select {
+	case a := <-p.ended:
+		return a
+	case <-over:
+		return nil
+	}
+}
+
 // settle records the result of an attempt. It reports whether no other attempt is needed.
 func (p *plainRequest) settle(a *plainAttempt) (done bool) {
 	x := p.x
@@ -365,7 +399,7 @@
 		case errors.As(context.Cause(a.ctx), &superseded):
 			x.attemptLog[len(x.attemptLog)-1] += ", " + superseded.Error()
 		case isFinal(a.err):
-			return true
+			return len(p.underWay) == 0 // or a silent server may still answer
 		case a.sendErr == nil:
 			x.attemptLog[len(x.attemptLog)-1] += ", " + a.err.Error()
 		}
