Let the stand-in of the store hide heartbeats

The users' store shows no entry of a backend server of which only the heartbeat has changed. The stand-in kept such a change out of feeds, but showed it in reads, so that a daemon under the soak could tell by a read that a silent server lives. Entries lapse as before.

--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -27,6 +27,7 @@
 			&cli.StringFlag{Name: "daemons", Usage: "listen address for daemons", Required: true},
 			&cli.StringFlag{Name: "platform", Usage: "listen address for operators and backend servers", Required: true},
 			&cli.DurationFlag{Name: "beat", Usage: "interval at which backend servers renew their entries", Value: time.Second},
+			&cli.BoolFlag{Name: "hide-heartbeats", Usage: "return entries of backend servers as they were when more than the heartbeat changed"},
 		},
 		Action: runStore,
 	}
@@ -34,6 +35,9 @@
 
 func runStore(ctx context.Context, c *cli.Command) error {
 	store := fakeplatform.NewStore()
+	if c.Bool("hide-heartbeats") {
+		store.HideHeartbeats()
+	}
 	g, ctx := errgroup.WithContext(ctx)
 	var mu sync.Mutex
 	kept := store.Backup()
--- a/internal/fakeplatform/store.go
+++ b/internal/fakeplatform/store.go
@@ -35,6 +35,8 @@
 	kept int64
 	// refuse is the status that daemons get for every call; 0 serves them.
 	refuse int
+	// hides is set if reads return entries of backend servers as they were when more than the heartbeat changed.
+	hides bool
 	// mute holds tables whose reads hang, once each, as on a connection that went silent.
 	mute map[string]bool
 }
@@ -52,6 +54,13 @@
 	return &Store{start: time.Now(), era: 1, changed: make(chan struct{}), rows: map[string]map[string]stored{}, mute: map[string]bool{}}
 }
 
+// HideHeartbeats makes reads return entries of backend servers as they were when more than the heartbeat changed, as feeds do.
+func (s *Store) HideHeartbeats() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hides = true
+}
+
 // Put writes a row, as operators and backend servers do, and returns its version.
 func (s *Store) Put(table, key string, value []byte) int64 {
 	s.mu.Lock()
@@ -293,7 +302,11 @@
 	}
 	for _, x := range tx.Write {
 		if was := s.rows[x.Table][x.Key]; x.Table == platform.TableServers && !was.removed && sameEntry(x.Key, was.value, x.Value) {
-			s.rows[x.Table][x.Key] = stored{value: x.Value, version: was.version, at: time.Now()}
+			renewed := stored{value: x.Value, version: was.version, at: time.Now()}
+			if s.hides {
+				renewed.value = was.value
+			}
+			s.rows[x.Table][x.Key] = renewed
 			continue
 		}
 		s.set(x.Table, x.Key, stored{value: x.Value})
