Soak: longer silences, with and without acknowledgements

Seeds from 3000 on silence sound backend servers for 0.5 to 2 s, in series and beside planned work: by SIGSTOP, which the kernel acknowledges for, or by a proxy that drops all that it gets, with no acknowledgement, and passes what it held on afterwards. They do the same to the way from one daemon to all servers, which is a fault, and count the requests on it. Half of them have a store that hides heartbeats. All callers stay with their daemon, and one request in five is a stream that may run once.

A request whose server is still to answer in time, or has and was not silent, and that the daemon answers with 502 or 504, breaks "planned work loses nothing": until now only a connection without a complete answer did. Logs keep the events of backend servers. Earlier seeds draw what they drew (TestPlan).

--- a/cmd/flamingosoak/main.go
+++ b/cmd/flamingosoak/main.go
@@ -124,6 +124,9 @@
 		verdict = "FAILED"
 	}
 	fmt.Printf("seed %d: %s, %d faults, %d requests, %d served, %d refused, %d failed\n", t.seed, verdict, r.Faults, r.Tally.Sent, r.Tally.Served, r.Tally.Refused, r.Tally.Failed)
+	if r.Tally.Quiet > 0 {
+		fmt.Printf("  %d requests were at a daemon whose way to all backend servers was silent, %d of them failed\n", r.Tally.Quiet, r.Tally.QuietFailed)
+	}
 	for _, f := range r.Failures {
 		fmt.Println("  " + f)
 	}
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -24,9 +24,16 @@
 	Talk
 	// Probe asks a daemon directly for the route of one version of the configuration.
 	Probe
+	// Once is a stream that may not be resumed.
+	Once
 )
 
-func (k Kind) String() string { return [...]string{"read", "write", "talk", "probe"}[k] }
+func (k Kind) String() string { return [...]string{"read", "write", "talk", "probe", "once"}[k] }
+
+func (k Kind) stream() bool { return k == Talk || k == Once }
+
+// once tells whether requests of a kind may run once only.
+func (k Kind) once() bool { return k == Write || k == Once }
 
 // sent is one attempt of a caller.
 type sent struct {
@@ -42,7 +49,9 @@
 	ended time.Time
 	// runs counts the backend servers that ran it, ran is when the first began, done when one came to a good end, and abandoned
 	// when the daemon left the last one.
-	runs                 int
+	runs int
+	// server is the last of them.
+	server               string
 	ran, done, abandoned time.Time
 }
 
@@ -69,6 +78,8 @@
 	// Drain is how long requests may reach a backend server after the store has acknowledged that it drains, Grace how long a
 	// daemon may go on after it was told to stop.
 	Drain, Grace time.Duration
+	// Answer is until when a request that runs must get the answer of its backend server, 0 if that is not checked.
+	Answer time.Duration
 }
 
 // arrival is one request that reached a backend server.
@@ -95,6 +106,8 @@
 	// trouble holds the spans of unplanned faults; those of a daemon by its name, the others under "". touched holds those of all
 	// faults by the name of the process that they act on.
 	trouble, touched spans
+	// quiet holds when the way from a daemon to all backend servers was silent.
+	quiet spans
 	// stops holds when each lifetime of a daemon was told to stop, drains when the store acknowledged that a server drains.
 	stops, drains map[string]time.Time
 	// reached holds when the requests of each daemon ran, by backend server and daemon.
@@ -137,8 +150,8 @@
 func NewAudit(b Bounds) *Audit {
 	return &Audit{
 		b: b, requests: map[string]*sent{}, groups: map[string]*membership{}, in: map[string]string{}, arrivals: map[string][]arrival{},
-		requested: map[string][]time.Time{}, seen: map[string]version{}, trouble: spans{}, touched: spans{}, told: map[string]int{},
-		stops: map[string]time.Time{}, drains: map[string]time.Time{}, reached: map[string]map[string][]time.Time{},
+		requested: map[string][]time.Time{}, seen: map[string]version{}, trouble: spans{}, touched: spans{}, quiet: spans{},
+		told: map[string]int{}, stops: map[string]time.Time{}, drains: map[string]time.Time{}, reached: map[string]map[string][]time.Time{},
 	}
 }
 
@@ -152,7 +165,7 @@
 }
 
 func service(k Kind) string {
-	if k == Talk {
+	if k.stream() {
 		return modelService
 	}
 	return plainService
@@ -195,7 +208,7 @@
 		a.fail("own answers", "request %s got a success that no backend server signed", id)
 	}
 	var whole string
-	if s.kind == Talk {
+	if s.kind.stream() {
 		var b strings.Builder
 		for n := s.ask.After + 1; n <= fakeplatform.Length(id); n++ {
 			b.WriteString(fakeplatform.EventText(id, n))
@@ -215,7 +228,7 @@
 
 // refused checks that a request that was promised not to run did not. Requests that may be repeated promise nothing.
 func (a *Audit) refused(s *sent) {
-	if s.kind != Write || s.reply == nil {
+	if !s.kind.once() || s.reply == nil {
 		return
 	}
 	switch s.reply.Status {
@@ -252,6 +265,11 @@
 	return a.touched.begin(from, process)
 }
 
+// Quiet tells that the way from a daemon to all backend servers becomes silent. The function that it returns tells its end.
+func (a *Audit) Quiet(from time.Time, daemon string) (end func(to time.Time)) {
+	return a.quiet.begin(from, daemon)
+}
+
 // Stopped tells that a daemon was told to stop.
 func (a *Audit) Stopped(at time.Time, lifetime string) { a.stops[lifetime] = at }
 
@@ -305,7 +323,13 @@
 // the end of the run.
 func (a *Audit) Lost() {
 	for id, s := range a.requests {
-		if s.reply == nil || s.reply.Err == nil || s.runs == 0 || !a.calm(name(s.daemon), s.at, s.ended) {
+		if s.reply == nil || s.runs == 0 || !a.calm(name(s.daemon), s.at, s.ended) {
+			continue
+		}
+		if s.reply.Err == nil {
+			if a.withheld(s) {
+				a.fail("planned work loses nothing", "%s %s at %s ran at %s and was answered with %d", s.kind, id, s.daemon, s.server, s.reply.Status)
+			}
 			continue
 		}
 		// The time limit excuses only what a backend server worked on until then.
@@ -322,6 +346,16 @@
 	}
 }
 
+// withheld tells whether a request was answered with an error of the daemon's own, though its backend server was still to answer in
+// time, or had and was not silent.
+func (a *Audit) withheld(s *sent) bool {
+	if a.b.Answer == 0 || s.reply.Status != 502 && s.reply.Status != 504 {
+		return false
+	}
+	limit := s.at.Add(a.b.Answer)
+	return s.ended.Before(limit) || !s.done.IsZero() && s.done.Before(limit) && a.touched.none(s.at, s.ended, s.server)
+}
+
 // name is that of a daemon whose lifetime is given.
 func name(lifetime string) string {
 	n, _, _ := strings.Cut(lifetime, "#")
@@ -395,10 +429,10 @@
 		a.fail("only what was asked", "%s ran %s for %q, not for %q", e.Server, e.ID, e.Organisation, s.org)
 	}
 	a.arrivals[service(s.kind)] = append(a.arrivals[service(s.kind)], arrival{e.At, s.runs > 0})
-	s.abandoned = time.Time{}
+	s.abandoned, s.server = time.Time{}, e.Server
 	if s.runs++; s.runs == 1 {
 		s.ran = e.At
-	} else if s.kind == Write {
+	} else if s.kind.once() {
 		a.fail("at most once", "%s ran %d times", e.ID, s.runs)
 	}
 	a.refused(s)
@@ -452,7 +486,12 @@
 }
 
 // Tally is how many requests of callers met an end.
-type Tally struct{ Sent, Served, Refused, Failed int }
+type Tally struct {
+	Sent, Served, Refused, Failed int
+	// Quiet is how many of those sent were under way at a daemon whose way to all backend servers was silent, QuietFailed how many
+	// of these failed.
+	Quiet, QuietFailed int
+}
 
 // Count returns the tally of requests that were sent in a span, probes left out.
 func (a *Audit) Count(from, to time.Time) Tally {
@@ -462,15 +501,26 @@
 			continue
 		}
 		t.Sent++
+		failed := false
 		switch {
 		case s.reply == nil || s.reply.Err != nil:
-			t.Failed++
+			failed = true
 		case s.reply.Status == 200:
 			t.Served++
 		case s.reply.Status == 503 || s.reply.Status == 429:
 			t.Refused++
 		default:
+			failed = true
+		}
+		quiet := !s.ended.IsZero() && !a.quiet.none(s.at, s.ended, name(s.daemon))
+		if quiet {
+			t.Quiet++
+		}
+		if failed {
 			t.Failed++
+			if quiet {
+				t.QuietFailed++
+			}
 		}
 	}
 	return t
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"os/exec"
 	"reflect"
 	"strings"
@@ -15,6 +16,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"flamingorudder.example/internal/fakeplatform"
 )
@@ -25,7 +27,7 @@
 
 func ask(id string, k Kind) fakeplatform.Ask {
 	a := fakeplatform.Ask{ID: id, Method: "GET", Path: "/" + id, Body: []byte("b"), Left: callerLimit}
-	if k == Write {
+	if k.once() {
 		a.Method = "POST"
 	}
 	return a
@@ -81,6 +83,18 @@
 	a.Lost()
 }
 
+// withheld has a request run at a server that answers after done, if ever, and its caller get an error of the daemon's after got.
+func withheld(a *Audit, k Kind, done, got time.Duration) {
+	a.b.Answer = answerLimit
+	a.Sent(t0, ask("r", k), k, "north", "d#1", 0)
+	a.Event(ran("s", "r", k))
+	if done > 0 {
+		a.Event(fakeplatform.Event{Kind: fakeplatform.Done, Server: "s", ID: "r", At: at(done)})
+	}
+	a.Answered(at(got), "r", fakeplatform.Reply{Status: 502})
+	a.Lost()
+}
+
 // sentAfterDrain has a request run at a server that has told at t0 that it drains.
 func sentAfterDrain(a *Audit) {
 	a.Event(fakeplatform.Event{Kind: fakeplatform.Drains, Server: "s", At: t0})
@@ -139,6 +153,11 @@
 			a.Event(ran("s", "r", Write))
 			a.Event(ran("t", "r", Write))
 		}},
+		{"a stream run again that may not be resumed", "at most once", func(a *Audit) {
+			a.Sent(t0, ask("r", Once), Once, "north", "", 0)
+			a.Event(ran("s", "r", Once))
+			a.Event(ran("t", "r", Once))
+		}},
 		{"refused, then run", "refused means not run", func(a *Audit) {
 			a.Sent(t0, ask("r", Write), Write, "north", "", 0)
 			a.Answered(t0, "r", fakeplatform.Reply{Status: 503})
@@ -235,6 +254,24 @@
 			a.Lost()
 		}},
 		{"left by its daemon in a silence, never taken up again", "planned work loses nothing", func(a *Audit) { untilLimit(a, at(time.Second)) }},
+		{"given up in a silence of its server", "planned work loses nothing", func(a *Audit) {
+			a.Touched(at(time.Second), "s")
+			withheld(a, Write, 0, 1600*time.Millisecond)
+		}},
+		{"answered in a silence, given up", "planned work loses nothing", func(a *Audit) { withheld(a, Read, 2*time.Second, plainLimit/2) }},
+		{"answered in time, not passed on", "planned work loses nothing", func(a *Audit) { withheld(a, Write, 2*time.Second, plainLimit) }},
+		{"a stream that runs once, given up before its first event", "planned work loses nothing", func(a *Audit) {
+			withheld(a, Once, 0, 1600*time.Millisecond)
+		}},
+		{"answered after the time limit", "", func(a *Audit) { withheld(a, Write, plainLimit, plainLimit) }},
+		{"answered in a silence that lasts until the time limit", "", func(a *Audit) {
+			a.Touched(at(time.Second), "s")
+			withheld(a, Write, 2*time.Second, plainLimit)
+		}},
+		{"given up beside a silent path, which is a fault", "", func(a *Audit) {
+			a.Trouble(at(time.Second), "d")
+			withheld(a, Write, 0, 1600*time.Millisecond)
+		}},
 		{"run until its time limit", "", func(a *Audit) { untilLimit(a, at(callerLimit)) }},
 		{"a slow request cut off at the end of the grace time", "", func(a *Audit) { slowInStop(a, at(grace*3/8)) }},
 		{"a slow request taken late in a stop and cut off", "planned work loses nothing", func(a *Audit) { slowInStop(a, at(grace*3/8+time.Second/10)) }},
@@ -287,18 +324,30 @@
 
 // TestPlan guards against a seed that does not give the same faults again, and against a fault that is never drawn.
 func TestPlan(t *testing.T) {
-	drawn := map[Fault]int{}
-	for i := range uint64(60) {
+	drawn, silences := map[Fault]int{}, map[Harm]int{}
+	for i := range uint64(80) {
 		seed := i%20 + i/20*firstOfAll
 		plan := Plan(seed, 20*time.Second, 4, 10)
 		if again := Plan(seed, 20*time.Second, 4, 10); !reflect.DeepEqual(plan, again) {
 			t.Errorf("seed %d gives two plans", seed)
 		}
+		silentUntil := map[int]time.Duration{}
 		for _, s := range plan {
 			drawn[s.Fault]++
-			if s.Target < 0 || s.Target >= 10 || s.For < 0 || s.For > longest[s.Fault] || s.Harm > Dumb {
+			most := longest[s.Fault]
+			if s.Fault == SilenceServer && seed >= firstOfSilences {
+				most = longestSilence
+			}
+			if s.Target < 0 || s.Target >= 10 || s.For < 0 || s.For > most || s.Harm > Drop {
 				t.Errorf("seed %d: %v", seed, s)
 			}
+			if s.Fault == SilenceServer && seed >= firstOfSilences {
+				silences[s.Harm]++
+				if s.For < shortestSilence || s.At < silentUntil[s.Target] {
+					t.Errorf("seed %d: %v is too short, or follows on another", seed, s)
+				}
+				silentUntil[s.Target] = s.At + s.For + rest
+			}
 		}
 	}
 	for f := range faults {
@@ -307,16 +356,23 @@
 		}
 	}
 	// A sound server's entry stays while it is silent.
-	if 3*longBeat-longBeat <= silence {
-		t.Errorf("an entry that is renewed every %v may lapse in a silence of %v", longBeat, silence)
+	for beat, silence := range map[time.Duration]time.Duration{longBeat: silence, longestBeat: longestSilence} {
+		if 3*beat-beat <= silence {
+			t.Errorf("an entry that is renewed every %v may lapse in a silence of %v", beat, silence)
+		}
 	}
-	// Seeds of before firstOfAll give what they gave.
-	h := fnv.New32a()
-	for _, s := range Plan(731, 6*time.Second, 4, 10) {
-		_, _ = fmt.Fprintln(h, s)
+	if silences[Clear] == 0 || silences[Drop] == 0 || len(silences) != 2 {
+		t.Errorf("silences with and without acknowledgements: %v", silences)
 	}
-	if got := h.Sum32(); got != 0xeff47785 {
-		t.Errorf("the plan of seed 731 has another sum: %#x", got)
+	// Earlier seeds give what they gave.
+	for seed, want := range map[uint64]uint32{731: 0xeff47785, 1200: 0xebc67296, 1203: 0x1c52824b, 2002: 0x6959feb, 2003: 0xe43d2020} {
+		h := fnv.New32a()
+		for _, s := range Plan(seed, 6*time.Second, 4, 10) {
+			_, _ = fmt.Fprintln(h, s)
+		}
+		if got := h.Sum32(); got != want {
+			t.Errorf("the plan of seed %d has another sum: %#x", seed, got)
+		}
 	}
 }
 
@@ -392,6 +448,114 @@
 	}
 }
 
+// TestQuietCount guards against a count of requests on a silent way that takes in others, or leaves out failures.
+func TestQuietCount(t *testing.T) {
+	a := NewAudit(bounds)
+	a.Quiet(at(time.Second), "d")(at(2 * time.Second))
+	for id, to := range map[string]time.Duration{"before": time.Second / 2, "within": 1500 * time.Millisecond, "failed": 3 * time.Second} {
+		a.Sent(t0, ask(id, Read), Read, "north", "d#1", 0)
+		r := fine(id)
+		if id == "failed" {
+			r = fakeplatform.Reply{Err: io.ErrUnexpectedEOF}
+		}
+		a.Answered(at(to), id, r)
+	}
+	a.Sent(t0, ask("elsewhere", Read), Read, "north", "e#1", 0)
+	a.Answered(at(time.Minute), "elsewhere", fakeplatform.Reply{Status: 502})
+	want := Tally{Sent: 4, Served: 2, Failed: 2, Quiet: 2, QuietFailed: 1}
+	if got := a.Count(time.Time{}, at(time.Hour)); got != want {
+		t.Errorf("counted %+v, want %+v", got, want)
+	}
+}
+
+// TestDropHolds guards against a silence that acknowledges what it gets, and against one that loses bytes or connections.
+func TestDropHolds(t *testing.T) {
+	for _, whole := range []bool{true, false} {
+		t.Run(fmt.Sprintf("whole proxy %v", whole), func(t *testing.T) {
+			l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			cuts := &cuts{harms: map[string]Harm{}, pids: func() map[string]int { return map[string]int{"d": os.Getpid()} }}
+			p, stop, err := newFleet(Options{}).proxy(netip.MustParseAddrPort(l.Addr().String()), cuts)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer stop()
+			set := func(h Harm) {
+				if whole {
+					p.Set(h)
+					return
+				}
+				cuts.set("d", h)
+				p.cut("d")
+			}
+			c, err := net.DialTCP("tcp4", nil, net.TCPAddrFromAddrPort(p.Addr))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			server, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = server.Close() }()
+			b := make([]byte, 5)
+			write := func(from net.Conn, text string) {
+				if _, err := io.WriteString(from, text); err != nil {
+					t.Fatal(err)
+				}
+			}
+			read := func(to net.Conn, want string, wait time.Duration) {
+				_ = to.SetReadDeadline(time.Now().Add(wait))
+				if n, _ := io.ReadFull(to, b[:max(len(want), 1)]); string(b[:n]) != want {
+					t.Errorf("read %q, want %q", b[:n], want)
+				}
+			}
+			write(c, "one")
+			read(server, "one", time.Second)
+			set(Drop)
+			write(c, "two")
+			write(server, "three")
+			if err := server.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			read(server, "", delayed)
+			read(c, "", delayed)
+			if info := tcpInfo(t, c); info.Unacked == 0 {
+				t.Error("bytes are acknowledged in the silence")
+			}
+			if other, err := net.DialTimeout("tcp4", p.Addr.String(), delayed); whole && err == nil {
+				t.Error("a connection is taken in the silence")
+				_ = other.Close()
+			}
+			set(Clear)
+			read(server, "two", 2*time.Second)
+			read(c, "three", 2*time.Second)
+			if n, err := c.Read(b); n != 0 || !errors.Is(err, io.EOF) {
+				t.Errorf("after the silence: %d bytes, %v", n, err)
+			}
+		})
+	}
+}
+
+// tcpInfo returns what the kernel knows of a connection.
+func tcpInfo(t *testing.T, c *net.TCPConn) *unix.TCPInfo {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var info *unix.TCPInfo
+	var got error
+	err = raw.Control(func(fd uintptr) { info, got = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err := errors.Join(err, got); err != nil {
+		t.Fatal(err)
+	}
+	return info
+}
+
 // TestAddresses guards against two parts of a fleet at one address, and against a port that another program may take while
 // its process is down. Found by seed 603: a proxy to the store stood where a daemon was to listen.
 func TestAddresses(t *testing.T) {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -118,6 +118,13 @@
 	return fmt.Sprintf("%s-%d", s.name, s.life)
 }
 
+// front is the proxy before the server's present process.
+func (s *server) front() *Proxy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.proxy
+}
+
 // fleet is the processes of a run.
 type fleet struct {
 	o    Options
@@ -148,6 +155,8 @@
 	// in which sound ones are silent, whose entries must not lapse meanwhile.
 	beat     = 400 * time.Millisecond
 	longBeat = 800 * time.Millisecond
+	// longestBeat is that of runs with longer silences.
+	longestBeat = 1200 * time.Millisecond
 	// drain, grace and stall are the platform's bounds, as its installations have them but shorter.
 	drain = time.Second
 	grace = 4 * time.Second
@@ -173,6 +182,9 @@
 	modelService = "desk"
 )
 
+// plainLimit is the time limit of the routes of plain services.
+const plainLimit = 3 * time.Second
+
 // versionRoute is the route that only one version of the configuration has.
 func versionRoute(version int) string { return "version-" + strconv.Itoa(version) }
 
@@ -184,6 +196,8 @@
 			Split: []route.Weighted{{Service: service, Weight: 1}}, MaxAttempts: attempts, Resumable: kind == route.Streaming,
 		}
 	}
+	once := to(Once.String(), route.Streaming, modelService, 6*time.Second, 3)
+	once.Resumable = false
 	engine := &route.Engine{
 		Slots: 16, Stride: 1, Step: 20 * time.Millisecond, PerRequest: 100 * time.Microsecond, PrefillRate: 46000, Chunk: 2048,
 		Form: 100 * time.Millisecond, LoadRate: 20, UsualAnswer: 12, Models: models,
@@ -191,8 +205,9 @@
 	return &route.Config{
 		Version: int64(version),
 		Routes: []route.Route{
-			to("read", route.Safe, plainService, 3*time.Second, 2), to("write", route.Unsafe, plainService, 3*time.Second, 1),
+			to("read", route.Safe, plainService, plainLimit, 2), to("write", route.Unsafe, plainService, plainLimit, 1),
 			to("talk", route.Streaming, modelService, 6*time.Second, 3), to(versionRoute(version), route.Safe, plainService, 2*time.Second, 2),
+			once,
 		},
 		Services:      []route.Service{{Name: plainService, MaxConnections: 200}, {Name: modelService, MaxConnections: 200, Engine: engine}},
 		Organisations: []route.Organisation{{Name: "north", Keys: []string{"key-north"}, Rank: -1}, {Name: "south", Keys: []string{"key-south"}, Rank: -1}},
@@ -211,6 +226,9 @@
 	if o.Seed >= firstOfAll {
 		f.beat = longBeat
 	}
+	if o.Seed >= firstOfSilences {
+		f.beat = longestBeat
+	}
 	if o.Seed >= firstOfCuts {
 		f.cuts = &cuts{harms: map[string]Harm{}, pids: f.daemonPids}
 	}
@@ -239,14 +257,17 @@
 }
 
 // listen returns a listener at an address whose port is free for TCP and UDP, and that no other part of the fleet is given.
-func (f *fleet) listen() (net.Listener, netip.AddrPort, error) {
+func (f *fleet) listen() (*net.TCPListener, netip.AddrPort, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	var lc net.ListenConfig
+	lc.SetMultipathTCP(false) // the kernel takes no filter for a listener of the other kind
 	for range 50 {
-		l, err := net.Listen("tcp4", netip.AddrPortFrom(f.host, 0).String())
+		listener, err := lc.Listen(context.Background(), "tcp4", netip.AddrPortFrom(f.host, 0).String())
 		if err != nil {
 			return nil, netip.AddrPort{}, fmt.Errorf("find a free port: %w", err)
 		}
+		l := listener.(*net.TCPListener)
 		addr := netip.MustParseAddrPort(l.Addr().String())
 		if u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr)); err == nil {
 			_ = u.Close() // only its port is wanted
@@ -271,7 +292,7 @@
 	return p, stop, nil
 }
 
-// start starts a program. What it writes to standard output goes to out, or to its log when out is nil.
+// start starts a program. What it writes to standard output goes to its log, and to out if that is not nil.
 func (f *fleet) start(name string, out func(line []byte), program string, args ...string) (*process, error) {
 	log, err := os.OpenFile(filepath.Join(f.o.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -296,6 +317,7 @@
 	f.g.Go(func() error {
 		for lines != nil && lines.Scan() {
 			out(lines.Bytes())
+			_, _ = fmt.Fprintf(log, "%s\n", lines.Bytes()) // a run does not depend on its logs
 		}
 		_ = cmd.Wait() // its state tells how it ended
 		close(p.done)
@@ -316,7 +338,11 @@
 	if f.serves, err = f.free(); err != nil {
 		return err
 	}
-	f.store, err = f.start("store", nil, "standin", "store", "--daemons", f.serves.String(), "--platform", f.platform.String(), "--beat", f.beat.String())
+	args := []string{"store", "--daemons", f.serves.String(), "--platform", f.platform.String(), "--beat", f.beat.String()}
+	if hidesHeartbeats(f.o.Seed) {
+		args = append(args, "--hide-heartbeats")
+	}
+	f.store, err = f.start("store", nil, "standin", args...)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -30,6 +30,8 @@
 	RestoreStore
 	// CutDaemon takes the way to all backend servers from a daemon.
 	CutDaemon
+	// SilencePath makes the way from a daemon to all backend servers silent, without acknowledgements. Nothing is reset.
+	SilencePath
 	faults
 )
 
@@ -37,7 +39,7 @@
 	return [...]string{
 		"kill daemon", "stop daemon", "pause daemon", "reload daemon", "kill server", "drain server", "pause server", "pause store",
 		"harm store", "harm server", "configure", "kill all daemons", "silence server",
-		"restore store", "cut daemon",
+		"restore store", "cut daemon", "silence path",
 	}[f]
 }
 
@@ -64,9 +66,16 @@
 // weights is how often each fault is drawn against the others.
 var weights = [faults]int{
 	KillDaemon: 4, StopDaemon: 3, PauseDaemon: 4, ReloadDaemon: 1, KillServer: 5, DrainServer: 3, PauseServer: 2, PauseStore: 2, HarmStore: 5,
-	HarmServer: 5, Configure: 4, KillAll: 1, SilenceServer: 4, RestoreStore: 4, CutDaemon: 8,
+	HarmServer: 5, Configure: 4, KillAll: 1, SilenceServer: 4, RestoreStore: 4, CutDaemon: 8, SilencePath: 6,
 }
 
+// overlapping is how often faults are drawn from firstOfSilences on.
+var overlapping = func() [faults]int {
+	w := weights
+	w[StopDaemon], w[ReloadDaemon], w[Configure], w[SilenceServer] = 4, 4, 6, 10
+	return w
+}()
+
 // firstOfAll is the first seed that draws faults of all kinds, slow requests and odd entries. Those below it give what they gave
 // before those kinds existed.
 const firstOfAll = 1000
@@ -74,6 +83,13 @@
 // firstOfCuts is the first seed that also cuts daemons off from all backend servers.
 const firstOfCuts = 2000
 
+// firstOfSilences is the first seed with longer silences, acknowledged and not, of servers and of a daemon's way to all of them. Planned
+// work comes in series more often, and callers stay with their daemon.
+const firstOfSilences = 3000
+
+// hidesHeartbeats tells whether the store of a seed shows no entry of which only the heartbeat has changed.
+func hidesHeartbeats(seed uint64) bool { return seed >= firstOfSilences && seed/plannedOnly%2 == 1 }
+
 const (
 	// meanGap is the mean time between two faults; they overlap, since most last longer.
 	meanGap = 500 * time.Millisecond
@@ -82,10 +98,18 @@
 	seriesShare = 0.2
 	maxSeries   = 4
 	seriesGap   = 80 * time.Millisecond
+	// plannedSeries is seriesShare for planned work from firstOfSilences on.
+	plannedSeries = 0.5
 )
 
-// silence is how long a sound backend server may be silent.
-const silence = 1200 * time.Millisecond
+// silence is how long a sound backend server may be silent. From firstOfSilences on, silences last between the other two, and one server
+// is not silent again before rest has passed: two silences in a row would be one that is too long.
+const (
+	silence         = 1200 * time.Millisecond
+	shortestSilence = 500 * time.Millisecond
+	longestSilence  = 2 * time.Second
+	rest            = time.Second
+)
 
 // longest is how long each fault lasts at most. A backend server that stands still for longer than that may be taken for
 // gone, which the platform does not do to one that lives: its entry lapses three beats after it was written, up to a beat before
@@ -94,6 +118,7 @@
 	KillDaemon: 2 * time.Second, StopDaemon: time.Second, PauseDaemon: 4 * time.Second, KillServer: 3 * time.Second, DrainServer: time.Second,
 	PauseServer: 500 * time.Millisecond, PauseStore: 4 * time.Second, HarmStore: 5 * time.Second, HarmServer: 4 * time.Second,
 	KillAll: time.Second, SilenceServer: silence, RestoreStore: 4 * time.Second, CutDaemon: 6 * time.Second,
+	SilencePath: longestSilence,
 }
 
 // planned tells whether a fault is planned work or no fault in the eyes of the platform, so that nothing may be lost around it.
@@ -110,7 +135,7 @@
 
 func draws(seed uint64, f Fault) bool {
 	switch {
-	case seed < firstOfAll && f > KillAll, seed < firstOfCuts && f == CutDaemon:
+	case seed < firstOfAll && f > KillAll, seed < firstOfCuts && f == CutDaemon, seed < firstOfSilences && f == SilencePath:
 		return false
 	case seed%plannedOnly == 0:
 		return f.planned()
@@ -124,6 +149,10 @@
 func Plan(seed uint64, length time.Duration, daemons, servers int) []Step {
 	r := rand.New(rand.NewPCG(seed, 0))
 	weights := weights
+	long := seed >= firstOfSilences
+	if long {
+		weights = overlapping
+	}
 	total := 0
 	for f := range weights {
 		if !draws(seed, Fault(f)) {
@@ -141,15 +170,22 @@
 		return KillDaemon
 	}
 	var out []Step
+	silentUntil := map[int]time.Duration{}
 	for at := time.Duration(0); at < length; at += time.Duration(r.ExpFloat64() * float64(meanGap)) {
-		f, series := draw(), 1
-		if r.Float64() < seriesShare || f == SilenceServer {
+		f, series, share, gap := draw(), 1, seriesShare, seriesGap
+		if long && f.planned() {
+			share = plannedSeries
+		}
+		if r.Float64() < share || f == SilenceServer || f == SilencePath {
 			series = 2 + r.IntN(maxSeries-1)
 		}
+		if long && r.IntN(2) == 0 {
+			gap = 0
+		}
 		for i := range series {
-			s := Step{At: at + time.Duration(i)*seriesGap, Fault: f}
+			s := Step{At: at + time.Duration(i)*gap, Fault: f}
 			switch f {
-			case KillDaemon, StopDaemon, PauseDaemon, ReloadDaemon, HarmStore, CutDaemon:
+			case KillDaemon, StopDaemon, PauseDaemon, ReloadDaemon, HarmStore, CutDaemon, SilencePath:
 				s.Target = r.IntN(daemons)
 			case KillServer, DrainServer, PauseServer, HarmServer, SilenceServer:
 				s.Target = r.IntN(servers)
@@ -157,10 +193,24 @@
 			if f == HarmStore || f == HarmServer {
 				s.Harm = Delay + Harm(r.IntN(int(Dumb)))
 			}
-			if f == CutDaemon {
+			switch {
+			case f == CutDaemon:
 				s.Harm = []Harm{Reset, Silence}[r.IntN(2)]
+			case f == SilencePath:
+				s.Harm = Drop
+			case f == SilenceServer && long:
+				s.Harm = []Harm{Clear, Drop}[r.IntN(2)]
 			}
 			s.For = time.Duration((0.05 + 0.95*r.Float64()) * float64(longest[f]))
+			if f == SilencePath || f == SilenceServer && long {
+				s.For = shortestSilence + time.Duration(r.Float64()*float64(longestSilence-shortestSilence))
+			}
+			if f == SilenceServer && long {
+				if s.At < silentUntil[s.Target] {
+					continue
+				}
+				silentUntil[s.Target] = s.At + s.For + rest
+			}
 			out = append(out, s)
 		}
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"flamingorudder.example/internal/fakeplatform"
 	"flamingorudder.example/internal/timer"
 )
 
@@ -30,10 +32,12 @@
 	// Deaf drops what goes to the server, Dumb what comes from it.
 	Deaf
 	Dumb
+	// Drop takes nothing from those who connect, not even new connections, and acknowledges nothing. All goes on when it ends.
+	Drop
 )
 
 func (h Harm) String() string {
-	return [...]string{"clear", "delay", "reset", "silence", "deaf", "dumb"}[h]
+	return [...]string{"clear", "delay", "reset", "silence", "deaf", "dumb", "drop"}[h]
 }
 
 // delayed is how late Delay passes bytes on.
@@ -44,31 +48,38 @@
 	Addr netip.AddrPort
 
 	to netip.AddrPort
-	l  net.Listener
+	l  *net.TCPListener
 	g  errgroup.Group
 
 	// cuts harms the connections of single daemons; nil if none is ever cut off.
 	cuts *cuts
 
-	mu   sync.Mutex
-	harm Harm
-	// conns holds all connections, by the daemon that has opened them or for which they were opened.
-	conns map[*net.TCPConn]string
+	mu    sync.Mutex
+	harm  Harm
+	conns map[*net.TCPConn]end
 	// changed is closed, and replaced, when harm changes.
 	changed chan struct{}
 }
 
+// end is one end of what a proxy passes on.
+type end struct {
+	// owner is the daemon that has opened the connection, or for which it was opened.
+	owner string
+	// accepted is set for connections that were opened to the proxy.
+	accepted bool
+}
+
 // newProxy returns a proxy that takes the connections of a listener at an address, and a function that ends both. cuts may be nil.
-func newProxy(l net.Listener, at, to netip.AddrPort, cuts *cuts) (*Proxy, func()) {
-	p := &Proxy{Addr: at, to: to, l: l, cuts: cuts, conns: map[*net.TCPConn]string{}, changed: make(chan struct{})}
+func newProxy(l *net.TCPListener, at, to netip.AddrPort, cuts *cuts) (*Proxy, func()) {
+	p := &Proxy{Addr: at, to: to, l: l, cuts: cuts, conns: map[*net.TCPConn]end{}, changed: make(chan struct{})}
 	p.g.Go(func() error {
 		for {
-			c, err := l.Accept()
+			c, err := l.AcceptTCP()
 			if err != nil {
 				return nil // closed
 			}
 			p.g.Go(func() error {
-				p.pass(c.(*net.TCPConn))
+				p.pass(c)
 				return nil
 			})
 		}
@@ -84,6 +95,7 @@
 func (p *Proxy) Set(h Harm) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	was := p.harm
 	p.harm = h
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -92,19 +104,63 @@
 			reset(c)
 		}
 	}
+	if was == Drop || h == Drop {
+		p.filter(p.l, "")
+		p.filterAll()
+	}
 }
 
-// resetOwned resets the connections of a daemon.
-func (p *Proxy) resetOwned(daemon string) {
+// cut has a change of the harm to a daemon take effect on its connections.
+func (p *Proxy) cut(daemon string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c, owner := range p.conns {
-		if owner == daemon {
-			reset(c)
+	if p.cuts.harm(daemon) == Reset {
+		for c, e := range p.conns {
+			if e.owner == daemon {
+				reset(c)
+			}
+		}
+	}
+	p.filterAll()
+}
+
+// filterAll has the kernel drop, or no longer drop, what arrives from those who connect. p.mu is held.
+func (p *Proxy) filterAll() {
+	for c, e := range p.conns {
+		if e.accepted {
+			p.filter(c, e.owner)
+		}
+	}
+}
+
+func (p *Proxy) filter(c syscall.Conn, owner string) {
+	// It fails on a socket that is closed, or that did not drop.
+	_ = fakeplatform.DropReceived(c, p.harm == Drop || p.cuts.harm(owner) == Drop)
+}
+
+// hold waits while nothing is passed on that goes on later.
+func (p *Proxy) hold(owner string) {
+	for {
+		p.mu.Lock()
+		harm, changed := p.harm, p.changed
+		p.mu.Unlock()
+		switch {
+		case harm == Drop:
+			<-changed
+		case p.cuts.harm(owner) == Drop:
+			_ = timer.Wait(context.Background(), cutPeriod) // never ends early
+		default:
+			return
 		}
 	}
 }
 
+// release waits until what was held has gone on.
+func (p *Proxy) release() {
+	p.hold("")
+	_ = timer.Wait(context.Background(), cutPeriod) // never ends early
+}
+
 func reset(c *net.TCPConn) {
 	_ = c.SetLinger(0) // fails only on a closed connection
 	_ = c.Close()
@@ -122,12 +178,14 @@
 	}
 	c, err := net.DialTimeout("tcp4", p.to.String(), time.Second)
 	if err != nil {
+		p.hold(owner)
 		return
 	}
 	out := c.(*net.TCPConn)
 	defer reset(out)
 	p.mu.Lock()
-	p.conns[in], p.conns[out] = owner, owner
+	p.conns[in], p.conns[out] = end{owner, true}, end{owner, false}
+	p.filter(in, owner)
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
@@ -149,6 +207,7 @@
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
+		p.hold(owner)
 		if err != nil {
 			if errors.Is(err, io.EOF) {
 				return to.CloseWrite()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -41,6 +41,8 @@
 	eventDelay = time.Second
 	// callerLimit is how long a caller waits.
 	callerLimit = 4 * time.Second
+	// answerLimit is how long a request may take to get its answer, a little less than the time limit of its route.
+	answerLimit = plainLimit - 300*time.Millisecond
 	// slowShare is one slow request in that many.
 	slowShare = 12
 	// restoreTime is how long the store is away before it comes back from a copy, and the operator needs to write again.
@@ -90,6 +92,9 @@
 		fleet: newFleet(o),
 		plan:  Plan(o.Seed, o.Length, o.Daemons, o.Servers), out: out, audit: NewAudit(bounds),
 	}
+	if o.Seed >= firstOfSilences {
+		r.audit.b.Answer = answerLimit
+	}
 	judged, endJudging := context.WithCancel(context.WithoutCancel(ctx))
 	defer endJudging()
 	g.Go(func() error { return r.judge(judged) })
@@ -241,7 +246,7 @@
 	switch kind {
 	case Write:
 		ask.Method, ask.Body = http.MethodPost, []byte("body of "+id)
-	case Talk:
+	case Talk, Once:
 		ask.Method, ask.Body = http.MethodPost, []byte("prompt of "+id)
 		ask.Model = models[int(fakeplatform.Sum([]byte(id)))%len(models)].Name
 	case Probe:
@@ -262,7 +267,7 @@
 }
 
 // call is one caller. It keeps its connections until the daemon is gone from the addresses that it is told, or fails it. Every
-// second caller stays with one daemon and its open connection until the process is gone, whatever the addresses say.
+// second caller, or all of them, stay with one daemon and its open connection until the process is gone, whatever the addresses say.
 func (r *run) call(ctx context.Context, place int) error {
 	rnd := rand.New(rand.NewPCG(r.o.Seed, uint64(place)+1))
 	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
@@ -270,7 +275,11 @@
 	var addrs []netip.AddrPort
 	var until time.Time
 	org := [...]string{"north", "south"}[place%2]
-	stays := place/2%2 == 1
+	kinds := []Kind{Read, Write, Talk, Talk}
+	if r.o.Seed >= firstOfSilences {
+		kinds = append(kinds, Once)
+	}
+	stays := place/2%2 == 1 || r.o.Seed >= firstOfSilences
 	var kept netip.AddrPort // the daemon that the caller stays with
 	for n := 0; ; n++ {
 		if err := timer.Wait(ctx, time.Duration(rnd.ExpFloat64()*float64(callPause))); err != nil {
@@ -291,7 +300,7 @@
 			addr = kept
 		}
 		id := fmt.Sprintf("c%d-%d", place, n)
-		kind := [...]Kind{Read, Write, Talk, Talk}[rnd.IntN(4)]
+		kind := kinds[rnd.IntN(len(kinds))]
 		if r.o.Seed >= firstOfAll && n%slowShare == 0 && kind != Read {
 			id = fakeplatform.SlowPrefix + id
 		}
@@ -372,12 +381,13 @@
 // harm carries out faults and returns when the last one ended.
 func (r *run) harm(ctx context.Context, store *platform.Store, steps []Step) (time.Time, error) {
 	began := time.Now()
+	_, _ = fmt.Fprintln(r.out, "faults from", began.Format(time.RFC3339Nano)) // the run does not depend on its report
 	var g errgroup.Group
 	for _, s := range steps {
 		if err := timer.Wait(ctx, time.Until(began.Add(s.At))); err != nil {
 			return time.Time{}, err
 		}
-		_, _ = fmt.Fprintln(r.out, s) // the run does not depend on its report
+		_, _ = fmt.Fprintln(r.out, s)
 		g.Go(func() error { return r.inject(ctx, store, s) })
 	}
 	err := g.Wait()
@@ -388,7 +398,7 @@
 func (r *run) inject(ctx context.Context, store *platform.Store, s Step) error {
 	daemon, process := "", ""
 	switch s.Fault {
-	case KillDaemon, StopDaemon, PauseDaemon, HarmStore, CutDaemon:
+	case KillDaemon, StopDaemon, PauseDaemon, HarmStore, CutDaemon, SilencePath:
 		daemon = r.daemons[s.Target].name
 		process = daemon
 	case PauseServer, HarmServer, SilenceServer:
@@ -400,6 +410,9 @@
 	if !s.Fault.planned() && s.Fault != RestoreStore {
 		defer r.note(r.audit.Trouble, daemon)()
 	}
+	if s.Fault == SilencePath {
+		defer r.note(r.audit.Quiet, daemon)()
+	}
 	if process != "" || s.Fault == KillAll {
 		defer r.note(r.audit.Touched, process)()
 	}
@@ -421,18 +434,17 @@
 	case KillServer, DrainServer:
 		return r.restartServer(ctx, r.servers[s.Target], s)
 	case PauseServer, SilenceServer:
+		if s.Harm == Drop {
+			return harmFor(ctx, r.servers[s.Target].front(), s)
+		}
 		return pause(ctx, r.servers[s.Target].process(), s.For)
 	case PauseStore:
 		return pause(ctx, r.store, s.For)
 	case HarmStore:
 		return harmFor(ctx, r.daemons[s.Target].store, s)
 	case HarmServer:
-		sv := r.servers[s.Target]
-		sv.mu.Lock()
-		p := sv.proxy
-		sv.mu.Unlock()
-		return harmFor(ctx, p, s)
-	case CutDaemon:
+		return harmFor(ctx, r.servers[s.Target].front(), s)
+	case CutDaemon, SilencePath:
 		return r.cutOff(ctx, r.daemons[s.Target], s)
 	case Configure:
 		return r.configure(ctx, store)
@@ -538,16 +550,14 @@
 // cutOff takes the way to all backend servers from a daemon for a while. Cuts of one daemon may overlap; the first end of one ends
 // them all.
 func (r *run) cutOff(ctx context.Context, d *daemon, s Step) error {
-	r.cuts.set(d.name, s.Harm)
-	defer r.cuts.set(d.name, Clear)
-	if s.Harm == Reset {
+	set := func(h Harm) {
+		r.cuts.set(d.name, h)
 		for _, sv := range r.servers {
-			sv.mu.Lock()
-			p := sv.proxy
-			sv.mu.Unlock()
-			p.resetOwned(d.name)
+			sv.front().cut(d.name)
 		}
 	}
+	set(s.Harm)
+	defer set(Clear)
 	return timer.Wait(ctx, s.For)
 }
 
@@ -601,5 +611,6 @@
 	if err := timer.Wait(ctx, s.For); err != nil {
 		return err
 	}
+	sv.front().release()
 	return r.startServer(sv)
 }
