Stand-ins: look other backend servers up once

The head of a group asked the store for all entries ten times a second, to find the address of its members. With 200 backend servers on one machine the store and the machine were busy with that, members' answers came after 0.1 s, and heads broke their groups. They keep the entries of servers that answer, and look a server up again when it does not.

--- a/internal/fakeplatform/server.go
+++ b/internal/fakeplatform/server.go
@@ -100,6 +100,8 @@
 	o     Options
 	store *platform.Store
 	peers *platform.ServerClient
+	// known holds the entries of other backend servers that answered, by id.
+	known sync.Map
 
 	mu    sync.Mutex
 	born  int64
@@ -202,8 +204,16 @@
 	return err == nil && head.Membership.Group == group.Group && head.Membership.Epoch == group.Epoch && head.Running > 0
 }
 
-// report asks another backend server for its state.
+// report asks another backend server for its state. It looks its entry up only if it does not know one that answers: many heads that read all
+// entries each time would keep the store from its work.
 func (s *Server) report(ctx context.Context, id string) (platform.Report, error) {
+	if known, ok := s.known.Load(id); ok {
+		r, err := s.peers.Report(ctx, known.(*roster.Server))
+		if err != nil {
+			s.known.Delete(id)
+		}
+		return r, err
+	}
 	page, err := s.store.Rows(ctx, platform.TableServers)
 	if err != nil {
 		return platform.Report{}, err
@@ -216,7 +226,11 @@
 	if err != nil {
 		return platform.Report{}, err
 	}
-	return s.peers.Report(ctx, entry)
+	r, err := s.peers.Report(ctx, entry)
+	if err == nil {
+		s.known.Store(id, entry)
+	}
+	return r, err
 }
 
 func (s *Server) changed() {
