Soak: excuse what a backend server breaks off itself; more callers in large fleets

A head whose member a daemon told to leave or to join another group is no excuse, and TestAudit has a case for both. With many daemons there are two callers for each.

--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -83,6 +83,23 @@
 	a.Lost()
 }
 
+// brokenOff has a stream end because the head of its group has found its member lost.
+func brokenOff(a *Audit, memberLeaves bool) {
+	for _, id := range []string{"s", "t"} {
+		for _, k := range []fakeplatform.Kind{fakeplatform.Joining, fakeplatform.Ready} {
+			a.Event(in(fakeplatform.Event{Kind: k, Server: id}, "g", 1, "s", "t"))
+		}
+	}
+	a.Sent(t0, ask("r", Once), Once, "north", "d#1", 0)
+	a.Event(in(ran("s", "r", Once), "g", 1, "s", "t"))
+	if memberLeaves {
+		a.Event(in(fakeplatform.Event{Kind: fakeplatform.Left, Server: "t"}, "g", 1, "s", "t"))
+	}
+	a.Event(in(fakeplatform.Event{Kind: fakeplatform.Broken, Server: "s", At: at(2 * time.Second)}, "g", 1, "s", "t"))
+	a.Answered(at(2*time.Second+time.Millisecond), "r", fakeplatform.Reply{Err: io.ErrUnexpectedEOF})
+	a.Lost()
+}
+
 // withheld has a request run at a server that answers after done, if ever, and its caller get an error of the daemon's after got.
 func withheld(a *Audit, k Kind, done, got time.Duration) {
 	a.b.Answer = answerLimit
@@ -272,6 +289,17 @@
 			a.Trouble(at(time.Second), "d")
 			withheld(a, Write, 0, 1600*time.Millisecond)
 		}},
+		{"broken off by a head that lost its member", "", func(a *Audit) { brokenOff(a, false) }},
+		{"broken off by a head whose member was told to leave", "planned work loses nothing", func(a *Audit) { brokenOff(a, true) }},
+		{"run until its time limit beside a server that was left", "", func(a *Audit) {
+			a.Sent(t0, ask("r", Talk), Talk, "north", "d#1", 0)
+			for _, server := range []string{"s", "t"} {
+				a.Event(ran(server, "r", Talk))
+			}
+			a.Event(fakeplatform.Event{Kind: fakeplatform.Abandoned, Server: "t", ID: "r", At: at(2 * time.Second)})
+			a.Answered(at(callerLimit), "r", fakeplatform.Reply{Err: io.ErrUnexpectedEOF})
+			a.Lost()
+		}},
 		{"run until its time limit", "", func(a *Audit) { untilLimit(a, at(callerLimit)) }},
 		{"a slow request cut off at the end of the grace time", "", func(a *Audit) { slowInStop(a, at(grace*3/8)) }},
 		{"a slow request taken late in a stop and cut off", "planned work loses nothing", func(a *Audit) { slowInStop(a, at(grace*3/8+time.Second/10)) }},
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -32,9 +32,11 @@
 	startLimit = 30 * time.Second
 	// calm is how long the fleet runs without faults at the end, the time of recovery included.
 	calm = 12 * time.Second
-	// callers is how many callers there are, callPause the mean time between two requests of one.
-	callers   = 16
-	callPause = 60 * time.Millisecond
+	// callers is how many callers there are, or callersEach for each daemon if that is more and the seed is from firstOfSilences on, and
+	// callPause the mean time between two requests of one.
+	callers     = 16
+	callersEach = 2
+	callPause   = 60 * time.Millisecond
 	// probePause is the time between two questions for the route of one version at each daemon.
 	probePause = 150 * time.Millisecond
 	// eventDelay is how late events are judged, so that those of different processes come in order.
@@ -140,7 +142,11 @@
 	work, end := context.WithCancel(ctx)
 	defer end()
 	g, work := errgroup.WithContext(work)
-	for i := range callers {
+	n := callers
+	if r.o.Seed >= firstOfSilences {
+		n = max(n, callersEach*r.o.Daemons)
+	}
+	for i := range n {
 		g.Go(func() error { return r.call(work, i) })
 	}
 	for _, d := range r.daemons {
