--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -24,9 +24,16 @@
 	Talk
 	// Probe asks a daemon directly for the route of one version of the configuration.
 	Probe
+	// Once is a stream that may not be resumed.
+	Once
 )
 
-func (k Kind) String() string { return [...]string{"read", "write", "talk", "probe"}[k] }
+func (k Kind) String() string { return [...]string{"read", "write", "talk", "probe", "once"}[k] }
+
+func (k Kind) stream() bool { return k == Talk || k == Once }
+
+// once tells whether requests of a kind may run once only.
+func (k Kind) once() bool { return k == Write || k == Once }
 
 // sent is one attempt of a caller.
 type sent struct {
@@ -40,10 +47,14 @@
 
 	reply *fakeplatform.Reply
 	ended time.Time
-	// runs counts the backend servers that ran it, ran is when the first began, done when one came to a good end, and abandoned
-	// when the daemon left the last one.
-	runs                 int
-	ran, done, abandoned time.Time
+	// runs counts the backend servers that ran it, ran is when the first began, done when one came to a good end.
+	runs      int
+	ran, done time.Time
+	// server is the last of them. abandoned holds when the daemon left each one, zero for those that it has not left.
+	server    string
+	abandoned map[string]time.Time
+	// brokeOff is set if the last server broke its work off, and no daemon had it do so.
+	brokeOff bool
 }
 
 // membership is one group, of one epoch, as its members told.
@@ -69,6 +80,8 @@
 	// Drain is how long requests may reach a backend server after the store has acknowledged that it drains, Grace how long a
 	// daemon may go on after it was told to stop.
 	Drain, Grace time.Duration
+	// Answer is until when a request that runs must get the answer of its backend server, 0 if that is not checked.
+	Answer time.Duration
 }
 
 // arrival is one request that reached a backend server.
@@ -84,6 +97,8 @@
 	// groups are keyed by name and epoch; in holds the group of each backend server.
 	groups map[string]*membership
 	in     map[string]string
+	// gone holds the backend servers whose process has ended.
+	gone map[string]bool
 	// arrivals and requested are those of each service, for the budget of repeats.
 	arrivals  map[string][]arrival
 	requested map[string][]time.Time
@@ -95,6 +110,8 @@
 	// trouble holds the spans of unplanned faults; those of a daemon by its name, the others under "". touched holds those of all
 	// faults by the name of the process that they act on.
 	trouble, touched spans
+	// quiet holds when the way from a daemon to all backend servers was silent.
+	quiet spans
 	// stops holds when each lifetime of a daemon was told to stop, drains when the store acknowledged that a server drains.
 	stops, drains map[string]time.Time
 	// reached holds when the requests of each daemon ran, by backend server and daemon.
@@ -136,9 +153,9 @@
 // NewAudit returns an audit that has seen nothing.
 func NewAudit(b Bounds) *Audit {
 	return &Audit{
-		b: b, requests: map[string]*sent{}, groups: map[string]*membership{}, in: map[string]string{}, arrivals: map[string][]arrival{},
-		requested: map[string][]time.Time{}, seen: map[string]version{}, trouble: spans{}, touched: spans{}, told: map[string]int{},
-		stops: map[string]time.Time{}, drains: map[string]time.Time{}, reached: map[string]map[string][]time.Time{},
+		b: b, requests: map[string]*sent{}, groups: map[string]*membership{}, in: map[string]string{}, gone: map[string]bool{}, arrivals: map[string][]arrival{},
+		requested: map[string][]time.Time{}, seen: map[string]version{}, trouble: spans{}, touched: spans{}, quiet: spans{},
+		told: map[string]int{}, stops: map[string]time.Time{}, drains: map[string]time.Time{}, reached: map[string]map[string][]time.Time{},
 	}
 }
 
@@ -152,7 +169,7 @@
 }
 
 func service(k Kind) string {
-	if k == Talk {
+	if k.stream() {
 		return modelService
 	}
 	return plainService
@@ -160,7 +177,7 @@
 
 // Sent notes a request before it goes out.
 func (a *Audit) Sent(at time.Time, ask fakeplatform.Ask, kind Kind, org, daemon string, version int) {
-	a.requests[ask.ID] = &sent{ask: ask, kind: kind, org: org, at: at, daemon: daemon, version: version}
+	a.requests[ask.ID] = &sent{ask: ask, kind: kind, org: org, at: at, daemon: daemon, version: version, abandoned: map[string]time.Time{}}
 	a.requested[service(kind)] = append(a.requested[service(kind)], at)
 }
 
@@ -195,7 +212,7 @@
 		a.fail("own answers", "request %s got a success that no backend server signed", id)
 	}
 	var whole string
-	if s.kind == Talk {
+	if s.kind.stream() {
 		var b strings.Builder
 		for n := s.ask.After + 1; n <= fakeplatform.Length(id); n++ {
 			b.WriteString(fakeplatform.EventText(id, n))
@@ -215,7 +232,7 @@
 
 // refused checks that a request that was promised not to run did not. Requests that may be repeated promise nothing.
 func (a *Audit) refused(s *sent) {
-	if s.kind != Write || s.reply == nil {
+	if !s.kind.once() || s.reply == nil {
 		return
 	}
 	switch s.reply.Status {
@@ -252,6 +269,11 @@
 	return a.touched.begin(from, process)
 }
 
+// Quiet tells that the way from a daemon to all backend servers becomes silent. The function that it returns tells its end.
+func (a *Audit) Quiet(from time.Time, daemon string) (end func(to time.Time)) {
+	return a.quiet.begin(from, daemon)
+}
+
 // Stopped tells that a daemon was told to stop.
 func (a *Audit) Stopped(at time.Time, lifetime string) { a.stops[lifetime] = at }
 
@@ -305,12 +327,18 @@
 // the end of the run.
 func (a *Audit) Lost() {
 	for id, s := range a.requests {
-		if s.reply == nil || s.reply.Err == nil || s.runs == 0 || !a.calm(name(s.daemon), s.at, s.ended) {
+		if s.reply == nil || s.runs == 0 || s.brokeOff || !a.calm(name(s.daemon), s.at, s.ended) {
+			continue
+		}
+		if s.reply.Err == nil {
+			if a.withheld(s) {
+				a.fail("planned work loses nothing", "%s %s at %s ran at %s and was answered with %d", s.kind, id, s.daemon, s.server, s.reply.Status)
+			}
 			continue
 		}
 		// The time limit excuses only what a backend server worked on until then.
 		limit := s.at.Add(s.ask.Left * 9 / 10)
-		if s.ended.After(limit) && (s.abandoned.IsZero() || s.abandoned.After(limit)) {
+		if s.ended.After(limit) && s.attended(limit) {
 			continue
 		}
 		// A slow request that was sent before three eighths of the grace time, and still ran in its last sixth, is not lost.
@@ -322,6 +350,26 @@
 	}
 }
 
+// attended tells whether the daemon had not left one of the backend servers by a time.
+func (s *sent) attended(at time.Time) bool {
+	for _, left := range s.abandoned {
+		if left.IsZero() || left.After(at) {
+			return true
+		}
+	}
+	return false
+}
+
+// withheld tells whether a request was answered with an error of the daemon's own, though its backend server was still to answer in
+// time, or had and was not silent.
+func (a *Audit) withheld(s *sent) bool {
+	if a.b.Answer == 0 || s.reply.Status != 502 && s.reply.Status != 504 {
+		return false
+	}
+	limit := s.at.Add(a.b.Answer)
+	return s.ended.Before(limit) || !s.done.IsZero() && s.done.Before(limit) && a.touched.none(s.at, s.ended, s.server)
+}
+
 // name is that of a daemon whose lifetime is given.
 func name(lifetime string) string {
 	n, _, _ := strings.Cut(lifetime, "#")
@@ -337,6 +385,7 @@
 		g.open = false
 	}
 	delete(a.in, id)
+	a.gone[id] = true
 }
 
 // Event takes what a backend server did.
@@ -361,6 +410,9 @@
 	case fakeplatform.Opened:
 		g.open = true
 	case fakeplatform.Closed, fakeplatform.Broken, fakeplatform.Left:
+		if e.Kind == fakeplatform.Broken {
+			a.broken(e, key)
+		}
 		if e.Server == g.members[0] {
 			g.open = false
 		}
@@ -375,13 +427,27 @@
 		}
 	case fakeplatform.Abandoned:
 		if s := a.requests[e.ID]; s != nil {
-			s.abandoned = e.At
+			s.abandoned[e.Server] = e.At
 		}
 	case fakeplatform.Drains:
 		a.drains[e.Server] = e.At
 	}
 }
 
+// broken notes the requests that a head breaks off because it has found a member lost, unless that was told to go elsewhere.
+func (a *Audit) broken(e fakeplatform.Event, key string) {
+	for _, id := range e.Members {
+		if at, ok := a.in[id]; ok && at != key || !ok && !a.gone[id] {
+			return
+		}
+	}
+	for _, s := range a.requests {
+		if s.server == e.Server && s.ran.Before(e.At) && (s.ended.IsZero() || s.ended.After(e.At)) {
+			s.brokeOff = true
+		}
+	}
+}
+
 func (a *Audit) run(e fakeplatform.Event, g *membership, key string) {
 	s := a.requests[e.ID]
 	if s == nil {
@@ -395,10 +461,10 @@
 		a.fail("only what was asked", "%s ran %s for %q, not for %q", e.Server, e.ID, e.Organisation, s.org)
 	}
 	a.arrivals[service(s.kind)] = append(a.arrivals[service(s.kind)], arrival{e.At, s.runs > 0})
-	s.abandoned = time.Time{}
+	s.abandoned[e.Server], s.server, s.brokeOff = time.Time{}, e.Server, false
 	if s.runs++; s.runs == 1 {
 		s.ran = e.At
-	} else if s.kind == Write {
+	} else if s.kind.once() {
 		a.fail("at most once", "%s ran %d times", e.ID, s.runs)
 	}
 	a.refused(s)
@@ -452,7 +518,12 @@
 }
 
 // Tally is how many requests of callers met an end.
-type Tally struct{ Sent, Served, Refused, Failed int }
+type Tally struct {
+	Sent, Served, Refused, Failed int
+	// Quiet is how many of those sent were under way at a daemon whose way to all backend servers was silent, QuietFailed how many
+	// of these failed.
+	Quiet, QuietFailed int
+}
 
 // Count returns the tally of requests that were sent in a span, probes left out.
 func (a *Audit) Count(from, to time.Time) Tally {
@@ -462,15 +533,26 @@
 			continue
 		}
 		t.Sent++
+		failed := false
 		switch {
 		case s.reply == nil || s.reply.Err != nil:
-			t.Failed++
+			failed = true
 		case s.reply.Status == 200:
 			t.Served++
 		case s.reply.Status == 503 || s.reply.Status == 429:
 			t.Refused++
 		default:
+			failed = true
+		}
+		quiet := !s.ended.IsZero() && !a.quiet.none(s.at, s.ended, name(s.daemon))
+		if quiet {
+			t.Quiet++
+		}
+		if failed {
 			t.Failed++
+			if quiet {
+				t.QuietFailed++
+			}
 		}
 	}
 	return t
