Send requests to silent groups when no others are left

Requests to a model got 503 with Retry-After although its only group was sound, from all daemons.

Cause: a daemon that finds a group silent sends it nothing new for 3 s and has the scheduler do the same for daemons without work there. A daemon that lacks processor time takes any group for silent, and a sound server may be silent for a second or so. If that was the only group of the model, or all of them were silent, every request was rejected as crowded for that time.

Silence now excludes no group from first attempts while that would leave none; a daemon does not report such groups as suspected either. Groups that rejected a request or were ordered to close are excluded as before, and later attempts at a request, which need another group, avoid silent ones as before. If each of several daemons finds another group silent, the scheduler may still exclude all.

TestAllGroupsSilent needs no load: a request that stays unanswered makes the only group silent, then two daemons send one each.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -79,7 +79,9 @@
 	// ask is the request as it is reported to the scheduler, with its latest ticket as the id.
 	ask            schedule.PlacementRequest
 	arrived, until time.Time
-	ids            suspectIDs
+	// first is set if no attempt at the request has been made.
+	first bool
+	ids   suspectIDs
 	// limit is how long a group of the model may make no progress before it counts as stalled.
 	limit time.Duration
 	// result receives the reserved place in a group, or the reason for the rejection.
@@ -150,7 +152,8 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	w.ask.Exclude = slices.Concat(exclude, p.excluded(now), p.unreachableGroups(now, model))
+	w.first = len(exclude) == 0
+	w.ask.Exclude = slices.Concat(exclude, p.excluded(now, model, w.first), p.unreachableGroups(now, model))
 	if p.enqueue(w) {
 		p.sendReport(now, model)
 	}
@@ -187,15 +190,25 @@
 	return true
 }
 
-// excluded returns the groups that this daemon currently excludes.
-func (p *dispatcher) excluded(now time.Time) []string {
-	var keys []string
+// excluded returns the groups that this daemon currently excludes for requests to a model. Silence is no proof: if all groups that are
+// left are only silent, it excludes none of them for first attempts, as the alternative is to reject the request.
+func (p *dispatcher) excluded(now time.Time, m schedule.Model, first bool) []string {
+	var keys, silent []string
 	for key, s := range p.suspects {
-		if now.Before(s.until) {
+		switch {
+		case !now.Before(s.until):
+		case s.local && !s.closed:
+			silent = append(silent, key)
+		default:
 			keys = append(keys, key)
 		}
 	}
-	return keys
+	if len(silent) == 0 || first && !slices.ContainsFunc(p.d.view.Load().Groups[m.Service], func(g *roster.Group) bool {
+		return g.Model == m.Name && g.Complete() && !now.Before(p.suspects[g.Key].until) && !now.Before(p.unreachable[g.Key].until)
+	}) {
+		return keys
+	}
+	return append(keys, silent...)
 }
 
 // unreachableGroup is a group that this daemon does not use for a while because it could not connect to its head. Unlike a
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"flamingorudder.example/internal/balance"
@@ -109,16 +110,16 @@
 	for key, l := range p.localLoad[m] {
 		work = append(work, schedule.Work{Group: key, Requests: l.Requests, QueuedTokens: l.QueuedTokens})
 	}
-	return p.client(m).NewReport(now, p.d.settings().Name, p.d.boot, p.d.settings().DataCentre, work, p.reportedSuspects(now, m.Service))
+	return p.client(m).NewReport(now, p.d.settings().Name, p.d.boot, p.d.settings().DataCentre, work, p.reportedSuspects(now, m))
 }
 
 // reportedSuspects returns the groups to report as suspects. What a daemon without a path finds out about groups says nothing about
 // them.
-func (p *dispatcher) reportedSuspects(now time.Time, service string) []string {
-	if p.d.paths.lost(service) {
+func (p *dispatcher) reportedSuspects(now time.Time, m schedule.Model) []string {
+	if p.d.paths.lost(m.Service) {
 		return nil
 	}
-	return p.excluded(now)
+	return p.excluded(now, m, true)
 }
 
 // tick sends due reports, schedules requests locally whose scheduler does not respond, and runs a scheduling round for the
@@ -250,7 +251,7 @@
 			w.result <- outcome{err: &RejectedError{place.RetryAfter, place.Reason}}
 			continue
 		}
-		head := p.head(now, &place)
+		head := p.head(now, w, &place)
 		if head == nil {
 			// This daemon knows something about the group that the scheduler has not learnt yet.
 			w.ask.Exclude = append(w.ask.Exclude, place.Group)
@@ -261,9 +262,9 @@
 	}
 }
 
-// head returns the head of the group that the scheduler chose, or nil if this daemon must not use it.
-func (p *dispatcher) head(now time.Time, place *schedule.Placement) *roster.Server {
-	if now.Before(p.suspects[place.Group].until) {
+// head returns the head of the group that the scheduler chose for a request, or nil if this daemon must not use it.
+func (p *dispatcher) head(now time.Time, w *waiter, place *schedule.Placement) *roster.Server {
+	if slices.Contains(p.excluded(now, w.model, w.first), place.Group) {
 		return nil
 	}
 	v := p.d.view.Load()
--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -244,3 +244,60 @@
 		})
 	}
 }
+
+// TestAllGroupsSilent guards against rejecting the requests to a model because all of its groups were silent for a moment at a daemon
+// that had no time to read their answers, and against using a silent group while another one is left.
+func TestAllGroupsSilent(t *testing.T) {
+	t.Parallel()
+	for name, sound := range map[string]bool{"no other group": false, "another group": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, onceRoute)))
+			all := []*daemonUnderTest{startDaemon(t, store, "a"), startDaemon(t, store, "b")}
+			var arrived atomic.Int32
+			silent := make(chan struct{})
+			addr := backendServer(t, func(c net.Conn, r *http.Request) {
+				if arrived.Add(1) == 1 {
+					<-silent
+				}
+				(&streamer{}).serve(t)(c, r)
+			})
+			all[0].putServer("i-1", "llm", addr, fmt.Sprintf(openGroup, 1))
+			for _, u := range all {
+				u.waitReady()
+				eventually(t, "the daemon hears the other one", func() bool { return len(u.d.livePeers(time.Now())) == 1 })
+			}
+			first := make(chan reply, 1)
+			go func() {
+				first <- all[0].do(http.MethodPost, "/once/", "k1", "x", "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20")
+			}()
+			eventually(t, "the daemon finds the group silent", func() bool {
+				p := all[0].d.dispatch
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				return len(p.suspects) == 1
+			})
+			other := &streamer{}
+			if sound {
+				all[0].putServer("i-2", "llm", backendServer(t, other.serve(t)), fmt.Sprintf(openGroup, 2))
+				for _, u := range all {
+					eventually(t, "the daemon knows the other group", func() bool { return len(u.d.view.Load().Groups["llm"]) == 2 })
+				}
+			}
+			before := other.arrived.Load()
+			for i, u := range all {
+				if r := u.stream(fmt.Sprint("s", i)); r.status != http.StatusOK {
+					t.Errorf("daemon %d: reply %+v", i, r)
+				}
+			}
+			if n := other.arrived.Load() - before; sound && n != 2 {
+				t.Errorf("%d requests at the other group, want 2", n)
+			}
+			close(silent)
+			if r := <-first; r.status != http.StatusOK {
+				t.Errorf("the first request: reply %+v", r)
+			}
+		})
+	}
+}
