Hand a request to another daemon when the one asked is not ready for any

A daemon without a path hands its requests over. One asked that could serve nobody, as it has no configuration, has not read the entries of the backend servers, has no memory left for bodies, knows no server of the service or reaches none, rejected them with a time to retry, and that counts as the refusal of an admission: the caller got 503 although other daemons have a path. Such rejections name no time now when the request was handed over and has reached no backend server there, so a third daemon is asked.

TestHandedOverToUnready: on the code before, the cases no configuration, entries not read, memory full, no service, no model and other services failed, each with 503 for requests of all kinds; streams waited 3 s at the daemon without entries. The cases no route, no key, small bodies, closing and cut off from all servers passed: 404, 401 and 413 of a daemon with another configuration were already taken for "not run". All pass now.

TestWaysHandedOver changes the configuration in thirteen ways while requests run and wait at another daemon; it found no fault.

--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -14,7 +14,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/backend"
-	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/reach"
 	"flamingorudder.example/internal/roster"
@@ -312,7 +311,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	x := &exchange{d: d, w: w, r: r, from: r.Header.Get(headerFrom), attempts: attempts, mayHaveRun: r.Header.Get(headerMayHaveRun) != ""}
+	x := &exchange{d: d, w: w, r: r, from: r.Header.Get(headerFrom), attempts: attempts, handedAttempts: attempts, mayHaveRun: r.Header.Get(headerMayHaveRun) != ""}
 	for _, name := range []string{headerFrom, headerAttempts, headerMayHaveRun} {
 		r.Header.Del(name)
 	}
@@ -329,13 +328,9 @@
 		(ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded))
 }
 
-// noPath returns the rejection of a request that neither this daemon nor another one can send to a backend server. One that was
-// handed over may be handed to a third daemon.
+// noPath returns the rejection of a request that neither this daemon nor another one can send to a backend server.
 func (x *exchange) noPath() error {
-	if x.from != "" {
-		return &RejectedError{0, "no path to the backend servers"}
-	}
-	return &RejectedError{balance.RetryDelay(time.Now(), x.deadline, rand.Float64), "no path to the backend servers"}
+	return &RejectedError{x.retryDelay(), "no path to the backend servers"}
 }
 
 // pathChanged is called when the path to a service was lost or found again. Requests that wait for a group are handed over, and what
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -66,6 +66,8 @@
 	// request.
 	attempts   int
 	mayHaveRun bool
+	// handedAttempts is the number of those before the request was handed over.
+	handedAttempts int
 	// firstAt is when the first event or the response arrived; zero before.
 	firstAt time.Time
 	// maxGap is the longest gap between two events.
@@ -139,7 +141,11 @@
 	d := x.d
 	x.config = d.config.Load()
 	if x.config == nil {
-		x.reject(http.StatusServiceUnavailable, notReadyRetryAfter, "no configuration")
+		x.rejectNotReady("no configuration")
+		return false
+	}
+	if x.from != "" && d.view.Load().Read.IsZero() {
+		x.rejectNotReady("entries not read")
 		return false
 	}
 	x.route = x.config.Find(x.r.Host, x.r.URL.Path)
@@ -197,7 +203,7 @@
 		return true
 	}
 	if x.d.bufferedBytes.Load()+max(x.r.ContentLength, 0) > int64(x.d.settings().MemoryMB)<<20*maxBufferedPercent/100 {
-		x.reject(http.StatusServiceUnavailable, notReadyRetryAfter, "bodies fill the memory")
+		x.rejectNotReady("bodies fill the memory")
 		return false
 	}
 	var in io.Reader = x.r.Body
@@ -224,6 +230,24 @@
 	return true
 }
 
+// rejectNotReady rejects a request that this daemon cannot serve for now.
+func (x *exchange) rejectNotReady(reason string) {
+	retryAfter := notReadyRetryAfter
+	if x.from != "" {
+		retryAfter = 0
+	}
+	x.reject(http.StatusServiceUnavailable, retryAfter, reason)
+}
+
+// retryDelay returns when the caller of a request that could not be served should retry. It is zero for a request that was handed
+// over, unless it has reached a backend server: the daemon that has it hands it to another one.
+func (x *exchange) retryDelay() time.Duration {
+	if x.from != "" && x.attempts == x.handedAttempts {
+		return 0
+	}
+	return balance.RetryDelay(time.Now(), x.deadline, rand.Float64)
+}
+
 // reject sends an error response of the daemon itself. retryAfter is sent as the Retry-After header unless it is zero.
 func (x *exchange) reject(status int, retryAfter time.Duration, reason string) {
 	if retryAfter > 0 {
@@ -302,7 +326,7 @@
 		x.finish(0, "caller left")
 		panic(http.ErrAbortHandler)
 	case !x.mayHaveRun:
-		retryAfter := balance.RetryDelay(time.Now(), x.deadline, rand.Float64)
+		retryAfter := x.retryDelay()
 		var rejected *RejectedError
 		reason := "not run"
 		switch {
@@ -321,14 +345,14 @@
 
 // rejectDropped returns the rejection of a request whose model the configuration in force no longer has. Its caller comes back at once
 // where the answer is another one now, as the route or the key is gone or the route leads to another service; else after the usual
-// time, as the model may return. A daemon that has handed the request over tries another one at once.
+// time, as the model may return.
 func (x *exchange) rejectDropped(reason error) error {
 	c := x.d.config.Load()
 	r := c.Find(x.r.Host, x.r.URL.Path)
-	if x.from != "" || r == nil || !c.Admits(r, x.call.Key) || slices.ContainsFunc(r.Split, func(w route.Weighted) bool { return w.Service != x.service }) {
+	if r == nil || !c.Admits(r, x.call.Key) || slices.ContainsFunc(r.Split, func(w route.Weighted) bool { return w.Service != x.service }) {
 		return &RejectedError{0, reason.Error()}
 	}
-	return &RejectedError{balance.RetryDelay(time.Now(), x.deadline, rand.Float64), reason.Error()}
+	return &RejectedError{x.retryDelay(), reason.Error()}
 }
 
 // buildRequest builds the request that is sent to a backend server.
--- a/internal/entry/ways_test.go
+++ b/internal/entry/ways_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"path"
 	"slices"
 	"strconv"
@@ -16,6 +18,7 @@
 	"time"
 
 	"flamingorudder.example/internal/fakeplatform"
+	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/member"
 	"flamingorudder.example/internal/timer"
 )
@@ -121,6 +124,17 @@
 	return &waysServers{t: t, released: make(chan struct{})}
 }
 
+// waysGroups is the number of groups, one for each stream that a test holds: a group that holds one takes no others.
+const waysGroups = 5
+
+// put puts the servers into the store.
+func (s *waysServers) put(u *daemonUnderTest) {
+	for i := 1; i <= waysGroups; i++ {
+		u.putServer(fmt.Sprint("p-", i), "plain", backendServer(s.t, s.serve), "null")
+		u.putServer(fmt.Sprint("i-", i), "llm", backendServer(s.t, s.serve), fmt.Sprintf(openGroup, i))
+	}
+}
+
 // arrived returns how many requests with a path have arrived.
 func (s *waysServers) arrived(path string) int {
 	s.mu.Lock()
@@ -169,7 +183,8 @@
 		}
 		out := event(n)
 		if n == from+1 {
-			out = "HTTP/1.1 200 OK\r\nX-Flamingorudder-Response-Signature: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n" + out
+			out = "HTTP/1.1 200 OK\r\nX-Flamingorudder-Request-Id: " + r.Header.Get("X-Flamingorudder-Request-Id") +
+				"\r\nX-Flamingorudder-Response-Signature: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n" + out
 		}
 		if _, err := io.WriteString(c, out); err != nil {
 			return
@@ -257,13 +272,10 @@
 			store := fakeplatform.NewStore()
 			store.Put("op", "config", c.text(t))
 			u, servers := startDaemon(t, store, "a"), newWaysServers(t)
-			for i := 1; i <= 2; i++ {
-				u.putServer(fmt.Sprint("p-", i), "plain", backendServer(t, servers.serve), "null")
-				u.putServer(fmt.Sprint("i-", i), "llm", backendServer(t, servers.serve), fmt.Sprintf(openGroup, i))
-			}
+			servers.put(u)
 			u.putServer("s-1", "pausing", backendServer(t, servers.serve), "null")
 			u.waitReady()
-			eventually(t, "the groups are open", func() bool { return len(u.d.view.Load().Groups["llm"]) == 2 })
+			eventually(t, "the groups are open", func() bool { return len(u.d.view.Load().Groups["llm"]) == waysGroups })
 			ways := []*way{
 				{path: "/unsafe/run"},
 				{path: "/safe/run"},
@@ -291,7 +303,7 @@
 				}
 			}
 			eventually(t, "the requests have arrived", at(1, "/unsafe/run", "/safe/run", "/pause/pause", "/once/first", "/once/middle", "/stream/first", "/stream/middle"))
-			u.putServer("i-4", "llm", backendServer(t, servers.serve), fmt.Sprintf(openGroup, 4))
+			u.putServer("i-9", "llm", backendServer(t, servers.serve), fmt.Sprintf(openGroup, 8))
 			eventually(t, "others are asked beside the silent ones", at(2, "/safe/run", "/stream/first", "/stream/middle"))
 			eventually(t, "all requests are under way", func() bool { return u.d.dispatch.waiting() == 2 && u.d.inFlight.Load() == int64(len(ways))+1 })
 			change.do(c)
@@ -375,3 +387,151 @@
 		}
 	}
 }
+
+// losePath cuts a daemon off from all backend servers and waits until it knows.
+func losePath(t *testing.T, u *daemonUnderTest, cut *pathCut) {
+	t.Helper()
+	cut.set("reset")
+	eventually(t, "the daemon knows that it has no path", func() bool {
+		for _, service := range []string{"plain", "llm"} {
+			u.d.paths.doubt(service)
+		}
+		return len(u.d.paths.lostServices()) == 2
+	})
+}
+
+// TestWaysHandedOver guards against the same for requests that another daemon serves, or that wait there.
+func TestWaysHandedOver(t *testing.T) {
+	t.Parallel()
+	for _, change := range waysChanges {
+		t.Run(change.name, func(t *testing.T) {
+			t.Parallel()
+			c, servers := newWaysConfig(t), newWaysServers(t)
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", c.text(t))
+			var cut pathCut
+			u, other := startDaemon(t, store, "a", cut.apply), startDaemon(t, store, "b")
+			servers.put(u)
+			for _, v := range []*daemonUnderTest{u, other} {
+				v.waitReady()
+				eventually(t, "the daemon hears the other one", func() bool { return len(v.d.livePeers(time.Now())) == 1 })
+			}
+			losePath(t, u, &cut)
+			eventually(t, "the other daemon takes requests", func() bool { return len(u.d.peersWithPath("llm")) == 1 })
+			ways := []*way{
+				{path: "/unsafe/run"},
+				{path: "/safe/run"},
+				{path: "/once/first", model: "m"},
+				{path: "/once/middle", model: "m"},
+				{path: "/stream/middle", model: "m"},
+				{path: "/once/wait", model: "n", waits: true},
+				{path: "/stream/wait", model: "n", waits: true},
+			}
+			for _, w := range ways {
+				u.begin(w)
+			}
+			eventually(t, "the requests are at their places", func() bool {
+				return other.d.dispatch.waiting() >= 2 && !slices.ContainsFunc(ways, func(w *way) bool { return !w.waits && servers.arrived(w.path) == 0 })
+			})
+			change.do(c)
+			c.Version = 2
+			store.Put("op", "config", c.text(t))
+			for _, v := range []*daemonUnderTest{u, other} {
+				eventually(t, "the change is in force", func() bool { return v.d.config.Load().Version == 2 })
+			}
+			endWays(t, ways, change, func() {
+				close(servers.released)
+				u.putModel(servers, "n")
+			})
+		})
+	}
+}
+
+// TestHandedOverToUnready guards against failing or rejecting a request that has been handed to a daemon that cannot serve it, for a
+// reason of its own, while a third one can.
+func TestHandedOverToUnready(t *testing.T) {
+	t.Parallel()
+	put := func(change func(c *waysConfig)) func(t *testing.T, u *daemonUnderTest) {
+		return func(t *testing.T, u *daemonUnderTest) {
+			t.Helper()
+			c := newWaysConfig(t)
+			change(c)
+			u.d.feed.applyConfig(c.text(t), "test")
+		}
+	}
+	same := put(func(*waysConfig) {})
+	dead := freeAddr(t)
+	for name, prepare := range map[string]func(t *testing.T, u *daemonUnderTest){
+		"no configuration": func(*testing.T, *daemonUnderTest) {},
+		"entries not read": func(t *testing.T, u *daemonUnderTest) {
+			same(t, u)
+			if !u.d.view.Load().Read.IsZero() {
+				t.Fatal("the daemon has read the entries")
+			}
+		},
+		"memory full": func(t *testing.T, u *daemonUnderTest) {
+			same(t, u)
+			u.d.bufferedBytes.Store(1 << 40)
+		},
+		"closing": func(t *testing.T, u *daemonUnderTest) {
+			same(t, u)
+			u.d.closing.Store(true)
+			u.d.close()
+		},
+		"cut off": func(t *testing.T, u *daemonUnderTest) {
+			same(t, u)
+			for i := 1; i <= 4; i++ {
+				u.putServer(fmt.Sprint("p-", i), "plain", dead.String(), "null")
+				u.putServer(fmt.Sprint("i-", i), "llm", dead.String(), fmt.Sprintf(openGroup, i))
+			}
+			eventually(t, "the daemon has read the entries", func() bool { return len(u.d.view.Load().Servers) == 8 })
+		},
+		"no route":       put(func(c *waysConfig) { c.Routes = c.Routes[:0] }),
+		"no key":         put(func(c *waysConfig) { c.Tenants[0]["apiKeys"] = []string{"k2"} }),
+		"no service":     put(func(c *waysConfig) { c.Services = c.Services[:0] }),
+		"no model":       put(waysChanges[2].do),
+		"small bodies":   put(func(c *waysConfig) { c.Limits["maxBodyBytes"] = 1 }),
+		"other services": put(waysChanges[7].do),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store, empty := fakeplatform.NewStore(), fakeplatform.NewStore()
+			store.Put("op", "config", newWaysConfig(t).text(t))
+			var cut pathCut
+			u := startDaemon(t, store, "a", cut.apply)
+			third := startDaemon(t, store, "c", func(d *Daemon) {
+				s := *d.settings()
+				s.DataCentre = "other" // the unready one is asked first
+				d.currentSettings.Store(&s)
+			})
+			servers := newWaysServers(t)
+			servers.put(u)
+			for _, v := range []*daemonUnderTest{u, third} {
+				v.waitReady()
+				eventually(t, "the daemon hears the other one", func() bool { return len(v.d.livePeers(time.Now())) == 1 })
+			}
+			if name == "entries not read" {
+				empty.Refuse(http.StatusServiceUnavailable)
+			}
+			unready := startDaemon(t, empty, "b")
+			prepare(t, unready)
+			srv := httptest.NewServer(http.HandlerFunc(unready.d.servePeer))
+			t.Cleanup(srv.Close)
+			losePath(t, u, &cut)
+			u.d.handleDigest(gossip.Digest{
+				Name: "b", Boot: 1, Seq: 1, PeerAddr: netip.MustParseAddrPort(srv.Listener.Addr().String()), DataCentre: "dc", Ready: true, Relays: true, Cores: 1, Interval: time.Minute,
+			})
+			eventually(t, "the other daemons take requests", func() bool { return len(u.d.peersWithPath("llm")) == 2 })
+			for i := range 5 {
+				for _, w := range []*way{{path: "/unsafe/x"}, {path: "/safe/x"}, {path: "/once/x", model: "m"}, {path: "/stream/x", model: "m"}} {
+					start := time.Now()
+					u.begin(w)
+					w.check(t, <-w.done, true)
+					if took := time.Since(start); took > 2*soon {
+						t.Errorf("%s, %d: took %v", w.path, i, took)
+					}
+				}
+			}
+		})
+	}
+}
