Take only answers of backend servers from a daemon that a request was handed to

When a daemon has ended and another process has its address, its answers to requests that were handed over were passed on to the caller: an empty 200, a 404, and a 503 or 429, which promise that the request has not run. An answer now has to echo the request's id, as backend servers do, and to be one that would be forwarded from a backend server; any other counts as lost.

--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -270,11 +270,14 @@
 }
 
 // handOverResult returns why the response of another daemon is none of a backend server, or nil if it is one. A request that has not
-// run there may be rejected or handed over again.
-func handOverResult(daemon string, r *backend.Response) error {
+// run there may be rejected or handed over again. Another process may have the address of a daemon that has ended; backend servers
+// echo the id of a request.
+func (x *exchange) handOverResult(daemon string, r *backend.Response) error {
 	switch r.Header.Get(headerOutcome) {
 	case "":
-		return nil
+		if forwardable(r) && (r.ID != "" || x.call.ID == "") {
+			return nil
+		}
 	case outcomeNotRun:
 		r.NotExecuted = true
 		return &RejectedError{retryAfter(r.Header), "by daemon " + daemon}
@@ -308,6 +311,7 @@
 func (d *Daemon) serveHandedOver(w http.ResponseWriter, r *http.Request) {
 	attempts, err := strconv.Atoi(r.Header.Get(headerAttempts))
 	if err != nil || attempts < 0 {
+		w.Header().Set(headerOutcome, outcomeNotRun)
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -507,7 +507,7 @@
 		r.Close()
 		a.cancel(nil)
 	}
-	if err := handOverResult(a.peer, r); err != nil {
+	if err := x.handOverResult(a.peer, r); err != nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxReadAhead)) // allows the connection to be reused
 		end()
 		a.err = err
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -534,7 +534,7 @@
 
 // openPeer reads the first events of the response of the daemon to which the request was handed over.
 func (a *streamAttempt) openPeer(r *backend.Response) error {
-	if err := handOverResult(a.reserved.peer, r); err != nil {
+	if err := a.s.x.handOverResult(a.reserved.peer, r); err != nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxReadAhead)) // allows the connection to be reused
 		return err
 	}
--- a/internal/entry/ways_test.go
+++ b/internal/entry/ways_test.go
@@ -535,3 +535,38 @@
 		})
 	}
 }
+
+// TestHandedOverToStranger guards against taking the answer of a process that has the address of a daemon that is gone for that of a
+// backend server, and so denying a request or promising that it has not run.
+func TestHandedOverToStranger(t *testing.T) {
+	t.Parallel()
+	for status, want := range map[int]int{
+		http.StatusOK: http.StatusBadGateway, http.StatusNotFound: http.StatusBadGateway, http.StatusServiceUnavailable: http.StatusBadGateway,
+		http.StatusTooManyRequests: http.StatusBadGateway, http.StatusMisdirectedRequest: http.StatusServiceUnavailable, // not run
+	} {
+		store := fakeplatform.NewStore()
+		store.Put("op", "config", newWaysConfig(t).text(t))
+		var cut pathCut
+		u := startDaemon(t, store, "a", cut.apply)
+		for i := 1; i <= 4; i++ {
+			u.putServer(fmt.Sprint("p-", i), "plain", freeAddr(t).String(), "null")
+			u.putServer(fmt.Sprint("i-", i), "llm", freeAddr(t).String(), fmt.Sprintf(openGroup, i))
+		}
+		u.waitReady()
+		losePath(t, u, &cut)
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(status)
+		}))
+		t.Cleanup(srv.Close)
+		u.d.handleDigest(gossip.Digest{
+			Name: "b", Boot: 1, Seq: 1, PeerAddr: netip.MustParseAddrPort(srv.Listener.Addr().String()), DataCentre: "dc", Ready: true, Relays: true, Cores: 1, Interval: time.Minute,
+		})
+		for _, w := range []*way{{path: "/unsafe/x"}, {path: "/once/x", model: "m"}} {
+			u.begin(w)
+			if r := <-w.done; r.status != want {
+				t.Errorf("%s, the stranger says %d: reply %+v, want %d", w.path, status, r, want)
+			}
+		}
+	}
+}
