--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -14,7 +14,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/backend"
-	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/reach"
 	"flamingorudder.example/internal/roster"
@@ -295,11 +294,14 @@
 }
 
 // handOverResult returns why the response of another daemon is none of a backend server, or nil if it is one. A request that has not
-// run there may be rejected or handed over again.
-func handOverResult(daemon string, r *backend.Response) error {
+// run there may be rejected or handed over again. Another process may have the address of a daemon that has ended; backend servers
+// echo the id of a request.
+func (x *exchange) handOverResult(daemon string, r *backend.Response) error {
 	switch r.Header.Get(headerOutcome) {
 	case "":
-		return nil
+		if forwardable(r) && (r.ID != "" || x.call.ID == "") {
+			return nil
+		}
 	case outcomeNotRun:
 		r.NotExecuted = true
 		return &RejectedError{retryAfter(r.Header), "by daemon " + daemon}
@@ -333,10 +335,11 @@
 func (d *Daemon) serveHandedOver(w http.ResponseWriter, r *http.Request) {
 	attempts, err := strconv.Atoi(r.Header.Get(headerAttempts))
 	if err != nil || attempts < 0 {
+		w.Header().Set(headerOutcome, outcomeNotRun)
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	x := &exchange{d: d, w: w, r: r, from: r.Header.Get(headerFrom), attempts: attempts, before: attempts, mayHaveRun: r.Header.Get(headerMayHaveRun) != ""}
+	x := &exchange{d: d, w: w, r: r, from: r.Header.Get(headerFrom), attempts: attempts, handedAttempts: attempts, mayHaveRun: r.Header.Get(headerMayHaveRun) != ""}
 	for _, name := range []string{headerFrom, headerAttempts, headerMayHaveRun} {
 		r.Header.Del(name)
 	}
@@ -353,13 +356,9 @@
 		(ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded))
 }
 
-// noPath returns the rejection of a request that neither this daemon nor another one can send to a backend server. One that was
-// handed over may be handed to a third daemon.
+// noPath returns the rejection of a request that neither this daemon nor another one can send to a backend server.
 func (x *exchange) noPath() error {
-	if x.from != "" {
-		return &RejectedError{0, "no path to the backend servers"}
-	}
-	return &RejectedError{balance.RetryDelay(time.Now(), x.deadline, rand.Float64), "no path to the backend servers"}
+	return &RejectedError{x.retryDelay(), "no path to the backend servers"}
 }
 
 // pathChanged is called when the path to a service was lost or found again. Requests that wait for a group are handed over, and so are
