Have requests that may run once wait while their path is in doubt

A request that may run once and began while it was in doubt whether there is a path was sent at once; behind a cut it could only wait for its deadline. Its first attempt now waits for the verdict, as repeated attempts did. So that this costs little where one server is silent and the path is sound, the server that is asked first has 150 ms, the time for a connection and a response, not 350 ms, before more are asked; a lost path is found 200 ms sooner.

--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -46,8 +46,10 @@
 const (
 	// pathPeriod is how often paths that are lost are looked at.
 	pathPeriod = 50 * time.Millisecond
-	// probeTimeout bounds the wait for a response of a sample: several round trips between regions.
-	probeTimeout = 350 * time.Millisecond
+	// probeTimeout bounds the wait for a response of a sample: several round trips between regions. firstProbeTimeout is for the one
+	// server that is asked first, for a connection and a response; after it, more servers are asked.
+	probeTimeout      = 350 * time.Millisecond
+	firstProbeTimeout = 150 * time.Millisecond
 	// maxDoubts bounds the samples that are due. One that finds no room is asked for by the next failure.
 	maxDoubts = 16
 )
@@ -83,6 +85,14 @@
 	return p.verdicts[service]
 }
 
+// awaitBefore waits while it is in doubt whether there is a path, before an attempt of a request. last is the error of the attempt
+// before. The first attempt of a request that may not be repeated waits too, as it could not leave a silent server.
+func (x *exchange) awaitBefore(ctx context.Context, last error) {
+	if last != nil || !x.route.Repeatable() {
+		x.d.paths.await(ctx, x.service)
+	}
+}
+
 // await waits while it is in doubt whether there is a path to a service.
 func (p *paths) await(ctx context.Context, service string) {
 	p.mu.Lock()
@@ -151,7 +161,13 @@
 // ask asks a sample of the backend servers of a service, and then another one if that is due.
 func (p *paths) ask(ctx context.Context, due sampleDue) {
 	for due.size > 0 {
-		responded := p.anyResponds(ctx, p.d.view.Load().Listed(due.service), due.size)
+		timeout := probeTimeout
+		if due.size == reach.FirstSample {
+			timeout = firstProbeTimeout
+		}
+		asking, cancel := context.WithTimeout(ctx, timeout)
+		responded := p.anyResponds(asking, p.d.view.Load().Listed(due.service), due.size)
+		cancel()
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -397,6 +397,37 @@
 	}
 }
 
+// TestOnceInDoubt guards against sending requests that may run once, and so can only wait, while it is in doubt whether there is a path,
+// and against a path that stays in use as only such requests are silent.
+func TestOnceInDoubt(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/unsafe3/", "/once/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			f := newSteadyFleet(t)
+			f.pause.Store(int64(100 * time.Millisecond))
+			silent := make(chan timedReply, 1)
+			go func() { silent <- f.sendTimed(f.a, path, "silent", func() {}) }()
+			eventually(t, "the request runs", func() bool { return f.ran.Load() == 1 })
+			f.cut.set("hang")
+			eventually(t, "it is in doubt whether there is a path", func() bool {
+				f.a.d.paths.mu.Lock()
+				defer f.a.d.paths.mu.Unlock()
+				return len(f.a.d.paths.verdicts) > 0
+			})
+			if r := f.sendTimed(f.a, path, "x", func() {}); r.status != http.StatusOK || r.err != nil || max(r.first, r.pause) > callerPatience {
+				t.Errorf("the request that began in doubt: %+v", r)
+			}
+			if r := <-silent; r.status != http.StatusGatewayTimeout {
+				t.Errorf("the silent request: %+v", r)
+			}
+			if n := f.ran.Load(); n != 2 {
+				t.Errorf("two requests ran %d times", n)
+			}
+		})
+	}
+}
+
 // pathSettle is the time for which RECOVER does not count failures after a path was lost (stableWindowMs of the deployments).
 const pathSettle = 3 * time.Second
 
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -225,9 +225,7 @@
 func (p *plainRequest) start(ctx context.Context) bool {
 	waiting, stopWaiting := p.x.untilClosing(ctx)
 	defer stopWaiting()
-	if p.last != nil {
-		p.x.d.paths.await(waiting, p.x.service)
-	}
+	p.x.awaitBefore(waiting, p.last)
 	for ctx.Err() == nil {
 		servers, now, share := p.candidates()
 		if err := p.x.d.quarantineRejection(now, p.ids); err != nil {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -70,9 +70,7 @@
 			break
 		}
 		waiting, stopWaiting := x.untilClosing(ctx)
-		if last != nil {
-			x.d.paths.await(waiting, x.service)
-		}
+		x.awaitBefore(waiting, last)
 		reserved, err := s.reserve(waiting, 0)
 		stopWaiting()
 		var pathLost *PathLostError
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// firstSample and secondSample are how many servers are asked. All of a sample of eight fail by chance in one of 6,000
+	// FirstSample and secondSample are how many servers are asked. All of a sample of eight fail by chance in one of 6,000
 	// cases while a third of the servers are down.
-	firstSample  = 1
+	FirstSample  = 1
 	secondSample = 7
 	// doubtInterval is the shortest time between two samples that were caused by failures, of which a burst usually has one
 	// cause.
@@ -61,7 +61,7 @@
 		return 0
 	}
 	p.asking, p.second = true, false
-	return firstSample
+	return FirstSample
 }
 
 // Doubt records that a server of a service did not respond. It returns how many servers to ask, or zero.
