Hand requests over until a daemon with a path takes them, and pay for them where they came from

Most daemons lose their path within 0.2 s of each other; those to which a request was handed over while they were in doubt spent its last attempt behind the same cut; and the one daemon with a path had a seventh of the retry budget.

A request that was handed over is sent once it is known that there was a path within the last 350 ms. Refusals beside a silent attempt no longer count against the attempts that cannot be sent: after the last daemon has refused, all are asked again in 250 ms. The daemon that hands a request over pays, as its budget counts the request, and gets the retry back with a refusal; a retry whose server could not be connected to is given back as well, since nothing arrived there.

On the code before, the row of TestPathLostInMidRequest in which the other daemon is cut off too for 0.8 s had no event until the deadline.

--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -86,9 +86,13 @@
 }
 
 // awaitBefore waits while it is in doubt whether there is a path, before an attempt of a request. last is the error of the attempt
-// before. The first attempt of a request that may not be repeated waits too, as it could not leave a silent server.
+// before. The first attempt of a request that may not be repeated waits too, as it could not leave a silent server. A request that was
+// handed over waits until it is known whether there is a path, as several daemons may have lost theirs at the same time.
 func (x *exchange) awaitBefore(ctx context.Context, last error) {
-	if last != nil || !x.route.Repeatable() {
+	switch {
+	case x.from != "":
+		x.d.paths.verify(ctx, x.service, probeTimeout)
+	case last != nil || !x.route.Repeatable():
 		x.d.paths.await(ctx, x.service)
 	}
 }
@@ -276,6 +280,8 @@
 	// have run. On responses of the daemon itself, headerAttempts counts its own attempts.
 	headerAttempts   = "Daemon-Attempts"
 	headerMayHaveRun = "Daemon-May-Have-Run"
+	// headerPaid is set if the next attempt has been paid for.
+	headerPaid = "Daemon-Paid"
 	// headerOutcome is set on responses of the daemon itself: outcomeNotRun or outcomeUnknown.
 	headerOutcome  = "Daemon-Outcome"
 	outcomeNotRun  = "not-run"
@@ -307,6 +313,7 @@
 	if x.mayHaveRun || underWay > 0 {
 		h.Set(headerMayHaveRun, "1")
 	}
+	h.Set(headerPaid, "1")
 	return &backend.Request{ID: x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body, AtMostOnce: !x.route.Repeatable()}
 }
 
@@ -352,8 +359,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	x := &exchange{d: d, w: w, r: r, from: r.Header.Get(headerFrom), attempts: attempts, before: attempts, mayHaveRun: r.Header.Get(headerMayHaveRun) != ""}
-	for _, name := range []string{headerFrom, headerAttempts, headerMayHaveRun} {
+	x := &exchange{d: d, w: w, r: r, from: r.Header.Get(headerFrom), attempts: attempts, before: attempts, mayHaveRun: r.Header.Get(headerMayHaveRun) != "", paid: r.Header.Get(headerPaid) != ""}
+	for _, name := range []string{headerFrom, headerAttempts, headerMayHaveRun, headerPaid} {
 		r.Header.Del(name)
 	}
 	x.serve()
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -293,9 +293,11 @@
 		path     string
 		inStream bool
 		attempts int32
-		// back is how long after the cut the path comes back, if it does.
-		back time.Duration
+		// back is how long after the cut the path comes back, if it does, otherBack the same for the other daemon, if it is cut off too.
+		back, otherBack time.Duration
 	}{
+		"stream, other daemon back in 0.8 s":    {path: "/stream/", inStream: true, attempts: 2, otherBack: 800 * time.Millisecond},
+		"safe, other daemon back in 0.8 s":      {path: "/safe/", attempts: 2, otherBack: 800 * time.Millisecond},
 		"stream, in the middle":                 {path: "/stream/", inStream: true, attempts: 2},
 		"stream, in the middle, three attempts": {path: "/stream3/", inStream: true, attempts: 3},
 		"stream, before its first event":        {path: "/stream/", attempts: 2},
@@ -320,6 +322,11 @@
 			}
 			f.cut.set("hang")
 			cut := time.Now()
+			if test.otherBack > 0 {
+				f.otherCut.set("hang")
+				_ = timer.Wait(t.Context(), test.otherBack)
+				f.otherCut.set("")
+			}
 			if test.back > 0 {
 				_ = timer.Wait(t.Context(), test.back)
 				f.cut.set("")
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -233,7 +233,7 @@
 			return false
 		}
 		if target := p.x.handOverTarget(p.handedTo); target != nil {
-			if p.unsent >= maxUnsent || !p.x.attemptLeft(0) {
+			if p.unsent >= maxUnsent || !p.x.allowAttempt(0) {
 				return false
 			}
 			p.handOver(ctx, now, target)
@@ -286,6 +286,7 @@
 	if !x.d.pauses.Admit(now, server.ID) {
 		return false
 	}
+	x.paid = false
 	x.d.limits.Take(server.ID)
 	p.tried[server.ID] = true
 	a := &plainAttempt{server: server, sent: now, patience: x.patience()}
@@ -314,6 +315,7 @@
 	p.handedTo = append(p.handedTo, target.Name)
 	a := &plainAttempt{server: peerServer(target), peer: target.Name, sent: now}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	p.x.paid = false
 	request := p.x.buildHandOver("", len(p.underWay))
 	p.underWay = append(p.underWay, a)
 	p.tasks.Go(func() error {
@@ -353,9 +355,15 @@
 			break
 		}
 		if x.d.paths.lost(x.service) {
-			if target := x.handOverTarget(p.handedTo); target != nil && p.unsent < maxUnsent {
+			target, pause := x.handOverTarget(p.handedTo), standbyRetry
+			if target != nil && x.payRetry(len(p.underWay)) {
 				p.handOver(ctx, now, target)
-			} else if a := p.awaitFor(standbyRetry); a != nil {
+				break
+			}
+			if target == nil && len(p.handedTo) > 0 {
+				p.handedTo, pause = nil, maxStandbyRetry // they may have room, or a path, then
+			}
+			if a := p.awaitFor(pause); a != nil {
 				return a
 			}
 			continue
@@ -387,7 +395,7 @@
 	p.underWay = slices.DeleteFunc(p.underWay, func(o *plainAttempt) bool { return o == a })
 	before := x.attempts
 	x.recordAttempt(a.server, "", a.sendErr, a.response, a.notices)
-	if x.attempts == before {
+	if x.attempts == before && (a.peer == "" || len(p.underWay) == 0) {
 		p.unsent++
 	}
 	if a.err != nil {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -69,6 +69,9 @@
 	// this daemon may have run the request.
 	before  int
 	ranHere bool
+	// paid is set while an attempt has been paid for out of the retry budget, perhaps by the daemon that handed the request over, and
+	// has not reached a backend server.
+	paid bool
 	// firstAt is when the first event or the response arrived; zero before.
 	firstAt time.Time
 	// maxGap is the longest gap between two events.
@@ -342,14 +345,16 @@
 	return attempts == 0 || attempts < x.route.MaxAttempts && (x.route.Repeatable() || !x.mayHaveRun && underWay == 0)
 }
 
-// payRetry charges an attempt beside the given number of others to the retry budget, unless it is the first. It reports false if the
-// budget is used up. The daemon that sends the request to a backend server pays, not one that hands it over.
+// payRetry charges the next attempt beside the given number of others to the retry budget, unless it is the first or has been paid
+// for. It reports false if the budget is used up. The daemon that hands a request over pays, as its budget counts the request: few
+// daemons may have to serve the requests of many.
 func (x *exchange) payRetry(underWay int) bool {
-	if x.attempts+underWay == 0 {
+	if x.paid || x.attempts+underWay == 0 {
 		return true
 	}
 	now := time.Now()
-	return x.d.budget.takeRetry(x.service, now, x.d.settings(), x.d.fleetSize(now))
+	x.paid = x.d.budget.takeRetry(x.service, now, x.d.settings(), x.d.fleetSize(now))
+	return x.paid
 }
 
 // allowAttempt reports whether the request may be sent to one more backend server, and pays for it.
@@ -367,9 +372,11 @@
 	var notSent *backend.NotSentError
 	switch {
 	case errors.As(err, &notSent):
+		x.paid = true
 		x.attemptLog = append(x.attemptLog, server+": not sent")
 		return
 	case a != nil && a.Header.Get(headerOutcome) == outcomeNotRun:
+		x.paid = true
 		x.attemptLog = append(x.attemptLog, fmt.Sprintf("%s: %d, not run", server, a.Status))
 		return
 	case err != nil:
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -239,8 +239,6 @@
 	// exclude holds the groups of all attempts, unsent counts the attempts that did not reach their backend server.
 	exclude []string
 	unsent  int
-	// paid is set while an attempt has been paid for that has not been made.
-	paid bool
 	// handedTo are the daemons to which the request was handed over.
 	handedTo []string
 
@@ -298,29 +296,17 @@
 
 func (e *NoRetryError) Error() string { return "no retry is left for service " + e.Service }
 
-// reserve acquires a place for an attempt beside the given number of others, and pays for it if this daemon sends it.
+// reserve acquires a place for an attempt beside the given number of others and pays for it, once however often a place is sought.
 func (s *forwardedStream) reserve(ctx context.Context, underWay int) (*reservation, error) {
 	x := s.x
-	if !x.d.paths.lost(x.service) && !s.pay(underWay) {
+	if !x.payRetry(underWay) {
 		return nil, &NoRetryError{x.service}
 	}
 	reserved, err := s.acquire(ctx, underWay > 0 || x.mayHaveRun || x.call.LastEvent != "")
-	if err != nil || reserved.peer != "" {
-		return reserved, err
-	}
-	if !s.pay(underWay) {
-		reserved.release()
-		return nil, &NoRetryError{x.service}
+	if err == nil {
+		x.paid = false
 	}
-	s.paid = false
-	s.exclude = append(s.exclude, reserved.key)
-	return reserved, nil
-}
-
-// pay pays for the next attempt once, however often a place for it is sought.
-func (s *forwardedStream) pay(underWay int) bool {
-	s.paid = s.paid || s.x.payRetry(underWay)
-	return s.paid
+	return reserved, err
 }
 
 // acquire waits for a place in a group that has not been tried. Without a path to the groups it has another daemon serve the
@@ -338,10 +324,14 @@
 		s.handedTo = append(s.handedTo, target.Name)
 		return x.d.dispatch.handOver(schedule.Model{Service: s.svc.Name, Name: x.call.Model}, s.ids, target), nil
 	}
-	return x.d.dispatch.acquire(ctx, s.svc, x.call.Model, x.org, balance.Request{
+	reserved, err := x.d.dispatch.acquire(ctx, s.svc, x.call.Model, x.org, balance.Request{
 		Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: s.ids.request,
 		Arrived: x.start, Until: x.deadline, Resumed: goOn,
 	}, s.ids, s.exclude)
+	if err == nil {
+		s.exclude = append(s.exclude, reserved.key)
+	}
+	return reserved, err
 }
 
 // newAttempt returns an attempt that goes on after the last event that was forwarded, beside the given number of others. The caller
@@ -463,6 +453,9 @@
 			if errors.As(err, &rejected) && !x.d.paths.lost(x.service) {
 				pause = min(max(rejected.RetryAfter, standbyRetry), maxStandbyRetry)
 			}
+			if len(s.handedTo) > 0 {
+				s.handedTo, pause = nil, maxStandbyRetry // they may have room, or a path, then
+			}
 			if timer.Wait(beside, pause) != nil {
 				return nil
 			}
@@ -485,6 +478,9 @@
 			return a
 		}
 		s.settle(preparation, a, err)
+		if reserved.peer != "" && timer.Wait(beside, standbyRetry) != nil {
+			return nil
+		}
 	}
 	return nil
 }
@@ -519,7 +515,10 @@
 		x.recordFailure(ctx, a.reserved, err, a.events.count)
 	}
 	if x.attempts == before {
-		s.unsent++
+		// Beside a silent attempt, there is time to ask one daemon after the other.
+		if a.reserved.peer == "" || a.underWay == 0 {
+			s.unsent++
+		}
 	} else if countsAgainstGroup(err) {
 		a.reserved.reportFailure()
 	}
