--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -45,8 +45,10 @@
 const (
 	// pathPeriod is how often paths that are lost are looked at.
 	pathPeriod = 50 * time.Millisecond
-	// probeTimeout bounds the wait for a response of a sample: several round trips between regions.
-	probeTimeout = 350 * time.Millisecond
+	// probeTimeout bounds the wait for a response of a sample: several round trips between regions. firstProbeTimeout is for the one
+	// server that is asked first, for a connection and a response; after it, more servers are asked.
+	probeTimeout      = 350 * time.Millisecond
+	firstProbeTimeout = 150 * time.Millisecond
 	// maxDoubts bounds the samples that are due. One that finds no room is asked for by the next failure.
 	maxDoubts = 16
 )
@@ -82,6 +84,18 @@
 	return p.verdicts[service]
 }
 
+// awaitBefore waits while it is in doubt whether there is a path, before an attempt of a request. last is the error of the attempt
+// before. The first attempt of a request that may not be repeated waits too, as it could not leave a silent server. A request that was
+// handed over waits until it is known whether there is a path, as several daemons may have lost theirs at the same time.
+func (x *exchange) awaitBefore(ctx context.Context, last error) {
+	switch {
+	case x.from != "":
+		x.d.paths.verify(ctx, x.service, probeTimeout)
+	case last != nil || !x.route.Repeatable():
+		x.d.paths.await(ctx, x.service)
+	}
+}
+
 // await waits while it is in doubt whether there is a path to a service.
 func (p *paths) await(ctx context.Context, service string) {
 	p.mu.Lock()
@@ -150,7 +164,13 @@
 // ask asks a sample of the backend servers of a service, and then another one if that is due.
 func (p *paths) ask(ctx context.Context, due sampleDue) {
 	for due.size > 0 {
-		responded := p.anyResponds(ctx, p.d.view.Load().Listed(due.service), due.size)
+		timeout := probeTimeout
+		if due.size == reach.FirstSample {
+			timeout = firstProbeTimeout
+		}
+		asking, cancel := context.WithTimeout(ctx, timeout)
+		responded := p.anyResponds(asking, p.d.view.Load().Listed(due.service), due.size)
+		cancel()
 		if ctx.Err() != nil {
 			return
 		}
@@ -259,6 +279,8 @@
 	// have run. On responses of the daemon itself, headerAttempts counts its own attempts.
 	headerAttempts   = "Daemon-Attempts"
 	headerMayHaveRun = "Daemon-May-Have-Run"
+	// headerPaid is set if the next attempt has been paid for.
+	headerPaid = "Daemon-Paid"
 	// headerOutcome is set on responses of the daemon itself: outcomeNotRun or outcomeUnknown.
 	headerOutcome  = "Daemon-Outcome"
 	outcomeNotRun  = "not-run"
@@ -290,6 +312,7 @@
 	if x.mayHaveRun || underWay > 0 {
 		h.Set(headerMayHaveRun, "1")
 	}
+	h.Set(headerPaid, "1")
 	return &backend.Request{ID: x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body, AtMostOnce: !x.route.Repeatable()}
 }
 
@@ -339,8 +362,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	x := &exchange{d: d, w: w, r: r, from: r.Header.Get(headerFrom), attempts: attempts, handedAttempts: attempts, mayHaveRun: r.Header.Get(headerMayHaveRun) != ""}
-	for _, name := range []string{headerFrom, headerAttempts, headerMayHaveRun} {
+	x := &exchange{d: d, w: w, r: r, from: r.Header.Get(headerFrom), attempts: attempts, handedAttempts: attempts, mayHaveRun: r.Header.Get(headerMayHaveRun) != "", paid: r.Header.Get(headerPaid) != ""}
+	for _, name := range []string{headerFrom, headerAttempts, headerMayHaveRun, headerPaid} {
 		r.Header.Del(name)
 	}
 	x.serve()
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -293,9 +293,11 @@
 		path     string
 		inStream bool
 		attempts int32
-		// back is how long after the cut the path comes back, if it does.
-		back time.Duration
+		// back is how long after the cut the path comes back, if it does, otherBack the same for the other daemon, if it is cut off too.
+		back, otherBack time.Duration
 	}{
+		"stream, other daemon back in 0.8 s":    {path: "/stream/", inStream: true, attempts: 2, otherBack: 800 * time.Millisecond},
+		"safe, other daemon back in 0.8 s":      {path: "/safe/", attempts: 2, otherBack: 800 * time.Millisecond},
 		"stream, in the middle":                 {path: "/stream/", inStream: true, attempts: 2},
 		"stream, in the middle, three attempts": {path: "/stream3/", inStream: true, attempts: 3},
 		"stream, before its first event":        {path: "/stream/", attempts: 2},
@@ -320,6 +322,11 @@
 			}
 			f.cut.set("hang")
 			cut := time.Now()
+			if test.otherBack > 0 {
+				f.otherCut.set("hang")
+				_ = timer.Wait(t.Context(), test.otherBack)
+				f.otherCut.set("")
+			}
 			if test.back > 0 {
 				_ = timer.Wait(t.Context(), test.back)
 				f.cut.set("")
@@ -397,6 +404,37 @@
 	}
 }
 
+// TestOnceInDoubt guards against sending requests that may run once, and so can only wait, while it is in doubt whether there is a path,
+// and against a path that stays in use as only such requests are silent.
+func TestOnceInDoubt(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/unsafe3/", "/once/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			f := newSteadyFleet(t)
+			f.pause.Store(int64(100 * time.Millisecond))
+			silent := make(chan timedReply, 1)
+			go func() { silent <- f.sendTimed(f.a, path, "silent", func() {}) }()
+			eventually(t, "the request runs", func() bool { return f.ran.Load() == 1 })
+			f.cut.set("hang")
+			eventually(t, "it is in doubt whether there is a path", func() bool {
+				f.a.d.paths.mu.Lock()
+				defer f.a.d.paths.mu.Unlock()
+				return len(f.a.d.paths.verdicts) > 0
+			})
+			if r := f.sendTimed(f.a, path, "x", func() {}); r.status != http.StatusOK || r.err != nil || max(r.first, r.pause) > callerPatience {
+				t.Errorf("the request that began in doubt: %+v", r)
+			}
+			if r := <-silent; r.status != http.StatusGatewayTimeout {
+				t.Errorf("the silent request: %+v", r)
+			}
+			if n := f.ran.Load(); n != 2 {
+				t.Errorf("two requests ran %d times", n)
+			}
+		})
+	}
+}
+
 // pathSettle is the time for which RECOVER does not count failures after a path was lost (stableWindowMs of the deployments).
 const pathSettle = 3 * time.Second
 
