Keep the members of a silent head until its entry lapses

Where the store shows no heartbeats, a head counted as dead when four other daemons did not reach it either, and its members joined another group; they hear the same silence, so the head may only stand still. Where heartbeats are visible, two missed ones were enough, though the platform removes an entry after three.

Now a head that does not respond is dead when its process is known to have ended or its entry has lapsed, or, as far as heartbeats are visible, when it has not been renewed for as long as a lapse takes. They are still asked before a server counts as lost.

TestStandingHeadLosesItsMembers: two heads stand still for 5 s while their entries are listed. On the code before, both members were ordered to join a group of their own; now they are when the entries are removed. TestSilentServerIsNotDead stated that the word of others makes a silent, listed server dead where heartbeats are hidden. It now states for the same server that it is not dead while its entry is listed, and that it is once that has lapsed.

go test -race ./internal/entry ./internal/replica passes.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -51,7 +51,9 @@
 	// maxMissedHeartbeats is how many heartbeat periods a live backend server may take to renew its entry. It includes the
 	// delay of reading the entry.
 	maxMissedHeartbeats = 2
-	// outageSilence replaces heartbeatTimeout while the store does not answer. It is longer than any outage.
+	// lapseHeartbeats is after how many heartbeat periods of silence the platform removes the entry of a backend server.
+	lapseHeartbeats = 3
+	// outageSilence replaces that time while the store does not answer. It is longer than any outage.
 	outageSilence = time.Hour
 	// maxCalls bounds concurrent requests for reports. maxOrders bounds concurrent orders and allows one for each backend
 	// server.
@@ -96,10 +98,9 @@
 	asked       bool
 	// relayed is set if the last report came through another daemon: it is known that only this one does not reach the server.
 	relayed bool
-	// ended is set when the process is known to have ended while its entry was listed. agreed is set when all other daemons
-	// that were asked, at least minAgreed, do not reach it either.
-	ended, agreed bool
-	asking        bool
+	// ended is set when the process is known to have ended while its entry was listed.
+	ended  bool
+	asking bool
 }
 
 // ReplacedError reports that another process now runs at a backend server's address.
@@ -329,14 +330,14 @@
 		// all, only that an entry lapses without them.
 		silence, back := outageSilence, v.StoreRecovered
 		if d.storeOK.Load() && !v.RenewalsHidden && now.Sub(v.HeartbeatSeen) <= d.heartbeatTimeout() {
-			silence = d.heartbeatTimeout()
+			silence = lapseHeartbeats * d.settings().HeartbeatPeriod
 		}
 		if v.RenewalsVisibleSince.After(back) {
 			back = v.RenewalsVisibleSince
 		}
 		orders := p.Step(now, replica.Input{
 			Pressure: pressure, UrgentModel: urgent,
-			Servers: members, RenewalTimeout: silence, HeartbeatsHidden: silence == outageSilence && d.storeOK.Load() && !v.RenewalsHidden, EntriesCurrent: d.storeOK.Load(), StoreRecovered: back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, LoadWindow: d.settings().LoadWindow, StartingUp: early && len(pressure) == 0,
+			Servers: members, RenewalTimeout: silence, EntriesCurrent: d.storeOK.Load(), StoreRecovered: back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, LoadWindow: d.settings().LoadWindow, StartingUp: early && len(pressure) == 0,
 			DemandLag: d.demandLag(now),
 		})
 		for _, o := range orders {
@@ -387,7 +388,7 @@
 
 // mergeReport adds the report of a backend server to a member made from its entry; the newer of the two decides.
 func (l *leader) mergeReport(m *replica.ServerStatus, q *reportPoll) *replica.ServerStatus {
-	m.Reported, m.Responding, m.Ended, m.Agreed, m.Unreachable = q.reported, q.failures < maxReportFailures, q.ended, q.agreed, q.relayed
+	m.Reported, m.Responding, m.Ended, m.Unreachable = q.reported, q.failures < maxReportFailures, q.ended, q.relayed
 	if !q.reported {
 		return m
 	}
@@ -411,12 +412,12 @@
 	// The first time, other daemons are asked because they may reach the server.
 	ask := q.failures == maxReportFailures-1 && (late || !q.asked)
 	ok := l.calls.TryGo(func() error {
-		r, relayed, failedProbes, lost, err := l.query(ctx, s, ask)
+		r, relayed, lost, err := l.query(ctx, s, ask)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		q.asking = false
 		if err == nil {
-			q.relayed, q.agreed = relayed, false
+			q.relayed = relayed
 		}
 		switch {
 		case platform.Responded(err):
@@ -453,7 +454,6 @@
 		}
 		if err != nil {
 			q.failures++
-			q.agreed = q.agreed || failedProbes >= minAgreed
 			q.next = now.Add(fastReportPeriod)
 			if q.failures >= maxReportFailures {
 				q.next = now.Add(reportPeriod)
@@ -510,8 +510,8 @@
 
 // query queries the state of a backend server. If it is not reached, and askOthers is set or its address refuses connections, other
 // daemons are asked. relayed is set if the report is theirs. lost is set if the server may be taken for lost: they do not reach it
-// either, failedProbes in number, or there are none.
-func (l *leader) query(ctx context.Context, s *roster.Server, askOthers bool) (r platform.Report, relayed bool, failedProbes int, lost bool, err error) {
+// either, or there are none.
+func (l *leader) query(ctx context.Context, s *roster.Server, askOthers bool) (r platform.Report, relayed, lost bool, err error) {
 	type answer struct {
 		probeResult
 		asked int
@@ -538,23 +538,20 @@
 		return l.d.servers.Report(ctx, s)
 	})
 	if err == nil || platform.Responded(err) {
-		return r, false, 0, true, err
+		return r, false, true, err
 	}
 	l.d.paths.doubt(s.Service)
 	if others == nil && errors.Is(err, syscall.ECONNREFUSED) {
 		ask()
 	}
 	if others == nil {
-		return r, false, 0, false, err
+		return r, false, false, err
 	}
 	a := <-others
 	if a.Report != nil {
-		return *a.Report, true, 0, false, nil
+		return *a.Report, true, false, nil
 	}
-	if a.Failed {
-		failedProbes = a.asked
-	}
-	return r, false, failedProbes, a.asked == 0 || a.Failed, err
+	return r, false, a.asked == 0 || a.Failed, err
 }
 
 // isListed reports whether the entry of a backend server has not lapsed.
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -630,7 +630,7 @@
 	// The daemon's own leader may take the lease and query the servers, too.
 	holder, servers := newLeader(daemons[1].d), daemons[1].d.view.Load().Servers
 	for range 20 {
-		if r, relayed, _, lost, err := holder.query(t.Context(), servers["i-1"], true); err != nil || !relayed || lost || r.Born != 1 {
+		if r, relayed, lost, err := holder.query(t.Context(), servers["i-1"], true); err != nil || !relayed || lost || r.Born != 1 {
 			t.Fatalf("the server that one daemon reaches: relayed %v, lost %v, error %v", relayed, lost, err)
 		}
 	}
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -29,10 +29,8 @@
 	// pathReport is the path for peers under which a daemon queries the state of a backend server for another one.
 	pathReport = "/report"
 	// maxProbers is how many daemons are asked whether a server is alive: in a small fleet all of them, as most may be cut off from
-	// the same servers. If minAgreed and all that were asked do not reach it, it may be dead. maxCrashProbers are asked whether its
-	// process has ended, which must be known before the next one crashes.
+	// the same servers. maxCrashProbers are asked whether its process has ended, which must be known before the next one crashes.
 	maxProbers      = 6
-	minAgreed       = 4
 	maxCrashProbers = 4
 	// otherSample is how many other servers a daemon asks that does not reach one.
 	otherSample = 3
--- a/internal/entry/verdict_test.go
+++ b/internal/entry/verdict_test.go
@@ -263,3 +263,29 @@
 		t.Errorf("orders %q, want the head to leave its group", o)
 	}
 }
+
+// TestStandingHeadLosesItsMembers guards against members joining another group while their head, whose entry is renewed, only stands
+// still, however long, and against keeping them once its entry has lapsed.
+func TestStandingHeadLosesItsMembers(t *testing.T) {
+	t.Parallel()
+	f := newVerdictFleet(t, false)
+	f.run(3 * time.Second) // a lapse counts only a while after the daemons have begun to read
+	heads := []*quietServer{f.servers[0], f.servers[2]}
+	for i, s := range heads {
+		s.setSilent(t, true, i == 0)
+	}
+	f.run(5*time.Second, "g0", "g1")
+	if lost := f.lost(); len(lost) != 2 {
+		t.Errorf("%v count as lost, want both heads", lost)
+	}
+	if o := f.orders(); len(o) > 0 {
+		t.Errorf("orders while the entries of the heads are listed: %q", o)
+	}
+	for _, s := range heads {
+		f.store.Remove("servers", s.id)
+	}
+	eventually(t, "the members join another group", func() bool {
+		o := strings.Join(f.orders(), "\n")
+		return strings.Contains(o, `i-0-1: {"operation":"join"`) && strings.Contains(o, `i-1-1: {"operation":"join"`)
+	})
+}
--- a/internal/replica/losses_test.go
+++ b/internal/replica/losses_test.go
@@ -442,18 +442,18 @@
 		"ended, not listed":     {ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Second)}, Ended: true}, true},
 		"left, not listed":      {ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Second)}}, false},
 		"responds":              {ServerStatus{Server: &roster.Server{}, Listed: true, Responding: true}, false},
-		"silent, others agree":  {ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Second)}, Listed: true, Agreed: true}, false},
+		"lapsed":                {ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Second), Expired: true}}, true},
 		"draining, not renewed": {ServerStatus{Server: &roster.Server{State: roster.Draining}, Listed: true}, false},
 	} {
 		if dead := test.status.dead(now, &in); dead != test.dead {
 			t.Errorf("%s: dead %v, want %v", name, dead, test.dead)
 		}
 	}
-	in.RenewalTimeout, in.HeartbeatsHidden = time.Hour, true
-	for _, agreed := range []bool{false, true} {
-		silent := ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Minute)}, Listed: true, Agreed: agreed}
-		if dead := silent.dead(now, &in); dead != agreed {
-			t.Errorf("heartbeats hidden, others agree %v: dead %v", agreed, dead)
+	in.RenewalTimeout = time.Hour // as while no heartbeats are seen
+	for _, listed := range []bool{false, true} {
+		silent := ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Minute), Expired: !listed}, Listed: listed}
+		if dead := silent.dead(now, &in); dead == listed {
+			t.Errorf("heartbeats hidden, listed %v: dead %v", listed, dead)
 		}
 	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -36,8 +36,8 @@
 	Orders int64
 	// Responding is false when the backend server has not responded for a while.
 	Responding bool
-	// Ended is set when its process is known to have ended. Agreed is set when several daemons that reach others do not reach it.
-	Ended, Agreed bool
+	// Ended is set when its process is known to have ended.
+	Ended bool
 	// Listed is false when its entry was removed.
 	Listed bool
 	// Reported is set when a report of this lifetime was received.
@@ -61,9 +61,9 @@
 	return !m.Responding || m.State != roster.Ready || !m.Listed && m.Rank == 0
 }
 
-// dead reports whether a backend server has ended, or neither responds nor renews its entry. Where renewals cannot be seen, several
-// daemons have to agree that it does not respond. A draining one may do neither and still finish its requests, so it does not count
-// as dead.
+// dead reports whether a backend server has ended, or neither responds nor renews its entry, so that it has lapsed or is about to. A
+// head that only stands still may go on, however many daemons it does not answer. A draining one may do neither and still finish its
+// requests, so it does not count as dead.
 func (m *ServerStatus) dead(now time.Time, in *Input) bool {
 	if m.Responding || m.State != roster.Ready {
 		return false
@@ -74,9 +74,6 @@
 	if !m.Listed {
 		return m.Expired
 	}
-	if in.HeartbeatsHidden {
-		return m.Agreed
-	}
 	return !m.renewed(now, in)
 }
 
@@ -211,10 +208,8 @@
 type Input struct {
 	Servers []*ServerStatus
 	// RenewalTimeout is the longest time between two renewals of the entry of a live backend server. It is longer than
-	// any outage while the store does not answer, since entries cannot be renewed then.
+	// any outage while the store does not answer, since entries cannot be renewed then, and while it shows no renewals.
 	RenewalTimeout time.Duration
-	// HeartbeatsHidden is set while the store answers and shows no renewals of any entry.
-	HeartbeatsHidden bool
 	// EntriesCurrent is set while the store answers. It then removes the entry of a backend server that has not renewed it for a
 	// few heartbeats.
 	EntriesCurrent bool
