Let the daemon that serves a request pay for its retry where the other one cannot

A request is now handed over unpaid then; the other daemon pays out of its share, or refuses. A refusal tells whether a payment is left.

On the code before, the rows "budget spent" of TestPathLostInMidRequest got no event until their deadline.

--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -280,7 +280,7 @@
 	// have run. On responses of the daemon itself, headerAttempts counts its own attempts.
 	headerAttempts   = "Daemon-Attempts"
 	headerMayHaveRun = "Daemon-May-Have-Run"
-	// headerPaid is set if the next attempt has been paid for.
+	// headerPaid is set if the next attempt has been paid for out of the retry budget, on rejections if it still is.
 	headerPaid = "Daemon-Paid"
 	// headerOutcome is set on responses of the daemon itself: outcomeNotRun or outcomeUnknown.
 	headerOutcome  = "Daemon-Outcome"
@@ -305,7 +305,8 @@
 	return "no path to the backend servers of service " + e.Service
 }
 
-// buildHandOver builds the request that is handed over to another daemon, beside the given number of attempts that are under way.
+// buildHandOver builds the request that is handed over to another daemon, beside the given number of attempts that are under way. What
+// has been paid for goes with it.
 func (x *exchange) buildHandOver(lastEvent string, underWay int) *backend.Request {
 	h := platform.RelayHeader(x.r.Header, time.Until(x.deadline), lastEvent)
 	h.Set(headerFrom, x.d.settings().Name)
@@ -313,7 +314,10 @@
 	if x.mayHaveRun || underWay > 0 {
 		h.Set(headerMayHaveRun, "1")
 	}
-	h.Set(headerPaid, "1")
+	if x.paid {
+		x.paid = false
+		h.Set(headerPaid, "1")
+	}
 	return &backend.Request{ID: x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body, AtMostOnce: !x.route.Repeatable()}
 }
 
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -295,7 +295,11 @@
 		attempts int32
 		// back is how long after the cut the path comes back, if it does, otherBack the same for the other daemon, if it is cut off too.
 		back, otherBack time.Duration
+		// spent is set if the daemon has used up its share of the retry budget.
+		spent bool
 	}{
+		"stream, budget spent":                  {path: "/stream/", inStream: true, attempts: 2, spent: true},
+		"safe request, budget spent":            {path: "/safe/", attempts: 2, spent: true},
 		"stream, other daemon back in 0.8 s":    {path: "/stream/", inStream: true, attempts: 2, otherBack: 800 * time.Millisecond},
 		"safe, other daemon back in 0.8 s":      {path: "/safe/", attempts: 2, otherBack: 800 * time.Millisecond},
 		"stream, in the middle":                 {path: "/stream/", inStream: true, attempts: 2},
@@ -320,6 +324,10 @@
 			if test.inStream {
 				<-events
 			}
+			for _, service := range []string{"plain", "llm"} {
+				for test.spent && f.a.d.budget.takeRetry(service, time.Now(), f.a.d.settings(), 2) {
+				}
+			}
 			f.cut.set("hang")
 			cut := time.Now()
 			if test.otherBack > 0 {
@@ -349,6 +357,31 @@
 	}
 }
 
+// TestRequestsBeforeVerdict guards against losing requests that are sent after the path is lost and before that is known, on connections
+// that were open.
+func TestRequestsBeforeVerdict(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/stream/", "/safe3/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			f := newSteadyFleet(t)
+			f.cut.set("hang")
+			var requests errgroup.Group
+			for i := range 10 { // the groups have room for each of them twice
+				requests.Go(func() error {
+					r := f.sendTimed(f.a, path, fmt.Sprint(i), func() {})
+					if r.err != nil || r.status != http.StatusOK || max(r.first, r.pause) > callerPatience {
+						t.Errorf("request %d: status %d, error %v, the caller waited %v", i, r.status, r.err, max(r.first, r.pause))
+					}
+					return nil
+				})
+				_ = timer.Wait(t.Context(), 2*pathEventGap)
+			}
+			_ = requests.Wait() // its tasks return no error
+		})
+	}
+}
+
 // TestOnlyWaitWithoutPath guards against repeating requests that may run once, and against ending requests that no daemon can serve
 // elsewhere, while there is no path: they are answered when it comes back before their deadline, and else get a status.
 func TestOnlyWaitWithoutPath(t *testing.T) {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -233,9 +233,10 @@
 			return false
 		}
 		if target := p.x.handOverTarget(p.handedTo); target != nil {
-			if p.unsent >= maxUnsent || !p.x.allowAttempt(0) {
+			if p.unsent >= maxUnsent || !p.x.attemptLeft(0) {
 				return false
 			}
+			p.x.payRetry(0) // if it cannot, the other daemon pays
 			p.handOver(ctx, now, target)
 			return true
 		}
@@ -315,7 +316,6 @@
 	p.handedTo = append(p.handedTo, target.Name)
 	a := &plainAttempt{server: peerServer(target), peer: target.Name, sent: now}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
-	p.x.paid = false
 	request := p.x.buildHandOver("", len(p.underWay))
 	p.underWay = append(p.underWay, a)
 	p.tasks.Go(func() error {
@@ -356,11 +356,12 @@
 		}
 		if x.d.paths.lost(x.service) {
 			target, pause := x.handOverTarget(p.handedTo), standbyRetry
-			if target != nil && x.payRetry(len(p.underWay)) {
+			if target != nil {
+				x.payRetry(len(p.underWay)) // if it cannot, the other daemon pays
 				p.handOver(ctx, now, target)
 				break
 			}
-			if target == nil && len(p.handedTo) > 0 {
+			if len(p.handedTo) > 0 {
 				p.handedTo, pause = nil, maxStandbyRetry // they may have room, or a path, then
 			}
 			if a := p.awaitFor(pause); a != nil {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -246,6 +246,9 @@
 		}
 		x.w.Header().Set(headerOutcome, outcome)
 		x.w.Header().Set(headerAttempts, strconv.Itoa(x.attempts-x.before))
+		if x.paid {
+			x.w.Header().Set(headerPaid, "1")
+		}
 	}
 	x.w.Header().Set("Content-Length", "0")
 	x.w.WriteHeader(status)
@@ -346,8 +349,8 @@
 }
 
 // payRetry charges the next attempt beside the given number of others to the retry budget, unless it is the first or has been paid
-// for. It reports false if the budget is used up. The daemon that hands a request over pays, as its budget counts the request: few
-// daemons may have to serve the requests of many.
+// for. It reports false if the budget is used up. The daemon that hands a request over pays if it can, as its budget counts the
+// request: few daemons may have to serve the requests of many. Otherwise the one that serves it does.
 func (x *exchange) payRetry(underWay int) bool {
 	if x.paid || x.attempts+underWay == 0 {
 		return true
@@ -372,11 +375,10 @@
 	var notSent *backend.NotSentError
 	switch {
 	case errors.As(err, &notSent):
-		x.paid = true
 		x.attemptLog = append(x.attemptLog, server+": not sent")
 		return
 	case a != nil && a.Header.Get(headerOutcome) == outcomeNotRun:
-		x.paid = true
+		x.paid = x.paid || a.Header.Get(headerPaid) != ""
 		x.attemptLog = append(x.attemptLog, fmt.Sprintf("%s: %d, not run", server, a.Status))
 		return
 	case err != nil:
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -299,14 +299,20 @@
 // reserve acquires a place for an attempt beside the given number of others and pays for it, once however often a place is sought.
 func (s *forwardedStream) reserve(ctx context.Context, underWay int) (*reservation, error) {
 	x := s.x
-	if !x.payRetry(underWay) {
+	if !x.payRetry(underWay) && !x.d.paths.lost(x.service) {
 		return nil, &NoRetryError{x.service}
 	}
 	reserved, err := s.acquire(ctx, underWay > 0 || x.mayHaveRun || x.call.LastEvent != "")
-	if err == nil {
-		x.paid = false
+	if err != nil || reserved.peer != "" {
+		return reserved, err // if this daemon could not pay, the other one does
 	}
-	return reserved, err
+	if !x.payRetry(underWay) {
+		reserved.release()
+		return nil, &NoRetryError{x.service}
+	}
+	x.paid = false
+	s.exclude = append(s.exclude, reserved.key)
+	return reserved, nil
 }
 
 // acquire waits for a place in a group that has not been tried. Without a path to the groups it has another daemon serve the
@@ -324,14 +330,10 @@
 		s.handedTo = append(s.handedTo, target.Name)
 		return x.d.dispatch.handOver(schedule.Model{Service: s.svc.Name, Name: x.call.Model}, s.ids, target), nil
 	}
-	reserved, err := x.d.dispatch.acquire(ctx, s.svc, x.call.Model, x.org, balance.Request{
+	return x.d.dispatch.acquire(ctx, s.svc, x.call.Model, x.org, balance.Request{
 		Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: s.ids.request,
 		Arrived: x.start, Until: x.deadline, Resumed: goOn,
 	}, s.ids, s.exclude)
-	if err == nil {
-		s.exclude = append(s.exclude, reserved.key)
-	}
-	return reserved, err
 }
 
 // newAttempt returns an attempt that goes on after the last event that was forwarded, beside the given number of others. The caller
