Reject requests whose model the configuration in force lacks

A request that names a model which the engine of its service lacks was served as one to a plain service: it ran at any server of the service, chosen without regard to its model and its place in a group. It gets 503 now, not run, with a time to retry as the model may be on its way in a newer configuration; one that was handed over goes to a third daemon.

TestUnknownModel: on the code before, it was answered with 200 by a server of another model.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -104,11 +104,14 @@
 	if x.from == "" {
 		d.budget.countRequest(x.service, x.start, d.settings().RetryWindow)
 	}
-	if svc != nil && svc.Engine != nil && svc.Engine.Model(x.call.Model) != nil {
+	switch {
+	case x.config.Model(x.service, x.call.Model) != nil:
 		x.serveStream(ctx, svc)
-		return
+	case svc != nil && svc.Engine != nil && len(svc.Engine.Models) > 0 && x.call.Model != "":
+		x.reject(http.StatusServiceUnavailable, x.retryDelay(), "unknown model")
+	default:
+		x.servePlain(ctx, svc)
 	}
-	x.servePlain(ctx, svc)
 }
 
 // rejectedByShutdown rejects the request if the daemon takes no new ones any more, and reports whether it has done so.
--- a/internal/entry/ways_test.go
+++ b/internal/entry/ways_test.go
@@ -435,9 +435,9 @@
 			})
 			change.do(c)
 			c.Version = 2
-			store.Put("op", "config", c.text(t))
+			// The daemon that the caller asked names the time to retry.
 			for _, v := range []*daemonUnderTest{u, other} {
-				eventually(t, "the change is in force", func() bool { return v.d.config.Load().Version == 2 })
+				v.d.feed.applyConfig(c.text(t), "test")
 			}
 			endWays(t, ways, change, func() {
 				close(servers.released)
@@ -570,3 +570,19 @@
 		}
 	}
 }
+
+// TestUnknownModel guards against a request whose model its configuration lacks running at a server that was chosen without regard to
+// its model, as if the service were a plain one.
+func TestUnknownModel(t *testing.T) {
+	t.Parallel()
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", newWaysConfig(t).text(t))
+	u, servers := startDaemon(t, store, "a"), newWaysServers(t)
+	servers.put(u)
+	u.waitReady()
+	w := &way{path: "/once/x", model: "none"}
+	u.begin(w)
+	if r := <-w.done; r.status != http.StatusServiceUnavailable || r.h.Get("Retry-After") == "" || servers.arrived(w.path) > 0 {
+		t.Errorf("reply %+v, %d requests at the servers", r, servers.arrived(w.path))
+	}
+}
