End the soak's proxies beside new connections

go test ./internal/soak hung until its limit once: a proxy that is closed resets its connections and waits for them, but one that was being taken at that moment was entered afterwards and never reset. It is reset when it is entered. TestProxyEndsBesideNewConnections fails without that.

--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -554,9 +555,11 @@
 			if info := tcpInfo(t, c); info.Unacked == 0 {
 				t.Error("bytes are acknowledged in the silence")
 			}
-			if other, err := net.DialTimeout("tcp4", p.Addr.String(), delayed); whole && err == nil {
-				t.Error("a connection is taken in the silence")
-				_ = other.Close()
+			if other, err := net.DialTimeout("tcp4", p.Addr.String(), delayed); err == nil {
+				defer func() { _ = other.Close() }()
+				if whole {
+					t.Error("a connection is taken in the silence")
+				}
 			}
 			set(Clear)
 			read(server, "two", 2*time.Second)
@@ -584,6 +587,41 @@
 	return info
 }
 
+// TestProxyEndsBesideNewConnections guards against a proxy that never ends, as a connection that it has just taken is not reset.
+func TestProxyEndsBesideNewConnections(t *testing.T) {
+	l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	for range 200 {
+		p, stop, err := newFleet(Options{}).proxy(netip.MustParseAddrPort(l.Addr().String()), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := net.Dial("tcp4", p.Addr.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan struct{})
+		var g errgroup.Group
+		g.Go(func() error {
+			stop()
+			close(ended)
+			return nil
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			t.Fatal("the proxy has not ended")
+		}
+		cancel()
+		_ = g.Wait() // returns no error
+		_ = c.Close()
+	}
+}
+
 // TestAddresses guards against two parts of a fleet at one address, and against a port that another program may take while
 // its process is down. Found by seed 603: a proxy to the store stood where a daemon was to listen.
 func TestAddresses(t *testing.T) {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -186,6 +186,10 @@
 	p.mu.Lock()
 	p.conns[in], p.conns[out] = end{owner, true}, end{owner, false}
 	p.filter(in, owner)
+	if p.harm == Reset { // since the connection was taken; the other ones have been reset already
+		reset(in)
+		reset(out)
+	}
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
