--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -182,8 +182,11 @@
 	modelService = "desk"
 )
 
-// plainLimit is the time limit of the routes of plain services.
-const plainLimit = 3 * time.Second
+// plainLimit is the time limit of the routes of plain services, probeLimit that of a route that only one version has.
+const (
+	plainLimit = 3 * time.Second
+	probeLimit = 2 * time.Second
+)
 
 // versionRoute is the route that only one version of the configuration has.
 func versionRoute(version int) string { return "version-" + strconv.Itoa(version) }
@@ -206,7 +209,7 @@
 		Version: int64(version),
 		Routes: []route.Route{
 			to("read", route.Safe, plainService, plainLimit, 2), to("write", route.Unsafe, plainService, plainLimit, 1),
-			to("talk", route.Streaming, modelService, 6*time.Second, 3), to(versionRoute(version), route.Safe, plainService, 2*time.Second, 2),
+			to("talk", route.Streaming, modelService, 6*time.Second, 3), to(versionRoute(version), route.Safe, plainService, probeLimit, 2),
 			once,
 		},
 		Services:      []route.Service{{Name: plainService, MaxConnections: 200}, {Name: modelService, MaxConnections: 200, Engine: engine}},
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -43,14 +43,17 @@
 	eventDelay = time.Second
 	// callerLimit is how long a caller waits.
 	callerLimit = 4 * time.Second
-	// answerLimit is how long a request may take to get its answer, a little less than the time limit of its route.
-	answerLimit = plainLimit - 300*time.Millisecond
 	// slowShare is one slow request in that many.
 	slowShare = 12
 	// restoreTime is how long the store is away before it comes back from a copy, and the operator needs to write again.
 	restoreTime = 400 * time.Millisecond
 )
 
+// answerLimits is how long a request may take to get its answer, a little less than the time limit of its route at most.
+var answerLimits = map[Kind]time.Duration{
+	Read: plainLimit * 9 / 10, Write: plainLimit * 9 / 10, Talk: plainLimit * 9 / 10, Once: plainLimit * 9 / 10, Probe: probeLimit * 9 / 10,
+}
+
 // run is a run under way.
 type run struct {
 	*fleet
@@ -95,7 +98,7 @@
 		plan:  Plan(o.Seed, o.Length, o.Daemons, o.Servers), out: out, audit: NewAudit(bounds),
 	}
 	if o.Seed >= firstOfSilences {
-		r.audit.b.Answer = answerLimit
+		r.audit.b.Answer = answerLimits
 	}
 	judged, endJudging := context.WithCancel(context.WithoutCancel(ctx))
 	defer endJudging()
