Prefer groups known to work for standbys

A standby was placed by load, and a group in the same silence has the least: while some groups were silent it went to another silent one and used the attempts up. Where nothing has evidence, all is as before.

TestStandbyWithoutEvidence: three of four groups fall silent, one of them without a request. On the code before, a standby went to that one and its stream ended after one event.

--- a/internal/balance/stall.go
+++ b/internal/balance/stall.go
@@ -18,6 +18,8 @@
 type StallDetector struct {
 	groups   map[string]*groupProgress
 	lastTick time.Time
+	// events holds when each group sent its last event, for maxEventAge, also when it has no requests any more.
+	events map[string]time.Time
 }
 
 // groupProgress is the progress of one group.
@@ -56,6 +58,8 @@
 	// first event.
 	requestStallFactor       = 3
 	queuedRequestStallFactor = 8
+	// maxEventAge is how long events are remembered: longer than a pass.
+	maxEventAge = 2 * time.Second
 	// maxTickGap is the gap between two ticks above which this process was paused.
 	maxTickGap = 100 * time.Millisecond
 )
@@ -68,7 +72,9 @@
 }
 
 // NewStallDetector returns an empty StallDetector.
-func NewStallDetector() *StallDetector { return &StallDetector{groups: map[string]*groupProgress{}} }
+func NewStallDetector() *StallDetector {
+	return &StallDetector{groups: map[string]*groupProgress{}, events: map[string]time.Time{}}
+}
 
 // Begin starts to track a request sent to a group; limit is the group's Plan.StallTimeout.
 func (s *StallDetector) Begin(now time.Time, group string, limit time.Duration) *Track {
@@ -94,6 +100,7 @@
 		return false
 	}
 	p.lastProgress, p.stalled, p.quiet = now, false, false
+	s.events[t.group] = now
 	t.lastProgress, t.stalled = now, false
 	if t.started {
 		return false
@@ -131,6 +138,11 @@
 		gap = 0
 	}
 	s.lastTick = now
+	for name, at := range s.events {
+		if s.events[name] = at.Add(gap); now.Sub(at) > maxEventAge {
+			delete(s.events, name)
+		}
+	}
 	for name, p := range s.groups {
 		p.lastProgress = p.lastProgress.Add(gap)
 		limit := p.limit
@@ -173,3 +185,9 @@
 	}
 	return groups
 }
+
+// Works reports whether a group whose requests have the given limit has sent an event within its longest pass.
+func (s *StallDetector) Works(now time.Time, group string, limit time.Duration) bool {
+	at, ok := s.events[group]
+	return ok && now.Sub(at) <= time.Duration(float64(limit)/stallPasses)
+}
--- a/internal/balance/stall_test.go
+++ b/internal/balance/stall_test.go
@@ -143,3 +143,18 @@
 		t.Errorf("in the next silence: groups %v, want one", got)
 	}
 }
+
+// TestGroupThatWorks guards against taking a group for one that works although its last event is longer ago than a pass, and against
+// forgetting its event with its last request.
+func TestGroupThatWorks(t *testing.T) {
+	s, now, limit := NewStallDetector(), time.Unix(1000, 0), 150*time.Millisecond
+	track := s.Begin(now, "g", limit)
+	if s.Works(now, "g", limit) {
+		t.Error("a group works before its first event")
+	}
+	s.Progress(now, track)
+	s.End(track)
+	if !s.Works(now.Add(100*time.Millisecond), "g", limit) || s.Works(now.Add(101*time.Millisecond), "g", limit) {
+		t.Error("want a group to work for a pass after an event")
+	}
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -247,6 +247,34 @@
 	return keys[:min(len(keys), maxUnreachableGroups)]
 }
 
+// withoutEvidence returns the groups of a model that have sent this daemon no event within a pass, those with silent requests first, if
+// there is another one that may be used. limit is that of the model's requests. A group that is silent has the least load, so others
+// are preferred where it matters.
+func (p *dispatcher) withoutEvidence(m schedule.Model, limit time.Duration, exclude []string) (keys []string) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	exclude = slices.Concat(exclude, p.excluded(now), p.unreachableGroups(now, m))
+	works := false
+	var idle []string
+	for _, g := range p.d.view.Load().Groups[m.Service] {
+		switch {
+		case g.Model != m.Name || !g.Complete() || slices.Contains(exclude, g.Key):
+		case p.stalls.Works(now, g.Key, limit):
+			works = true
+		case len(p.running[g.Key]) > 0:
+			keys = append(keys, g.Key)
+		default:
+			idle = append(idle, g.Key)
+		}
+	}
+	if !works {
+		return nil
+	}
+	keys = append(keys, idle...)
+	return keys[:min(len(keys), max(maxUnreachableGroups-len(exclude), 0))]
+}
+
 // handOver returns a reservation for an attempt that has another daemon serve the request.
 func (p *dispatcher) handOver(m schedule.Model, ids suspectIDs, target *gossip.Peer) *reservation {
 	s := &reservation{d: p, model: m, key: "", head: peerServer(target), ids: ids, began: time.Now(), peer: target.Name}
--- a/internal/entry/standby_test.go
+++ b/internal/entry/standby_test.go
@@ -5,10 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"flamingorudder.example/internal/fakeplatform"
 	"flamingorudder.example/internal/timer"
 )
@@ -102,3 +106,71 @@
 	}
 	<-got
 }
+
+// TestStandbyWithoutEvidence guards against placing a standby at a group that is in the same silence as the first one, and so has the
+// least load, while another group delivers events.
+func TestStandbyWithoutEvidence(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(strings.Replace(fmt.Sprintf(testConfig, 1, ""), `"step_ms":5`, `"step_ms":40`, 1)))
+	u := startDaemon(t, store, "a")
+	const events = 25
+	var mute atomic.Bool
+	var arrived [5]atomic.Int32
+	group := func(i int) {
+		u.putServer(fmt.Sprint("i-", i), "llm", backendServer(t, func(c net.Conn, r *http.Request) {
+			silent := func() bool { return mute.Load() && i < 4 }
+			if r.Header.Get("X-Flamingorudder-Model") == "" {
+				if !silent() {
+					writeAnswer(c, r, http.StatusOK, "")
+				}
+				return
+			}
+			arrived[i].Add(1)
+			out := "HTTP/1.1 200 OK\r\nX-Flamingorudder-Response-Signature: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+			from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			for n := from + 1; n <= events; n++ {
+				if silent() {
+					_ = timer.Wait(t.Context(), 4*time.Second)
+					return
+				}
+				if _, err := io.WriteString(c, out+event(n)); err != nil {
+					return
+				}
+				out = ""
+				_ = timer.Wait(t.Context(), 40*time.Millisecond)
+			}
+			_ = c.Close()
+		}), fmt.Sprintf(openGroup, i))
+	}
+	for i := 1; i <= 4; i++ {
+		group(i)
+	}
+	u.waitReady()
+	var streams errgroup.Group
+	for _, i := range []int{1, 2, 4} {
+		for other := 1; other <= 4; other++ {
+			if other != i {
+				u.d.dispatch.excludeRejecting(fmt.Sprintf("g%d/1", other), 0)
+			}
+		}
+		streams.Go(func() error {
+			r := u.do(http.MethodPost, "/stream/", "k1", "x", "X-Flamingorudder-Request-Id", fmt.Sprint(i), "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,60")
+			if r.err != nil || r.status != http.StatusOK || strings.Count(r.body, "id: ") != events {
+				t.Errorf("stream %d: status %d, error %v, %d events", i, r.status, r.err, strings.Count(r.body, "id: "))
+			}
+			return nil
+		})
+		eventually(t, "the stream runs", func() bool { return arrived[i].Load() == 1 })
+		u.d.dispatch.mu.Lock()
+		clear(u.d.dispatch.suspects)
+		u.d.dispatch.mu.Unlock()
+	}
+	mute.Store(true)
+	_ = streams.Wait() // its tasks return no error
+	if n := arrived[3].Load(); n > 0 {
+		t.Errorf("%d standbys at the silent group without requests", n)
+	}
+	if n := arrived[4].Load(); n != 3 {
+		t.Errorf("%d requests at the group that delivers events, want 3", n)
+	}
+}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -71,7 +72,7 @@
 		}
 		waiting, stopWaiting := x.untilClosing(ctx)
 		x.awaitBefore(waiting, last)
-		reserved, err := s.reserve(waiting, 0)
+		reserved, err := s.reserve(waiting, 0, nil)
 		stopWaiting()
 		var pathLost *PathLostError
 		var noRetry *NoRetryError
@@ -296,13 +297,14 @@
 
 func (e *NoRetryError) Error() string { return "no retry is left for service " + e.Service }
 
-// reserve acquires a place for an attempt beside the given number of others and pays for it, once however often a place is sought.
-func (s *forwardedStream) reserve(ctx context.Context, underWay int) (*reservation, error) {
+// reserve acquires a place for an attempt beside the given number of others, at none of the groups to avoid, and pays for it, once
+// however often a place is sought.
+func (s *forwardedStream) reserve(ctx context.Context, underWay int, avoid []string) (*reservation, error) {
 	x := s.x
 	if !x.payRetry(underWay) && !x.d.paths.lost(x.service) {
 		return nil, &NoRetryError{x.service}
 	}
-	reserved, err := s.acquire(ctx, underWay > 0 || x.mayHaveRun || x.call.LastEvent != "")
+	reserved, err := s.acquire(ctx, underWay > 0 || x.mayHaveRun || x.call.LastEvent != "", avoid)
 	if err != nil || reserved.peer != "" {
 		return reserved, err // if this daemon could not pay, the other one does
 	}
@@ -315,9 +317,9 @@
 	return reserved, nil
 }
 
-// acquire waits for a place in a group that has not been tried. Without a path to the groups it has another daemon serve the
+// acquire waits for a place in a group that has not been tried and is not to be avoided. Without a path to the groups it has another daemon serve the
 // request. goOn is set if a group may have worked on the request.
-func (s *forwardedStream) acquire(ctx context.Context, goOn bool) (*reservation, error) {
+func (s *forwardedStream) acquire(ctx context.Context, goOn bool, avoid []string) (*reservation, error) {
 	x := s.x
 	if x.d.paths.lost(x.service) {
 		if err := x.d.quarantineRejection(time.Now(), s.ids); err != nil {
@@ -333,7 +335,20 @@
 	return x.d.dispatch.acquire(ctx, s.svc, x.call.Model, x.org, balance.Request{
 		Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: s.ids.request,
 		Arrived: x.start, Until: x.deadline, Resumed: goOn,
-	}, s.ids, s.exclude)
+	}, s.ids, slices.Concat(s.exclude, avoid))
+}
+
+// seek reserves a place for a standby at a group that is known to work, or at any if there is none soon.
+func (s *forwardedStream) seek(preparation context.Context, limit time.Duration) (*reservation, error) {
+	avoid := s.x.d.dispatch.withoutEvidence(schedule.Model{Service: s.svc.Name, Name: s.x.call.Model}, limit, s.exclude)
+	if len(avoid) > 0 {
+		soon, cancel := context.WithTimeout(preparation, maxStandbyRetry)
+		defer cancel()
+		if reserved, err := s.reserve(soon, 1, avoid); err == nil || preparation.Err() != nil {
+			return reserved, err
+		}
+	}
+	return s.reserve(preparation, 1, nil)
 }
 
 // newAttempt returns an attempt that goes on after the last event that was forwarded, beside the given number of others. The caller
@@ -444,7 +459,7 @@
 		if beside.Err() != nil {
 			return nil
 		}
-		reserved, err := s.reserve(preparation, 1)
+		reserved, err := s.seek(preparation, silent.reserved.limit)
 		var pathLost *PathLostError
 		switch {
 		case errors.As(err, &pathLost):
