Count no time as a stall in which the daemon did not run

Gaps of up to 100 ms between two ticks counted as silence of all groups, so a daemon that gets a processor in part of the time only, as beside other busy processes or under a quota, took sound groups for silent that had answered while it did not run.

A gap of more than two periods now moves the timestamps by all but one period. Smaller gaps are the usual lateness of a timer.

TestStallWhileShortOfTime: every other tick is 50 ms late. It must take between one and a half times and three times the limit.

--- a/internal/balance/stall.go
+++ b/internal/balance/stall.go
@@ -13,8 +13,8 @@
 // A single connection may also stall while its group continues to serve others; this shows in a request without
 // progress for several times as long.
 //
-// While a daemon is paused itself, everything appears silent to it, so a gap between two ticks moves all timestamps
-// forward by the gap.
+// While a daemon is paused itself, or waits for a processor, everything appears silent to it, so a gap between two ticks moves
+// all timestamps forward by what it is longer than usual.
 type StallDetector struct {
 	groups   map[string]*groupProgress
 	lastTick time.Time
@@ -54,8 +54,9 @@
 	// first event.
 	requestStallFactor       = 3
 	queuedRequestStallFactor = 8
-	// maxTickGap is the gap between two ticks above which this process was paused.
-	maxTickGap = 100 * time.Millisecond
+	// tickPeriod is the usual time between two ticks. Above maxTickGap, this process did not run for the rest.
+	tickPeriod = 25 * time.Millisecond
+	maxTickGap = 2 * tickPeriod
 )
 
 // StallTimeout returns how long a group with running streams may go without progress: its longest pass reads a whole
@@ -124,8 +125,8 @@
 
 // Tick returns the groups, and the single requests of other groups, that stalled since the last tick.
 func (s *StallDetector) Tick(now time.Time) (groups []string, requests []*Track) {
-	gap := now.Sub(s.lastTick)
-	if s.lastTick.IsZero() || gap <= maxTickGap {
+	gap := now.Sub(s.lastTick) - tickPeriod
+	if s.lastTick.IsZero() || gap <= maxTickGap-tickPeriod {
 		gap = 0
 	}
 	s.lastTick = now
--- a/internal/balance/stall_test.go
+++ b/internal/balance/stall_test.go
@@ -121,3 +121,26 @@
 		s.Begin(now, "g", limit)
 	}
 }
+
+// TestStallWhileShortOfTime guards against suspecting a group because this process had a processor for only part of the time, and
+// against never noticing a stall meanwhile.
+func TestStallWhileShortOfTime(t *testing.T) {
+	limit := testPlan().StallTimeout()
+	now := time.Now()
+	s := NewStallDetector()
+	s.Progress(now, s.Begin(now, "g", limit))
+	began := now
+	var stalledAfter time.Duration
+	for stalledAfter == 0 && now.Sub(began) < 10*limit {
+		// Every other tick is 50 ms late.
+		for _, gap := range []time.Duration{25 * time.Millisecond, 75 * time.Millisecond} {
+			now = now.Add(gap)
+			if groups, _ := s.Tick(now); len(groups) > 0 {
+				stalledAfter = now.Sub(began)
+			}
+		}
+	}
+	if stalledAfter < 3*limit/2 || stalledAfter > 3*limit {
+		t.Errorf("the group counts as stalled after %v, want about twice the limit of %v", stalledAfter, limit)
+	}
+}
