--- a/internal/balance/stall.go
+++ b/internal/balance/stall.go
@@ -13,8 +13,8 @@
 // A single connection may also stall while its group continues to serve others; this shows in a request without
 // progress for several times as long.
 //
-// While a daemon is paused itself, everything appears silent to it, so a gap between two ticks moves all timestamps
-// forward by the gap.
+// While a daemon is paused itself, or waits for a processor, everything appears silent to it, so a gap between two ticks moves
+// all timestamps forward by what it is longer than usual.
 type StallDetector struct {
 	groups   map[string]*groupProgress
 	lastTick time.Time
@@ -58,10 +58,11 @@
 	// first event.
 	requestStallFactor       = 3
 	queuedRequestStallFactor = 8
-	// maxEventAge is how long events are remembered: longer than a pass.
-	maxEventAge = 2 * time.Second
-	// maxTickGap is the gap between two ticks above which this process was paused.
-	maxTickGap = 100 * time.Millisecond
+	// maxEventAge is how long events are remembered: longer than a pass, and than a group is suspected.
+	maxEventAge = 4 * time.Second
+	// TickPeriod is the usual time between two ticks. Above maxTickGap, this process did not run for the rest.
+	TickPeriod = 25 * time.Millisecond
+	maxTickGap = 2 * TickPeriod
 )
 
 // StallTimeout returns how long a group with running streams may go without progress: its longest pass reads a whole
@@ -133,8 +134,8 @@
 
 // Tick returns the groups, and the single requests of other groups, that stalled since the last tick.
 func (s *StallDetector) Tick(now time.Time) (groups []string, requests []*Track) {
-	gap := now.Sub(s.lastTick)
-	if s.lastTick.IsZero() || gap <= maxTickGap {
+	gap := now.Sub(s.lastTick) - TickPeriod
+	if s.lastTick.IsZero() || gap <= maxTickGap-TickPeriod {
 		gap = 0
 	}
 	s.lastTick = now
@@ -191,3 +192,6 @@
 	at, ok := s.events[group]
 	return ok && now.Sub(at) <= time.Duration(float64(limit)/stallPasses)
 }
+
+// EventSince reports whether a group has sent an event after a moment that is no longer ago than maxEventAge.
+func (s *StallDetector) EventSince(group string, at time.Time) bool { return s.events[group].After(at) }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -20,7 +20,7 @@
 
 // dispatchPeriod is how often stalled groups are detected, due reports are sent to schedulers, and waiting requests are
 // scheduled. Requests are also scheduled when something changes.
-const dispatchPeriod = 25 * time.Millisecond
+const dispatchPeriod = balance.TickPeriod
 
 // suspectFor is how long a group that stalled gets no new requests.
 const suspectFor = 3 * time.Second
@@ -197,7 +197,8 @@
 }
 
 // excluded returns the groups that this daemon currently excludes for requests to a model. Silence is no proof: if all groups that are
-// left are only silent, it excludes none of them for first attempts, as the alternative is to reject the request.
+// left are only silent, first attempts may try them, one at a time until one has brought an event. The others are rejected: if the
+// group is dead, they would only wait until their callers leave.
 func (p *dispatcher) excluded(now time.Time, m schedule.Model, first bool) []string {
 	var keys, silent []string
 	for key, s := range p.suspects {
@@ -209,14 +210,31 @@
 			keys = append(keys, key)
 		}
 	}
-	if len(silent) == 0 || first && !slices.ContainsFunc(p.d.view.Load().Groups[m.Service], func(g *roster.Group) bool {
-		return g.Model == m.Name && g.Complete() && !now.Before(p.suspects[g.Key].until) && !now.Before(p.unreachable[g.Key].until)
-	}) {
-		return keys
+	othersLeft := func() bool {
+		return slices.ContainsFunc(p.d.view.Load().Groups[m.Service], func(g *roster.Group) bool {
+			return g.Model == m.Name && g.Complete() && !now.Before(p.suspects[g.Key].until) && !now.Before(p.unreachable[g.Key].until)
+		})
+	}
+	if first && len(silent) > 0 && !othersLeft() {
+		silent = slices.DeleteFunc(silent, p.mayTry)
 	}
 	return append(keys, silent...)
 }
 
+// mayTry reports whether a suspected group has sent an event since, or has got no request since that could bring one.
+func (p *dispatcher) mayTry(key string) bool {
+	since := p.suspects[key].until.Add(-suspectFor)
+	if p.stalls.EventSince(key, since) {
+		return true
+	}
+	for _, s := range p.running[key] {
+		if s.began.After(since) {
+			return false
+		}
+	}
+	return true
+}
+
 // unreachableGroup is a group that this daemon does not use for a while because it could not connect to its head. Unlike a
 // suspicion, this is not reported, as other daemons may reach the group. The time doubles with each failure in a row.
 type unreachableGroup struct {
