Let the kernel end no request before its deadline

Callers saw requests end as "broken off" or "answer lost" about 1.7 to 2 s after the path to a sound backend server fell silent, with "connection timed out" as the last attempt.

Every connection had a TCP user timeout of 1.5 s. With it the kernel ends a connection whose data is unacknowledged for so long, whose keep-alive probes are unanswered (whatever their number), and also one whose peer acknowledges but does not read a long body. The server may be sound in each of them.

The user timeout is now the time left until the deadline of the request while a connection is in use, plus 1.5 s, and 1.5 s in the pool, where keep-alive probes end a connection that has gone silent for good. The request's context closes the connection at its end, as before.

On the code before, backend.TestSilence fails for silences of 2.0 and 2.5 s: request written (new and kept connection) and inside a long body without acknowledgements, inside a long body also with them; of 2.5 s before and inside the answer without acknowledgements. TestSilenceForGood ends at 1.9 to 2.05 s in place of the deadline of 2.8 s. TestIdleSilenceForGood passes before, and fails if the limit of the pool is not set again. Through a daemon, entry.TestPathSilent fails for 2.5 s in all twelve cases: 502 or a stream that is broken off after 2.0 to 2.7 s. Silences of 0.5, 1.2 and 1.6 s passed before.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -52,6 +52,9 @@
 	readBuffer   = 4 << 10
 	// maxRejections is the number of rejected requests after which a connection is closed.
 	maxRejections = 8
+	// noDeadlineTimeout is the user timeout of a connection during a request without a deadline, about how long the kernel sends
+	// unacknowledged data again by default.
+	noDeadlineTimeout = 15 * time.Minute
 	// refusalTimeout bounds the wait for the refusal of a connection: a few round trips between regions.
 	refusalTimeout = 150 * time.Millisecond
 )
@@ -169,7 +172,10 @@
 }
 
 type conn struct {
-	net      net.Conn
+	net net.Conn
+	// socket has the user timeout netopt.UserTimeout while the connection is in the pool, so that keep-alive probes end one that has
+	// gone silent for good, and that of the request otherwise.
+	socket   *netopt.Socket
 	limit    *headerLimiter
 	br       *bufio.Reader
 	addr     netip.AddrPort
@@ -249,7 +255,22 @@
 	}
 }
 
+// userTimeout returns the user timeout of a connection during a request. A backend server that is silent may be sound, so the kernel
+// must not end a request before its deadline, not even while nothing is acknowledged. Without a user timeout, the number of
+// unanswered keep-alive probes would end it.
+func userTimeout(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return noDeadlineTimeout
+	}
+	return max(time.Until(deadline), 0) + netopt.UserTimeout
+}
+
 func (p *Pool) put(c *conn, keepAlive time.Duration) {
+	if err := c.socket.SetUserTimeout(netopt.UserTimeout); err != nil {
+		p.discard(c) // closed meanwhile
+		return
+	}
 	if keepAlive == 0 {
 		keepAlive = defaultKeepAlive
 	}
@@ -280,7 +301,8 @@
 		}
 		p.idle[addr] = slices.Delete(list, i, i+1)
 		p.mu.Unlock()
-		if now.Before(c.expires) && netopt.Idle(c.net) {
+		// The kernel may end the connection until it has the timeout of the request, so that is set before the check.
+		if now.Before(c.expires) && c.socket.SetUserTimeout(userTimeout(ctx)) == nil && c.socket.Idle() {
 			return c, nil
 		}
 		p.discard(c)
@@ -292,15 +314,32 @@
 	}
 	p.open[addr]++
 	p.mu.Unlock()
-	n, err := p.dial(ctx, "tcp", addr.String())
+	c, err := p.connect(ctx, addr)
 	if err != nil {
 		p.mu.Lock()
 		p.release(addr)
 		p.mu.Unlock()
 		return nil, err
 	}
+	return c, nil
+}
+
+// connect opens a connection for a request.
+func (p *Pool) connect(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+	n, err := p.dial(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, err
+	}
+	socket, err := netopt.SocketOf(n)
+	if err == nil {
+		err = socket.SetUserTimeout(userTimeout(ctx))
+	}
+	if err != nil {
+		_ = n.Close() // nothing was sent
+		return nil, err
+	}
 	limiter := &headerLimiter{net: n, left: -1}
-	return &conn{net: limiter.net, limit: limiter, br: bufio.NewReaderSize(limiter, readBuffer), addr: addr}, nil
+	return &conn{net: n, socket: socket, limit: limiter, br: bufio.NewReaderSize(limiter, readBuffer), addr: addr}, nil
 }
 
 // RefusesConnections reports whether nothing listens on an address any more, as its process has ended.
