--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -327,6 +327,8 @@
 		x.reject(http.StatusServiceUnavailable, retryAfter, reason)
 	case ctx.Err() != nil:
 		x.reject(http.StatusGatewayTimeout, 0, "timeout")
+	case x.from != "" && !x.ranHere:
+		x.reject(http.StatusBadGateway, 0, "not run") // another daemon may serve it
 	default:
 		x.reject(http.StatusBadGateway, 0, "answer lost")
 	}
