Pass on no request that may not be repeated after new requests are rejected

A request that may not be repeated and waits while it is in doubt whether there is a path was passed on when the wait ended with the daemon's shutdown, after the time at which such requests are rejected, so that the end of the process could cut its only answer off. The end of that wait now rejects it, 503 and not run, and another daemon takes it at once.

TestRequestInDoubtAtShutdown: on the code before, /unsafe/ failed in three runs of three and /once/ in one of three.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -228,7 +228,7 @@
 	if p.last != nil {
 		p.x.d.paths.await(waiting, p.x.service)
 	}
-	for ctx.Err() == nil {
+	for waiting.Err() == nil {
 		servers, now, share := p.candidates()
 		if err := p.x.d.quarantineRejection(now, p.ids); err != nil {
 			p.last = err
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -178,3 +178,38 @@
 		}
 	}
 }
+
+// TestRequestInDoubtAtShutdown guards against passing on a request that may not be repeated after new requests are rejected, as it
+// waited until then to know whether there is a path: the end of the process may cut its only answer off.
+func TestRequestInDoubtAtShutdown(t *testing.T) {
+	for path, model := range map[string]string{"/unsafe/": "", "/once/": "m"} {
+		t.Run(path, func(t *testing.T) {
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, onceRoute)))
+			u, servers := startDaemon(t, store, "a"), newWaysServers(t)
+			u.putServer("p-0", "plain", freeAddr(t).String(), "null")
+			u.putServer("i-0", "llm", freeAddr(t).String(), fmt.Sprintf(openGroup, 9))
+			u.waitReady()
+			u.d.paths.mu.Lock()
+			for _, service := range []string{"plain", "llm"} {
+				u.d.paths.tracker.Doubt(time.Now(), service)
+				u.d.paths.verdicts[service] = make(chan struct{})
+			}
+			u.d.paths.mu.Unlock()
+			w := &way{path: path, model: model}
+			u.begin(w)
+			eventually(t, "an attempt has failed", func() bool {
+				u.d.dispatch.mu.Lock()
+				defer u.d.dispatch.mu.Unlock()
+				return len(u.d.dispatch.unreachable) > 0 || u.d.plainServers.avoided("p-0", time.Now())
+			})
+			servers.put(u)
+			eventually(t, "the daemon knows other servers", func() bool { return len(u.d.view.Load().Servers) == 2*waysGroups+2 })
+			wait := u.stop()
+			if r := <-w.done; r.status != http.StatusServiceUnavailable || r.h.Get("Retry-After") != "" || servers.arrived(path) > 0 {
+				t.Errorf("reply %+v, %d requests at the servers", r, servers.arrived(path))
+			}
+			wait()
+		})
+	}
+}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -288,6 +288,9 @@
 // acquire waits for a place in a group that has not been tried. Without a path to the groups it has another daemon serve the
 // request. goOn is set if a group may have worked on the request.
 func (s *forwardedStream) acquire(ctx context.Context, goOn bool) (*reservation, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	x, model := s.x, schedule.Model{Service: s.svc.Name, Name: s.x.call.Model}
 	if x.d.paths.lost(x.service) {
 		if err := x.d.quarantineRejection(time.Now(), s.ids); err != nil {
