--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -226,7 +226,7 @@
 	waiting, stopWaiting := p.x.untilClosing(ctx)
 	defer stopWaiting()
 	p.x.awaitBefore(waiting, p.last)
-	for ctx.Err() == nil {
+	for waiting.Err() == nil {
 		servers, now, share := p.candidates()
 		if err := p.x.d.quarantineRejection(now, p.ids); err != nil {
 			p.last = err
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -317,9 +317,12 @@
 	return reserved, nil
 }
 
-// acquire waits for a place in a group that has not been tried and is not to be avoided. Without a path to the groups it has another daemon serve the
-// request. goOn is set if a group may have worked on the request.
+// acquire waits for a place in a group that has not been tried and is not to be avoided. Without a path to the groups it has another
+// daemon serve the request. goOn is set if a group may have worked on the request.
 func (s *forwardedStream) acquire(ctx context.Context, goOn bool, avoid []string) (*reservation, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	x, model := s.x, schedule.Model{Service: s.svc.Name, Name: s.x.call.Model}
 	if x.d.paths.lost(x.service) {
 		if err := x.d.quarantineRejection(time.Now(), s.ids); err != nil {
