Send no cancelled request again after a silence

A request that was cancelled in a silence in which nothing is acknowledged reached its server when the silence ended, up to the deadline and 1.5 s later: closing a connection leaves to the kernel what is not acknowledged. The server may leave by then, and works on what nobody waits for.

A connection whose request is cancelled is reset now, which drops what was not acknowledged.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -188,6 +188,15 @@
 	rejected []string
 }
 
+// reset closes a connection whose request is cancelled. What the peer has not acknowledged is not sent again: after a silence, it would
+// get a request that nobody waits for.
+func (c *conn) reset() {
+	if t, ok := c.net.(interface{ SetLinger(sec int) error }); ok {
+		_ = t.SetLinger(0) // fails only on a closed connection
+	}
+	_ = c.net.Close() // nothing is to be written
+}
+
 // Pool is a pool of connections to backend servers. It is safe for concurrent use.
 type Pool struct {
 	dial netopt.DialFunc
@@ -361,7 +370,7 @@
 	if err != nil {
 		return nil, &NotSentError{server.ID, err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.net.Close() }) // unblocks reads and writes
+	stop := context.AfterFunc(ctx, c.reset) // unblocks reads and writes
 	fail := func(err error) (*Response, error) {
 		stop()
 		p.discard(c)
--- a/internal/backend/silence_test.go
+++ b/internal/backend/silence_test.go
@@ -433,3 +433,23 @@
 		a.Close()
 	}
 }
+
+// TestCancelledInSilence guards against a request that reaches its server after it was cancelled: the kernel would send again what was
+// not acknowledged in a silence, although the server may have begun to leave since.
+func TestCancelledInSilence(t *testing.T) {
+	t.Parallel()
+	var end func()
+	s := &quietServer{}
+	server, p := newQuietServer(t, s, func(c *net.TCPConn) { end = s.begin(c, true) })
+	ctx, cancel := context.WithCancel(t.Context())
+	sent := time.AfterFunc(300*time.Millisecond, cancel) //nolint:forbidigo // cancels while the request is in silence
+	defer sent.Stop()
+	if _, err := p.Do(ctx, server, request("x"), 0); err == nil {
+		t.Fatal("want an error")
+	}
+	end()
+	_ = timer.Wait(t.Context(), 2*time.Second) // several retransmissions
+	if n := s.ran.Load(); n != 0 {
+		t.Errorf("%d requests reached the server after they were cancelled", n)
+	}
+}
