Hand no request to a daemon that applies an earlier configuration to it

While its path is lost a daemon hands requests over. One handed to a daemon that lags behind by a version was served under the configuration that its own daemon had already replaced: for an organisation that no longer had the key, or at a service from which the route had moved. To its caller the configuration went back.

The version under which a request was admitted goes with it now, and a daemon whose configuration is earlier rejects it as not run without a time to retry, so that another one is asked.

TestHandedOverToEarlierConfiguration: on the code before, both requests ran under the earlier configuration.

--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -281,6 +281,8 @@
 	headerMayHaveRun = "Daemon-May-Have-Run"
 	// headerPaid is set if the next attempt has been paid for out of the retry budget, on rejections if it still is.
 	headerPaid = "Daemon-Paid"
+	// headerConfig is the version of the configuration under which the request was admitted.
+	headerConfig = "Daemon-Config"
 	// headerOutcome is set on responses of the daemon itself: outcomeNotRun or outcomeUnknown.
 	headerOutcome  = "Daemon-Outcome"
 	outcomeNotRun  = "not-run"
@@ -310,6 +312,7 @@
 	h := platform.RelayHeader(x.r.Header, time.Until(x.deadline), lastEvent)
 	h.Set(headerFrom, x.d.settings().Name)
 	h.Set(headerAttempts, strconv.Itoa(x.attempts+underWay))
+	h.Set(headerConfig, strconv.FormatInt(x.config.Version, 10))
 	if x.mayHaveRun || underWay > 0 {
 		h.Set(headerMayHaveRun, "1")
 	}
@@ -367,7 +370,9 @@
 		return
 	}
 	x := &exchange{d: d, w: w, r: r, from: r.Header.Get(headerFrom), attempts: attempts, handedAttempts: attempts, mayHaveRun: r.Header.Get(headerMayHaveRun) != "", paid: r.Header.Get(headerPaid) != ""}
-	for _, name := range []string{headerFrom, headerAttempts, headerMayHaveRun, headerPaid} {
+	// Daemons of earlier builds name no version.
+	x.minConfig, _ = strconv.ParseInt(r.Header.Get(headerConfig), 10, 64)
+	for _, name := range []string{headerFrom, headerAttempts, headerMayHaveRun, headerPaid, headerConfig} {
 		r.Header.Del(name)
 	}
 	x.serve()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -49,6 +49,8 @@
 	call platform.RequestInfo
 	// from is the daemon that has handed the request over; empty if it came from its caller.
 	from string
+	// minConfig is the version under which another daemon admitted the request; an earlier one must not be applied to it.
+	minConfig int64
 	// config is the configuration in force when the request arrived; it is used throughout.
 	config  *route.Config
 	route   *route.Route
@@ -152,6 +154,10 @@
 		x.rejectNotReady("no configuration")
 		return false
 	}
+	if x.config.Version < x.minConfig {
+		x.rejectNotReady("earlier configuration")
+		return false
+	}
 	if x.from != "" && d.view.Load().Read.IsZero() {
 		x.rejectNotReady("entries not read")
 		return false
--- a/internal/entry/ways_test.go
+++ b/internal/entry/ways_test.go
@@ -739,3 +739,29 @@
 		})
 	}
 }
+
+// TestHandedOverToEarlierConfiguration guards against serving a request under a configuration that its own daemon has already replaced,
+// for example for an organisation that no longer has the key, because it was handed to a daemon that lags behind.
+func TestHandedOverToEarlierConfiguration(t *testing.T) {
+	t.Parallel()
+	f := newPathFleet(t, false)
+	f.cut.set("reset")
+	f.settle(t)
+	newer := []byte(strings.Replace(fmt.Sprintf(testConfig, 2, pathRoutes), `"name":"t1"`, `"name":"t2"`, 1))
+	f.a.d.feed.applyConfig(newer, "test")
+	before := f.ran.Load()
+	for _, path := range []string{"/unsafe/", "/safe/"} {
+		if r := f.send(f.a, path, "x", 700); r.status != http.StatusServiceUnavailable {
+			t.Errorf("%s: reply %+v, want a rejection", path, r)
+		}
+	}
+	if n := f.ran.Load() - before; n != 0 {
+		t.Errorf("%d requests ran under the earlier configuration", n)
+	}
+	f.b.d.feed.applyConfig(newer, "test")
+	for _, path := range []string{"/unsafe/", "/safe/"} {
+		if r := f.send(f.a, path, "x", 2000); r.status != http.StatusOK {
+			t.Errorf("%s, once the configuration is in force everywhere: reply %+v", path, r)
+		}
+	}
+}
