Hand a request over again when the daemon that serves it is lost

A daemon without a path hands its requests over. If the daemon that served one vanished without a reset, the request waited until its deadline, although its own daemon had a path again or a third one had.

A request that may be repeated and has an attempt left goes on elsewhere now when nothing is heard from that daemon any more, which is when it no longer counts as live.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -58,6 +58,8 @@
 	unreachable map[string]unreachableGroup
 	// running holds the requests in progress at each group, by their tracks in stalls.
 	running map[string]map[*balance.Track]*reservation
+	// peerWatches holds the requests that other daemons serve and that may go on elsewhere when those are lost.
+	peerWatches map[*peerWatch]struct{}
 }
 
 // suspicion is the temporary exclusion of a group. local is set if this daemon detected it and so reports it to the others.
@@ -132,7 +134,7 @@
 	return &dispatcher{
 		d: d, server: schedule.NewServer(), crashDetector: quarantine.NewDetector(), plainDetectors: map[string]*quarantine.Detector{}, clients: map[schedule.Model]*schedule.Client{}, reporters: map[string]reporter{},
 		targets: map[schedule.Model]*candidates{}, waiters: map[uint64]*waiter{}, localLoad: map[schedule.Model]map[string]balance.Load{},
-		stalls: balance.NewStallDetector(), suspects: map[string]suspicion{}, unreachable: map[string]unreachableGroup{}, running: map[string]map[*balance.Track]*reservation{},
+		stalls: balance.NewStallDetector(), suspects: map[string]suspicion{}, unreachable: map[string]unreachableGroup{}, running: map[string]map[*balance.Track]*reservation{}, peerWatches: map[*peerWatch]struct{}{},
 	}
 }
 
@@ -372,6 +374,7 @@
 			}
 		}
 		p.silenceWithoutPath(now)
+		p.checkPeers(now)
 		for _, t := range stalledRequests {
 			if s := p.running[t.Group()][t]; s != nil {
 				s.fallSilent() // only the connection of this request stalled, not the group
--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -289,6 +289,49 @@
 	outcomeUnknown = "unknown"
 )
 
+// PeerLostError reports that nothing has been heard for a while from the daemon to which a request was handed over.
+type PeerLostError struct{ Daemon string }
+
+func (e *PeerLostError) Error() string { return "daemon " + e.Daemon + " is no longer heard from" }
+
+// peerWatch is a request that another daemon serves.
+type peerWatch struct {
+	peer string
+	// lost is called, once, when that daemon counts as lost. It must not block.
+	lost func()
+}
+
+// watchPeer has lost called when a daemon is no longer heard from. It returns a function that ends that.
+func (p *dispatcher) watchPeer(peer string, lost func()) (stop func()) {
+	w := &peerWatch{peer, lost}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peerWatches[w] = struct{}{}
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.peerWatches, w)
+	}
+}
+
+// checkPeers reports the daemons that are lost to the requests that they serve. A connection to such a daemon may not fail before the
+// deadline. p.mu is held.
+func (p *dispatcher) checkPeers(now time.Time) {
+	if len(p.peerWatches) == 0 {
+		return
+	}
+	live := map[string]bool{}
+	for _, m := range p.d.livePeers(now) {
+		live[m.Name] = true
+	}
+	for w := range p.peerWatches {
+		if !live[w.peer] {
+			delete(p.peerWatches, w)
+			w.lost()
+		}
+	}
+}
+
 // HandOverError reports that the daemon to which a request was handed over has not got a response for it.
 type HandOverError struct {
 	Daemon string
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -17,6 +17,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"flamingorudder.example/internal/backend"
 	"flamingorudder.example/internal/fakeplatform"
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/member"
@@ -117,15 +118,15 @@
 // pathFleet is two daemons with backend servers of both kinds; the path of the first one can be cut.
 type pathFleet struct {
 	a, b *daemonUnderTest
-	// cut is between the first daemon and the backend servers, otherCut between the second one and them.
-	cut, otherCut pathCut
+	// cut is between the first daemon and the backend servers, otherCut between the second one and them, peerCut between the daemons.
+	cut, otherCut, peerCut pathCut
 	// ran counts the requests that began at backend servers, left those whose connection ended before their answer.
 	ran, left atomic.Int32
 	// pause is how long the backend servers work on a request, in nanoseconds.
 	pause atomic.Int64
 	// steady is set if they send pathEvents events of a stream, one every pathEventGap, and go on after Last-Event-Id.
 	steady bool
-	// targets holds the X-Flamingorudder-Deadline-Ms of each request.
+	// deadlines holds the X-Flamingorudder-Deadline-Ms of each request.
 	mu        sync.Mutex
 	deadlines []string
 }
@@ -168,7 +169,11 @@
 		config = strings.ReplaceAll(config, `"targetLatencyMs":500`, `"targetLatencyMs":3000`) // none is refused as it would be late
 	}
 	store.Put("op", "config", []byte(config))
-	f.a, f.b = startDaemon(t, store, names[0], f.cut.apply), startDaemon(t, store, names[1], f.otherCut.apply)
+	f.a = startDaemon(t, store, names[0], func(d *Daemon) {
+		f.cut.apply(d)
+		d.peerPool, _ = backend.NewPool(f.peerCut.dial(backend.Dialer().DialContext)) // its connections end with the test
+	})
+	f.b = startDaemon(t, store, names[1], f.otherCut.apply)
 	serve := func(c net.Conn, r *http.Request) {
 		f.ran.Add(1)
 		f.mu.Lock()
@@ -996,3 +1001,29 @@
 		t.Errorf("%d of 100 requests are sent to a server that failed 10 s ago", n)
 	}
 }
+
+// TestPeerLostInMidRequest guards against a request that waits until its deadline for a daemon that is gone, whose connection does not
+// fail, while the daemon that its caller asked has a path again.
+func TestPeerLostInMidRequest(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/safe3/", "/stream3/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			f := newSteadyFleet(t)
+			f.cut.set("hang")
+			f.settle(t)
+			f.pause.Store(int64(800 * time.Millisecond))
+			f.ran.Store(0)
+			got := make(chan timedReply, 1)
+			go func() { got <- f.sendTimed(f.a, path, "x", func() {}) }()
+			eventually(t, "the request runs", func() bool { return f.ran.Load() > 0 })
+			f.peerCut.set("hang")
+			_ = f.b.d.udp.Close() // no digests come from it any more
+			f.cut.set("")
+			f.pause.Store(0)
+			if r := <-got; r.status != http.StatusOK || r.err != nil || r.first > 3*time.Second {
+				t.Errorf("after %v: status %d, error %v, body %q", r.first, r.status, r.err, r.body)
+			}
+		})
+	}
+}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -317,8 +317,13 @@
 	a := &plainAttempt{server: peerServer(target), peer: target.Name, sent: now}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	request := p.x.buildHandOver("", len(p.underWay))
+	unwatch := func() {}
+	if p.x.route.Repeatable() && p.x.attemptLeft(len(p.underWay)+1) {
+		unwatch = p.x.d.dispatch.watchPeer(target.Name, func() { a.cancel(&PeerLostError{target.Name}) })
+	}
 	p.underWay = append(p.underWay, a)
 	p.tasks.Go(func() error {
+		defer unwatch()
 		p.x.tryPeer(a, request)
 		p.ended <- a
 		return nil
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -372,6 +372,13 @@
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.detach = context.AfterFunc(reserved.ctx, func() { a.cancel(context.Cause(reserved.ctx)) })
+	if reserved.peer != "" && s.x.route.Repeatable() && s.x.attemptLeft(underWay+1) {
+		detach, unwatch := a.detach, s.x.d.dispatch.watchPeer(reserved.peer, func() { a.cancel(&PeerLostError{reserved.peer}) })
+		a.detach = func() bool {
+			unwatch()
+			return detach()
+		}
+	}
 	s.watch(ctx, a)
 	return a
 }
