Look again whether the path is lost while a safe request waits

A safe request whose server was silent looked for a path once. If no other server could be used at that moment, as its route has no objective or the retry budget was spent, and the path was lost later, it waited until its deadline although another daemon had a path.

It looks again as long as it waits and has an attempt left.

--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -207,7 +207,8 @@
 }
 
 // pathRoutes are routes that allow more attempts than those of testConfig, or none after the first.
-const pathRoutes = onceRoute + `,{"name":"stream3","host":"a.example","prefix":"/stream3/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":500,"service":"llm","maxAttempts":3,"streamResume":true},
+const pathRoutes = onceRoute + `,{"name":"safe0","host":"a.example","prefix":"/safe0/","kind":"safe","timeoutMs":6000,"service":"plain","maxAttempts":3},
+ {"name":"stream3","host":"a.example","prefix":"/stream3/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":500,"service":"llm","maxAttempts":3,"streamResume":true},
  {"name":"safe3","host":"a.example","prefix":"/safe3/","kind":"safe","timeoutMs":6000,"targetLatencyMs":150,"service":"plain","maxAttempts":3},
  {"name":"unsafe3","host":"a.example","prefix":"/unsafe3/","kind":"unsafe","timeoutMs":6000,"targetLatencyMs":150,"service":"plain","maxAttempts":3}`
 
@@ -1027,3 +1028,31 @@
 		})
 	}
 }
+
+// TestPathLostAfterFirstLook guards against a safe request that is not handed over because its path was still there when its daemon
+// first looked, and no other server could be used then.
+func TestPathLostAfterFirstLook(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		path  string
+		spent bool
+		cutAt time.Duration
+	}{{"/safe0/", false, 700 * time.Millisecond}, {"/safe3/", true, 1500 * time.Millisecond}} {
+		t.Run(test.path, func(t *testing.T) {
+			t.Parallel()
+			f := newSteadyFleet(t)
+			f.pause.Store(int64(2 * time.Second))
+			got := make(chan timedReply, 1)
+			go func() { got <- f.sendTimed(f.a, test.path, "x", func() {}) }()
+			eventually(t, "the request runs", func() bool { return f.ran.Load() > 0 })
+			for test.spent && f.a.d.budget.takeRetry("plain", time.Now(), f.a.d.settings(), 2) {
+			}
+			_ = timer.Wait(t.Context(), test.cutAt)
+			f.cut.set("hang")
+			f.pause.Store(0)
+			if r := <-got; r.status != http.StatusOK || r.first > test.cutAt+callerPatience {
+				t.Errorf("after %v: status %d, error %v, body %q", r.first, r.status, r.err, r.body)
+			}
+		})
+	}
+}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -333,12 +333,12 @@
 // await waits for the end of an attempt. While the backend servers are silent, it may send the request to others.
 func (p *plainRequest) await(ctx context.Context) *plainAttempt {
 	x := p.x
-	for {
-		latest := p.underWay[len(p.underWay)-1]
+	latest := p.underWay[len(p.underWay)-1]
+	for wait := latest.patience - time.Since(latest.sent); ; {
 		if latest.peer != "" {
 			break // that daemon sends it to another backend server if one is silent
 		}
-		if a := p.awaitFor(latest.patience - time.Since(latest.sent)); a != nil {
+		if a := p.awaitFor(wait); a != nil {
 			return a
 		}
 		x.d.plainServers.avoid(latest.server.ID, time.Now())
@@ -360,23 +360,24 @@
 			break
 		}
 		if x.d.paths.lost(x.service) {
-			target, pause := x.handOverTarget(p.handedTo), standbyRetry
-			if target != nil {
+			if target := x.handOverTarget(p.handedTo); target != nil {
 				x.payRetry(len(p.underWay)) // if it cannot, the other daemon pays
 				p.handOver(ctx, now, target)
 				break
 			}
+			wait = standbyRetry
 			if len(p.handedTo) > 0 {
-				p.handedTo, pause = nil, maxStandbyRetry // they may have room, or a path, then
-			}
-			if a := p.awaitFor(pause); a != nil {
-				return a
+				p.handedTo, wait = nil, maxStandbyRetry // they may have room, or a path, then
 			}
 			continue
 		}
-		server := p.choose(servers, now, share, true)
-		if server == nil || x.route.Objective == 0 || !x.payRetry(len(p.underWay)) || !p.send(ctx, now, server) {
-			break
+		wait = max(latest.patience, probeTimeout) // the path may be lost later
+		if x.route.Objective == 0 {
+			continue
+		}
+		if server := p.choose(servers, now, share, true); server != nil && x.payRetry(len(p.underWay)) && p.send(ctx, now, server) {
+			latest = p.underWay[len(p.underWay)-1]
+			wait = latest.patience
 		}
 	}
 	return <-p.ended
