Take no event for a later one than a suspicion after a pause

A daemon that was paused moves the times of what it has heard forward by the pause. The last event of a group then counted as later than the suspicion before the pause, and if all groups were silent, all first attempts went to the group instead of one at a time.

The time of the event itself is kept beside the moved one. TestEventBeforePause failed on the code before; found in the review.

--- a/internal/balance/stall.go
+++ b/internal/balance/stall.go
@@ -18,8 +18,8 @@
 type StallDetector struct {
 	groups   map[string]*groupProgress
 	lastTick time.Time
-	// events holds when each group sent its last event, for maxEventAge, also when it has no requests any more.
-	events map[string]time.Time
+	// events holds the last event of each group for maxEventAge, also when it has no requests any more.
+	events map[string]lastEvent
 }
 
 // groupProgress is the progress of one group.
@@ -35,6 +35,13 @@
 	started int
 }
 
+// lastEvent is when a group sent its last event.
+type lastEvent struct {
+	at time.Time
+	// moved is later than at by the time in which this process did not run since.
+	moved time.Time
+}
+
 // Track is one request at a group.
 type Track struct {
 	group string
@@ -74,7 +81,7 @@
 
 // NewStallDetector returns an empty StallDetector.
 func NewStallDetector() *StallDetector {
-	return &StallDetector{groups: map[string]*groupProgress{}, events: map[string]time.Time{}}
+	return &StallDetector{groups: map[string]*groupProgress{}, events: map[string]lastEvent{}}
 }
 
 // Begin starts to track a request sent to a group; limit is the group's Plan.StallTimeout.
@@ -101,7 +108,7 @@
 		return false
 	}
 	p.lastProgress, p.stalled, p.quiet = now, false, false
-	s.events[t.group] = now
+	s.events[t.group] = lastEvent{at: now, moved: now}
 	t.lastProgress, t.stalled = now, false
 	if t.started {
 		return false
@@ -139,10 +146,12 @@
 		gap = 0
 	}
 	s.lastTick = now
-	for name, at := range s.events {
-		if s.events[name] = at.Add(gap); now.Sub(at) > maxEventAge {
+	for name, e := range s.events {
+		if e.moved = e.moved.Add(gap); now.Sub(e.at) > maxEventAge {
 			delete(s.events, name)
+			continue
 		}
+		s.events[name] = e
 	}
 	for name, p := range s.groups {
 		p.lastProgress = p.lastProgress.Add(gap)
@@ -189,9 +198,11 @@
 
 // Works reports whether a group whose requests have the given limit has sent an event within its longest pass.
 func (s *StallDetector) Works(now time.Time, group string, limit time.Duration) bool {
-	at, ok := s.events[group]
-	return ok && now.Sub(at) <= time.Duration(float64(limit)/stallPasses)
+	e, ok := s.events[group]
+	return ok && now.Sub(e.moved) <= time.Duration(float64(limit)/stallPasses)
 }
 
 // EventSince reports whether a group has sent an event after a moment that is no longer ago than maxEventAge.
-func (s *StallDetector) EventSince(group string, at time.Time) bool { return s.events[group].After(at) }
+func (s *StallDetector) EventSince(group string, at time.Time) bool {
+	return s.events[group].at.After(at)
+}
--- a/internal/balance/stall_test.go
+++ b/internal/balance/stall_test.go
@@ -181,3 +181,20 @@
 		t.Errorf("the group counts as stalled after %v, want about twice the limit of %v", stalledAfter, limit)
 	}
 }
+
+// TestEventBeforePause guards against taking an event for a later one than a suspicion because this process was paused after both.
+func TestEventBeforePause(t *testing.T) {
+	s, start, limit := NewStallDetector(), time.Unix(1000, 0), 300*time.Millisecond
+	s.Tick(start)
+	s.Progress(start, s.Begin(start, "g", limit))
+	suspected := start.Add(2 * TickPeriod)
+	s.Tick(suspected)
+	back := suspected.Add(time.Second)
+	s.Tick(back)
+	if s.EventSince("g", suspected) {
+		t.Error("the event counts as later than the suspicion")
+	}
+	if !s.Works(back, "g", limit) {
+		t.Error("the pause counts as silence")
+	}
+}
