--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -61,26 +61,26 @@
 func (p *paths) doubt(service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.request(service, func() int { return p.tracker.Doubt(time.Now(), service) })
+	p.askIfDue(service, func() int { return p.tracker.Doubt(time.Now(), service) })
 }
 
-// request has the servers asked that sample counts, if there are any. p.mu is held.
-func (p *paths) request(service string, sample func() int) {
+// askIfDue has a sample of servers asked if one is due; due returns its size, or zero. p.mu is held.
+func (p *paths) askIfDue(service string, due func() int) {
 	if len(p.doubts) == cap(p.doubts) {
 		return
 	}
-	if n := sample(); n > 0 {
+	if n := due(); n > 0 {
 		p.verdicts[service] = make(chan struct{})
 		p.doubts <- sampleDue{service, n} // only this method sends, under the mutex
 	}
 }
 
-// verdict returns a channel that is closed when it is known whether there was a path to a service within the last age, or nil if
-// that is known.
-func (p *paths) verdict(service string, age time.Duration) <-chan struct{} {
+// checkRecent has servers asked unless one has responded within the last age. It returns a channel that is closed when it is known
+// whether there is a path, or nil if that is known.
+func (p *paths) checkRecent(service string, age time.Duration) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.request(service, func() int { return p.tracker.Verify(time.Now(), service, age) })
+	p.askIfDue(service, func() int { return p.tracker.Verify(time.Now(), service, age) })
 	return p.verdicts[service]
 }
 
@@ -106,7 +106,7 @@
 
 // verify waits until it is known whether there was a path to a service within the last age.
 func (p *paths) verify(ctx context.Context, service string, age time.Duration) {
-	awaitVerdict(ctx, p.verdict(service, age))
+	awaitVerdict(ctx, p.checkRecent(service, age))
 }
 
 func awaitVerdict(ctx context.Context, verdict <-chan struct{}) {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -348,7 +348,7 @@
 		}
 		// Without a path, another server would be as silent. A response that came in the last part of the silence shows that
 		// there is one.
-		if verdict := x.d.paths.verdict(x.service, latest.patience/3); verdict != nil {
+		if verdict := x.d.paths.checkRecent(x.service, latest.patience/3); verdict != nil {
 			select {
 			case a := <-p.ended:
 				return a
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -254,8 +254,8 @@
 // standby is an attempt that is prepared while the group of another one is silent.
 type standby struct {
 	cancel context.CancelCauseFunc
-	// alone is called when the silent attempt has ended: then an attempt that is under way goes on, and no other one is begun.
-	alone context.CancelFunc
+	// stopSeeking is called when the silent attempt has ended: then an attempt that is under way goes on, and no other one is begun.
+	stopSeeking context.CancelFunc
 	// attempt has begun to answer; it is nil if there is none. It is set before the task ends.
 	attempt *streamAttempt
 }
@@ -428,7 +428,7 @@
 		if err == nil {
 			other.cancel(&SupersededError{a.reserved.key})
 		} else {
-			other.alone()
+			other.stopSeeking()
 			a.detach()
 			a.reserved.release() // the group no longer works on the request
 		}
@@ -450,12 +450,12 @@
 	}
 	// The attempt outlives this context, which ends only the preparation.
 	preparation, cancel := context.WithCancelCause(ctx)
-	beside, alone := context.WithCancel(preparation)
-	other := &standby{cancel: cancel, alone: alone}
+	whileSilent, stopSeeking := context.WithCancel(preparation)
+	other := &standby{cancel: cancel, stopSeeking: stopSeeking}
 	s.standby = other
 	s.tasks.Go(func() error {
-		defer alone()
-		other.attempt = s.prepare(ctx, preparation, beside, a)
+		defer stopSeeking()
+		other.attempt = s.prepare(ctx, preparation, whileSilent, a)
 		return nil
 	})
 }
@@ -467,14 +467,14 @@
 )
 
 // prepare makes attempts at other groups until one has begun to answer, and cancels the silent attempt then. Where there is no place
-// for an attempt, it looks again until beside ends, which is when the silent attempt does.
-func (s *forwardedStream) prepare(ctx, preparation, beside context.Context, silent *streamAttempt) *streamAttempt {
+// for an attempt, it looks again until whileSilent ends, which is when the silent attempt does.
+func (s *forwardedStream) prepare(ctx, preparation, whileSilent context.Context, silent *streamAttempt) *streamAttempt {
 	x := s.x
 	for s.unsent < maxUnsent && preparation.Err() == nil && x.attemptLeft(1) {
 		// Without a path, an attempt at another group would be as silent. A response that came in the last part of the silence
 		// shows that there is one.
-		x.d.paths.verify(beside, x.service, silent.reserved.limit/3)
-		if beside.Err() != nil {
+		x.d.paths.verify(whileSilent, x.service, silent.reserved.limit/3)
+		if whileSilent.Err() != nil {
 			return nil
 		}
 		reserved, err := s.seek(preparation, silent.reserved.limit)
@@ -491,7 +491,7 @@
 			if len(s.handedTo) > 0 {
 				s.handedTo, pause = nil, maxStandbyRetry // they may have room, or a path, then
 			}
-			if timer.Wait(beside, pause) != nil {
+			if timer.Wait(whileSilent, pause) != nil {
 				return nil
 			}
 			continue
@@ -513,7 +513,7 @@
 			return a
 		}
 		s.settle(preparation, a, err)
-		if reserved.peer != "" && timer.Wait(beside, standbyRetry) != nil {
+		if reserved.peer != "" && timer.Wait(whileSilent, standbyRetry) != nil {
 			return nil
 		}
 	}
