Take SIGHUP for a reload until the process has ended

A daemon that was about to end, after a planned stop or a check of its settings, was killed by the signal to read its settings again: the handler was removed before the end of the process, and the default action of SIGHUP is to end it.

The handler stays. Seen once as a failure of TestHangupDuringStart beside a load of 40 (the signal was delivered after the handler had been removed).

--- a/cmd/flamingod/entry.go
+++ b/cmd/flamingod/entry.go
@@ -30,10 +30,9 @@
 }
 
 func runEntry(_ context.Context, c *cli.Command) error {
-	// A signal that arrives before would end the process.
+	// Without this, the signal would end the process. It stays so to the end, as the signal may come in the last moment.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	file := c.Args().First()
 	if file == "" {
 		file = os.Getenv(settingsVariable)
