End the soak's proxies in the silence of a daemon's path

The fault of the silence waited for the server, whose replacement waited for the connections of its old proxy, which waited for the silence to end.

A proxy that ends holds nothing any more. TestProxyEndsInSilence: on the code before, the proxy had not ended after 5 s.

--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sys/unix"
 
 	"flamingorudder.example/internal/fakeplatform"
+	"flamingorudder.example/internal/timer"
 )
 
 var t0 = time.Date(2028, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -684,3 +685,49 @@
 		t.Error(err)
 	}
 }
+
+// TestProxyEndsInSilence guards against a run that never ends because the proxy of a server that is replaced waits for the end of a
+// daemon's silence, whose fault waits for the server.
+func TestProxyEndsInSilence(t *testing.T) {
+	l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	const daemon = "this process"
+	silent := &cuts{harms: map[string]Harm{daemon: Drop}, pids: func() map[string]int { return map[string]int{daemon: os.Getpid()} }}
+	p, stop, err := newFleet(Options{}).proxy(netip.MustParseAddrPort(l.Addr().String()), silent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp4", p.Addr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := l.Accept(); err != nil { // the proxy passes the connection on
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "x"); err != nil {
+		t.Fatal(err)
+	}
+	if err := timer.Wait(t.Context(), 4*cutPeriod); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	var g errgroup.Group
+	g.Go(func() error {
+		stop()
+		close(ended)
+		return nil
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		silent.set(daemon, Clear)
+		t.Error("the proxy has not ended")
+	}
+	_ = g.Wait() // its task returns no error
+}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -147,7 +147,7 @@
 		switch {
 		case harm == Drop:
 			<-changed
-		case p.cuts.harm(owner) == Drop:
+		case harm != Reset && p.cuts.harm(owner) == Drop: // a proxy that ends resets its connections
 			_ = timer.Wait(context.Background(), cutPeriod) // never ends early
 		default:
 			return
