--- a/internal/entry/silent_test.go
+++ b/internal/entry/silent_test.go
@@ -303,3 +303,45 @@
 		})
 	}
 }
+
+// TestSilentGroupTriedOnce guards against sending all requests to the last group of a model while it is silent, where they would wait for
+// nothing if it is dead, and against rejecting them once it has gone on.
+func TestSilentGroupTriedOnce(t *testing.T) {
+	t.Parallel()
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, onceRoute)))
+	u := startDaemon(t, store, "a")
+	var arrived atomic.Int32
+	goOn := make(chan struct{})
+	u.putServer("i-1", "llm", backendServer(t, func(c net.Conn, r *http.Request) {
+		arrived.Add(1)
+		<-goOn
+		(&streamer{}).serve(t)(c, r)
+	}), fmt.Sprintf(openGroup, 1))
+	u.waitReady()
+	waiting := make(chan reply, 2)
+	send := func(id string) reply {
+		return u.do(http.MethodPost, "/once/", "k1", "x", "X-Flamingorudder-Request-Id", id, "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20")
+	}
+	go func() { waiting <- send("first") }()
+	eventually(t, "the daemon finds the group silent", func() bool {
+		p := u.d.dispatch
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.suspects) == 1
+	})
+	go func() { waiting <- send("try") }()
+	eventually(t, "one request tries the group", func() bool { return arrived.Load() == 2 })
+	if r := send("another"); r.status != http.StatusServiceUnavailable || r.h.Get("Retry-After") == "" {
+		t.Errorf("another request meanwhile: reply %+v, want 503 with Retry-After", r)
+	}
+	close(goOn)
+	for range 2 {
+		if r := <-waiting; r.status != http.StatusOK {
+			t.Errorf("a request that waited: reply %+v", r)
+		}
+	}
+	if r := send("later"); r.status != http.StatusOK {
+		t.Errorf("a request after the silence: reply %+v", r)
+	}
+}
