Have members leave the group of a head out of reach before they join another

Cause: a member became free by what the holder thought of the head. Three of these thoughts prove nothing: that no rank 0 is known (a holder that has just started never heard of a head whose entry has lapsed), that a known head is no longer listed or remembered, and that the entry has lapsed while no daemon gets an answer. If all daemons are killed, nobody is left who could tell the new holder, so asking others doesn't mend it. The members are left, and they can be asked.

Now a member is free without its own word only if its head answers that it is elsewhere, or another process has its address or its id. In all other cases members are told to leave first. A head that lives finds its group broken within the stall time; it never serves with a member of another group. What the holder waits for before it decides is unchanged. A report without a group counts before an entry that still shows the group that the server has left, so the members are free a read of the entries earlier.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -86,6 +86,8 @@
 	reported bool
 	// fastReportsUntil is until when an order may still show its effect. Reports lag by a few hundred milliseconds.
 	fastReportsUntil time.Time
+	// leftEpoch is the epoch of the last group that the backend server was ordered to leave and has left.
+	leftEpoch int64
 	// changed is when the reported membership last changed, busySince when the backend server began the order that it is
 	// executing; zero while it executes none.
 	changed, busySince time.Time
@@ -393,8 +395,9 @@
 		return m
 	}
 	s := *m.Server
-	// An entry that is read after a report may still be older than it. Only a later epoch shows that it is newer.
-	if s.Epoch <= q.report.Membership.Epoch || s.Group == "" {
+	// An entry that is read after a report may still be older than it. Only a later epoch shows that it is newer, unless the server has
+	// left that group since.
+	if s.Epoch <= max(q.report.Membership.Epoch, q.leftEpoch) || s.Group == "" {
 		s.Staged, s.Model, s.Membership = q.report.Staged, q.report.Model, q.report.Membership
 	}
 	m.Server = &s
@@ -602,6 +605,9 @@
 			q.next = soon
 		}
 		q.fastReportsUntil = now.Add(effectWait)
+		if err == nil && o.Operation == platform.Leave && (out == platform.Accepted || out == platform.AlreadyApplied) {
+			q.leftEpoch = max(q.leftEpoch, o.Epoch)
+		}
 		switch {
 		case err != nil:
 		case out == platform.Accepted:
--- a/internal/entry/verdict_test.go
+++ b/internal/entry/verdict_test.go
@@ -73,7 +73,7 @@
 		}
 		body, _ := io.ReadAll(r.Body)
 		s.mu.Lock()
-		silent := s.silent
+		silent, group := s.silent, s.group
 		s.mu.Unlock()
 		if silent != nil {
 			select {
@@ -85,11 +85,14 @@
 		if platform.IsOrderRequest(r) {
 			s.mu.Lock()
 			s.orders = append(s.orders, string(body))
+			if strings.HasPrefix(string(body), `{"operation":"leave"`) {
+				s.group = "null"
+			}
 			s.mu.Unlock()
 			writeAnswer(c, r, http.StatusAccepted, "")
 			continue
 		}
-		writeAnswer(c, r, http.StatusOK, `{"born":1,"models":[{"name":"m"}],"staged":["m"],"group":`+s.group+`}`)
+		writeAnswer(c, r, http.StatusOK, `{"born":1,"models":[{"name":"m"}],"staged":["m"],"group":`+group+`}`)
 	}
 }
 
@@ -115,11 +118,11 @@
 	}
 }
 
-// isSilent reports whether the server is silent, and so does not renew its entry.
-func (s *quietServer) isSilent() bool {
+// state returns the group that the server reports, and whether it is silent, and so does not renew its entry.
+func (s *quietServer) state() (group string, silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.silent != nil
+	return s.group, s.silent != nil
 }
 
 // verdictFleet is seven daemons, all of which the holder of the lease may ask, and groups of two backend servers.
@@ -176,9 +179,9 @@
 func (f *verdictFleet) putAll() {
 	f.beat++
 	for _, s := range f.servers {
-		if !s.isSilent() {
+		if group, silent := s.state(); !silent {
 			f.store.Put("servers", s.id, []byte(fmt.Sprintf(`{"service":"llm","address":%q,"zone":"dc","slots":8,"state":"ready","born":1,"sequence":%d,"models":[{"name":"m"}],"domain":"d","staged":["m"],"group":%s}`,
-				s.listener.Addr(), f.beat, s.group)))
+				s.listener.Addr(), f.beat, group)))
 		}
 	}
 }
@@ -265,7 +268,7 @@
 }
 
 // TestStandingHeadLosesItsMembers guards against members joining another group while their head, whose entry is renewed, only stands
-// still, however long, and against keeping them once its entry has lapsed.
+// still, however long, against keeping them once its entry has lapsed, and against having them join before they have left.
 func TestStandingHeadLosesItsMembers(t *testing.T) {
 	t.Parallel()
 	f := newVerdictFleet(t, false)
@@ -285,7 +288,15 @@
 		f.store.Remove("servers", s.id)
 	}
 	eventually(t, "the members join another group", func() bool {
+		f.putAll()
 		o := strings.Join(f.orders(), "\n")
 		return strings.Contains(o, `i-0-1: {"operation":"join"`) && strings.Contains(o, `i-1-1: {"operation":"join"`)
 	})
+	for _, member := range []*quietServer{f.servers[1], f.servers[3]} {
+		member.mu.Lock()
+		if o := member.orders; !strings.HasPrefix(o[0], `{"operation":"leave"`) {
+			t.Errorf("orders to %s: %q, want it to leave its group first", member.id, o)
+		}
+		member.mu.Unlock()
+	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -169,8 +169,9 @@
 	// members are the backend servers that this planner ordered to form the group. It is empty for groups formed under
 	// an earlier holder of the lease.
 	members []string
-	// head is the backend server that reported rank 0.
-	head string
+	// head is the backend server that reported rank 0, headBorn its lifetime.
+	head     string
+	headBorn int64
 	// stalledSince is when the group was first found broken with a head that does not respond.
 	stalledSince time.Time
 	// lastSeen is when the group was formed or a member last reported it.
@@ -385,7 +386,7 @@
 		}
 		g.members[m.Rank] = m
 		if m.Rank == 0 {
-			g.head = m.ID
+			g.head, g.headBorn = m.ID, m.Born
 		}
 		if model := p.engine.Model(m.Model); model != nil {
 			g.model = model
@@ -417,11 +418,14 @@
 	}
 	// The group cannot become complete. Its head must leave first, and only then may the others join another group.
 	switch {
-	case head == nil && g.head != "":
-		// The head has left or has been forgotten.
+	case head == nil && p.headIsDone(g, in.Servers):
 		return nil, false
+	case head == nil && g.head != "":
+		return p.dismiss(now, g, "the head is lost"), false
+	case head == nil && g.maybeRunning(now, in):
+		return nil, true
 	case head == nil:
-		return nil, g.maybeRunning(now, in)
+		return p.dismiss(now, g, "the head is unknown"), false
 	case head.Responding:
 		if _, ok := p.pending[head.ID]; ok {
 			return nil, true
@@ -433,8 +437,10 @@
 			return []Order{p.newOrder(head, g, platform.CloseHead, "a member drains")}, true
 		}
 		return []Order{p.newOrder(head, g, platform.Leave, "a member is lost")}, true
-	case head.dead(now, &in):
+	case head.Ended:
 		return nil, false
+	case head.dead(now, &in):
+		return p.dismiss(now, g, "the head is lost"), false
 	}
 	// The head may be running although it does not respond. A head that left in order first finishes its requests. One whose
 	// entry is listed has renewed it not long ago, and the entry says when it finds its group broken.
@@ -443,7 +449,37 @@
 	} else if in.EntriesCurrent && head.Membership.State != roster.Broken {
 		return nil, true
 	}
-	return nil, g.maybeRunning(now, in)
+	if g.maybeRunning(now, in) {
+		return nil, true
+	}
+	return p.dismiss(now, g, "the head is silent"), false
+}
+
+// headIsDone reports whether the head of a group is known to have left it or to have ended.
+func (p *Planner) headIsDone(g *group, servers []*ServerStatus) bool {
+	i := slices.IndexFunc(servers, func(m *ServerStatus) bool { return m.ID == g.head })
+	if i < 0 {
+		return false // it may go on, although no daemon knows it any more
+	}
+	m := servers[i]
+	return m.Ended || m.Born != g.headBorn || m.Reported && m.Responding
+}
+
+// dismiss returns the orders by which the members of a group leave it whose head is out of reach. Neither a lapsed entry nor refused
+// connections prove that such a head has ended: it may be cut off from the store and from all daemons, and still serve with its
+// members. Only a member's own word makes it free. The order stays pending until then, which keeps the member out of other groups.
+func (p *Planner) dismiss(now time.Time, g *group, why string) []Order {
+	var orders []Order
+	for _, rank := range slices.Sorted(maps.Keys(g.members)) {
+		m := g.members[rank]
+		if _, ok := p.pending[m.ID]; ok || !m.Responding {
+			continue
+		}
+		o := p.newOrder(m, g, platform.Leave, why)
+		p.addPending(now, o)
+		orders = append(orders, o)
+	}
+	return orders
 }
 
 // canDrain reports whether the head may finish the requests of a group that is to close: all members still work, and
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -29,8 +29,9 @@
 type fakeServer struct {
 	ServerStatus
 	alive, listed bool
-	// unreachable is set while neither requests for its report nor orders reach it.
-	unreachable bool
+	// unreachable is set while neither requests for its report nor orders reach it. forgotten is set while a holder that has started
+	// since its entry lapsed does not know it.
+	unreachable, forgotten bool
 	// readyAt is when a join completes, and stagedAt is when the weights are on the host.
 	readyAt, stagedAt time.Time
 	staging           string
@@ -90,7 +91,7 @@
 	var servers []*ServerStatus
 	for _, s := range f.servers {
 		f.advance(s)
-		if s.removed {
+		if s.forgotten = s.forgotten && !s.listed; s.removed || s.forgotten {
 			continue
 		}
 		if s.alive && !s.unreachable {
@@ -117,6 +118,14 @@
 	}
 }
 
+// replaceHolder has another daemon take the lease, which knows only the backend servers whose entries are listed.
+func (f *fleet) replaceHolder() {
+	f.planner = New(f.engine, f.planner.token+1, f.now)
+	for _, s := range f.servers {
+		s.forgotten = !s.listed
+	}
+}
+
 func (f *fleet) advance(s *fakeServer) {
 	if !s.alive {
 		if f.now.Sub(s.lastHeard) > 4*time.Second && s.listed {
@@ -407,8 +416,8 @@
 	}
 }
 
-// TestRandomFailures simulates lost and disconnected backend servers, new ones and changes of the lease holder, from
-// random seeds. The simulated backend servers check that no member leaves an open group for another one, and that no
+// TestRandomFailures simulates backend servers that are lost, cut off from the store, from the daemons or from both, new ones and changes
+// of the lease holder, from random seeds. The simulated backend servers check that no member leaves an open group for another one, and that no
 // group opens without all its members.
 func TestRandomFailures(t *testing.T) {
 	for seed := range uint64(60) {
@@ -418,11 +427,10 @@
 		f.in.StartingUp = false
 		f.in.Pressure = map[string]float64{"large": r.Float64() * 2, "small": r.Float64() * 2}
 		f.in.UrgentModel = "small"
-		token := int64(1)
 		for range 600 {
 			if r.IntN(25) == 0 {
 				s := f.servers[r.IntN(len(f.servers))]
-				switch r.IntN(5) {
+				switch r.IntN(7) {
 				case 0, 1:
 					s.alive, s.open = false, false
 				case 2:
@@ -433,17 +441,61 @@
 					}
 				case 4:
 					f.add(fmt.Sprintf("d%d", r.IntN(3)))
+				case 5:
+					s.unreachable = !s.unreachable
+				case 6:
+					s.unreachable, s.listed = s.alive, false
 				}
 			}
 			if r.IntN(150) == 0 {
-				token++
-				f.planner = New(f.engine, token, f.now)
+				f.replaceHolder()
 			}
 			f.step(func() bool { return r.IntN(10) == 0 })
 		}
 	}
 }
 
+// TestMembersLeaveHeadOutOfReach guards against members joining another group while their head is open, because the holder of the lease
+// does not know or reach it: it is cut off from the store, and the holder has started since or does not reach it either. The members
+// must be in use again soon after the time in which a head finds its group broken.
+func TestMembersLeaveHeadOutOfReach(t *testing.T) {
+	for name, lose := range map[string]func(*fleet, *fakeServer){
+		"lapsed, then the holder is replaced": func(f *fleet, head *fakeServer) {
+			head.listed = false
+			f.replaceHolder()
+		},
+		"lapsed and out of reach": func(_ *fleet, head *fakeServer) { head.listed, head.unreachable = false, true },
+		"out of reach, then lapsed, then the holder is replaced": func(f *fleet, head *fakeServer) {
+			head.unreachable = true
+			f.run(3 * time.Second)
+			head.listed = false
+			f.replaceHolder()
+		},
+		"known to the new holder, forgotten later": func(f *fleet, head *fakeServer) {
+			f.replaceHolder()
+			f.run(time.Second)
+			head.removed = true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1, 9)
+			f.engine.Models = f.engine.Models[:1]
+			f.run(8 * time.Second)
+			f.in.StartingUp = false
+			f.run(8 * time.Second)
+			head := f.servers[slices.IndexFunc(f.servers, func(s *fakeServer) bool { return s.open })]
+			members, epoch := head.members[1:], head.Epoch
+			lose(f, head)
+			f.run(f.in.Stall + 3*time.Second) // execute fails the test if a member joins another group while it is in this one
+			for _, id := range members {
+				if s := f.find(id); s.Epoch == epoch {
+					t.Errorf("%s is still a member of the group of the lost head", id)
+				}
+			}
+		})
+	}
+}
+
 // TestEveryModelGetsAGroup guards against a model that is never served because all hosts were given to the model whose
 // requests arrived first. A soak test (seed 307, 12 s) rejected every request for one of two models because of this.
 func TestEveryModelGetsAGroup(t *testing.T) {
