Take refused connections for the end of a server only once its entry is late

Cause: the holder set "ended" when connections to a server were refused and no other daemon reached it, and the planner took that for proof. A refusal proves that the path answers with a reset; a firewall or a router does the same for a server that lives. Silent cuts of the same servers hold, since silence already waited for the entry. Refusals by all daemons that were asked don't tell the two apart either: the cut is in front of the server.

Now the refusal is a fact of its own. Together with two heartbeats that are missing (the bound within which a live server renews, one less than the lapse that silence needs) it counts as the end; a renewed entry outweighs it. "Ended" is left for what proves it: another process at the address, by its start time or by an order that it rejects as not meant for it. A member that refuses still counts as lost for its group at once: its head is told to leave, which breaks no rule, and a crash is far more often the cause.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -100,9 +100,10 @@
 	asked       bool
 	// relayed is set if the last report came through another daemon: it is known that only this one does not reach the server.
 	relayed bool
-	// ended is set when the process is known to have ended while its entry was listed.
-	ended  bool
-	asking bool
+	// ended is set when the process is known to have ended. refused is set when its address refused connections, to all daemons that
+	// were asked, while its entry was listed.
+	ended, refused bool
+	asking         bool
 }
 
 // ReplacedError reports that another process now runs at a backend server's address.
@@ -330,16 +331,16 @@
 		}
 		// Missing heartbeats mean something only while all of them are read, and only since then. Some stores show no heartbeats at
 		// all, only that an entry lapses without them.
-		silence, back := outageSilence, v.StoreRecovered
+		silence, refusal, back := outageSilence, outageSilence, v.StoreRecovered
 		if d.storeOK.Load() && !v.RenewalsHidden && now.Sub(v.HeartbeatSeen) <= d.heartbeatTimeout() {
-			silence = lapseHeartbeats * d.settings().HeartbeatPeriod
+			silence, refusal = lapseHeartbeats*d.settings().HeartbeatPeriod, d.heartbeatTimeout()
 		}
 		if v.RenewalsVisibleSince.After(back) {
 			back = v.RenewalsVisibleSince
 		}
 		orders := p.Step(now, replica.Input{
 			Pressure: pressure, UrgentModel: urgent,
-			Servers: members, RenewalTimeout: silence, EntriesCurrent: d.storeOK.Load(), StoreRecovered: back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, LoadWindow: d.settings().LoadWindow, StartingUp: early && len(pressure) == 0,
+			Servers: members, RenewalTimeout: silence, RefusedTimeout: refusal, EntriesCurrent: d.storeOK.Load(), StoreRecovered: back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, LoadWindow: d.settings().LoadWindow, StartingUp: early && len(pressure) == 0,
 			DemandLag: d.demandLag(now),
 		})
 		for _, o := range orders {
@@ -390,7 +391,7 @@
 
 // mergeReport adds the report of a backend server to a member made from its entry; the newer of the two decides.
 func (l *leader) mergeReport(m *replica.ServerStatus, q *reportPoll) *replica.ServerStatus {
-	m.Reported, m.Responding, m.Ended, m.Unreachable = q.reported, q.failures < maxReportFailures, q.ended, q.relayed
+	m.Reported, m.Responding, m.Ended, m.Refused, m.Unreachable = q.reported, q.failures < maxReportFailures, q.ended, q.refused, q.relayed
 	if !q.reported {
 		return m
 	}
@@ -411,7 +412,7 @@
 		return
 	}
 	q.asking = true
-	late := !listed || q.ended || !q.silentSince.IsZero() && now.Sub(q.silentSince) >= soundSilence
+	late := !listed || q.ended || q.refused || !q.silentSince.IsZero() && now.Sub(q.silentSince) >= soundSilence
 	// The first time, other daemons are asked because they may reach the server.
 	ask := q.failures == maxReportFailures-1 && (late || !q.asked)
 	ok := l.calls.TryGo(func() error {
@@ -443,12 +444,12 @@
 		}
 		// A backend server that leaves may stop listening before it has finished its requests.
 		if errors.Is(err, syscall.ECONNREFUSED) && lost && listed && s.State == roster.Ready {
-			q.ended = true
+			q.refused = true
 		}
 		var pause *platform.PauseError
 		if errors.As(err, &pause) {
 			// The backend server is alive but asks for a pause in requests.
-			q.failures, q.ended, q.next = 0, false, now.Add(pause.Pause)
+			q.failures, q.ended, q.refused, q.next = 0, false, false, now.Add(pause.Pause)
 			return nil
 		}
 		if err != nil && q.failures == maxReportFailures-1 && !lost && l.d.isListed(s) {
@@ -469,7 +470,7 @@
 		if q.failures >= maxReportFailures {
 			l.d.log.Info("backend server answers again", "id", s.ID)
 		}
-		q.failures, q.ended = 0, false
+		q.failures, q.ended, q.refused = 0, false, false
 		q.next = now.Add(reportPeriod)
 		if r.Membership != q.report.Membership {
 			q.changed = now
--- a/internal/entry/verdict_test.go
+++ b/internal/entry/verdict_test.go
@@ -96,6 +96,17 @@
 	}
 }
 
+// refuse ends all connections and has new ones refused.
+func (s *quietServer) refuse() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		_ = c.SetLinger(0)
+		_ = c.Close() // fails on those that are closed
+	}
+}
+
 // setSilent begins a silence, or ends it.
 func (s *quietServer) setSilent(t *testing.T, silent, dark bool) {
 	s.mu.Lock()
@@ -300,3 +311,37 @@
 		member.mu.Unlock()
 	}
 }
+
+// TestRefusingHeadKeepsItsMembers guards against members joining another group because new connections to their heads are refused, as
+// a path that is cut off on the way does it, though the heads renew their entries, and against keeping them once they do not.
+func TestRefusingHeadKeepsItsMembers(t *testing.T) {
+	t.Parallel()
+	f := newVerdictFleet(t, true)
+	f.run(2 * time.Second) // until heartbeats have been seen
+	heads, ids := []*quietServer{f.servers[0], f.servers[2]}, []string{"i-0-0", "i-1-0"}
+	for _, s := range heads {
+		s.refuse()
+	}
+	f.run(6*time.Second, "g0", "g1")
+	if lost := f.lost(); !slices.Equal(lost, ids) {
+		t.Errorf("%v count as lost, want the heads that refuse", lost)
+	}
+	if o := f.orders(); len(o) > 0 {
+		t.Fatalf("orders while the heads renew their entries: %q", o)
+	}
+	for _, s := range heads {
+		s.setSilent(t, true, false)
+	}
+	stopped := time.Now()
+	for len(f.orders()) < 2 && time.Since(stopped) < 10*time.Second {
+		f.run(100 * time.Millisecond)
+	}
+	if most := f.holder.d.heartbeatTimeout() + time.Second; time.Since(stopped) > most {
+		t.Errorf("the members are told to leave %v after the last heartbeats, want at most %v", time.Since(stopped), most)
+	}
+	for i, o := range f.orders() {
+		if want := fmt.Sprintf(`i-%d-1: {"operation":"leave"`, i); !strings.HasPrefix(o, want) {
+			t.Errorf("order %q, want %s", o, want)
+		}
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -36,8 +36,11 @@
 	Orders int64
 	// Responding is false when the backend server has not responded for a while.
 	Responding bool
-	// Ended is set when its process is known to have ended.
+	// Ended is set when its process is known to have ended: another one has its address.
 	Ended bool
+	// Refused is set when its address refuses connections, to all daemons that were asked. A path that is cut off on the way may do the
+	// same, so that its entry decides.
+	Refused bool
 	// Listed is false when its entry was removed.
 	Listed bool
 	// Reported is set when a report of this lifetime was received.
@@ -62,8 +65,8 @@
 }
 
 // dead reports whether a backend server has ended, or neither responds nor renews its entry, so that it has lapsed or is about to. A
-// head that only stands still may go on, however many daemons it does not answer. A draining one may do neither and still finish its
-// requests, so it does not count as dead.
+// head that only stands still may go on, however many daemons it does not answer or however many it refuses. A draining one may do
+// neither and still finish its requests, so it does not count as dead.
 func (m *ServerStatus) dead(now time.Time, in *Input) bool {
 	if m.Responding || m.State != roster.Ready {
 		return false
@@ -72,18 +75,21 @@
 		return true
 	}
 	if !m.Listed {
-		return m.Expired
+		return m.Expired || m.Refused
 	}
 	return !m.renewed(now, in)
 }
 
 // renewed reports whether the entry of a backend server has been renewed in time, as far as its renewals can be seen.
 func (m *ServerStatus) renewed(now time.Time, in *Input) bool {
-	last := m.RenewedAt
+	last, timeout := m.RenewedAt, in.RenewalTimeout
 	if in.StoreRecovered.After(last) {
 		last = in.StoreRecovered
 	}
-	return now.Sub(last) <= in.RenewalTimeout
+	if m.Refused {
+		timeout = in.RefusedTimeout
+	}
+	return now.Sub(last) <= timeout
 }
 
 // presumeAlive returns the backend servers as they are taken to be. While most of them do not respond, it is more likely that the
@@ -211,6 +217,8 @@
 	// RenewalTimeout is the longest time between two renewals of the entry of a live backend server. It is longer than
 	// any outage while the store does not answer, since entries cannot be renewed then, and while it shows no renewals.
 	RenewalTimeout time.Duration
+	// RefusedTimeout replaces it for a backend server that refuses connections. One that is sound answers.
+	RefusedTimeout time.Duration
 	// EntriesCurrent is set while the store answers. It then removes the entry of a backend server that has not renewed it for a
 	// few heartbeats.
 	EntriesCurrent bool
