Tell a new holder of the lease which entries were removed before it started

The other daemons knew the head and its address.

What another daemon tells is hearsay: it need not know whether an entry lapsed or its server left in order, so such a head that does not answer is waited for as one that no one knows, not longer. A daemon of an earlier build answers the new path with its whole state, in which the field is missing; it never asks. If no daemon knows the head, all is as before: its members leave after the stall time.

Evidence: TestNewHolderKnowsLapsedHead, TestDeparturesOfAnotherDaemon, a case of TestMembersLeaveHeadOutOfReach.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -311,6 +311,13 @@
 		l.token = token
 		clear(l.planners)
 		clear(l.polls)
+		// Heads whose entries lapsed while this daemon did not read may still serve.
+		if !l.calls.TryGo(func() error {
+			d.feed.learnDepartures(ctx)
+			return nil
+		}) {
+			d.log.Warn("no call is free to ask other daemons for removed entries")
+		}
 	}
 	early := d.settings().FirstStart && !d.served.Load()
 	for i := range c.Services {
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -943,6 +943,8 @@
 	Following bool `cbor:"following"`
 	// WithHeartbeats is set if Servers include changes that are only heartbeats.
 	WithHeartbeats bool `cbor:"whole,omitempty"`
+	// Departures are the entries that were removed lately. Only the response to pathDeparted has them.
+	Departures []roster.Departure `cbor:"departures,omitempty"`
 }
 
 func (s *peerState) position() era.Position { return era.Position{Era: s.Era, Version: s.Version} }
@@ -986,7 +988,11 @@
 	if newer {
 		out.Compressed = f.compressConfig()
 	}
-	if r.URL.Path != pathConfig {
+	switch r.URL.Path {
+	case pathConfig:
+	case pathDeparted:
+		out.Departures = f.tracker.Departures(time.Now())
+	default:
 		for _, row := range f.rawServers {
 			if (row.changed > after || renewals && row.Version > after) && (after >= 0 || !row.Removed) {
 				out.Servers = append(out.Servers, row)
@@ -1024,11 +1030,12 @@
 	return f.compressedConfig
 }
 
-// Paths for peers: the complete state, the entries changed since a version, the configuration alone.
+// Paths for peers: the complete state, the entries changed since a version, the configuration alone, the entries removed lately.
 const (
-	pathAll     = "/all"
-	pathServers = "/servers"
-	pathConfig  = "/config"
+	pathAll      = "/all"
+	pathServers  = "/servers"
+	pathConfig   = "/config"
+	pathDeparted = "/departed"
 )
 
 // pollPeers gets the configuration and the entries from peers when reads of the store are overdue or a peer has a newer
@@ -1104,6 +1111,29 @@
 	}
 }
 
+// learnDepartures asks a few daemons for the entries that were removed before this one began to read. Daemons of an earlier build tell
+// none.
+func (f *storeSync) learnDepartures(ctx context.Context) {
+	peers := f.d.livePeers(time.Now())
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, m := range peers[:min(len(peers), maxProbers)] {
+		in, err := f.fetch(ctx, m.PeerAddr, pathDeparted)
+		if err != nil {
+			if ctx.Err() == nil {
+				f.d.log.Warn("cannot fetch removed entries from a peer", "peer", m.Name, "error", err)
+			}
+			continue
+		}
+		now := time.Now()
+		f.mu.Lock()
+		if f.tracker.AddDepartures(now, in.Departures) {
+			f.d.log.Info("removed entries learnt from a peer", "peer", m.Name, "entries", len(in.Departures))
+			f.publishView(now)
+		}
+		f.mu.Unlock()
+	}
+}
+
 // changesPath returns the path for all changes after a position.
 func (f *storeSync) changesPath(after era.Position) string {
 	return fmt.Sprintf("%s?after=%d&era=%d&config=%d", pathServers, after.Version, after.Era, f.configVersion())
--- a/internal/entry/verdict_test.go
+++ b/internal/entry/verdict_test.go
@@ -345,3 +345,28 @@
 		}
 	}
 }
+
+// TestNewHolderKnowsLapsedHead guards against a holder that has started after the entry of a head lapsed, does not know the head and so
+// lets its members wait until they are told to leave, while the head serves on.
+func TestNewHolderKnowsLapsedHead(t *testing.T) {
+	t.Parallel()
+	f := newVerdictFleet(t, false)
+	f.run(3 * time.Second) // a lapse counts only a while after the daemons have begun to read
+	head := f.servers[0]
+	f.store.Remove("servers", head.id)
+	eventually(t, "the entry is gone", func() bool { return f.holder.d.view.Load().Departed[head.id] != nil })
+	late := startDaemon(t, f.store, "late")
+	late.waitReady()
+	eventually(t, "the daemon hears others", func() bool { return len(late.d.livePeers(time.Now())) > 0 })
+	if late.d.view.Load().Departed[head.id] != nil {
+		t.Fatal("the daemon that has just started knows the head already")
+	}
+	late.d.feed.learnDepartures(t.Context())
+	v := late.d.view.Load()
+	if s, want := v.Departed[head.id], f.holder.d.view.Load().Departed[head.id]; s == nil || s.Addr != want.Addr || s.Born != want.Born || s.Membership != want.Membership || s.Service != want.Service {
+		t.Errorf("the daemon knows %+v of the head, want %+v", s, want)
+	}
+	if v.Servers["i-1-0"] == nil || len(v.Departed) != 1 {
+		t.Errorf("%d listed and %d removed servers, want 15 and 1", len(v.Servers), len(v.Departed))
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -453,7 +453,9 @@
 	// The head may be running although it does not respond. A head that left in order first finishes its requests. One whose
 	// entry is listed has renewed it not long ago, and the entry says when it finds its group broken.
 	if !head.Listed {
-		in.Stall += leaveGrace
+		if !head.Hearsay {
+			in.Stall += leaveGrace
+		}
 	} else if in.EntriesCurrent && head.Membership.State != roster.Broken {
 		return nil, true
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -103,7 +103,7 @@
 			s.RenewedAt = f.now
 		}
 		entry.RenewedAt = s.RenewedAt
-		entry.Expired = !s.listed
+		entry.Expired = !s.listed && !s.Hearsay
 		m.Server = &entry
 		m.Listed = s.listed
 		m.Responding = f.now.Sub(s.lastHeard) < 500*time.Millisecond
@@ -471,6 +471,11 @@
 			head.listed = false
 			f.replaceHolder()
 		},
+		"lapsed, then the holder is replaced, which hears of it and does not reach it": func(f *fleet, head *fakeServer) {
+			head.listed, head.unreachable = false, true
+			f.replaceHolder()
+			head.forgotten, head.Hearsay = false, true
+		},
 		"known to the new holder, forgotten later": func(f *fleet, head *fakeServer) {
 			f.replaceHolder()
 			f.run(time.Second)
--- a/internal/roster/tracker.go
+++ b/internal/roster/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/netip"
 	"reflect"
 	"slices"
 	"time"
@@ -301,6 +302,56 @@
 	delete(t.expired, id)
 }
 
+// Departure is what one daemon tells another of a removed entry: enough to ask the backend server for its state. Fields may be added.
+type Departure struct {
+	ID       string         `cbor:"id"`
+	Service  string         `cbor:"service"`
+	Addr     netip.AddrPort `cbor:"addr"`
+	Born     int64          `cbor:"born"`
+	Draining bool           `cbor:"draining,omitempty"`
+	Group    string         `cbor:"group,omitempty"`
+	Epoch    int64          `cbor:"epoch,omitempty"`
+	Rank     int            `cbor:"rank,omitempty"`
+	State    GroupState     `cbor:"state,omitempty"`
+	// Age is the time since the removal.
+	Age time.Duration `cbor:"age"`
+}
+
+// Departures returns the entries that were removed lately, sorted by id.
+func (t *Tracker) Departures(now time.Time) []Departure {
+	out := make([]Departure, 0, len(t.departed))
+	for _, id := range slices.Sorted(maps.Keys(t.departed)) {
+		d := t.departed[id]
+		s := d.server
+		out = append(out, Departure{
+			ID: id, Service: s.Service, Addr: s.Addr, Born: s.Born, Draining: s.State == Draining,
+			Group: s.Group, Epoch: s.Epoch, Rank: s.Rank, State: s.Membership.State, Age: now.Sub(d.at),
+		})
+	}
+	return out
+}
+
+// AddDepartures adds entries that were removed before this daemon began to read, as another one tells. They do not replace what this
+// daemon has read itself. It reports whether the view changes.
+func (t *Tracker) AddDepartures(now time.Time, all []Departure) (changed bool) {
+	for _, d := range all {
+		_, known := t.departed[d.ID]
+		if known || t.servers[d.ID] != nil || d.Age < 0 || d.Age > departedRetention {
+			continue
+		}
+		s := &Server{
+			ID: d.ID, Service: d.Service, Addr: d.Addr, Born: d.Born, Hearsay: true,
+			Membership: Membership{Group: d.Group, Epoch: d.Epoch, Rank: d.Rank, State: d.State},
+		}
+		if d.Draining {
+			s.State = Draining
+		}
+		t.departed[d.ID] = departure{s, now.Add(-d.Age)}
+		changed = true
+	}
+	return changed
+}
+
 // View builds the current view. size returns the sizes of groups.
 func (t *Tracker) View(now time.Time, size Size) *View {
 	v := &View{Read: now, StoreRecovered: t.storeRecovered, RenewalsHidden: t.renewalsHidden, RenewalsVisibleSince: t.renewalsVisibleSince, HeartbeatSeen: t.heartbeatSeen, Servers: maps.Clone(t.servers), Services: map[string][]*Server{}, Groups: map[string][]*Group{}, Departed: make(map[string]*Server, len(t.departed))}
--- a/internal/roster/tracker_test.go
+++ b/internal/roster/tracker_test.go
@@ -280,3 +280,32 @@
 	read()
 	check("read again", map[string]State{"changed": Ready, "leaving": Draining, "left": Ready, "restarted": Ready, "new": Ready, "alive": Ready})
 }
+
+// TestDeparturesOfAnotherDaemon guards against what another daemon tells of removed entries replacing what this one has read, and
+// against remembering them for longer than that daemon would.
+func TestDeparturesOfAnotherDaemon(t *testing.T) {
+	now := time.Unix(1000, 0)
+	own := NewTracker(2*time.Second, 2400*time.Millisecond)
+	own.Replace(now, []*Server{{ID: "listed", Born: 2}, {ID: "removed", Born: 2}})
+	own.Apply(now, []Change{{ID: "removed"}})
+	told := []Departure{
+		{ID: "listed", Born: 1, Age: time.Second},
+		{ID: "removed", Born: 1, Age: time.Second},
+		{ID: "old", Born: 1, Age: departedRetention + time.Second},
+		{ID: "unknown", Born: 1, Age: 10 * time.Second},
+	}
+	if !own.AddDepartures(now, told) {
+		t.Error("the view does not change")
+	}
+	departed := own.View(now, func(string, string) int { return 0 }).Departed
+	if len(departed) != 2 || departed["removed"].Born != 2 || departed["unknown"] == nil || !departed["unknown"].Hearsay {
+		t.Errorf("departed %v, want removed of lifetime 2 and unknown", departed)
+	}
+	if own.AddDepartures(now, told) {
+		t.Error("the view changes when the same is told again")
+	}
+	own.Apply(now.Add(departedRetention-9*time.Second), nil)
+	if v := own.View(now, func(string, string) int { return 0 }); v.Departed["unknown"] != nil || v.Departed["removed"] == nil {
+		t.Errorf("departed %v, want only removed", v.Departed)
+	}
+}
