Count a refusal before it is written in TestRepeatedRejection

The stand-in counted its refusal after it had written it. A client that was fast enough sent the second request on another connection before that; the stand-in took it for the first one and refused it truthfully, without running it. What the test checks is unchanged.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -137,8 +137,8 @@
 					}
 					if n == 0 && ran.Load() == 0 {
 						first = id
+						ran.Add(1) // before the client may send the second request on another connection
 						_, _ = io.WriteString(c, refusal(id))
-						ran.Add(1)
 						continue
 					}
 					if n > 0 && test.repeatsID {
