Wait for all daemons to read the removal in TestNewHolderKnowsLapsedHead

Cause: the test waited only until the holder of the lease had read that the entry is gone. A daemon that starts reads the entries from any daemon. From one that had not read the removal yet it got the entry itself, and then the removal like everybody else (the departed server is not marked as hearsay in any failed run, and its RenewedAt is of that daemon's own read). The product is right, the test's premise was not given.

Now the removal has reached all seven daemons before the eighth starts. What is checked stays.

--- a/internal/entry/verdict_test.go
+++ b/internal/entry/verdict_test.go
@@ -140,6 +140,7 @@
 type verdictFleet struct {
 	t       *testing.T
 	store   *fakeplatform.Store
+	daemons []*daemonUnderTest
 	holder  *daemonUnderTest
 	servers []*quietServer
 	// renews is set if the store shows heartbeats.
@@ -157,18 +158,17 @@
 		}
 	}
 	f.putAll()
-	var daemons []*daemonUnderTest
 	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g"} {
-		daemons = append(daemons, startDaemon(t, f.store, name))
+		f.daemons = append(f.daemons, startDaemon(t, f.store, name))
 	}
-	for _, u := range daemons {
+	for _, u := range f.daemons {
 		u.waitReady()
 		eventually(t, "the daemon hears the others", func() bool { return len(u.d.peersWithPath("llm")) == 6 })
 	}
 	eventually(t, "a daemon holds the lease", func() bool {
-		i := slices.IndexFunc(daemons, func(u *daemonUnderTest) bool { return u.d.holdsLease() })
+		i := slices.IndexFunc(f.daemons, func(u *daemonUnderTest) bool { return u.d.holdsLease() })
 		if i >= 0 {
-			f.holder = daemons[i]
+			f.holder = f.daemons[i]
 		}
 		return i >= 0
 	})
@@ -354,7 +354,10 @@
 	f.run(3 * time.Second) // a lapse counts only a while after the daemons have begun to read
 	head := f.servers[0]
 	f.store.Remove("servers", head.id)
-	eventually(t, "the entry is gone", func() bool { return f.holder.d.view.Load().Departed[head.id] != nil })
+	// A daemon that starts reads entries from one of the others.
+	for _, u := range f.daemons {
+		eventually(t, "the entry is gone", func() bool { return u.d.view.Load().Departed[head.id] != nil })
+	}
 	late := startDaemon(t, f.store, "late")
 	late.waitReady()
 	eventually(t, "the daemon hears others", func() bool { return len(late.d.livePeers(time.Now())) > 0 })
