Say exactly what a refused connection shows

A reader of the diff found that the comments on refused claimed more than the code asks: this daemon is refused, and none of those that it asked reaches the server; they need not be refused too.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -100,8 +100,8 @@
 	asked       bool
 	// relayed is set if the last report came through another daemon: it is known that only this one does not reach the server.
 	relayed bool
-	// ended is set when the process is known to have ended. refused is set when its address refused connections, to all daemons that
-	// were asked, while its entry was listed.
+	// ended is set when the process is known to have ended. refused is set when its address refused a connection of this daemon and no
+	// daemon that was asked reached it, while its entry was listed.
 	ended, refused bool
 	asking         bool
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -38,8 +38,8 @@
 	Responding bool
 	// Ended is set when its process is known to have ended: another one has its address.
 	Ended bool
-	// Refused is set when its address refuses connections, to all daemons that were asked. A path that is cut off on the way may do the
-	// same, so that its entry decides.
+	// Refused is set when its address refuses connections and no daemon that was asked reaches it. A path that is cut off on the way may
+	// do the same, so that its entry decides.
 	Refused bool
 	// Listed is false when its entry was removed.
 	Listed bool
