Count a heartbeat as missing only once a read of the entries shows so

Callers saw groups broken up whose heads serve: a head that refuses connections because its path is cut off, renews its entry, and meets a holder of the lease that has not read that entry for a while (paused, short of processor time, or with a slow read).

Cause: the age of the last renewal was measured against the clock of the planner (replica.ServerStatus.renewed), although what is known is as of the last read. After a pause the planner may run before the next read; two heartbeats then seem to be missing, and the head counts as dead. Now it is made as of the last read: roster.View.EntriesRead, replica.Input.EntriesRead.

--- a/internal/replica/losses_test.go
+++ b/internal/replica/losses_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -431,7 +432,7 @@
 // ended counting as alive as long as its entry lasts.
 func TestSilentServerIsNotDead(t *testing.T) {
 	now := time.Now()
-	in := Input{RenewalTimeout: 2400 * time.Millisecond, RefusedTimeout: 1500 * time.Millisecond, StoreRecovered: now.Add(-time.Minute)}
+	in := Input{EntriesRead: now, RenewalTimeout: 2400 * time.Millisecond, RefusedTimeout: 1500 * time.Millisecond, StoreRecovered: now.Add(-time.Minute)}
 	for name, test := range map[string]struct {
 		status ServerStatus
 		dead   bool
@@ -448,19 +449,38 @@
 		"lapsed":                {ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Second), Expired: true}}, true},
 		"draining, not renewed": {ServerStatus{Server: &roster.Server{State: roster.Draining}, Listed: true}, false},
 	} {
-		if dead := test.status.dead(now, &in); dead != test.dead {
+		if dead := test.status.dead(&in); dead != test.dead {
 			t.Errorf("%s: dead %v, want %v", name, dead, test.dead)
 		}
 	}
 	in.RenewalTimeout, in.RefusedTimeout = time.Hour, time.Hour // as while no heartbeats are seen
 	for _, listed := range []bool{false, true} {
 		silent := ServerStatus{Server: &roster.Server{RenewedAt: now.Add(-time.Minute), Expired: !listed}, Listed: listed}
-		if dead := silent.dead(now, &in); dead == listed {
+		if dead := silent.dead(&in); dead == listed {
 			t.Errorf("heartbeats hidden, listed %v: dead %v", listed, dead)
 		}
 	}
 }
 
+// TestUnreadHeartbeatsAreNotMissing guards against a holder that takes heads which refuse connections for dead because it has not read
+// their heartbeats itself: it was paused, or a read takes long.
+func TestUnreadHeartbeatsAreNotMissing(t *testing.T) {
+	f := newFleet(t, 2, 12)
+	f.run(8 * time.Second)
+	f.in.StartingUp = false
+	f.in.RefusedTimeout = 2400 * time.Millisecond
+	f.run(time.Second)
+	epochs := f.epochs()
+	i := slices.IndexFunc(f.servers, func(s *fakeServer) bool { return s.Rank == 0 && s.Membership.State == roster.Open })
+	f.servers[i].unreachable, f.servers[i].Refused = true, true
+	f.run(time.Second)
+	f.unread = true
+	f.run(3 * time.Second)
+	if after := f.epochs(); !maps.Equal(epochs, after) {
+		t.Errorf("members by epoch after a pause of the holder: %v, want %v", after, epochs)
+	}
+}
+
 // TestUnreachableFleetIsNotLost guards against breaking groups up, or forming new ones of their members, because the holder of the
 // lease reaches few of the backend servers, or reaches them again one after the other. Their entries are renewed all the time.
 func TestUnreachableFleetIsNotLost(t *testing.T) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -67,7 +67,7 @@
 // dead reports whether a backend server has ended, or neither responds nor renews its entry, so that it has lapsed or is about to. A
 // head that only stands still may go on, however many daemons it does not answer or however many it refuses. A draining one may do
 // neither and still finish its requests, so it does not count as dead.
-func (m *ServerStatus) dead(now time.Time, in *Input) bool {
+func (m *ServerStatus) dead(in *Input) bool {
 	if m.Responding || m.State != roster.Ready {
 		return false
 	}
@@ -77,11 +77,12 @@
 	if !m.Listed {
 		return m.Expired || m.Refused
 	}
-	return !m.renewed(now, in)
+	return !m.renewed(in)
 }
 
-// renewed reports whether the entry of a backend server has been renewed in time, as far as its renewals can be seen.
-func (m *ServerStatus) renewed(now time.Time, in *Input) bool {
+// renewed reports whether the entry of a backend server has been renewed in time, as far as its renewals can be seen. A renewal is
+// missing only if a read has shown so: the holder may not have read the entries since, for example because it was paused.
+func (m *ServerStatus) renewed(in *Input) bool {
 	last, timeout := m.RenewedAt, in.RenewalTimeout
 	if in.StoreRecovered.After(last) {
 		last = in.StoreRecovered
@@ -89,7 +90,7 @@
 	if m.Refused {
 		timeout = in.RefusedTimeout
 	}
-	return now.Sub(last) <= timeout
+	return in.EntriesRead.Sub(last) <= timeout
 }
 
 // presumeAlive returns the backend servers as they are taken to be. While most of them do not respond, it is more likely that the
@@ -97,7 +98,7 @@
 // are alive until they respond again: they keep their groups, and get no new ones.
 func (p *Planner) presumeAlive(now time.Time, in *Input) []*ServerStatus {
 	silent := func(m *ServerStatus) bool {
-		return m.Listed && m.State == roster.Ready && !m.Responding && !m.dead(now, in)
+		return m.Listed && m.State == roster.Ready && !m.Responding && !m.dead(in)
 	}
 	listed, unresponsive := 0, 0
 	for _, m := range in.Servers {
@@ -219,6 +220,8 @@
 	RenewalTimeout time.Duration
 	// RefusedTimeout replaces it for a backend server that refuses connections. One that is sound answers.
 	RefusedTimeout time.Duration
+	// EntriesRead is when the entries were last read.
+	EntriesRead time.Time
 	// EntriesCurrent is set while the store answers. It then removes the entry of a backend server that has not renewed it for a
 	// few heartbeats.
 	EntriesCurrent bool
@@ -447,7 +450,7 @@
 		return []Order{p.newOrder(head, g, platform.Leave, "a member is lost")}, true
 	case head.Ended:
 		return nil, false
-	case head.dead(now, &in):
+	case head.dead(&in):
 		return p.dismiss(now, g, "the head is lost"), false
 	}
 	// The head may be running although it does not respond. A head that left in order first finishes its requests. One whose
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -23,6 +23,8 @@
 	born    int64
 	// hidden is set while entries do not show heartbeats.
 	hidden bool
+	// unread is set while the holder does not read entries.
+	unread bool
 }
 
 // fakeServer is one simulated backend server.
@@ -88,6 +90,9 @@
 // step advances the time by 100 ms and executes the orders of the planner, except those for which drop returns true.
 func (f *fleet) step(drop func() bool) {
 	f.now = f.now.Add(100 * time.Millisecond)
+	if !f.unread {
+		f.in.EntriesRead = f.now
+	}
 	var servers []*ServerStatus
 	for _, s := range f.servers {
 		f.advance(s)
@@ -99,7 +104,7 @@
 		}
 		m := s.ServerStatus
 		entry := *s.Server
-		if s.alive && s.listed && !f.hidden {
+		if s.alive && s.listed && !f.hidden && !f.unread {
 			s.RenewedAt = f.now
 		}
 		entry.RenewedAt = s.RenewedAt
--- a/internal/roster/tracker.go
+++ b/internal/roster/tracker.go
@@ -354,7 +354,7 @@
 
 // View builds the current view. size returns the sizes of groups.
 func (t *Tracker) View(now time.Time, size Size) *View {
-	v := &View{Read: now, StoreRecovered: t.storeRecovered, RenewalsHidden: t.renewalsHidden, RenewalsVisibleSince: t.renewalsVisibleSince, HeartbeatSeen: t.heartbeatSeen, Servers: maps.Clone(t.servers), Services: map[string][]*Server{}, Groups: map[string][]*Group{}, Departed: make(map[string]*Server, len(t.departed))}
+	v := &View{Read: now, EntriesRead: t.lastRead, StoreRecovered: t.storeRecovered, RenewalsHidden: t.renewalsHidden, RenewalsVisibleSince: t.renewalsVisibleSince, HeartbeatSeen: t.heartbeatSeen, Servers: maps.Clone(t.servers), Services: map[string][]*Server{}, Groups: map[string][]*Group{}, Departed: make(map[string]*Server, len(t.departed))}
 	for id, d := range t.departed {
 		v.Departed[id] = d.server
 	}
