--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -78,6 +78,7 @@
 	view   atomic.Pointer[roster.View]
 	// evacuations is nil until the set is known. No backend server is used before.
 	evacuations atomic.Pointer[evacuation.Set]
+	continuity  continuity
 	// shuttingDown is set once shutdown has begun, closing when new requests are no longer taken.
 	shuttingDown, closing atomic.Bool
 	// closed is done once new requests are no longer taken, ended when requests in progress have to end. endAt is when that
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -363,6 +363,7 @@
 			return
 		case <-ticks:
 		}
+		p.d.observeRunning()
 		now := time.Now()
 		p.mu.Lock()
 		stalledGroups, stalledRequests := p.stalls.Tick(now)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -547,12 +547,12 @@
 // right one.
 func TestSettings(t *testing.T) {
 	text := "[daemon]\nname = a\ndata-centre = z\nfirst-start = true\n[listen]\ncaller = 10.0.0.1:1\nreadiness = 10.0.0.1:2\npeer = 10.0.0.1:3\n" +
-		"[store]\naddress = 10.0.0.9:9\n[bounds]\ndrain-ms = 2500\ngrace-s = 4\n[log]\n"
+		"[store]\naddress = 10.0.0.9:9\n[bounds]\ndrain-ms = 2500\nevacuate-ms = 3000\ngrace-s = 4\n[log]\n"
 	s, err := ParseSettings("f.ini", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !s.FirstStart || s.Drain != 2500*time.Millisecond || s.Grace != 4*time.Second || s.Stall != 6*time.Second || s.Directory.IsValid() {
+	if !s.FirstStart || s.Drain != 2500*time.Millisecond || s.Evacuate != 3*time.Second || s.Grace != 4*time.Second || s.Stall != 6*time.Second || s.Directory.IsValid() {
 		t.Errorf("settings %+v", s)
 	}
 	_, err = ParseSettings("f.ini", []byte(strings.Replace(text, "grace-s", "grase-s", 1)))
--- a/internal/entry/evacuate.go
+++ b/internal/entry/evacuate.go
@@ -1,13 +1,17 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"flamingorudder.example/internal/backend"
 	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/evacuation"
+	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/schedule"
 	"flamingorudder.example/platform"
@@ -21,12 +25,59 @@
 // reasonEvacuated is the reason of the rejection of a request that only evacuated backend servers could serve.
 const reasonEvacuated = "all backend servers are in evacuated data centres"
 
-// evacuated reports whether no new request may be sent to a backend server, because its data centre is evacuated or it is not known yet
+// continuity holds whether the process may have missed changes of the evacuations. It is safe for concurrent use.
+type continuity struct {
+	mu sync.Mutex
+	evacuation.Continuity
+	// missed is set while it may have.
+	missed atomic.Bool
+}
+
+// minPauseLimit is the shortest pause of the process that counts. A busy instance with a fifth of a core may stand still for less.
+const minPauseLimit = 500 * time.Millisecond
+
+// pauseLimit returns how long the process may stand still without a new read of the evacuations. The other half of the bound is for
+// changes to arrive. It is zero if the settings have no bound.
+func (d *Daemon) pauseLimit() time.Duration {
+	if d.settings().Evacuate <= 0 {
+		return 0
+	}
+	return max(d.settings().Evacuate/2, minPauseLimit)
+}
+
+// observeRunning records that the process runs. After a long pause, the evacuations are read again before a backend server is used.
+func (d *Daemon) observeRunning() {
+	c := &d.continuity
+	c.mu.Lock()
+	resumed := c.Observe(leaseClock(), d.pauseLimit())
+	c.missed.Store(!c.Current())
+	c.mu.Unlock()
+	if resumed {
+		d.log.Warn("process was paused; no backend server is used until the evacuations have been read")
+		d.feed.endLongPolls()
+	}
+}
+
+// recordEvacuationRead records the end of a read of the evacuations that began at a time of leaseClock.
+func (d *Daemon) recordEvacuationRead(began time.Duration, ok bool) {
+	c := &d.continuity
+	c.mu.Lock()
+	c.RecordRead(began, leaseClock(), d.pauseLimit(), ok)
+	current := c.Current()
+	ended := c.missed.Swap(!current) && current
+	c.mu.Unlock()
+	if ended {
+		d.log.Info("evacuations read after a pause", "succeeded", ok)
+		d.dispatch.groupsChanged()
+	}
+}
+
+// evacuated reports whether no new request may be sent to a backend server, because its data centre is evacuated or it is not known
 // which ones are.
 func (d *Daemon) evacuated(s *roster.Server) bool {
 	set := d.evacuations.Load()
 	switch {
-	case set == nil:
+	case set == nil || d.continuity.missed.Load():
 		return true
 	case set.Len() == 0:
 		return false
@@ -45,6 +96,7 @@
 
 // checkEvacuation returns an error if a request must not be sent to a backend server. It is called right before it would be.
 func (x *exchange) checkEvacuation(s *roster.Server) error {
+	x.d.observeRunning()
 	if !x.d.evacuated(s) {
 		return nil
 	}
@@ -54,12 +106,21 @@
 
 // outsideEvacuation returns those of the backend servers to which requests may be sent.
 func (d *Daemon) outsideEvacuation(servers []*roster.Server) []*roster.Server {
-	if set := d.evacuations.Load(); set != nil && set.Len() == 0 {
+	if set := d.evacuations.Load(); set != nil && set.Len() == 0 && !d.continuity.missed.Load() {
 		return servers
 	}
 	return slices.DeleteFunc(slices.Clone(servers), d.evacuated)
 }
 
+// withoutEarlierBuilds returns the daemons to which requests may be handed over. While a data centre is evacuated, those of earlier builds
+// would send them there.
+func (d *Daemon) withoutEarlierBuilds(peers []*gossip.Peer) []*gossip.Peer {
+	if set := d.evacuations.Load(); set != nil && set.Len() == 0 {
+		return peers
+	}
+	return slices.DeleteFunc(peers, func(m *gossip.Peer) bool { return m.Evacuations == nil })
+}
+
 // serves reports whether a group takes new requests for a model.
 func (d *Daemon) serves(g *roster.Group, model string) bool {
 	return g.Model == model && g.Complete() && !d.evacuated(g.Head)
@@ -119,18 +180,21 @@
 func (f *storeSync) applyEvacuationRows(page platform.Page, whole bool) {
 	now := time.Now()
 	names, changes := []string{}, []evacuation.Change{}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, r := range page.Rows {
 		name, ok := platform.EvacuatedDataCentre(r.Key)
 		if !ok {
 			continue
 		}
+		if name == "" {
+			f.reportUnknownDataCentre(name)
+		}
 		changes = append(changes, evacuation.Change{DataCentre: name, Removed: r.Removed})
 		if !r.Removed {
 			names = append(names, name)
 		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	if whole {
 		f.evacuations.Replace(now, page.Position(), names)
 	} else {
@@ -150,6 +214,9 @@
 	}
 	now := time.Now()
 	trusted := in.Following || f.storeIsUnreachable(now)
+	if in.Following {
+		defer f.d.recordEvacuationRead(in.began, true)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if trusted || f.evacuations.Set() != nil {
@@ -171,6 +238,14 @@
 	}
 }
 
+// endLongPolls ends the waiting reads of the store, so that they begin again.
+func (f *storeSync) endLongPolls() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.end()
+	f.current, f.end = context.WithCancel(context.Background())
+}
+
 // expireEvacuations ends the evacuations that a restored store lacks and whose time is over.
 func (f *storeSync) expireEvacuations(now time.Time) {
 	f.mu.Lock()
@@ -226,14 +301,21 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, name := range set.DataCentres() {
-		if known[name] || f.invalidEvacuations[name] {
-			continue
+		if !known[name] {
+			f.reportUnknownDataCentre(name)
 		}
-		if f.invalidEvacuations == nil {
-			f.invalidEvacuations = map[string]bool{}
-		}
-		f.invalidEvacuations[name] = true
-		f.d.metrics.RecordUnknownEvacuation()
-		f.d.log.Warn("evacuated data centre has neither backend servers nor daemons", "data_centre", name)
 	}
 }
+
+// reportUnknownDataCentre logs and counts an evacuated data centre once. f.mu is held.
+func (f *storeSync) reportUnknownDataCentre(name string) {
+	if f.invalidEvacuations[name] {
+		return
+	}
+	if f.invalidEvacuations == nil {
+		f.invalidEvacuations = map[string]bool{}
+	}
+	f.invalidEvacuations[name] = true
+	f.d.metrics.RecordUnknownEvacuation()
+	f.d.log.Warn("evacuated data centre has neither backend servers nor daemons", "data_centre", name)
+}
--- a/internal/entry/evacuate_test.go
+++ b/internal/entry/evacuate_test.go
@@ -194,6 +194,32 @@
 	}
 }
 
+// TestOddEvacuations guards against a misspelt row that stops requests to servers, and against one that is not reported or reported again
+// and again.
+func TestOddEvacuations(t *testing.T) {
+	store := newTwoDataCentres(t)
+	store.putServer("", "plain", backendServer(t, func(c net.Conn, r *http.Request) { writeAnswer(c, r, 200, "fine") }), "null")
+	u := startDaemon(t, store.Store, "a")
+	u.waitReady()
+	for _, name := range []string{"", "nowhere", "dc"} {
+		store.Put(platform.TableOperator, platform.EvacuationKey(name), []byte("odd"))
+	}
+	eventually(t, "the daemon knows of the evacuations", u.covers("dc"))
+	u.d.feed.reportUnknownDataCentres()
+	u.d.feed.reportUnknownDataCentres()
+	u.d.feed.mu.Lock()
+	reported := len(u.d.feed.invalidEvacuations)
+	u.d.feed.mu.Unlock()
+	if reported != 2 {
+		t.Errorf("%d names reported, want the empty one and the unknown one", reported)
+	}
+	for id, s := range u.d.view.Load().Servers {
+		if u.d.evacuated(s) {
+			t.Errorf("server %s counts as evacuated", id)
+		}
+	}
+}
+
 // TestEvacuationAfterRestore guards against an evacuation that ends at once when the store is restored from a backup without its row.
 func TestEvacuationAfterRestore(t *testing.T) {
 	store := newTwoDataCentres(t)
@@ -231,3 +257,28 @@
 		t.Error("the set of a peer that follows the store was not taken over")
 	}
 }
+
+// TestEvacuationWhilePaused guards against requests that a daemon sends after a pause of its process before it has read which data
+// centres were evacuated meanwhile.
+func TestEvacuationWhilePaused(t *testing.T) {
+	store := newTwoDataCentres(t)
+	u := startDaemon(t, store.Store, "a", func(d *Daemon) {
+		s := *d.settings()
+		s.Evacuate = 20 * time.Second
+		d.currentSettings.Store(&s)
+	})
+	u.waitReady()
+	store.Refuse(http.StatusServiceUnavailable)
+	u.d.continuity.mu.Lock()
+	u.d.continuity.Observe(leaseClock()-u.d.pauseLimit(), time.Hour)
+	u.d.continuity.mu.Unlock()
+	u.d.observeRunning()
+	if plain, _ := u.send(); plain.status != http.StatusServiceUnavailable || plain.h.Get("Retry-After") == "" {
+		t.Errorf("reply %+v, want 503 with Retry-After", plain)
+	}
+	store.Refuse(0)
+	eventually(t, "the evacuations have been read", func() bool { return !u.d.continuity.missed.Load() })
+	if plain, stream := u.send(); plain.status != 200 || stream.status != 200 {
+		t.Errorf("replies %+v and %+v, want 200", plain, stream)
+	}
+}
--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -231,17 +231,12 @@
 	if x.from != "" || !x.d.paths.lost(x.service) {
 		return nil
 	}
-	return choosePeer(x.d.peersWithPath(x.service), tried, x.d.settings().DataCentre)
+	return choosePeer(x.d.withoutEarlierBuilds(x.d.peersWithPath(x.service)), tried, x.d.settings().DataCentre)
 }
 
-// peersWithPath returns the live daemons that serve others' requests and do not say that they have no path to a service. While a data
-// centre is evacuated, those of earlier builds are left out, which would send requests there.
+// peersWithPath returns the live daemons that serve others' requests and do not say that they have no path to a service.
 func (d *Daemon) peersWithPath(service string) []*gossip.Peer {
-	set := d.evacuations.Load()
 	return slices.DeleteFunc(d.livePeers(time.Now()), func(m *gossip.Peer) bool {
-		if m.Evacuations == nil && set != nil && set.Len() > 0 {
-			return true
-		}
 		return !m.Ready || !m.Relays || slices.Contains(m.Unreachable, service)
 	})
 }
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -34,7 +34,7 @@
 	// Apply is the deadline by which a new configuration must be in force.
 	Apply time.Duration
 	// Evacuate is the deadline, after the store has acknowledged that a data centre is evacuated, by which no new requests may be
-	// sent to the backend servers there.
+	// sent to the backend servers there. Zero means that there is none.
 	Evacuate time.Duration
 	// Grace is the time between the stop signal and the forced end of the process.
 	Grace time.Duration
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -201,7 +201,7 @@
 		}
 		var page platform.Page
 		var err error
-		whole := after == noPosition
+		whole, began := after == noPosition, leaseClock()
 		if whole {
 			page, err = f.d.storeCall(ctx, "configuration", storeTimeout, func(ctx context.Context) (platform.Page, error) {
 				return f.d.store.Rows(ctx, platform.TableOperator)
@@ -226,6 +226,7 @@
 		f.following = err == nil
 		f.mu.Unlock()
 		if err != nil {
+			f.d.recordEvacuationRead(began, false)
 			if ctx.Err() == nil {
 				f.d.log.Warn("cannot read the configuration from the store", "error", err)
 			}
@@ -236,6 +237,7 @@
 		retry = storeBackoff{}
 		after = page.Position()
 		f.applyEvacuationRows(page, whole)
+		f.d.recordEvacuationRead(began, true)
 		for _, r := range page.Rows {
 			if r.Key == platform.ConfigKey && !r.Removed {
 				f.applyConfig(r.Value, "store")
@@ -958,6 +960,8 @@
 	WithHeartbeats bool `cbor:"whole,omitempty"`
 	// Evacuations are the evacuated data centres as the sender knows them.
 	Evacuations *evacuation.State `cbor:"evacuations,omitempty"`
+	// began is when the request was sent, by leaseClock.
+	began time.Duration
 	// Departures are the entries that were removed lately. Only the response to pathDeparted has them.
 	Departures []roster.Departure `cbor:"departures,omitempty"`
 }
@@ -1170,6 +1174,7 @@
 func (f *storeSync) fetch(ctx context.Context, peer netip.AddrPort, path string) (peerState, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
+	began := leaseClock()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+path, nil)
 	if err != nil {
 		return peerState{}, fmt.Errorf("create request: %w", err)
@@ -1182,7 +1187,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return peerState{}, &platform.StatusError{Status: resp.StatusCode}
 	}
-	var in peerState
+	in := peerState{began: began}
 	if err := cbor.NewDecoder(io.LimitReader(resp.Body, maxRelay)).Decode(&in); err != nil {
 		return peerState{}, fmt.Errorf("decode response: %w", err)
 	}
--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -139,6 +139,7 @@
 	if position.Era < t.era || t.known && position.Before(t.position) {
 		return
 	}
+	delete(rows, "") // servers without a data centre are in no evacuated one
 	t.ObserveEra(now, position.Era)
 	if t.settled == nil || position.Era > t.position.Era {
 		t.settled = map[string]bool{}
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -46,6 +46,8 @@
 	covers(t, tr, "b", "c")
 	tr.Merge(start, &State{Era: 1, Version: 30, Omitted: true})
 	covers(t, tr, "b", "c")
+	tr.Replace(start, at(1, 31), []string{"", "d"})
+	covers(t, tr, "d")
 }
 
 // TestEndedAt guards against servers that count as warm after the end of an evacuation, or as cold during the next one.
