--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -121,7 +121,7 @@
 	s := Settings{
 		Name: name, DataCentre: "dc", MemoryMB: 256, Caller: freeAddr(t), Readiness: freeAddr(t), Directory: freeAddr(t), Peer: freeAddr(t),
 		Store: netip.MustParseAddrPort(srv.Listener.Addr().String()), Grace: 2 * time.Second, AddressTTL: 5 * time.Second, Stall: 6 * time.Second,
-		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, HeartbeatPeriod: 1200 * time.Millisecond, Drain: 2 * time.Second, Apply: time.Second, StoreReads: 2000,
+		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second, HeartbeatPeriod: 1200 * time.Millisecond, Drain: 2 * time.Second, Apply: time.Second, Evacuate: 5 * time.Second, StoreReads: 2000,
 	}
 	d, closeDaemon, err := New(s, hclog.NewNullLogger())
 	if err != nil {
@@ -547,12 +547,12 @@
 // right one.
 func TestSettings(t *testing.T) {
 	text := "[daemon]\nname = a\ndata-centre = z\nfirst-start = true\n[listen]\ncaller = 10.0.0.1:1\nreadiness = 10.0.0.1:2\npeer = 10.0.0.1:3\n" +
-		"[store]\naddress = 10.0.0.9:9\n[bounds]\ndrain-ms = 2500\ngrace-s = 4\n[log]\n"
+		"[store]\naddress = 10.0.0.9:9\n[bounds]\ndrain-ms = 2500\nevacuate-ms = 3000\ngrace-s = 4\n[log]\n"
 	s, err := ParseSettings("f.ini", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !s.FirstStart || s.Drain != 2500*time.Millisecond || s.Grace != 4*time.Second || s.Stall != 6*time.Second || s.Directory.IsValid() {
+	if !s.FirstStart || s.Drain != 2500*time.Millisecond || s.Evacuate != 3*time.Second || s.Grace != 4*time.Second || s.Stall != 6*time.Second || s.Directory.IsValid() {
 		t.Errorf("settings %+v", s)
 	}
 	_, err = ParseSettings("f.ini", []byte(strings.Replace(text, "grace-s", "grase-s", 1)))
