Set no bound on evacuations unless the settings name one

Reviewing the merge: the default of 5 s had every deployment, also one whose platform never evacuates, withhold requests after a pause of 2.5 s until the operators' table was read again, and read it in shorter polls. The template renders evacuate-ms only where the platform names the bound, so the default is none and earlier deployments pause and poll as before.

--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -86,7 +86,7 @@
 	milli := func(key string, def float64) time.Duration {
 		return time.Duration(b.Float(key, def, 0, 1e9) * float64(time.Millisecond))
 	}
-	s.Apply, s.Evacuate = milli("apply-ms", 2000), milli("evacuate-ms", 5000)
+	s.Apply, s.Evacuate = milli("apply-ms", 2000), milli("evacuate-ms", 0)
 	s.Drain, s.Grace, s.AddressTTL = milli("drain-ms", 2000), second("grace-s", 8), second("hold-s", 5)
 	s.Stall, s.LoadWindow, s.HeartbeatPeriod = milli("stall-ms", 6000), second("load-window-s", 5), milli("beat-ms", 1200)
 	s.RetryRatio, s.RetrySlack = b.Float("retry-ratio", 0.2, 0, 1e3), b.Float("retry-slack", 0, 0, 1e9)
