Read how long backend servers stay cold

Callers would see requests lost at servers that crash: a cold server accepts few requests a second, and no daemon knew which servers are cold. The fields coldStartS and coldPerS of a service, coldRemainingMs of entries and reports and the header X-Flamingorudder-Cold-Ms were not read.

A remaining time that counts down is no change of the entry: otherwise each heartbeat of a cold server would be relayed to all daemons.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -68,6 +68,15 @@
 	Membership
 	// Beat counts the heartbeats of this lifetime.
 	Beat int64
+	// Cold is how much longer the server stays cold as its entry says, ColdUntil when that ends, counted from the read of the entry.
+	// ColdInvalid is set if the entry has an invalid value.
+	Cold        time.Duration
+	ColdUntil   time.Time
+	ColdInvalid bool
+	// FirstSeen is when this daemon first read an entry of this lifetime. Appeared is set if it had read entries before without it,
+	// so that the lifetime began at about that time.
+	FirstSeen time.Time
+	Appeared  bool
 	// Expired is set on departed servers whose entry expired without renewal. The other departed servers left in order
 	// and may continue to work for a while.
 	Expired bool
--- a/internal/roster/tracker.go
+++ b/internal/roster/tracker.go
@@ -213,10 +213,26 @@
 // unchangedEntry reports whether a full read returned an entry that has not changed. It copies the renewal time of a to
 // b, since reading an unchanged entry again must not count as a renewal.
 func unchangedEntry(a, b *Server) bool {
+	if a == b {
+		return true // read by others already
+	}
 	b.RenewedAt = a.RenewedAt
+	b.inherit(a)
 	return a.Beat == b.Beat && reflect.DeepEqual(a, b)
 }
 
+// inherit copies what this daemon knows from earlier reads of the same lifetime. An entry that was not written again says nothing new
+// about how long its server stays cold.
+func (s *Server) inherit(o *Server) {
+	if s.Born != o.Born {
+		return
+	}
+	s.FirstSeen, s.Appeared = o.FirstSeen, o.Appeared
+	if s.Beat == o.Beat && s.Cold == o.Cold {
+		s.ColdUntil = o.ColdUntil
+	}
+}
+
 // MarkStoreUp records that the store answers. Entries that expired during an outage longer than the renewal timeout get
 // the grace period from its end.
 func (t *Tracker) MarkStoreUp(now time.Time) {
@@ -240,19 +256,29 @@
 // RenewalsHidden reports whether the last changes did not include renewals.
 func (t *Tracker) RenewalsHidden() bool { return t.renewalsHidden }
 
-// IsRenewal reports whether an entry differs from the known one only by its heartbeat.
+// coldTolerance is by how much the end of a server's cold time may seem to move while its remaining time counts down: entries are read
+// with a delay of up to 0.9 s.
+const coldTolerance = time.Second
+
+// IsRenewal reports whether an entry differs from the known one only by its heartbeat, and by a remaining cold time that has counted
+// down since.
 func (t *Tracker) IsRenewal(s *Server) bool {
 	o := t.servers[s.ID]
 	if o == nil {
 		return false
 	}
 	n := *s
-	n.Beat, n.RenewedAt = o.Beat, o.RenewedAt
+	n.inherit(o)
+	if n.Cold > o.Cold || n.Cold > 0 && n.ColdUntil.Sub(o.ColdUntil) > coldTolerance {
+		return false // cold again
+	}
+	n.Beat, n.RenewedAt, n.Cold, n.ColdUntil = o.Beat, o.RenewedAt, o.Cold, o.ColdUntil
 	return reflect.DeepEqual(*o, n)
 }
 
 // Apply applies changes of entries read at now.
 func (t *Tracker) Apply(now time.Time, changes []Change) {
+	began := !t.lastRead.IsZero()
 	t.lastRead = now
 	for _, c := range changes {
 		delete(t.outdated, c.ID)
@@ -261,7 +287,7 @@
 			if t.IsRenewal(c.Server) && t.servers[c.ID].Beat != c.Server.Beat {
 				t.heartbeatSeen = now
 			}
-			c.Server.RenewedAt = now
+			t.complete(now, c.Server, began)
 			t.servers[c.ID] = c.Server
 			delete(t.expired, c.ID)
 			delete(t.departed, c.ID)
@@ -290,6 +316,30 @@
 	}
 }
 
+// complete fills in what an entry that is read at now does not say. began is set if entries have been read before.
+func (t *Tracker) complete(now time.Time, s *Server, began bool) {
+	o := t.servers[s.ID]
+	// An entry of which only the remaining cold time differs, without a heartbeat, may have been computed when it was read.
+	if o != nil && o.Beat == s.Beat && o.Cold != s.Cold && t.IsRenewal(s) {
+		s.RenewedAt = o.RenewedAt
+	} else {
+		s.RenewedAt = now
+	}
+	if d, ok := t.departed[s.ID]; o == nil && ok {
+		o = d.server
+	}
+	if s.Cold > 0 && s.ColdUntil.IsZero() {
+		s.ColdUntil = now.Add(s.Cold)
+	}
+	s.FirstSeen, s.Appeared = now, began
+	if o != nil && o.Born == s.Born {
+		s.Appeared = false
+		if !o.FirstSeen.IsZero() {
+			s.inherit(o)
+		}
+	}
+}
+
 func (t *Tracker) remove(now time.Time, id string) {
 	s := *t.servers[id]
 	_, leaving := t.leaving[id]
--- a/internal/roster/tracker_test.go
+++ b/internal/roster/tracker_test.go
@@ -309,3 +309,67 @@
 		t.Errorf("departed %v, want only removed", v.Departed)
 	}
 }
+
+// TestRemainingColdTimeIsNoChange guards against relaying each heartbeat of a cold server to all daemons as its remaining time counts down,
+// and against not relaying that it is cold again.
+func TestRemainingColdTimeIsNoChange(t *testing.T) {
+	tr := NewTracker(testGrace, testRenewalTimeout)
+	start := time.Now()
+	read := func(after, remaining time.Duration, beat int64) *Server {
+		s := &Server{ID: "a", Service: "s", Born: 1, Beat: beat, Cold: remaining}
+		if remaining > 0 {
+			s.ColdUntil = start.Add(after + remaining)
+		}
+		return s
+	}
+	tr.Replace(start, []*Server{read(0, 3*time.Second, 1)})
+	// The same entry read again starts no new cold time.
+	tr.Replace(start.Add(900*time.Millisecond), []*Server{read(900*time.Millisecond, 3*time.Second, 1)})
+	if got := tr.servers["a"]; !got.ColdUntil.Equal(start.Add(3*time.Second)) || !got.RenewedAt.Equal(start) {
+		t.Errorf("cold until %v after the start, renewed %v after it", got.ColdUntil.Sub(start), got.RenewedAt.Sub(start))
+	}
+	for _, test := range []struct {
+		name             string
+		after, remaining time.Duration
+		renewal          bool
+	}{
+		{"counted down", 2 * time.Second, 1800 * time.Millisecond, true},
+		{"not cold", 3 * time.Second, 0, true},
+		{"cold again", 2 * time.Second, 3100 * time.Millisecond, false},
+		{"cold again for less", 3 * time.Second, 2900 * time.Millisecond, false},
+	} {
+		if got := tr.IsRenewal(read(test.after, test.remaining, 2)); got != test.renewal {
+			t.Errorf("%s: only a heartbeat %v", test.name, got)
+		}
+	}
+	// A remaining time that the store computes at each read renews no entry.
+	later := start.Add(time.Second)
+	tr.Replace(later, []*Server{read(time.Second, 2*time.Second, 1)})
+	if got := tr.servers["a"]; !got.RenewedAt.Equal(start) || got.Cold != 2*time.Second {
+		t.Errorf("renewed %v after the start, cold for %v", got.RenewedAt.Sub(start), got.Cold)
+	}
+}
+
+// TestNewLifetimeIsSeen guards against a server that has just started counting as one that has run for long, and the other way round after
+// its entry was removed for a while.
+func TestNewLifetimeIsSeen(t *testing.T) {
+	tr := NewTracker(testGrace, testRenewalTimeout)
+	now := time.Now()
+	tr.Replace(now, []*Server{{ID: "a", Service: "s", Born: 1}})
+	check := func(id string, seen time.Time, appeared bool) {
+		t.Helper()
+		if s := tr.servers[id]; !s.FirstSeen.Equal(seen) || s.Appeared != appeared {
+			t.Errorf("%s: first seen %v after the start, appeared %v", id, s.FirstSeen.Sub(now), s.Appeared)
+		}
+	}
+	check("a", now, false)
+	second := now.Add(time.Second)
+	tr.Apply(second, []Change{{ID: "b", Server: &Server{ID: "b", Service: "s", Born: 2}}, {ID: "a", Server: &Server{ID: "a", Service: "s", Born: 1, Beat: 1}}})
+	check("a", now, false)
+	check("b", second, true)
+	third := now.Add(2 * time.Second)
+	tr.Apply(third, []Change{{ID: "a"}, {ID: "b", Server: &Server{ID: "b", Service: "s", Born: 3}}})
+	check("b", third, true)
+	tr.Apply(third.Add(time.Second), []Change{{ID: "a", Server: &Server{ID: "a", Service: "s", Born: 1, Beat: 2}}})
+	check("a", now, false)
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 )
@@ -123,6 +124,10 @@
 	MaxConnections int
 	// Engine is nil for services that run no models.
 	Engine *Engine
+	// ColdTime is how long a backend server is cold after it starts. ColdRate is the number of requests a second that a cold server
+	// accepts from all daemons together; zero if the service has no such limit.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Organisation is a customer with its API keys.
@@ -141,6 +146,8 @@
 	Organisations []Organisation
 	// MaxBody bounds the body of a request in bytes; zero means no bound.
 	MaxBody int64
+	// Invalid describes the values that were ignored because they are out of range.
+	Invalid []string
 
 	hosts    map[string]map[string]*Route
 	services map[string]*Service
@@ -215,6 +222,11 @@
 // Service returns the service of that name, nil when it is not configured.
 func (c *Config) Service(name string) *Service { return c.services[name] }
 
+// HasColdRates reports whether a service limits the requests to its cold backend servers.
+func (c *Config) HasColdRates() bool {
+	return slices.ContainsFunc(c.Services, func(s Service) bool { return s.ColdRate > 0 })
+}
+
 // Model returns the model of a service, nil when it is not configured.
 func (c *Config) Model(service, name string) *Model {
 	s := c.services[service]
