Decide what a cold backend server may be sent

A server that has just started looks idle, so all daemons prefer it and it crashes above coldPerS requests a second from all of them together.

Groups with a cold member are used when no other group has time to spare.

--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -45,6 +45,9 @@
 	// Limited is set when the group's head takes only Allowance requests now, as it has named a limit.
 	Limited   bool
 	Allowance int
+	// Cold is set when a member is cold; the group runs at the pace of its slowest member. ColdLimited is set when the head is cold and
+	// takes no more requests now.
+	Cold, ColdLimited bool
 }
 
 // Plan describes the timing of a model's groups.
--- a/internal/balance/scheduler.go
+++ b/internal/balance/scheduler.go
@@ -94,6 +94,8 @@
 	recentPrompts map[string]recentTokens
 	// credits counts the placements that each lower-priority class is owed.
 	credits map[class]float64
+	// coldHeld and coldRejected count the requests that had to wait, and those rejected, while a group took none as its head is cold.
+	coldHeld, coldRejected int
 }
 
 // class is a set of requests with equal priority.
@@ -152,6 +154,9 @@
 	// remoteLatency is the added latency of a group in another data centre of the region: one round trip for the
 	// request and one for its connection.
 	remoteLatency = 4 * time.Millisecond
+	// warmTimeShare is the fraction of a request's time budget up to which groups without a cold member are preferred. The rest is a
+	// margin, so that the preference makes no request late.
+	warmTimeShare = 0.7
 )
 
 // NewScheduler returns a scheduler without history.
@@ -236,6 +241,14 @@
 	return out
 }
 
+// TakeColdCounts returns how many requests had to wait, and how many were rejected, while a group took none as its head is cold, since the
+// last call.
+func (s *Scheduler) TakeColdCounts() (held, rejected int) {
+	held, rejected = s.coldHeld, s.coldRejected
+	s.coldHeld, s.coldRejected = 0, 0
+	return held, rejected
+}
+
 // Step decides on the waiting requests. It adds what it places to the loads in groups. unreported is the fraction of
 // the daemons whose loads are not in groups; they are assumed to have as much load as the others, spread evenly.
 // random returns numbers in [0, 1).
@@ -259,9 +272,13 @@
 	addUnreportedLoad(groups, unreported)
 	var out []Decision
 	lateWaiting := 0
+	cold, coldLimited := false, false
+	for i := range groups {
+		cold, coldLimited = cold || groups[i].Cold, coldLimited || groups[i].ColdLimited
+	}
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *Waiter) bool {
 		c := class{w.late, w.Rank}
-		if i := s.chooseGroup(now, plan, w, groups, longestPass, unreported, random); i >= 0 {
+		if i := s.chooseGroup(now, plan, w, groups, longestPass, cold, unreported, random); i >= 0 {
 			g := &groups[i]
 			out = append(out, Decision{Waiter: w, Group: g.Key, Estimate: plan.Estimate(g.Load, w.Prompt)})
 			g.Load = g.Load.Add(Load{1, w.Prompt})
@@ -274,6 +291,9 @@
 		if !w.late && !w.Resumed && w.Objective > 0 && !w.waited && s.usage.skipsWait(w) {
 			w.late = true
 		}
+		if coldLimited && !w.waited {
+			s.coldHeld++
+		}
 		w.waited = true
 		if !w.late || w.Resumed {
 			return false
@@ -281,6 +301,9 @@
 		lateWaiting++
 		if reason := s.rejectionReason(now, w, lateWaiting); reason != "" {
 			out = append(out, s.reject(now, w, reason, random))
+			if coldLimited {
+				s.coldRejected++
+			}
 			return true
 		}
 		return false
@@ -502,9 +525,9 @@
 	return s.latencyCorrection.Expect(plan.Estimate(extra, 0)) - s.latencyCorrection.Expect(plan.Estimate(Load{}, 0))
 }
 
-// chooseGroup returns the index of the group that takes w, or -1 when none may now.
-func (s *Scheduler) chooseGroup(now time.Time, plan *Plan, w *Waiter, groups []Group, longestPass time.Duration, unreported float64, random func() float64) int {
-	best, bestTime := -1, time.Duration(0)
+// chooseGroup returns the index of the group that takes w, or -1 when none may now. cold is set if a group has a cold member.
+func (s *Scheduler) chooseGroup(now time.Time, plan *Plan, w *Waiter, groups []Group, longestPass time.Duration, cold bool, unreported float64, random func() float64) int {
+	best, bestTime, bestWarm := -1, time.Duration(0), false
 	budget, slots := s.latencyBudget(now, plan, w)
 	noise := unreported * float64(plan.Estimate(Load{Requests: plan.Engine.Slots}, 0).Passes)
 	for i := range groups {
@@ -516,14 +539,15 @@
 		if d > budget || longestPass > 0 && g.Load.QueuedTokens > 0 && s.passTime(now, plan, g, w.Prompt) > longestPass {
 			continue
 		}
+		warm := cold && !g.Cold && d <= time.Duration(float64(budget)*warmTimeShare)
 		if g.DataCentre != w.DataCentre {
 			d += remoteLatency
 		}
 		if noise > 0 {
 			d += time.Duration(noise * random())
 		}
-		if best < 0 || d < bestTime {
-			best, bestTime = i, d
+		if best < 0 || warm && !bestWarm || warm == bestWarm && d < bestTime {
+			best, bestTime, bestWarm = i, d, warm
 		}
 	}
 	return best
