Keep to the rate of cold backend servers

Callers would see their requests fail at servers that have just started: each daemon sends them full load, as they look idle.

The scheduler of a model limits what it places at cold heads, also when it decides alone. A daemon that sends checks placements of other schedulers for the first second, in which those may not have read the entry, and for good where their build sets no flag in its digests. Plain services use the time slots of this daemon for first attempts, repeats and hedges. Services without coldPerS are not looked at.

Settings cold-overage and cold-slack, gauges cold_servers and cold_remaining, counters cold_requests and invalid_values, a log line for each server that turns cold.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -108,6 +108,7 @@
 	paths        *paths
 	pauses       *balance.Pauses
 	limits       *balance.Limits
+	cold         *balance.Cold
 	quarantine   *quarantineList
 	answered     *answeredRequests
 	// announcements has an entry while a digest is to be sent to all known daemons at once.
@@ -186,6 +187,7 @@
 	d.budget = &budget{}
 	d.pauses = balance.NewPauses()
 	d.limits = balance.NewLimits()
+	d.cold = balance.NewCold()
 	d.quarantine = newQuarantineList()
 	d.answered, d.announcements = newAnsweredRequests(), make(chan struct{}, 1)
 	d.feed, closeIdle = newStoreSync(d)
@@ -245,6 +247,14 @@
 		d.metrics.RegisterGauge("daemons", "{daemon}", "Other daemons that live, as far as this one knows", func() int64 { return int64(d.fleetSize(time.Now()) - 1) }),
 		d.metrics.RegisterGauge("quarantined_parts", "{part}", "Prompt parts whose requests are rejected because they crash backend servers", func() int64 { return d.quarantine.len() }),
 		d.metrics.RegisterGauge("limited_servers", "{server}", "Backend servers that have named a limit of requests", func() int64 { return int64(d.limits.Len()) }),
+		d.metrics.RegisterGauge("cold_servers", "{server}", "Backend servers that are cold", func() int64 {
+			n, _ := d.cold.Remaining(time.Now())
+			return int64(n)
+		}),
+		d.metrics.RegisterGauge("cold_remaining", "ms", "Longest time for which a backend server stays cold", func() int64 {
+			_, longest := d.cold.Remaining(time.Now())
+			return longest.Milliseconds()
+		}),
 		d.metrics.RegisterGauge("store_era", "1", "Era of the platform's store, which rises by one with each restore from a backup; zero if it names none", func() int64 { return d.feed.storeEra() }),
 		d.metrics.RegisterGauge("config_version", "1", "Version of the configuration in force", func() int64 {
 			if c := d.config.Load(); c != nil {
--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -497,6 +497,7 @@
 			q.next = now.Add(busyReportPeriod(now.Sub(q.busySince)))
 		}
 		q.report, q.reported, q.at = r, true, now
+		l.d.recordCold(now, s, r)
 		if r.Leaving {
 			l.d.feed.markLeaving(roster.LeavingServer{ID: s.ID, Born: s.Born}, "")
 		}
--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -212,7 +212,10 @@
 	responses := make(chan bool, len(servers))
 	for _, s := range servers {
 		queries.Go(func() error {
-			_, err := p.prober.Report(ctx, s)
+			r, err := p.prober.Report(ctx, s)
+			if err == nil {
+				p.d.recordCold(time.Now(), s, r)
+			}
 			responses <- platform.Responded(err)
 			return nil
 		})
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -989,7 +989,7 @@
 	// chosen returns how many of 100 requests are sent to the server that failed.
 	chosen := func(now time.Time) (n int) {
 		for range 100 {
-			if health.choose(servers, func(*roster.Server) bool { return true }, nil, "", now).ID == "failed" {
+			if health.choose(servers, func(*roster.Server) bool { return true }, nil, nil, "", now).ID == "failed" {
 				n++
 			}
 		}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -25,7 +25,7 @@
 func (d *Daemon) digest() gossip.Digest {
 	out := gossip.Digest{
 		Name: d.settings().Name, Boot: d.boot, CallerAddr: d.settings().Caller, PeerAddr: d.settings().Peer,
-		DataCentre: d.settings().DataCentre, Cores: d.settings().Cores, Ready: d.ready(), StoreUp: d.storeOK.Load(), Collects: true, Relays: true, Unreachable: d.paths.lostServices(),
+		DataCentre: d.settings().DataCentre, Cores: d.settings().Cores, Ready: d.ready(), StoreUp: d.storeOK.Load(), Collects: true, Relays: true, LimitsCold: true, Unreachable: d.paths.lostServices(),
 	}
 	if c := d.config.Load(); c != nil {
 		out.ConfigVersion = c.Version
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -10,6 +10,7 @@
 
 	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/member"
+	"flamingorudder.example/internal/metric"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/schedule"
 )
@@ -30,6 +31,8 @@
 	names []string
 	peers map[string]netip.AddrPort
 	until time.Time
+	// tenure tells whether this daemon has been the first of them for long enough to use the whole rate of cold heads.
+	tenure balance.Tenure
 	// lastRound is when this daemon last ran a scheduling round for the model.
 	lastRound time.Time
 }
@@ -139,6 +142,7 @@
 		}
 	}
 	p.settleCrashes(now)
+	p.checkTenures(now)
 	p.scheduleAll(now)
 	for name, peer := range p.reporters {
 		if now.Sub(peer.heard) > reporterTTL {
@@ -254,6 +258,14 @@
 		in.Groups = append(in.Groups, balance.Group{Key: g.Key, DataCentre: g.Head.DataCentre, Suspect: p.suspects[g.Key].excludesForAll(now)})
 		in.Heads[g.Key] = g.Head
 	}
+	if p.d.anyCold(now, service) {
+		p.limitCold(now, m, service, &in)
+		defer func() {
+			held, rejected := p.server.TakeColdCounts(m)
+			p.d.metrics.RecordCold(m.Service, metric.ColdHeld, held)
+			p.d.metrics.RecordCold(m.Service, metric.ColdRejected, rejected)
+		}()
+	}
 	return p.server.Step(now, m, in)
 }
 
@@ -284,7 +296,7 @@
 			w.result <- outcome{err: &RejectedError{place.RetryAfter, place.Reason}}
 			continue
 		}
-		head := p.head(now, w, &place)
+		head := p.head(now, w, &place, a.From)
 		if head == nil {
 			// This daemon knows something about the group that the scheduler has not learnt yet.
 			w.ask.Exclude = append(w.ask.Exclude, place.Group)
@@ -296,7 +308,7 @@
 }
 
 // head returns the head of the group that the scheduler chose for a request, or nil if this daemon must not use it.
-func (p *dispatcher) head(now time.Time, w *waiter, place *schedule.Placement) *roster.Server {
+func (p *dispatcher) head(now time.Time, w *waiter, place *schedule.Placement, scheduler string) *roster.Server {
 	if slices.Contains(p.excluded(now, w.model, w.first), place.Group) {
 		return nil
 	}
@@ -305,7 +317,7 @@
 		return nil
 	}
 	if s := v.Servers[place.Head]; s != nil {
-		if s.State != roster.Ready {
+		if s.State != roster.Ready || !p.mayUseCold(now, w.model, s, scheduler) {
 			return nil
 		}
 		return s
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -16,6 +16,7 @@
 
 	"flamingorudder.example/internal/backend"
 	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/internal/metric"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
 	"flamingorudder.example/internal/timer"
@@ -57,9 +58,13 @@
 // failureWeight is the weight of the latest result in the moving average of failures.
 const failureWeight = 0.1
 
+// coldScore is added to the score of a cold server, which is slow: others are preferred until half of their slots are in use.
+const coldScore = 2
+
 // choose returns the backend server with the lowest score, which is mostly its relative load. Failing backend servers and
-// those already tried score worse. Those for which usable is false are excluded.
-func (s *healthTable) choose(servers []*roster.Server, usable func(*roster.Server) bool, tried map[string]bool, dc string, now time.Time) *roster.Server {
+// those already tried score worse. Those for which usable is false are excluded. cold is nil if no server
+// is cold.
+func (s *healthTable) choose(servers []*roster.Server, usable, cold func(*roster.Server) bool, tried map[string]bool, dc string, now time.Time) *roster.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var best *roster.Server
@@ -78,6 +83,9 @@
 				score += 10 * failures
 			}
 		}
+		if cold != nil && cold(server) {
+			score += coldScore
+		}
 		if server.DataCentre == dc {
 			score -= 0.1
 		}
@@ -159,7 +167,9 @@
 // plainRequest is the state of a request to a plain service. A safe request is also sent to another backend server if one is
 // silent, which may be sound and go on: the first usable response is forwarded.
 type plainRequest struct {
-	x     *exchange
+	x *exchange
+	// svc is nil if the configuration lacks the service.
+	svc   *route.Service
 	ids   suspectIDs
 	limit int
 	tried map[string]bool
@@ -198,7 +208,7 @@
 
 // servePlain serves a request to a plain service, one that runs no models.
 func (x *exchange) servePlain(ctx context.Context, svc *route.Service) {
-	p := &plainRequest{x: x, ids: newSuspectIDs(x.hash, nil), limit: x.d.connectionLimit(svc), tried: map[string]bool{}, ended: make(chan *plainAttempt, maxPlainAttempts)}
+	p := &plainRequest{x: x, svc: svc, ids: newSuspectIDs(x.hash, nil), limit: x.d.connectionLimit(svc), tried: map[string]bool{}, ended: make(chan *plainAttempt, maxPlainAttempts)}
 	for done := false; !done && (len(p.underWay) > 0 || ctx.Err() == nil); {
 		if len(p.underWay) == 0 && !p.start(ctx) {
 			break
@@ -249,7 +259,7 @@
 			return false
 		}
 		if server == nil {
-			wait, err := p.x.noServer(now, servers, share)
+			wait, err := p.x.noServer(now, p.svc, servers, share)
 			if wait > 0 && timer.Wait(waiting, wait) == nil {
 				continue
 			}
@@ -276,15 +286,20 @@
 // choose returns the backend server to use now, one that has not been tried if fresh is set, or nil if there is none.
 func (p *plainRequest) choose(servers []*roster.Server, now time.Time, share float64, fresh bool) *roster.Server {
 	usable := func(s *roster.Server) bool {
-		return (!fresh || !p.tried[s.ID]) && p.x.d.usableFrom(now, s, share).IsZero()
+		return (!fresh || !p.tried[s.ID]) && p.x.d.usableFrom(now, p.svc, s, share).IsZero()
 	}
-	return p.x.d.plainServers.choose(servers, usable, p.tried, p.x.d.settings().DataCentre, now)
+	var cold func(*roster.Server) bool
+	if p.x.d.anyCold(now, p.svc) {
+		cold = func(s *roster.Server) bool { return !p.x.d.cold.Until(now, s, p.svc).IsZero() }
+	}
+	return p.x.d.plainServers.choose(servers, usable, cold, p.tried, p.x.d.settings().DataCentre, now)
 }
 
-// send starts an attempt. It reports false if another request is already probing whether the pause of the server is over.
+// send starts an attempt. It reports false if another request has taken the slot of a cold server, or is already probing
+// whether the pause of the server is over.
 func (p *plainRequest) send(ctx context.Context, now time.Time, server *roster.Server) bool {
 	x := p.x
-	if !x.d.pauses.Admit(now, server.ID) {
+	if !x.d.takeColdSlot(now, p.svc, server) || !x.d.pauses.Admit(now, server.ID) {
 		return false
 	}
 	x.paid = false
@@ -437,22 +452,26 @@
 
 // usableFrom returns when a plain backend server may be sent a request, or zero if it may be now. share is the part of its
 // limit that this daemon may use.
-func (d *Daemon) usableFrom(now time.Time, s *roster.Server, share float64) time.Time {
+func (d *Daemon) usableFrom(now time.Time, svc *route.Service, s *roster.Server, share float64) time.Time {
 	if until := d.pauses.Until(now, s.ID); !until.IsZero() {
 		return until
 	}
-	return d.limits.Next(now, s.ID, s.Born, share)
+	from := d.limits.Next(now, s.ID, s.Born, share)
+	if cold := d.coldFrom(now, svc, s); cold.After(from) {
+		return cold
+	}
+	return from
 }
 
 // noServer is called when no backend server of a plain service can be used now. It returns how long to wait for one, or zero
 // with an error if the request would become late: then the caller is told when to retry.
-func (x *exchange) noServer(now time.Time, servers []*roster.Server, share float64) (wait time.Duration, err error) {
+func (x *exchange) noServer(now time.Time, svc *route.Service, servers []*roster.Server, share float64) (wait time.Duration, err error) {
 	if len(servers) == 0 {
 		return 0, &NoServerError{x.service}
 	}
 	first := x.deadline
 	for _, s := range servers {
-		from := x.d.usableFrom(now, s, share)
+		from := x.d.usableFrom(now, svc, s, share)
 		if from.IsZero() {
 			return dispatchPeriod, nil // the answer to another request has ended its pause meanwhile
 		}
@@ -460,10 +479,20 @@
 			first = from
 		}
 	}
+	cold, reason := x.d.anyCold(now, svc), "all backend servers asked for a pause or are at their limit"
+	if cold {
+		reason = "all backend servers are cold, asked for a pause or are at their limit"
+	}
 	if first.Before(x.start.Add(x.route.Objective / 2)) {
+		if cold {
+			x.d.metrics.RecordCold(x.service, metric.ColdHeld, 1)
+		}
 		return first.Sub(now), nil
 	}
-	return 0, &RejectedError{max(first.Sub(now), 0), "all backend servers asked for a pause or are at their limit"}
+	if cold {
+		x.d.metrics.RecordCold(x.service, metric.ColdRejected, 1)
+	}
+	return 0, &RejectedError{max(first.Sub(now), 0), reason}
 }
 
 // connectionLimit returns this daemon's share of the connections that a backend server of a service accepts, or zero if
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -448,6 +448,7 @@
 func (d *Daemon) handleNotices(s *roster.Server, a *backend.Response) (description string) {
 	now := time.Now()
 	if a.Malformed != "" {
+		d.metrics.RecordInvalid("answer")
 		d.log.Warn("header of a backend server cannot be read", "id", s.ID, "header", a.Malformed, "value", a.Header.Get(a.Malformed), "taken", a.Notice)
 	}
 	if a.Leaving {
@@ -457,6 +458,9 @@
 	if a.Limited {
 		description += ", " + noteLimit + " " + strconv.FormatFloat(a.Limit, 'g', 4, 64)
 	}
+	if a.ColdKnown {
+		d.cold.Tell(now, s, a.Cold)
+	}
 	if a.Pause > 0 {
 		if d.pauses.Start(now, s.ID, a.Pause, rand.Float64) {
 			d.log.Info("backend server asked for a pause", "id", s.ID, "pause", a.Pause)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -43,6 +43,9 @@
 	// number of requests to the service, plus RetrySlack.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// ColdOverage and ColdSlack bound the requests that a cold backend server may get in any second from all daemons:
+	// ColdOverage times the service's cold rate, plus ColdSlack.
+	ColdOverage, ColdSlack float64
 	// LoadWindow is the time window of the rate limit for loading weights.
 	LoadWindow time.Duration
 	// HeartbeatPeriod is how often backend servers renew their entries in the store.
@@ -87,6 +90,7 @@
 	s.Drain, s.Grace, s.AddressTTL = milli("drain-ms", 2000), second("grace-s", 8), second("hold-s", 5)
 	s.Stall, s.LoadWindow, s.HeartbeatPeriod = milli("stall-ms", 6000), second("load-window-s", 5), milli("beat-ms", 1200)
 	s.RetryRatio, s.RetrySlack = b.Float("retry-ratio", 0.2, 0, 1e3), b.Float("retry-slack", 0, 0, 1e9)
+	s.ColdOverage, s.ColdSlack = b.Float("cold-overage", 1.5, 1, 1e3), b.Float("cold-slack", 5, 0, 1e9)
 	s.RetryWindow = time.Duration(b.Float("retry-window-s", 10, 0.1, 1e6) * float64(time.Second))
 
 	g := f.Section("log")
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -103,9 +104,10 @@
 	current context.Context
 	end     context.CancelFunc
 	tracker *roster.Tracker
-	// storeNow is the store's clock as of storeNowAt, zero before the first read of the daemons' rows.
-	storeNow   time.Duration
-	storeNowAt time.Time
+	// storeNow is the store's clock as of the first read of the daemons' rows and after; nil before.
+	storeNow atomic.Pointer[clockReading]
+	// rowNames holds the names in the daemons' rows as last read; nil before.
+	rowNames atomic.Pointer[[]string]
 	// started is when the daemon started.
 	started time.Time
 }
@@ -400,6 +402,11 @@
 	f.rawConfig, f.compressedConfig = text, nil
 	f.d.config.Store(c)
 	f.d.dispatch.configChanged()
+	for _, text := range c.Invalid {
+		f.d.metrics.RecordInvalid("configuration")
+		f.d.log.Warn("value of the configuration ignored", "version", c.Version, "value", text)
+	}
+	f.updateCold(time.Now(), f.d.view.Load())
 	oldVersion := int64(0)
 	if old != nil {
 		oldVersion = old.Version
@@ -719,6 +726,13 @@
 			changes = append(changes, roster.Change{ID: r.ID})
 			continue
 		}
+		if s.Cold > 0 {
+			s.ColdUntil = f.readAt.Add(s.Cold)
+		}
+		if o := f.d.view.Load().Servers[s.ID]; s.ColdInvalid && (o == nil || !o.ColdInvalid) {
+			f.d.metrics.RecordInvalid("entry")
+			f.d.log.Warn("remaining cold time in the entry of a backend server ignored", "id", s.ID)
+		}
 		if whole {
 			holds := f.tracker.Supersede(now, s)
 			if holds == nil {
@@ -754,12 +768,22 @@
 func (f *storeSync) publishView(now time.Time) {
 	old := f.d.view.Load()
 	v := f.tracker.View(now, f.size)
+	f.updateCold(now, v)
 	f.d.view.Store(v)
 	f.d.paths.serversChanged(old, v)
 	f.logChanges(old, v)
 	f.d.dispatch.groupsChanged()
 }
 
+// updateCold learns which backend servers are cold and logs those that have become so.
+func (f *storeSync) updateCold(now time.Time, v *roster.View) {
+	c := f.d.config.Load()
+	for _, s := range f.d.cold.Update(now, v.Servers, c) {
+		until := f.d.cold.Until(now, s, c.Service(s.Service))
+		f.d.log.Info("backend server is cold", "id", s.ID, "service", s.Service, "group", s.Group, "remaining", until.Sub(now), "by_entry", s.Cold, "appeared", s.Appeared)
+	}
+}
+
 // markLeaving records that a backend server announced its shutdown. source is the peer that relayed this, empty if the backend
 // server told this daemon.
 func (f *storeSync) markLeaving(l roster.LeavingServer, source string) {
@@ -876,19 +900,21 @@
 }
 
 func (f *storeSync) setStoreClock(now time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.storeNow, f.storeNowAt = now, time.Now()
+	f.storeNow.Store(&clockReading{now, time.Now()})
+}
+
+// clockReading is the time by the store's clock at some moment.
+type clockReading struct {
+	now time.Duration
+	at  time.Time
 }
 
 // storeClock returns the present time by the store's clock, which all daemons share.
 func (f *storeSync) storeClock() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.storeNowAt.IsZero() {
-		return 0
+	if r := f.storeNow.Load(); r != nil {
+		return r.now + time.Since(r.at)
 	}
-	return f.storeNow + time.Since(f.storeNowAt)
+	return 0
 }
 
 func (f *storeSync) readDaemons(ctx context.Context) error {
@@ -910,6 +936,11 @@
 		rows = append(rows, m)
 	}
 	f.d.peersMu.Unlock()
+	names := make([]string, len(rows))
+	for i := range rows {
+		names[i] = rows[i].Name
+	}
+	f.rowNames.Store(&names)
 	f.setStoreClock(page.Now)
 	for _, m := range rows {
 		f.addQuarantineRow(m.Quarantined, m.WrittenAt, page.Now, m.Name)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -112,6 +112,8 @@
 	// requests that others hand over, and query the state of backend servers for them.
 	Unreachable []string `cbor:"unreachable,omitempty"`
 	Relays      bool     `cbor:"relays,omitempty"`
+	// LimitsCold is set by daemons that as schedulers limit the requests to cold servers.
+	LimitsCold bool `cbor:"cold,omitempty"`
 	// WrittenAt is when a row with the digest was written, by the store's clock; zero in a datagram.
 	WrittenAt time.Duration `cbor:"written,omitempty"`
 }
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -286,6 +286,10 @@
 	// may use them whole; otherwise it uses the share of the daemons that it has reports from.
 	Limits    *balance.Limits
 	Preferred bool
+	// ColdAllowance holds how many requests the cold heads take now, by group key; TakeCold counts one. Both are nil if no head is
+	// cold.
+	ColdAllowance map[string]int
+	TakeCold      func(head *roster.Server)
 	// Reject returns the decision on a request that no group may run, by its fingerprint. It is nil if there are none.
 	Reject func(fingerprint uint64) (p Placement, rejected bool)
 	// Random returns numbers in [0, 1).
@@ -347,6 +351,11 @@
 		if h := in.Heads[g.Key]; h != nil && in.Limits != nil {
 			g.Allowance, g.Limited = in.Limits.Allowance(now, h.ID, h.Born, share)
 		}
+		if n, cold := in.ColdAllowance[g.Key]; cold {
+			if g.ColdLimited = n < 1; !g.Limited || n < g.Allowance {
+				g.Allowance, g.Limited = n, true
+			}
+		}
 	}
 	for _, d := range m.scheduler.Step(now, in.Plan, in.Groups, unreported, in.Random) {
 		c := m.daemons[d.Daemon]
@@ -359,6 +368,9 @@
 			if in.Limits != nil {
 				in.Limits.Take(h.ID)
 			}
+			if _, cold := in.ColdAllowance[d.Group]; cold {
+				in.TakeCold(h)
+			}
 		}
 		m.addLoad(p.Group, balance.Load{Requests: 1, QueuedTokens: d.Prompt})
 		answer(d.Daemon, c, p, d.Prompt)
@@ -366,6 +378,14 @@
 	return out
 }
 
+// TakeColdCounts returns balance.Scheduler.TakeColdCounts of a model.
+func (s *Server) TakeColdCounts(model Model) (held, rejected int) {
+	if m := s.models[model]; m != nil {
+		return m.scheduler.TakeColdCounts()
+	}
+	return 0, 0
+}
+
 // removeSilent removes the daemons that have sent no report for daemonTimeout.
 func (m *modelState) removeSilent(now time.Time) {
 	for name, c := range m.daemons {
