--- a/internal/entry/evacuate.go
+++ b/internal/entry/evacuate.go
@@ -270,6 +270,7 @@
 		for _, name := range old.DataCentres() {
 			if !set.Covers(name) {
 				f.d.log.Info("evacuation of a data centre ended", "data_centre", name, "source", source)
+				f.d.cold.Presume(name, set.EndedAt(name))
 			}
 		}
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -115,6 +115,8 @@
 	Relays      bool     `cbor:"relays,omitempty"`
 	// Evacuations are the evacuated data centres as the sender knows them, nil until it does.
 	Evacuations *evacuation.State `cbor:"evacuations,omitempty"`
+	// LimitsCold is set by daemons that as schedulers limit the requests to cold servers.
+	LimitsCold bool `cbor:"cold,omitempty"`
 	// WrittenAt is when a row with the digest was written, by the store's clock; zero in a datagram.
 	WrittenAt time.Duration `cbor:"written,omitempty"`
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -33,6 +33,8 @@
 	outdated           metric.Int64Counter
 	withheld           metric.Int64Counter
 	unknownEvacuations metric.Int64Counter
+	cold               metric.Int64Counter
+	invalid            metric.Int64Counter
 	meter              metric.Meter
 }
 
@@ -47,7 +49,7 @@
 	m := provider.Meter("flamingorudder")
 	s := &Set{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), meter: m}
 	buckets := metric.WithExplicitBucketBoundaries(0.01, 0.025, 0.05, 0.1, 0.2, 0.38, 0.5, 1, 2, 5, 10, 30, 60, 300, 600)
-	var errs [11]error
+	var errs [13]error
 	s.requests, errs[0] = m.Int64Counter("requests", metric.WithUnit("{request}"), metric.WithDescription("Requests answered, by outcome"))
 	s.firstToken, errs[1] = m.Float64Histogram("first_token", metric.WithUnit("s"), metric.WithDescription("Time from accepting a request to its first token"), buckets)
 	s.duration, errs[2] = m.Float64Histogram("request_duration", metric.WithUnit("s"), metric.WithDescription("Time from accepting a request to the end of its answer"), buckets)
@@ -59,6 +61,8 @@
 	s.outdated, errs[8] = m.Int64Counter("outdated_store_reads", metric.WithUnit("{read}"), metric.WithDescription("Reads of the platform's store, direct or through a peer, that were dropped because newer ones are known"))
 	s.withheld, errs[9] = m.Int64Counter("withheld_attempts", metric.WithUnit("{attempt}"), metric.WithDescription("Attempts that were not sent because the data centre of the chosen backend server had been evacuated meanwhile"))
 	s.unknownEvacuations, errs[10] = m.Int64Counter("unknown_evacuations", metric.WithUnit("{data_centre}"), metric.WithDescription("Evacuated data centres that have neither backend servers nor daemons"))
+	s.cold, errs[11] = m.Int64Counter("cold_requests", metric.WithUnit("{request}"), metric.WithDescription("Requests that were held back or rejected while cold backend servers took no more, by outcome"))
+	s.invalid, errs[12] = m.Int64Counter("invalid_values", metric.WithUnit("{value}"), metric.WithDescription("Values of the configuration, of entries and of answers that were ignored, by source"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, nil, fmt.Errorf("create instrument: %w", err)
@@ -122,6 +126,24 @@
 // RecordUnknownEvacuation records an evacuated data centre that has neither backend servers nor daemons.
 func (s *Set) RecordUnknownEvacuation() { s.unknownEvacuations.Add(context.Background(), 1) }
 
+// Outcomes of requests that cold backend servers did not take at once.
+const (
+	ColdHeld     = "held"
+	ColdRejected = "rejected"
+)
+
+// RecordCold records n requests to a service that cold backend servers did not take at once.
+func (s *Set) RecordCold(service, outcome string, n int) {
+	if n > 0 {
+		s.cold.Add(context.Background(), int64(n), metric.WithAttributes(attribute.String("service", service), attribute.String("outcome", outcome)))
+	}
+}
+
+// RecordInvalid records an ignored value of a source: the configuration, an entry or an answer.
+func (s *Set) RecordInvalid(source string) {
+	s.invalid.Add(context.Background(), 1, metric.WithAttributes(attribute.String("source", source)))
+}
+
 // RegisterGauge registers a gauge whose value is read at each scrape.
 func (s *Set) RegisterGauge(name, unit, description string, read func() int64) error {
 	_, err := s.meter.Int64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(description),
