Assume no load for unreported daemons that have just started

Callers saw 82 rejections as crowded within 0.4 s after all daemons had started, although all groups were open and idle.

A scheduler scales the load of the daemons that have reported up for the others. When a whole fleet starts, the few daemons that report first do so because they have work, and the others have none; the estimate fills all groups. Digests now tell how long their sender has run, and the load is not scaled up for the fraction of daemons that have started lately.

--- a/internal/balance/scheduler.go
+++ b/internal/balance/scheduler.go
@@ -94,6 +94,8 @@
 	recentPrompts map[string]recentTokens
 	// credits counts the placements that each lower-priority class is owed.
 	credits map[class]float64
+	// idle is the fraction of the daemons that have not reported which hold no work, see SetIdle.
+	idle float64
 }
 
 // class is a set of requests with equal priority.
@@ -192,6 +194,10 @@
 	s.waiting = append(s.waiting, w)
 }
 
+// SetIdle sets the fraction of the daemons that have not reported which hold no work, as they have just started. The load of the others
+// is not scaled up for these: when a whole fleet starts, the few daemons that report first would otherwise fill all groups by estimate.
+func (s *Scheduler) SetIdle(fraction float64) { s.idle = fraction }
+
 // Drop removes a request that no longer waits.
 func (s *Scheduler) Drop(t Ticket) {
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *Waiter) bool { return w.Ticket == t })
@@ -256,7 +262,7 @@
 		s.sort(now)
 	}
 	longestPass := s.maxPassTime()
-	addUnreportedLoad(groups, unreported)
+	addUnreportedLoad(groups, unreported, s.idle)
 	var out []Decision
 	lateWaiting := 0
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *Waiter) bool {
@@ -288,8 +294,9 @@
 	return out
 }
 
-// addUnreportedLoad adds to each group an equal part of the load assumed for the daemons that have not reported.
-func addUnreportedLoad(groups []Group, unreported float64) {
+// addUnreportedLoad adds to each group an equal part of the load assumed for the daemons that have not reported. idle is the fraction of
+// these that hold no work.
+func addUnreportedLoad(groups []Group, unreported, idle float64) {
 	if unreported <= 0 || len(groups) == 0 {
 		return
 	}
@@ -297,7 +304,7 @@
 	for i := range groups {
 		total = total.Add(groups[i].Load)
 	}
-	part := min(unreported/(1-unreported), maxUnreportedFactor) / float64(len(groups))
+	part := min(unreported/(1-unreported), maxUnreportedFactor) * (1 - idle) / float64(len(groups))
 	extra := Load{int(math.Round(part * float64(total.Requests))), int(part * float64(total.QueuedTokens))}
 	for i := range groups {
 		groups[i].Load = groups[i].Load.Add(extra)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -112,6 +112,8 @@
 	// requests that others hand over, and query the state of backend servers for them.
 	Unreachable []string `cbor:"unreachable,omitempty"`
 	Relays      bool     `cbor:"relays,omitempty"`
+	// Uptime is how long the sender has run when it sends the digest. Daemons of earlier builds do not tell.
+	Uptime time.Duration `cbor:"uptime,omitempty"`
 	// WrittenAt is when a row with the digest was written, by the store's clock; zero in a datagram.
 	WrittenAt time.Duration `cbor:"written,omitempty"`
 }
@@ -256,6 +258,19 @@
 	return n
 }
 
+// StartedFraction returns the fraction of the live daemons of which a digest shows that they started within the given time. It is zero
+// if none is live.
+func (m *PeerSet) StartedFraction(now time.Time, within time.Duration) float64 {
+	live := m.Live(now)
+	started := 0
+	for _, o := range live {
+		if o.Uptime > 0 && o.Uptime+now.Sub(o.LastReceived) <= within {
+			started++
+		}
+	}
+	return float64(started) / float64(max(len(live), 1))
+}
+
 // AddFromRow adds a daemon found in the store. The row of a later lifetime replaces the digest of an earlier one.
 func (m *PeerSet) AddFromRow(now time.Time, d Digest) {
 	if d.Name == m.self || !d.PeerAddr.IsValid() {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -103,3 +103,23 @@
 		t.Errorf("daemons %+v", all)
 	}
 }
+
+// TestStartedFraction guards against taking daemons for idle that have run for long, or that do not tell for how long.
+func TestStartedFraction(t *testing.T) {
+	m := NewPeerSet("self", "dc", 1)
+	now := time.Now()
+	if got := m.StartedFraction(now, time.Second); got != 0 {
+		t.Errorf("without peers: %v", got)
+	}
+	for i, uptime := range []time.Duration{0, 100 * time.Millisecond, 800 * time.Millisecond, time.Hour} {
+		d := digest(string(rune('a'+i)), 1, 1)
+		d.Uptime = uptime
+		m.Receive(now, d)
+	}
+	if got := m.StartedFraction(now, time.Second); got != 0.5 {
+		t.Errorf("got %v, want 0.5", got)
+	}
+	if got := m.StartedFraction(now.Add(500*time.Millisecond), time.Second); got != 0.25 {
+		t.Errorf("later: got %v, want 0.25", got)
+	}
+}
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -282,6 +282,8 @@
 	Heads  map[string]*roster.Server
 	// Daemons is the number of daemons, including this one.
 	Daemons int
+	// Started is the fraction of the daemons that have just started, as far as known. They hold no work that they have not reported.
+	Started float64
 	// Limits holds the limits that heads have named. Preferred is set when the other daemons ask this one too, so that it
 	// may use them whole; otherwise it uses the share of the daemons that it has reports from.
 	Limits    *balance.Limits
@@ -348,6 +350,7 @@
 			g.Allowance, g.Limited = in.Limits.Allowance(now, h.ID, h.Born, share)
 		}
 	}
+	m.scheduler.SetIdle(in.Started)
 	for _, d := range m.scheduler.Step(now, in.Plan, in.Groups, unreported, in.Random) {
 		c := m.daemons[d.Daemon]
 		if c == nil {
