Ask the store or a peer for the first data as soon as either can know it

Callers saw every request rejected with "no configuration" for 0.55 s after all daemons had started, all with the same Retry-After.

Each daemon listened for 500 ms before it asked anyone, and then asked the store itself, as no peer was ready. Now internal/startup decides from the rows of daemons. A daemon announces itself once it is synchronised, and some synchronised daemons respond to a digest of one that has no configuration. A request that arrives earlier waits for at most 500 ms and a third of its timeout; a rejection names a random Retry-After.

A daemon without a configuration takes one only from a peer that confirms that the store had no newer one 0.9 s ago or less, directly or through peers. After a restore of the store it waits up to 500 ms for a peer, which may know later entries.

A read of all entries marked entries as changed of which a feed had shown a later heartbeat; such entries are no longer relayed to large fleets. TestRelay showed this now that entries are read before the first lease, and it waits for that lease. TestConfigurationRelay waited for a call of a daemon that no longer needs one; the bound on its calls is unchanged.

Not measured with processes.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -245,6 +245,9 @@
 		d.metrics.RegisterGauge("daemons", "{daemon}", "Other daemons that live, as far as this one knows", func() int64 { return int64(d.fleetSize(time.Now()) - 1) }),
 		d.metrics.RegisterGauge("quarantined_parts", "{part}", "Prompt parts whose requests are rejected because they crash backend servers", func() int64 { return d.quarantine.len() }),
 		d.metrics.RegisterGauge("limited_servers", "{server}", "Backend servers that have named a limit of requests", func() int64 { return int64(d.limits.Len()) }),
+		d.metrics.RegisterGauge("start_time", "ms", "Time from the start of the daemon until it knew configuration and entries; zero before", func() int64 { return d.feed.start.took.Load() }),
+		d.metrics.RegisterGauge("start_waiting", "{request}", "Requests that wait for the first configuration and entries", func() int64 { return d.feed.start.waiting.Load() }),
+		d.metrics.RegisterGauge("start_unconfirmed", "{response}", "Responses of peers that this daemon did not use for its first configuration, as they did not confirm it", func() int64 { return d.feed.start.unconfirmed.Load() }),
 		d.metrics.RegisterGauge("store_era", "1", "Era of the platform's store, which rises by one with each restore from a backup; zero if it names none", func() int64 { return d.feed.storeEra() }),
 		d.metrics.RegisterGauge("config_version", "1", "Version of the configuration in force", func() int64 {
 			if c := d.config.Load(); c != nil {
@@ -328,7 +331,7 @@
 		})
 	}
 	for _, task := range []func(context.Context){
-		d.feed.watchConfig, d.feed.pollServers, d.feed.pollDaemons, d.feed.pollPeers, d.feed.saveQuarantine, d.receive, d.sendDigests, d.sendAnnouncements, d.leader.run, d.dispatch.run, d.paths.run, d.sweep,
+		d.feed.watchConfig, d.feed.pollServers, d.feed.pollDaemons, d.feed.pollPeers, d.feed.saveQuarantine, d.receive, d.sendDigests, d.sendAnnouncements, d.announceStart, d.leader.run, d.dispatch.run, d.paths.run, d.sweep,
 	} {
 		d.tasks.Go(func() error {
 			task(ctx)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -115,6 +115,14 @@
 
 // startDaemon starts a daemon and stops it at the end of the test. Each of setup is called with the daemon before it runs.
 func startDaemon(t *testing.T, store *fakeplatform.Store, name string, setup ...func(d *Daemon)) *daemonUnderTest {
+	t.Helper()
+	u, run := prepareDaemon(t, store, name, setup...)
+	run()
+	return u
+}
+
+// prepareDaemon returns a daemon whose sockets are open, and the function that starts it. The test has to call it.
+func prepareDaemon(t *testing.T, store *fakeplatform.Store, name string, setup ...func(d *Daemon)) (*daemonUnderTest, func()) {
 	t.Helper()
 	srv := httptest.NewServer(store.Daemons())
 	t.Cleanup(srv.Close)
@@ -131,7 +139,10 @@
 		f(d)
 	}
 	done := make(chan error, 1)
-	go func() { done <- d.Start(context.Background()) }()
+	run := func() {
+		d.feed.started = time.Now()
+		go func() { done <- d.Start(context.Background()) }()
+	}
 	t.Cleanup(func() {
 		if !d.shuttingDown.Load() {
 			if err := d.Stop(context.Background()); err != nil {
@@ -143,7 +154,7 @@
 		}
 		closeDaemon()
 	})
-	return &daemonUnderTest{t, d, store, s}
+	return &daemonUnderTest{t, d, store, s}, run
 }
 
 // eventually polls until a condition holds that other goroutines bring about, and fails the test after 10 s.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -36,9 +36,10 @@
 	// logSampling is the sampling rate of served requests in the log: one in that many. Sampling is by the hash of the
 	// request id, so that every process selects the same requests.
 	logSampling = 32
-	// notReadyRetryAfter is the Retry-After time of a daemon that has no configuration yet or no memory left for request
-	// bodies.
-	notReadyRetryAfter = 500 * time.Millisecond
+	// minNotReadyDelay and notReadyJitter set the Retry-After time of a daemon that has no configuration yet or no memory left for
+	// request bodies. The jitter keeps callers that are rejected together, by one daemon or by all of them, from returning together.
+	minNotReadyDelay = 250 * time.Millisecond
+	notReadyJitter   = 750 * time.Millisecond
 )
 
 // exchange is one request of a caller and its response.
@@ -149,6 +150,7 @@
 // request that cannot be served.
 func (x *exchange) admit() bool {
 	d := x.d
+	x.awaitStart()
 	x.config = d.config.Load()
 	if x.config == nil {
 		x.rejectNotReady("no configuration")
@@ -158,7 +160,7 @@
 		x.rejectNotReady("earlier configuration")
 		return false
 	}
-	if x.from != "" && d.view.Load().Read.IsZero() {
+	if d.view.Load().Read.IsZero() {
 		x.rejectNotReady("entries not read")
 		return false
 	}
@@ -246,7 +248,12 @@
 
 // rejectNotReady rejects a request that this daemon cannot serve for now.
 func (x *exchange) rejectNotReady(reason string) {
-	retryAfter := notReadyRetryAfter
+	timeout := x.call.Timeout
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	// Callers wait at most a third of the time that they have left.
+	retryAfter := min(minNotReadyDelay+time.Duration(rand.Float64()*float64(notReadyJitter)), max(timeout-time.Since(x.start), 0)/3)
 	if x.from != "" {
 		retryAfter = 0
 	}
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -23,6 +23,7 @@
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/netopt"
 	"flamingorudder.example/internal/roster"
+	"flamingorudder.example/internal/startup"
 	"flamingorudder.example/internal/timer"
 	"flamingorudder.example/platform"
 )
@@ -108,6 +109,9 @@
 	storeNowAt time.Time
 	// started is when the daemon started.
 	started time.Time
+	start   *start
+	// confirmation tells how recently the store confirmed the configuration in force, directly or through peers.
+	confirmation startup.Confirmation
 }
 
 // newStoreSync returns a storeSync without any data and a function that closes the idle connections to peers.
@@ -117,7 +121,7 @@
 	}
 	current, end := context.WithCancel(context.Background())
 	return &storeSync{
-		d: d, started: time.Now(), peers: &http.Client{Transport: t}, rawServers: map[string]entryRow{}, current: current, end: end, tracker: roster.NewTracker(lapseGrace, d.heartbeatTimeout()),
+		d: d, started: time.Now(), start: newStart(), peers: &http.Client{Transport: t}, rawServers: map[string]entryRow{}, current: current, end: end, tracker: roster.NewTracker(lapseGrace, d.heartbeatTimeout()),
 	}, t.CloseIdleConnections
 }
 
@@ -187,10 +191,11 @@
 func (f *storeSync) watchConfig(ctx context.Context) {
 	var retry storeBackoff
 	after := noPosition
-	f.awaitPeers(ctx)
+	f.start.await(ctx)
 	for ctx.Err() == nil {
-		if now := time.Now(); f.configIsRelayed(now) || f.d.config.Load() == nil && f.shouldAwaitRelay(now) {
+		if f.configIsRelayed(time.Now()) {
 			after = noPosition
+			f.setFollowing(false)
 			_ = timer.Wait(ctx, relayCheckPeriod) // the loop checks ctx
 			continue
 		}
@@ -217,9 +222,7 @@
 		if err == nil && page.Era < f.storeEra() {
 			err = &OutdatedError{Era: page.Era, Known: f.storeEra()}
 		}
-		f.mu.Lock()
-		f.following = err == nil
-		f.mu.Unlock()
+		f.setFollowing(err == nil)
 		if err != nil {
 			if ctx.Err() == nil {
 				f.d.log.Warn("cannot read the configuration from the store", "error", err)
@@ -238,31 +241,18 @@
 	}
 }
 
-const (
-	// discoveryTime is how long a daemon that has just started listens for peers before it asks the store for what they may
-	// know. It covers several digests of a large data centre.
-	discoveryTime = 500 * time.Millisecond
-	// maxDiscoveryTime is how long after its start a daemon waits for a peer to relay to it before it asks the store itself.
-	maxDiscoveryTime = 2 * time.Second
-	// bootstrapPeriod is how often it asks that peer in the meantime.
-	bootstrapPeriod = 150 * time.Millisecond
-)
-
-// awaitPeers waits until the daemon has had time to hear its peers.
-func (f *storeSync) awaitPeers(ctx context.Context) {
-	for ctx.Err() == nil && time.Since(f.started) < maxDiscoveryTime {
-		if f.d.peersLoaded.Load() && time.Since(f.started) >= discoveryTime {
-			return
-		}
-		_ = timer.Wait(ctx, bootstrapPeriod/3) // the loop checks ctx
+// setFollowing records whether the last read of the configuration from the store succeeded and the next one is pending.
+func (f *storeSync) setFollowing(following bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.following = following
+	if following {
+		f.confirmation.Read(time.Now())
+	} else {
+		f.confirmation.Lost()
 	}
 }
 
-// shouldAwaitRelay reports whether a daemon that has no data yet should wait for a peer to relay them.
-func (f *storeSync) shouldAwaitRelay(now time.Time) bool {
-	return now.Sub(f.started) < maxDiscoveryTime && f.assignedReader(now) != nil
-}
-
 // relayCheckPeriod is how often a daemon with a relayed configuration checks that the relay still works.
 const relayCheckPeriod = 100 * time.Millisecond
 
@@ -399,6 +389,10 @@
 	}
 	f.rawConfig, f.compressedConfig = text, nil
 	f.d.config.Store(c)
+	if old == nil && !f.readAt.IsZero() {
+		f.publishView(time.Now()) // the sizes of groups are known only now
+	}
+	f.d.noteSynced()
 	f.d.dispatch.configChanged()
 	oldVersion := int64(0)
 	if old != nil {
@@ -411,14 +405,13 @@
 func (f *storeSync) pollServers(ctx context.Context) {
 	after := noPosition
 	var retry storeBackoff
-	f.awaitPeers(ctx)
-	for ctx.Err() == nil && after == noPosition && f.shouldAwaitRelay(time.Now()) {
-		f.bootstrap(ctx, &after)
-		_ = timer.Wait(ctx, bootstrapPeriod) // the loop checks ctx
-	}
+	f.findSource(ctx)
 	if after == noPosition {
 		after = f.lastPosition()
 	}
+	if after != noPosition {
+		_ = timer.Wait(ctx, f.serversPeriod()) // the peer has just relayed all entries; the loop checks ctx
+	}
 	ticks, stop := timer.Every(f.serversPeriod(), 0.1)
 	defer stop()
 	for {
@@ -444,28 +437,6 @@
 	}
 }
 
-// bootstrap fetches the complete state from the peer that reads the entries for this daemon.
-func (f *storeSync) bootstrap(ctx context.Context, after *era.Position) {
-	reader := f.assignedReader(time.Now())
-	if reader == nil {
-		return
-	}
-	state, err := f.fetch(ctx, reader.PeerAddr, pathAll)
-	if err != nil {
-		f.d.log.Warn("cannot fetch the complete state from the assigned reader", "name", reader.Name, "error", err)
-		return
-	}
-	if state.Age > maxRelayAge || state.Version == 0 {
-		return // the reader has no recent data
-	}
-	f.applyRelayedConfig(state, reader.Name)
-	f.markSynced(state.WithHeartbeats)
-	f.applyServers(state.Servers, true, state.position(), state.Age)
-	f.inheritDoubt(state.Doubt)
-	*after = state.position()
-	f.recordStoreResult(nil)
-}
-
 // lastPosition returns the position of the entries that a peer relayed, from which reads of the store can go on. The peer may
 // know better than a store that was restored from a backup.
 func (f *storeSync) lastPosition() era.Position {
@@ -525,7 +496,7 @@
 	}
 	numReaders := 1 + len(local)/daemonsPerReader
 	if rank < numReaders {
-		return nil
+		return f.startRelay(now)
 	}
 	// All daemons agree on the first elements: live is ordered by name and the sort is stable.
 	slices.SortStableFunc(local, func(a, b *gossip.Peer) int { return cmp.Compare(b.Cores, a.Cores) })
@@ -574,6 +545,7 @@
 		*after = noPosition
 		return &OutdatedError{Era: page.Era, Known: known}
 	}
+	f.confirmStore()
 	f.markSynced(whole) // a feed shows no entry of which only the heartbeat has changed
 	*after = page.Position()
 	rows := make([]entryRow, len(page.Rows))
@@ -591,6 +563,13 @@
 	return fmt.Sprintf("answer is of era %d of the store, which is in era %d", e.Era, e.Known)
 }
 
+// confirmStore records that the store has answered a read of the entries.
+func (f *storeSync) confirmStore() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.confirmation.Alive(time.Now())
+}
+
 // markSynced records that entries are read again, from the store or through a peer. It has to be called before the entries are
 // applied, because the grace period of entries that lapsed during an outage starts at its end. renewals is set if the read
 // shows heartbeats.
@@ -610,16 +589,27 @@
 	return 0
 }
 
-// applyRelayedConfig applies the configuration that a peer relayed.
-func (f *storeSync) applyRelayedConfig(in peerState, source string) {
+// applyRelayedConfig applies the configuration that a peer relayed. It reports false if this daemon has none yet and the peer does not
+// confirm that the store has no newer one.
+func (f *storeSync) applyRelayedConfig(in peerState, source string) bool {
+	now := time.Now()
+	if f.d.config.Load() == nil && !f.isConfirmed(now, in) {
+		f.start.unconfirmed.Add(1)
+		f.d.log.Info("configuration of a peer not taken, as the peer does not confirm that it is the newest", "source", source, "age", in.ConfigAge, "era", in.Era)
+		return false
+	}
 	if len(in.Config) > 0 {
 		f.applyConfig(in.Config, source)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if in.Following {
-		f.configConfirmedAt = time.Now()
+	if in.Following || startup.MayTake(in.ConfigAge) {
+		f.configConfirmedAt = now
+	}
+	if in.ConfigAge > 0 {
+		f.confirmation.Relayed(now, in.ConfigAge)
 	}
+	return true
 }
 
 // maxRelayAge is how old relayed entries may be.
@@ -728,7 +718,13 @@
 			if holds != s && len(old.Value) > 0 {
 				r.Value = old.Value
 			}
-			if s = holds; !bytes.Equal(old.Value, r.Value) {
+			switch s = holds; {
+			case bytes.Equal(old.Value, r.Value):
+				// Its last change is the one that peers know; a feed may have shown a later heartbeat.
+				if !old.Removed {
+					r.changed = old.changed
+				}
+			default:
 				// The row may be older than the position of a peer that lacks it.
 				r.Version, r.changed = position.Version, position.Version
 				if f.tracker.IsRenewal(s) {
@@ -757,6 +753,7 @@
 	f.d.view.Store(v)
 	f.d.paths.serversChanged(old, v)
 	f.logChanges(old, v)
+	f.d.noteSynced()
 	f.d.dispatch.groupsChanged()
 }
 
@@ -820,6 +817,9 @@
 			}
 		}
 		err := f.readDaemons(ctx)
+		if err == nil && wrote.IsZero() && writtenEra == 0 {
+			err = timer.Wait(ctx, startup.RowDelay(f.d.fleetSize(time.Now()), f.start.hadRow, rand.Float64()))
+		}
 		if err == nil && time.Since(wrote) >= rowPeriod+f.rowDelay() {
 			if writtenEra, err = f.writeDaemon(ctx); err == nil {
 				wrote = time.Now()
@@ -892,6 +892,7 @@
 }
 
 func (f *storeSync) readDaemons(ctx context.Context) error {
+	asked := time.Now()
 	page, err := f.d.storeCall(ctx, "daemons", storeTimeout, func(ctx context.Context) (platform.Page, error) {
 		return f.d.store.Rows(ctx, tableDaemons)
 	})
@@ -914,7 +915,11 @@
 	for _, m := range rows {
 		f.addQuarantineRow(m.Quarantined, m.WrittenAt, page.Now, m.Name)
 	}
-	if !f.d.peersLoaded.Swap(true) {
+	if !f.d.peersLoaded.Load() {
+		f.start.hadRow = slices.ContainsFunc(rows, func(m gossip.Digest) bool { return m.Name == f.d.settings().Name })
+		f.start.rowsTook.Store(int64(time.Since(asked)))
+		f.d.peersLoaded.Store(true)
+		f.start.notify()
 		// Two daemons take each other's load into account only after both have heard a digest.
 		f.d.announce()
 	}
@@ -941,6 +946,9 @@
 	// Store is set if the sender reads the entries from the store, Following if it reads the configuration from there.
 	Store     bool `cbor:"store"`
 	Following bool `cbor:"following"`
+	// ConfigAge is how long ago the store confirmed to the sender that it has no newer configuration, directly or through peers; zero if
+	// it never did, and from daemons of earlier builds.
+	ConfigAge time.Duration `cbor:"config_age,omitempty"`
 	// WithHeartbeats is set if Servers include changes that are only heartbeats.
 	WithHeartbeats bool `cbor:"whole,omitempty"`
 	// Departures are the entries that were removed lately. Only the response to pathDeparted has them.
@@ -980,6 +988,7 @@
 	renewals := d.fleetSize(time.Now()) < gossip.FullMeshLimit
 	f.mu.Lock()
 	out.Version, out.Era, out.Age, out.Following = f.position.Version, f.position.Era, time.Since(f.readAt), f.following
+	out.ConfigAge, _ = f.confirmation.Age(time.Now())
 	if namesEra && readerEra < f.position.Era {
 		after = -1
 	}
@@ -1098,7 +1107,9 @@
 		}
 		return
 	}
-	f.applyRelayedConfig(in, peer.String())
+	if !f.applyRelayedConfig(in, peer.String()) {
+		return
+	}
 	if path != pathConfig && in.Store && in.Era >= f.storeEra() {
 		f.observeEra(in.Era)
 		f.mu.Lock()
--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -41,7 +41,6 @@
 		}
 		return follower != nil
 	})
-	eventually(t, "its own long poll has ended", func() bool { return follower.counted("configuration") > 0 })
 	before := follower.counted("configuration")
 	for version := int64(2); version < 12; version++ {
 		store.Put("op", "config", []byte(fmt.Sprintf(testConfig, version, "")))
@@ -92,6 +91,8 @@
 	}
 	putEntry("i-1", 2)
 	eventually(t, "the daemon has read the heartbeat", func() bool { return u.d.view.Load().Servers["i-1"].Beat == 2 })
+	// Heartbeats are read from the first lease on, which the daemon takes later than it reads the entries.
+	eventually(t, "the daemon reads heartbeats", func() bool { return !u.d.view.Load().RenewalsHidden })
 	// In a small fleet any daemon may be the next leader, which needs every heartbeat to detect silent backend servers.
 	if in := ask(first.Version); len(in.Servers) != 1 || !in.WithHeartbeats {
 		t.Errorf("relayed %d entries in a small fleet, whole %v", len(in.Servers), in.WithHeartbeats)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -174,6 +174,23 @@
 	return before < hubsPerDataCentre
 }
 
+// Preceding returns the number of known daemons of this data centre, live or not, that precede this one in the order of duties.
+func (m *PeerSet) Preceding(now time.Time) int {
+	n := 0
+	for _, o := range m.All(now) {
+		if o.DataCentre == m.dataCentre && Precedes(o.Cores, o.Name, m.cores, m.self) {
+			n++
+		}
+	}
+	return n
+}
+
+// ExpectedHub reports whether this daemon is a hub if all known daemons live. A daemon that has just started does not know yet which of
+// them do.
+func (m *PeerSet) ExpectedHub(now time.Time) bool {
+	return len(m.byName) < FullMeshLimit || m.Preceding(now) < hubsPerDataCentre
+}
+
 // Targets returns the daemons to which this daemon sends digests. near are the daemons of its data centre, or all
 // daemons of a small fleet. far are all others if this daemon is a hub, and otherwise the expected hubs of other data
 // centres that are not heard from.
--- a/internal/startup/startup.go
+++ b/internal/startup/startup.go
@@ -17,6 +17,9 @@
 	// ReplyTime is how long the first daemons of the order wait for a synchronised peer to respond to their announcement. A daemon that
 	// starts alone among synchronised ones then needs no further call to the store. It covers a round trip within a region.
 	ReplyTime = 10 * time.Millisecond
+	// restoredReplyTime replaces it if the store was restored from a backup. Peers may know later entries of backend servers than the
+	// store then, so it covers the loss of the response, up to the next digest in a data centre of 30 daemons.
+	restoredReplyTime = 160 * time.Millisecond
 	// leadTime is the additional delay of all other daemons, beside the time that the read of the rows took. The data of a daemon that
 	// asks the store after ReplyTime usually arrive within it: its announcement and a response.
 	leadTime = 11 * time.Millisecond
@@ -31,8 +34,11 @@
 	blindSpread = 750 * time.Millisecond
 	// relayPatience is how long a daemon that knows a synchronised peer keeps asking peers before it asks the store as well.
 	// relaySpread is added for each daemon of the fleet at random, since a slow relay concerns many daemons at once.
-	relayPatience = 150 * time.Millisecond
-	relaySpread   = time.Millisecond
+	// restoredPatience replaces relayPatience if the store was restored from a backup: a peer reads the entries again within a period of
+	// at most 400 ms usually, and has nothing to relay until then.
+	relayPatience    = 150 * time.Millisecond
+	restoredPatience = 500 * time.Millisecond
+	relaySpread      = time.Millisecond
 	// MaxAge is the maximum age of data that a starting daemon takes from a peer.
 	MaxAge = 900 * time.Millisecond
 )
@@ -49,7 +55,8 @@
 	AskStore
 )
 
-// State is what a starting daemon knows. Times are measured from its start.
+// State is what a starting daemon knows. Times are measured from its start, and count only while the process runs: a message that
+// arrived while it had no processor time must be handled before the time to wait for it ends.
 type State struct {
 	Elapsed time.Duration
 	// RowsRead is when the rows of daemons were read, zero before.
@@ -59,6 +66,8 @@
 	// Daemons is the number of daemons that are known from rows or digests, including this one. Preceding is the number of those of
 	// the same data centre that precede this one in the order in which duties are assigned.
 	Daemons, Preceding int
+	// Restored is set if the store was restored from a backup at some time.
+	Restored bool
 	// Local and Remote are the numbers of synchronised peers, which follow the store, in this data centre and in others.
 	Local, Remote int
 	// SourceSince is when the first of these was heard, zero while there is none.
@@ -76,7 +85,7 @@
 	due := s.Elapsed >= p.storeTime(s)
 	switch {
 	case s.Local > 0:
-		if s.Elapsed-s.SourceSince >= relayPatience+time.Duration(p.random*float64(s.Daemons)*float64(relaySpread)) {
+		if s.Elapsed-s.SourceSince >= p.patience(s) {
 			return AskStore
 		}
 		return AskPeer
@@ -84,27 +93,40 @@
 		return Wait
 	case s.Remote > 0 && !s.first():
 		// The first daemons of a data centre ask the store, so that the others need no data from another data centre.
-		if s.Elapsed-s.SourceSince < relayPatience+time.Duration(p.random*float64(s.Daemons)*float64(relaySpread)) {
+		if s.Elapsed-s.SourceSince < p.patience(s) {
 			return AskPeer
 		}
 	}
 	return AskStore
 }
 
+// patience returns for how long synchronised peers are asked before the store is.
+func (p Plan) patience(s State) time.Duration {
+	base := relayPatience
+	if s.Restored {
+		base = restoredPatience
+	}
+	return base + time.Duration(p.random*float64(s.Daemons)*float64(relaySpread))
+}
+
 // first reports whether the daemon is one of the first of its data centre.
 func (s State) first() bool { return s.Preceding < firstDaemons }
 
 // storeTime returns when the daemon asks the store if no peer announces itself.
 func (p Plan) storeTime(s State) time.Duration {
+	reply := ReplyTime
+	if s.Restored {
+		reply = restoredReplyTime
+	}
 	switch {
 	case s.RowsRead == 0:
 		return blindDelay + time.Duration(p.random*float64(blindSpread))
 	case s.Daemons <= 1:
 		return s.RowsRead // there is no one to wait for
 	case s.first():
-		return s.RowsRead + ReplyTime
+		return s.RowsRead + reply
 	}
-	return s.RowsRead + ReplyTime + leadTime + s.RowsTook + time.Duration(p.random*float64(max(spread, s.RowsTook)))
+	return s.RowsRead + reply + leadTime + s.RowsTook + time.Duration(p.random*float64(max(spread, s.RowsTook)))
 }
 
 // rowWriteRate bounds the rows that a fleet writes a second when all daemons start: a third of the calls that a store with 1,200 writes
