--- a/internal/startup/startup_test.go
+++ b/internal/startup/startup_test.go
@@ -204,6 +204,24 @@
 	}
 }
 
+// TestRestored guards against a daemon that starts after a restore of the store and takes older entries from there than its peers know.
+func TestRestored(t *testing.T) {
+	for _, test := range []struct {
+		s    State
+		want Action
+	}{
+		{State{Elapsed: 100 * time.Millisecond}, Wait},
+		{State{Elapsed: 200 * time.Millisecond}, AskStore},
+		{State{Elapsed: 400 * time.Millisecond, Local: 1, SourceSince: 20 * time.Millisecond}, AskPeer},
+		{State{Elapsed: 600 * time.Millisecond, Local: 1, SourceSince: 20 * time.Millisecond}, AskStore},
+	} {
+		test.s.Restored, test.s.RowsRead, test.s.Daemons = true, 5*time.Millisecond, 2
+		if got := NewPlan(0).Next(test.s); got != test.want {
+			t.Errorf("%+v: action %d, want %d", test.s, got, test.want)
+		}
+	}
+}
+
 // TestRowWrites guards against a start in which all daemons write their rows within one second.
 func TestRowWrites(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 1))
