--- a/internal/entry/evacuate.go
+++ b/internal/entry/evacuate.go
@@ -14,6 +14,7 @@
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/schedule"
+	"flamingorudder.example/internal/startup"
 	"flamingorudder.example/platform"
 )
 
@@ -207,13 +208,13 @@
 }
 
 // mergeRelayed takes over the evacuations that came with a relayed configuration. A daemon that has just started trusts only a peer that
-// follows the store, or any if none does: the set of another one may lack the latest changes.
+// follows the store or has lately got a confirmation from one, or any if none does: the set of another one may lack the latest changes.
 func (f *storeSync) mergeRelayed(in peerState, source string) {
 	if in.Evacuations == nil {
 		return
 	}
 	now := time.Now()
-	trusted := in.Following || f.storeIsUnreachable(now)
+	trusted := in.Following || startup.MayTake(in.ConfigAge) || f.storeIsUnreachable(now)
 	if in.Following {
 		defer f.d.recordEvacuationRead(in.began, true)
 	}
@@ -261,6 +262,7 @@
 		return false
 	}
 	f.d.evacuations.Store(set)
+	f.d.noteSynced()
 	for _, name := range set.DataCentres() {
 		if old == nil || !old.Covers(name) {
 			f.d.log.Warn("data centre evacuated", "data_centre", name, "source", source)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -117,6 +117,8 @@
 	Evacuations *evacuation.State `cbor:"evacuations,omitempty"`
 	// LimitsCold is set by daemons that as schedulers limit the requests to cold servers.
 	LimitsCold bool `cbor:"cold,omitempty"`
+	// Uptime is how long the sender has run when it sends the digest. Daemons of earlier builds do not tell.
+	Uptime time.Duration `cbor:"uptime,omitempty"`
 	// WrittenAt is when a row with the digest was written, by the store's clock; zero in a datagram.
 	WrittenAt time.Duration `cbor:"written,omitempty"`
 }
@@ -177,6 +179,23 @@
 	return before < hubsPerDataCentre
 }
 
+// Preceding returns the number of known daemons of this data centre, live or not, that precede this one in the order of duties.
+func (m *PeerSet) Preceding(now time.Time) int {
+	n := 0
+	for _, o := range m.All(now) {
+		if o.DataCentre == m.dataCentre && Precedes(o.Cores, o.Name, m.cores, m.self) {
+			n++
+		}
+	}
+	return n
+}
+
+// ExpectedHub reports whether this daemon is a hub if all known daemons live. A daemon that has just started does not know yet which of
+// them do.
+func (m *PeerSet) ExpectedHub(now time.Time) bool {
+	return len(m.byName) < FullMeshLimit || m.Preceding(now) < hubsPerDataCentre
+}
+
 // Targets returns the daemons to which this daemon sends digests. near are the daemons of its data centre, or all
 // daemons of a small fleet. far are all others if this daemon is a hub, and otherwise the expected hubs of other data
 // centres that are not heard from.
@@ -261,6 +280,19 @@
 	return n
 }
 
+// StartedFraction returns the fraction of the live daemons of which a digest shows that they started within the given time. It is zero
+// if none is live.
+func (m *PeerSet) StartedFraction(now time.Time, within time.Duration) float64 {
+	live := m.Live(now)
+	started := 0
+	for _, o := range live {
+		if o.Uptime > 0 && o.Uptime+now.Sub(o.LastReceived) <= within {
+			started++
+		}
+	}
+	return float64(started) / float64(max(len(live), 1))
+}
+
 // AddFromRow adds a daemon found in the store. The row of a later lifetime replaces the digest of an earlier one.
 func (m *PeerSet) AddFromRow(now time.Time, d Digest) {
 	if d.Name == m.self || !d.PeerAddr.IsValid() {
