--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -83,13 +83,14 @@
 
 // SchedulerRate returns the rate that the scheduler of a model may use. settled is its Tenure; live and known are the numbers of daemons
 // that it hears from and that it knows. Until the change of the scheduler is known everywhere, the earlier one may use the whole
-// rate. While daemons are missing, they may have a scheduler of their own.
+// rate. While daemons are missing, they may have a scheduler of their own, or each be one for itself.
 func (b ColdBounds) SchedulerRate(rate float64, settled bool, live, known int) float64 {
-	if !settled {
-		return b.spare(rate)
-	}
-	if known = max(known, live, 1); float64(known-live) > missingShare*float64(known) {
-		return rate * min(float64(live)/float64(known), 0.5)
+	part := float64(live) / float64(max(known, live, 1))
+	switch {
+	case !settled:
+		return b.spare(rate) * part
+	case part < 1-missingShare:
+		return rate * min(part, 0.5)
 	}
 	return max(rate, 1)
 }
--- a/internal/balance/cold_test.go
+++ b/internal/balance/cold_test.go
@@ -156,9 +156,10 @@
 	}
 }
 
-// TestColdServerInPartition guards against the schedulers on both sides of a lost link that each use the whole rate for long.
+// TestColdServerInPartition guards against the schedulers on both sides of a lost link that each use the whole rate for long, and against
+// daemons that hear nobody, as all do after a common start, and are schedulers for themselves.
 func TestColdServerInPartition(t *testing.T) {
-	for _, sides := range [][]int{{59, 59}, {59, 29}, {30, 29, 29}} {
+	for _, sides := range [][]int{{59, 59}, {59, 29}, {30, 29, 29}, slices.Repeat([]int{1}, 88)} {
 		f := newColdFleet(88, 17)
 		f.run(tenureTime+2*time.Second, func() {
 			for i, live := range sides {
--- a/internal/entry/cold.go
+++ b/internal/entry/cold.go
@@ -122,11 +122,14 @@
 	}
 	d, bounds := p.d, p.d.coldBounds()
 	settled := p.candidates(now, m).tenure.Settled(now, in.Preferred)
-	rate, slots := 0.0, balance.Slots{}
+	rate := 0.0
 	if in.Preferred {
 		live, known := d.liveAndKnown(now)
 		rate = bounds.SchedulerRate(svc.ColdRate, settled, live, known)
-	} else {
+	}
+	// A scheduler whose part is less than one request has its slots, as a daemon without a scheduler does.
+	alone, slots := rate < 1, balance.Slots{}
+	if alone {
 		slots = d.coldSlots(now, bounds.AloneRate(svc.ColdRate))
 	}
 	in.ColdAllowance = map[string]int{}
@@ -136,7 +139,7 @@
 		head := in.Heads[g.Key]
 		switch {
 		case !g.Cold || d.cold.Until(now, head, svc).IsZero():
-		case in.Preferred:
+		case !alone:
 			in.ColdAllowance[g.Key] = d.cold.Allowance(now, head, rate)
 		case d.cold.NextAlone(now, head, slots).IsZero():
 			in.ColdAllowance[g.Key] = 1
@@ -145,10 +148,10 @@
 		}
 	}
 	in.TakeCold = func(head *roster.Server) {
-		if in.Preferred {
-			d.cold.Take(now, head)
-		} else {
+		if alone {
 			d.cold.TakeAlone(now, head, slots)
+		} else {
+			d.cold.Take(now, head)
 		}
 	}
 }
