List no daemons from datagrams that came before a pause

After a pause of a daemon's process, its directory named daemons that had ended during the pause, for as long as a daemon counts as live after a digest (0.9 s and more).

Cause: digests that arrived before or during the pause are still in the socket, and are taken for ones that arrive now. After a pause of 1 s or longer, all that is in the socket is dropped; digests come again within some hundred ms.

Evidence: entry.TestDatagramsFromBeforePause fails without the drop (daemon gone counts as live). gossip.TestGoneDaemonsAcrossPartition shows for 88 daemons in 3 and 370 in 8 data centres that a daemon that has gone is not listed after 7 s, while two data centres do not reach each other and after that, although its row remains; it passes without a change of the product.

--- a/internal/entry/evacuate.go
+++ b/internal/entry/evacuate.go
@@ -31,6 +31,8 @@
 	evacuation.Continuity
 	// missed is set while it may have.
 	missed atomic.Bool
+	// stale is set while the datagrams in the socket may be from before the last pause.
+	stale atomic.Bool
 }
 
 // minPauseLimit is the shortest pause of the process that counts. A busy instance with a fifth of a core may stand still for less.
@@ -49,7 +51,11 @@
 func (d *Daemon) observeRunning() {
 	c := &d.continuity
 	c.mu.Lock()
-	resumed := c.Observe(leaseClock(), d.pauseLimit())
+	now := leaseClock()
+	if c.Gap(now) >= maxDatagramAge {
+		c.stale.Store(true)
+	}
+	resumed := c.Observe(now, d.pauseLimit())
 	c.missed.Store(!c.Current())
 	c.mu.Unlock()
 	if resumed {
--- a/internal/entry/evacuate_test.go
+++ b/internal/entry/evacuate_test.go
@@ -282,3 +282,30 @@
 		t.Errorf("replies %+v and %+v, want 200", plain, stream)
 	}
 }
+
+// TestDatagramsFromBeforePause guards against a daemon that lists, after a pause of its process, daemons which have gone meanwhile: their
+// digests were still in its socket.
+func TestDatagramsFromBeforePause(t *testing.T) {
+	store := newTwoDataCentres(t)
+	digest := gossip.Digest{Name: "gone", Boot: 1, Seq: 1, PeerAddr: freeAddr(t), DataCentre: "dc", Ready: true, Interval: 5 * time.Second}
+	send := func(d *Daemon) {
+		if _, err := d.udp.WriteToUDPAddrPort(d.encode(kindDigest, digest), d.settings().Peer); err != nil {
+			t.Error(err)
+		}
+	}
+	u := startDaemon(t, store.Store, "a", func(d *Daemon) {
+		for range 3 {
+			send(d)
+		}
+		d.continuity.Observe(leaseClock()-maxDatagramAge, time.Hour)
+	})
+	u.waitReady()
+	if peers := u.d.livePeers(time.Now()); len(peers) > 0 {
+		t.Errorf("daemon %s counts as live", peers[0].Name)
+	}
+	digest.Seq++
+	eventually(t, "a daemon that is heard counts as live", func() bool {
+		send(u.d)
+		return len(u.d.livePeers(time.Now())) == 1
+	})
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -14,6 +14,7 @@
 
 	"flamingorudder.example/internal/era"
 	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/internal/netopt"
 	"flamingorudder.example/internal/schedule"
 	"flamingorudder.example/internal/timer"
 )
@@ -124,6 +125,10 @@
 	}
 }
 
+// maxDatagramAge is the pause of this process after which datagrams in its socket are not read. They may be from daemons that have gone
+// meanwhile, which would count as live, and be listed to callers, from then on.
+const maxDatagramAge = time.Second
+
 // receive handles datagrams of peers until the socket is closed.
 func (d *Daemon) receive(ctx context.Context) {
 	b := make([]byte, maxDatagram)
@@ -139,6 +144,12 @@
 			}
 			continue
 		}
+		d.observeRunning()
+		if d.continuity.stale.Swap(false) {
+			dropped, err := netopt.Discard(d.udp)
+			d.log.Warn("datagrams from before a pause of the process dropped", "datagrams", dropped+1, "error", err)
+			continue
+		}
 		if err := d.handleDatagram(b[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port())); err != nil {
 			d.log.Warn("invalid datagram ignored", "peer", from, "error", err)
 		}
--- a/internal/evacuation/continuity.go
+++ b/internal/evacuation/continuity.go
@@ -15,7 +15,7 @@
 // Observe records that the process runs. It reports whether it has just gone on after a pause of limit or longer; then reads that began
 // before show nothing. Shorter pauses leave enough of the time within which an evacuation must be in force.
 func (c *Continuity) Observe(now, limit time.Duration) (resumed bool) {
-	resumed = limit > 0 && c.running > 0 && now-c.running >= limit
+	resumed = limit > 0 && c.Gap(now) >= limit
 	c.running = now
 	if resumed {
 		c.resumed = now
@@ -23,6 +23,14 @@
 	return resumed
 }
 
+// Gap returns how long ago the process was last known to run, zero before the first call of Observe.
+func (c *Continuity) Gap(now time.Duration) time.Duration {
+	if c.running == 0 {
+		return 0
+	}
+	return now - c.running
+}
+
 // RecordRead records a read of the set that began at a time and has ended now. A read that failed counts only limit after the pause: an
 // unstable store answers the next one, and while a store is down the last known set stays in force.
 func (c *Continuity) RecordRead(began, now, limit time.Duration, ok bool) {
--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -316,6 +316,53 @@
 	f.check(t, "after its digests arrive again")
 }
 
+// TestGoneDaemonsAcrossPartition guards against daemons that are listed to callers although they have gone: with rows that remain in the
+// store, while two data centres do not reach each other but a third reaches both, and after that.
+func TestGoneDaemonsAcrossPartition(t *testing.T) {
+	const stable, grace = 4 * time.Second, 3 * time.Second // the stable window of a deployment, and the time that rule DRAIN adds
+	for size, dataCentres := range map[int]int{88: 3, 370: 8} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			f := newTestFleet(uint64(size), size, dataCentres, 3)
+			f.run(4 * time.Second)
+			cut := func(d *daemon, dc string) bool { return d.dc == dc }
+			f.blocked = func(from, to *daemon) bool {
+				return cut(from, "dc0") && cut(to, "dc1") || cut(from, "dc1") && cut(to, "dc0")
+			}
+			f.run(time.Second)
+			gone := map[string]time.Time{}
+			for _, d := range f.daemons {
+				if d.m.Hub(f.now) && f.r.IntN(2) == 0 || f.r.IntN(8) == 0 {
+					f.kill(d)
+					gone[d.name] = f.now
+				}
+			}
+			check := func(when string) {
+				t.Helper()
+				for _, d := range f.daemons {
+					if !d.alive {
+						continue
+					}
+					for _, o := range d.m.Live(f.now) {
+						if at, ok := gone[o.Name]; ok {
+							t.Fatalf("%s: %s of %s lists %s of %s %v after it has gone", when, d.name, d.dc, o.Name, o.DataCentre, f.now.Sub(at))
+						}
+					}
+				}
+			}
+			f.run(stable + grace)
+			for range 20 {
+				check("during the partition")
+				f.run(500 * time.Millisecond) // rows are read meanwhile
+			}
+			f.blocked = func(_, _ *daemon) bool { return false }
+			for range 5 {
+				f.run(500 * time.Millisecond)
+				check("after the partition")
+			}
+		})
+	}
+}
+
 // BenchmarkDigestRound measures the work of a daemon for one round of digests: the selection of targets, the periods
 // and the count of live daemons.
 func BenchmarkDigestRound(b *testing.B) {
