Ask any peer for the evacuations while no daemon reaches the store

A daemon that started while the store went down could have the configuration of a peer that seemed to reach the store, but not the evacuations, and asked nobody again: it rejected all requests until the store came back. It now asks a random peer for them while it lacks them and no peer reaches the store.

Evidence: entry.TestEvacuationsWithoutStore fails without the change (the second daemon does not know of the evacuation within 10 s).

--- a/internal/entry/evacuate_test.go
+++ b/internal/entry/evacuate_test.go
@@ -258,6 +258,24 @@
 	}
 }
 
+// TestEvacuationsWithoutStore guards against a daemon that never learns of the evacuations while no daemon reaches the store, because it
+// already has the configuration.
+func TestEvacuationsWithoutStore(t *testing.T) {
+	store := newTwoDataCentres(t)
+	store.Put(platform.TableOperator, platform.EvacuationKey("x"), []byte("{}"))
+	a := startDaemon(t, store.Store, "a")
+	a.waitReady()
+	store.Refuse(http.StatusServiceUnavailable)
+	eventually(t, "the first daemon misses the store", func() bool { return !a.d.storeOK.Load() })
+	b := startDaemon(t, store.Store, "b")
+	b.d.feed.applyRelayedConfig(peerState{Config: []byte(fmt.Sprintf(testConfig, 1, ""))}, "earlier build")
+	row := b.d.digest()
+	a.d.peersMu.Lock()
+	a.d.members.AddFromRow(time.Now(), row)
+	a.d.peersMu.Unlock()
+	eventually(t, "the second daemon knows of the evacuation", b.covers("x"))
+}
+
 // TestEvacuationWhilePaused guards against requests that a daemon sends after a pause of its process before it has read which data
 // centres were evacuated meanwhile.
 func TestEvacuationWhilePaused(t *testing.T) {
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -1081,7 +1081,8 @@
 		}
 		var newest *gossip.Peer
 		var withStore, local []*gossip.Peer
-		for _, m := range f.d.livePeers(now) {
+		live := f.d.livePeers(now)
+		for _, m := range live {
 			if m.ConfigVersion > ownVersion && (newest == nil || m.ConfigVersion > newest.ConfigVersion) {
 				newest = m
 			}
@@ -1107,6 +1108,9 @@
 			f.syncWith(ctx, withStore[rand.IntN(len(withStore))].PeerAddr, f.catchUpPath())
 		case newest != nil && now.Sub(behindSince) >= configRelayDelay:
 			f.syncWith(ctx, newest.PeerAddr, pathConfig)
+		case len(live) > 0 && f.d.evacuations.Load() == nil && f.storeIsUnreachable(now):
+			// The peer that told the configuration may have seemed to reach the store then, without following it.
+			f.syncWith(ctx, live[rand.IntN(len(live))].PeerAddr, pathConfig)
 		}
 	}
 }
