Assume no work of daemons that have none

A daemon without work does not report, so where demand is uneven the loads count several times.

Change: a preferred scheduler that hears from most daemons assumes no work after daemonTimeout, in which every daemon with work reports several times. Work that is only assumed never takes the last slot of a group. A scheduler that was just chosen, or that is cut off, scales the loads as before.

--- a/internal/balance/replay_test.go
+++ b/internal/balance/replay_test.go
@@ -34,6 +34,12 @@
 	objective, gap, limit              time.Duration
 }
 
+// topTenth returns the prompt size that the largest tenth exceeds.
+func (w *workload) topTenth() float64 {
+	s2 := math.Log(1 + w.promptDeviation*w.promptDeviation)
+	return min(math.Exp(math.Log(w.prompt)-s2/2+1.2816*math.Sqrt(s2)), 0.99*w.maxPrompt)
+}
+
 // scenario is a simulated load.
 type scenario struct {
 	seed    uint64
@@ -50,6 +56,8 @@
 	impatient float64
 	// fault changes the groups at a time.
 	fault func(f *simulation)
+	// values holds what a request of each kind and of mean size earns in time and late.
+	values map[string][2]float64
 }
 
 // simRequest is a request of a caller, over all its attempts.
@@ -113,8 +121,13 @@
 	// waitedAndRejected counts requests that waited longer than an eighth of their objective before their final
 	// rejection.
 	waitedAndRejected float64
+	// value is what the requests earned, worth what they would have earned had all been in time.
+	value, worth float64
 }
 
+// valueShare returns the earned fraction of the value.
+func (t *tally) valueShare() float64 { return t.value / max(t.worth, 1e-9) }
+
 // onTimeRate returns the fraction of requests whose answers began in time and had no long pauses.
 func (t *tally) onTimeRate() float64 { return t.inTime / max(t.requests, 1) }
 
@@ -284,9 +297,13 @@
 		size = "small "
 	}
 	names := []string{q.work.name, size + q.work.name}
+	names = append(names, "all", size+"all", "organisation "+strconv.Itoa(q.organisation))
 	if float64(q.prompt) > 2*q.work.prompt {
 		names = append(names, "long "+q.work.name)
 	}
+	if float64(q.prompt) > q.work.topTenth() {
+		names = append(names, "tenth "+q.work.name)
+	}
 	if q.impatient {
 		names = append(names, "impatient")
 	} else {
@@ -299,6 +316,16 @@
 		f.tallies[name].requests++
 		add(f.tallies[name])
 	}
+	var one tally
+	add(&one)
+	if v, ok := f.values[q.work.name]; ok {
+		// A request's value grows with its size.
+		size := 0.3 + 0.7*float64(q.prompt)/q.work.prompt
+		for _, name := range names {
+			f.tallies[name].worth += v[0] * size
+			f.tallies[name].value += (v[0]*one.inTime + v[1]*(one.lateAnswers-one.cutOff)) * size
+		}
+	}
 	s := &f.seconds[min(int(q.firstSent/time.Second), len(f.seconds)-1)]
 	s.requests++
 	add(s)
--- a/internal/balance/scheduler.go
+++ b/internal/balance/scheduler.go
@@ -237,7 +237,8 @@
 }
 
 // Step decides on the waiting requests. It adds what it places to the loads in groups. unreported is the fraction of
-// the daemons whose loads are not in groups; they are assumed to have as much load as the others, spread evenly.
+// the daemons whose loads are not in groups; they are assumed to have as much load as the others, spread evenly, but
+// not to fill groups.
 // random returns numbers in [0, 1).
 func (s *Scheduler) Step(now time.Time, plan *Plan, groups []Group, unreported float64, random func() float64) []Decision {
 	if len(s.waiting) == 0 {
@@ -256,7 +257,7 @@
 		s.sort(now)
 	}
 	longestPass := s.maxPassTime()
-	addUnreportedLoad(groups, unreported)
+	addUnreportedLoad(groups, unreported, plan.Engine.Slots)
 	var out []Decision
 	lateWaiting := 0
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *Waiter) bool {
@@ -288,8 +289,10 @@
 	return out
 }
 
-// addUnreportedLoad adds to each group an equal part of the load assumed for the daemons that have not reported.
-func addUnreportedLoad(groups []Group, unreported float64) {
+// addUnreportedLoad adds to each group an equal part of the load assumed for the daemons that have not reported. The
+// assumption alone never takes the last slot of a group: where demand is uneven, the silent daemons may have no work, and
+// a slot that is taken by mistake rejects a request, whereas an assumed load only makes its estimate longer.
+func addUnreportedLoad(groups []Group, unreported float64, slots int) {
 	if unreported <= 0 || len(groups) == 0 {
 		return
 	}
@@ -300,7 +303,8 @@
 	part := min(unreported/(1-unreported), maxUnreportedFactor) / float64(len(groups))
 	extra := Load{int(math.Round(part * float64(total.Requests))), int(part * float64(total.QueuedTokens))}
 	for i := range groups {
-		groups[i].Load = groups[i].Load.Add(extra)
+		g := &groups[i]
+		g.Load = g.Load.Add(Load{max(min(extra.Requests, slots-1-g.Load.Requests), 0), extra.QueuedTokens})
 	}
 }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -569,6 +569,14 @@
 	return live
 }
 
+// hearsMost reports whether this daemon hears from at least half of the daemons that it knows, and has learned who there is.
+func (d *Daemon) hearsMost(now time.Time) bool {
+	d.peersMu.Lock()
+	defer d.peersMu.Unlock()
+	known := len(d.members.All(now)) + 1
+	return 2*d.members.FleetSize(now) >= known && (known > 1 || d.peersLoaded.Load())
+}
+
 // sharingDaemons returns the estimated number of daemons, this one included, that share the capacity of the backend servers of a service:
 // those that have no path hand their requests over to the others.
 func (d *Daemon) sharingDaemons(now time.Time, service string) int {
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -242,7 +242,7 @@
 	}
 	in := schedule.Input{
 		Plan: &balance.Plan{Engine: service.Engine, Model: spec}, Heads: map[string]*roster.Server{}, Daemons: p.d.sharingDaemons(now, m.Service), Random: rand.Float64,
-		Limits: p.d.limits, Preferred: p.isScheduler(now, m),
+		Limits: p.d.limits, Preferred: p.isScheduler(now, m), HearsMost: p.d.hearsMost(now),
 	}
 	if !p.d.quarantine.empty() {
 		in.Reject = p.d.rejectPlacement
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -133,6 +133,46 @@
 	}
 }
 
+// TestDaemonsWithoutWork guards against work that is assumed for daemons that have none. In a fleet of 20 daemons of which two
+// had callers, requests were rejected beside groups that were two thirds empty. A scheduler that was just chosen, or that is
+// cut off from most daemons, still assumes work of the others.
+func TestDaemonsWithoutWork(t *testing.T) {
+	for _, test := range []struct {
+		name                 string
+		preferred, hearsMost bool
+		after                time.Duration
+		placed               bool
+	}{
+		{"all daemons with work have reported", true, true, 2 * daemonTimeout, true},
+		{"just chosen", true, true, daemonTimeout / 2, false},
+		{"others ask another daemon", false, true, 2 * daemonTimeout, false},
+		{"cut off from most daemons", true, false, 2 * daemonTimeout, false},
+	} {
+		s, d := NewServer(), newDaemon("a")
+		in := input(2)
+		in.Daemons, in.Preferred, in.HearsMost = 20, test.preferred, test.hearsMost
+		d.SelectTarget(noon, []string{"scheduler"})
+		d.work["g0"], d.work["g1"] = 4, 4
+		placed := true
+		for at := time.Duration(0); at <= test.after; at += keepaliveInterval {
+			// The objective leaves no time for the assumed work of 18 daemons.
+			q := ask(uint64(at/keepaliveInterval) + 1)
+			q.Objective = 110 * time.Millisecond
+			d.Submit(q, noon.Add(at), noon.Add(at+8*time.Second))
+			step := in
+			step.Groups = slices.Clone(in.Groups)
+			a := exchange(s, noon.Add(at), d.report(noon.Add(at)), step)
+			placed = slices.ContainsFunc(a.Placements, func(p Placement) bool { return p.ID == q.ID && p.Group != "" })
+			for _, p := range a.Placements {
+				d.HandleAnswer(&Answer{From: "scheduler", Seq: a.Seq, Placements: []Placement{p}})
+			}
+		}
+		if placed != test.placed {
+			t.Errorf("%s: placed is %v", test.name, placed)
+		}
+	}
+}
+
 // TestLostAnswer guards against a placement whose answer is lost: the placement would count forever, and its request
 // would wait forever.
 func TestLostAnswer(t *testing.T) {
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -43,6 +43,9 @@
 	// suspectedSince is when the first daemon reported that it suspects a group, responding when the group last answered a
 	// request of a daemon that does not, after that. Both have entries for suspected groups only.
 	suspectedSince, responding map[string]time.Time
+	// heardSince is since when all daemons with work have reported here: this daemon is the preferred scheduler and hears
+	// from most of the others. It is zero while that is not so.
+	heardSince time.Time
 }
 
 // daemonState is what a daemon last reported.
@@ -286,6 +289,8 @@
 	// may use them whole; otherwise it uses the share of the daemons that it has reports from.
 	Limits    *balance.Limits
 	Preferred bool
+	// HearsMost is set when this daemon hears from at least half of the daemons that it knows.
+	HearsMost bool
 	// Reject returns the decision on a request that no group may run, by its fingerprint. It is nil if there are none.
 	Reject func(fingerprint uint64) (p Placement, rejected bool)
 	// Random returns numbers in [0, 1).
@@ -312,6 +317,12 @@
 		return nil
 	}
 	m.removeSilent(now)
+	switch {
+	case !in.Preferred || !in.HearsMost:
+		m.heardSince = time.Time{}
+	case m.heardSince.IsZero():
+		m.heardSince = now
+	}
 	out := map[string]*Answer{}
 	answer := func(daemon string, c *daemonState, p Placement, prompt int) {
 		delete(c.waiting, p.ID)
@@ -340,6 +351,11 @@
 	if in.Preferred {
 		share = 1
 	}
+	// Every daemon with work reports to its scheduler several times in daemonTimeout, so those that have not by then have
+	// none. Where two thirds of the daemons had no work, the work assumed for them tripled the loads.
+	if !m.heardSince.IsZero() && now.Sub(m.heardSince) > daemonTimeout {
+		unreported = 0
+	}
 	for i := range in.Groups {
 		g := &in.Groups[i]
 		g.Load = m.loads[g.Key]
