Place requests of greater value per unit of work first beyond the limit

With insufficient capacity, waiting requests of one organisation were placed in the order of arrival, whatever their size. A large request loses more for each unit of work when it is rejected, as the generation of its answer costs the same.

Organisations are ordered as before. Beside more urgent work nothing is ordered by merit. Beyond the limit a request leaves room for its own prompt too.

--- a/internal/balance/replay_test.go
+++ b/internal/balance/replay_test.go
@@ -52,6 +52,8 @@
 	// large one.
 	rate         func(w *workload, at time.Duration) float64
 	organisation func(r *rand.Rand, w *workload, at time.Duration) int
+	// size multiplies the prompts of an organisation.
+	size func(organisation int) float64
 	// impatient is the fraction of callers that retry at once after a rejection, up to four times.
 	impatient float64
 	// fault changes the groups at a time.
@@ -239,6 +241,9 @@
 	if f.organisation != nil {
 		q.organisation = f.organisation(f.rand, w, f.now)
 	}
+	if f.size != nil {
+		q.prompt = int(float64(q.prompt)*f.size(q.organisation)) + 1
+	}
 	q.until = f.now + q.limit
 	f.arrive(q)
 }
--- a/internal/balance/scheduler.go
+++ b/internal/balance/scheduler.go
@@ -51,6 +51,8 @@
 	// late is set when the first event can no longer meet its objective, waited when the request was not placed at
 	// the first attempt.
 	late, waited bool
+	// merit is the level that merits gives the request, zero before the first round.
+	merit int
 }
 
 // Reason is why a request was not placed.
@@ -79,8 +81,10 @@
 // Scheduler places the requests of one model. It is not safe for concurrent use.
 //
 // Requests whose answers were cut off go first, then those that can still meet their objective, then those that
-// cannot. Each of these is ordered by rank, then by the recent use of the organisation, so that the many requests of
-// a large organisation do not starve the few of a small one, then by age. The classes at the end of this order are
+// cannot. Each of these is ordered by rank, then those of organisations within their limit go first. Requests that can be in
+// time are then ordered by the recent use of the organisation, so that the many requests of a large organisation do not
+// starve the few of a small one, and by merit (see merits); by merit first beyond the limit. Older requests go first where
+// all this is equal. The classes at the end of this order are
 // still guaranteed a share, see minPlacementShare.
 type Scheduler struct {
 	waiting           []*Waiter
@@ -94,6 +98,7 @@
 	recentPrompts map[string]recentTokens
 	// credits counts the placements that each lower-priority class is owed.
 	credits map[class]float64
+	merits  merits
 }
 
 // class is a set of requests with equal priority.
@@ -184,6 +189,7 @@
 		w.firstArrival, w.retryAt = o.firstArrival, o.retryAt
 	} else {
 		s.usage.recordRequest(w)
+		s.merits.record(w)
 	}
 	if s.promptSizes[w.Rank] == nil {
 		s.promptSizes[w.Rank] = &window[int]{}
@@ -246,6 +252,13 @@
 	}
 	s.usage.decay(now)
 	for _, w := range s.waiting {
+		if w.merit == 0 {
+			w.merit = usualMerit
+			// Larger prompts of less urgent work would delay the urgent work, so they have no merit beside it.
+			if part, _ := s.usage.moreUrgent(w.Rank); part == 0 {
+				w.merit = s.merits.level(plan, w)
+			}
+		}
 		late := !s.canMeetObjective(now, plan, w)
 		if late && w.waited && !w.late {
 			s.usage.recordWait(w, false)
@@ -418,11 +431,14 @@
 		return 0
 	}
 	slices.SortStableFunc(s.waiting, func(a, b *Waiter) int {
-		use := 0
+		use, merit := 0, 0
 		if !a.late && !b.late {
-			use = cmp.Compare(s.usage.used[a.Organisation], s.usage.used[b.Organisation])
+			use, merit = cmp.Compare(s.usage.used[a.Organisation], s.usage.used[b.Organisation]), b.merit-a.merit
+			if over(a) == 1 {
+				use, merit = merit, use
+			}
 		}
-		return cmp.Or(cmp.Compare(tier(a), tier(b)), cmp.Compare(a.Rank, b.Rank), over(a)-over(b), use, a.firstArrival.Compare(b.firstArrival))
+		return cmp.Or(cmp.Compare(tier(a), tier(b)), cmp.Compare(a.Rank, b.Rank), over(a)-over(b), use, merit, a.firstArrival.Compare(b.firstArrival))
 	})
 }
 
@@ -492,7 +508,8 @@
 		slots = max(int(float64(slots)*(1-reservedSlotShare*part)), 1)
 	}
 	if s.usage.overLimit(w) && !credit {
-		budget -= s.reservedTime(plan, w.Rank)
+		// The room for others must be left after the request's own prompt is read.
+		budget -= s.reservedTime(plan, w.Rank) + plan.PrefillTime(w.Prompt)
 		slots -= reservedRequests
 	}
 	// Work that misses its objective even in an idle group must not starve.
