--- a/internal/balance/returns.go
+++ b/internal/balance/returns.go
@@ -57,26 +57,3 @@
 
 // callerDeadline returns when the caller gives up, by the timeout that it sent.
 func (w *Waiter) callerDeadline() time.Time { return w.Arrived.Add(w.CallerTimeout) }
-
-const (
-	// minRetryDelay is the least delay after which a rejected caller retries; a burst lasts seconds.
-	minRetryDelay = 900 * time.Millisecond
-	// retryJitter spreads the retries of callers that were rejected together.
-	retryJitter = 900 * time.Millisecond
-)
-
-// RetryDelay returns the delay after which a rejected caller with the given deadline should retry, where no placement rate is
-// known. random returns numbers in [0, 1).
-func RetryDelay(now, until time.Time, random func() float64) time.Duration {
-	return retryDelay(now, until, retryJitter, random)
-}
-
-// retryDelay returns the delay after which a rejected caller should retry. needed is the time in which all callers that were
-// rejected lately could be placed, over which their retries are spread. Callers wait at most a third of their remaining
-// time. Where this limits the delay, the retries are spread over its second half: callers with the same deadline that are
-// all told the limit would come together.
-func retryDelay(now, until time.Time, needed time.Duration, random func() float64) time.Duration {
-	limit := max(until.Sub(now)/3, 0)
-	least := min(minRetryDelay, limit/2)
-	return least + time.Duration(random()*float64(min(max(needed, retryJitter), limit-least)))
-}
--- a/internal/balance/scheduler.go
+++ b/internal/balance/scheduler.go
@@ -273,7 +273,6 @@
 	addUnreportedLoad(groups, unreported, plan.Engine.Slots)
 	var out []Decision
 	lateWaiting := 0
-	needed := s.usage.returnTime(s.rejectable())
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *Waiter) bool {
 		c := class{w.late, w.Rank}
 		if i := s.chooseGroup(now, plan, w, groups, longestPass, unreported, random); i >= 0 {
@@ -295,7 +294,7 @@
 		}
 		lateWaiting++
 		if reason := s.rejectionReason(now, w, lateWaiting); reason != "" {
-			out = append(out, s.reject(now, w, reason, needed, random))
+			out = append(out, s.reject(now, w, reason, random))
 			return true
 		}
 		return false
@@ -343,21 +342,10 @@
 	return now.Add(earlyRetryTolerance).Before(w.retryAt)
 }
 
-// rejectable returns the number of waiting requests that this round may reject.
-func (s *Scheduler) rejectable() (n int) {
-	for _, w := range s.waiting {
-		if w.late && !w.Resumed {
-			n++
-		}
-	}
-	return n
-}
-
-// reject rejects a request. A caller that retried too early is told the same time again. needed is the time over which the
-// retries are spread.
-func (s *Scheduler) reject(now time.Time, w *Waiter, reason Reason, needed time.Duration, random func() float64) Decision {
+// reject rejects a request. A caller that retried too early is told the same time again.
+func (s *Scheduler) reject(now time.Time, w *Waiter, reason Reason, random func() float64) Decision {
 	s.usage.recordRejection(w)
-	d := Decision{Waiter: w, RetryAfter: retryDelay(now, w.Until, needed, random), Reason: reason}
+	d := Decision{Waiter: w, RetryAfter: RetryDelay(now, w.Until, random), Reason: reason}
 	if w.retriedEarly(now) {
 		d.RetryAfter = w.retryAt.Sub(now)
 	}
@@ -574,3 +562,17 @@
 	}
 	return ""
 }
+
+const (
+	// minRetryDelay is the least delay after which a rejected caller retries; a burst lasts seconds.
+	minRetryDelay = 900 * time.Millisecond
+	// retryJitter spreads the retries of callers that were rejected together.
+	retryJitter = 900 * time.Millisecond
+)
+
+// RetryDelay returns the delay after which a rejected caller with the given deadline should retry. random returns
+// numbers in [0, 1). Callers wait at most a third of their remaining time, so longer delays would be cut anyway.
+func RetryDelay(now, until time.Time, random func() float64) time.Duration {
+	d := minRetryDelay + time.Duration(random()*float64(retryJitter))
+	return max(min(d, until.Sub(now)/3), 0)
+}
--- a/internal/balance/shares.go
+++ b/internal/balance/shares.go
@@ -206,13 +206,6 @@
 	return sum
 }
 
-// returnTime returns the time in which the callers that were rejected lately, and as many more, could be placed at the recent
-// rate.
-func (s *usage) returnTime(more int) time.Duration {
-	callers := s.rejectionRate/perSecond + float64(more)
-	return time.Duration(callers / max(s.placementRate(), minPlacementRate) * float64(time.Second))
-}
-
 // mostUrgent returns the most urgent rank of recent work, if there was any.
 func (s *usage) mostUrgent() (rank int, known bool) {
 	for r := range s.ranks {
