--- a/internal/balance/scheduler.go
+++ b/internal/balance/scheduler.go
@@ -129,8 +129,9 @@
 	// group.
 	lateTimeShare = 0.6
 	// reservedRequests is the number of requests of other organisations that work beyond an organisation's fair share
-	// leaves room for in each group.
-	reservedRequests = 2
+	// leaves room for in each group. With two, small organisations lost 0.4 to 0.8 in 100 of their requests when larger
+	// prompts went first beyond the share.
+	reservedRequests = 3
 	// passGapShare is the fraction of the longest acceptable pause that a pass may take; the rest covers delays of
 	// single events.
 	passGapShare = 0.9
