Select routes by the path as it was sent

Cause: routes were selected by the decoded path.

Change: the path of the request target, byte for byte and without the query, selects the route, also where a request is looked at again after a change of the configuration. A prefix with an escape matches only the same escape.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"flamingorudder.example/internal/backend"
@@ -166,7 +167,7 @@
 		x.rejectNotReady("entries not read")
 		return false
 	}
-	x.route = x.config.Find(x.r.Host, x.r.URL.Path)
+	x.route = x.config.Find(x.r.Host, pathAsSent(x.r))
 	if x.route == nil {
 		x.reject(http.StatusNotFound, 0, "no route")
 		return false
@@ -336,7 +337,7 @@
 // time, as the model may return.
 func (x *exchange) rejectDropped(reason error) error {
 	c := x.d.config.Load()
-	r := c.Find(x.r.Host, x.r.URL.Path)
+	r := c.Find(x.r.Host, pathAsSent(x.r))
 	if r == nil || !c.Admits(r, x.call.Key) || slices.ContainsFunc(r.Split, func(w route.Weighted) bool { return w.Service != x.service }) {
 		return &RejectedError{0, reason.Error()}
 	}
@@ -492,3 +493,21 @@
 	}
 	x.w.WriteHeader(a.Status)
 }
+
+// pathAsSent returns the path of the request target, byte for byte: routes are selected by it, as an escaped slash is data within a
+// segment. It is empty if the target is an address without a path.
+func pathAsSent(r *http.Request) string {
+	target, _, _ := strings.Cut(r.RequestURI, "?")
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	// The target has the form http://host/path.
+	_, address, absolute := strings.Cut(target, "://")
+	if !absolute {
+		return target
+	}
+	if i := strings.IndexByte(address, '/'); i >= 0 {
+		return address[i:]
+	}
+	return ""
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -191,7 +191,8 @@
 	return nil
 }
 
-// Find returns the route with the longest prefix of path, nil when there is none.
+// Find returns the route with the longest prefix of path, nil when there is none. path is as it was sent: neither it nor prefixes are
+// unescaped.
 func (c *Config) Find(host, path string) *Route {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
 		host = host[:i]
