--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -990,9 +990,8 @@
 		eventually(t, "the request is being read", func() bool { return u.d.inFlight.Load() == 1 })
 		_ = c.Close()
 		eventually(t, "the request has ended", func() bool { return u.d.inFlight.Load() == 0 })
-		if n := u.d.bufferedBytes.Load(); n != 0 {
-			t.Errorf("%d bytes of bodies are held", n)
-		}
+		// The head is given back when the connection ends, a moment after the request.
+		eventually(t, "no memory is held", func() bool { return u.d.memory.Used() == 0 })
 	}
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -5,15 +5,16 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"flamingorudder.example/internal/backend"
 	"flamingorudder.example/internal/balance"
+	"flamingorudder.example/internal/intake"
 	"flamingorudder.example/internal/metric"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
@@ -25,8 +26,6 @@
 	defaultTimeout = 30 * time.Second
 	// responseMargin is how long before the caller's deadline the response has to be sent.
 	responseMargin = 40 * time.Millisecond
-	// maxBufferedPercent is the limit of the memory used by request bodies, in percent of the memory limit.
-	maxBufferedPercent = 25
 	// maxReadAhead is the largest response body of a plain service that is read completely before it is forwarded, so that
 	// the request can still be retried if the response is cut off.
 	maxReadAhead = 64 << 10
@@ -59,6 +58,9 @@
 	org     string
 	rank    int
 	body    []byte
+	// bodyRead is set once the body has been read whole. memory is what is reserved for the body and for responses that are held.
+	bodyRead bool
+	memory   *intake.Reservation
 	// hash identifies the request in all its attempts and repeats; zero until the body has been read.
 	hash  uint64
 	start time.Time
@@ -94,7 +96,10 @@
 	d, w, r := x.d, x.w, x.r
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
+	x.memory = d.memory.Reservation()
+	defer x.memory.Release()
 	x.call, x.start = platform.ParseRequestInfo(r.Header), time.Now()
+	x.boundAnswer(x.start.Add(defaultTimeout))
 	if d.shuttingDown.Load() {
 		// Closing the connection with the response makes the caller move on to another daemon.
 		w.Header().Set("Connection", "close")
@@ -168,7 +173,7 @@
 		x.rejectNotReady("entries not read")
 		return false
 	}
-	x.route = x.config.Find(x.r.Host, x.r.URL.Path)
+	x.route = x.config.Find(x.r.Host, pathAsSent(x.r))
 	if x.route == nil {
 		x.reject(http.StatusNotFound, 0, "no route")
 		return false
@@ -194,6 +199,7 @@
 	if end := d.endAt.Load(); end != nil && end.Before(x.deadline) {
 		x.deadline = *end
 	}
+	x.boundAnswer(x.deadline)
 	if !x.readBody() {
 		return false
 	}
@@ -213,43 +219,6 @@
 	return orgRank*routeRanks + min(routeRank, routeRanks-1)
 }
 
-func (x *exchange) readBody() bool {
-	limit := x.config.MaxBody
-	if limit > 0 && x.r.ContentLength > limit {
-		x.reject(http.StatusRequestEntityTooLarge, 0, "body too large")
-		return false
-	}
-	if x.r.Body == nil || x.r.ContentLength == 0 {
-		return true
-	}
-	if x.d.bufferedBytes.Load()+max(x.r.ContentLength, 0) > int64(x.d.settings().MemoryMB)<<20*maxBufferedPercent/100 {
-		x.rejectNotReady("bodies fill the memory")
-		return false
-	}
-	var in io.Reader = x.r.Body
-	if limit > 0 {
-		in = io.LimitReader(in, limit+1)
-	}
-	var err error
-	if n := x.r.ContentLength; n > 0 {
-		x.body = make([]byte, n)
-		_, err = io.ReadFull(in, x.body)
-	} else {
-		x.body, err = io.ReadAll(in)
-	}
-	x.d.bufferedBytes.Add(int64(len(x.body)))
-	if err != nil {
-		x.log("request was not read", "error", err)
-		x.d.bufferedBytes.Add(-int64(len(x.body)))
-		panic(http.ErrAbortHandler)
-	}
-	if limit > 0 && int64(len(x.body)) > limit {
-		x.reject(http.StatusRequestEntityTooLarge, 0, "body too large")
-		return false
-	}
-	return true
-}
-
 // rejectNotReady rejects a request that this daemon cannot serve for now.
 func (x *exchange) rejectNotReady(reason string) {
 	timeout := x.call.Timeout
@@ -290,6 +259,7 @@
 			x.w.Header().Set(headerPaid, "1")
 		}
 	}
+	x.leaveBody()
 	x.w.Header().Set("Content-Length", "0")
 	x.w.WriteHeader(status)
 	x.finish(status, reason)
@@ -297,7 +267,6 @@
 
 // finish logs and counts the end of a request.
 func (x *exchange) finish(status int, reason string) {
-	x.d.bufferedBytes.Add(-int64(len(x.body)))
 	x.body = nil
 	first := time.Duration(0)
 	if !x.firstAt.IsZero() {
@@ -379,7 +348,7 @@
 // time, as the model may return.
 func (x *exchange) rejectDropped(reason error) error {
 	c := x.d.config.Load()
-	r := c.Find(x.r.Host, x.r.URL.Path)
+	r := c.Find(x.r.Host, pathAsSent(x.r))
 	if r == nil || !c.Admits(r, x.call.Key) || slices.ContainsFunc(r.Split, func(w route.Weighted) bool { return w.Service != x.service }) {
 		return &RejectedError{0, reason.Error()}
 	}
@@ -539,3 +508,21 @@
 	}
 	x.w.WriteHeader(a.Status)
 }
+
+// pathAsSent returns the path of the request target, byte for byte: routes are selected by it, as an escaped slash is data within a
+// segment. It is empty if the target is an address without a path.
+func pathAsSent(r *http.Request) string {
+	target, _, _ := strings.Cut(r.RequestURI, "?")
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	// The target has the form http://host/path.
+	_, address, absolute := strings.Cut(target, "://")
+	if !absolute {
+		return target
+	}
+	if i := strings.IndexByte(address, '/'); i >= 0 {
+		return address[i:]
+	}
+	return ""
+}
--- a/internal/entry/start.go
+++ b/internal/entry/start.go
@@ -10,6 +10,7 @@
 
 	"flamingorudder.example/internal/election"
 	"flamingorudder.example/internal/gossip"
+	"flamingorudder.example/internal/intake"
 	"flamingorudder.example/internal/startup"
 	"flamingorudder.example/internal/timer"
 )
@@ -268,10 +269,10 @@
 	if x.from != "" {
 		return
 	}
-	defer x.d.bufferedBytes.Add(-startWaitBytes)
-	if x.d.bufferedBytes.Add(startWaitBytes) > int64(x.d.settings().MemoryMB)<<20*maxBufferedPercent/100 {
+	if x.memory.Grow(time.Now(), intake.Head, startWaitBytes) != nil {
 		return
 	}
+	defer x.memory.Shrink(startWaitBytes)
 	limit := maxStartWait
 	if t := x.call.Timeout; t > 0 {
 		limit = min(limit, t/startWaitShare)
--- a/internal/entry/start_test.go
+++ b/internal/entry/start_test.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"flamingorudder.example/internal/fakeplatform"
+	"flamingorudder.example/internal/intake"
 )
 
 // streamServer returns the address of a backend server that answers each stream with one event and its end.
@@ -114,15 +115,16 @@
 	if u.d.ready() {
 		t.Error("ready without a configuration")
 	}
-	if n := u.d.bufferedBytes.Load(); n != 0 {
-		t.Errorf("%d bytes are still reserved", n)
+	eventually(t, "no memory is reserved", func() bool { return u.d.memory.Used() == 0 })
+	others := u.d.memory.Reservation()
+	if err := others.Grow(time.Now(), intake.Head, u.d.settings().memoryBudget()-startWaitBytes/2); err != nil {
+		t.Fatal(err)
 	}
-	u.d.bufferedBytes.Store(256 << 20)
 	began := time.Now()
 	if r := u.do(http.MethodGet, "/safe/", "k1", "", "X-Flamingorudder-Deadline-Ms", "30000"); r.status != http.StatusServiceUnavailable || time.Since(began) >= maxStartWait {
 		t.Errorf("without memory: status %d after %v, want 503 at once", r.status, time.Since(began))
 	}
-	u.d.bufferedBytes.Store(0)
+	others.Release()
 	got := make(chan reply, 1)
 	go func() { got <- u.do(http.MethodPost, "/stream/", "", "{}", "X-Flamingorudder-Deadline-Ms", "30000") }()
 	eventually(t, "the request waits", func() bool { return u.d.feed.start.waiting.Load() == 1 })
--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -32,10 +32,14 @@
 	store := fakeplatform.NewStore()
 	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
 	all := []*daemonUnderTest{startDaemon(t, store, "a"), startDaemon(t, store, "b"), startDaemon(t, store, "c")}
+	// The holder of the lease reads the store itself, so the lease has to be taken first.
+	eventually(t, "a daemon holds the lease", func() bool {
+		return slices.ContainsFunc(all, func(u *daemonUnderTest) bool { return u.d.holdsLease() })
+	})
 	var follower *daemonUnderTest
 	eventually(t, "a peer relays the configuration to one daemon", func() bool {
 		for _, u := range all[1:] {
-			if u.d.feed.configIsRelayed(time.Now()) {
+			if u.d.feed.configIsRelayed(time.Now()) && !u.d.holdsLease() {
 				follower = u
 			}
 		}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -35,6 +35,7 @@
 	unknownEvacuations metric.Int64Counter
 	cold               metric.Int64Counter
 	invalid            metric.Int64Counter
+	refusals           metric.Int64Counter
 	meter              metric.Meter
 }
 
@@ -49,7 +50,7 @@
 	m := provider.Meter("flamingorudder")
 	s := &Set{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), meter: m}
 	buckets := metric.WithExplicitBucketBoundaries(0.01, 0.025, 0.05, 0.1, 0.2, 0.38, 0.5, 1, 2, 5, 10, 30, 60, 300, 600)
-	var errs [13]error
+	var errs [14]error
 	s.requests, errs[0] = m.Int64Counter("requests", metric.WithUnit("{request}"), metric.WithDescription("Requests answered, by outcome"))
 	s.firstToken, errs[1] = m.Float64Histogram("first_token", metric.WithUnit("s"), metric.WithDescription("Time from accepting a request to its first token"), buckets)
 	s.duration, errs[2] = m.Float64Histogram("request_duration", metric.WithUnit("s"), metric.WithDescription("Time from accepting a request to the end of its answer"), buckets)
@@ -63,6 +64,7 @@
 	s.unknownEvacuations, errs[10] = m.Int64Counter("unknown_evacuations", metric.WithUnit("{data_centre}"), metric.WithDescription("Evacuated data centres that have neither backend servers nor daemons"))
 	s.cold, errs[11] = m.Int64Counter("cold_requests", metric.WithUnit("{request}"), metric.WithDescription("Requests that were held back or rejected while cold backend servers took no more, by outcome"))
 	s.invalid, errs[12] = m.Int64Counter("invalid_values", metric.WithUnit("{value}"), metric.WithDescription("Values of the configuration, of entries and of answers that were ignored, by source"))
+	s.refusals, errs[13] = m.Int64Counter("refused_clients", metric.WithUnit("{refusal}"), metric.WithDescription("Requests and connections of clients that were refused to bound memory and connections, by reason"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, nil, fmt.Errorf("create instrument: %w", err)
@@ -144,6 +146,11 @@
 	s.invalid.Add(context.Background(), 1, metric.WithAttributes(attribute.String("source", source)))
 }
 
+// RecordRefusal records a request or connection that was refused in order to bound memory or connections.
+func (s *Set) RecordRefusal(reason string) {
+	s.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
 // RegisterGauge registers a gauge whose value is read at each scrape.
 func (s *Set) RegisterGauge(name, unit, description string, read func() int64) error {
 	_, err := s.meter.Int64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(description),
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -148,6 +148,10 @@
 	MaxBody int64
 	// Invalid describes the values that were ignored because they are out of range.
 	Invalid []string
+	// MaxHeader bounds the head of a request in bytes, HeaderTimeout the time that it takes to arrive. IdleTimeout is how long a
+	// caller keeps a connection that it does not use. Zero means that the daemon's default applies.
+	MaxHeader                  int64
+	HeaderTimeout, IdleTimeout time.Duration
 
 	hosts    map[string]map[string]*Route
 	services map[string]*Service
@@ -194,7 +198,8 @@
 	return nil
 }
 
-// Find returns the route with the longest prefix of path, nil when there is none.
+// Find returns the route with the longest prefix of path, nil when there is none. path is as it was sent: neither it nor prefixes are
+// unescaped.
 func (c *Config) Find(host, path string) *Route {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
 		host = host[:i]
