Compress the entries that a peer relays to a starting daemon

Callers of a small instance would wait for the start: in a start of all daemons, the first synchronised one relays the complete state to all others of its data centre at once, over a link of 20 to 200 Mbit/s. The entries are now compressed once for each change, as the configuration was. A daemon of an earlier build neither asks for this nor gets it.

The time over a slow link was not measured.

--- a/internal/entry/start_test.go
+++ b/internal/entry/start_test.go
@@ -174,3 +174,35 @@
 		t.Errorf("%d calls for entries by a daemon that started beside a synchronised one", n)
 	}
 }
+
+// TestCompressedEntries guards against a start that is slowed down by the link of the daemon that relays to all others, and against
+// relaying entries that have changed since they were compressed.
+func TestCompressedEntries(t *testing.T) {
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	u := startDaemon(t, store, "a")
+	const entries = 171
+	for i := range entries {
+		u.putServer(fmt.Sprint("i-", i), "llm", "127.0.0.1:9", fmt.Sprintf(openGroup, i))
+	}
+	u.waitReady()
+	in, err := u.d.feed.fetch(t.Context(), u.s.Peer, pathAll)
+	if err != nil || len(in.Servers) != entries || in.Servers[0].Version == 0 || len(in.CompressedServers) > 16<<10 {
+		t.Fatalf("%d entries in %d bytes, error %v", len(in.Servers), len(in.CompressedServers), err)
+	}
+	t.Logf("%d entries in %d bytes", entries, len(in.CompressedServers))
+	store.Remove("servers", "i-7")
+	eventually(t, "the daemon has read the removal", func() bool { return u.d.view.Load().Servers["i-7"] == nil })
+	if in, err := u.d.feed.fetch(t.Context(), u.s.Peer, pathAll); err != nil || len(in.Servers) != entries-1 {
+		t.Errorf("%d entries after a removal, error %v", len(in.Servers), err)
+	}
+	resp, err := http.Get("http://" + u.s.Peer.String() + pathAll)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var plain peerState
+	if err := cbor.NewDecoder(resp.Body).Decode(&plain); err != nil || len(plain.Servers) != entries-1 || plain.CompressedServers != nil {
+		t.Errorf("a daemon of an earlier build gets %d entries, error %v", len(plain.Servers), err)
+	}
+}
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -96,8 +96,11 @@
 	// rawServers holds the entries as stored and tombstones of those removed lately. They are complete up to position, as of
 	// readAt.
 	rawServers map[string]entryRow
-	position   era.Position
-	readAt     time.Time
+	// compressedServers are the encoded entries in rawServers, without tombstones, compressed. They are made when a peer first asks for
+	// all of them after a change.
+	compressedServers []byte
+	position          era.Position
+	readAt            time.Time
 	// era is the latest era that the store has named, zero before the first. current is done, and replaced, when a later one
 	// becomes known.
 	era     int64
@@ -674,6 +677,9 @@
 		f.tracker.MarkRestored(now, delay)
 	}
 	f.position, f.readAt = position, now.Add(-age)
+	if whole || len(rows) > 0 {
+		f.compressedServers = nil
+	}
 	for id, r := range f.rawServers {
 		if r.Removed && now.Sub(r.at) > tombstoneTTL {
 			delete(f.rawServers, id)
@@ -935,6 +941,8 @@
 	Compressed []byte     `cbor:"config,omitempty"`
 	Config     []byte     `cbor:"-"`
 	Servers    []entryRow `cbor:"servers"`
+	// CompressedServers replaces Servers in the response with the complete state to a daemon that asks for it; fetch decodes it.
+	CompressedServers []byte `cbor:"entries,omitempty"`
 	// Servers are complete up to Version of the store in Era, as of Age ago.
 	Version int64         `cbor:"version"`
 	Era     int64         `cbor:"era,omitempty"`
@@ -1001,6 +1009,13 @@
 	case pathConfig:
 	case pathDeparted:
 		out.Departures = f.tracker.Departures(time.Now())
+	case pathAll:
+		if r.URL.Query().Has(compressedQuery) {
+			out.CompressedServers = f.compressServers()
+		}
+		if out.CompressedServers == nil {
+			out.Servers = f.currentServers()
+		}
 	default:
 		for _, row := range f.rawServers {
 			if (row.changed > after || renewals && row.Version > after) && (after >= 0 || !row.Removed) {
@@ -1020,25 +1035,64 @@
 	}
 }
 
+// currentServers returns the entries without tombstones. The caller holds f.mu.
+func (f *storeSync) currentServers() []entryRow {
+	out := make([]entryRow, 0, len(f.rawServers))
+	for _, row := range f.rawServers {
+		if !row.Removed {
+			out = append(out, row)
+		}
+	}
+	return out
+}
+
+// compressServers returns the current entries compressed. When a whole fleet starts, one daemon relays them to many at once over a link
+// that may be slow. The caller holds f.mu.
+func (f *storeSync) compressServers() []byte {
+	if f.compressedServers == nil {
+		text, err := cbor.Marshal(f.currentServers())
+		if err == nil {
+			text, err = deflate(text)
+		}
+		if err != nil {
+			f.d.log.Error("cannot compress the entries of backend servers", "error", err)
+			return nil
+		}
+		f.compressedServers = text
+	}
+	return f.compressedServers
+}
+
 // compressConfig returns the newest configuration compressed, since large ones would saturate the link of a small instance that
 // relays to many daemons. The caller holds f.mu.
 func (f *storeSync) compressConfig() []byte {
 	if f.compressedConfig == nil && f.rawConfig != nil {
-		var b bytes.Buffer
-		w, err := flate.NewWriter(&b, flate.BestSpeed)
-		if err == nil {
-			_, err = w.Write(f.rawConfig)
-			err = errors.Join(err, w.Close())
-		}
+		text, err := deflate(f.rawConfig)
 		if err != nil {
 			f.d.log.Error("cannot compress the configuration", "error", err)
 			return nil
 		}
-		f.compressedConfig = b.Bytes()
+		f.compressedConfig = text
 	}
 	return f.compressedConfig
 }
 
+// deflate compresses a text.
+func deflate(text []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("create compressor: %w", err)
+	}
+	if _, err = w.Write(text); err == nil {
+		err = w.Close()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("compress: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
 // Paths for peers: the complete state, the entries changed since a version, the configuration alone, the entries removed lately.
 const (
 	pathAll      = "/all"
@@ -1047,6 +1101,9 @@
 	pathDeparted = "/departed"
 )
 
+// compressedQuery is the key in the query of pathAll by which a daemon asks for compressed entries. Daemons of earlier builds ignore it.
+const compressedQuery = "compressed"
+
 // pollPeers gets the configuration and the entries from peers when reads of the store are overdue or a peer has a newer
 // configuration.
 func (f *storeSync) pollPeers(ctx context.Context) {
@@ -1164,6 +1221,9 @@
 func (f *storeSync) fetch(ctx context.Context, peer netip.AddrPort, path string) (peerState, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
+	if path == pathAll {
+		path += "?" + compressedQuery + "=1"
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+path, nil)
 	if err != nil {
 		return peerState{}, fmt.Errorf("create request: %w", err)
@@ -1185,5 +1245,11 @@
 			return peerState{}, fmt.Errorf("decompress configuration: %w", err)
 		}
 	}
+	if len(in.CompressedServers) > 0 {
+		entries := io.LimitReader(flate.NewReader(bytes.NewReader(in.CompressedServers)), maxRelay)
+		if err := cbor.NewDecoder(entries).Decode(&in.Servers); err != nil {
+			return peerState{}, fmt.Errorf("decode compressed entries: %w", err)
+		}
+	}
 	return in, nil
 }
