Spread the returns of callers that have little time left

A rejected caller with less than 5.4 s left was often told exactly a third of it, and with less than 2.7 s left always, so callers with the same deadline that were rejected together returned in the same instant.

Change: RetryDelay draws the delay below that third instead of cutting it there. The random draws and all other delays are as before.

Evidence: TestReturnsAreSpread, 50 callers with 2 s left: all return within one window of 200 ms before (bound 40).

--- a/internal/balance/replay_test.go
+++ b/internal/balance/replay_test.go
@@ -151,6 +151,8 @@
 	tallies map[string]*tally
 	// seconds holds the outcomes of the requests first sent in each second.
 	seconds []tally
+	// returned counts the callers that came back when they were told to, rejectedAgain those of them that were rejected again.
+	returned, rejectedAgain float64
 }
 
 // simulationPlans returns a large slow model and a small fast one.
@@ -251,6 +253,9 @@
 func (f *simulation) arrive(q *simRequest) {
 	q.daemon, q.arrived = f.daemon(), f.now
 	q.attempts++
+	if q.attempts == 2 && !q.impatient {
+		f.returned++
+	}
 	f.placer.arrive(f, q)
 }
 
@@ -280,6 +285,9 @@
 func (f *simulation) reject(q *simRequest, retryAfter time.Duration) {
 	q.waitTime += f.now - q.arrived
 	tries := 2
+	if q.attempts == 2 && !q.impatient {
+		f.rejectedAgain++
+	}
 	if q.impatient {
 		tries, retryAfter = 5, 50*time.Millisecond
 	}
--- a/internal/balance/scheduler.go
+++ b/internal/balance/scheduler.go
@@ -572,8 +572,10 @@
 )
 
 // RetryDelay returns the delay after which a rejected caller with the given deadline should retry. random returns
-// numbers in [0, 1). Callers wait at most a third of their remaining time, so longer delays would be cut anyway.
+// numbers in [0, 1). Callers wait at most a third of their remaining time, so longer delays would be cut anyway. Where that is
+// little, the delays are spread below it: callers with the same deadline that are all told the limit would return together.
 func RetryDelay(now, until time.Time, random func() float64) time.Duration {
-	d := minRetryDelay + time.Duration(random()*float64(retryJitter))
-	return max(min(d, until.Sub(now)/3), 0)
+	limit := max(until.Sub(now)/3, 0)
+	least := min(minRetryDelay, limit/2)
+	return least + time.Duration(random()*float64(min(retryJitter, limit-least)))
 }
--- a/internal/balance/shortage_test.go
+++ b/internal/balance/shortage_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -108,7 +109,7 @@
 				f := simulate(l, newCentral())
 				mu.Lock()
 				defer mu.Unlock()
-				t.Logf("rate %.1f, seed %d: value %.3f", rate, seed, f.tallyOf("all").valueShare())
+				t.Logf("rate %.1f, seed %d: value %.3f; %.0f returned, of them rejected %.3f", rate, seed, f.tallyOf("all").valueShare(), f.returned, f.rejectedAgain/f.returned)
 				for name, o := range f.tallies {
 					if sums[name] == nil {
 						sums[name] = &tally{}
@@ -140,6 +141,27 @@
 	}
 }
 
+// TestReturnsAreSpread guards against callers that are rejected together returning in the same instant, or later than a third
+// of the time that they have left. 50 callers with 2 s left return where 100 a second are placed; a window of 200 ms may
+// have twice what is placed in it.
+func TestReturnsAreSpread(t *testing.T) {
+	const callers, window, most, left = 50, 200 * time.Millisecond, 40, 2 * time.Second
+	r := rand.New(rand.NewPCG(1, 2))
+	var at []time.Duration
+	for range callers {
+		at = append(at, RetryDelay(noon, noon.Add(left), r.Float64))
+	}
+	slices.Sort(at)
+	if last := at[len(at)-1]; last > left/3 || at[0] <= 0 {
+		t.Errorf("told to return between %v and %v", at[0], last)
+	}
+	for i, first := range at {
+		if n, _ := slices.BinarySearch(at, first+window); n-i > most {
+			t.Fatalf("%d callers return within %v", n-i, window)
+		}
+	}
+}
+
 // BenchmarkStep measures a round in which 100 requests wait and no group has room for them.
 func BenchmarkStep(b *testing.B) {
 	s, plan := NewScheduler(), simulationPlans()[1]
