--- a/internal/balance/scheduler.go
+++ b/internal/balance/scheduler.go
@@ -51,8 +51,6 @@
 	// late is set when the first event can no longer meet its objective, waited when the request was not placed at
 	// the first attempt.
 	late, waited bool
-	// merit is the level that merits gives the request, zero before the first round.
-	merit int
 }
 
 // Reason is why a request was not placed.
@@ -81,10 +79,8 @@
 // Scheduler places the requests of one model. It is not safe for concurrent use.
 //
 // Requests whose answers were cut off go first, then those that can still meet their objective, then those that
-// cannot. Each of these is ordered by rank, then those of organisations within their limit go first. Requests that can be in
-// time are then ordered by the recent use of the organisation, so that the many requests of a large organisation do not
-// starve the few of a small one, and by merit (see merits); by merit first beyond the limit. Older requests go first where
-// all this is equal. The classes at the end of this order are
+// cannot. Each of these is ordered by rank, then by the recent use of the organisation, so that the many requests of
+// a large organisation do not starve the few of a small one, then by age. The classes at the end of this order are
 // still guaranteed a share, see minPlacementShare.
 type Scheduler struct {
 	waiting           []*Waiter
@@ -101,8 +97,7 @@
 	// coldHeld and coldRejected count the requests that had to wait, and those rejected, while a group took none as its head is cold.
 	coldHeld, coldRejected int
 	// idle is the fraction of the daemons that have not reported which hold no work, see SetIdle.
-	idle   float64
-	merits merits
+	idle float64
 }
 
 // class is a set of requests with equal priority.
@@ -133,8 +128,7 @@
 	// group.
 	lateTimeShare = 0.6
 	// reservedRequests is the number of requests of other organisations that work beyond an organisation's fair share
-	// leaves room for in each group. With two, small organisations lost 0.4 to 0.8 in 100 of their requests when larger
-	// prompts went first beyond the share.
+	// leaves room for in each group.
 	reservedRequests = 3
 	// passGapShare is the fraction of the longest acceptable pause that a pass may take; the rest covers delays of
 	// single events.
@@ -197,7 +191,6 @@
 		w.firstArrival, w.retryAt = o.firstArrival, o.retryAt
 	} else {
 		s.usage.recordRequest(w)
-		s.merits.record(w)
 	}
 	if s.promptSizes[w.Rank] == nil {
 		s.promptSizes[w.Rank] = &window[int]{}
@@ -272,13 +265,6 @@
 	}
 	s.usage.decay(now)
 	for _, w := range s.waiting {
-		if w.merit == 0 {
-			w.merit = usualMerit
-			// Larger prompts of less urgent work would delay the urgent work, so they have no merit beside it.
-			if part, _ := s.usage.moreUrgent(w.Rank); part == 0 {
-				w.merit = s.merits.level(plan, w)
-			}
-		}
 		late := !s.canMeetObjective(now, plan, w)
 		if late && w.waited && !w.late {
 			s.usage.recordWait(w, false)
@@ -465,14 +451,11 @@
 		return 0
 	}
 	slices.SortStableFunc(s.waiting, func(a, b *Waiter) int {
-		use, merit := 0, 0
+		use := 0
 		if !a.late && !b.late {
-			use, merit = cmp.Compare(s.usage.used[a.Organisation], s.usage.used[b.Organisation]), b.merit-a.merit
-			if over(a) == 1 {
-				use, merit = merit, use
-			}
+			use = cmp.Compare(s.usage.used[a.Organisation], s.usage.used[b.Organisation])
 		}
-		return cmp.Or(cmp.Compare(tier(a), tier(b)), cmp.Compare(a.Rank, b.Rank), over(a)-over(b), use, merit, a.firstArrival.Compare(b.firstArrival))
+		return cmp.Or(cmp.Compare(tier(a), tier(b)), cmp.Compare(a.Rank, b.Rank), over(a)-over(b), use, a.firstArrival.Compare(b.firstArrival))
 	})
 }
 
@@ -542,8 +525,7 @@
 		slots = max(int(float64(slots)*(1-reservedSlotShare*part)), 1)
 	}
 	if s.usage.overLimit(w) && !credit {
-		// The room for others must be left after the request's own prompt is read.
-		budget -= s.reservedTime(plan, w.Rank) + plan.PrefillTime(w.Prompt)
+		budget -= s.reservedTime(plan, w.Rank)
 		slots -= reservedRequests
 	}
 	// Work that misses its objective even in an idle group must not starve.
