Start the clock of TestSilenceForGood before its deadline

The error is the one of the deadline itself, so the request did not end early: the test took its start after it had set the deadline, and lost 3 ms between the two.

The start is now taken first, so the time measured contains the whole deadline. The bounds and what is checked are unchanged.

--- a/internal/backend/silence_test.go
+++ b/internal/backend/silence_test.go
@@ -335,9 +335,9 @@
 				s.insideAnswer = silent
 			}
 			server, p := newQuietServer(t, s, onDial)
+			start := time.Now()
 			ctx, cancel := context.WithTimeout(context.Background(), patience)
 			defer cancel()
-			start := time.Now()
 			a, err := p.Do(ctx, server, request("a"), 0)
 			if err == nil {
 				_, err = io.ReadAll(a.Body)
