Count heartbeats as known only up to when a read was sent

Cause found by reading: after a refused connection two missing heartbeats decide that a head is lost. They were counted up to the time at which the last response was processed. A holder that is paused, or short of processor time, with a read in flight processes a response from before the pause, and the heartbeats of the pause seem to be missing until the next read. A read of changes counted too, although it shows no heartbeats.

Change: roster.View.HeartbeatsRead is when the last read of all entries was sent, and replaces EntriesRead. Relayed entries and reads of changes leave it alone. Renewals are still dated when they are read, so both errors are on the side of a living head.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -347,7 +347,7 @@
 		}
 		orders := p.Step(now, replica.Input{
 			Pressure: pressure, UrgentModel: urgent,
-			Servers: members, RenewalTimeout: silence, RefusedTimeout: refusal, EntriesRead: v.EntriesRead, EntriesCurrent: d.storeOK.Load(), StoreRecovered: back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, LoadWindow: d.settings().LoadWindow, StartingUp: early && len(pressure) == 0,
+			Servers: members, RenewalTimeout: silence, RefusedTimeout: refusal, HeartbeatsRead: v.HeartbeatsRead, EntriesCurrent: d.storeOK.Load(), StoreRecovered: back, Stall: d.settings().Stall, LoadRate: s.Engine.LoadRate, LoadWindow: d.settings().LoadWindow, StartingUp: early && len(pressure) == 0,
 			DemandLag: d.demandLag(now), Evacuated: d.evacuated,
 		})
 		for _, o := range orders {
--- a/internal/entry/odd_test.go
+++ b/internal/entry/odd_test.go
@@ -32,7 +32,7 @@
 	odd := entryRow{ID: "i-odd", Value: []byte(`{"address":"` + strings.Repeat("x", 60_000) + `"}`)}
 	for version := int64(1000); version < 1010; version++ {
 		odd.Version = version
-		u.d.feed.applyServers([]entryRow{odd}, version%2 == 0, era.Position{Era: u.d.feed.storeEra(), Version: version}, 0)
+		u.d.feed.applyServers([]entryRow{odd}, version%2 == 0, era.Position{Era: u.d.feed.storeEra(), Version: version}, 0, time.Time{})
 	}
 	u.d.feed.mu.Lock()
 	kept := u.d.feed.rawServers["i-odd"]
--- a/internal/entry/start.go
+++ b/internal/entry/start.go
@@ -165,7 +165,7 @@
 	f.start.relay.Store(&source.Name)
 	f.markSynced(in.WithHeartbeats)
 	f.recordStoreResult(nil)
-	f.applyServers(in.Servers, true, in.position(), in.Age)
+	f.applyServers(in.Servers, true, in.position(), in.Age, time.Time{})
 	f.inheritDoubt(in.Doubt)
 	return true
 }
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -534,7 +534,7 @@
 		if err == nil && in.Age <= maxRelayAge && in.Era >= f.storeEra() && !in.position().Before(*after) && (in.Whole || in.Era == after.Era) {
 			f.observeEra(in.Era)
 			f.markSynced(in.WithHeartbeats)
-			f.applyServers(in.Servers, in.Whole, in.position(), in.Age)
+			f.applyServers(in.Servers, in.Whole, in.position(), in.Age, time.Time{})
 			f.applyRelayedConfig(in, r.Name)
 			*after = in.position()
 			return nil
@@ -547,6 +547,7 @@
 	if *after == noPosition {
 		limit = allEntriesTimeout
 	}
+	sent := time.Now()
 	page, err := f.d.storeCall(ctx, "entries", limit, func(ctx context.Context) (platform.Page, error) {
 		if *after == noPosition {
 			return f.d.store.Rows(ctx, platform.TableServers)
@@ -575,7 +576,10 @@
 	for i, r := range page.Rows {
 		rows[i] = entryRow{ID: r.Key, Value: r.Value, Removed: r.Removed, Version: r.Version}
 	}
-	f.applyServers(rows, whole, page.Position(), 0)
+	if !whole {
+		sent = time.Time{}
+	}
+	f.applyServers(rows, whole, page.Position(), 0, sent)
 	return nil
 }
 
@@ -683,8 +687,8 @@
 var noPosition = era.Position{Version: -1}
 
 // applyServers applies changed entries, or all entries if whole is set, that were current at the given position of the store
-// age ago.
-func (f *storeSync) applyServers(rows []entryRow, whole bool, position era.Position, age time.Duration) {
+// age ago. sent is when a read of the store that shows all heartbeats was sent, zero for one that does not.
+func (f *storeSync) applyServers(rows []entryRow, whole bool, position era.Position, age time.Duration, sent time.Time) {
 	now := time.Now()
 	delay := rand.N(f.restoreDelay(now))
 	f.mu.Lock()
@@ -773,6 +777,9 @@
 		all = append(all, s)
 		changes = append(changes, roster.Change{ID: r.ID, Server: s})
 	}
+	if !sent.IsZero() {
+		f.tracker.MarkHeartbeatsRead(sent)
+	}
 	if whole {
 		f.tracker.Replace(now, all)
 	} else {
@@ -1228,7 +1235,7 @@
 		f.mu.Lock()
 		f.tracker.SetRenewalsVisible(time.Now(), false)
 		f.mu.Unlock()
-		f.applyServers(in.Servers, in.Whole || path == pathAll, in.position(), in.Age)
+		f.applyServers(in.Servers, in.Whole || path == pathAll, in.position(), in.Age, time.Time{})
 		if path == pathAll {
 			f.inheritDoubt(in.Doubt)
 		}
--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +19,7 @@
 	"flamingorudder.example/internal/fakeplatform"
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/roster"
+	"flamingorudder.example/internal/timer"
 	"flamingorudder.example/platform"
 )
 
@@ -352,7 +356,7 @@
 	if in := ask(pathServers + "?after=1000&config=0"); in.Whole || len(in.Servers) != 0 {
 		t.Errorf("a reader that names no era gets %d entries, whole %v, want changes only", len(in.Servers), in.Whole)
 	}
-	u.d.feed.applyServers(nil, true, era.Position{Era: 1, Version: 1000}, 0)
+	u.d.feed.applyServers(nil, true, era.Position{Era: 1, Version: 1000}, 0, time.Time{})
 	if u.d.view.Load().Servers["i-3"] == nil {
 		t.Error("a state of the era before was applied")
 	}
@@ -398,10 +402,10 @@
 	defer closeIdle()
 	entry := []byte(`{"service":"plain","address":"127.0.0.1:9","zone":"z","state":"ready","slots":4,"born":5,"sequence":1}`)
 	rows := []entryRow{{ID: "i-1", Value: entry, Version: 10}}
-	f.applyServers(rows, true, era.Position{Version: 10}, 0) // relayed by a daemon of an earlier build
+	f.applyServers(rows, true, era.Position{Version: 10}, 0, time.Time{}) // relayed by a daemon of an earlier build
 	f.observeEra(1)
-	f.applyServers(rows, true, era.Position{Era: 1, Version: 10}, 0)
-	f.applyServers([]entryRow{{ID: "i-1", Removed: true, Version: 11}}, false, era.Position{Era: 1, Version: 11}, 0)
+	f.applyServers(rows, true, era.Position{Era: 1, Version: 10}, 0, time.Time{})
+	f.applyServers([]entryRow{{ID: "i-1", Removed: true, Version: 11}}, false, era.Position{Era: 1, Version: 11}, 0, time.Time{})
 	if v := f.tracker.View(time.Now(), f.size); v.Servers["i-1"] != nil {
 		t.Error("the removed backend server is still in the view")
 	}
@@ -436,3 +440,38 @@
 		return v.RenewalsHidden || v.Servers["i-1"].Beat == 4
 	})
 }
+
+// TestLateResponseShowsNoLaterHeartbeats guards against counting heartbeats of a living head as missing, after its connections were
+// refused, because a paused holder processes a response late, or has read changes that show no heartbeats.
+func TestLateResponseShowsNoLaterHeartbeats(t *testing.T) {
+	t.Parallel()
+	store := fakeplatform.NewStore()
+	put(store, plainEntry("i-1", "ready", 1, 1))
+	var composed atomic.Pointer[time.Time]
+	late := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		store.Daemons().ServeHTTP(w, r)
+		now := time.Now()
+		composed.Store(&now)
+		_ = timer.Wait(r.Context(), 50*time.Millisecond) // the response is still buffered
+	}))
+	defer late.Close()
+	client, closeIdle := platform.NewStore(netip.MustParseAddrPort(late.Listener.Addr().String()))
+	defer closeIdle()
+	client.PageTimeout = storeTimeout
+	u, run := prepareDaemon(t, store, "a", func(d *Daemon) { d.store = client })
+	defer run() // stops the daemon at the end of the test
+	after := noPosition
+	if err := u.d.feed.readServers(t.Context(), &after); err != nil {
+		t.Fatal(err)
+	}
+	read := u.d.view.Load().HeartbeatsRead
+	if read.IsZero() || read.After(*composed.Load()) {
+		t.Errorf("heartbeats are known as of %v after the response was composed, want before", read.Sub(*composed.Load()))
+	}
+	if err := u.d.feed.readServers(t.Context(), &after); err != nil {
+		t.Fatal(err)
+	}
+	if again := u.d.view.Load().HeartbeatsRead; !again.Equal(read) {
+		t.Errorf("a read of changes confirms heartbeats as of %v later", again.Sub(read))
+	}
+}
--- a/internal/replica/losses_test.go
+++ b/internal/replica/losses_test.go
@@ -432,7 +432,7 @@
 // ended counting as alive as long as its entry lasts.
 func TestSilentServerIsNotDead(t *testing.T) {
 	now := time.Now()
-	in := Input{EntriesRead: now, RenewalTimeout: 2400 * time.Millisecond, RefusedTimeout: 1500 * time.Millisecond, StoreRecovered: now.Add(-time.Minute)}
+	in := Input{HeartbeatsRead: now, RenewalTimeout: 2400 * time.Millisecond, RefusedTimeout: 1500 * time.Millisecond, StoreRecovered: now.Add(-time.Minute)}
 	for name, test := range map[string]struct {
 		status ServerStatus
 		dead   bool
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -90,7 +90,7 @@
 	if m.Refused {
 		timeout = in.RefusedTimeout
 	}
-	return in.EntriesRead.Sub(last) <= timeout
+	return in.HeartbeatsRead.Sub(last) <= timeout
 }
 
 // presumeAlive returns the backend servers as they are taken to be. While most of them do not respond, it is more likely that the
@@ -220,8 +220,8 @@
 	RenewalTimeout time.Duration
 	// RefusedTimeout replaces it for a backend server that refuses connections. One that is sound answers.
 	RefusedTimeout time.Duration
-	// EntriesRead is when the entries were last read.
-	EntriesRead time.Time
+	// HeartbeatsRead is when the last read of the entries that shows all heartbeats was sent.
+	HeartbeatsRead time.Time
 	// EntriesCurrent is set while the store answers. It then removes the entry of a backend server that has not renewed it for a
 	// few heartbeats.
 	EntriesCurrent bool
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -91,7 +91,7 @@
 func (f *fleet) step(drop func() bool) {
 	f.now = f.now.Add(100 * time.Millisecond)
 	if !f.unread {
-		f.in.EntriesRead = f.now
+		f.in.HeartbeatsRead = f.now
 	}
 	var servers []*ServerStatus
 	for _, s := range f.servers {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -113,8 +113,10 @@
 
 // View is the set of backend servers at one moment.
 type View struct {
-	// Read is when this view was built, zero before the first read. EntriesRead is when entries were last read.
-	Read, EntriesRead time.Time
+	// Read is when this view was built, zero before the first read.
+	Read time.Time
+	// HeartbeatsRead is when the last read that shows all heartbeats was sent. Later heartbeats need not be in the view.
+	HeartbeatsRead time.Time
 	// StoreRecovered is when the store last recovered from an outage, during which entries could not be renewed. It is
 	// zero before the first outage.
 	StoreRecovered time.Time
--- a/internal/roster/tracker.go
+++ b/internal/roster/tracker.go
@@ -31,6 +31,8 @@
 	heartbeatSeen time.Time
 	// lastRead is when the entries were last read.
 	lastRead time.Time
+	// heartbeatsRead is when the last read that shows all heartbeats was sent.
+	heartbeatsRead time.Time
 	// doubtUntil is until when entries that are read may date from before the last restore of the store. outdated holds the
 	// entries that were found to do so and have not changed since.
 	doubtUntil time.Time
@@ -253,6 +255,10 @@
 	t.renewalsHidden = !included
 }
 
+// MarkHeartbeatsRead records that the entries that are applied next show all heartbeats written before sent. Their response may be
+// processed much later, for example after a pause of this process, and says nothing about the time between.
+func (t *Tracker) MarkHeartbeatsRead(sent time.Time) { t.heartbeatsRead = sent }
+
 // RenewalsHidden reports whether the last changes did not include renewals.
 func (t *Tracker) RenewalsHidden() bool { return t.renewalsHidden }
 
@@ -404,7 +410,7 @@
 
 // View builds the current view. size returns the sizes of groups.
 func (t *Tracker) View(now time.Time, size Size) *View {
-	v := &View{Read: now, EntriesRead: t.lastRead, StoreRecovered: t.storeRecovered, RenewalsHidden: t.renewalsHidden, RenewalsVisibleSince: t.renewalsVisibleSince, HeartbeatSeen: t.heartbeatSeen, Servers: maps.Clone(t.servers), Services: map[string][]*Server{}, Groups: map[string][]*Group{}, Departed: make(map[string]*Server, len(t.departed))}
+	v := &View{Read: now, HeartbeatsRead: t.heartbeatsRead, StoreRecovered: t.storeRecovered, RenewalsHidden: t.renewalsHidden, RenewalsVisibleSince: t.renewalsVisibleSince, HeartbeatSeen: t.heartbeatSeen, Servers: maps.Clone(t.servers), Services: map[string][]*Server{}, Groups: map[string][]*Group{}, Departed: make(map[string]*Server, len(t.departed))}
 	for id, d := range t.departed {
 		v.Departed[id] = d.server
 	}
