Give TestCallerThatDoesNotRead time to hold the answer

Cause: its route had a timeout of 500 ms. With the race detector and one processor beside a load of 37 the request is over before the daemon holds 64 KiB of its answer: 11 of 12 failed. The check is the same with a timeout of 3 s: the answer is held, then the caller is given up and the memory given back.

--- a/internal/entry/guard_test.go
+++ b/internal/entry/guard_test.go
@@ -49,7 +49,8 @@
 // memory for ever.
 func TestCallerThatDoesNotRead(t *testing.T) {
 	store := fakeplatform.NewStore()
-	store.Put("op", "config", []byte(fmt.Sprintf(guardConfig, 500)))
+	// The caller is given up at the timeout of the route. The answer has to be held before, also on a busy machine.
+	store.Put("op", "config", []byte(fmt.Sprintf(guardConfig, 3000)))
 	u := startDaemon(t, store, "a")
 	u.putServer("i-1", "plain", backendServer(t, func(c net.Conn, r *http.Request) { writeAnswer(c, r, 200, strings.Repeat("x", 32<<20)) }), "null")
 	u.waitReady()
