Decide in which data centres a request with home regions may run

Callers: nothing changes yet; allowedRegions of routes and organisations was ignored. Package internal/region holds the pure decision: the home regions of a request, the intersection of those of its route and its organisation, and the table of the regions of data centres, of which unknown ones are in no home region. platform decodes and encodes the lists, route keeps them.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"flamingorudder.example/internal/region"
 )
 
 // Kind is which requests of a route may be repeated.
@@ -51,6 +53,8 @@
 	Anonymous bool
 	// Resumable streams may continue at another backend server after the last event.
 	Resumable bool
+	// Homes are the regions in which requests may run.
+	Homes region.Homes
 }
 
 // Repeatable reports whether a request may be sent again after it may have run.
@@ -136,6 +140,8 @@
 	Keys []string
 	// Rank overrides the rank of the route; negative when not set.
 	Rank int
+	// Homes are the regions in which its requests may run; those of the route apply too.
+	Homes region.Homes
 }
 
 // Config is one version of the operators' configuration.
@@ -153,6 +159,9 @@
 	MaxHeader                  int64
 	HeaderTimeout, IdleTimeout time.Duration
 
+	// limited is set if a route or an organisation has home regions, homes holds the names of all of them, in order.
+	limited  bool
+	homes    []string
 	hosts    map[string]map[string]*Route
 	services map[string]*Service
 	keys     map[string]*Organisation
@@ -190,7 +199,12 @@
 		}
 		c.hosts[host][r.Prefix] = r
 	}
+	c.limited, c.homes = false, nil
+	for i := range c.Routes {
+		c.addHomes(c.Routes[i].Homes)
+	}
 	for i := range c.Organisations {
+		c.addHomes(c.Organisations[i].Homes)
 		for _, key := range c.Organisations[i].Keys {
 			c.keys[key] = &c.Organisations[i]
 		}
@@ -198,6 +212,21 @@
 	return nil
 }
 
+func (c *Config) addHomes(h region.Homes) {
+	c.limited = c.limited || h.Limited()
+	for _, name := range h.Names() {
+		if i, found := slices.BinarySearch(c.homes, name); !found {
+			c.homes = slices.Insert(c.homes, i, name)
+		}
+	}
+}
+
+// HasHomes reports whether a route or an organisation has home regions.
+func (c *Config) HasHomes() bool { return c.limited }
+
+// HomeRegions returns the home regions of all routes and organisations, in order. The list must not be changed.
+func (c *Config) HomeRegions() []string { return c.homes }
+
 // Find returns the route with the longest prefix of path, nil when there is none. path is as it was sent: neither it nor prefixes are
 // unescaped.
 func (c *Config) Find(host, path string) *Route {
