Place requests with home regions only at groups there

Callers: nothing changes yet, as no daemon limits a request. A report names, for each request with home regions, the data centres that its daemon knows to be there (an optional keyed field; the frozen structs stay). The scheduler leaves out every group with a member elsewhere. Such requests are counted apart when it is estimated whose turn comes too late, so that many that wait for a full home region have no others rejected.

--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -19,6 +19,7 @@
 import (
 	"time"
 
+	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
 )
 
@@ -48,6 +49,8 @@
 	// Cold is set when a member is cold; the group runs at the pace of its slowest member. ColdLimited is set when the head is cold and
 	// takes no more requests now.
 	Cold, ColdLimited bool
+	// Members decide where requests with home regions may run; such requests get no group without members.
+	Members []*roster.Server
 }
 
 // Plan describes the timing of a model's groups.
--- a/internal/balance/scheduler.go
+++ b/internal/balance/scheduler.go
@@ -5,7 +5,10 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
+
+	"flamingorudder.example/internal/roster"
 )
 
 // Request describes a request to be placed.
@@ -43,6 +46,9 @@
 	Organisation string
 	// DataCentre is the data centre of the daemon that holds the request.
 	DataCentre string
+	// Limited is set if the request has home regions: then it may run only where all members of a group are in DataCentres.
+	Limited     bool
+	DataCentres []string
 	// Exclude holds the groups that have failed the request.
 	Exclude []string
 	// firstArrival is when the first attempt arrived. retryAt is when a rejected caller was told to retry, zero for
@@ -376,17 +382,26 @@
 // markUnreachable marks as late the waiting requests whose turn would come too late at the rate at which requests of
 // their rank are placed. It is better to reject these at once. It reports whether there are any.
 func (s *Scheduler) markUnreachable(now time.Time, plan *Plan) bool {
-	ahead := map[int]float64{}
+	// Requests with home regions do not take the places of requests that may run elsewhere, however many of them wait.
+	type queue struct {
+		rank  int
+		homes string
+	}
+	ahead := map[queue]float64{}
 	found := false
 	for _, w := range s.waiting {
 		if w.late || w.Objective == 0 || w.Resumed {
 			continue
 		}
-		if n := ahead[w.Rank]; n > 1 && n > max(s.usage.ranks[w.Rank].placementRate, minPlacementRate)*s.slack(now, plan, w).Seconds() {
+		q := queue{rank: w.Rank}
+		if w.Limited {
+			q.homes = "in " + strings.Join(w.DataCentres, "\x00")
+		}
+		if n := ahead[q]; n > 1 && n > max(s.usage.ranks[w.Rank].placementRate, minPlacementRate)*s.slack(now, plan, w).Seconds() {
 			w.late, found = true, true
 			continue
 		}
-		ahead[w.Rank]++
+		ahead[q]++
 	}
 	return found
 }
@@ -546,7 +561,7 @@
 	noise := unreported * float64(plan.Estimate(Load{Requests: plan.Engine.Slots}, 0).Passes)
 	for i := range groups {
 		g := &groups[i]
-		if g.Suspect || g.Limited && g.Allowance < 1 || g.Load.Requests >= slots || slices.Contains(w.Exclude, g.Key) || !usable(now, g.Key) {
+		if g.Suspect || g.Limited && g.Allowance < 1 || g.Load.Requests >= slots || slices.Contains(w.Exclude, g.Key) || w.Limited && !w.mayRunAt(g) || !usable(now, g.Key) {
 			continue
 		}
 		d := s.latencyCorrection.Expect(plan.Estimate(g.Load, 0)) + s.latencyCorrection.GroupOffset(now, g.Key)
@@ -567,6 +582,11 @@
 	return best
 }
 
+// mayRunAt reports whether all members of a group are in the data centres to which the request is limited.
+func (w *Waiter) mayRunAt(g *Group) bool {
+	return len(g.Members) > 0 && !slices.ContainsFunc(g.Members, func(s *roster.Server) bool { return s == nil || !slices.Contains(w.DataCentres, s.DataCentre) })
+}
+
 // rejectionReason returns why a request that cannot meet its objective is rejected now, or "" when it keeps waiting.
 // before counts the request and those ahead of it that keep waiting as well.
 func (s *Scheduler) rejectionReason(now time.Time, w *Waiter, position int) Reason {
--- a/internal/schedule/client.go
+++ b/internal/schedule/client.go
@@ -91,6 +91,9 @@
 type pendingRequest struct {
 	PlacementRequest
 	arrived, until time.Time
+	// limited is set if the request may run in dataCentres only.
+	limited     bool
+	dataCentres []string
 	// sentIn is the sequence number of the first report with the request in full, zero before; acknowledged is set
 	// when the target has answered that report or a later one.
 	sentIn       uint64
@@ -118,6 +121,15 @@
 	return true
 }
 
+// Limit restricts a request that was just submitted to groups whose members are all in the given data centres.
+func (c *Client) Limit(id uint64, dataCentres []string) {
+	for _, a := range c.pending {
+		if a.ID == id {
+			a.limited, a.dataCentres = true, dataCentres
+		}
+	}
+}
+
 // Withdraw removes a request that no longer needs placement.
 func (c *Client) Withdraw(id uint64) {
 	n := len(c.pending)
@@ -271,6 +283,12 @@
 			out := a.PlacementRequest
 			out.Waited, out.Left = now.Sub(a.arrived), a.until.Sub(now)
 			r.Unacknowledged = append(r.Unacknowledged, out)
+			if a.limited {
+				if r.DataCentres == nil {
+					r.DataCentres = map[uint64][]string{}
+				}
+				r.DataCentres[a.ID] = a.dataCentres
+			}
 			c.lastID = max(c.lastID, a.ID)
 			if a.sentIn == 0 {
 				a.sentIn = c.seq
--- a/internal/schedule/message.go
+++ b/internal/schedule/message.go
@@ -47,6 +47,9 @@
 	OutcomeRequests []uint64             `cbor:"15,keyasint,omitempty"`
 	// Limits holds what answers said since the report before about the limits of backend servers.
 	Limits []balance.LimitNotice `cbor:"14,keyasint,omitempty"`
+	// DataCentres holds, by the ids of requests in Unacknowledged that have home regions, the data centres that the daemon knows to be
+	// there. Schedulers of earlier builds place such a request anywhere; its daemon does not send it elsewhere.
+	DataCentres map[uint64][]string `cbor:"16,keyasint,omitempty"`
 }
 
 // PlacementRequest describes a request to be placed.
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -661,3 +661,37 @@
 		t.Errorf("%d crashes are repeated", n)
 	}
 }
+
+// TestHomeRegionsOfReportedRequests guards against a request with home regions that its report, the first one or one that is repeated to the
+// next scheduler, does not limit.
+func TestHomeRegionsOfReportedRequests(t *testing.T) {
+	c, in := NewClient(model), input(2)
+	in.Groups[0].Members, in.Groups[1].Members = []*roster.Server{{DataCentre: "us"}}, []*roster.Server{{DataCentre: "eu"}}
+	in.Groups[1].Load.Requests = 7
+	for id, homes := range [][]string{nil, {"eu"}, {}} {
+		c.Submit(ask(uint64(id)+1), noon, noon.Add(8*time.Second))
+		if homes != nil {
+			c.Limit(uint64(id)+1, homes)
+		}
+	}
+	for _, target := range []string{"first", "next"} {
+		c.SelectTarget(noon, []string{target})
+		text, err := Encode(c.NewReport(noon, "a", 1, "us", nil, nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := DecodeReport(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := map[uint64]string{}
+		if a := exchange(NewServer(), noon, r, in); a != nil {
+			for _, p := range a.Placements {
+				got[p.ID] = p.Group
+			}
+		}
+		if got[1] != "g0" || got[2] != "g1" || got[3] != "" {
+			t.Errorf("%s scheduler: placed at %v", target, got)
+		}
+	}
+}
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -175,7 +175,9 @@
 }
 
 func (a *PlacementRequest) waiter(now time.Time, r *Report) *balance.Waiter {
+	dataCentres, limited := r.DataCentres[a.ID]
 	return &balance.Waiter{
+		Limited: limited, DataCentres: dataCentres,
 		Ticket: balance.Ticket{Daemon: r.From, Boot: r.Boot, ID: a.ID}, Organisation: a.Organisation, DataCentre: r.DataCentre, Exclude: a.Exclude,
 		Request: balance.Request{
 			Rank: a.Rank, Prompt: a.Prompt, Objective: a.Objective, Gap: a.Gap, CallerTimeout: a.CallerTimeout, Fingerprint: a.Fingerprint, Arrived: now.Add(-a.Waited),
