Keep requests in their home regions

Callers: a request whose route or organisation has allowedRegions could run on any backend server. Now it runs only in a home region, or is rejected at once with 503 and Retry-After when none there can serve it, also while servers elsewhere are idle.

Change: digests name the region of their sender, and each daemon learns from them to which region a data centre belongs. Plain services, the scheduler's choice, standbys, retries and resumptions leave out servers elsewhere, and each attempt is checked again right before it is sent. Without a path, a request is handed over only to a daemon in a home region that names its region in its digests. Where a configuration has home regions, the directory lists only daemons of the caller's region while a ready one lives there. A reload of the settings no longer changes the region.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -37,6 +37,7 @@
 	"flamingorudder.example/internal/intake"
 	"flamingorudder.example/internal/metric"
 	"flamingorudder.example/internal/netopt"
+	"flamingorudder.example/internal/region"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
 	"flamingorudder.example/internal/timer"
@@ -80,6 +81,7 @@
 	// evacuations is nil until the set is known. No backend server is used before.
 	evacuations atomic.Pointer[evacuation.Set]
 	continuity  continuity
+	homes       homeState
 	// shuttingDown is set once shutdown has begun, closing when new requests are no longer taken.
 	shuttingDown, closing atomic.Bool
 	// closed is done once new requests are no longer taken, ended when requests in progress have to end. endAt is when that
@@ -191,6 +193,7 @@
 	}
 	d.view.Store(&roster.View{})
 	d.dispatch = newDispatcher(d)
+	d.homes.regions.Store(&region.Table{})
 	d.budget = &budget{}
 	d.pauses = balance.NewPauses()
 	d.limits = balance.NewLimits()
@@ -283,6 +286,7 @@
 			}
 			return 0
 		}),
+		d.metrics.RegisterGauge("data_centres_with_region", "{data_centre}", "Data centres whose region is known from daemons there", func() int64 { return int64(d.homes.regions.Load().Len()) }),
 		d.metrics.RegisterGauge("cold_servers", "{server}", "Backend servers that are cold", func() int64 {
 			n, _ := d.cold.Remaining(time.Now())
 			return int64(n)
@@ -349,7 +353,7 @@
 // applySettings replaces the settings in force, except for those that only change at a restart.
 func (d *Daemon) applySettings(s Settings) {
 	old := d.settings()
-	s.Name, s.DataCentre, s.Caller, s.Readiness, s.Directory = old.Name, old.DataCentre, old.Caller, old.Readiness, old.Directory
+	s.Name, s.DataCentre, s.Region, s.Caller, s.Readiness, s.Directory = old.Name, old.DataCentre, old.Region, old.Caller, old.Readiness, old.Directory
 	s.Peer, s.Metrics, s.Store = old.Peer, old.Metrics, old.Store
 	d.currentSettings.Store(&s)
 	d.memory.SetLimit(s.memoryBudget())
@@ -364,6 +368,7 @@
 // Start runs the daemon until Stop has shut it down. It implements transport.Server of kratos.
 func (d *Daemon) Start(ctx context.Context) error {
 	ctx, d.cancel = context.WithCancel(ctx)
+	d.learnRegion(d.settings().DataCentre, d.settings().Region, d.settings().Name)
 	d.log.Info("start", "data_centre", d.settings().DataCentre, "region", d.settings().Region, "caller", d.settings().Caller, "first_start", d.settings().FirstStart, "boot", d.boot)
 	for _, srv := range d.httpServers {
 		d.tasks.Go(func() error {
@@ -595,6 +600,7 @@
 			d.dispatch.forget(v)
 			d.dispatch.logState(now)
 			d.feed.reportUnknownDataCentres()
+			d.reportUnknownHomes(now)
 			if calls := d.storeCalls.flush(now); len(calls) > 0 {
 				d.log.Info("calls to the store", "by_purpose", calls)
 			}
@@ -689,22 +695,25 @@
 		return
 	}
 	var near, far []netip.AddrPort
-	dc := platform.RequestedDataCentre(r)
-	add := func(addr netip.AddrPort, dataCentre string) {
-		if dataCentre == dc {
+	dc, now := platform.RequestedDataCentre(r), time.Now()
+	listed := d.directoryRegion(now, platform.RequestedRegion(r), dc)
+	add := func(addr netip.AddrPort, dataCentre, region string) {
+		switch {
+		case listed != "" && region != listed:
+		case dataCentre == dc:
 			near = append(near, addr)
-		} else {
+		default:
 			far = append(far, addr)
 		}
 	}
 	// Daemons that lack the path to a service are listed only while there are no others: what they hand over is served more slowly.
 	for _, withPaths := range []bool{true, false} {
 		if d.ready() && withPaths == (len(d.paths.lostServices()) == 0) {
-			add(d.settings().Caller, d.settings().DataCentre)
+			add(d.settings().Caller, d.settings().DataCentre, d.settings().Region)
 		}
-		for _, m := range d.livePeers(time.Now()) {
+		for _, m := range d.livePeers(now) {
 			if m.Ready && withPaths == (len(m.Unreachable) == 0) {
-				add(m.CallerAddr, m.DataCentre)
+				add(m.CallerAddr, m.DataCentre, d.regionOf(m))
 			}
 		}
 		if len(near)+len(far) > 0 {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -12,6 +12,7 @@
 	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/quarantine"
+	"flamingorudder.example/internal/region"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
 	"flamingorudder.example/internal/schedule"
@@ -83,6 +84,8 @@
 	arrived, until time.Time
 	// first is set if no attempt at the request has been made.
 	first bool
+	// homes are the home regions of the request.
+	homes region.Homes
 	ids   suspectIDs
 	// limit is how long a group of the model may make no progress before it counts as stalled.
 	limit time.Duration
@@ -140,12 +143,12 @@
 
 // acquire waits until the scheduler has assigned a request to a group or has rejected it. exclude holds the groups that
 // must not be used as earlier attempts there failed.
-func (p *dispatcher) acquire(ctx context.Context, service *route.Service, name, org string, r balance.Request, ids suspectIDs, exclude []string) (*reservation, error) {
+func (p *dispatcher) acquire(ctx context.Context, service *route.Service, name, org string, r balance.Request, homes region.Homes, ids suspectIDs, exclude []string) (*reservation, error) {
 	now := time.Now()
 	model := schedule.Model{Service: service.Name, Name: name}
 	plan := &balance.Plan{Engine: service.Engine, Model: service.Engine.Model(name)}
 	w := &waiter{
-		model: model, arrived: r.Arrived, until: r.Until, ids: ids, limit: plan.StallTimeout(), result: make(chan outcome, 1),
+		model: model, arrived: r.Arrived, until: r.Until, homes: homes, ids: ids, limit: plan.StallTimeout(), result: make(chan outcome, 1),
 		ask: schedule.PlacementRequest{
 			Rank: r.Rank, Prompt: r.Prompt, Organisation: org, Objective: r.Objective, Gap: r.Gap, CallerTimeout: r.CallerTimeout, Fingerprint: r.Fingerprint, Resumed: r.Resumed,
 		},
@@ -164,8 +167,12 @@
 		p.mu.Unlock()
 		return nil, &RejectedError{balance.RetryDelay(now, r.Until, rand.Float64), reasonEvacuated}
 	}
+	if p.d.onlyOutsideHomes(model, homes) {
+		p.mu.Unlock()
+		return nil, p.d.rejectOutsideHomes(now, model.Service, r.Until)
+	}
 	w.first = len(exclude) == 0
-	w.ask.Exclude = slices.Concat(exclude, p.excluded(now, model, w.first), p.unreachableGroups(now, model))
+	w.ask.Exclude = slices.Concat(exclude, p.excluded(now, model, w.first, homes), p.unreachableGroups(now, model, homes))
 	if p.enqueue(w) {
 		p.sendReport(now, model)
 	}
@@ -198,6 +205,9 @@
 		w.result <- outcome{err: &RejectedError{balance.RetryDelay(time.Now(), w.until, rand.Float64), "too many wait here"}}
 		return false
 	}
+	if w.homes.Limited() {
+		p.client(w.model).Limit(w.ask.ID, p.d.homes.regions.Load().DataCentres(w.homes))
+	}
 	p.waiters[w.ask.ID] = w
 	return true
 }
@@ -205,7 +215,7 @@
 // excluded returns the groups that this daemon currently excludes for requests to a model. Silence is no proof: if all groups that are
 // left are only silent, first attempts may try them, one at a time until one has brought an event. The others are rejected: if the
 // group is dead, they would only wait until their callers leave.
-func (p *dispatcher) excluded(now time.Time, m schedule.Model, first bool) []string {
+func (p *dispatcher) excluded(now time.Time, m schedule.Model, first bool, homes region.Homes) []string {
 	var keys, silent []string
 	for key, s := range p.suspects {
 		switch {
@@ -218,7 +228,7 @@
 	}
 	othersLeft := func() bool {
 		return slices.ContainsFunc(p.d.view.Load().Groups[m.Service], func(g *roster.Group) bool {
-			return p.d.serves(g, m.Name) && !now.Before(p.suspects[g.Key].until) && !now.Before(p.unreachable[g.Key].until)
+			return p.d.servesIn(g, m.Name, homes) && !now.Before(p.suspects[g.Key].until) && !now.Before(p.unreachable[g.Key].until)
 		})
 	}
 	if first && len(silent) > 0 && !othersLeft() {
@@ -268,14 +278,14 @@
 
 // unreachableGroups returns the groups of a model that this daemon does not use as it could not connect to them. If those are all
 // groups of the model, it returns none: an attempt that fails is answered sooner than a request that waits for a group.
-func (p *dispatcher) unreachableGroups(now time.Time, m schedule.Model) (keys []string) {
+func (p *dispatcher) unreachableGroups(now time.Time, m schedule.Model, homes region.Homes) (keys []string) {
 	if len(p.unreachable) == 0 {
 		return nil
 	}
 	reached := false
 	for _, g := range p.d.view.Load().Groups[m.Service] {
 		switch {
-		case !p.d.serves(g, m.Name):
+		case !p.d.servesIn(g, m.Name, homes):
 		case now.Before(p.unreachable[g.Key].until):
 			keys = append(keys, g.Key)
 		default:
@@ -291,16 +301,16 @@
 // withoutEvidence returns the groups of a model that have sent this daemon no event within a pass, those with silent requests first, if
 // there is another one that may be used. limit is that of the model's requests. A group that is silent has the least load, so others
 // are preferred where it matters.
-func (p *dispatcher) withoutEvidence(m schedule.Model, limit time.Duration, exclude []string) (keys []string) {
+func (p *dispatcher) withoutEvidence(m schedule.Model, limit time.Duration, homes region.Homes, exclude []string) (keys []string) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	exclude = slices.Concat(exclude, p.excluded(now, m, false), p.unreachableGroups(now, m))
+	exclude = slices.Concat(exclude, p.excluded(now, m, false, homes), p.unreachableGroups(now, m, homes))
 	works := false
 	var idle []string
 	for _, g := range p.d.view.Load().Groups[m.Service] {
 		switch {
-		case !p.d.serves(g, m.Name) || slices.Contains(exclude, g.Key):
+		case !p.d.servesIn(g, m.Name, homes) || slices.Contains(exclude, g.Key):
 		case p.stalls.Works(now, g.Key, limit):
 			works = true
 		case len(p.running[g.Key]) > 0:
--- a/internal/entry/evacuate.go
+++ b/internal/entry/evacuate.go
@@ -101,7 +101,7 @@
 	return set.Covers(name)
 }
 
-// checkEvacuation returns an error if a request must not be sent to a backend server. It is called right before it would be.
+// checkEvacuation returns an error if a request must not be sent to a backend server because of an evacuation.
 func (x *exchange) checkEvacuation(s *roster.Server) error {
 	x.d.observeRunning()
 	if !x.d.evacuated(s) {
@@ -111,6 +111,15 @@
 	return &backend.NotSentError{Server: s.ID, Err: &EvacuatedError{s.DataCentre}}
 }
 
+// checkServer returns an error if a request must not be sent to a backend server, the head of the group with that key or, if it is empty,
+// one of a plain service. It is called right before it would be.
+func (x *exchange) checkServer(s *roster.Server, group string) error {
+	if err := x.checkEvacuation(s); err != nil {
+		return err
+	}
+	return x.checkHomes(s, group)
+}
+
 // outsideEvacuation returns those of the backend servers to which requests may be sent.
 func (d *Daemon) outsideEvacuation(servers []*roster.Server) []*roster.Server {
 	if set := d.evacuations.Load(); set != nil && set.Len() == 0 && !d.continuity.missed.Load() {
--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -234,7 +234,7 @@
 	if x.from != "" || !x.d.paths.lost(x.service) {
 		return nil
 	}
-	return choosePeer(x.d.withoutEarlierBuilds(x.d.peersWithPath(x.service)), tried, x.d.settings().DataCentre)
+	return choosePeer(x.inHomes(x.d.withoutEarlierBuilds(x.d.peersWithPath(x.service))), tried, x.d.settings().DataCentre)
 }
 
 // peersWithPath returns the live daemons that serve others' requests and do not say that they have no path to a service.
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -22,6 +22,7 @@
 	"flamingorudder.example/internal/gossip"
 	"flamingorudder.example/internal/member"
 	"flamingorudder.example/internal/netopt"
+	"flamingorudder.example/internal/region"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/schedule"
 	"flamingorudder.example/internal/timer"
@@ -674,7 +675,7 @@
 	eventually(t, "the path comes back", func() bool { return len(u.d.paths.lostServices()) == 0 })
 	u.d.dispatch.mu.Lock()
 	defer u.d.dispatch.mu.Unlock()
-	if left := u.d.dispatch.unreachableGroups(time.Now(), schedule.Model{Service: "llm", Name: "m"}); len(left) > 0 {
+	if left := u.d.dispatch.unreachableGroups(time.Now(), schedule.Model{Service: "llm", Name: "m"}, region.Homes{}); len(left) > 0 {
 		t.Errorf("groups %v are left out after the path has come back", left)
 	}
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -28,6 +28,7 @@
 		Name: d.settings().Name, Boot: d.boot, CallerAddr: d.settings().Caller, PeerAddr: d.settings().Peer,
 		DataCentre: d.settings().DataCentre, Cores: d.settings().Cores, Ready: d.ready(), StoreUp: d.storeOK.Load(), Collects: true, Relays: true, LimitsCold: true, Unreachable: d.paths.lostServices(),
 	}
+	out.Region = d.settings().Region
 	out.Uptime = max(time.Since(d.feed.started), 1)
 	if c := d.config.Load(); c != nil {
 		out.ConfigVersion = c.Version
@@ -203,6 +204,8 @@
 		d.log.Info("daemon", "name", m.Name, "peer", m.PeerAddr, "boot", m.Boot)
 		d.dispatch.targetRestarted(m.Name)
 	}
+	// Rows of daemons are not looked at: one from before a change of the settings could outlast it at all daemons that read it first.
+	d.learnRegion(m.DataCentre, m.Region, m.Name)
 	d.helpStart(m)
 	for _, l := range m.LeavingServers {
 		d.feed.markLeaving(l, m.Name)
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -11,6 +11,7 @@
 	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/member"
 	"flamingorudder.example/internal/metric"
+	"flamingorudder.example/internal/region"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/schedule"
 )
@@ -122,7 +123,7 @@
 	if p.d.paths.lost(m.Service) {
 		return nil
 	}
-	return p.excluded(now, m, true)
+	return p.excluded(now, m, true, region.Homes{})
 }
 
 // tick sends due reports, schedules requests locally whose scheduler does not respond, and runs a scheduling round for the
@@ -182,6 +183,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.rejectEvacuated(now)
+	p.rejectWaitingOutsideHomes(now)
 	p.scheduleAll(now)
 }
 
@@ -257,7 +259,7 @@
 		if !p.d.serves(g, m.Name) {
 			continue
 		}
-		in.Groups = append(in.Groups, balance.Group{Key: g.Key, DataCentre: g.Head.DataCentre, Suspect: p.suspects[g.Key].excludesForAll(now)})
+		in.Groups = append(in.Groups, balance.Group{Key: g.Key, DataCentre: g.Head.DataCentre, Members: g.Members, Suspect: p.suspects[g.Key].excludesForAll(now)})
 		in.Heads[g.Key] = g.Head
 	}
 	if p.d.anyCold(now, service) {
@@ -301,7 +303,7 @@
 		head := p.head(now, w, &place, a.From)
 		if head == nil {
 			// This daemon knows something about the group that the scheduler has not learnt yet.
-			w.ask.Exclude = append(w.ask.Exclude, place.Group)
+			w.ask.Exclude = p.excludeOutsideHomes(append(w.ask.Exclude, place.Group), w)
 			p.enqueue(w)
 			continue
 		}
@@ -311,9 +313,12 @@
 
 // head returns the head of the group that the scheduler chose for a request, or nil if this daemon must not use it.
 func (p *dispatcher) head(now time.Time, w *waiter, place *schedule.Placement, scheduler string) *roster.Server {
-	if slices.Contains(p.excluded(now, w.model, w.first), place.Group) {
+	if slices.Contains(p.excluded(now, w.model, w.first, w.homes), place.Group) {
 		return nil
 	}
+	if !p.d.groupInHomes(w.model.Service, place.Group, w.homes) {
+		return nil // the scheduler knows other regions or members, or is of an earlier build
+	}
 	v := p.d.view.Load()
 	if v.Departed[place.Head] != nil || !p.d.pauses.Admit(now, place.Head) {
 		return nil
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -247,6 +247,10 @@
 			p.last = err
 			return false
 		}
+		if err := p.x.homeRejection(schedule.Model{Service: p.x.service}); err != nil {
+			p.last = err
+			return false
+		}
 		if target := p.x.handOverTarget(p.handedTo); target != nil {
 			if p.unsent >= maxUnsent || !p.x.attemptLeft(0) {
 				return false
@@ -285,7 +289,7 @@
 // over all daemons.
 func (p *plainRequest) candidates() (servers []*roster.Server, now time.Time, share float64) {
 	now = time.Now()
-	return p.x.d.outsideEvacuation(p.x.d.view.Load().Services[p.x.service]), now, 1 / float64(p.x.d.sharingDaemons(now, p.x.service))
+	return p.x.d.serversInHomes(p.x.d.outsideEvacuation(p.x.d.view.Load().Services[p.x.service]), p.x.homes), now, 1 / float64(p.x.d.sharingDaemons(now, p.x.service))
 }
 
 // choose returns the backend server to use now, one that has not been tried if fresh is set, or nil if there is none.
@@ -547,7 +551,7 @@
 		a.cancel(nil)
 		x.d.plainServers.end(a.server.ID, lost && x.r.Context().Err() == nil, failed, time.Now())
 	}
-	if err := x.checkEvacuation(a.server); err != nil {
+	if err := x.checkServer(a.server, ""); err != nil {
 		a.sendErr, a.err = err, err
 		end(false, false)
 		return
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -16,6 +16,7 @@
 	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/intake"
 	"flamingorudder.example/internal/metric"
+	"flamingorudder.example/internal/region"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
 	"flamingorudder.example/platform"
@@ -57,7 +58,9 @@
 	service string
 	org     string
 	rank    int
-	body    []byte
+	// homes are the home regions of the route and the organisation.
+	homes region.Homes
+	body  []byte
 	// bodyRead is set once the body has been read whole. memory is what is reserved for the body and for responses that are held.
 	bodyRead bool
 	memory   *intake.Reservation
@@ -178,14 +181,14 @@
 		x.reject(http.StatusNotFound, 0, "no route")
 		return false
 	}
-	x.rank = combineRanks(-1, x.route.Rank)
+	x.rank, x.homes = combineRanks(-1, x.route.Rank), x.route.Homes
 	if !x.config.Admits(x.route, x.call.Key) {
 		x.reject(http.StatusUnauthorized, 0, "unknown key")
 		return false
 	}
 	if o := x.config.Organisation(x.call.Key); o != nil {
 		x.org = o.Name
-		x.rank = combineRanks(o.Rank, x.route.Rank)
+		x.rank, x.homes = combineRanks(o.Rank, x.route.Rank), x.homes.And(o.Homes)
 	}
 	x.service = x.route.Pick()
 	left := x.call.Timeout
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -327,6 +327,9 @@
 	if err := x.evacuationRejection(model); err != nil {
 		return nil, err
 	}
+	if err := x.homeRejection(model); err != nil {
+		return nil, err
+	}
 	if x.d.paths.lost(x.service) {
 		if err := x.d.quarantineRejection(time.Now(), s.ids); err != nil {
 			return nil, err
@@ -344,7 +347,7 @@
 	reserved, err := x.d.dispatch.acquire(ctx, s.svc, x.call.Model, x.org, balance.Request{
 		Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: s.ids.request,
 		Arrived: x.start, Until: x.deadline, Resumed: goOn,
-	}, s.ids, slices.Concat(s.exclude, avoid))
+	}, x.homes, s.ids, slices.Concat(s.exclude, avoid))
 	var dropped *DroppedError
 	if errors.As(err, &dropped) {
 		return nil, x.rejectDropped(err)
@@ -354,7 +357,7 @@
 
 // seek reserves a place for a standby at a group that is known to work, or at any if there is none soon.
 func (s *forwardedStream) seek(preparation context.Context, limit time.Duration) (*reservation, error) {
-	avoid := s.x.d.dispatch.withoutEvidence(schedule.Model{Service: s.svc.Name, Name: s.x.call.Model}, limit, s.exclude)
+	avoid := s.x.d.dispatch.withoutEvidence(schedule.Model{Service: s.svc.Name, Name: s.x.call.Model}, limit, s.x.homes, s.exclude)
 	if len(avoid) > 0 {
 		soon, cancel := context.WithTimeout(preparation, maxStandbyRetry)
 		defer cancel()
@@ -582,7 +585,7 @@
 	x, head := a.s.x, a.reserved.head
 	sent := time.Now()
 	if a.reserved.peer == "" {
-		if a.sendErr = x.checkEvacuation(head); a.sendErr != nil {
+		if a.sendErr = x.checkServer(head, a.reserved.key); a.sendErr != nil {
 			return a.sendErr
 		}
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -119,6 +119,9 @@
 	LimitsCold bool `cbor:"cold,omitempty"`
 	// Uptime is how long the sender has run when it sends the digest. Daemons of earlier builds do not tell.
 	Uptime time.Duration `cbor:"uptime,omitempty"`
+	// Region is the region of the sender and so of its data centre. Daemons of earlier builds name none, and do not keep requests in
+	// their home regions.
+	Region string `cbor:"region,omitempty"`
 	// WrittenAt is when a row with the digest was written, by the store's clock; zero in a datagram.
 	WrittenAt time.Duration `cbor:"written,omitempty"`
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -36,6 +36,8 @@
 	cold               metric.Int64Counter
 	invalid            metric.Int64Counter
 	refusals           metric.Int64Counter
+	homes              metric.Int64Counter
+	unknownHomes       metric.Int64Counter
 	meter              metric.Meter
 }
 
@@ -50,7 +52,7 @@
 	m := provider.Meter("flamingorudder")
 	s := &Set{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), meter: m}
 	buckets := metric.WithExplicitBucketBoundaries(0.01, 0.025, 0.05, 0.1, 0.2, 0.38, 0.5, 1, 2, 5, 10, 30, 60, 300, 600)
-	var errs [14]error
+	var errs [16]error
 	s.requests, errs[0] = m.Int64Counter("requests", metric.WithUnit("{request}"), metric.WithDescription("Requests answered, by outcome"))
 	s.firstToken, errs[1] = m.Float64Histogram("first_token", metric.WithUnit("s"), metric.WithDescription("Time from accepting a request to its first token"), buckets)
 	s.duration, errs[2] = m.Float64Histogram("request_duration", metric.WithUnit("s"), metric.WithDescription("Time from accepting a request to the end of its answer"), buckets)
@@ -63,8 +65,10 @@
 	s.withheld, errs[9] = m.Int64Counter("withheld_attempts", metric.WithUnit("{attempt}"), metric.WithDescription("Attempts that were not sent because the data centre of the chosen backend server had been evacuated meanwhile"))
 	s.unknownEvacuations, errs[10] = m.Int64Counter("unknown_evacuations", metric.WithUnit("{data_centre}"), metric.WithDescription("Evacuated data centres that have neither backend servers nor daemons"))
 	s.cold, errs[11] = m.Int64Counter("cold_requests", metric.WithUnit("{request}"), metric.WithDescription("Requests that were held back or rejected while cold backend servers took no more, by outcome"))
-	s.invalid, errs[12] = m.Int64Counter("invalid_values", metric.WithUnit("{value}"), metric.WithDescription("Values of the configuration, of entries and of answers that were ignored, by source"))
+	s.invalid, errs[12] = m.Int64Counter("invalid_values", metric.WithUnit("{value}"), metric.WithDescription("Values of the configuration, of entries, of answers and of digests that were ignored, by source"))
 	s.refusals, errs[13] = m.Int64Counter("refused_clients", metric.WithUnit("{refusal}"), metric.WithDescription("Requests and connections of clients that were refused to bound memory and connections, by reason"))
+	s.homes, errs[14] = m.Int64Counter("home_region_rejections", metric.WithUnit("{request}"), metric.WithDescription("Requests that were rejected, and attempts that were not sent, to keep requests in their home regions, by outcome"))
+	s.unknownHomes, errs[15] = m.Int64Counter("unknown_home_regions", metric.WithUnit("{region}"), metric.WithDescription("Home regions of the configuration to which no known data centre belongs, once for each version"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, nil, fmt.Errorf("create instrument: %w", err)
@@ -141,7 +145,21 @@
 	}
 }
 
-// RecordInvalid records an ignored value of a source: the configuration, an entry or an answer.
+// Outcomes of requests that were kept in their home regions.
+const (
+	HomeRejected = "rejected"
+	HomeWithheld = "withheld"
+)
+
+// RecordHome records a request to a service that was rejected, or an attempt that was not sent, to keep it in its home regions.
+func (s *Set) RecordHome(service, outcome string) {
+	s.homes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("outcome", outcome)))
+}
+
+// RecordUnknownHome records a home region to which no known data centre belongs.
+func (s *Set) RecordUnknownHome() { s.unknownHomes.Add(context.Background(), 1) }
+
+// RecordInvalid records an ignored value of a source: the configuration, an entry, an answer or a digest.
 func (s *Set) RecordInvalid(source string) {
 	s.invalid.Add(context.Background(), 1, metric.WithAttributes(attribute.String("source", source)))
 }
