Look at the members of a group last when a request is placed

Callers: no change. A request with home regions looked at the data centre of each member of all groups, full ones too, in each round of the scheduler.

Evidence: balance.TestHomeRegions.

--- a/internal/balance/scheduler.go
+++ b/internal/balance/scheduler.go
@@ -561,13 +561,16 @@
 	noise := unreported * float64(plan.Estimate(Load{Requests: plan.Engine.Slots}, 0).Passes)
 	for i := range groups {
 		g := &groups[i]
-		if g.Suspect || g.Limited && g.Allowance < 1 || g.Load.Requests >= slots || slices.Contains(w.Exclude, g.Key) || w.Limited && !w.mayRunAt(g) || !usable(now, g.Key) {
+		if g.Suspect || g.Limited && g.Allowance < 1 || g.Load.Requests >= slots || slices.Contains(w.Exclude, g.Key) || !usable(now, g.Key) {
 			continue
 		}
 		d := s.latencyCorrection.Expect(plan.Estimate(g.Load, 0)) + s.latencyCorrection.GroupOffset(now, g.Key)
 		if d > budget || longestPass > 0 && g.Load.QueuedTokens > 0 && s.passTime(now, plan, g, w.Prompt) > longestPass {
 			continue
 		}
+		if w.Limited && !w.mayRunAt(g) { // last, as it looks at each member
+			continue
+		}
 		warm := cold && !g.Cold && d <= time.Duration(float64(budget)*warmTimeShare)
 		if g.DataCentre != w.DataCentre {
 			d += remoteLatency
