--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -115,6 +115,8 @@
 	LoadsAtOnce int
 	// UsualAnswer is the mean number of tokens of an answer.
 	UsualAnswer int
+	// KVTokens is the number of tokens, of prompts and answers together, that a group holds in its memory; zero if it is not bounded.
+	KVTokens int
 }
 
 // Service is a set of interchangeable backend servers.
