Bound the tokens that placement has a group hold

Callers would have lost all requests of a group at once: a group holds the prompts and answers of its requests in memory and crashes when they need more than kvTokens, but placement counted requests and queued prompts only. With very long prompts the memory is full while most slots are free.

balance.Memory tells how many tokens a request is expected to hold (its prompt and the smaller of its maximum answer and twice the usual one) and whether a group has room: the sum stays below 0.9 of the memory, and a request alone may use all of it. Requests of unknown size count with the mean of recent prompts and the usual answer. The scheduler rejects a request that no group can ever hold without a time to retry. Load assumed for silent daemons never takes the memory for one more request of the mean size, as it never takes the last slot.

--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -28,10 +28,30 @@
 	Requests int
 	// QueuedTokens is the number of prompt tokens of the requests that wait for their first event.
 	QueuedTokens int
+	// HeldTokens is the number of tokens that SizedRequests of the requests are expected to hold until they end, see Memory. The size of
+	// the others is not known. Both are zero where the memory of groups is not bounded.
+	HeldTokens, SizedRequests int
 }
 
 // Add returns the sum of both loads.
-func (l Load) Add(o Load) Load { return Load{l.Requests + o.Requests, l.QueuedTokens + o.QueuedTokens} }
+func (l Load) Add(o Load) Load {
+	return Load{
+		Requests: l.Requests + o.Requests, QueuedTokens: l.QueuedTokens + o.QueuedTokens,
+		HeldTokens: l.HeldTokens + o.HeldTokens, SizedRequests: l.SizedRequests + o.SizedRequests,
+	}
+}
+
+// Negative returns the load that ends l when it is added.
+func (l Load) Negative() Load { return Load{-l.Requests, -l.QueuedTokens, -l.HeldTokens, -l.SizedRequests} }
+
+// RequestLoad returns the load of a request that has been placed, with the tokens that it is expected to hold, zero if they are not known.
+func RequestLoad(prompt, tokens int) Load {
+	l := Load{Requests: 1, QueuedTokens: prompt, HeldTokens: tokens}
+	if tokens > 0 {
+		l.SizedRequests = 1
+	}
+	return l
+}
 
 // Group is a model group that may take a request.
 type Group struct {
--- a/internal/balance/replay_test.go
+++ b/internal/balance/replay_test.go
@@ -56,6 +56,8 @@
 	size func(organisation int) float64
 	// impatient is the fraction of callers that retry at once after a rejection, up to four times.
 	impatient float64
+	// memory is the number of tokens that a group holds, as far as the placer knows; 0 if it does not.
+	memory int
 	// fault changes the groups at a time.
 	fault func(f *simulation)
 	// values holds what a request of each kind and of mean size earns in time and late.
@@ -69,6 +71,8 @@
 	organisation       int
 	prompt             int
 	events             int
+	// tokens is how many tokens the request is expected to hold; 0 without a known memory.
+	tokens int
 	daemon             int
 	firstSent, arrived time.Duration
 	limit, until       time.Duration
@@ -88,6 +92,15 @@
 	waitTime time.Duration
 }
 
+// load is the load of a request that has been placed, endOf what ends it when so many tokens of its prompt are unread.
+func (q *simRequest) load() Load { return RequestLoad(q.prompt, q.tokens) }
+
+func (q *simRequest) endOf(unread int) Load {
+	l := q.load()
+	l.QueuedTokens = unread
+	return l.Negative()
+}
+
 // simGroup is a model group.
 type simGroup struct {
 	index, model int
@@ -104,6 +117,8 @@
 	busy     bool
 	// load is the group's true load.
 	load Load
+	// held is the number of tokens of its requests when all of them end.
+	held int
 }
 
 func (g *simGroup) key() string { return strconv.Itoa(g.index) }
@@ -155,6 +170,8 @@
 	seconds []tally
 	// returned counts the callers that came back when they were told to, rejectedAgain those of them that were rejected again.
 	returned, rejectedAgain float64
+	// mostHeld is the largest number of tokens that a group has held.
+	mostHeld int
 }
 
 // simulationPlans returns a large slow model and a small fast one.
@@ -178,6 +195,9 @@
 // simulate runs a scenario with a placer.
 func simulate(l scenario, p placer) *simulation {
 	f := &simulation{scenario: l, rand: rand.New(rand.NewPCG(l.seed, 1)), plans: simulationPlans(), placer: p, tallies: map[string]*tally{}}
+	for _, plan := range f.plans {
+		plan.Engine.KVTokens = l.memory
+	}
 	f.seconds = make([]tally, l.length/time.Second+1)
 	for model, n := range l.groups {
 		for range n {
@@ -248,6 +268,7 @@
 	if f.size != nil {
 		q.prompt = int(float64(q.prompt)*f.size(q.organisation)) + 1
 	}
+	q.tokens = NewMemory(f.plans[w.model].Engine, 0).Tokens(q.prompt, 1000)
 	q.until = f.now + q.limit
 	f.arrive(q)
 }
@@ -280,7 +301,9 @@
 	q.estimate = estimate
 	q.waitTime += f.now - q.arrived
 	g.arriving = append(g.arriving, q)
-	g.load = g.load.Add(Load{1, q.prompt})
+	g.load = g.load.Add(q.load())
+	g.held += f.tokensOf(q)
+	f.mostHeld = max(f.mostHeld, g.held)
 }
 
 // reject rejects a request.
@@ -379,10 +402,16 @@
 	if q.first == 0 {
 		unread = q.prompt
 	}
-	q.group.load = q.group.load.Add(Load{-1, -unread})
+	q.group.load = q.group.load.Add(q.endOf(unread))
+	q.group.held -= f.tokensOf(q)
 	f.placer.end(f, q, unread)
 }
 
+// tokensOf returns the tokens that a request holds when it ends.
+func (f *simulation) tokensOf(q *simRequest) int {
+	return q.prompt + q.events*f.plans[q.work.model].Engine.Stride
+}
+
 // runPass advances a group by one pass.
 func (f *simulation) runPass(g *simGroup) {
 	if g.down || g.busy && f.now < g.passEnd {
@@ -531,7 +560,7 @@
 	c.schedulers[q.work.model].Put(f.clock(), &Waiter{
 		Ticket: Ticket{ID: q.id}, Organisation: strconv.Itoa(q.organisation),
 		Request: Request{
-			Rank: q.work.rank, Prompt: q.prompt, Objective: q.work.objective, Gap: q.work.gap, Fingerprint: q.id, CallerTimeout: q.until - f.now,
+			Rank: q.work.rank, Prompt: q.prompt, Tokens: q.tokens, Objective: q.work.objective, Gap: q.work.gap, Fingerprint: q.id, CallerTimeout: q.until - f.now,
 			Arrived: f.clock(), Until: start.Add(q.until),
 		},
 	})
@@ -548,7 +577,7 @@
 }
 
 func (c *centralPlacer) end(f *simulation, q *simRequest, unread int) {
-	c.updates = append(c.updates, loadUpdate{f.now + c.delay, q.group.index, Load{-1, -unread}})
+	c.updates = append(c.updates, loadUpdate{f.now + c.delay, q.group.index, q.endOf(unread)})
 }
 
 func (c *centralPlacer) tick(f *simulation) {
@@ -590,7 +619,7 @@
 		if err != nil {
 			panic(err)
 		}
-		c.loads[i] = c.loads[i].Add(Load{1, q.prompt})
+		c.loads[i] = c.loads[i].Add(q.load())
 		f.place(q, f.all[i], d.Estimate)
 	}
 }
@@ -695,7 +724,7 @@
 			continue
 		}
 		own, reported := a.own[q.daemon][g.index], a.reported[q.daemon][g.index]
-		l := a.total[g.index].Add(own).Add(Load{-reported.Requests, -reported.QueuedTokens})
+		l := a.total[g.index].Add(own).Add(reported.Negative())
 		e := plan.Estimate(l, q.prompt)
 		first := e.Passes + e.QueuedPrefill
 		if l.Requests >= plan.Engine.Slots || float64(first) > float64(q.work.objective)*0.7 {
@@ -708,7 +737,7 @@
 	if best < 0 {
 		return false
 	}
-	a.own[q.daemon][best] = a.own[q.daemon][best].Add(Load{1, q.prompt})
+	a.own[q.daemon][best] = a.own[q.daemon][best].Add(q.load())
 	f.place(q, f.all[best], Estimate{})
 	return true
 }
@@ -722,7 +751,7 @@
 
 func (a *independentPlacer) end(_ *simulation, q *simRequest, unread int) {
 	l := &a.own[q.daemon][q.group.index]
-	*l = l.Add(Load{-1, -unread})
+	*l = l.Add(q.endOf(unread))
 }
 
 func (a *independentPlacer) tick(f *simulation) {
@@ -732,7 +761,7 @@
 			continue
 		}
 		for g := range a.total {
-			a.total[g] = a.total[g].Add(a.own[i][g]).Add(Load{-a.reported[i][g].Requests, -a.reported[i][g].QueuedTokens})
+			a.total[g] = a.total[g].Add(a.own[i][g]).Add(a.reported[i][g].Negative())
 		}
 		copy(a.reported[i], a.own[i])
 	}
--- a/internal/balance/scheduler.go
+++ b/internal/balance/scheduler.go
@@ -6,12 +6,16 @@
 	"math"
 	"slices"
 	"time"
+
+	"flamingorudder.example/internal/route"
 )
 
 // Request describes a request to be placed.
 type Request struct {
 	Rank   int
 	Prompt int
+	// Tokens is the number of tokens that the request is expected to hold at a group, zero if it is not known, see Memory.Tokens.
+	Tokens int
 	// Objective is the target time to the first event, Gap the longest acceptable pause between two events; zero when
 	// none is configured.
 	Objective, Gap time.Duration
@@ -62,6 +66,8 @@
 	Crowded Reason = "crowded"
 	// Waited requests have waited as long as is useful for a request that may not be placed.
 	Waited Reason = "waited"
+	// TooLarge requests need more memory than a group has. Waiting does not help them.
+	TooLarge Reason = "larger than the memory of a group"
 )
 
 // Decision is the outcome for a waiting request.
@@ -69,6 +75,8 @@
 	*Waiter
 	// Group is the group that takes the request; empty when it is rejected.
 	Group string
+	// Load is the load of the request at the group.
+	Load Load
 	// Estimate is the estimate for the group before the placement.
 	Estimate Estimate
 	// RetryAfter is the delay after which a rejected caller should retry.
@@ -96,6 +104,14 @@
 	credits map[class]float64
 	// coldHeld and coldRejected count the requests that had to wait, and those rejected, while a group took none as its head is cold.
 	coldHeld, coldRejected int
+	// memory is that of the groups, as of the current round. memoryBlocked is set when it kept the current request from a group that
+	// could have taken it otherwise; memoryHeld and memoryRejected count the requests that had to wait, and those rejected, in such a round.
+	memory                     Memory
+	memoryBlocked              bool
+	memoryHeld, memoryRejected int
+	// meanPrompt is the mean size of recent prompts, over as many as prompts, promptSamples at most.
+	meanPrompt float64
+	prompts    int
 	// idle is the fraction of the daemons that have not reported which hold no work, see SetIdle.
 	idle float64
 }
@@ -196,6 +212,10 @@
 		s.promptSizes[w.Rank] = &window[int]{}
 	}
 	s.promptSizes[w.Rank].add(now, w.Prompt)
+	if w.Prompt > 0 {
+		s.prompts = min(s.prompts+1, promptSamples)
+		s.meanPrompt += (float64(w.Prompt) - s.meanPrompt) / float64(s.prompts)
+	}
 	s.waiting = append(s.waiting, w)
 }
 
@@ -255,6 +275,17 @@
 	return held, rejected
 }
 
+// TakeMemoryCounts returns how many requests had to wait, and how many were rejected, as the memory of a group had no room for them, since
+// the last call.
+func (s *Scheduler) TakeMemoryCounts() (held, rejected int) {
+	held, rejected = s.memoryHeld, s.memoryRejected
+	s.memoryHeld, s.memoryRejected = 0, 0
+	return held, rejected
+}
+
+// Memory returns the memory of the groups of an engine, with the usual prompt of recent requests.
+func (s *Scheduler) Memory(e *route.Engine) Memory { return NewMemory(e, int(s.meanPrompt)) }
+
 // Step decides on the waiting requests. It adds what it places to the loads in groups. unreported is the fraction of
 // the daemons whose loads are not in groups; they are assumed to have as much load as the others, spread evenly, but
 // not to fill groups.
@@ -276,7 +307,8 @@
 		s.sort(now)
 	}
 	longestPass := s.maxPassTime()
-	addUnreportedLoad(groups, unreported, s.idle, plan.Engine.Slots)
+	s.memory = s.Memory(plan.Engine)
+	addUnreportedLoad(groups, unreported, s.idle, plan.Engine.Slots, s.memory)
 	var out []Decision
 	lateWaiting := 0
 	cold, coldLimited := false, false
@@ -285,14 +317,22 @@
 	}
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *Waiter) bool {
 		c := class{w.late, w.Rank}
-		i := s.chooseGroup(now, plan, w, groups, longestPass, cold, unreported, random, s.failures.usable)
+		tokens := s.memory.need(w)
+		if s.memory.Exceeds(tokens) {
+			s.memoryRejected++
+			out = append(out, Decision{Waiter: w, Reason: TooLarge}) // without a time to retry, and not as demand that more groups would serve
+			return true
+		}
+		s.memoryBlocked = false
+		i := s.chooseGroup(now, plan, w, tokens, groups, longestPass, cold, unreported, random, s.failures.usable)
 		if i < 0 && !w.late {
-			i = s.chooseGroup(now, plan, w, groups, longestPass, cold, unreported, random, func(_ time.Time, key string) bool { return s.failures.useful(key) })
+			i = s.chooseGroup(now, plan, w, tokens, groups, longestPass, cold, unreported, random, func(_ time.Time, key string) bool { return s.failures.useful(key) })
 		}
 		if i >= 0 {
 			g := &groups[i]
-			out = append(out, Decision{Waiter: w, Group: g.Key, Estimate: plan.Estimate(g.Load, w.Prompt)})
-			g.Load = g.Load.Add(Load{1, w.Prompt})
+			load := RequestLoad(w.Prompt, tokens)
+			out = append(out, Decision{Waiter: w, Group: g.Key, Load: load, Estimate: plan.Estimate(g.Load, w.Prompt)})
+			g.Load = g.Load.Add(load)
 			g.Allowance--
 			s.failures.recordPlacement(now, g.Key)
 			s.recentPrompts[g.Key] = recentTokens{s.recentTokens(now, g.Key) + float64(w.Prompt), now}
@@ -305,6 +345,9 @@
 		if coldLimited && !w.waited {
 			s.coldHeld++
 		}
+		if s.memoryBlocked && !w.waited {
+			s.memoryHeld++
+		}
 		w.waited = true
 		if !w.late || w.Resumed {
 			return false
@@ -315,6 +358,9 @@
 			if coldLimited {
 				s.coldRejected++
 			}
+			if s.memoryBlocked {
+				s.memoryRejected++
+			}
 			return true
 		}
 		return false
@@ -323,9 +369,10 @@
 }
 
 // addUnreportedLoad adds to each group an equal part of the load assumed for the daemons that have not reported. idle is the fraction of
-// these that hold no work. The assumption alone never takes the last slot of a group: where demand is uneven, the silent daemons may have no work, and
-// a slot that is taken by mistake rejects a request, whereas an assumed load only makes its estimate longer.
-func addUnreportedLoad(groups []Group, unreported, idle float64, slots int) {
+// these that hold no work. The assumption alone never takes the last slot of a group, nor the memory for one more request of the mean size:
+// where demand is uneven, the silent daemons may have no work, and a slot that is taken by mistake rejects a request, whereas an assumed load
+// only makes its estimate longer.
+func addUnreportedLoad(groups []Group, unreported, idle float64, slots int, memory Memory) {
 	if unreported <= 0 || len(groups) == 0 {
 		return
 	}
@@ -334,10 +381,15 @@
 		total = total.Add(groups[i].Load)
 	}
 	part := min(unreported/(1-unreported), maxUnreportedFactor) * (1 - idle) / float64(len(groups))
-	extra := Load{int(math.Round(part * float64(total.Requests))), int(part * float64(total.QueuedTokens))}
+	extra := Load{Requests: int(math.Round(part * float64(total.Requests))), QueuedTokens: int(part * float64(total.QueuedTokens))}
+	mean := memory.held(total) / max(total.Requests, 1)
 	for i := range groups {
 		g := &groups[i]
-		g.Load = g.Load.Add(Load{max(min(extra.Requests, slots-1-g.Load.Requests), 0), extra.QueuedTokens})
+		assumed := Load{Requests: max(min(extra.Requests, slots-1-g.Load.Requests), 0), QueuedTokens: extra.QueuedTokens}
+		if memory.capacity > 0 {
+			assumed.SizedRequests, assumed.HeldTokens = assumed.Requests, max(min(assumed.Requests*mean, memory.limit-1-mean-memory.held(g.Load)), 0)
+		}
+		g.Load = g.Load.Add(assumed)
 	}
 }
 
@@ -539,8 +591,8 @@
 	return s.latencyCorrection.Expect(plan.Estimate(extra, 0)) - s.latencyCorrection.Expect(plan.Estimate(Load{}, 0))
 }
 
-// chooseGroup returns the index of the group that takes w, or -1 when none may now. cold is set if a group has a cold member.
-func (s *Scheduler) chooseGroup(now time.Time, plan *Plan, w *Waiter, groups []Group, longestPass time.Duration, cold bool, unreported float64, random func() float64, usable func(time.Time, string) bool) int {
+// chooseGroup returns the index of the group that takes w, which needs so many tokens, or -1 when none may now. cold is set if a group has a cold member.
+func (s *Scheduler) chooseGroup(now time.Time, plan *Plan, w *Waiter, tokens int, groups []Group, longestPass time.Duration, cold bool, unreported float64, random func() float64, usable func(time.Time, string) bool) int {
 	best, bestTime, bestWarm := -1, time.Duration(0), false
 	budget, slots := s.latencyBudget(now, plan, w)
 	noise := unreported * float64(plan.Estimate(Load{Requests: plan.Engine.Slots}, 0).Passes)
@@ -553,6 +605,10 @@
 		if d > budget || longestPass > 0 && g.Load.QueuedTokens > 0 && s.passTime(now, plan, g, w.Prompt) > longestPass {
 			continue
 		}
+		if !s.memory.hasRoom(g.Load, tokens) {
+			s.memoryBlocked = true
+			continue
+		}
 		warm := cold && !g.Cold && d <= time.Duration(float64(budget)*warmTimeShare)
 		if g.DataCentre != w.DataCentre {
 			d += remoteLatency
