Report the tokens that requests hold to the scheduler of their model

The scheduler knew only the requests and the queued prompt tokens at a group, so it could not tell what its memory holds: requests that have had their first event no longer count as queued.

Reports have optional keyed fields with the held tokens of each entry of the work and the expected tokens of each waiting request; the frozen structs are encoded as before. A report of an earlier build counts with the usual prompt and answer for each request. Tokens that are out of range are dropped and count like those that are missing.

--- a/internal/schedule/client.go
+++ b/internal/schedule/client.go
@@ -277,6 +277,11 @@
 			}
 		}
 	}
+	if slices.ContainsFunc(r.Unacknowledged, func(a PlacementRequest) bool { return a.Tokens > 0 }) {
+		for i := range r.Unacknowledged {
+			r.Tokens = append(r.Tokens, r.Unacknowledged[i].Tokens)
+		}
+	}
 	r.Last = c.lastID
 	for _, o := range slices.Concat(c.crashes, c.outcomes) {
 		o.Took = now.Sub(o.placed)
--- a/internal/schedule/message.go
+++ b/internal/schedule/message.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -47,6 +48,67 @@
 	OutcomeRequests []uint64             `cbor:"15,keyasint,omitempty"`
 	// Limits holds what answers said since the report before about the limits of backend servers.
 	Limits []balance.LimitNotice `cbor:"14,keyasint,omitempty"`
+	// HeldTokens holds the tokens that the requests of each entry of Work are expected to hold, see balance.Memory, and Unsized the number
+	// of its requests whose size is not known; they are missing if that is none. Tokens holds the same tokens of each entry of Unacknowledged, zero
+	// if they are not known. All are missing in reports of earlier builds, and where the memory of groups is not bounded.
+	HeldTokens []int `cbor:"18,keyasint,omitempty"`
+	Unsized    []int `cbor:"19,keyasint,omitempty"`
+	Tokens     []int `cbor:"20,keyasint,omitempty"`
+}
+
+// maxTokens bounds the tokens in a report, so that their sums do not overflow.
+const maxTokens = 1 << 40
+
+// DropInvalid removes tokens that are out of range, or that are not as many as what they describe, and reports whether there were any.
+// What they describe then counts with its usual size.
+func (r *Report) DropInvalid() bool {
+	invalid := false
+	check := func(values *[]int, n int) {
+		if len(*values) > 0 && (len(*values) != n || slices.ContainsFunc(*values, func(v int) bool { return v < 0 || v > maxTokens })) {
+			*values, invalid = nil, true
+		}
+	}
+	check(&r.HeldTokens, len(r.Work))
+	check(&r.Unsized, len(r.HeldTokens))
+	check(&r.Tokens, len(r.Unacknowledged))
+	return invalid
+}
+
+// SetHeldTokens sets the tokens that the work holds, from the loads of the groups.
+func (r *Report) SetHeldTokens(loads map[string]balance.Load) {
+	sized, unsized := 0, 0
+	for _, w := range r.Work {
+		l := loads[w.Group]
+		sized, unsized = sized+l.SizedRequests, unsized+l.Requests-l.SizedRequests
+	}
+	if sized == 0 {
+		return
+	}
+	for _, w := range r.Work {
+		l := loads[w.Group]
+		r.HeldTokens = append(r.HeldTokens, l.HeldTokens)
+		if unsized > 0 {
+			r.Unsized = append(r.Unsized, l.Requests-l.SizedRequests)
+		}
+	}
+}
+
+// reportedWork is the work in a report.
+type reportedWork struct {
+	work                []Work
+	heldTokens, unsized []int
+}
+
+// load returns the load of entry i of the work.
+func (r *reportedWork) load(i int) balance.Load {
+	l := balance.Load{Requests: r.work[i].Requests, QueuedTokens: r.work[i].QueuedTokens}
+	if i < len(r.heldTokens) {
+		l.HeldTokens, l.SizedRequests = r.heldTokens[i], l.Requests
+		if i < len(r.unsized) {
+			l.SizedRequests = max(l.Requests-r.unsized[i], 0)
+		}
+	}
+	return l
 }
 
 // PlacementRequest describes a request to be placed.
@@ -65,6 +127,9 @@
 	Left    time.Duration
 	Resumed bool
 	Exclude []string
+	// Tokens is the number of tokens that the request is expected to hold at a group, zero if it is not known. It is sent apart from the
+	// other fields, as daemons of another version accept no longer arrays.
+	Tokens int `cbor:"-"`
 }
 
 // Work is the work of a daemon at a group.
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -9,6 +9,7 @@
 	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/quarantine"
 	"flamingorudder.example/internal/roster"
+	"flamingorudder.example/internal/route"
 )
 
 const (
@@ -53,7 +54,7 @@
 	boot       int64
 	seq        uint64
 	lastReport time.Time
-	work       []Work
+	work       reportedWork
 	suspects   []string
 	// waiting holds the fingerprints of the waiting requests by id, decided the decisions that no report has confirmed yet.
 	waiting map[uint64]uint64
@@ -65,11 +66,11 @@
 	return ok
 }
 
-// sentDecision is a decision and the prompt tokens that count as queued until a report counts them.
+// sentDecision is a decision and the load that counts until a report counts it.
 type sentDecision struct {
-	place  Placement
-	prompt int
-	sent   time.Time
+	place Placement
+	load  balance.Load
+	sent  time.Time
 }
 
 // NewServer returns a server without work.
@@ -99,9 +100,9 @@
 		c = &daemonState{boot: r.Boot, waiting: map[uint64]uint64{}, decided: map[uint64]sentDecision{}}
 		m.daemons[r.From] = c
 	}
-	m.setReported(c, nil, nil)
+	m.setReported(c, reportedWork{}, nil)
 	c.seq, c.lastReport = r.Seq, now
-	m.setReported(c, r.Work, r.Suspects)
+	m.setReported(c, reportedWork{r.Work, r.HeldTokens, r.Unsized}, r.Suspects)
 	m.recordResponses(now, r)
 	for _, f := range r.FirstEvents {
 		m.scheduler.RecordFirstEvent(now, f.Group, balance.Estimate{Passes: f.Passes, QueuedPrefill: f.QueuedPrefill, Full: f.Full}, f.Took)
@@ -132,6 +133,9 @@
 	}
 	for i := range r.Unacknowledged {
 		if a := &r.Unacknowledged[i]; !repeat(a.ID) && !c.isWaiting(a.ID) {
+			if i < len(r.Tokens) {
+				a.Tokens = r.Tokens[i]
+			}
 			c.waiting[a.ID] = a.Fingerprint
 			m.scheduler.Put(now, a.waiter(now, r))
 		}
@@ -151,7 +155,7 @@
 	for id, g := range c.decided {
 		if id <= r.Last && !reported[id] {
 			delete(c.decided, id)
-			m.addLoad(g.place.Group, balance.Load{Requests: -1, QueuedTokens: -g.prompt})
+			m.addLoad(g.place.Group, g.load.Negative())
 		}
 	}
 	if len(reported) == 0 {
@@ -178,23 +182,23 @@
 	return &balance.Waiter{
 		Ticket: balance.Ticket{Daemon: r.From, Boot: r.Boot, ID: a.ID}, Organisation: a.Organisation, DataCentre: r.DataCentre, Exclude: a.Exclude,
 		Request: balance.Request{
-			Rank: a.Rank, Prompt: a.Prompt, Objective: a.Objective, Gap: a.Gap, CallerTimeout: a.CallerTimeout, Fingerprint: a.Fingerprint, Arrived: now.Add(-a.Waited),
+			Rank: a.Rank, Prompt: a.Prompt, Tokens: a.Tokens, Objective: a.Objective, Gap: a.Gap, CallerTimeout: a.CallerTimeout, Fingerprint: a.Fingerprint, Arrived: now.Add(-a.Waited),
 			Until: now.Add(a.Left), Resumed: a.Resumed,
 		},
 	}
 }
 
 // setReported replaces the work and the suspect groups that a daemon reported.
-func (m *modelState) setReported(c *daemonState, work []Work, suspects []string) {
-	for _, w := range c.work {
-		m.addLoad(w.Group, balance.Load{Requests: -w.Requests, QueuedTokens: -w.QueuedTokens})
+func (m *modelState) setReported(c *daemonState, work reportedWork, suspects []string) {
+	for i, w := range c.work.work {
+		m.addLoad(w.Group, c.work.load(i).Negative())
 		addCount(m.workers, w.Group, -1)
 	}
 	for _, key := range c.suspects {
 		addCount(m.suspects, key, -1)
 	}
-	for _, w := range work {
-		m.addLoad(w.Group, balance.Load{Requests: w.Requests, QueuedTokens: w.QueuedTokens})
+	for i, w := range work.work {
+		m.addLoad(w.Group, work.load(i))
 		addCount(m.workers, w.Group, 1)
 	}
 	for _, key := range suspects {
@@ -267,9 +271,9 @@
 
 // removeDaemon removes a daemon with its requests and its work.
 func (m *modelState) removeDaemon(name string, c *daemonState) {
-	m.setReported(c, nil, nil)
+	m.setReported(c, reportedWork{}, nil)
 	for _, g := range c.decided {
-		m.addLoad(g.place.Group, balance.Load{Requests: -1, QueuedTokens: -g.prompt})
+		m.addLoad(g.place.Group, g.load.Negative())
 	}
 	for id := range c.waiting {
 		m.scheduler.Drop(balance.Ticket{Daemon: name, Boot: c.boot, ID: id})
@@ -330,9 +334,9 @@
 		m.heardSince = now
 	}
 	out := map[string]*Answer{}
-	answer := func(daemon string, c *daemonState, p Placement, prompt int) {
+	answer := func(daemon string, c *daemonState, p Placement, load balance.Load) {
 		delete(c.waiting, p.ID)
-		c.decided[p.ID] = sentDecision{place: p, prompt: prompt, sent: now}
+		c.decided[p.ID] = sentDecision{place: p, load: load, sent: now}
 		if out[daemon] == nil {
 			out[daemon] = &Answer{Model: model, Boot: c.boot, Seq: c.seq}
 		}
@@ -344,7 +348,7 @@
 				if p, rejected := in.Reject(fingerprint); rejected {
 					p.ID = id
 					m.scheduler.Drop(balance.Ticket{Daemon: name, Boot: c.boot, ID: id})
-					answer(name, c, p, 0)
+					answer(name, c, p, balance.Load{})
 				}
 			}
 		}
@@ -391,8 +395,8 @@
 				in.TakeCold(h)
 			}
 		}
-		m.addLoad(p.Group, balance.Load{Requests: 1, QueuedTokens: d.Prompt})
-		answer(d.Daemon, c, p, d.Prompt)
+		m.addLoad(p.Group, d.Load)
+		answer(d.Daemon, c, p, d.Load)
 	}
 	return out
 }
@@ -405,6 +409,27 @@
 	return 0, 0
 }
 
+// TakeMemoryCounts returns balance.Scheduler.TakeMemoryCounts of a model.
+func (s *Server) TakeMemoryCounts(model Model) (held, rejected int) {
+	if m := s.models[model]; m != nil {
+		return m.scheduler.TakeMemoryCounts()
+	}
+	return 0, 0
+}
+
+// MemoryUse returns the largest part of its memory that a group of a model holds, as far as reported; 0 if it is not bounded.
+func (s *Server) MemoryUse(model Model, e *route.Engine) float64 {
+	m := s.models[model]
+	if m == nil {
+		return 0
+	}
+	most, memory := 0.0, m.scheduler.Memory(e)
+	for _, l := range m.loads {
+		most = max(most, memory.Use(l))
+	}
+	return most
+}
+
 // removeSilent removes the daemons that have sent no report for daemonTimeout.
 func (m *modelState) removeSilent(now time.Time) {
 	for name, c := range m.daemons {
