Count the tokens that requests of callers hold at model groups

Callers with very long prompts could crash a group through several daemons: what a request held no longer counted once it had had its first event, and a request larger than the memory of any group waited for its whole time.

A daemon counts the expected tokens of each request in its loads until the request ends, and reports them. A request that needs more than kvTokens gets 503 at once, without Retry-After. memory_requests counts requests that were held back, rejected or too large; memory_use and the field memory of the line placement tell how full the fullest group is.

--- a/internal/balance/plan.go
+++ b/internal/balance/plan.go
@@ -42,7 +42,9 @@
 }
 
 // Negative returns the load that ends l when it is added.
-func (l Load) Negative() Load { return Load{-l.Requests, -l.QueuedTokens, -l.HeldTokens, -l.SizedRequests} }
+func (l Load) Negative() Load {
+	return Load{-l.Requests, -l.QueuedTokens, -l.HeldTokens, -l.SizedRequests}
+}
 
 // RequestLoad returns the load of a request that has been placed, with the tokens that it is expected to hold, zero if they are not known.
 func RequestLoad(prompt, tokens int) Load {
--- a/internal/balance/replay_test.go
+++ b/internal/balance/replay_test.go
@@ -66,13 +66,13 @@
 
 // simRequest is a request of a caller, over all its attempts.
 type simRequest struct {
-	id                 uint64
-	work               *workload
-	organisation       int
-	prompt             int
-	events             int
+	id           uint64
+	work         *workload
+	organisation int
+	prompt       int
+	events       int
 	// tokens is how many tokens the request is expected to hold; 0 without a known memory.
-	tokens int
+	tokens             int
 	daemon             int
 	firstSent, arrived time.Duration
 	limit, until       time.Duration
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -291,6 +291,7 @@
 			_, longest := d.cold.Remaining(time.Now())
 			return longest.Milliseconds()
 		}),
+		d.metrics.RegisterGauge("memory_use", "%", "Largest part of its memory that a model group holds, in models that this daemon schedules", d.dispatch.memoryUse),
 		d.metrics.RegisterGauge("start_time", "ms", "Time from the start of the daemon until it knew configuration and entries; zero before", func() int64 { return d.feed.start.took.Load() }),
 		d.metrics.RegisterGauge("start_waiting", "{request}", "Requests that wait for the first configuration and entries", func() int64 { return d.feed.start.waiting.Load() }),
 		d.metrics.RegisterGauge("start_unconfirmed", "{response}", "Responses of peers that this daemon did not use for its first configuration, as they did not confirm it", func() int64 { return d.feed.start.unconfirmed.Load() }),
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -109,8 +109,9 @@
 	// the dispatcher held.
 	silent    atomic.Bool
 	onSilence func()
-	prompt    int
-	began     time.Time
+	// load is the load of the request when it is placed.
+	load  balance.Load
+	began time.Time
 	// place is the decision of the scheduler.
 	place schedule.Placement
 	track *balance.Track
@@ -147,7 +148,7 @@
 	w := &waiter{
 		model: model, arrived: r.Arrived, until: r.Until, ids: ids, limit: plan.StallTimeout(), result: make(chan outcome, 1),
 		ask: schedule.PlacementRequest{
-			Rank: r.Rank, Prompt: r.Prompt, Organisation: org, Objective: r.Objective, Gap: r.Gap, CallerTimeout: r.CallerTimeout, Fingerprint: r.Fingerprint, Resumed: r.Resumed,
+			Rank: r.Rank, Prompt: r.Prompt, Tokens: r.Tokens, Organisation: org, Objective: r.Objective, Gap: r.Gap, CallerTimeout: r.CallerTimeout, Fingerprint: r.Fingerprint, Resumed: r.Resumed,
 		},
 	}
 	p.mu.Lock()
@@ -326,10 +327,10 @@
 // reserve takes the place in a group that the scheduler has assigned to a request, and starts tracking its progress.
 func (p *dispatcher) reserve(now time.Time, w *waiter, place *schedule.Placement, head *roster.Server) *reservation {
 	s := &reservation{
-		d: p, model: w.model, key: place.Group, head: head, ids: w.ids, prompt: w.ask.Prompt, began: now, place: *place,
+		d: p, model: w.model, key: place.Group, head: head, ids: w.ids, load: balance.RequestLoad(w.ask.Prompt, w.ask.Tokens), began: now, place: *place,
 		track: p.stalls.Begin(now, place.Group, w.limit), limit: w.limit,
 	}
-	p.addLoad(s, balance.Load{Requests: 1, QueuedTokens: w.ask.Prompt})
+	p.addLoad(s, s.load)
 	s.ctx, s.cancel = context.WithCancelCause(context.Background())
 	if p.running[s.key] == nil {
 		p.running[s.key] = map[*balance.Track]*reservation{}
@@ -539,7 +540,7 @@
 		return
 	}
 	if p.stalls.Progress(now, s.track) {
-		p.addLoad(s, balance.Load{QueuedTokens: -s.prompt})
+		p.addLoad(s, balance.Load{QueuedTokens: -s.load.QueuedTokens})
 		p.client(s.model).RecordFirstEvent(schedule.FirstEvent{Group: s.key, Passes: s.place.Passes, QueuedPrefill: s.place.QueuedPrefill, Full: s.place.Full, Took: now.Sub(s.began)})
 	}
 }
@@ -576,11 +577,11 @@
 	s.ended = true
 	s.cancel(nil)
 	p.stalls.End(s.track)
-	load := balance.Load{Requests: -1}
-	if !s.track.Started() {
-		load.QueuedTokens = -s.prompt
+	load := s.load
+	if s.track.Started() {
+		load.QueuedTokens = 0
 	}
-	p.addLoad(s, load)
+	p.addLoad(s, load.Negative())
 	delete(p.running[s.key], s.track)
 	if len(p.running[s.key]) == 0 {
 		delete(p.running, s.key)
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -113,7 +113,9 @@
 	for key, l := range p.localLoad[m] {
 		work = append(work, schedule.Work{Group: key, Requests: l.Requests, QueuedTokens: l.QueuedTokens})
 	}
-	return p.client(m).NewReport(now, p.d.settings().Name, p.d.boot, p.d.settings().DataCentre, work, p.reportedSuspects(now, m))
+	r := p.client(m).NewReport(now, p.d.settings().Name, p.d.boot, p.d.settings().DataCentre, work, p.reportedSuspects(now, m))
+	r.SetHeldTokens(p.localLoad[m])
+	return r
 }
 
 // reportedSuspects returns the groups to report as suspects. What a daemon without a path finds out about groups says nothing about
@@ -153,6 +155,10 @@
 
 // processReport processes a report, of this daemon or another one, as the scheduler of its model, and replies to it.
 func (p *dispatcher) processReport(now time.Time, r *schedule.Report) {
+	if r.DropInvalid() {
+		p.d.metrics.RecordInvalid("load report")
+		p.d.log.Warn("tokens in the report of a daemon ignored", "daemon", r.From, "service", r.Model.Service, "model", r.Model.Name)
+	}
 	idle := !p.server.Waiting(r.Model)
 	first := p.server.HandleReport(now, r)
 	p.observeOutcomes(now, r.Model)
@@ -268,6 +274,9 @@
 			p.d.metrics.RecordCold(m.Service, metric.ColdRejected, rejected)
 		}()
 	}
+	if service.Engine.KVTokens > 0 {
+		defer p.recordMemory(m)
+	}
 	return p.server.Step(now, m, in)
 }
 
@@ -359,9 +368,15 @@
 				groups++
 			}
 		}
-		p.d.log.Info("placement", "service", m.Service, "model", m.Name, "daemons", daemons, "groups", groups, "requests", demand.Requests, "waiting", s.Waiting,
+		args := []any{
+			"service", m.Service, "model", m.Name, "daemons", daemons, "groups", groups, "requests", demand.Requests, "waiting", s.Waiting,
 			"placed", math.Round(s.Placed), "late", math.Round(s.Late), "refused", math.Round(s.Refused), "lag", s.Residual.Round(time.Millisecond),
-			"part", math.Round(s.Part*100)/100, "bound", math.Round(s.Bound))
+			"part", math.Round(s.Part*100) / 100, "bound", math.Round(s.Bound),
+		}
+		if e := p.engine(m.Service); e != nil && e.KVTokens > 0 {
+			args = append(args, "memory", math.Round(p.server.MemoryUse(m, e)*100)/100)
+		}
+		p.d.log.Info("placement", args...)
 	}
 }
 
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -327,6 +327,10 @@
 	if err := x.evacuationRejection(model); err != nil {
 		return nil, err
 	}
+	tokens, err := x.expectedTokens(s.svc.Engine)
+	if err != nil {
+		return nil, err
+	}
 	if x.d.paths.lost(x.service) {
 		if err := x.d.quarantineRejection(time.Now(), s.ids); err != nil {
 			return nil, err
@@ -342,7 +346,7 @@
 		return x.d.dispatch.handOver(model, s.ids, target), nil
 	}
 	reserved, err := x.d.dispatch.acquire(ctx, s.svc, x.call.Model, x.org, balance.Request{
-		Rank: x.rank, Prompt: x.call.PromptTokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: s.ids.request,
+		Rank: x.rank, Prompt: x.call.PromptTokens, Tokens: tokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: s.ids.request,
 		Arrived: x.start, Until: x.deadline, Resumed: goOn,
 	}, s.ids, slices.Concat(s.exclude, avoid))
 	var dropped *DroppedError
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -34,6 +34,7 @@
 	withheld           metric.Int64Counter
 	unknownEvacuations metric.Int64Counter
 	cold               metric.Int64Counter
+	memory             metric.Int64Counter
 	invalid            metric.Int64Counter
 	refusals           metric.Int64Counter
 	meter              metric.Meter
@@ -50,7 +51,7 @@
 	m := provider.Meter("flamingorudder")
 	s := &Set{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), meter: m}
 	buckets := metric.WithExplicitBucketBoundaries(0.01, 0.025, 0.05, 0.1, 0.2, 0.38, 0.5, 1, 2, 5, 10, 30, 60, 300, 600)
-	var errs [14]error
+	var errs [15]error
 	s.requests, errs[0] = m.Int64Counter("requests", metric.WithUnit("{request}"), metric.WithDescription("Requests answered, by outcome"))
 	s.firstToken, errs[1] = m.Float64Histogram("first_token", metric.WithUnit("s"), metric.WithDescription("Time from accepting a request to its first token"), buckets)
 	s.duration, errs[2] = m.Float64Histogram("request_duration", metric.WithUnit("s"), metric.WithDescription("Time from accepting a request to the end of its answer"), buckets)
@@ -65,6 +66,7 @@
 	s.cold, errs[11] = m.Int64Counter("cold_requests", metric.WithUnit("{request}"), metric.WithDescription("Requests that were held back or rejected while cold backend servers took no more, by outcome"))
 	s.invalid, errs[12] = m.Int64Counter("invalid_values", metric.WithUnit("{value}"), metric.WithDescription("Values of the configuration, of entries and of answers that were ignored, by source"))
 	s.refusals, errs[13] = m.Int64Counter("refused_clients", metric.WithUnit("{refusal}"), metric.WithDescription("Requests and connections of clients that were refused to bound memory and connections, by reason"))
+	s.memory, errs[14] = m.Int64Counter("memory_requests", metric.WithUnit("{request}"), metric.WithDescription("Requests that were held back or rejected as the memory of model groups had no room for them, by outcome"))
 	for _, err := range errs {
 		if err != nil {
 			return nil, nil, fmt.Errorf("create instrument: %w", err)
@@ -141,6 +143,20 @@
 	}
 }
 
+// Outcomes of requests that found no room in the memory of model groups.
+const (
+	MemoryHeld     = "held"
+	MemoryRejected = "rejected"
+	MemoryTooLarge = "too large"
+)
+
+// RecordMemory records n requests to a service that found no room in the memory of model groups at once.
+func (s *Set) RecordMemory(service, outcome string, n int) {
+	if n > 0 {
+		s.memory.Add(context.Background(), int64(n), metric.WithAttributes(attribute.String("service", service), attribute.String("outcome", outcome)))
+	}
+}
+
 // RecordInvalid records an ignored value of a source: the configuration, an entry or an answer.
 func (s *Set) RecordInvalid(source string) {
 	s.invalid.Add(context.Background(), 1, metric.WithAttributes(attribute.String("source", source)))
