--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"strconv"
 
 	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/metric"
@@ -21,7 +20,7 @@
 		return tokens, nil
 	}
 	x.d.metrics.RecordMemory(x.service, metric.MemoryTooLarge, 1)
-	return 0, &RejectedError{0, string(balance.TooLarge) + ": prompt of " + strconv.Itoa(x.call.PromptTokens) + " tokens"}
+	return 0, &RejectedError{0, string(balance.TooLarge)}
 }
 
 // engine returns the engine of a service in the configuration in force, nil if it has none.
