Log invalid tokens in reports once for each daemon

An operator would have got a line for each report, many a second, from a daemon that reports invalid tokens. Such reports come only from other daemons; the first is logged and each is counted.

--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -41,6 +41,8 @@
 type reporter struct {
 	peer  netip.AddrPort
 	heard time.Time
+	// invalid is set when it has reported invalid tokens, which is logged once.
+	invalid bool
 }
 
 func (p *dispatcher) client(m schedule.Model) *schedule.Client {
@@ -155,10 +157,6 @@
 
 // processReport processes a report, of this daemon or another one, as the scheduler of its model, and replies to it.
 func (p *dispatcher) processReport(now time.Time, r *schedule.Report) {
-	if r.DropInvalid() {
-		p.d.metrics.RecordInvalid("load report")
-		p.d.log.Warn("tokens in the report of a daemon ignored", "daemon", r.From, "service", r.Model.Service, "model", r.Model.Name)
-	}
 	idle := !p.server.Waiting(r.Model)
 	first := p.server.HandleReport(now, r)
 	p.observeOutcomes(now, r.Model)
@@ -385,7 +383,15 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reporters[r.From] = reporter{from, now}
+	invalid := p.reporters[r.From].invalid
+	if r.DropInvalid() {
+		p.d.metrics.RecordInvalid("load report")
+		if !invalid {
+			p.d.log.Warn("tokens in the report of a daemon ignored", "daemon", r.From, "service", r.Model.Service, "model", r.Model.Name)
+		}
+		invalid = true
+	}
+	p.reporters[r.From] = reporter{from, now, invalid}
 	p.processReport(now, r)
 }
 
