--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -42,6 +42,8 @@
 type reporter struct {
 	peer  netip.AddrPort
 	heard time.Time
+	// invalid is set when it has reported invalid tokens, which is logged once.
+	invalid bool
 }
 
 func (p *dispatcher) client(m schedule.Model) *schedule.Client {
@@ -114,7 +116,9 @@
 	for key, l := range p.localLoad[m] {
 		work = append(work, schedule.Work{Group: key, Requests: l.Requests, QueuedTokens: l.QueuedTokens})
 	}
-	return p.client(m).NewReport(now, p.d.settings().Name, p.d.boot, p.d.settings().DataCentre, work, p.reportedSuspects(now, m))
+	r := p.client(m).NewReport(now, p.d.settings().Name, p.d.boot, p.d.settings().DataCentre, work, p.reportedSuspects(now, m))
+	r.SetHeldTokens(p.localLoad[m])
+	return r
 }
 
 // reportedSuspects returns the groups to report as suspects. What a daemon without a path finds out about groups says nothing about
@@ -270,6 +274,9 @@
 			p.d.metrics.RecordCold(m.Service, metric.ColdRejected, rejected)
 		}()
 	}
+	if service.Engine.KVTokens > 0 {
+		defer p.recordMemory(m)
+	}
 	return p.server.Step(now, m, in)
 }
 
@@ -364,9 +371,15 @@
 				groups++
 			}
 		}
-		p.d.log.Info("placement", "service", m.Service, "model", m.Name, "daemons", daemons, "groups", groups, "requests", demand.Requests, "waiting", s.Waiting,
+		args := []any{
+			"service", m.Service, "model", m.Name, "daemons", daemons, "groups", groups, "requests", demand.Requests, "waiting", s.Waiting,
 			"placed", math.Round(s.Placed), "late", math.Round(s.Late), "refused", math.Round(s.Refused), "lag", s.Residual.Round(time.Millisecond),
-			"part", math.Round(s.Part*100)/100, "bound", math.Round(s.Bound))
+			"part", math.Round(s.Part*100) / 100, "bound", math.Round(s.Bound),
+		}
+		if e := p.engine(m.Service); e != nil && e.KVTokens > 0 {
+			args = append(args, "memory", math.Round(p.server.MemoryUse(m, e)*100)/100)
+		}
+		p.d.log.Info("placement", args...)
 	}
 }
 
@@ -375,7 +388,15 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reporters[r.From] = reporter{from, now}
+	invalid := p.reporters[r.From].invalid
+	if r.DropInvalid() {
+		p.d.metrics.RecordInvalid("load report")
+		if !invalid {
+			p.d.log.Warn("tokens in the report of a daemon ignored", "daemon", r.From, "service", r.Model.Service, "model", r.Model.Name)
+		}
+		invalid = true
+	}
+	p.reporters[r.From] = reporter{from, now, invalid}
 	p.processReport(now, r)
 }
 
