Let the stand-in of a backend server be cold, and a caller read slowly

The soak could not show FAILBACK: no stand-in was ever cold, and none told of requests that it rejected with 503.

Rejected requests are told too. Requests whose id begins with big- get answers of 512 KiB (events of 32 KiB), which a caller with a pause reads in parts of 16 KiB.

--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -101,6 +103,8 @@
 			&cli.DurationFlag{Name: "form", Value: 100 * time.Millisecond},
 			&cli.DurationFlag{Name: "stall", Value: 2 * time.Second},
 			&cli.DurationFlag{Name: "work", Usage: "duration of a plain request, and time between events of a stream", Value: 20 * time.Millisecond},
+			&cli.DurationFlag{Name: "cold", Usage: "how long the server is cold after it starts and after SIGUSR1"},
+			&cli.IntFlag{Name: "cold-crash", Usage: "requests in a second that a cold server bears; it crashes above that, 0 for never"},
 			&cli.StringFlag{Name: "models", Usage: "models as JSON; unset for a plain service"},
 		},
 		Action: runServer,
@@ -111,7 +115,12 @@
 	opts := fakeplatform.Options{
 		ID: c.String("id"), Service: c.String("service"), DataCentre: c.String("data-centre"), Domain: c.String("domain"),
 		Slots: c.Int("slots"), Beat: c.Duration("beat"), Drain: c.Duration("drain"), Linger: c.Duration("linger"), Form: c.Duration("form"),
-		Stall: c.Duration("stall"), Work: c.Duration("work"),
+		Stall: c.Duration("stall"), Work: c.Duration("work"), Cold: c.Duration("cold"), ColdCrash: c.Int("cold-crash"),
+	}
+	if opts.Cold > 0 {
+		chill := make(chan os.Signal, 1)
+		signal.Notify(chill, syscall.SIGUSR1)
+		opts.Chill = chill
 	}
 	for name, target := range map[string]*netip.AddrPort{"listen": &opts.Listen, "address": &opts.Addr, "store": &opts.Store} {
 		var err error
--- a/internal/fakeplatform/caller.go
+++ b/internal/fakeplatform/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"flamingorudder.example/internal/timer"
 	"flamingorudder.example/platform"
 )
 
@@ -22,8 +24,13 @@
 	Body []byte
 	// After is the event after which a stream goes on; 0 for a new one.
 	After int
+	// Pause is how long a caller that reads slowly waits before each readSize bytes; 0 for one that does not.
+	Pause time.Duration
 }
 
+// readSize is how much a caller that reads slowly reads at once.
+const readSize = 16 << 10
+
 // Reply is what a caller got.
 type Reply struct {
 	Status int
@@ -64,7 +71,19 @@
 	defer func() { _ = resp.Body.Close() }() // the body has been read or the connection is given up
 	told := platform.ParseResponseInfo(resp.StatusCode, resp.Header)
 	r := Reply{Status: resp.StatusCode, ID: told.ID, Signed: told.Signed, ComeBack: platform.RetryAfter(resp.Header)}
-	r.Body, r.Err = io.ReadAll(resp.Body)
+	if a.Pause == 0 {
+		r.Body, r.Err = io.ReadAll(resp.Body)
+		return r
+	}
+	var b bytes.Buffer
+	for r.Err == nil {
+		if r.Err = timer.Wait(ctx, a.Pause); r.Err == nil {
+			_, r.Err = io.CopyN(&b, resp.Body, readSize)
+		}
+	}
+	if r.Body = b.Bytes(); errors.Is(r.Err, io.EOF) {
+		r.Err = nil
+	}
 	return r
 }
 
--- a/internal/fakeplatform/server.go
+++ b/internal/fakeplatform/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -50,6 +51,10 @@
 	Left    Kind = "left"
 	// Drains means that the store has acknowledged that the server drains.
 	Drains Kind = "drains"
+	// Refused is a request that arrived and was rejected with 503.
+	Refused Kind = "refused"
+	// Cold means that the store has acknowledged an entry by which the server is cold.
+	Cold Kind = "cold"
 )
 
 // Event is what a backend server did, for those who check the promises of the whole system.
@@ -57,6 +62,8 @@
 	At     time.Time `json:"at"`
 	Server string    `json:"server"`
 	Kind   Kind      `json:"kind"`
+	// DataCentre is that of the server.
+	DataCentre string `json:"dataCentre,omitempty"`
 	// ID, Method, URI, Organisation and Sum are of a request; Sum is that of its body, After the event that it goes on from.
 	ID           string `json:"id,omitempty"`
 	Method       string `json:"method,omitempty"`
@@ -70,6 +77,9 @@
 	Group   string   `json:"group,omitempty"`
 	Epoch   int64    `json:"epoch,omitempty"`
 	Members []string `json:"members,omitempty"`
+	// From and Until are those of a cold time. Daemons must know of it at From.
+	From  time.Time `json:"from,omitzero"`
+	Until time.Time `json:"until,omitzero"`
 }
 
 // Options describes one backend server.
@@ -91,6 +101,11 @@
 	Form, Stall time.Duration
 	// Work is the time of a plain request, and between two events of a stream.
 	Work time.Duration
+	// Cold is how long the server is cold after it starts, and after a signal on Chill. It crashes if more than ColdCrash requests
+	// arrive in a second of that time; 0 for never.
+	Cold      time.Duration
+	Chill     <-chan os.Signal
+	ColdCrash int
 	// Told is called with every event, one at a time.
 	Told func(Event)
 }
@@ -124,6 +139,21 @@
 	renew chan struct{}
 	// drains is closed when the store has acknowledged that the server drains.
 	drains chan struct{}
+	// coldUntil is the end of the last cold time, coldFrom when daemons must know of it; zero until the store has acknowledged it.
+	coldFrom, coldUntil time.Time
+	// arrivals holds when requests came in the last second that must have been sent with the cold rate in mind.
+	arrivals []time.Time
+	crashed  chan struct{}
+}
+
+// ColdNotice is how long daemons may take to learn that a running server has become cold: they read entries every 0.4 to 0.9 s.
+const ColdNotice = time.Second
+
+// ColdCrashError reports that a cold server got more requests than it can bear.
+type ColdCrashError struct{ Requests int }
+
+func (e *ColdCrashError) Error() string {
+	return fmt.Sprintf("cold server got %d requests in a second", e.Requests)
 }
 
 // Serve runs a backend server until ctx ends; it then drains, leaves the list and returns.
@@ -134,7 +164,7 @@
 	defer closePeers()
 	s := &Server{
 		o: o, store: store, peers: peers, born: time.Now().UnixMilli(), gone: make(chan struct{}), renew: make(chan struct{}, 1),
-		drains: make(chan struct{}),
+		drains: make(chan struct{}), crashed: make(chan struct{}), coldUntil: time.Now().Add(o.Cold),
 	}
 	l, err := net.Listen("tcp", o.Listen.String())
 	if err != nil {
@@ -152,6 +182,7 @@
 	})
 	g.Go(func() error { return s.keepEntry(running) })
 	g.Go(func() error { return s.watchMembers(running) })
+	g.Go(func() error { return s.watchCold(running) })
 	g.Go(func() error {
 		defer stop()
 		select {
@@ -164,6 +195,47 @@
 	return g.Wait()
 }
 
+// watchCold makes the server cold when it is told to, and ends it when it crashes.
+func (s *Server) watchCold(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.crashed:
+			return &ColdCrashError{s.o.ColdCrash + 1}
+		case <-s.o.Chill:
+			s.mu.Lock()
+			if now := time.Now(); !s.coldUntil.After(now) {
+				s.coldFrom = time.Time{}
+			}
+			s.coldUntil = time.Now().Add(s.o.Cold)
+			s.mu.Unlock()
+			s.changed()
+		}
+	}
+}
+
+// tellCold records that the store has acknowledged a cold time that ends at until. s.mu is held.
+func (s *Server) tellCold(until time.Time, first bool) {
+	if s.coldFrom.IsZero() {
+		if s.coldFrom = time.Now(); !first {
+			s.coldFrom = s.coldFrom.Add(ColdNotice)
+		}
+	}
+	s.tell(Event{Kind: Cold, From: s.coldFrom, Until: until})
+}
+
+// arrive counts a request while the server is cold. s.mu is held.
+func (s *Server) arrive(now time.Time) {
+	if s.o.ColdCrash == 0 || s.coldFrom.IsZero() || now.Before(s.coldFrom) || !now.Before(s.coldUntil) {
+		return
+	}
+	s.arrivals = append(slices.DeleteFunc(s.arrivals, now.Add(-time.Second).After), now)
+	if len(s.arrivals) == s.o.ColdCrash+1 {
+		close(s.crashed)
+	}
+}
+
 // drain tells that the server leaves, serves on, and drops its entry.
 func (s *Server) drain(ctx context.Context) {
 	s.mu.Lock()
@@ -244,9 +316,11 @@
 func (s *Server) keepEntry(ctx context.Context) error {
 	tick, stop := timer.Every(s.o.Beat, 0)
 	defer stop()
+	var toldCold time.Time
 	for told := false; ; {
 		s.mu.Lock()
 		s.beats++
+		cold := s.coldUntil
 		draining := s.state == roster.Draining
 		text, err := platform.EncodeServer(s.self())
 		s.mu.Unlock()
@@ -255,6 +329,12 @@
 		}
 		// A write that fails is made up for by the next.
 		_, err = s.store.Commit(ctx, platform.Tx{Write: []platform.Row{{Table: platform.TableServers, Key: s.o.ID, Value: text}}})
+		if err == nil && cold.After(toldCold) && s.o.Cold > 0 {
+			s.mu.Lock()
+			s.tellCold(cold, toldCold.IsZero())
+			s.mu.Unlock()
+			toldCold = cold
+		}
 		if err == nil && draining && !told {
 			s.mu.Lock()
 			s.tell(Event{Kind: Drains})
@@ -275,7 +355,7 @@
 func (s *Server) self() *roster.Server {
 	out := &roster.Server{
 		ID: s.o.ID, Service: s.o.Service, Addr: s.o.Addr, DataCentre: s.o.DataCentre, Domain: s.o.Domain, Slots: s.o.Slots, State: s.state,
-		Born: s.born, Beat: s.beats,
+		Born: s.born, Beat: s.beats, Cold: max(time.Until(s.coldUntil), 0),
 	}
 	if s.staged != "" {
 		out.Staged = []string{s.staged}
@@ -293,8 +373,12 @@
 		w.WriteHeader(platform.Misdirected.Status())
 	case platform.IsReportRequest(r):
 		s.mu.Lock()
-		text, err := platform.EncodeReport(s.self(), platform.Report{Busy: s.busy, Orders: s.orders, Running: s.running, Pace: 1})
+		self := s.self()
+		text, err := platform.EncodeReport(self, platform.Report{Busy: s.busy, Orders: s.orders, Running: s.running, Pace: 1})
 		s.mu.Unlock()
+		if self.Cold > 0 {
+			platform.SetColdHeader(w.Header(), self.Cold)
+		}
 		if err != nil {
 			w.WriteHeader(http.StatusInternalServerError)
 			return
@@ -437,7 +521,7 @@
 
 // tell passes on an event. s.mu is held.
 func (s *Server) tell(e Event) {
-	e.At, e.Server = time.Now(), s.o.ID
+	e.At, e.Server, e.DataCentre = time.Now(), s.o.ID, s.o.DataCentre
 	if s.group != nil {
 		e.Group, e.Epoch, e.Members = s.group.Group, s.group.Epoch, s.members
 	}
@@ -525,7 +609,14 @@
 		after = 0 // a new stream
 	}
 	s.mu.Lock()
-	if status := s.rejects(); status != 0 {
+	status := s.rejects()
+	if status != http.StatusMisdirectedRequest {
+		s.arrive(time.Now())
+	}
+	if status == http.StatusServiceUnavailable {
+		s.tell(Event{Kind: Refused, ID: id})
+	}
+	if status != 0 {
 		s.mu.Unlock()
 		platform.SetResponseHeader(w.Header(), id, "", true)
 		w.WriteHeader(status)
@@ -623,6 +714,22 @@
 	slowness   = 6
 )
 
+// BigPrefix begins the ids of requests whose answers fill the buffers between a daemon and a caller that reads slowly. bigAnswer is
+// the size of the answer to a plain request, bigEvent that of an event.
+const (
+	BigPrefix = "big-"
+	bigAnswer = 512 << 10
+	bigEvent  = 32 << 10
+)
+
+// padding fills answers to big requests up to a size.
+func padding(id string, size int) string {
+	if !strings.HasPrefix(id, BigPrefix) {
+		return ""
+	}
+	return strings.Repeat(".", size)
+}
+
 // Sum is the checksum of a body.
 func Sum(body []byte) uint32 {
 	h := fnv.New32a()
@@ -631,7 +738,9 @@
 }
 
 // Text is the body of the answer to a plain request.
-func Text(id string, body []byte) string { return fmt.Sprintf("answer to %s of %d\n", id, Sum(body)) }
+func Text(id string, body []byte) string {
+	return fmt.Sprintf("answer to %s of %d%s\n", id, Sum(body), padding(id, bigAnswer))
+}
 
 // Length is the number of events of the answer to a stream.
 func Length(id string) int {
@@ -644,5 +753,5 @@
 
 // EventText is one event of the answer to a stream.
 func EventText(id string, n int) string {
-	return fmt.Sprintf("id: %d\ndata: event %d of %s\n\n", n, n, id)
+	return fmt.Sprintf("id: %d\ndata: event %d of %s%s\n\n", n, n, id, padding(id, bigEvent))
 }
