--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -82,6 +82,17 @@
 	Drain, Grace time.Duration
 	// Answer is until when a request of each kind that runs must get the answer of its backend server, 0 if that is not checked.
 	Answer map[Kind]time.Duration
+	// Evacuate is how long requests may reach an evacuated data centre after the store has acknowledged the row, ColdLimit how many may
+	// reach a cold backend server in a second.
+	Evacuate  time.Duration
+	ColdLimit int
+}
+
+// coldTimes is what is known of a backend server that is or was cold.
+type coldTimes struct {
+	from, until time.Time
+	// arrivals are those of the last second between the two.
+	arrivals []time.Time
 }
 
 // arrival is one request that reached a backend server.
@@ -112,6 +123,10 @@
 	trouble, touched spans
 	// quiet holds when the way from a daemon to all backend servers was silent.
 	quiet spans
+	// away holds when a daemon, or every daemon under "", could not read what operators want from the store. evacuations holds the time of
+	// each row, by data centre.
+	away, evacuations spans
+	cold              map[string]*coldTimes
 	// stops holds when each lifetime of a daemon was told to stop, drains when the store acknowledged that a server drains.
 	stops, drains map[string]time.Time
 	// reached holds when the requests of each daemon ran, by backend server and daemon.
@@ -155,6 +170,7 @@
 	return &Audit{
 		b: b, requests: map[string]*sent{}, groups: map[string]*membership{}, in: map[string]string{}, gone: map[string]bool{}, arrivals: map[string][]arrival{},
 		requested: map[string][]time.Time{}, seen: map[string]version{}, trouble: spans{}, touched: spans{}, quiet: spans{},
+		away: spans{}, evacuations: spans{}, cold: map[string]*coldTimes{},
 		told: map[string]int{}, stops: map[string]time.Time{}, drains: map[string]time.Time{}, reached: map[string]map[string][]time.Time{},
 	}
 }
@@ -224,9 +240,9 @@
 	got := string(s.reply.Body)
 	switch {
 	case s.reply.Err == nil && got != whole:
-		a.fail("whole answers", "%s %s got %q, complete, in place of %q", s.kind, id, got, whole)
+		a.fail("whole answers", "%s %s got %.800q, complete, in place of %.800q", s.kind, id, got, whole)
 	case s.reply.Err != nil && !strings.HasPrefix(whole, got):
-		a.fail("whole answers", "%s %s got %q, cut off, which does not begin %q", s.kind, id, got, whole)
+		a.fail("whole answers", "%s %s got %.800q, cut off, which does not begin %.800q", s.kind, id, got, whole)
 	}
 }
 
@@ -274,6 +290,18 @@
 	return a.quiet.begin(from, daemon)
 }
 
+// Away tells that a daemon, or every one for an empty name, can no longer read what operators want from the store. The function that it
+// returns tells its end.
+func (a *Audit) Away(from time.Time, daemon string) (end func(to time.Time)) {
+	return a.away.begin(from, daemon)
+}
+
+// Evacuated tells that the store has acknowledged the evacuation of a data centre. The function that it returns is called before the row
+// is removed.
+func (a *Audit) Evacuated(from time.Time, dataCentre string) (end func(to time.Time)) {
+	return a.evacuations.begin(from, dataCentre)
+}
+
 // Stopped tells that a daemon was told to stop.
 func (a *Audit) Stopped(at time.Time, lifetime string) { a.stops[lifetime] = at }
 
@@ -431,7 +459,74 @@
 		}
 	case fakeplatform.Drains:
 		a.drains[e.Server] = e.At
+	case fakeplatform.Refused:
+		a.arrived(e)
+	case fakeplatform.Cold:
+		a.chilled(e)
+	}
+}
+
+// chilled notes that a backend server is cold. One that becomes so while its data centre has been evacuated for the bound gets no requests,
+// and counts as cold when that ends, so daemons have no time to learn it.
+func (a *Audit) chilled(e fakeplatform.Event) {
+	c := a.cold[e.Server]
+	if c == nil || !c.until.After(e.At) {
+		c = &coldTimes{from: e.From}
+		for _, x := range a.evacuations[e.DataCentre] {
+			if !x.from.Add(a.b.Evacuate).After(e.At) && (x.to.IsZero() || x.to.After(e.At.Add(-eventDelay/2))) {
+				c.from = e.At
+			}
+		}
+		a.cold[e.Server] = c
+	}
+	c.until = e.Until
+}
+
+// arrived checks that a request, run or rejected with 503, reaches no evacuated server, and no cold one too soon after others. Requests
+// may arrive late, or together, after a fault of the server or a silence of the way to it.
+func (a *Audit) arrived(e fakeplatform.Event) {
+	before := e.At.Add(-a.b.Calm)
+	if !a.touched.none(before, e.At, e.Server) {
+		return
+	}
+	if s := a.requests[e.ID]; s != nil && s.daemon != "" && a.quiet.none(before, e.At, name(s.daemon)) {
+		for _, x := range a.evacuations[e.DataCentre] {
+			if (x.to.IsZero() || e.At.Before(x.to)) && a.informed(x.from, e.At, name(s.daemon)) {
+				a.fail("evacuated data centres get no requests", "%s of %s got %s of %s %v after the store had acknowledged the evacuation",
+					e.Server, e.DataCentre, e.ID, s.daemon, e.At.Sub(x.from))
+			}
+		}
+	}
+	c := a.cold[e.Server]
+	if c == nil || e.At.Before(c.from) || !e.At.Before(c.until) {
+		return
+	}
+	c.arrivals = append(slices.DeleteFunc(c.arrivals, func(at time.Time) bool { return e.At.Sub(at) > time.Second }), e.At)
+	for d := range a.quiet {
+		if !a.quiet.none(before, e.At, d) {
+			return
+		}
+	}
+	if len(c.arrivals) > a.b.ColdLimit {
+		a.fail("cold servers get few requests", "%s got %d in a second, %v before it is warm", e.Server, len(c.arrivals), c.until.Sub(e.At))
+	}
+}
+
+// informed tells whether a daemon could read the store for the whole of the bound between two times. It then knows an evacuation that
+// began before, also when it is cut off or starts again later.
+func (a *Audit) informed(from, to time.Time, daemon string) bool {
+	for moved := true; moved; {
+		moved = false
+		for _, x := range slices.Concat(a.away[""], a.away[daemon]) {
+			if x.from.Before(from.Add(a.b.Evacuate)) && (x.to.IsZero() || x.to.After(from)) {
+				if x.to.IsZero() {
+					return false
+				}
+				from, moved = x.to, true
+			}
+		}
 	}
+	return !from.Add(a.b.Evacuate).After(to)
 }
 
 // broken notes the requests that a head breaks off because it has found a member lost, unless that was told to go elsewhere.
@@ -449,6 +544,7 @@
 }
 
 func (a *Audit) run(e fakeplatform.Event, g *membership, key string) {
+	a.arrived(e)
 	s := a.requests[e.ID]
 	if s == nil {
 		a.fail("only what was asked", "%s ran %q, which no caller sent", e.Server, e.ID)
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -125,6 +125,29 @@
 	}
 }
 
+// evacuated has a request of daemon d arrive after the row of the server's data centre was acknowledged at t0.
+func evacuated(a *Audit, kind fakeplatform.Kind, after time.Duration) {
+	a.Sent(t0, ask("r", Read), Read, "north", "d#2", 0)
+	e := ran("s", "r", Read)
+	e.Kind, e.DataCentre, e.At = kind, "dc-0", at(after)
+	a.Event(e)
+}
+
+// chilled has a server turn cold at t0, of which daemons must know after notice, and n requests arrive within a second.
+func chilled(a *Audit, notice, after time.Duration, n int) {
+	a.Event(fakeplatform.Event{Kind: fakeplatform.Cold, Server: "s", DataCentre: "dc-0", At: t0, From: at(notice), Until: at(coldTime)})
+	for i := range n {
+		id := fmt.Sprint(i)
+		a.Sent(t0, ask(id, Read), Read, "north", "d#1", 0)
+		e := ran("s", id, Read)
+		if i%2 == 1 {
+			e.Kind = fakeplatform.Refused
+		}
+		e.DataCentre, e.At = "dc-0", at(after+time.Duration(i)*time.Second/time.Duration(n))
+		a.Event(e)
+	}
+}
+
 // TestAudit guards against an audit that passes over a broken promise, and against one that sees one where none is.
 func TestAudit(t *testing.T) {
 	for _, test := range []struct {
@@ -320,6 +343,50 @@
 			a.Touched(at(1500*time.Millisecond), "s")
 			sentAfterDrain(a)
 		}},
+		{"sent to an evacuated data centre", "evacuated data centres get no requests", func(a *Audit) {
+			a.Evacuated(t0, "dc-0")
+			evacuated(a, fakeplatform.Run, evacuate)
+		}},
+		{"sent to an evacuated data centre and rejected there", "evacuated data centres get no requests", func(a *Audit) {
+			a.Evacuated(t0, "dc-0")
+			evacuated(a, fakeplatform.Refused, evacuate)
+		}},
+		{"sent to an evacuated data centre by a daemon that lost the store later", "evacuated data centres get no requests", func(a *Audit) {
+			a.Evacuated(t0, "dc-0")
+			a.Away(at(evacuate), "d")
+			evacuated(a, fakeplatform.Run, 2*evacuate)
+		}},
+		{"sent to an evacuated data centre long after the store was back", "evacuated data centres get no requests", func(a *Audit) {
+			a.Evacuated(t0, "dc-0")
+			a.Away(at(time.Second), "")(at(2 * time.Second))
+			evacuated(a, fakeplatform.Run, 2*time.Second+evacuate)
+		}},
+		{"sent to an evacuated data centre soon after the store was back", "", func(a *Audit) {
+			a.Evacuated(t0, "dc-0")
+			a.Away(at(time.Second), "")(at(2 * time.Second))
+			evacuated(a, fakeplatform.Run, evacuate+time.Second)
+		}},
+		{"sent to an evacuated data centre within the bound", "", func(a *Audit) {
+			a.Evacuated(t0, "dc-0")
+			evacuated(a, fakeplatform.Run, evacuate-time.Millisecond)
+		}},
+		{"sent after the evacuation, and beside that of another data centre", "", func(a *Audit) {
+			a.Evacuated(t0, "dc-0")(at(2 * evacuate))
+			a.Evacuated(t0, "dc-1")
+			evacuated(a, fakeplatform.Run, 2*evacuate)
+		}},
+		{"sent to a cold server too often", "cold servers get few requests", func(a *Audit) { chilled(a, 0, 0, coldLimit+1) }},
+		{"sent to a cold server as often as it may be", "", func(a *Audit) { chilled(a, 0, 0, coldLimit) }},
+		{"sent to a cold server before daemons know", "", func(a *Audit) { chilled(a, fakeplatform.ColdNotice, 0, coldLimit+1) }},
+		{"sent to a server that is warm again", "", func(a *Audit) { chilled(a, 0, coldTime, coldLimit+1) }},
+		{"sent too often to a server that turned cold while it was evacuated", "cold servers get few requests", func(a *Audit) {
+			a.Evacuated(at(-evacuate), "dc-0")(at(-time.Millisecond))
+			chilled(a, fakeplatform.ColdNotice, 0, coldLimit+1)
+		}},
+		{"arrived together after a silence of a cold server", "", func(a *Audit) {
+			a.Touched(at(-time.Second), "s")(t0)
+			chilled(a, 0, 0, coldLimit+1)
+		}},
 		{"ended", "no process ends by itself", func(a *Audit) { a.Ended("daemon-1", "exit status 2") }},
 		{"a server that nobody follows", "servers are followed: t got nothing", func(a *Audit) { follow(a, 1, "s") }},
 		{"a server that a daemon does not follow", "servers are followed: d sent 40 requests", func(a *Audit) { follow(a, enoughRuns, "s", "t") }},
@@ -357,7 +424,7 @@
 // TestPlan guards against a seed that does not give the same faults again, and against a fault that is never drawn.
 func TestPlan(t *testing.T) {
 	drawn, silences := map[Fault]int{}, map[Harm]int{}
-	for i := range uint64(80) {
+	for i := range uint64(100) {
 		seed := i%20 + i/20*firstOfAll
 		plan := Plan(seed, 20*time.Second, 4, 10)
 		if again := Plan(seed, 20*time.Second, 4, 10); !reflect.DeepEqual(plan, again) {
@@ -397,7 +464,7 @@
 		t.Errorf("silences with and without acknowledgements: %v", silences)
 	}
 	// Earlier seeds give what they gave.
-	for seed, want := range map[uint64]uint32{731: 0xeff47785, 1200: 0xebc67296, 1203: 0x1c52824b, 2002: 0x6959feb, 2003: 0xe43d2020} {
+	for seed, want := range map[uint64]uint32{731: 0xeff47785, 1200: 0xebc67296, 1203: 0x1c52824b, 2002: 0x6959feb, 2003: 0xe43d2020, 3001: 0x947d2c5, 3005: 0xe077dda8} {
 		h := fnv.New32a()
 		for _, s := range Plan(seed, 6*time.Second, 4, 10) {
 			_, _ = fmt.Fprintln(h, s)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -106,9 +107,9 @@
 // server is the place of one backend server.
 type server struct {
 	place
-	name, service, domain string
-	proxy                 *Proxy
-	closeProxy            func()
+	name, service, domain, dataCentre string
+	proxy                             *Proxy
+	closeProxy                        func()
 }
 
 // id is that of the server's present process.
@@ -162,8 +163,28 @@
 	grace = 4 * time.Second
 	stall = 2 * time.Second
 	apply = 2 * time.Second
+	// evacuate, coldOverage and coldSlack are those from firstOfEvacuations on. A backend server is cold for coldTime and then takes
+	// coldRate requests a second, less than a plain one gets in these runs; it crashes at coldCrash times what daemons may send.
+	evacuate    = 2 * time.Second
+	coldTime    = 3 * time.Second
+	coldRate    = 4
+	coldOverage = 1.5
+	coldSlack   = 2
+	coldLimit   = coldRate*coldOverage + coldSlack
+	coldCrash   = 2
 )
 
+// dataCentres is the number of data centres from firstOfEvacuations on. Daemons and backend servers alternate between them.
+const dataCentres = 2
+
+// dataCentre returns the data centre of a place.
+func (f *fleet) dataCentre(place int) string {
+	if f.o.Seed < firstOfEvacuations {
+		return "dc"
+	}
+	return "dc-" + strconv.Itoa(place%dataCentres)
+}
+
 // models are those that the stand-ins run.
 var models = []route.Model{
 	{Name: "large", Size: 2, Share: 0.5, TimeFactor: 1, Load: time.Second, Warm: 200 * time.Millisecond},
@@ -192,7 +213,7 @@
 func versionRoute(version int) string { return "version-" + strconv.Itoa(version) }
 
 // configuration is that of a run: routes that every version has, and one that only this version has.
-func configuration(version int) *route.Config {
+func (f *fleet) configuration(version int) *route.Config {
 	to := func(name string, kind route.Kind, service string, timeout time.Duration, attempts int) route.Route {
 		return route.Route{
 			Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, Timeout: timeout, Objective: 500 * time.Millisecond,
@@ -205,7 +226,7 @@
 		Slots: 16, Stride: 1, Step: 20 * time.Millisecond, PerRequest: 100 * time.Microsecond, PrefillRate: 46000, Chunk: 2048,
 		Form: 100 * time.Millisecond, LoadRate: 20, UsualAnswer: 12, Models: models,
 	}
-	return &route.Config{
+	c := &route.Config{
 		Version: int64(version),
 		Routes: []route.Route{
 			to("read", route.Safe, plainService, plainLimit, 2), to("write", route.Unsafe, plainService, plainLimit, 1),
@@ -216,6 +237,12 @@
 		Organisations: []route.Organisation{{Name: "north", Keys: []string{"key-north"}, Rank: -1}, {Name: "south", Keys: []string{"key-south"}, Rank: -1}},
 		MaxBody:       1 << 20,
 	}
+	for i := range c.Services {
+		if f.o.Seed >= firstOfEvacuations {
+			c.Services[i].ColdTime, c.Services[i].ColdRate = coldTime, coldRate
+		}
+	}
+	return c
 }
 
 // newFleet returns a fleet without processes. It has a loopback address of its own, by the number of this process: a port of
@@ -232,6 +259,10 @@
 	if o.Seed >= firstOfSilences {
 		f.beat = longestBeat
 	}
+	if o.Seed >= firstOfEvacuations {
+		// Programs that are started inherit this, so that one which has no handler for the signal yet is not ended by it.
+		signal.Ignore(syscall.SIGUSR1)
+	}
 	if o.Seed >= firstOfCuts {
 		f.cuts = &cuts{harms: map[string]Harm{}, pids: f.daemonPids}
 	}
@@ -380,9 +411,13 @@
 	f.stops = append(f.stops, stop)
 	d.store = store
 	d.settings = filepath.Join(f.o.Dir, d.name+".ini")
+	more := ""
+	if f.o.Seed >= firstOfEvacuations {
+		more = fmt.Sprintf("evacuate-ms = %d\ncold-overage = %g\ncold-slack = %d\n", evacuate.Milliseconds(), coldOverage, coldSlack)
+	}
 	text := fmt.Sprintf(`[daemon]
 name = %s
-data-centre = dc
+data-centre = %s
 region = r
 first-start = false
 memory-mb = 256
@@ -408,11 +443,11 @@
 retry-slack = %d
 retry-window-s = %g
 beat-ms = %d
-
+%s
 [log]
 level = info
-`, d.name, d.caller, d.readiness, d.directory, d.peer, store.Addr, drain.Milliseconds(), apply.Milliseconds(), grace.Seconds(),
-		stall.Milliseconds(), bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow.Seconds(), f.beat.Milliseconds())
+`, d.name, f.dataCentre(i), d.caller, d.readiness, d.directory, d.peer, store.Addr, drain.Milliseconds(), apply.Milliseconds(), grace.Seconds(),
+		stall.Milliseconds(), bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow.Seconds(), f.beat.Milliseconds(), more)
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
@@ -433,7 +468,7 @@
 }
 
 func (f *fleet) addServer(i int) error {
-	s := &server{name: "server-" + strconv.Itoa(i), service: modelService, domain: strconv.Itoa(i % 2)}
+	s := &server{name: "server-" + strconv.Itoa(i), service: modelService, domain: strconv.Itoa(i % 2), dataCentre: f.dataCentre(i)}
 	if i < plains {
 		s.service = plainService
 	}
@@ -468,6 +503,9 @@
 	if f.o.Seed >= firstOfAll {
 		args = append(args, "--linger", drain.String())
 	}
+	if f.o.Seed >= firstOfEvacuations {
+		args = append(args, "--data-centre", s.dataCentre, "--cold", coldTime.String(), "--cold-crash", strconv.Itoa(coldCrash*coldLimit))
+	}
 	if s.service == modelService {
 		models, err := json.Marshal(models)
 		if err != nil {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -32,6 +32,10 @@
 	CutDaemon
 	// SilencePath makes the way from a daemon to all backend servers silent, without acknowledgements. Nothing is reset.
 	SilencePath
+	// Evacuate evacuates a data centre for a while.
+	Evacuate
+	// ChillServer makes a running backend server cold.
+	ChillServer
 	faults
 )
 
@@ -39,7 +43,7 @@
 	return [...]string{
 		"kill daemon", "stop daemon", "pause daemon", "reload daemon", "kill server", "drain server", "pause server", "pause store",
 		"harm store", "harm server", "configure", "kill all daemons", "silence server",
-		"restore store", "cut daemon", "silence path",
+		"restore store", "cut daemon", "silence path", "evacuate", "chill server",
 	}[f]
 }
 
@@ -48,11 +52,13 @@
 	// At is from the start of the faults.
 	At    time.Duration
 	Fault Fault
-	// Target is the place of the daemon or backend server.
+	// Target is the place of the daemon, backend server or data centre.
 	Target int
 	// For is how long the fault lasts, or how long a process stays down.
 	For  time.Duration
 	Harm Harm
+	// Cold is set if the backend servers of an evacuated data centre become cold when the evacuation ends.
+	Cold bool
 }
 
 func (s Step) String() string {
@@ -60,6 +66,9 @@
 	if s.Harm != Clear {
 		out += ", " + s.Harm.String()
 	}
+	if s.Cold {
+		out += ", ends cold"
+	}
 	return out
 }
 
@@ -67,6 +76,7 @@
 var weights = [faults]int{
 	KillDaemon: 4, StopDaemon: 3, PauseDaemon: 4, ReloadDaemon: 1, KillServer: 5, DrainServer: 3, PauseServer: 2, PauseStore: 2, HarmStore: 5,
 	HarmServer: 5, Configure: 4, KillAll: 1, SilenceServer: 4, RestoreStore: 4, CutDaemon: 8, SilencePath: 6,
+	Evacuate: 10, ChillServer: 10,
 }
 
 // overlapping is how often faults are drawn from firstOfSilences on.
@@ -87,6 +97,9 @@
 // work comes in series more often, and callers stay with their daemon.
 const firstOfSilences = 3000
 
+// firstOfEvacuations is the first seed with evacuations of data centres, cold backend servers and callers that read slowly.
+const firstOfEvacuations = 4000
+
 // hidesHeartbeats tells whether the store of a seed shows no entry of which only the heartbeat has changed.
 func hidesHeartbeats(seed uint64) bool { return seed >= firstOfSilences && seed/plannedOnly%2 == 1 }
 
@@ -118,12 +131,12 @@
 	KillDaemon: 2 * time.Second, StopDaemon: time.Second, PauseDaemon: 4 * time.Second, KillServer: 3 * time.Second, DrainServer: time.Second,
 	PauseServer: 500 * time.Millisecond, PauseStore: 4 * time.Second, HarmStore: 5 * time.Second, HarmServer: 4 * time.Second,
 	KillAll: time.Second, SilenceServer: silence, RestoreStore: 4 * time.Second, CutDaemon: 6 * time.Second,
-	SilencePath: longestSilence,
+	SilencePath: longestSilence, Evacuate: 6 * time.Second,
 }
 
 // planned tells whether a fault is planned work or no fault in the eyes of the platform, so that nothing may be lost around it.
 func (f Fault) planned() bool {
-	return f == StopDaemon || f == ReloadDaemon || f == DrainServer || f == Configure || f == SilenceServer
+	return f == StopDaemon || f == ReloadDaemon || f == DrainServer || f == Configure || f == SilenceServer || f == Evacuate || f == ChillServer
 }
 
 // closing is the planned work in the calm at the end. A fleet that no longer follows its store shows by it.
@@ -135,7 +148,8 @@
 
 func draws(seed uint64, f Fault) bool {
 	switch {
-	case seed < firstOfAll && f > KillAll, seed < firstOfCuts && f == CutDaemon, seed < firstOfSilences && f == SilencePath:
+	case seed < firstOfAll && f > KillAll, seed < firstOfCuts && f == CutDaemon, seed < firstOfSilences && f == SilencePath,
+		seed < firstOfEvacuations && f > SilencePath:
 		return false
 	case seed%plannedOnly == 0:
 		return f.planned()
@@ -176,7 +190,7 @@
 		if long && f.planned() {
 			share = plannedSeries
 		}
-		if r.Float64() < share || f == SilenceServer || f == SilencePath {
+		if f != Evacuate && r.Float64() < share || f == SilenceServer || f == SilencePath {
 			series = 2 + r.IntN(maxSeries-1)
 		}
 		if long && r.IntN(2) == 0 {
@@ -187,8 +201,10 @@
 			switch f {
 			case KillDaemon, StopDaemon, PauseDaemon, ReloadDaemon, HarmStore, CutDaemon, SilencePath:
 				s.Target = r.IntN(daemons)
-			case KillServer, DrainServer, PauseServer, HarmServer, SilenceServer:
+			case KillServer, DrainServer, PauseServer, HarmServer, SilenceServer, ChillServer:
 				s.Target = r.IntN(servers)
+			case Evacuate:
+				s.Target, s.Cold = r.IntN(dataCentres), r.IntN(2) == 0
 			}
 			if f == HarmStore || f == HarmServer {
 				s.Harm = Delay + Harm(r.IntN(int(Dumb)))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -24,7 +25,7 @@
 // bounds are those of a run; the daemons get the same in their settings.
 var bounds = Bounds{
 	RetryRatio: 0.2, RetrySlack: 40, RetryWindow: 10 * time.Second, Rollback: 250 * time.Millisecond, Apply: apply,
-	Calm: 3 * time.Second, Recover: 8 * time.Second, Drain: drain, Grace: grace,
+	Calm: 3 * time.Second, Recover: 8 * time.Second, Drain: drain, Grace: grace, Evacuate: evacuate, ColdLimit: coldLimit,
 }
 
 const (
@@ -36,6 +37,10 @@
 	// callPause the mean time between two requests of one.
 	callers     = 16
 	callersEach = 2
+	// slowReaders is how many more callers read their answers slowly from firstOfEvacuations on, readPause their pause before each part:
+	// the longest answer then takes about 1.3 s, less than the limit of any route.
+	slowReaders = 2
+	readPause   = 30 * time.Millisecond
 	callPause   = 60 * time.Millisecond
 	// probePause is the time between two questions for the route of one version at each daemon.
 	probePause = 150 * time.Millisecond
@@ -60,10 +65,13 @@
 	plan []Step
 	out  io.Writer
 
-	// operator is held while a configuration is stored, drill while the store is to come back from a copy.
-	operator, drill sync.Mutex
-	auditMu         sync.Mutex
-	audit           *Audit
+	// operator is held while a configuration or an evacuation is stored, drill while the store is to come back from a copy, and
+	// evacuation while a data centre is evacuated.
+	operator, drill, evacuation sync.Mutex
+	// evacuated is the data centre with a row in the store, if any. operator guards it.
+	evacuated string
+	auditMu   sync.Mutex
+	audit     *Audit
 	// version is the newest one that the store has acknowledged.
 	version int
 	late    []timed
@@ -149,8 +157,13 @@
 	if r.o.Seed >= firstOfSilences {
 		n = max(n, callersEach*r.o.Daemons)
 	}
+	if r.o.Seed >= firstOfEvacuations {
+		for i := range slowReaders {
+			g.Go(func() error { return r.call(work, n+i, readPause) })
+		}
+	}
 	for i := range n {
-		g.Go(func() error { return r.call(work, i) })
+		g.Go(func() error { return r.call(work, i, 0) })
 	}
 	for _, d := range r.daemons {
 		g.Go(func() error { return r.probe(work, d) })
@@ -213,7 +226,7 @@
 
 // write stores one version of the configuration. r.operator is held.
 func (r *run) write(ctx context.Context, store *platform.Store, n int) error {
-	text, err := platform.EncodeConfig(configuration(n))
+	text, err := platform.EncodeConfig(r.configuration(n))
 	if err != nil {
 		return fmt.Errorf("encode configuration %d: %w", n, err)
 	}
@@ -237,7 +250,7 @@
 	for kind := range Probe {
 		for n := 0; ; n++ {
 			d := r.daemons[n%len(r.daemons)]
-			reply := r.send(ctx, c, d.caller, fmt.Sprintf("start-%s-%d", kind, n), kind, "north", d.lifetime(), 0)
+			reply := r.send(ctx, c, d.caller, fmt.Sprintf("start-%s-%d", kind, n), kind, "north", d.lifetime(), 0, 0)
 			if reply.Status == 200 && reply.Err == nil {
 				break
 			}
@@ -250,8 +263,12 @@
 }
 
 // send sends one request and has its answer checked.
-func (r *run) send(ctx context.Context, c *http.Client, addr netip.AddrPort, id string, kind Kind, org, daemon string, version int) fakeplatform.Reply {
-	ask := fakeplatform.Ask{ID: id, Method: http.MethodGet, Host: host, Path: "/" + kind.String() + "/x?id=" + id, Key: "key-" + org, Left: callerLimit}
+func (r *run) send(
+	ctx context.Context, c *http.Client, addr netip.AddrPort, id string, kind Kind, org, daemon string, version int, pause time.Duration,
+) fakeplatform.Reply {
+	ask := fakeplatform.Ask{
+		ID: id, Method: http.MethodGet, Host: host, Path: "/" + kind.String() + "/x?id=" + id, Key: "key-" + org, Left: callerLimit, Pause: pause,
+	}
 	switch kind {
 	case Write:
 		ask.Method, ask.Body = http.MethodPost, []byte("body of "+id)
@@ -276,10 +293,15 @@
 }
 
 // call is one caller. It keeps its connections until the daemon is gone from the addresses that it is told, or fails it. Every
-// second caller, or all of them, stay with one daemon and its open connection until the process is gone, whatever the addresses say.
-func (r *run) call(ctx context.Context, place int) error {
+// second caller, or all of them, stay with one daemon and its open connection until the process is gone, whatever the addresses say. One
+// with a pause reads large answers slowly.
+func (r *run) call(ctx context.Context, place int, pause time.Duration) error {
 	rnd := rand.New(rand.NewPCG(r.o.Seed, uint64(place)+1))
-	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	t := &http.Transport{MaxIdleConnsPerHost: 4}
+	if pause > 0 {
+		t.DialContext = dialSmall
+	}
+	c := &http.Client{Transport: t}
 	defer c.CloseIdleConnections()
 	var addrs []netip.AddrPort
 	var until time.Time
@@ -296,7 +318,7 @@
 		}
 		if time.Now().After(until) {
 			d := r.daemons[rnd.IntN(len(r.daemons))]
-			told, hold, err := fakeplatform.Resolve(ctx, c, d.directory, host, "dc")
+			told, hold, err := fakeplatform.Resolve(ctx, c, d.directory, host, r.dataCentre(place))
 			if err == nil && len(told) > 0 {
 				addrs, until = told, time.Now().Add(hold)
 			}
@@ -310,10 +332,13 @@
 		}
 		id := fmt.Sprintf("c%d-%d", place, n)
 		kind := kinds[rnd.IntN(len(kinds))]
-		if r.o.Seed >= firstOfAll && n%slowShare == 0 && kind != Read {
+		switch {
+		case pause > 0:
+			id = fakeplatform.BigPrefix + id
+		case r.o.Seed >= firstOfAll && n%slowShare == 0 && kind != Read:
 			id = fakeplatform.SlowPrefix + id
 		}
-		reply := r.send(ctx, c, addr, id, kind, org, r.at(addr), 0)
+		reply := r.send(ctx, c, addr, id, kind, org, r.at(addr), 0, pause)
 		if kept = addr; reply.Err != nil {
 			kept = netip.AddrPort{}
 		}
@@ -328,6 +353,17 @@
 	}
 }
 
+// smallBuffer is the receive buffer of callers that read slowly, so that the system does not read ahead for them.
+const smallBuffer = 64 << 10
+
+func dialSmall(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+	if t, ok := c.(*net.TCPConn); ok && err == nil {
+		err = t.SetReadBuffer(smallBuffer)
+	}
+	return c, err
+}
+
 // at returns the lifetime of the daemon at an address.
 func (r *run) at(addr netip.AddrPort) string {
 	for _, d := range r.daemons {
@@ -350,7 +386,7 @@
 		version := max(r.version-n%2, 1)
 		r.auditMu.Unlock()
 		life := d.lifetime()
-		r.send(ctx, c, d.caller, fmt.Sprintf("p-%s-%d", life, n), Probe, "north", life, version)
+		r.send(ctx, c, d.caller, fmt.Sprintf("p-%s-%d", life, n), Probe, "north", life, version, 0)
 	}
 }
 
@@ -419,8 +455,12 @@
 	if !s.Fault.planned() && s.Fault != RestoreStore {
 		defer r.note(r.audit.Trouble, daemon)()
 	}
-	if s.Fault == SilencePath {
+	switch s.Fault {
+	case SilencePath:
 		defer r.note(r.audit.Quiet, daemon)()
+	case HarmStore, PauseStore:
+		defer r.note(r.audit.Away, daemon)()
+	default:
 	}
 	if process != "" || s.Fault == KillAll {
 		defer r.note(r.audit.Touched, process)()
@@ -459,6 +499,64 @@
 		return r.configure(ctx, store)
 	case RestoreStore:
 		return r.restore(ctx, store, s.For)
+	case Evacuate:
+		return r.evacuate(ctx, store, s)
+	case ChillServer:
+		r.servers[s.Target].process().signal(syscall.SIGUSR1)
+	}
+	return nil
+}
+
+// evacuate evacuates a data centre for a while, unless one is. Its backend servers may be cold when that ends.
+func (r *run) evacuate(ctx context.Context, store *platform.Store, s Step) error {
+	if !r.evacuation.TryLock() {
+		return nil
+	}
+	defer r.evacuation.Unlock()
+	dc := r.dataCentre(s.Target)
+	end, err := r.beginEvacuation(ctx, store, dc)
+	if err != nil {
+		return err
+	}
+	if err := timer.Wait(ctx, s.For); err != nil {
+		return err
+	}
+	for _, sv := range r.servers {
+		if s.Cold && sv.dataCentre == dc {
+			sv.process().signal(syscall.SIGUSR1)
+		}
+	}
+	r.operator.Lock()
+	defer r.operator.Unlock()
+	end()
+	r.evacuated = ""
+	return r.writeEvacuations(ctx, store)
+}
+
+// beginEvacuation writes the row. The function that it returns tells the audit that the row is to be removed.
+func (r *run) beginEvacuation(ctx context.Context, store *platform.Store, dc string) (end func(), err error) {
+	r.operator.Lock()
+	defer r.operator.Unlock()
+	r.evacuated = dc
+	if err := r.writeEvacuations(ctx, store); err != nil {
+		return nil, err
+	}
+	return r.note(r.audit.Evacuated, dc), nil
+}
+
+// writeEvacuations makes the rows in the store those that the operator wants, whatever is there. r.operator is held.
+func (r *run) writeEvacuations(ctx context.Context, store *platform.Store) error {
+	var tx platform.Tx
+	for i := range dataCentres {
+		row := platform.Row{Table: platform.TableOperator, Key: platform.EvacuationKey(r.dataCentre(i)), Value: []byte("{}")}
+		if r.dataCentre(i) == r.evacuated {
+			tx.Write = append(tx.Write, row)
+		} else {
+			tx.Remove = append(tx.Remove, row)
+		}
+	}
+	if _, err := store.Commit(ctx, tx); err != nil {
+		return fmt.Errorf("store evacuations: %w", err)
 	}
 	return nil
 }
@@ -478,6 +576,8 @@
 	}
 	r.operator.Lock()
 	defer r.operator.Unlock()
+	// Until the operator has written again, the store may lack an evacuation.
+	defer r.note(r.audit.Away, "")()
 	endTrouble, endTouched := r.note(r.audit.Trouble, ""), r.note(r.audit.Touched, r.store.name)
 	err := pause(ctx, r.store, restoreTime)
 	if err == nil {
@@ -491,6 +591,11 @@
 	if err := timer.Wait(ctx, restoreTime); err != nil {
 		return err
 	}
+	if r.o.Seed >= firstOfEvacuations {
+		if err := r.writeEvacuations(ctx, store); err != nil {
+			return err
+		}
+	}
 	return r.write(ctx, store, r.version)
 }
 
