Judge requests to an evacuated data centre by when callers sent them beside a fault

A request that reached an evacuated data centre within 3 s after a fault of the server, or a silence of its daemon's way, was not judged at all, as it may have been sent before the bound.

A caller's own request that left the caller after the bound is judged now, whatever happened on the way.

--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -482,16 +482,18 @@
 	c.until = e.Until
 }
 
-// arrived checks that a request, run or rejected with 503, reaches no evacuated server, and no cold one too soon after others. Requests
-// may arrive late, or together, after a fault of the server or a silence of the way to it.
+// arrived checks that a request, run or rejected with 503, reaches no evacuated server, and no cold one too soon after others. After a
+// fault of the server or a silence of the way to it, requests may arrive late, or together; the daemon sent them after the caller did.
 func (a *Audit) arrived(e fakeplatform.Event) {
 	before := e.At.Add(-a.b.Calm)
-	if !a.touched.none(before, e.At, e.Server) {
-		return
-	}
-	if s := a.requests[e.ID]; s != nil && s.daemon != "" && a.quiet.none(before, e.At, name(s.daemon)) {
+	calm := a.touched.none(before, e.At, e.Server)
+	if s := a.requests[e.ID]; s != nil && s.daemon != "" {
+		left := s.at
+		if calm && a.quiet.none(before, e.At, name(s.daemon)) {
+			left = e.At
+		}
 		for _, x := range a.evacuations[e.DataCentre] {
-			if (x.to.IsZero() || e.At.Before(x.to)) && a.informed(x.from, e.At, name(s.daemon)) {
+			if (x.to.IsZero() || e.At.Before(x.to)) && a.informed(x.from, left, name(s.daemon)) {
 				a.fail("evacuated data centres get no requests", "%s of %s got %s of %s %v after the store had acknowledged the evacuation",
 					e.Server, e.DataCentre, e.ID, s.daemon, e.At.Sub(x.from))
 			}
@@ -503,11 +505,9 @@
 	}
 	c.arrivals = append(slices.DeleteFunc(c.arrivals, func(at time.Time) bool { return e.At.Sub(at) > time.Second }), e.At)
 	for d := range a.quiet {
-		if !a.quiet.none(before, e.At, d) {
-			return
-		}
+		calm = calm && a.quiet.none(before, e.At, d)
 	}
-	if len(c.arrivals) > a.b.ColdLimit {
+	if calm && len(c.arrivals) > a.b.ColdLimit {
 		a.fail("cold servers get few requests", "%s got %d in a second, %v before it is warm", e.Server, len(c.arrivals), c.until.Sub(e.At))
 	}
 }
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -125,9 +125,10 @@
 	}
 }
 
-// evacuated has a request of daemon d arrive after the row of the server's data centre was acknowledged at t0.
-func evacuated(a *Audit, kind fakeplatform.Kind, after time.Duration) {
-	a.Sent(t0, ask("r", Read), Read, "north", "d#2", 0)
+// evacuated has a request of daemon d, sent by its caller after sent, arrive after the row of the server's data centre was acknowledged
+// at t0.
+func evacuated(a *Audit, kind fakeplatform.Kind, sent, after time.Duration) {
+	a.Sent(at(sent), ask("r", Read), Read, "north", "d#2", 0)
 	e := ran("s", "r", Read)
 	e.Kind, e.DataCentre, e.At = kind, "dc-0", at(after)
 	a.Event(e)
@@ -345,35 +346,45 @@
 		}},
 		{"sent to an evacuated data centre", "evacuated data centres get no requests", func(a *Audit) {
 			a.Evacuated(t0, "dc-0")
-			evacuated(a, fakeplatform.Run, evacuate)
+			evacuated(a, fakeplatform.Run, 0, evacuate)
 		}},
 		{"sent to an evacuated data centre and rejected there", "evacuated data centres get no requests", func(a *Audit) {
 			a.Evacuated(t0, "dc-0")
-			evacuated(a, fakeplatform.Refused, evacuate)
+			evacuated(a, fakeplatform.Refused, 0, evacuate)
 		}},
 		{"sent to an evacuated data centre by a daemon that lost the store later", "evacuated data centres get no requests", func(a *Audit) {
 			a.Evacuated(t0, "dc-0")
 			a.Away(at(evacuate), "d")
-			evacuated(a, fakeplatform.Run, 2*evacuate)
+			evacuated(a, fakeplatform.Run, 0, 2*evacuate)
 		}},
 		{"sent to an evacuated data centre long after the store was back", "evacuated data centres get no requests", func(a *Audit) {
 			a.Evacuated(t0, "dc-0")
 			a.Away(at(time.Second), "")(at(2 * time.Second))
-			evacuated(a, fakeplatform.Run, 2*time.Second+evacuate)
+			evacuated(a, fakeplatform.Run, 0, 2*time.Second+evacuate)
 		}},
 		{"sent to an evacuated data centre soon after the store was back", "", func(a *Audit) {
 			a.Evacuated(t0, "dc-0")
 			a.Away(at(time.Second), "")(at(2 * time.Second))
-			evacuated(a, fakeplatform.Run, evacuate+time.Second)
+			evacuated(a, fakeplatform.Run, 0, evacuate+time.Second)
 		}},
 		{"sent to an evacuated data centre within the bound", "", func(a *Audit) {
 			a.Evacuated(t0, "dc-0")
-			evacuated(a, fakeplatform.Run, evacuate-time.Millisecond)
+			evacuated(a, fakeplatform.Run, 0, evacuate-time.Millisecond)
+		}},
+		{"sent to an evacuated data centre beside a fault of the server, by a caller after the bound", "evacuated data centres get no requests", func(a *Audit) {
+			a.Evacuated(t0, "dc-0")
+			a.Touched(at(evacuate), "s")
+			evacuated(a, fakeplatform.Run, evacuate, 2*evacuate)
+		}},
+		{"late at an evacuated data centre because of a fault of the server", "", func(a *Audit) {
+			a.Evacuated(t0, "dc-0")
+			a.Touched(t0, "s")
+			evacuated(a, fakeplatform.Run, evacuate-time.Millisecond, evacuate)
 		}},
 		{"sent after the evacuation, and beside that of another data centre", "", func(a *Audit) {
 			a.Evacuated(t0, "dc-0")(at(2 * evacuate))
 			a.Evacuated(t0, "dc-1")
-			evacuated(a, fakeplatform.Run, 2*evacuate)
+			evacuated(a, fakeplatform.Run, 0, 2*evacuate)
 		}},
 		{"sent to a cold server too often", "cold servers get few requests", func(a *Audit) { chilled(a, 0, 0, coldLimit+1) }},
 		{"sent to a cold server as often as it may be", "", func(a *Audit) { chilled(a, 0, 0, coldLimit) }},
