Give a plain server that starts cold its time in the calm at the end of a soak

Daemons rightly prefer a warm server.

Callers that read slowly keep the usual buffers, the pause follows from the id of the request, and an evacuation is one function: 30 lines less.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -157,13 +156,12 @@
 	if r.o.Seed >= firstOfSilences {
 		n = max(n, callersEach*r.o.Daemons)
 	}
+	quick := n
 	if r.o.Seed >= firstOfEvacuations {
-		for i := range slowReaders {
-			g.Go(func() error { return r.call(work, n+i, readPause) })
-		}
+		n += slowReaders
 	}
 	for i := range n {
-		g.Go(func() error { return r.call(work, i, 0) })
+		g.Go(func() error { return r.call(work, i, i >= quick) })
 	}
 	for _, d := range r.daemons {
 		g.Go(func() error { return r.probe(work, d) })
@@ -193,7 +191,11 @@
 				return err
 			}
 		}
-		if err := timer.Wait(work, time.Until(last.Add(calm))); err != nil {
+		length := calm
+		if r.o.Seed >= firstOfEvacuations {
+			length += coldTime // a backend server that starts gets few requests until then
+		}
+		if err := timer.Wait(work, time.Until(last.Add(length))); err != nil {
 			return err
 		}
 		r.auditMu.Lock()
@@ -250,7 +252,7 @@
 	for kind := range Probe {
 		for n := 0; ; n++ {
 			d := r.daemons[n%len(r.daemons)]
-			reply := r.send(ctx, c, d.caller, fmt.Sprintf("start-%s-%d", kind, n), kind, "north", d.lifetime(), 0, 0)
+			reply := r.send(ctx, c, d.caller, fmt.Sprintf("start-%s-%d", kind, n), kind, "north", d.lifetime(), 0)
 			if reply.Status == 200 && reply.Err == nil {
 				break
 			}
@@ -263,11 +265,10 @@
 }
 
 // send sends one request and has its answer checked.
-func (r *run) send(
-	ctx context.Context, c *http.Client, addr netip.AddrPort, id string, kind Kind, org, daemon string, version int, pause time.Duration,
-) fakeplatform.Reply {
-	ask := fakeplatform.Ask{
-		ID: id, Method: http.MethodGet, Host: host, Path: "/" + kind.String() + "/x?id=" + id, Key: "key-" + org, Left: callerLimit, Pause: pause,
+func (r *run) send(ctx context.Context, c *http.Client, addr netip.AddrPort, id string, kind Kind, org, daemon string, version int) fakeplatform.Reply {
+	ask := fakeplatform.Ask{ID: id, Method: http.MethodGet, Host: host, Path: "/" + kind.String() + "/x?id=" + id, Key: "key-" + org, Left: callerLimit}
+	if strings.HasPrefix(id, fakeplatform.BigPrefix) {
+		ask.Pause = readPause
 	}
 	switch kind {
 	case Write:
@@ -293,15 +294,11 @@
 }
 
 // call is one caller. It keeps its connections until the daemon is gone from the addresses that it is told, or fails it. Every
-// second caller, or all of them, stay with one daemon and its open connection until the process is gone, whatever the addresses say. One
-// with a pause reads large answers slowly.
-func (r *run) call(ctx context.Context, place int, pause time.Duration) error {
+// second caller, or all of them, stay with one daemon and its open connection until the process is gone, whatever the addresses say. A
+// slow one asks for large answers and reads them slowly.
+func (r *run) call(ctx context.Context, place int, slow bool) error {
 	rnd := rand.New(rand.NewPCG(r.o.Seed, uint64(place)+1))
-	t := &http.Transport{MaxIdleConnsPerHost: 4}
-	if pause > 0 {
-		t.DialContext = dialSmall
-	}
-	c := &http.Client{Transport: t}
+	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
 	defer c.CloseIdleConnections()
 	var addrs []netip.AddrPort
 	var until time.Time
@@ -333,12 +330,12 @@
 		id := fmt.Sprintf("c%d-%d", place, n)
 		kind := kinds[rnd.IntN(len(kinds))]
 		switch {
-		case pause > 0:
+		case slow:
 			id = fakeplatform.BigPrefix + id
 		case r.o.Seed >= firstOfAll && n%slowShare == 0 && kind != Read:
 			id = fakeplatform.SlowPrefix + id
 		}
-		reply := r.send(ctx, c, addr, id, kind, org, r.at(addr), 0, pause)
+		reply := r.send(ctx, c, addr, id, kind, org, r.at(addr), 0)
 		if kept = addr; reply.Err != nil {
 			kept = netip.AddrPort{}
 		}
@@ -353,17 +350,6 @@
 	}
 }
 
-// smallBuffer is the receive buffer of callers that read slowly, so that the system does not read ahead for them.
-const smallBuffer = 64 << 10
-
-func dialSmall(ctx context.Context, network, addr string) (net.Conn, error) {
-	c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-	if t, ok := c.(*net.TCPConn); ok && err == nil {
-		err = t.SetReadBuffer(smallBuffer)
-	}
-	return c, err
-}
-
 // at returns the lifetime of the daemon at an address.
 func (r *run) at(addr netip.AddrPort) string {
 	for _, d := range r.daemons {
@@ -386,7 +372,7 @@
 		version := max(r.version-n%2, 1)
 		r.auditMu.Unlock()
 		life := d.lifetime()
-		r.send(ctx, c, d.caller, fmt.Sprintf("p-%s-%d", life, n), Probe, "north", life, version, 0)
+		r.send(ctx, c, d.caller, fmt.Sprintf("p-%s-%d", life, n), Probe, "north", life, version)
 	}
 }
 
@@ -459,7 +445,7 @@
 	case SilencePath:
 		defer r.note(r.audit.Quiet, daemon)()
 	case HarmStore, PauseStore:
-		defer r.note(r.audit.Away, daemon)()
+		defer r.note(r.audit.away.begin, daemon)()
 	default:
 	}
 	if process != "" || s.Fault == KillAll {
@@ -514,36 +500,29 @@
 	}
 	defer r.evacuation.Unlock()
 	dc := r.dataCentre(s.Target)
-	end, err := r.beginEvacuation(ctx, store, dc)
-	if err != nil {
-		return err
-	}
-	if err := timer.Wait(ctx, s.For); err != nil {
+	r.operator.Lock()
+	defer r.operator.Unlock()
+	r.evacuated = dc
+	if err := r.writeEvacuations(ctx, store); err != nil {
 		return err
 	}
+	end := r.note(r.audit.evacuations.begin, dc)
+	r.operator.Unlock()
+	err := timer.Wait(ctx, s.For)
 	for _, sv := range r.servers {
 		if s.Cold && sv.dataCentre == dc {
 			sv.process().signal(syscall.SIGUSR1)
 		}
 	}
 	r.operator.Lock()
-	defer r.operator.Unlock()
+	if err != nil {
+		return err
+	}
 	end()
 	r.evacuated = ""
 	return r.writeEvacuations(ctx, store)
 }
 
-// beginEvacuation writes the row. The function that it returns tells the audit that the row is to be removed.
-func (r *run) beginEvacuation(ctx context.Context, store *platform.Store, dc string) (end func(), err error) {
-	r.operator.Lock()
-	defer r.operator.Unlock()
-	r.evacuated = dc
-	if err := r.writeEvacuations(ctx, store); err != nil {
-		return nil, err
-	}
-	return r.note(r.audit.Evacuated, dc), nil
-}
-
 // writeEvacuations makes the rows in the store those that the operator wants, whatever is there. r.operator is held.
 func (r *run) writeEvacuations(ctx context.Context, store *platform.Store) error {
 	var tx platform.Tx
@@ -577,7 +556,7 @@
 	r.operator.Lock()
 	defer r.operator.Unlock()
 	// Until the operator has written again, the store may lack an evacuation.
-	defer r.note(r.audit.Away, "")()
+	defer r.note(r.audit.away.begin, "")()
 	endTrouble, endTouched := r.note(r.audit.Trouble, ""), r.note(r.audit.Touched, r.store.name)
 	err := pause(ctx, r.store, restoreTime)
 	if err == nil {
