Keep the scheduling round as fast as without a bound of memory

The tokens of the request were one more parameter of the loop over groups, and were computed where no memory is bounded too. They are a field of the scheduler now and are computed only with a bound.

--- a/internal/balance/memory_test.go
+++ b/internal/balance/memory_test.go
@@ -126,21 +126,28 @@
 	}
 }
 
-// BenchmarkStepMemory measures a round in which 100 requests wait, and all groups have free slots but no memory for them.
+// BenchmarkStepMemory measures rounds in which 100 requests wait and the memory of groups is bounded: all slots are taken as in
+// BenchmarkStep, or there are free slots but no memory.
 func BenchmarkStepMemory(b *testing.B) {
-	s, plan := NewScheduler(), simulationPlans()[1]
-	plan.Engine.KVTokens = kvTokens
-	groups := make([]Group, 24)
-	for id := range uint64(100) {
-		s.Put(noon, request(id, func(w *Waiter) { w.Rank, w.Objective = int(id%3), time.Hour }))
-	}
-	b.ReportAllocs()
-	for b.Loop() {
-		for i := range groups {
-			groups[i] = Group{Key: "g", Load: Load{Requests: 20, SizedRequests: 20, HeldTokens: kvTokens}}
-		}
-		if got := s.Step(noon, plan, groups, 0, zeroRandom); len(got) != 0 {
-			b.Fatalf("%d decisions", len(got))
-		}
+	for name, requests := range map[string]int{"no slots": 34, "no memory": 20} {
+		b.Run(name, func(b *testing.B) {
+			s, plan := NewScheduler(), simulationPlans()[1]
+			plan.Engine.KVTokens = kvTokens
+			groups := make([]Group, 24)
+			for id := range uint64(100) {
+				s.Put(noon, request(id, func(w *Waiter) {
+					w.Rank, w.Organisation, w.Objective = int(id%3), string(rune('a'+id%24)), time.Hour
+				}))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				for i := range groups {
+					groups[i] = Group{Key: "g", Load: Load{Requests: requests, SizedRequests: requests, HeldTokens: kvTokens}}
+				}
+				if got := s.Step(noon, plan, groups, 0, zeroRandom); len(got) != 0 {
+					b.Fatalf("%d decisions", len(got))
+				}
+			}
+		})
 	}
 }
--- a/internal/balance/scheduler.go
+++ b/internal/balance/scheduler.go
@@ -104,9 +104,10 @@
 	credits map[class]float64
 	// coldHeld and coldRejected count the requests that had to wait, and those rejected, while a group took none as its head is cold.
 	coldHeld, coldRejected int
-	// memory is that of the groups, as of the current round. memoryBlocked is set when it kept the current request from a group that
-	// could have taken it otherwise; memoryHeld and memoryRejected count the requests that had to wait, and those rejected, in such a round.
+	// memory is that of the groups in the current round, tokens what the current request needs of it. memoryBlocked is set when it kept that
+	// from a group which could have taken it otherwise; memoryHeld and memoryRejected count the requests that had to wait, and those rejected, in such a round.
 	memory                     Memory
+	tokens                     int
 	memoryBlocked              bool
 	memoryHeld, memoryRejected int
 	// meanPrompt is the mean size of recent prompts, over as many as prompts, promptSamples at most.
@@ -307,7 +308,8 @@
 		s.sort(now)
 	}
 	longestPass := s.maxPassTime()
-	s.memory = s.Memory(plan.Engine)
+	s.memory, s.tokens, s.memoryBlocked = s.Memory(plan.Engine), 0, false
+	bounded := s.memory.capacity > 0
 	addUnreportedLoad(groups, unreported, s.idle, plan.Engine.Slots, s.memory)
 	var out []Decision
 	lateWaiting := 0
@@ -317,20 +319,20 @@
 	}
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *Waiter) bool {
 		c := class{w.late, w.Rank}
-		tokens := s.memory.need(w)
-		if s.memory.Exceeds(tokens) {
-			s.memoryRejected++
-			out = append(out, Decision{Waiter: w, Reason: TooLarge}) // without a time to retry, and not as demand that more groups would serve
-			return true
+		if bounded {
+			if s.tokens, s.memoryBlocked = s.memory.need(w), false; s.memory.Exceeds(s.tokens) {
+				s.memoryRejected++
+				out = append(out, Decision{Waiter: w, Reason: TooLarge}) // without a time to retry, and not as demand that more groups would serve
+				return true
+			}
 		}
-		s.memoryBlocked = false
-		i := s.chooseGroup(now, plan, w, tokens, groups, longestPass, cold, unreported, random, s.failures.usable)
+		i := s.chooseGroup(now, plan, w, groups, longestPass, cold, unreported, random, s.failures.usable)
 		if i < 0 && !w.late {
-			i = s.chooseGroup(now, plan, w, tokens, groups, longestPass, cold, unreported, random, func(_ time.Time, key string) bool { return s.failures.useful(key) })
+			i = s.chooseGroup(now, plan, w, groups, longestPass, cold, unreported, random, func(_ time.Time, key string) bool { return s.failures.useful(key) })
 		}
 		if i >= 0 {
 			g := &groups[i]
-			load := RequestLoad(w.Prompt, tokens)
+			load := RequestLoad(w.Prompt, s.tokens)
 			out = append(out, Decision{Waiter: w, Group: g.Key, Load: load, Estimate: plan.Estimate(g.Load, w.Prompt)})
 			g.Load = g.Load.Add(load)
 			g.Allowance--
@@ -591,8 +593,8 @@
 	return s.latencyCorrection.Expect(plan.Estimate(extra, 0)) - s.latencyCorrection.Expect(plan.Estimate(Load{}, 0))
 }
 
-// chooseGroup returns the index of the group that takes w, which needs so many tokens, or -1 when none may now. cold is set if a group has a cold member.
-func (s *Scheduler) chooseGroup(now time.Time, plan *Plan, w *Waiter, tokens int, groups []Group, longestPass time.Duration, cold bool, unreported float64, random func() float64, usable func(time.Time, string) bool) int {
+// chooseGroup returns the index of the group that takes w, or -1 when none may now. cold is set if a group has a cold member.
+func (s *Scheduler) chooseGroup(now time.Time, plan *Plan, w *Waiter, groups []Group, longestPass time.Duration, cold bool, unreported float64, random func() float64, usable func(time.Time, string) bool) int {
 	best, bestTime, bestWarm := -1, time.Duration(0), false
 	budget, slots := s.latencyBudget(now, plan, w)
 	noise := unreported * float64(plan.Estimate(Load{Requests: plan.Engine.Slots}, 0).Passes)
@@ -605,7 +607,7 @@
 		if d > budget || longestPass > 0 && g.Load.QueuedTokens > 0 && s.passTime(now, plan, g, w.Prompt) > longestPass {
 			continue
 		}
-		if !s.memory.hasRoom(g.Load, tokens) {
+		if s.memory.capacity > 0 && !s.memory.hasRoom(g.Load, s.tokens) {
 			s.memoryBlocked = true
 			continue
 		}
