--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -25,6 +25,9 @@
 	hidden bool
 	// unread is set while the holder does not read entries.
 	unread bool
+	// closing returns how long a head takes to finish its requests; nil if it closes at once. onOrder is called with each order.
+	closing func() time.Duration
+	onOrder func(Order)
 }
 
 // fakeServer is one simulated backend server.
@@ -36,7 +39,9 @@
 	unreachable, forgotten bool
 	// readyAt is when a join completes, and stagedAt is when the weights are on the host.
 	readyAt, stagedAt time.Time
-	staging           string
+	// closedAt is when a closing head has finished its requests.
+	closedAt time.Time
+	staging  string
 	// fetches is set while the backend server joins a group whose weights are not on its host.
 	fetches  bool
 	maxEpoch int64
@@ -148,6 +153,9 @@
 			s.Staged = []string{s.Model}
 		}
 	}
+	if s.Membership.State == roster.Closing && !f.now.Before(s.closedAt) {
+		s.Membership.State = roster.Joined
+	}
 	if s.staging != "" && !f.now.Before(s.stagedAt) {
 		s.Staged, s.staging, s.Busy = []string{s.staging}, "", false
 	}
@@ -156,6 +164,9 @@
 // execute carries out an order, and checks the invariants of groups.
 func (f *fleet) execute(o Order) {
 	s := f.find(o.Server.ID)
+	if f.onOrder != nil {
+		f.onOrder(o)
+	}
 	if !s.alive || s.unreachable || o.ExpectedOrders >= 0 && o.ExpectedOrders != s.Orders {
 		f.planner.OrderFailed(s.ID)
 		return
@@ -197,6 +208,9 @@
 	case platform.CloseHead:
 		if s.Epoch == o.Epoch {
 			s.Membership.State, s.open = roster.Joined, false
+			if f.closing != nil {
+				s.Membership.State, s.closedAt = roster.Closing, f.now.Add(f.closing())
+			}
 		}
 	case platform.Leave:
 		if s.Epoch == o.Epoch {
