--- a/internal/fakeplatform/server.go
+++ b/internal/fakeplatform/server.go
@@ -204,11 +204,12 @@
 		case <-s.crashed:
 			return &ColdCrashError{s.o.ColdCrash + 1}
 		case <-s.o.Chill:
+			now := time.Now()
 			s.mu.Lock()
-			if now := time.Now(); !s.coldUntil.After(now) {
+			if !s.coldUntil.After(now) {
 				s.coldFrom = time.Time{}
 			}
-			s.coldUntil = time.Now().Add(s.o.Cold)
+			s.coldUntil = now.Add(s.o.Cold)
 			s.mu.Unlock()
 			s.changed()
 		}
