--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -118,9 +118,9 @@
 		Stall: c.Duration("stall"), Work: c.Duration("work"), Cold: c.Duration("cold"), ColdCrash: c.Int("cold-crash"),
 	}
 	if opts.Cold > 0 {
-		chill := make(chan os.Signal, 1)
-		signal.Notify(chill, syscall.SIGUSR1)
-		opts.Chill = chill
+		cold := make(chan os.Signal, 1)
+		signal.Notify(cold, syscall.SIGUSR1)
+		opts.MakeCold = cold
 	}
 	for name, target := range map[string]*netip.AddrPort{"listen": &opts.Listen, "address": &opts.Addr, "store": &opts.Store} {
 		var err error
--- a/internal/fakeplatform/server.go
+++ b/internal/fakeplatform/server.go
@@ -101,10 +101,10 @@
 	Form, Stall time.Duration
 	// Work is the time of a plain request, and between two events of a stream.
 	Work time.Duration
-	// Cold is how long the server is cold after it starts, and after a signal on Chill. It crashes if more than ColdCrash requests
+	// Cold is how long the server is cold after it starts, and after a signal on MakeCold. It crashes if more than ColdCrash requests
 	// arrive in a second of that time; 0 for never.
 	Cold      time.Duration
-	Chill     <-chan os.Signal
+	MakeCold  <-chan os.Signal
 	ColdCrash int
 	// Told is called with every event, one at a time.
 	Told func(Event)
@@ -203,7 +203,7 @@
 			return nil
 		case <-s.crashed:
 			return &ColdCrashError{s.o.ColdCrash + 1}
-		case <-s.o.Chill:
+		case <-s.o.MakeCold:
 			now := time.Now()
 			s.mu.Lock()
 			if !s.coldUntil.After(now) {
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -123,10 +123,10 @@
 	trouble, touched spans
 	// quiet holds when the way from a daemon to all backend servers was silent.
 	quiet spans
-	// away holds when a daemon, or every daemon under "", could not read what operators want from the store. evacuations holds when the
+	// storeLost holds when a daemon, or every daemon under "", could not read what operators want from the store. evacuations holds when the
 	// store had acknowledged each row and none had asked for its removal, by data centre.
-	away, evacuations spans
-	cold              map[string]*coldTimes
+	storeLost, evacuations spans
+	cold                   map[string]*coldTimes
 	// stops holds when each lifetime of a daemon was told to stop, drains when the store acknowledged that a server drains.
 	stops, drains map[string]time.Time
 	// reached holds when the requests of each daemon ran, by backend server and daemon.
@@ -170,7 +170,7 @@
 	return &Audit{
 		b: b, requests: map[string]*sent{}, groups: map[string]*membership{}, in: map[string]string{}, gone: map[string]bool{}, arrivals: map[string][]arrival{},
 		requested: map[string][]time.Time{}, seen: map[string]version{}, trouble: spans{}, touched: spans{}, quiet: spans{},
-		away: spans{}, evacuations: spans{}, cold: map[string]*coldTimes{},
+		storeLost: spans{}, evacuations: spans{}, cold: map[string]*coldTimes{},
 		told: map[string]int{}, stops: map[string]time.Time{}, drains: map[string]time.Time{}, reached: map[string]map[string][]time.Time{},
 	}
 }
@@ -450,13 +450,13 @@
 	case fakeplatform.Refused:
 		a.arrived(e)
 	case fakeplatform.Cold:
-		a.chilled(e)
+		a.becameCold(e)
 	}
 }
 
-// chilled notes that a backend server is cold. One that becomes so while its data centre has been evacuated for the bound gets no requests,
+// becameCold notes that a backend server is cold. One that becomes so while its data centre has been evacuated for the bound gets no requests,
 // and counts as cold when that ends, so daemons have no time to learn it.
-func (a *Audit) chilled(e fakeplatform.Event) {
+func (a *Audit) becameCold(e fakeplatform.Event) {
 	c := a.cold[e.Server]
 	if c == nil || !c.until.After(e.At) {
 		c = &coldTimes{from: e.From}
@@ -505,7 +505,7 @@
 func (a *Audit) informed(from, to time.Time, daemon string) bool {
 	for moved := true; moved; {
 		moved = false
-		for _, x := range slices.Concat(a.away[""], a.away[daemon]) {
+		for _, x := range slices.Concat(a.storeLost[""], a.storeLost[daemon]) {
 			if x.from.Before(from.Add(a.b.Evacuate)) && (x.to.IsZero() || x.to.After(from)) {
 				if x.to.IsZero() {
 					return false
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -134,8 +134,8 @@
 	a.Event(e)
 }
 
-// chilled has a server turn cold at t0, of which daemons must know after notice, and n requests arrive within a second.
-func chilled(a *Audit, notice, after time.Duration, n int) {
+// becameCold has a server turn cold at t0, of which daemons must know after notice, and n requests arrive within a second.
+func becameCold(a *Audit, notice, after time.Duration, n int) {
 	a.Event(fakeplatform.Event{Kind: fakeplatform.Cold, Server: "s", DataCentre: "dc-0", At: t0, From: at(notice), Until: at(coldTime)})
 	for i := range n {
 		id := fmt.Sprint(i)
@@ -354,17 +354,17 @@
 		}},
 		{"sent to an evacuated data centre by a daemon that lost the store later", "evacuated data centres get no requests", func(a *Audit) {
 			a.evacuations.begin(t0, "dc-0")
-			a.away.begin(at(evacuate), "d")
+			a.storeLost.begin(at(evacuate), "d")
 			evacuated(a, fakeplatform.Run, 0, 2*evacuate)
 		}},
 		{"sent to an evacuated data centre long after the store was back", "evacuated data centres get no requests", func(a *Audit) {
 			a.evacuations.begin(t0, "dc-0")
-			a.away.begin(at(time.Second), "")(at(2 * time.Second))
+			a.storeLost.begin(at(time.Second), "")(at(2 * time.Second))
 			evacuated(a, fakeplatform.Run, 0, 2*time.Second+evacuate)
 		}},
 		{"sent to an evacuated data centre soon after the store was back", "", func(a *Audit) {
 			a.evacuations.begin(t0, "dc-0")
-			a.away.begin(at(time.Second), "")(at(2 * time.Second))
+			a.storeLost.begin(at(time.Second), "")(at(2 * time.Second))
 			evacuated(a, fakeplatform.Run, 0, evacuate+time.Second)
 		}},
 		{"sent to an evacuated data centre within the bound", "", func(a *Audit) {
@@ -386,17 +386,17 @@
 			a.evacuations.begin(t0, "dc-1")
 			evacuated(a, fakeplatform.Run, 0, 2*evacuate)
 		}},
-		{"sent to a cold server too often", "cold servers get few requests", func(a *Audit) { chilled(a, 0, 0, coldLimit+1) }},
-		{"sent to a cold server as often as it may be", "", func(a *Audit) { chilled(a, 0, 0, coldLimit) }},
-		{"sent to a cold server before daemons know", "", func(a *Audit) { chilled(a, fakeplatform.ColdNotice, 0, coldLimit+1) }},
-		{"sent to a server that is warm again", "", func(a *Audit) { chilled(a, 0, coldTime, coldLimit+1) }},
+		{"sent to a cold server too often", "cold servers get few requests", func(a *Audit) { becameCold(a, 0, 0, coldLimit+1) }},
+		{"sent to a cold server as often as it may be", "", func(a *Audit) { becameCold(a, 0, 0, coldLimit) }},
+		{"sent to a cold server before daemons know", "", func(a *Audit) { becameCold(a, fakeplatform.ColdNotice, 0, coldLimit+1) }},
+		{"sent to a server that is warm again", "", func(a *Audit) { becameCold(a, 0, coldTime, coldLimit+1) }},
 		{"sent too often to a server that turned cold while it was evacuated", "cold servers get few requests", func(a *Audit) {
 			a.evacuations.begin(at(-evacuate), "dc-0")(at(-time.Millisecond))
-			chilled(a, fakeplatform.ColdNotice, 0, coldLimit+1)
+			becameCold(a, fakeplatform.ColdNotice, 0, coldLimit+1)
 		}},
 		{"arrived together after a silence of a cold server", "", func(a *Audit) {
 			a.Touched(at(-time.Second), "s")(t0)
-			chilled(a, 0, 0, coldLimit+1)
+			becameCold(a, 0, 0, coldLimit+1)
 		}},
 		{"ended", "no process ends by itself", func(a *Audit) { a.Ended("daemon-1", "exit status 2") }},
 		{"a server that nobody follows", "servers are followed: t got nothing", func(a *Audit) { follow(a, 1, "s") }},
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -34,8 +34,8 @@
 	SilencePath
 	// Evacuate evacuates a data centre for a while.
 	Evacuate
-	// ChillServer makes a running backend server cold.
-	ChillServer
+	// CoolServer makes a running backend server cold.
+	CoolServer
 	faults
 )
 
@@ -43,7 +43,7 @@
 	return [...]string{
 		"kill daemon", "stop daemon", "pause daemon", "reload daemon", "kill server", "drain server", "pause server", "pause store",
 		"harm store", "harm server", "configure", "kill all daemons", "silence server",
-		"restore store", "cut daemon", "silence path", "evacuate", "chill server",
+		"restore store", "cut daemon", "silence path", "evacuate", "cool server",
 	}[f]
 }
 
@@ -76,7 +76,7 @@
 var weights = [faults]int{
 	KillDaemon: 4, StopDaemon: 3, PauseDaemon: 4, ReloadDaemon: 1, KillServer: 5, DrainServer: 3, PauseServer: 2, PauseStore: 2, HarmStore: 5,
 	HarmServer: 5, Configure: 4, KillAll: 1, SilenceServer: 4, RestoreStore: 4, CutDaemon: 8, SilencePath: 6,
-	Evacuate: 10, ChillServer: 10,
+	Evacuate: 10, CoolServer: 10,
 }
 
 // overlapping is how often faults are drawn from firstOfSilences on.
@@ -136,7 +136,7 @@
 
 // planned tells whether a fault is planned work or no fault in the eyes of the platform, so that nothing may be lost around it.
 func (f Fault) planned() bool {
-	return f == StopDaemon || f == ReloadDaemon || f == DrainServer || f == Configure || f == SilenceServer || f == Evacuate || f == ChillServer
+	return f == StopDaemon || f == ReloadDaemon || f == DrainServer || f == Configure || f == SilenceServer || f == Evacuate || f == CoolServer
 }
 
 // closing is the planned work in the calm at the end. A fleet that no longer follows its store shows by it.
@@ -201,7 +201,7 @@
 			switch f {
 			case KillDaemon, StopDaemon, PauseDaemon, ReloadDaemon, HarmStore, CutDaemon, SilencePath:
 				s.Target = r.IntN(daemons)
-			case KillServer, DrainServer, PauseServer, HarmServer, SilenceServer, ChillServer:
+			case KillServer, DrainServer, PauseServer, HarmServer, SilenceServer, CoolServer:
 				s.Target = r.IntN(servers)
 			case Evacuate:
 				s.Target, s.Cold = r.IntN(dataCentres), r.IntN(2) == 0
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -445,7 +445,7 @@
 	case SilencePath:
 		defer r.note(r.audit.Quiet, daemon)()
 	case HarmStore, PauseStore:
-		defer r.note(r.audit.away.begin, daemon)()
+		defer r.note(r.audit.storeLost.begin, daemon)()
 	default:
 	}
 	if process != "" || s.Fault == KillAll {
@@ -487,7 +487,7 @@
 		return r.restore(ctx, store, s.For)
 	case Evacuate:
 		return r.evacuate(ctx, store, s)
-	case ChillServer:
+	case CoolServer:
 		r.servers[s.Target].process().signal(syscall.SIGUSR1)
 	}
 	return nil
@@ -556,7 +556,7 @@
 	r.operator.Lock()
 	defer r.operator.Unlock()
 	// Until the operator has written again, the store may lack an evacuation.
-	defer r.note(r.audit.away.begin, "")()
+	defer r.note(r.audit.storeLost.begin, "")()
 	endTrouble, endTouched := r.note(r.audit.Trouble, ""), r.note(r.audit.Touched, r.store.name)
 	err := pause(ctx, r.store, restoreTime)
 	if err == nil {
