Run the longest tests of balance and gossip beside the others of their packages

They were running, not blocked: TestShortage, which takes 152 s alone with the race detector, had run for 200 s as the last of its package, and TestGoneDaemonsAcrossPartition for 180 s. Alone internal/balance takes 287 s.

These tests simulate and share nothing, so five of them now run in parallel.

--- a/internal/balance/memory_test.go
+++ b/internal/balance/memory_test.go
@@ -43,6 +43,7 @@
 
 // TestMemoryChangesNothingForUsualSizes guards against a bound that changes placement where it is never reached.
 func TestMemoryChangesNothingForUsualSizes(t *testing.T) {
+	t.Parallel()
 	for _, unreported := range []float64{0, 0.5} {
 		outcomes := map[int]string{}
 		for _, memory := range []int{0, kvTokens} {
--- a/internal/balance/scheduler_test.go
+++ b/internal/balance/scheduler_test.go
@@ -352,6 +352,7 @@
 // every daemon decides for itself by loads reported up to 288 ms ago. After the bursts nine in ten requests must be
 // in time in every second.
 func TestBurst(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		ours, base := simulate(burst(seed), newCentral()), simulate(burst(seed), &independentPlacer{period: 288 * time.Millisecond})
 		t.Logf("scheduler: %v", ours)
@@ -394,6 +395,7 @@
 // much as before of one kind of work. The ten small organisations, with 6% each, must be in time nearly as often as
 // before, except in work less urgent than that kind.
 func TestLargeOrganisation(t *testing.T) {
+	t.Parallel()
 	for _, flood := range []string{"drafts", "summaries", "notes"} {
 		l := scenario{seed: 2, daemons: 72, groups: []int{8, 16}, work: simulationWorkloads(), length: 24 * time.Second}
 		l.organisation = func(r *rand.Rand, _ *workload, _ time.Duration) int {
--- a/internal/balance/shortage_test.go
+++ b/internal/balance/shortage_test.go
@@ -93,6 +93,7 @@
 // least half as often as its kind, an organisation at least a quarter as often as all. One organisation sends only
 // requests of a fifth of the usual size.
 func TestShortage(t *testing.T) {
+	t.Parallel()
 	for _, rate := range []float64{1, 1.5, 2} {
 		var mu sync.Mutex
 		var wg sync.WaitGroup
--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -319,6 +319,7 @@
 // TestGoneDaemonsAcrossPartition guards against daemons that are listed to callers although they have gone: with rows that remain in the
 // store, while two data centres do not reach each other but a third reaches both, and after that.
 func TestGoneDaemonsAcrossPartition(t *testing.T) {
+	t.Parallel()
 	const stable, grace = 4 * time.Second, 3 * time.Second // the stable window of a deployment, and the time that rule DRAIN adds
 	for size, dataCentres := range map[int]int{88: 3, 370: 8} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
