Start the soak's programs with SIGHUP ignored until they ask for it

The signal came within 6 ms of the start, before the program's first instruction, where no program can handle it.

Programs that are started inherit an ignored signal, and os/signal.Notify turns it on again, as for SIGUSR1. A daemon that handles SIGHUP too late or gives it up too early is caught by TestHangupDuringStart and TestHangupAtEnd, which are unchanged.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -259,8 +259,9 @@
 	if o.Seed >= firstOfSilences {
 		f.beat = longestBeat
 	}
+	// Programs that are started inherit this, so that a signal which comes before their own code runs does not end them.
+	signal.Ignore(syscall.SIGHUP)
 	if o.Seed >= firstOfEvacuations {
-		// Programs that are started inherit this, so that one which has no handler for the signal yet is not ended by it.
 		signal.Ignore(syscall.SIGUSR1)
 	}
 	if o.Seed >= firstOfCuts {
