Read no answer that was reset during an upload as complete

What callers saw: a backend server answers a long upload at once, with a 200 that has neither a length nor chunks, sends a part of the body and resets the connection while the upload is being written. The caller got that part as a complete 200.

Cause: the kernel reports a reset once, to the first system call on the socket. During an upload that is often the write, in another goroutine, whose error was dropped on the assumption that the read fails as well. The read then gets end of file, which ends a body without a length. net/http's transport has the same fault, so the own interface (internal/caller), the clients of both stores and the client of orders had it too. Streams of internal/engine did not: they end with a chunk that says so. Reports and requests between daemons have no body, and short bodies are written before the read begins.

Change: netopt.Conn keeps the error of a failed write and returns it in place of end of file. It is used by backend.Pool and, through http1.Transport, by the net/http clients.

Why it works: on Linux a peer that shuts down its side before a reset makes the write fail with EPIPE, and one that does not with ECONNRESET, so a complete answer is told from one that was cut off. If the write has not returned at the end of file, poll tells whether the connection is closed in both directions: then the write fails at once and its error is awaited. Otherwise only the peer's side is shut down, the answer is complete, and the write may stay blocked, as a server need not read the rest.

A broken answer is handled like any other that is cut off: the server is avoided for a while, and counts as crashed only if it refuses connections.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -155,7 +155,7 @@
 // headerLimiter passes on at most left bytes while the headers of a response are read, because net/http limits neither the
 // length of the lines nor the number of headers of a response. There is no limit if left is negative.
 type headerLimiter struct {
-	net  net.Conn
+	r    io.Reader
 	left int
 }
 
@@ -166,7 +166,7 @@
 	if l.left > 0 && len(b) > l.left {
 		b = b[:l.left]
 	}
-	n, err := l.net.Read(b)
+	n, err := l.r.Read(b)
 	if l.left > 0 {
 		l.left -= n
 	}
@@ -175,6 +175,8 @@
 
 type conn struct {
 	net net.Conn
+	// checked reads from and writes to net, all of it, so that a reset during the write of a body is not read as the end of a response.
+	checked *netopt.Conn
 	// socket has the user timeout netopt.UserTimeout while the connection is in the pool, so that keep-alive probes end one that has
 	// gone silent for good, and that of the request otherwise.
 	socket   *netopt.Socket
@@ -357,8 +359,9 @@
 		// process. Without the bound the connection works too.
 		_, _ = tcp.SetReadBuffer(socketBuffer), tcp.SetWriteBuffer(socketBuffer)
 	}
-	limiter := &headerLimiter{net: n, left: -1}
-	return &conn{net: n, socket: socket, limit: limiter, br: bufio.NewReaderSize(limiter, readBuffer), addr: addr}, nil
+	checked := netopt.NewConn(n)
+	limiter := &headerLimiter{r: checked, left: -1}
+	return &conn{net: n, checked: checked, socket: socket, limit: limiter, br: bufio.NewReaderSize(limiter, readBuffer), addr: addr}, nil
 }
 
 // RefusesConnections reports whether nothing listens on an address any more, as its process has ended.
@@ -448,15 +451,15 @@
 	b.WriteString("\r\n")
 	if len(req.Body) <= maxInlineBody {
 		b.Write(req.Body)
-		_, err := c.net.Write(b.Bytes())
+		_, err := c.checked.Write(b.Bytes())
 		return true, err
 	}
-	if _, err := c.net.Write(b.Bytes()); err != nil {
+	if _, err := c.checked.Write(b.Bytes()); err != nil {
 		return false, err
 	}
 	p.writers.Go(func() error {
-		// A write error also makes reading the response fail.
-		_, _ = c.net.Write(req.Body)
+		// The read of the response fails too: checked keeps the error if the kernel does not report it to both.
+		_, _ = c.checked.Write(req.Body)
 		return nil
 	})
 	return false, nil
--- /dev/null
+++ b/internal/caller/broken_test.go
@@ -0,0 +1,105 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"flamingorudder.example/internal/claim"
+	"flamingorudder.example/internal/engine"
+	"flamingorudder.example/internal/platform"
+	"flamingorudder.example/internal/rawserver"
+	"flamingorudder.example/internal/timeline"
+)
+
+// TestBrokenAnswers guards against broken answers of plain services reaching callers as whole ones, over real connections.
+func TestBrokenAnswers(t *testing.T) {
+	reset := func(wait time.Duration, size int) rawserver.Answer {
+		return func(c *net.TCPConn, r *http.Request) {
+			rawserver.Reset(ownHead("200", r)+"\r\n"+strings.Repeat("b", size), wait)(c, r)
+		}
+	}
+	for name, answer := range map[string]rawserver.Answer{
+		"reset after 1ms":   reset(time.Millisecond, 1),
+		"reset after 20ms":  reset(20*time.Millisecond, 90_000),
+		"reset after 200ms": reset(200*time.Millisecond, 5000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			url := serveOverTCP(t, answer)
+			if status, body, _, err := ask(t, http.MethodPost, url+"/bookings", 6<<20); err == nil {
+				t.Errorf("status %d, %d bytes that look complete", status, len(body))
+			}
+		})
+	}
+}
+
+// TestEarlyAnswer guards against a whole answer that does not arrive as the plain service does not read the rest of the request.
+func TestEarlyAnswer(t *testing.T) {
+	url := serveOverTCP(t, func(c *net.TCPConn, r *http.Request) {
+		rawserver.ShutDown(ownHead("200", r)+"\r\nbody", 300*time.Millisecond)(c, r)
+	})
+	if status, body, _, err := ask(t, http.MethodPost, url+"/bookings", 6<<20); err != nil || status != 200 || body != "body" {
+		t.Errorf("status %d, body %q, error %v", status, body, err)
+	}
+}
+
+// ownHead begins the head of an answer to a request.
+func ownHead(status string, r *http.Request) string {
+	return fmt.Sprintf("HTTP/1.1 %s X\r\n%s: %s\r\n", status, engine.HeaderAttempt, r.Header.Get(engine.HeaderAttempt))
+}
+
+// serveOverTCP starts a server whose plain service has backend servers with the given answers, which get attempts in turn. It returns the
+// URL of the server.
+func serveOverTCP(t *testing.T, answers ...rawserver.Answer) string {
+	t.Helper()
+	services := map[string]string{}
+	for i, answer := range answers {
+		addr, stop, err := rawserver.Start(answer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(stop)
+		services[ledgers[i].String()] = addr.String()
+	}
+	f := &fleet{t: t, cfg: true, rows: map[string]platform.Row{}}
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if services[addr] == "" {
+			return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, services[addr])
+	}
+	eng, closeEngine := engine.NewClient()
+	t.Cleanup(closeEngine)
+	ids := 0
+	s := New(Options{
+		Config: f, Slots: f, Engine: eng, Claims: claim.NewWriter(f, func() string { return "op" }), Log: timeline.NewLog("d1", 1000), Metrics: f, Dial: dial,
+		Now: time.Now, IDs: func() string { f.mu.Lock(); defer f.mu.Unlock(); ids++; return fmt.Sprint("r", ids) },
+	})
+	t.Cleanup(s.Close)
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.Close)
+	return srv.URL
+}
+
+// ask sends a request whose body has the given size and reads its answer.
+func ask(t *testing.T, method, url string, size int) (status int, body string, h http.Header, err error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(strings.Repeat("u", size)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer secret-bearer")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), resp.Header, err
+}
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -23,6 +23,7 @@
 	"flamingorudder.example/internal/claim"
 	"flamingorudder.example/internal/dispatch"
 	"flamingorudder.example/internal/engine"
+	"flamingorudder.example/internal/http1"
 	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/retry"
 	"flamingorudder.example/internal/timeline"
@@ -32,16 +33,16 @@
 // plains holds the connections to plain services.
 type plains struct {
 	// pooled keeps connections open, for calls that may be repeated.
-	pooled *http.Transport
+	pooled *http1.Transport
 	// fresh opens a connection for each call. Calls that must not be repeated use it: on a connection that has been
 	// idle, a close by the backend server cannot be told from a call that was run, and net/http sends some calls again
 	// on its own.
-	fresh *http.Transport
+	fresh *http1.Transport
 }
 
 func newPlains(dial engine.DialFunc) plains {
-	tr := func(fresh bool) *http.Transport {
-		return &http.Transport{
+	tr := func(fresh bool) *http1.Transport {
+		return http1.NewTransport(&http.Transport{
 			DialContext:         dial,
 			DisableKeepAlives:   fresh,
 			MaxIdleConnsPerHost: 64,
@@ -49,7 +50,7 @@
 			DisableCompression:  true,
 			// Headers are held in memory, so a fault of a backend server must not make them large.
 			MaxResponseHeaderBytes: 64 << 10,
-		}
+		})
 	}
 	return plains{pooled: tr(false), fresh: tr(true)}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -23,6 +23,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"flamingorudder.example/internal/http1"
 	"flamingorudder.example/internal/timer"
 	"flamingorudder.example/internal/traffic"
 )
@@ -236,7 +237,7 @@
 	dial DialFunc
 	mu   sync.Mutex
 	// pools has a transport per engine, so that all connections to one engine can be dropped together.
-	pools map[netip.AddrPort]*http.Transport
+	pools map[netip.AddrPort]*http1.Transport
 	// noReuse opens a new connection for each request.
 	noReuse http.RoundTripper
 	// override, if set, is used instead of pools and noReuse.
@@ -259,7 +260,7 @@
 
 // NewClientWithDialer is like NewClient, but opens connections with dial.
 func NewClientWithDialer(dial DialFunc) (*Client, func()) {
-	c := &Client{pools: map[netip.AddrPort]*http.Transport{}}
+	c := &Client{pools: map[netip.AddrPort]*http1.Transport{}}
 	c.dial = c.traffic.Dial(dial)
 	noReuse := c.newTransport()
 	noReuse.DisableKeepAlives = true
@@ -273,13 +274,13 @@
 	}
 }
 
-func (c *Client) newTransport() *http.Transport {
-	return &http.Transport{
+func (c *Client) newTransport() *http1.Transport {
+	return http1.NewTransport(&http.Transport{
 		DialContext:         c.dial,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
-	}
+	})
 }
 
 // maxPools bounds the number of engines that connections are kept to. A daemon uses only a small subset of the fleet.
--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -126,6 +126,7 @@
 
 // newStoreSync returns a storeSync without any data and a function that closes the idle connections to peers.
 func newStoreSync(d *Daemon) (*storeSync, func()) {
+	// Without the checks of http1: requests to peers have no body, and daemons send responses whose end is known.
 	t := &http.Transport{
 		DialContext: netopt.Dialer(peerTimeout).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: storeTimeout * 4,
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"flamingorudder.example/internal/http1"
 	"flamingorudder.example/internal/traffic"
 )
 
@@ -154,11 +155,11 @@
 // NewClientWithDialer is like NewClient, but opens connections with dial. Errors of dial must be a *net.OpError with Op "dial".
 func NewClientWithDialer(addr netip.AddrPort, dial func(ctx context.Context, network, addr string) (net.Conn, error)) (*Client, func()) {
 	c := &Client{base: "http://" + addr.String(), cache: map[string]cachedResponse{}}
-	tr := &http.Transport{
+	tr := http1.NewTransport(&http.Transport{
 		DialContext:         c.traffic.Dial(dial),
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     30 * time.Second,
-	}
+	})
 	c.http = &http.Client{Transport: tr}
 	return c, tr.CloseIdleConnections
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 )
 
 // Counter counts connections and all bytes on them, including headers. The zero value is ready to use. It is safe for
@@ -37,6 +38,15 @@
 	counter *Counter
 }
 
+// SyscallConn returns the socket, for its options and state. It fails for a connection without one.
+func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.ENOTSOCK
+	}
+	return s.SyscallConn()
+}
+
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.counter.in.Add(uint64(max(n, 0)))
