Reject responses with a blank in the name of a field

What callers saw: a 200 without the line whose name held a blank. Where that line was "Content-Length : 5" or "Transfer-Encoding : chunked", the body had another length, or held the sizes of the chunks, under a length of our own.

Cause: net/textproto accepts blanks in names and takes "Content-Length " for a field of its own, so the framing that the backend server meant is not applied. Both interfaces, the clients of both stores, the reports of and the orders to backend servers had it. The same holds for trailers.

Names with a tab, another control byte, a byte over 0x7f, a bracket, no name and no colon were rejected before; their cases stay.

Change: http1.CheckHead also looks at the names of the head, informational and stray responses included, and http1.CheckTrailer at those of the trailer, at the end of the body. A broken trailer breaks the answer off, as one with a control byte did before.

Why it works: the blank is the only byte not allowed in a name that net/textproto lets through, and it keeps such names in the map as they came.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -130,6 +130,9 @@
 func (a *Response) Read(b []byte) (int, error) {
 	n, err := a.resp.Body.Read(b)
 	if errors.Is(err, io.EOF) {
+		if malformed := http1.CheckTrailer(a.resp); malformed != nil {
+			return n, malformed
+		}
 		a.bodyRead = true
 	}
 	return n, err
--- a/internal/backend/broken_test.go
+++ b/internal/backend/broken_test.go
@@ -160,6 +160,48 @@
 	}
 }
 
+// TestInvalidFieldName guards against responses with an invalid name of a field. Without the field, the body may not be the one that was
+// meant.
+func TestInvalidFieldName(t *testing.T) {
+	const plain = "Content-Length: 4\r\n\r\nbody"
+	for name, text := range map[string]string{
+		"blank before the colon": ownHead + "X-Odd : 1\r\n" + plain,
+		"blank inside":           ownHead + "X Odd: 1\r\n" + plain,
+		"length":                 ownHead + "Content-Length : 4\r\n\r\nbody",
+		"encoding":               ownHead + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"two lengths":            ownHead + "Content-Length : 2\r\n" + plain,
+		"tab before the colon":   ownHead + "X-Odd\t: 1\r\n" + plain,
+		"tab inside":             ownHead + "X\tOdd: 1\r\n" + plain,
+		"control byte":           ownHead + "X-\x01Odd: 1\r\n" + plain,
+		"null byte":              ownHead + "X-Odd\x00: 1\r\n" + plain,
+		"delete":                 ownHead + "X-Odd\x7f: 1\r\n" + plain,
+		"carriage return":        ownHead + "X-\rOdd: 1\r\n" + plain,
+		"byte over 0x7f":         ownHead + "X-\xc3\xa4: 1\r\n" + plain,
+		"bracket":                ownHead + "X(Odd): 1\r\n" + plain,
+		"no name":                ownHead + ": 1\r\n" + plain,
+		"no colon":               ownHead + "X-Odd\r\n" + plain,
+		"leading blank":          "HTTP/1.1 200 OK\r\n X-Odd: 1\r\nX-Flamingorudder-Request-Id: r1\r\n" + plain,
+		"no content":             "HTTP/1.1 204 No Content\r\nX-Flamingorudder-Request-Id: r1\r\nX Odd: 1\r\n\r\n",
+		"informational response": "HTTP/1.1 103 Early Hints\r\nLink : </a>\r\n\r\n" + response("r1", "body"),
+		"stray response":         "HTTP/1.1 200 OK\r\nX-Flamingorudder-Request-Id: other\r\nContent-Length : 400\r\nContent-Length: 0\r\n\r\n" + response("r1", "body"),
+		"id":                     "HTTP/1.1 200 OK\r\nX-Flamingorudder-Request-Id : r1\r\n" + plain,
+		"trailer":                ownHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Odd : 1\r\n\r\n",
+		"declared trailer":       ownHead + "Trailer: X Odd\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Odd: 1\r\n\r\n",
+		"control byte, trailer":  ownHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-\x01Odd: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, _ := listen(t, func(c net.Conn, r *bufio.Reader) {
+				if _, ok := readRequest(r); ok {
+					_, _ = io.WriteString(c, text)
+				}
+			})
+			if body, resp, err := exchange(t, server, request("r1")); err == nil {
+				t.Errorf("body %q, headers %v", body, resp.Header)
+			}
+		})
+	}
+}
+
 // TestMalformedResponse checks the type of the error of a malformed response: the request may have run.
 func TestMalformedResponse(t *testing.T) {
 	server, _ := listen(t, func(c net.Conn, r *bufio.Reader) {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -33,6 +33,9 @@
 	for name, answer := range map[string]rawserver.Answer{
 		"reset":            rawserver.Reset("HTTP/1.1 200"+own+"\r\n"+chunk(0, false), 20*time.Millisecond),
 		"status 000":       rawserver.Text("HTTP/1.1 000" + own + "\r\n" + whole),
+		"blank in a name":  rawserver.Text("HTTP/1.1 200" + own + "X Odd: 1\r\n\r\n" + whole),
+		"blank, encoding":  rawserver.Text("HTTP/1.1 200" + own + "Transfer-Encoding : chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(whole), whole)),
+		"control byte":     rawserver.Text("HTTP/1.1 200" + own + "X-\x01Odd: 1\r\n\r\n" + whole),
 		"status 000, then": rawserver.Text("HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200" + own + "\r\n" + whole),
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -55,7 +58,7 @@
 
 // TestMalformedAnswerToOrder guards against an order that counts as accepted by a malformed response.
 func TestMalformedAnswerToOrder(t *testing.T) {
-	for _, head := range []string{"HTTP/1.1 000 X\r\n"} {
+	for _, head := range []string{"HTTP/1.1 200 X\r\nX Odd: 1\r\n", "HTTP/1.1 200 X\r\nX-\x01Odd: 1\r\n", "HTTP/1.1 000 X\r\n"} {
 		c, closeClient := NewClient()
 		addr := start(t, rawserver.Text(head+"Content-Length: 2\r\n\r\n{}"))
 		if err := c.Order(context.Background(), addr, Order{Op: OpLoad, Group: "g"}); err == nil {
--- a/internal/entry/broken_test.go
+++ b/internal/entry/broken_test.go
@@ -83,7 +83,11 @@
 			rawserver.Text(head("000", r)+"\r\n")(c, r)
 			writeAnswer(c, r, 200, event(1))
 		},
-		"status 099": send("099", "\r\n"+event(1)),
+		"status 099":      send("099", "\r\n"+event(1)),
+		"blank in a name": send("200", fmt.Sprintf("X Odd: 1\r\nContent-Length: %d\r\n\r\n%s", len(event(1)), event(1))),
+		"blank, length":   send("200", fmt.Sprintf("Content-Length : %d\r\n\r\n%s", len(event(1)), event(1))),
+		"blank, chunks":   send("200", fmt.Sprintf("Transfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(event(1)), event(1))),
+		"control byte":    send("200", fmt.Sprintf("X-\x01Odd: 1\r\nContent-Length: %d\r\n\r\n%s", len(event(1)), event(1))),
 	}
 	for wait, size := range map[time.Duration]int{time.Millisecond: 0, 20 * time.Millisecond: 5000, 200 * time.Millisecond: longBody} {
 		out[fmt.Sprintf("reset after %v and %d bytes", wait, size)] = func(c *net.TCPConn, r *http.Request) {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -1,14 +1,17 @@
 // Package http1 completes net/http's checks of HTTP/1.1 responses.
 //
-// net/http accepts statuses below 100, and takes the end of a connection that was reset for
-// the end of a response without a length if the reset was reported to the goroutine that writes the request.
+// net/http accepts statuses below 100 and names of fields that hold a blank, and takes the end of a connection that was reset for the end
+// of a response without a length if the reset was reported to the goroutine that writes the request.
 package http1
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 
 	"flamingorudder.example/internal/netopt"
 )
@@ -27,6 +30,23 @@
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		return &MalformedError{"a switch of protocols that was not requested"}
 	}
+	return checkNames(resp.Header)
+}
+
+// CheckTrailer returns a *MalformedError if the trailer of a response is not valid. It is called at the end of the body.
+func CheckTrailer(resp *http.Response) error { return checkNames(resp.Trailer) }
+
+// maxQuoted bounds the part of a name that an error shows.
+const maxQuoted = 64
+
+// checkNames rejects the only byte that net/textproto accepts in a name although it is not allowed. It takes "Content-Length " for a
+// name of its own, so that the body has another length than was meant.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if strings.Contains(name, " ") {
+			return &MalformedError{fmt.Sprintf("name of a field %q", name[:min(len(name), maxQuoted)])}
+		}
+	}
 	return nil
 }
 
@@ -59,5 +79,24 @@
 		}
 		return nil, err
 	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &chunkedBody{resp.Body, resp}
+	}
 	return resp, nil
 }
+
+// chunkedBody is the body of a response that may have a trailer.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if malformed := CheckTrailer(b.resp); malformed != nil {
+			return n, malformed
+		}
+	}
+	return n, err
+}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -105,14 +105,19 @@
 	}
 }
 
-// TestMalformedHead guards against responses whose status is not valid, and against the use of their connections.
+// TestMalformedHead guards against responses whose status or names of fields are not valid, and against the use of their connections.
 func TestMalformedHead(t *testing.T) {
 	for name, text := range map[string]string{
-		"status 000":          "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nbody",
-		"status 000, no body": "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
-		"status 099":          "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n",
-		"status +01":          "HTTP/1.1 +01 X\r\nContent-Length: 0\r\n\r\n",
-		"status 101":          "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+		"status 000":             "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nbody",
+		"status 000, no body":    "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+		"status 099":             "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n",
+		"status +01":             "HTTP/1.1 +01 X\r\nContent-Length: 0\r\n\r\n",
+		"status 101":             "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+		"blank before the colon": okHead + "X-Odd : 1\r\nContent-Length: 4\r\n\r\nbody",
+		"blank inside":           okHead + "X Odd: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"blank, no content":      "HTTP/1.1 204 No Content\r\nX Odd: 1\r\n\r\n",
+		"length":                 okHead + "Content-Length : 4\r\nContent-Length: 0\r\n\r\n",
+		"encoding":               okHead + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			url, conns := start(t, rawserver.Text(text))
@@ -129,6 +134,28 @@
 			}
 		})
 	}
+	for name, text := range map[string]string{
+		"control byte": okHead + "X-\x01Odd: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"tab":          okHead + "X-Odd\t: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"no name":      okHead + ": 1\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			url, _ := start(t, rawserver.Text(text))
+			if status, body, err := post(t, transport(t), url, 1); err == nil {
+				t.Errorf("status %d, body %q", status, body)
+			}
+		})
+	}
+}
+
+// TestMalformedTrailer guards against bodies that look complete although what follows them is not valid.
+func TestMalformedTrailer(t *testing.T) {
+	for _, line := range []string{"X-Odd : 1", "X Odd: 1", "X-\x01Odd: 1"} {
+		url, _ := start(t, rawserver.Text(okHead+"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+line+"\r\n\r\n"))
+		if status, body, err := post(t, transport(t), url, 1); err == nil {
+			t.Errorf("%q: status %d, body %q", line, status, body)
+		}
+	}
 }
 
 // TestValidResponses checks that connections are reused after valid responses.
@@ -138,6 +165,7 @@
 		"chunks":       okHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Fine: 1\r\n\r\n",
 		"no content":   "HTTP/1.1 204 No Content\r\n\r\n",
 		"not modified": "HTTP/1.1 304 Not Modified\r\n\r\n",
+		"folded line":  okHead + "X-Folded: a\r\n b: c\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			url, conns := start(t, rawserver.Text(text))
--- a/internal/platform/broken_test.go
+++ b/internal/platform/broken_test.go
@@ -11,7 +11,7 @@
 
 // TestMalformedResponse guards against a transaction that counts as committed by a malformed response.
 func TestMalformedResponse(t *testing.T) {
-	for _, head := range []string{"HTTP/1.1 000 X\r\n"} {
+	for _, head := range []string{"HTTP/1.1 000 X\r\n", "HTTP/1.1 200 X\r\nX Odd: 1\r\n", "HTTP/1.1 200 X\r\nX-Odd : 1\r\n"} {
 		addr, stop, err := rawserver.Start(rawserver.Text(head + "Content-Length: 13\r\n\r\n{\"version\":1}"))
 		if err != nil {
 			t.Fatal(err)
