Have the soak's backend servers break some of their answers

Cause: neither the stand-ins nor the soak sent an answer that was cut off during an upload, or one with a malformed head, so none of the three faults showed in a run.

Change: from seed 5000 on, a backend server breaks one answer in twelve: half a body without a length and a reset, the status 000, or a blank in the name of a field. One request in four that has a body is an upload of 900 KiB, more than the buffers on the way hold; the proxies get bounded buffers for that. The proxies had the first fault themselves and now pass resets on as resets (TestProxyPassesResets fails without that).

--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -105,6 +105,7 @@
 			&cli.DurationFlag{Name: "work", Usage: "duration of a plain request, and time between events of a stream", Value: 20 * time.Millisecond},
 			&cli.DurationFlag{Name: "cold", Usage: "how long the server is cold after it starts and after SIGUSR1"},
 			&cli.IntFlag{Name: "cold-crash", Usage: "requests in a second that a cold server bears; it crashes above that, 0 for never"},
+			&cli.IntFlag{Name: "broken", Usage: "one request in this many gets a broken answer; 0 for none"},
 			&cli.StringFlag{Name: "models", Usage: "models as JSON; unset for a plain service"},
 		},
 		Action: runServer,
@@ -116,6 +117,7 @@
 		ID: c.String("id"), Service: c.String("service"), DataCentre: c.String("data-centre"), Domain: c.String("domain"),
 		Slots: c.Int("slots"), Beat: c.Duration("beat"), Drain: c.Duration("drain"), Linger: c.Duration("linger"), Form: c.Duration("form"),
 		Stall: c.Duration("stall"), Work: c.Duration("work"), Cold: c.Duration("cold"), ColdCrash: c.Int("cold-crash"),
+		Broken: c.Int("broken"),
 	}
 	if opts.Cold > 0 {
 		cold := make(chan os.Signal, 1)
--- /dev/null
+++ b/internal/fakeplatform/broken.go
@@ -0,0 +1,61 @@
+package fakeplatform
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"flamingorudder.example/internal/timer"
+	"flamingorudder.example/platform"
+)
+
+// longestHalf is how long a server at most waits before it resets the connection of half an answer.
+const longestHalf = 100 * time.Millisecond
+
+// breaks reports whether a server breaks its answer to a request. Other servers answer the same request.
+func (s *Server) breaks(id string) bool {
+	return s.o.Broken > 0 && int(Sum([]byte(s.o.ID+id)))%s.o.Broken == 0
+}
+
+// breakAnswer runs nothing and answers with half a body, or with a malformed head. A reset comes before the request has been read.
+func (s *Server) breakAnswer(w http.ResponseWriter, r *http.Request, id string, after int) {
+	form := int(Sum([]byte(id+s.o.ID))) % 4
+	if form > 0 {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return // the daemon has left
+		}
+	}
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	body := Text(id, nil)
+	header := http.Header{}
+	platform.SetResponseHeader(header, id, s.o.ID+"."+id, false)
+	if len(s.o.Models) > 0 {
+		header.Set("Content-Type", "text/event-stream")
+		body = EventText(id, after+1)
+	}
+	var head bytes.Buffer
+	_ = header.Write(&head) // never fails
+	status, length := "200", fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	switch form {
+	case 0:
+		length = ""
+	case 1:
+		status = "000"
+	case 2:
+		head.WriteString("X Odd: 1\r\n")
+	case 3:
+		length = fmt.Sprintf("Content-Length : %d\r\n", len(body))
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s X\r\n%s%s\r\n%s", status, head.Bytes(), length, body) // the daemon may have left
+	if tcp, ok := c.(*net.TCPConn); ok && form == 0 {
+		_ = timer.Wait(r.Context(), time.Duration(Sum([]byte(id)))%longestHalf)
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+}
--- a/internal/fakeplatform/server.go
+++ b/internal/fakeplatform/server.go
@@ -106,6 +106,8 @@
 	Cold      time.Duration
 	MakeCold  <-chan os.Signal
 	ColdCrash int
+	// Broken is one request in that many that gets a broken answer; 0 for none.
+	Broken int
 	// Told is called with every event, one at a time.
 	Told func(Event)
 }
@@ -599,16 +601,20 @@
 
 // work runs a caller's request.
 func (s *Server) work(w http.ResponseWriter, r *http.Request, f platform.Forwarding) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return // the daemon has left
-	}
 	call := platform.ParseRequestInfo(r.Header)
 	id := call.ID
 	after, err := strconv.Atoi(f.LastEvent)
 	if err != nil {
 		after = 0 // a new stream
 	}
+	if s.breaks(id) {
+		s.breakAnswer(w, r, id, after)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the daemon has left
+	}
 	s.mu.Lock()
 	status := s.rejects()
 	if status != http.StatusMisdirectedRequest {
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -20,6 +20,8 @@
 	"golang.org/x/sys/unix"
 
 	"flamingorudder.example/internal/fakeplatform"
+	"flamingorudder.example/internal/netopt"
+	"flamingorudder.example/internal/rawserver"
 	"flamingorudder.example/internal/timer"
 )
 
@@ -558,6 +560,37 @@
 	}
 }
 
+// TestProxyPassesResets guards against a proxy that passes a reset on as the end of an answer: the server resets the connection while an
+// upload passes through, and the proxy's write may be told of it in place of its read.
+func TestProxyPassesResets(t *testing.T) {
+	addr, stopServer, err := rawserver.Start(rawserver.Reset("HTTP/1.1 200 OK\r\n\r\npart", 20*time.Millisecond))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stopServer()
+	p, stop, err := newFleet(Options{}).proxy(addr, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	for range 20 {
+		c, err := netopt.DialConn((&net.Dialer{}).DialContext)(t.Context(), "tcp4", p.Addr.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		var upload errgroup.Group
+		upload.Go(func() error {
+			_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8000000\r\n\r\n"+strings.Repeat("u", 8_000_000)) // is cut off
+			return nil
+		})
+		if b, err := io.ReadAll(c); err == nil {
+			t.Errorf("%q looks complete", b)
+		}
+		_ = c.Close()
+		_ = upload.Wait()
+	}
+}
+
 // TestQuietCount guards against a count of requests on a silent way that takes in others, or leaves out failures.
 func TestQuietCount(t *testing.T) {
 	a := NewAudit(bounds)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -174,6 +174,9 @@
 	coldCrash   = 2
 )
 
+// brokenShare is one request in that many whose answer a backend server breaks from firstOfBrokenAnswers on.
+const brokenShare = 12
+
 // dataCentres is the number of data centres from firstOfEvacuations on. Daemons and backend servers alternate between them.
 const dataCentres = 2
 
@@ -507,6 +510,9 @@
 	if f.o.Seed >= firstOfEvacuations {
 		args = append(args, "--data-centre", s.dataCentre, "--cold", coldTime.String(), "--cold-crash", strconv.Itoa(coldCrash*coldLimit))
 	}
+	if f.o.Seed >= firstOfBrokenAnswers {
+		args = append(args, "--broken", strconv.Itoa(brokenShare))
+	}
 	if s.service == modelService {
 		models, err := json.Marshal(models)
 		if err != nil {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -100,6 +100,9 @@
 // firstOfEvacuations is the first seed with evacuations of data centres, cold backend servers and callers that read slowly.
 const firstOfEvacuations = 4000
 
+// firstOfBrokenAnswers is the first seed with long uploads, and with backend servers that break some of their answers.
+const firstOfBrokenAnswers = 5000
+
 // hidesHeartbeats tells whether the store of a seed shows no entry of which only the heartbeat has changed.
 func hidesHeartbeats(seed uint64) bool { return seed >= firstOfSilences && seed/plannedOnly%2 == 1 }
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/fakeplatform"
+	"flamingorudder.example/internal/netopt"
 	"flamingorudder.example/internal/timer"
 )
 
@@ -197,26 +198,40 @@
 		delete(p.conns, in)
 		delete(p.conns, out)
 	}()
+	for _, c := range []*net.TCPConn{in, out} {
+		// A proxy that took a whole upload would hide from a daemon that the server reads none of it.
+		_, _ = c.SetReadBuffer(proxyBuffer), c.SetWriteBuffer(proxyBuffer) // without the bound the connection works too
+	}
+	client, server := peerConn{netopt.NewConn(in), in}, peerConn{netopt.NewConn(out), out}
 	var g errgroup.Group
-	g.Go(func() error { return p.copy(out, in, Deaf, owner) })
-	g.Go(func() error { return p.copy(in, out, Dumb, owner) })
+	g.Go(func() error { return p.copy(server, client, Deaf, owner) })
+	g.Go(func() error { return p.copy(client, server, Dumb, owner) })
 	_ = g.Wait() // both directions have ended
 }
 
+// proxyBuffer is the size of the socket buffers of a proxy.
+const proxyBuffer = 64 << 10
+
+// peerConn is a connection of a proxy. A reset that its Write gets is not read as the end of the connection, which would be passed on as one.
+type peerConn struct {
+	*netopt.Conn
+	tcp *net.TCPConn
+}
+
 // cutPeriod is how often a silent connection of a daemon that is cut off is looked at.
 const cutPeriod = 50 * time.Millisecond
 
 // copy passes bytes of a daemon's connection on in one direction. drop is the harm that swallows them.
-func (p *Proxy) copy(to, from *net.TCPConn, drop Harm, owner string) error {
+func (p *Proxy) copy(to, from peerConn, drop Harm, owner string) error {
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
 		p.hold(owner)
 		if err != nil {
 			if errors.Is(err, io.EOF) {
-				return to.CloseWrite()
+				return to.tcp.CloseWrite()
 			}
-			reset(to)
+			reset(to.tcp)
 			return err
 		}
 		p.mu.Lock()
@@ -226,16 +241,16 @@
 			for p.cuts.harm(owner) == Silence {
 				_ = timer.Wait(context.Background(), cutPeriod) // never ends early
 			}
-			reset(to)
-			reset(from)
+			reset(to.tcp)
+			reset(from.tcp)
 			return nil
 		}
 		switch harm {
 		case Silence, drop:
 			// Later bytes must not follow a gap, so the connection goes when the harm ends.
 			<-changed
-			reset(to)
-			reset(from)
+			reset(to.tcp)
+			reset(from.tcp)
 			return nil
 		case Delay:
 			if err := timer.Wait(context.Background(), delayed); err != nil {
@@ -243,7 +258,7 @@
 			}
 		}
 		if _, err := to.Write(b[:n]); err != nil {
-			reset(from)
+			reset(from.tcp)
 			return err
 		}
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -49,6 +49,10 @@
 	callerLimit = 4 * time.Second
 	// slowShare is one slow request in that many.
 	slowShare = 12
+	// uploadShare is one long upload in that many requests from firstOfBrokenAnswers on. An upload is longer than what all buffers between a
+	// daemon and a backend server hold.
+	uploadShare  = 4
+	uploadLength = 900 << 10
 	// restoreTime is how long the store is away before it comes back from a copy, and the operator needs to write again.
 	restoreTime = 400 * time.Millisecond
 )
@@ -280,6 +284,9 @@
 		ask.Path = "/" + versionRoute(version) + "/"
 	case Read:
 	}
+	if r.o.Seed >= firstOfBrokenAnswers && len(ask.Body) > 0 && fakeplatform.Sum([]byte(id))%uploadShare == 0 {
+		ask.Body = append(ask.Body, make([]byte, uploadLength)...)
+	}
 	r.auditMu.Lock()
 	r.audit.Sent(time.Now(), ask, kind, org, daemon, version)
 	r.auditMu.Unlock()
