--- a/internal/entry/broken_test.go
+++ b/internal/entry/broken_test.go
@@ -68,6 +68,12 @@
 // longBody is the length of a body whose beginning is forwarded before its end is read.
 const longBody = maxReadAhead + 10_000
 
+// longUpload is a body that fills the buffers on the way to a backend server, uploadConfig a configuration that admits it.
+var (
+	longUpload   = strings.Repeat("u", 6<<20)
+	uploadConfig = strings.Replace(fmt.Sprintf(testConfig, 1, ""), `"maxBodyBytes":1000`, `"maxBodyBytes":8000000`, 1)
+)
+
 // brokenAnswers returns what a backend server sends in place of a whole answer.
 func brokenAnswers() map[string]rawserver.Answer {
 	head := func(status string, r *http.Request) string {
@@ -104,13 +110,11 @@
 // TestBrokenAnswers guards against broken answers reaching callers as whole ones. An unsafe request runs once and gets 502, a safe one
 // runs at another backend server, and a stream goes on at another group. The server still runs, so no request counts as its end.
 func TestBrokenAnswers(t *testing.T) {
-	config := strings.Replace(fmt.Sprintf(testConfig, 1, ""), `"maxBodyBytes":1000`, `"maxBodyBytes":8000000`, 1)
-	upload := strings.Repeat("u", 6<<20)
 	for name, answer := range brokenAnswers() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			store := fakeplatform.NewStore()
-			store.Put("op", "config", []byte(config))
+			store.Put("op", "config", []byte(uploadConfig))
 			log := &lockedBuffer{}
 			u := startDaemon(t, store, "a", func(d *Daemon) { d.log = hclog.New(&hclog.LoggerOptions{Output: log, Level: hclog.Debug}) })
 			broken, requests := brokenServer(t, answer)
@@ -118,10 +122,10 @@
 			u.putServer("i-2", "llm", broken, fmt.Sprintf(openGroup, 1))
 			u.waitReady()
 			stream := func() reply {
-				return u.do(http.MethodPost, "/stream/", "k1", upload, "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20", "X-Flamingorudder-Deadline-Ms", "1000")
+				return u.do(http.MethodPost, "/stream/", "k1", longUpload, "X-Flamingorudder-Model", "m", "X-Flamingorudder-Token-Usage", "100,20", "X-Flamingorudder-Deadline-Ms", "1000")
 			}
 			before := requests.Load()
-			r := u.do(http.MethodPost, "/unsafe/", "k1", upload)
+			r := u.do(http.MethodPost, "/unsafe/", "k1", longUpload)
 			if r.err == nil && (r.status != http.StatusBadGateway || r.h.Get("X-Flamingorudder-Not-Executed") != "") {
 				t.Errorf("unsafe: status %d, %d bytes, headers %v", r.status, len(r.body), r.h)
 			}
@@ -153,7 +157,7 @@
 				}
 			}
 			reach("safe request", func() {
-				r := u.do(http.MethodPost, "/safe/", "k1", upload)
+				r := u.do(http.MethodPost, "/safe/", "k1", longUpload)
 				begun := strings.HasSuffix(name, fmt.Sprint(longBody, " bytes")) && r.err != nil // too late for another server
 				if !begun && (r.err != nil || r.status != 200 || r.body != "fine") {
 					t.Errorf("safe: status %d, %d bytes, error %v", r.status, len(r.body), r.err)
@@ -171,6 +175,44 @@
 	}
 }
 
+// TestBrokenAnswersHandedOver guards against broken answers reaching callers as whole ones through another daemon, to which a daemon without a
+// path to the backend servers has handed the request over.
+func TestBrokenAnswersHandedOver(t *testing.T) {
+	for name, answer := range brokenAnswers() {
+		if !strings.HasPrefix(name, "reset") && name != "status 000" && name != "blank, length" {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := fakeplatform.NewStore()
+			store.Put("op", "config", []byte(uploadConfig))
+			var cut pathCut
+			a, b := startDaemon(t, store, "a", cut.apply), startDaemon(t, store, "b")
+			broken, requests := brokenServer(t, answer)
+			for i := range 3 {
+				a.putServer(fmt.Sprint("i-", i), "plain", broken, "null")
+			}
+			for _, u := range []*daemonUnderTest{a, b} {
+				u.waitReady()
+				eventually(t, "the daemon hears the other one", func() bool { return len(u.d.livePeers(time.Now())) == 1 })
+			}
+			cut.set("hang")
+			eventually(t, "the daemon finds that it has no path", func() bool {
+				_ = a.do(http.MethodGet, "/safe/", "k1", "", "X-Flamingorudder-Deadline-Ms", "300")
+				return a.d.paths.lost("plain")
+			})
+			before := requests.Load()
+			r := a.do(http.MethodPost, "/unsafe/", "k1", longUpload)
+			if r.err == nil && (r.status != http.StatusBadGateway || r.h.Get("X-Flamingorudder-Not-Executed") != "") {
+				t.Errorf("status %d, %d bytes, headers %v", r.status, len(r.body), r.h)
+			}
+			if n := requests.Load() - before; n != 1 {
+				t.Errorf("the request was sent %d times", n)
+			}
+		})
+	}
+}
+
 // TestMalformedResponseIsNotCutOff guards against a malformed response that counts as the end of its backend server, or of the path to it.
 func TestMalformedResponseIsNotCutOff(t *testing.T) {
 	for err, want := range map[error]bool{&http1.MalformedError{Reason: "status 000"}: false, io.ErrUnexpectedEOF: true, syscall.ECONNRESET: true} {
