Name the forms of broken answers in the stand-in

Cause: the forms were bare numbers.

Change: constants; comments of http1 and backend say less.

Measured: the tests of fakeplatform and http1 pass; all programs build for arm64, where nothing was run.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -465,7 +465,7 @@
 		return false, err
 	}
 	p.writers.Go(func() error {
-		// The read of the response fails too: checked keeps the error if the kernel does not report it to both.
+		// After an error the read of the response fails too, as checked keeps it.
 		_, _ = c.checked.Write(req.Body)
 		return nil
 	})
--- a/internal/fakeplatform/broken.go
+++ b/internal/fakeplatform/broken.go
@@ -12,18 +12,27 @@
 	"flamingorudder.example/platform"
 )
 
-// longestHalf is how long a server at most waits before it resets the connection of half an answer.
-const longestHalf = 100 * time.Millisecond
+// Forms of broken answers.
+const (
+	// cutOff is half an answer without a length, sent before the request has been read. The connection is reset up to maxResetDelay later.
+	cutOff = iota
+	statusZero
+	blankInName
+	blankInLength
+	brokenForms
+)
+
+const maxResetDelay = 100 * time.Millisecond
 
 // breaks reports whether a server breaks its answer to a request. Other servers answer the same request.
 func (s *Server) breaks(id string) bool {
 	return s.o.Broken > 0 && int(Sum([]byte(s.o.ID+id)))%s.o.Broken == 0
 }
 
-// breakAnswer runs nothing and answers with half a body, or with a malformed head. A reset comes before the request has been read.
+// breakAnswer answers a request that it does not run in one of the broken forms.
 func (s *Server) breakAnswer(w http.ResponseWriter, r *http.Request, id string, after int) {
-	form := int(Sum([]byte(id+s.o.ID))) % 4
-	if form > 0 {
+	form := int(Sum([]byte(id+s.o.ID))) % brokenForms
+	if form != cutOff {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return // the daemon has left
 		}
@@ -44,18 +53,18 @@
 	_ = header.Write(&head) // never fails
 	status, length := "200", fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	switch form {
-	case 0:
+	case cutOff:
 		length = ""
-	case 1:
+	case statusZero:
 		status = "000"
-	case 2:
+	case blankInName:
 		head.WriteString("X Odd: 1\r\n")
-	case 3:
+	case blankInLength:
 		length = fmt.Sprintf("Content-Length : %d\r\n", len(body))
 	}
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s X\r\n%s%s\r\n%s", status, head.Bytes(), length, body) // the daemon may have left
-	if tcp, ok := c.(*net.TCPConn); ok && form == 0 {
-		_ = timer.Wait(r.Context(), time.Duration(Sum([]byte(id)))%longestHalf)
+	if tcp, ok := c.(*net.TCPConn); ok && form == cutOff {
+		_ = timer.Wait(r.Context(), time.Duration(Sum([]byte(id)))%maxResetDelay)
 		_ = tcp.SetLinger(0) // fails only on a closed connection
 	}
 }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -51,7 +51,7 @@
 }
 
 // Transport is an http.Transport that fails with *MalformedError for responses that are not valid, and reads no response that was cut
-// off by a reset as complete. It never requests a switch of protocols.
+// off by a reset as complete.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a Transport that uses base, whose DialContext it replaces.
