Cut broken answers of the stand-in off after a true beginning

Cause: a server that breaks its answer before it has read the request does not know the sum that the answer holds, so half an answer was no beginning of the whole one.

Change: the part that is sent ends before the sum.

--- a/internal/fakeplatform/broken.go
+++ b/internal/fakeplatform/broken.go
@@ -42,7 +42,7 @@
 		return
 	}
 	defer func() { _ = c.Close() }()
-	body := Text(id, nil)
+	body := beginning(id)
 	header := http.Header{}
 	platform.SetResponseHeader(header, id, s.o.ID+"."+id, false)
 	if len(s.o.Models) > 0 {
--- a/internal/fakeplatform/server.go
+++ b/internal/fakeplatform/server.go
@@ -746,9 +746,12 @@
 
 // Text is the body of the answer to a plain request.
 func Text(id string, body []byte) string {
-	return fmt.Sprintf("answer to %s of %d%s\n", id, Sum(body), padding(id, bigAnswer))
+	return fmt.Sprintf("%s%d%s\n", beginning(id), Sum(body), padding(id, bigAnswer))
 }
 
+// beginning is the part of a Text that does not depend on the body of the request.
+func beginning(id string) string { return "answer to " + id + " of " }
+
 // Length is the number of events of the answer to a stream.
 func Length(id string) int {
 	n := 3 + int(Sum([]byte(id))%20)
