Excuse requests that got a broken answer from being lost in the soak

Cause: a broken answer uses up an attempt.

Change: backend servers tell of broken answers, and "planned work loses nothing" leaves out the requests that got one, and no others (two cases in TestAudit).

The tests of soak and fakeplatform pass.

--- a/internal/fakeplatform/broken.go
+++ b/internal/fakeplatform/broken.go
@@ -31,6 +31,9 @@
 
 // breakAnswer answers a request that it does not run in one of the broken forms.
 func (s *Server) breakAnswer(w http.ResponseWriter, r *http.Request, id string, after int) {
+	s.mu.Lock()
+	s.tell(Event{Kind: Spoiled, ID: id})
+	s.mu.Unlock()
 	form := int(Sum([]byte(id+s.o.ID))) % brokenForms
 	if form != cutOff {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
--- a/internal/fakeplatform/server.go
+++ b/internal/fakeplatform/server.go
@@ -53,6 +53,8 @@
 	Drains Kind = "drains"
 	// Refused is a request that arrived and was rejected with 503.
 	Refused Kind = "refused"
+	// Spoiled is a request that got a broken answer and was not run.
+	Spoiled Kind = "spoiled"
 	// Cold means that the store has acknowledged an entry by which the server is cold.
 	Cold Kind = "cold"
 )
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -291,6 +291,21 @@
 			a.Answered(at(time.Second), "r", fakeplatform.Reply{Err: io.ErrUnexpectedEOF})
 			a.Lost()
 		}},
+		{"lost after a broken answer to another request", "planned work loses nothing", func(a *Audit) {
+			a.Sent(t0, ask("q", Read), Read, "north", "d#1", 0)
+			a.Event(fakeplatform.Event{Kind: fakeplatform.Spoiled, Server: "s", ID: "q", At: t0})
+			a.Sent(t0, ask("r", Read), Read, "north", "d#1", 0)
+			a.Event(ran("s", "r", Read))
+			a.Answered(at(time.Second), "r", fakeplatform.Reply{Err: io.ErrUnexpectedEOF})
+			a.Lost()
+		}},
+		{"lost after a broken answer", "", func(a *Audit) {
+			a.Sent(t0, ask("r", Read), Read, "north", "d#1", 0)
+			a.Event(fakeplatform.Event{Kind: fakeplatform.Spoiled, Server: "s", ID: "r", At: t0})
+			a.Event(ran("t", "r", Read))
+			a.Answered(at(time.Second), "r", fakeplatform.Reply{Err: io.ErrUnexpectedEOF})
+			a.Lost()
+		}},
 		{"lost beside a fault", "", func(a *Audit) {
 			a.Trouble(at(-2*time.Second), "")(at(-time.Second))
 			a.Sent(t0, ask("r", Read), Read, "north", "d#1", 0)
