--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -179,7 +179,7 @@
 
 type conn struct {
 	net net.Conn
-	// checked reads from and writes to net, all of it, so that a reset during the write of a body is not read as the end of a response.
+	// checked is net for all reads and writes: a reset during the write of a body is not read as the end of a response.
 	checked *netopt.Conn
 	// socket has the user timeout netopt.UserTimeout while the connection is in the pool, so that keep-alive probes end one that has
 	// gone silent for good, and that of the request otherwise.
