--- a/internal/caller/broken_test.go
+++ b/internal/caller/broken_test.go
@@ -93,6 +93,7 @@
 	if body, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 || string(body) != "body" {
 		t.Errorf("status %d, body %q, error %v", resp.StatusCode, body, err)
 	}
+	_ = resp.Body.Close()
 	_ = c.Close()
 	_ = upload.Wait()
 }
