Reset the stand-in's half answers also when its process is killed

It had read all of the request, so the kernel ended the connection in order, and the half was taken for the whole, as it must be: nothing tells the two apart.

Change: the stand-in has its connection reset from before the answer on.

--- a/internal/fakeplatform/broken.go
+++ b/internal/fakeplatform/broken.go
@@ -65,9 +65,11 @@
 	case blankInLength:
 		length = fmt.Sprintf("Content-Length : %d\r\n", len(body))
 	}
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s X\r\n%s%s\r\n%s", status, head.Bytes(), length, body) // the daemon may have left
 	if tcp, ok := c.(*net.TCPConn); ok && form == cutOff {
+		_ = tcp.SetLinger(0) // before the answer, as the process may be killed: its end must not look like that of the answer
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s X\r\n%s%s\r\n%s", status, head.Bytes(), length, body) // the daemon may have left
+	if form == cutOff {
 		_ = timer.Wait(r.Context(), time.Duration(Sum([]byte(id)))%maxResetDelay)
-		_ = tcp.SetLinger(0) // fails only on a closed connection
 	}
 }
