Count the bytes of a request before it is sent

Callers saw nothing.

Cause: traffic counted the bytes of a write after the write had returned, in the goroutine in which net/http writes. On a busy machine the response arrives, and the next calls are made, before that goroutine runs again. The test then counts an earlier request of 227 bytes in the next measurement.

Change: the bytes are counted before the write. A write that fails midway counts whole: the counts are exported as metrics that never decrease.

--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -14,7 +14,8 @@
 
 // Stats holds the counts of a Counter.
 type Stats struct {
-	// Opened is the number of connections, In and Out are the bytes read and written on them.
+	// Opened is the number of connections, In and Out are the bytes read and written on them. All of them only grow. Out includes the bytes
+	// of writes that failed.
 	Opened, In, Out uint64
 }
 
@@ -53,8 +54,8 @@
 	return n, err
 }
 
+// Write counts the bytes before it sends them, as the response may arrive before the inner Write returns.
 func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.counter.out.Add(uint64(max(n, 0)))
-	return n, err
+	c.counter.out.Add(uint64(len(b)))
+	return c.Conn.Write(b)
 }
