Reuse no connection whose response has a malformed head and no body

So a call of the own interface, or one to a store, could fail because another one had got such an answer just before.

Cause: net/http keeps the connection of a response without a body for other requests before it returns the response. http1.Transport closed the connection after that, so on a busy machine another request had taken it meanwhile. backend.Pool keeps its connections itself and is not affected.

Change: the connections of http1.Transport scan the names in the heads that they read, and return io.EOF with the end of a malformed head. net/http does not keep a connection that has ended, and the head still fails with *MalformedError.

Why it works: net/http looks for the end of the connection after it has read the head and before it keeps the connection. TestScanner compares the scanner with net/http and CheckHead on 2,000 random heads, read in parts of any size.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -5,6 +5,7 @@
 package http1
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -60,23 +61,30 @@
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	base.DialContext = netopt.DialConn(dial)
+	dial = netopt.DialConn(dial)
+	base.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return newConn(c), nil
+	}
 	return &Transport{base}
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var conn net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*conn); ok { // a connection with TLS is of another type
+			c.expectResponse()
+		}
+	}}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
 	if err := CheckHead(resp); err != nil {
-		_ = resp.Body.Close() // the connection is closed anyway
-		if conn != nil {
-			_ = conn.Close() // without a body, it is in the pool already
-		}
+		_ = resp.Body.Close() // the response is not used
 		return nil, err
 	}
 	if len(resp.TransferEncoding) > 0 {
