Note the end of an outage when any daemon relays the entries

Cause: servers whose entries lapsed in an outage are kept for two seconds after its end. storeSync.syncWith, by which a daemon that waits to call the store again asks any other one for changes, did not note that end, so the removals that it got counted at once. The other three ways to learn entries do note it. If such a daemon held the lease, all heads had lost their entries, and it broke up all groups.

Evidence: TestLapsedEntriesRelayedAfterOutage fails on the code before, three of three: "an entry that lapsed during the outage was dropped before the grace period ended".

Change: syncWith notes the end of the outage before it applies entries.

--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -1233,9 +1233,7 @@
 	}
 	if path != pathConfig && in.Store && in.Era >= f.storeEra() {
 		f.observeEra(in.Era)
-		f.mu.Lock()
-		f.tracker.SetRenewalsVisible(time.Now(), false)
-		f.mu.Unlock()
+		f.markSynced(false)
 		f.applyServers(in.Servers, in.Whole || path == pathAll, in.position(), in.Age, time.Time{})
 		if path == pathAll {
 			f.inheritDoubt(in.Doubt)
--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -475,3 +475,36 @@
 		t.Errorf("a read of changes confirms heartbeats as of %v later", again.Sub(read))
 	}
 }
+
+// TestLapsedEntriesRelayedAfterOutage guards against dropping backend servers whose entries lapsed during an outage of the store because
+// another daemon tells of the removals first: the one that reads the entries itself waits between two calls to the store.
+func TestLapsedEntriesRelayedAfterOutage(t *testing.T) {
+	t.Parallel()
+	const silence = 100 * time.Millisecond
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	put(store, plainEntry("i-1", "ready", 1, 1), plainEntry("i-2", "ready", 1, 1))
+	reader := startDaemon(t, store, "a")
+	reader.waitReady()
+	u, run := prepareDaemon(t, store, "b", func(d *Daemon) { d.feed.tracker = roster.NewTracker(lapseGrace, silence) })
+	defer run() // stops the daemon at the end of the test
+	f := u.d.feed
+	eventually(t, "the other daemon relays all entries", func() bool {
+		f.syncWith(t.Context(), reader.s.Peer, pathAll)
+		return len(u.d.view.Load().Servers) == 2
+	})
+	f.recordStoreResult(&platform.StatusError{Status: http.StatusServiceUnavailable})
+	if err := timer.Wait(t.Context(), 2*silence); err != nil {
+		t.Fatal(err)
+	}
+	store.Remove("servers", "i-1")
+	eventually(t, "the other daemon has read the removal", func() bool { return reader.d.view.Load().Servers["i-1"] == nil })
+	f.syncWith(t.Context(), reader.s.Peer, f.catchUpPath())
+	if v := u.d.view.Load(); v.Servers["i-1"] == nil && (v.StoreRecovered.IsZero() || time.Since(v.StoreRecovered) < lapseGrace) {
+		t.Errorf("an entry that lapsed during the outage was dropped before the grace period ended; recovered at %v", v.StoreRecovered)
+	}
+	eventually(t, "the entry is dropped after the grace period", func() bool {
+		f.syncWith(t.Context(), reader.s.Peer, f.catchUpPath())
+		return u.d.view.Load().Servers["i-1"] == nil
+	})
+}
