Relay the return of an entry that lapsed in an outage

What callers would see: in fleets of 24 daemons or more, which relay no heartbeats, daemons could lose backend servers for good after an outage of the store.

Cause: a reader keeps a server whose entry lapsed for two seconds. If the entry returned meanwhile, the reader took it for a heartbeat of the server that it still had, and gave the row the version of its last change: that of its removal. A daemon that had learnt of the removal asks for later changes, and never got the row.

Evidence: TestReturnOfLapsedEntryIsRelayed fails on the code before, with changes and with a read of all entries: "0 entries are relayed to a daemon that knows the removal, want the one that returned".

Change: a row that replaces a removed one is a change.

--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -767,11 +767,11 @@
 			default:
 				// The row may be older than the position of a peer that lacks it.
 				r.Version, r.changed = position.Version, position.Version
-				if f.tracker.IsRenewal(s) {
+				if !old.Removed && f.tracker.IsRenewal(s) {
 					r.changed = old.changed
 				}
 			}
-		} else if old, ok := known[r.ID]; ok && f.tracker.IsRenewal(s) {
+		} else if old, ok := known[r.ID]; ok && !old.Removed && f.tracker.IsRenewal(s) {
 			r.changed = old.changed
 		}
 		f.rawServers[r.ID] = r
--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -508,3 +508,43 @@
 		return u.d.view.Load().Servers["i-1"] == nil
 	})
 }
+
+// changes returns the response to a peer that asks for changes of the entries.
+func (u *daemonUnderTest) changes(query string) (out peerState) {
+	u.t.Helper()
+	w := httptest.NewRecorder()
+	u.d.servePeer(w, httptest.NewRequest(http.MethodGet, pathServers+"?"+query, nil))
+	if err := cbor.NewDecoder(w.Body).Decode(&out); err != nil {
+		u.t.Fatal(err)
+	}
+	return out
+}
+
+// TestReturnOfLapsedEntryIsRelayed guards against a daemon losing a backend server for good that registers again after an outage of the
+// store: it has learnt that the entry lapsed from another daemon, which keeps the server meanwhile and takes its return for a heartbeat.
+// Large fleets do not relay heartbeats.
+func TestReturnOfLapsedEntryIsRelayed(t *testing.T) {
+	entry := func(beat int) []byte { return plainEntry("i-1", "ready", 1, beat).Value }
+	for _, whole := range []bool{false, true} {
+		t.Run(fmt.Sprint("read of all entries ", whole), func(t *testing.T) {
+			u, run := prepareDaemon(t, fakeplatform.NewStore(), "a", func(d *Daemon) { d.feed.tracker = roster.NewTracker(lapseGrace, time.Nanosecond) })
+			defer run() // stops the daemon at the end of the test
+			for i := range gossip.FullMeshLimit {
+				u.d.handleDigest(gossip.Digest{Name: fmt.Sprint("o", i), Boot: 1, Seq: 1, PeerAddr: u.s.Peer, DataCentre: "dc", Cores: u.s.Cores, Interval: 5 * time.Second})
+			}
+			f := u.d.feed
+			f.applyServers([]entryRow{{ID: "i-1", Value: entry(1), Version: 10}}, true, era.Position{Version: 10}, 0, time.Time{})
+			f.recordStoreResult(&platform.StatusError{Status: http.StatusServiceUnavailable})
+			f.markSynced(whole)
+			f.applyServers([]entryRow{{ID: "i-1", Removed: true, Version: 11}}, false, era.Position{Version: 11}, 0, time.Time{})
+			if u.d.view.Load().Servers["i-1"] == nil {
+				t.Fatal("the lapsed entry is not kept")
+			}
+			f.applyServers([]entryRow{{ID: "i-1", Value: entry(2), Version: 12}}, whole, era.Position{Version: 12}, 0, time.Time{})
+			out := u.changes("after=11&era=0&config=0")
+			if len(out.Servers) != 1 || out.Servers[0].Removed {
+				t.Errorf("%d entries are relayed to a daemon that knows the removal, want the one that returned", len(out.Servers))
+			}
+		})
+	}
+}
