Relay all entries where removals from before the start are unknown

Cause: daemons ask the one that reads the entries for the changes since the version that they have read. A daemon that has just started has no tombstones of what was removed before. It answered with the changes that it knew and its present version, so whoever had not read a removal moved past it and kept the server. Tombstones are dropped after a minute, which had the same effect on a daemon that was paused or cut off for longer.

Evidence: TestRemovalBeforeStartOfRelayingDaemon and TestForgottenRemovals fail on the code before, three of three each: the view holds the removed server, and "relayed [], whole false, want all entries".

Change: a daemon knows the version from which on it holds all removals, that of its first read or of the latest tombstone that it has dropped. One that asks for changes since an earlier version gets all entries, compressed if it asks for that.

Why it works: an answer with all entries names what is left, so it needs no tombstones; one with changes is given only if none is missing.

--- a/internal/entry/store_sync.go
+++ b/internal/entry/store_sync.go
@@ -103,6 +103,9 @@
 	compressedServers []byte
 	position          era.Position
 	readAt            time.Time
+	// changesSince is the earliest version, in the era of position, after which rawServers holds all removals. A peer that has read less
+	// cannot be told the changes.
+	changesSince int64
 	// era is the latest era that the store has named, zero before the first. current is done, and replaced, when a later one
 	// becomes known.
 	era     int64
@@ -703,12 +706,16 @@
 	if position.Era > f.position.Era && f.position.Era > 0 {
 		f.tracker.MarkRestored(now, delay)
 	}
+	if position.Era > f.position.Era || f.readAt.IsZero() {
+		f.changesSince = position.Version
+	}
 	f.position, f.readAt = position, now.Add(-age)
 	if whole || len(rows) > 0 {
 		f.compressedServers = nil
 	}
 	for id, r := range f.rawServers {
 		if r.Removed && now.Sub(r.at) > tombstoneTTL {
+			f.changesSince = max(f.changesSince, r.changed)
 			delete(f.rawServers, id)
 		}
 	}
@@ -995,13 +1002,14 @@
 	Compressed []byte     `cbor:"config,omitempty"`
 	Config     []byte     `cbor:"-"`
 	Servers    []entryRow `cbor:"servers"`
-	// CompressedServers replaces Servers in the response with the complete state to a daemon that asks for it; fetch decodes it.
+	// CompressedServers replaces Servers in a response with all entries to a daemon that asks for it; fetch decodes it.
 	CompressedServers []byte `cbor:"entries,omitempty"`
 	// Servers are complete up to Version of the store in Era, as of Age ago.
 	Version int64         `cbor:"version"`
 	Era     int64         `cbor:"era,omitempty"`
 	Age     time.Duration `cbor:"age"`
-	// Whole is set if Servers are all entries. The sender decides so for a reader whose position is of an earlier era.
+	// Whole is set if Servers are all entries. The sender decides so for a reader whose position is of an earlier era, or from before the
+	// removals that the sender knows.
 	Whole bool `cbor:"all,omitempty"`
 	// Doubt is the sender's roster.Tracker.DoubtLeft.
 	Doubt time.Duration `cbor:"doubt,omitempty"`
@@ -1055,7 +1063,7 @@
 	f.mu.Lock()
 	out.Version, out.Era, out.Age, out.Following = f.position.Version, f.position.Era, time.Since(f.readAt), f.following
 	out.ConfigAge, _ = f.confirmation.Age(time.Now())
-	if namesEra && readerEra < f.position.Era {
+	if namesEra && (readerEra < f.position.Era || readerEra == f.position.Era && after < f.changesSince) {
 		after = -1
 	}
 	out.Whole, out.Doubt = after < 0, f.tracker.DoubtLeft(time.Now())
@@ -1068,19 +1076,17 @@
 	case pathConfig:
 	case pathDeparted:
 		out.Departures = f.tracker.Departures(time.Now())
-	case pathAll:
+	default:
+		if !out.Whole {
+			out.Servers = f.changedServers(after, renewals)
+			break
+		}
 		if r.URL.Query().Has(compressedQuery) {
 			out.CompressedServers = f.compressServers()
 		}
 		if out.CompressedServers == nil {
 			out.Servers = f.currentServers()
 		}
-	default:
-		for _, row := range f.rawServers {
-			if (row.changed > after || renewals && row.Version > after) && (after >= 0 || !row.Removed) {
-				out.Servers = append(out.Servers, row)
-			}
-		}
 	}
 	f.mu.Unlock()
 	text, err := cbor.Marshal(out)
@@ -1094,6 +1100,17 @@
 	}
 }
 
+// changedServers returns the entries, with tombstones, that have changed after a version. Heartbeats count if renewals is set. The caller
+// holds f.mu.
+func (f *storeSync) changedServers(after int64, renewals bool) (out []entryRow) {
+	for _, row := range f.rawServers {
+		if row.changed > after || renewals && row.Version > after {
+			out = append(out, row)
+		}
+	}
+	return out
+}
+
 // currentServers returns the entries without tombstones. The caller holds f.mu.
 func (f *storeSync) currentServers() []entryRow {
 	out := make([]entryRow, 0, len(f.rawServers))
@@ -1160,7 +1177,7 @@
 	pathDeparted = "/departed"
 )
 
-// compressedQuery is the key in the query of pathAll by which a daemon asks for compressed entries. Daemons of earlier builds ignore it.
+// compressedQuery is the key in a query by which a daemon asks for all entries to be compressed. Daemons of earlier builds ignore it.
 const compressedQuery = "compressed"
 
 // pollPeers gets the configuration and the entries from peers when reads of the store are overdue or a peer has a newer
@@ -1266,7 +1283,7 @@
 
 // changesPath returns the path for all changes after a position.
 func (f *storeSync) changesPath(after era.Position) string {
-	return fmt.Sprintf("%s?after=%d&era=%d&config=%d", pathServers, after.Version, after.Era, f.configVersion())
+	return fmt.Sprintf("%s?after=%d&era=%d&config=%d&%s=1", pathServers, after.Version, after.Era, f.configVersion(), compressedQuery)
 }
 
 // catchUpPath returns the path for all changes since this daemon's last read, or for everything if it has read nothing.
--- a/internal/entry/store_sync_test.go
+++ b/internal/entry/store_sync_test.go
@@ -548,3 +548,57 @@
 		})
 	}
 }
+
+// TestRemovalBeforeStartOfRelayingDaemon guards against a daemon keeping a backend server that has left, and sending it requests, because
+// it asks a daemon for changes that has started after the removal and does not know it.
+func TestRemovalBeforeStartOfRelayingDaemon(t *testing.T) {
+	t.Parallel()
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(fmt.Sprintf(testConfig, 1, "")))
+	put(store, plainEntry("i-1", "ready", 1, 1), plainEntry("i-2", "ready", 1, 1))
+	before := startDaemon(t, store, "a")
+	before.waitReady()
+	u, run := prepareDaemon(t, store, "b")
+	defer run() // stops the daemon at the end of the test
+	f := u.d.feed
+	eventually(t, "the other daemon relays all entries", func() bool {
+		f.syncWith(t.Context(), before.s.Peer, pathAll)
+		return len(u.d.view.Load().Servers) == 2
+	})
+	store.Remove("servers", "i-1")
+	eventually(t, "the other daemon has read the removal", func() bool { return before.d.view.Load().Servers["i-1"] == nil })
+	started := startDaemon(t, store, "c") // takes its entries from the store or the other daemon
+	started.waitReady()
+	f.syncWith(t.Context(), started.s.Peer, f.catchUpPath())
+	if v := u.d.view.Load(); v.Servers["i-1"] != nil || v.Servers["i-2"] == nil {
+		t.Errorf("servers %v, want i-2 only", v.Servers)
+	}
+	put(store, plainEntry("i-3", "ready", 1, 1))
+	started.waitReady()
+	if in := started.changes(fmt.Sprintf("after=%d&era=%d&config=0", f.position.Version, f.position.Era)); in.Whole || len(in.Servers) != 1 {
+		t.Errorf("%d entries, whole %v, for a daemon that has caught up, want the one that is new", len(in.Servers), in.Whole)
+	}
+}
+
+// TestForgottenRemovals guards against the same when the relaying daemon has known the removal, but no longer keeps it.
+func TestForgottenRemovals(t *testing.T) {
+	u, run := prepareDaemon(t, fakeplatform.NewStore(), "a")
+	defer run() // stops the daemon at the end of the test
+	f := u.d.feed
+	rows := []entryRow{{ID: "i-1", Value: plainEntry("i-1", "ready", 1, 1).Value, Version: 10}, {ID: "i-2", Value: plainEntry("i-2", "ready", 1, 1).Value, Version: 10}}
+	f.applyServers(rows, true, era.Position{Era: 1, Version: 10}, 0, time.Time{})
+	f.applyServers([]entryRow{{ID: "i-1", Removed: true, Version: 11}}, false, era.Position{Era: 1, Version: 11}, 0, time.Time{})
+	if out := u.changes("after=10&era=1&config=0"); out.Whole || len(out.Servers) != 1 || !out.Servers[0].Removed {
+		t.Errorf("relayed %+v, whole %v, want the removal", out.Servers, out.Whole)
+	}
+	removed := f.rawServers["i-1"]
+	removed.at = time.Now().Add(-2 * tombstoneTTL)
+	f.rawServers["i-1"] = removed
+	f.applyServers(nil, false, era.Position{Era: 1, Version: 12}, 0, time.Time{})
+	if out := u.changes("after=10&era=1&config=0"); !out.Whole || len(out.Servers) != 1 || out.Servers[0].ID != "i-2" {
+		t.Errorf("relayed %+v, whole %v, want all entries", out.Servers, out.Whole)
+	}
+	if out := u.changes("after=11&era=1&config=0"); out.Whole || len(out.Servers) != 0 {
+		t.Errorf("relayed %+v, whole %v, to a daemon that knows the removal, want no change", out.Servers, out.Whole)
+	}
+}
