Have backend servers leave without a report in the soak

Change: from seed 6000 on the stand-ins of backend servers remove their entries in place of telling that they drain, and serve on for the same time. "no request after the drain" counts from the removal.

--- a/cmd/standin/fleet.go
+++ b/cmd/standin/fleet.go
@@ -100,6 +100,7 @@
 			&cli.DurationFlag{Name: "beat", Value: time.Second},
 			&cli.DurationFlag{Name: "drain", Value: time.Second},
 			&cli.DurationFlag{Name: "linger", Usage: "how long the server serves on after the drain"},
+			&cli.BoolFlag{Name: "unannounced", Usage: "the server leaves by the removal of its entry, without telling that it drains"},
 			&cli.DurationFlag{Name: "form", Value: 100 * time.Millisecond},
 			&cli.DurationFlag{Name: "stall", Value: 2 * time.Second},
 			&cli.DurationFlag{Name: "work", Usage: "duration of a plain request, and time between events of a stream", Value: 20 * time.Millisecond},
@@ -115,7 +116,7 @@
 func runServer(ctx context.Context, c *cli.Command) error {
 	opts := fakeplatform.Options{
 		ID: c.String("id"), Service: c.String("service"), DataCentre: c.String("data-centre"), Domain: c.String("domain"),
-		Slots: c.Int("slots"), Beat: c.Duration("beat"), Drain: c.Duration("drain"), Linger: c.Duration("linger"), Form: c.Duration("form"),
+		Slots: c.Int("slots"), Beat: c.Duration("beat"), Drain: c.Duration("drain"), Linger: c.Duration("linger"), Unannounced: c.Bool("unannounced"), Form: c.Duration("form"),
 		Stall: c.Duration("stall"), Work: c.Duration("work"), Cold: c.Duration("cold"), ColdCrash: c.Int("cold-crash"),
 		Broken: c.Int("broken"),
 	}
--- a/internal/fakeplatform/server.go
+++ b/internal/fakeplatform/server.go
@@ -49,7 +49,7 @@
 	Closed  Kind = "closed"
 	Broken  Kind = "broken"
 	Left    Kind = "left"
-	// Drains means that the store has acknowledged that the server drains.
+	// Drains means that the store has acknowledged that the server drains, or that its entry is removed.
 	Drains Kind = "drains"
 	// Refused is a request that arrived and was rejected with 503.
 	Refused Kind = "refused"
@@ -97,6 +97,8 @@
 	// Drain is how long it serves after it has told that it drains, or, with Linger, after the store has acknowledged that. Linger
 	// is how long it serves on, so that later requests are seen.
 	Drain, Linger time.Duration
+	// Unannounced is set if backend servers leave by the removal of their entries, without telling that they drain.
+	Unannounced bool
 	// Models is empty for a plain service.
 	Models []route.Model
 	// Form is how long a head takes to open, Stall how long one that lost a member takes to find the group broken.
@@ -141,7 +143,7 @@
 	gone chan struct{}
 	// renew asks for the entry to be written at once.
 	renew chan struct{}
-	// drains is closed when the store has acknowledged that the server drains.
+	// drains is closed when the store has acknowledged that the server drains, or that its entry is removed.
 	drains chan struct{}
 	// coldUntil is the end of the last cold time, coldFrom when daemons must know of it; zero until the store has acknowledged it.
 	coldFrom, coldUntil time.Time
@@ -241,7 +243,7 @@
 	}
 }
 
-// drain tells that the server leaves, serves on, and drops its entry.
+// drain has the store learn that the server leaves, serves on, and drops its entry.
 func (s *Server) drain(ctx context.Context) {
 	s.mu.Lock()
 	s.state = roster.Draining
@@ -332,8 +334,13 @@
 		if err != nil {
 			return fmt.Errorf("encode entry: %w", err)
 		}
+		entry := []platform.Row{{Table: platform.TableServers, Key: s.o.ID, Value: text}}
+		tx := platform.Tx{Write: entry}
+		if draining && s.o.Unannounced {
+			tx = platform.Tx{Remove: entry}
+		}
 		// A write that fails is made up for by the next.
-		_, err = s.store.Commit(ctx, platform.Tx{Write: []platform.Row{{Table: platform.TableServers, Key: s.o.ID, Value: text}}})
+		_, err = s.store.Commit(ctx, tx)
 		if err == nil && cold.After(toldCold) && s.o.Cold > 0 {
 			s.mu.Lock()
 			s.tellCold(cold, toldCold.IsZero())
@@ -554,6 +561,9 @@
 		s.mu.Unlock()
 		if group == nil {
 			misses = 0
+			if s.o.Unannounced && len(members) > 0 {
+				s.learnHead(ctx, members[0])
+			}
 			continue
 		}
 		if s.whole(ctx, group, members) {
@@ -581,6 +591,16 @@
 	}
 }
 
+// learnHead notes the address of the head, whose entry may be gone when this server leaves.
+func (s *Server) learnHead(ctx context.Context, id string) {
+	if _, ok := s.known.Load(id); ok || id == s.o.ID {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probePeriod)
+	defer cancel()
+	_, _ = s.report(ctx, id) // asked again if it fails
+}
+
 // whole tells whether all members are in the group.
 func (s *Server) whole(ctx context.Context, group *roster.Membership, members []string) bool {
 	if len(members) < 2 {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -513,6 +513,9 @@
 	if f.o.Seed >= firstOfBrokenAnswers {
 		args = append(args, "--broken", strconv.Itoa(brokenShare))
 	}
+	if f.o.Seed >= firstOfUnannounced {
+		args = append(args, "--unannounced")
+	}
 	if s.service == modelService {
 		models, err := json.Marshal(models)
 		if err != nil {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -103,6 +103,9 @@
 // firstOfBrokenAnswers is the first seed with long uploads, and with backend servers that break some of their answers.
 const firstOfBrokenAnswers = 5000
 
+// firstOfUnannounced is the first seed in which backend servers leave without telling that they drain.
+const firstOfUnannounced = 6000
+
 // hidesHeartbeats tells whether the store of a seed shows no entry of which only the heartbeat has changed.
 func hidesHeartbeats(seed uint64) bool { return seed >= firstOfSilences && seed/plannedOnly%2 == 1 }
 
