--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -64,8 +64,8 @@
 	return !m.Responding || m.State != roster.Ready || !m.Listed && m.Rank == 0
 }
 
-// leftInOrder reports whether a backend server announced that it leaves, by its state or by the removal of its entry. It may stop
-// listening before it has finished its work, also that as a member for a head.
+// leftInOrder reports whether a backend server leaves, as its state or the removal of its entry tells. It may stop listening before its
+// last work is done, its own or that of the head of its group.
 func (m *ServerStatus) leftInOrder() bool {
 	return !m.Ended && (m.State == roster.Draining || !m.Listed && !m.Expired && !m.Hearsay)
 }
