--- /dev/null
+++ b/review/rig/model.go
@@ -0,0 +1,293 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"flamingorudder.example/internal/timer"
+)
+
+const (
+	modelService = "desk"
+	model        = "m1"
+	joinTime     = 200 * time.Millisecond
+	formTime     = 300 * time.Millisecond
+)
+
+// modelServer is a backend server that may be a member of a model group.
+type modelServer struct {
+	f        *fleet
+	id, addr string
+	zone     string
+	born     int64
+	// stream answers a request at an open head.
+	stream func(s *modelServer, w http.ResponseWriter, r *http.Request)
+
+	mu               sync.Mutex
+	beats, orders    int
+	fence, epochSeen int64
+	staged           []string
+	group            *membership
+	members          []string
+	running          int
+}
+
+type membership struct {
+	Name  string `json:"name"`
+	Epoch int64  `json:"epoch"`
+	Rank  int    `json:"rank"`
+	State string `json:"state"`
+}
+
+type order struct {
+	Operation    string   `json:"operation"`
+	Group        string   `json:"group"`
+	Epoch        int64    `json:"epoch"`
+	Model        string   `json:"model"`
+	Members      []string `json:"members"`
+	FencingToken *int64   `json:"fencingToken"`
+	Expected     *int     `json:"expected"`
+}
+
+// addModel starts a backend server of the model service.
+func (f *fleet) addModel(ctx context.Context, id, zone string, stream func(s *modelServer, w http.ResponseWriter, r *http.Request)) (*modelServer, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	s := &modelServer{f: f, id: id, addr: l.Addr().String(), zone: zone, born: time.Now().UnixMilli(), stream: stream, staged: []string{}}
+	f.serve(l, s)
+	s.mu.Lock()
+	s.renew()
+	s.mu.Unlock()
+	f.repeat(ctx, beat, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.renew()
+	})
+	return s, nil
+}
+
+// self is what the server says of itself. s.mu is held.
+func (s *modelServer) self() map[string]any {
+	models := []any{}
+	out := map[string]any{"stage": "colocated", "domain": "d1", "staged": s.staged, "born": s.born, "coldRemainingMs": 0}
+	if s.group != nil {
+		g := *s.group
+		out["group"] = g
+		if g.State != "joining" {
+			models = append(models, map[string]any{"name": model, "version": 1, "adapters": []any{}})
+		}
+	}
+	out["models"] = models
+	return out
+}
+
+// renew writes the entry. s.mu is held.
+func (s *modelServer) renew() {
+	s.beats++
+	entry := s.self()
+	entry["service"], entry["address"], entry["zone"], entry["version"], entry["slots"], entry["state"], entry["sequence"] = modelService, s.addr, s.zone, "1", 16, "ready", s.beats
+	text, _ := json.Marshal(entry)
+	s.f.store.Put("servers", s.id, text)
+}
+
+func (s *modelServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h := w.Header()
+	h.Set("X-Flamingorudder-Instance-Id", s.id)
+	if t := r.Header.Get("X-Flamingorudder-Target-Instance"); t != "" && t != s.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	id := r.Header.Get("X-Flamingorudder-Request-Id")
+	switch {
+	case r.URL.Path == "/health":
+	case r.URL.Path == "/api/report":
+		s.mu.Lock()
+		out := s.self()
+		out["busy"], out["sequence"], out["waiting"], out["running"], out["kvUsed"], out["kvTotal"], out["handles"], out["pace"] = false, s.orders, 0, s.running, 0, 1400000, 0, 1
+		s.mu.Unlock()
+		h.Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(out)
+	case r.URL.Path == "/api/order":
+		var o order
+		if json.NewDecoder(r.Body).Decode(&o) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		w.WriteHeader(s.obey(o))
+	case id == "":
+		h.Set("X-Flamingorudder-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+	default:
+		h.Set("X-Flamingorudder-Request-Id", id)
+		s.mu.Lock()
+		head, open := s.group != nil && s.group.Rank == 0, s.group != nil && s.group.State == "open"
+		if head && open {
+			s.running++
+		}
+		s.mu.Unlock()
+		switch {
+		case !head:
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		case !open:
+			h.Set("X-Flamingorudder-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			s.stream(s, w, r)
+			s.mu.Lock()
+			s.running--
+			s.mu.Unlock()
+		}
+	}
+}
+
+// obey carries out an order and returns the status of the answer.
+func (s *modelServer) obey(o order) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o.FencingToken != nil {
+		if *o.FencingToken < s.fence {
+			return http.StatusPreconditionFailed
+		}
+		s.fence = *o.FencingToken
+	}
+	mine := s.group != nil && s.group.Name == o.Group && s.group.Epoch == o.Epoch
+	begin := func() bool {
+		if o.Expected != nil && *o.Expected != s.orders {
+			return false
+		}
+		s.orders++
+		return true
+	}
+	later := func(wait time.Duration, g *membership, state string) {
+		timer.AfterFunc(wait, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.group == g {
+				g.State = state
+				s.renew()
+			}
+		})
+	}
+	switch o.Operation {
+	case "join":
+		switch {
+		case o.Epoch < s.epochSeen || mine && !slices.Equal(o.Members, s.members):
+			return http.StatusPreconditionFailed
+		case mine:
+			return http.StatusOK
+		case !begin():
+			return http.StatusConflict
+		}
+		s.epochSeen, s.members = o.Epoch, o.Members
+		s.group = &membership{o.Group, o.Epoch, slices.Index(o.Members, s.id), "joining"}
+		s.staged = []string{o.Model}
+		later(joinTime, s.group, "ready")
+	case "open":
+		switch {
+		case !mine || s.group.Rank != 0 || s.group.State == "joining":
+			return http.StatusConflict
+		case s.group.State == "open":
+			return http.StatusOK
+		case !begin():
+			return http.StatusConflict
+		}
+		later(formTime, s.group, "open")
+	case "close":
+		if !mine {
+			return http.StatusOK
+		}
+		if !begin() {
+			return http.StatusConflict
+		}
+		s.group.State = "ready"
+	case "leave":
+		if !mine {
+			return http.StatusOK
+		}
+		if !begin() {
+			return http.StatusConflict
+		}
+		s.group, s.members = nil, nil
+	case "stage":
+		if slices.Contains(s.staged, o.Model) {
+			return http.StatusOK
+		}
+		if !begin() {
+			return http.StatusConflict
+		}
+		s.staged = []string{o.Model}
+	default:
+		return http.StatusBadRequest
+	}
+	s.renew()
+	return http.StatusAccepted
+}
+
+// events answers with a stream whose ids rise by step, after the event that the request names.
+func (s *modelServer) events(w http.ResponseWriter, r *http.Request, count, step int, pause time.Duration) {
+	id := r.Header.Get("X-Flamingorudder-Request-Id")
+	_, _ = io.Copy(io.Discard, r.Body)
+	after := 0
+	_, _ = fmt.Sscanf(r.Header.Get("Last-Event-Id"), "%d", &after)
+	h := w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("X-Flamingorudder-Response-Signature", "signed-by-"+s.id)
+	h.Set("X-Flamingorudder-Weight-Versions", "1")
+	for n := 1; n <= count; n++ {
+		if n*step <= after {
+			continue
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n*step, n, id); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		if timer.Wait(r.Context(), pause) != nil {
+			return
+		}
+	}
+}
+
+// modelConfig returns a configuration with streams of a model beside the routes of plainConfig.
+func modelConfig(version, size int, resume bool) map[string]any {
+	c := plainConfig(version)
+	c["routes"] = append(c["routes"].([]any), map[string]any{
+		"name": "talk", "host": host, "prefix": "/talk/", "kind": "streaming", "timeoutMs": 8000, "targetLatencyMs": 500, "targetGapMs": 300, "priority": 0,
+		"service": modelService, "maxAttempts": 2, "allowAnonymous": false, "sessionAffinity": true, "streamResume": resume,
+	})
+	c["services"] = append(c["services"].([]any), map[string]any{
+		"name": modelService, "healthPath": "/health", "maxConnections": 404, "protocol": "h1", "tls": false,
+		"engine": map[string]any{
+			"slots": 26, "kvTokens": 1400000, "stride": 5, "step_ms": 6.07, "per_seq_ms": 0.241, "context_per_k": 0.00488, "read_per_s": 46000.0, "pairs_per_m": 0.7, "chunk": 2048,
+			"report_lag_ms": 200.0, "loadsPerS": 4.0, "loads_at_once": 6, "usual": map[string]any{"prompt": 1076, "answer": 116}, "retainCount": 1, "far_x": 4.0, "formMs": 300.0,
+			"models": []any{map[string]any{"name": model, "size": size, "share": 1.0, "pace": 1.0, "loadS": 1.0, "warmS": 0.2}},
+		},
+	})
+	return c
+}
+
+// awaitGroups waits until so many groups are open.
+func awaitGroups(ctx context.Context, servers []*modelServer, n int) error {
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); _ = timer.Wait(ctx, 50*time.Millisecond) {
+		open := 0
+		for _, s := range servers {
+			s.mu.Lock()
+			if s.group != nil && s.group.Rank == 0 && s.group.State == "open" {
+				open++
+			}
+			s.mu.Unlock()
+		}
+		if open >= n {
+			return nil
+		}
+	}
+	return fmt.Errorf("no %d groups are open", n)
+}
