--- a/review/rig/moved.go
+++ b/review/rig/added.go
@@ -17,14 +17,14 @@
 )
 
 const (
-	movedEvents = 10
-	movedPause  = 280 * time.Millisecond
-	// movedGap is the gap after which clients abandon a stream: the longest of two seconds, four times the objective of 500 ms and eight
+	addedEvents = 10
+	addedPause  = 280 * time.Millisecond
+	// addedGap is the gap after which clients abandon a stream: the longest of two seconds, four times the objective of 500 ms and eight
 	// times the pause of 300 ms.
-	movedGap  = 2400 * time.Millisecond
-	movedTime = 25 * time.Second
-	// movedStreams of each of the two kinds are open at a time on average, and as many plain requests are sent as streams.
-	movedPeriod = 250 * time.Millisecond
+	addedGap  = 2400 * time.Millisecond
+	addedTime = 25 * time.Second
+	// addedPeriod is the time between two requests on the added route, and on the first ones.
+	addedPeriod = 250 * time.Millisecond
 )
 
 // follow sends a request for a stream and reads it until it ends, or until there was no byte for gap. It reports how many whole events came and
@@ -63,24 +63,25 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Flamingorudder-Response-Signature", "signed-by-"+s.id)
-	for n := 1; n <= movedEvents; n++ {
+	for n := 1; n <= addedEvents; n++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, id)
 		_ = http.NewResponseController(w).Flush()
-		if n < movedEvents && timer.Wait(r.Context(), movedPause) != nil {
+		if n < addedEvents && timer.Wait(r.Context(), addedPause) != nil {
 			return
 		}
 	}
 }
 
-// moved has a version of the configuration move a streaming route to a service that runs no models. Its streams must still be served.
-func moved(ctx context.Context, f *fleet, trouble bool) (bool, error) {
+// added has a version of the configuration add a streaming route to a service that runs no models. Its streams must be served as often as the
+// requests on the first routes. Without trouble, the route leads to the model service.
+func added(ctx context.Context, f *fleet, trouble bool) (bool, error) {
 	if err := f.configure(modelConfig(1, 1, false)); err != nil {
 		return false, err
 	}
 	var servers []*modelServer
 	for i := range 3 {
 		s, err := f.addModel(ctx, fmt.Sprintf("i-%d", i+1), "zone-a", func(s *modelServer, w http.ResponseWriter, r *http.Request) {
-			s.events(w, r, movedEvents, 1, movedPause)
+			s.events(w, r, addedEvents, 1, addedPause)
 		})
 		if err != nil {
 			return false, err
@@ -93,7 +94,7 @@
 			return false, err
 		}
 		s.handle = func(w http.ResponseWriter, r *http.Request) {
-			if strings.HasPrefix(r.URL.Path, "/talk/") {
+			if strings.HasPrefix(r.URL.Path, "/chat/") {
 				s.stream(w, r)
 				return
 			}
@@ -110,46 +111,48 @@
 	if err := awaitGroups(ctx, servers, 2); err != nil {
 		return false, err
 	}
+	to := modelService
 	if trouble {
-		config := modelConfig(2, 1, false)
-		for _, r := range config["routes"].([]any) {
-			if route := r.(map[string]any); route["name"] == "talk" {
-				route["service"] = service
-			}
-		}
-		if err := f.configure(config); err != nil {
-			return false, err
-		}
-		f.write("version 2 moves the route talk to the service %s", service)
+		to = service
+	}
+	config := modelConfig(2, 1, false)
+	config["routes"] = append(config["routes"].([]any), streamingRoute("chat", to, false))
+	if err := f.configure(config); err != nil {
+		return false, err
 	}
+	f.write("version 2 adds the streaming route chat to the service %s", to)
 	_ = timer.Wait(ctx, 3*time.Second) // longer than configApplyMs
-	var streams, streamsServed, others, othersServed atomic.Int64
+	var late, lateServed, first, firstServed atomic.Int64
 	var clients errgroup.Group
-	for i, end := 0, time.Now().Add(movedTime); time.Now().Before(end); i++ {
-		clients.Go(func() error {
-			id := fmt.Sprintf("t%d", i)
-			events, complete, err := follow(d.caller, "/talk/a", id, modelFields(fmt.Sprintf("%x", 1000+i)), movedGap)
-			streams.Add(1)
-			if complete && events == movedEvents {
-				streamsServed.Add(1)
+	for i, end := 0, time.Now().Add(addedTime); time.Now().Before(end); i++ {
+		stream := func(route string, sent, served *atomic.Int64) error {
+			id := fmt.Sprintf("%s%d", route, i)
+			events, complete, err := follow(d.caller, "/"+route+"/a", id, modelFields(fmt.Sprintf("%x", 1000+i)), addedGap)
+			sent.Add(1)
+			if complete && events == addedEvents {
+				served.Add(1)
 			}
-			if i < 5 || !complete && i%20 == 0 {
-				f.write("%s: %d of %d events, complete %v, error %v", id, events, movedEvents, complete, err)
+			if i < 5 || i%20 == 0 {
+				f.write("%s: %d of %d events, complete %v, error %v", id, events, addedEvents, complete, err)
 			}
 			return nil
-		})
-		clients.Go(func() error {
-			others.Add(1)
-			if r := talk(d.caller, "/write/a", fmt.Sprintf("w%d", i), "", 3*time.Second); r.status == http.StatusOK && r.complete {
-				othersServed.Add(1)
-			}
-			return nil
-		})
-		_ = timer.Wait(ctx, movedPeriod)
+		}
+		clients.Go(func() error { return stream("chat", &late, &lateServed) })
+		if i%2 == 0 {
+			clients.Go(func() error { return stream("talk", &first, &firstServed) })
+		} else {
+			clients.Go(func() error {
+				first.Add(1)
+				if r := talk(d.caller, "/write/a", fmt.Sprintf("w%d", i), "", 3*time.Second); r.status == http.StatusOK && r.complete {
+					firstServed.Add(1)
+				}
+				return nil
+			})
+		}
+		_ = timer.Wait(ctx, addedPeriod)
 	}
 	_ = clients.Wait() // its tasks return no error
-	f.write("streams: %d of %d served; other requests: %d of %d served", streamsServed.Load(), streams.Load(), othersServed.Load(), others.Load())
-	share := float64(streamsServed.Load()) / float64(streams.Load())
-	all := float64(streamsServed.Load()+othersServed.Load()) / float64(streams.Load()+others.Load())
-	return share < all/4, nil
+	f.write("added route: %d of %d served; first routes: %d of %d served", lateServed.Load(), late.Load(), firstServed.Load(), first.Load())
+	share := func(served, sent *atomic.Int64) float64 { return float64(served.Load()) / float64(sent.Load()) }
+	return late.Load() >= 20 && share(&lateServed, &late) < share(&firstServed, &first)/4, nil
 }
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -57,6 +57,10 @@
 	storeAddr    string
 	daemons      []*daemon
 	servers      []*http.Server
+	// models holds the members of model groups by id, doubled counts the joins that a member took while the head of its group was open.
+	modelsMu sync.Mutex
+	models   map[string]*modelServer
+	doubled  atomic.Int64
 }
 
 // daemon is a process of the daemon.
@@ -72,7 +76,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("make a folder: %w", err)
 	}
-	f := &fleet{record: rec, dir: dir, program: program, store: fakeplatform.NewStore()}
+	f := &fleet{record: rec, dir: dir, program: program, store: fakeplatform.NewStore(), models: map[string]*modelServer{}}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
--- a/review/rig/midevent.go
+++ b/review/rig/midevent.go
@@ -54,10 +54,7 @@
 // midevent has backend servers of a plain service break off streams inside an event. A client must not get such a stream as a complete one.
 func midevent(ctx context.Context, f *fleet, trouble bool) (bool, error) {
 	config := plainConfig(1)
-	config["routes"] = append(config["routes"].([]any), map[string]any{
-		"name": "talk", "host": host, "prefix": "/talk/", "kind": "streaming", "timeoutMs": 8000, "targetLatencyMs": 500, "targetGapMs": 300, "priority": 0,
-		"service": service, "maxAttempts": 2, "allowAnonymous": false, "streamResume": false,
-	})
+	config["routes"] = append(config["routes"].([]any), streamingRoute("talk", service, false))
 	if err := f.configure(config); err != nil {
 		return false, err
 	}
--- a/review/rig/model.go
+++ b/review/rig/model.go
@@ -37,6 +37,8 @@
 	group            *membership
 	members          []string
 	running          int
+	// gone is closed when the present membership ends.
+	gone chan struct{}
 }
 
 type membership struct {
@@ -62,7 +64,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	s := &modelServer{f: f, id: id, addr: l.Addr().String(), zone: zone, born: time.Now().UnixMilli(), stream: stream, staged: []string{}}
+	s := &modelServer{f: f, id: id, addr: l.Addr().String(), zone: zone, born: time.Now().UnixMilli(), stream: stream, staged: []string{}, gone: make(chan struct{})}
+	f.modelsMu.Lock()
+	f.models[id] = s
+	f.modelsMu.Unlock()
 	f.serve(l, s)
 	s.mu.Lock()
 	s.renew()
@@ -122,7 +127,13 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		w.WriteHeader(s.obey(o))
+		before := s.f.openGroup(s)
+		status := s.obey(o)
+		if status == http.StatusAccepted && o.Operation == "join" && before != nil && before.Name != o.Group {
+			s.f.doubled.Add(1)
+			s.f.write("%s takes a join of group %s in epoch %d while the head of its group %s is open", s.id, o.Group, o.Epoch, before.Name)
+		}
+		w.WriteHeader(status)
 	case id == "":
 		h.Set("X-Flamingorudder-Not-Executed", "1")
 		w.WriteHeader(http.StatusBadRequest)
@@ -133,6 +144,7 @@
 		if head && open {
 			s.running++
 		}
+		gone := s.gone
 		s.mu.Unlock()
 		switch {
 		case !head:
@@ -141,14 +153,55 @@
 			h.Set("X-Flamingorudder-Not-Executed", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		default:
-			s.stream(s, w, r)
-			s.mu.Lock()
-			s.running--
-			s.mu.Unlock()
+			ctx, cancel := context.WithCancel(r.Context())
+			defer cancel()
+			s.f.tasks.Go(func() error {
+				select {
+				case <-gone:
+					cancel() // the work of the membership ends with it
+				case <-ctx.Done():
+				}
+				return nil
+			})
+			defer func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.running--
+			}()
+			s.stream(s, w, r.WithContext(ctx))
+			if ctx.Err() != nil {
+				panic(http.ErrAbortHandler) // the stream is broken off
+			}
 		}
 	}
 }
 
+// end ends the membership. s.mu is held.
+func (s *modelServer) end() {
+	s.group, s.members = nil, nil
+	close(s.gone)
+	s.gone = make(chan struct{})
+}
+
+// openGroup returns the group of a backend server if its head is open in it, or else nil.
+func (f *fleet) openGroup(s *modelServer) *membership {
+	s.mu.Lock()
+	group, members := s.group, s.members
+	s.mu.Unlock()
+	if group == nil || len(members) == 0 {
+		return nil
+	}
+	f.modelsMu.Lock()
+	head := f.models[members[0]]
+	f.modelsMu.Unlock()
+	head.mu.Lock()
+	defer head.mu.Unlock()
+	if g := head.group; g == nil || g.Name != group.Name || g.Epoch != group.Epoch || g.Rank != 0 || g.State != "open" {
+		return nil
+	}
+	return group
+}
+
 // obey carries out an order and returns the status of the answer.
 func (s *modelServer) obey(o order) int {
 	s.mu.Lock()
@@ -187,6 +240,7 @@
 		case !begin():
 			return http.StatusConflict
 		}
+		s.end()
 		s.epochSeen, s.members = o.Epoch, o.Members
 		s.group = &membership{o.Group, o.Epoch, slices.Index(o.Members, s.id), "joining"}
 		s.staged = []string{o.Model}
@@ -216,7 +270,7 @@
 		if !begin() {
 			return http.StatusConflict
 		}
-		s.group, s.members = nil, nil
+		s.end()
 	case "stage":
 		if slices.Contains(s.staged, o.Model) {
 			return http.StatusOK
@@ -256,13 +310,18 @@
 	}
 }
 
+// streamingRoute returns a route for streams.
+func streamingRoute(name, to string, resume bool) map[string]any {
+	return map[string]any{
+		"name": name, "host": host, "prefix": "/" + name + "/", "kind": "streaming", "timeoutMs": 8000, "targetLatencyMs": 500, "targetGapMs": 300, "priority": 0,
+		"service": to, "maxAttempts": 2, "allowAnonymous": false, "sessionAffinity": true, "streamResume": resume,
+	}
+}
+
 // modelConfig returns a configuration with streams of a model beside the routes of plainConfig.
 func modelConfig(version, size int, resume bool) map[string]any {
 	c := plainConfig(version)
-	c["routes"] = append(c["routes"].([]any), map[string]any{
-		"name": "talk", "host": host, "prefix": "/talk/", "kind": "streaming", "timeoutMs": 8000, "targetLatencyMs": 500, "targetGapMs": 300, "priority": 0,
-		"service": modelService, "maxAttempts": 2, "allowAnonymous": false, "sessionAffinity": true, "streamResume": resume,
-	})
+	c["routes"] = append(c["routes"].([]any), streamingRoute("talk", modelService, resume))
 	c["services"] = append(c["services"].([]any), map[string]any{
 		"name": modelService, "healthPath": "/health", "maxConnections": 404, "protocol": "h1", "tls": false,
 		"engine": map[string]any{
