--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -86,13 +86,14 @@
 	return f, nil
 }
 
-func (f *fleet) serve(l net.Listener, h http.Handler) {
+func (f *fleet) serve(l net.Listener, h http.Handler) *http.Server {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	f.servers = append(f.servers, srv)
 	f.tasks.Go(func() error {
 		_ = srv.Serve(l) // ends when it is closed
 		return nil
 	})
+	return srv
 }
 
 // configure writes a configuration, as operators do.
@@ -261,18 +262,3 @@
 	}
 	_ = os.RemoveAll(f.dir)
 }
-
-// memory returns a line of /proc/PID/status in MiB, such as VmRSS or VmHWM.
-func (d *daemon) memory(line string) int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
-	if err != nil {
-		return -1
-	}
-	for l := range strings.Lines(string(text)) {
-		if v, ok := strings.CutPrefix(l, line+":"); ok {
-			n, _ := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(v), " kB"))
-			return n / 1024
-		}
-	}
-	return -1
-}
--- a/review/rig/model.go
+++ b/review/rig/model.go
@@ -24,6 +24,7 @@
 // modelServer is a backend server that may be a member of a model group.
 type modelServer struct {
 	f        *fleet
+	srv      *http.Server
 	id, addr string
 	zone     string
 	born     int64
@@ -68,7 +69,7 @@
 	f.modelsMu.Lock()
 	f.models[id] = s
 	f.modelsMu.Unlock()
-	f.serve(l, s)
+	s.srv = f.serve(l, s)
 	s.mu.Lock()
 	s.renew()
 	s.mu.Unlock()
@@ -80,6 +81,16 @@
 	return s, nil
 }
 
+// listenAgain ends a cut.
+func (s *modelServer) listenAgain() error {
+	l, err := net.Listen("tcp4", s.addr)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s.srv = s.f.serve(l, s)
+	return nil
+}
+
 // self is what the server says of itself. s.mu is held.
 func (s *modelServer) self() map[string]any {
 	models := []any{}
