--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
