--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -31,6 +31,9 @@
 	startupTime = 15 * time.Second
 )
 
+// loopback is the loopback address of this run, by its process: a port that is free may be taken by another run before it is used.
+var loopback = fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>16%200, os.Getpid()>>8%256, 1+os.Getpid()%254)
+
 // record is the record of a run.
 type record struct {
 	mu    sync.Mutex
@@ -76,7 +79,7 @@
 		return nil, fmt.Errorf("make a folder: %w", err)
 	}
 	f := &fleet{record: rec, dir: dir, program: program, store: fakeplatform.NewStore(), models: map[string]*modelServer{}}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", loopback+":0")
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -136,7 +139,7 @@
 // port returns a port that is free for TCP and UDP.
 func port() (string, error) {
 	for range 100 {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		l, err := net.Listen("tcp4", loopback+":0")
 		if err != nil {
 			return "", fmt.Errorf("find a port: %w", err)
 		}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -44,5 +44,5 @@
 
 // cases holds the cases by name. A case reports whether the rule was broken.
 var cases = map[string]func(ctx context.Context, f *fleet, trouble bool) (bool, error){
-	"odd": odd, "midevent": midevent, "added": added, "behind": behind, "steps": steps,
+	"odd": odd, "midevent": midevent, "added": added, "behind": behind, "leaving": leaving,
 }
--- a/review/rig/model.go
+++ b/review/rig/model.go
@@ -38,6 +38,8 @@
 	group            *membership
 	members          []string
 	running          int
+	// left is set once the server has left the store.
+	left bool
 	// gone is closed when the present membership ends.
 	gone chan struct{}
 }
@@ -61,7 +63,7 @@
 
 // addModel starts a backend server of the model service.
 func (f *fleet) addModel(ctx context.Context, id, zone string, stream func(s *modelServer, w http.ResponseWriter, r *http.Request)) (*modelServer, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", loopback+":0")
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -108,6 +110,9 @@
 
 // renew writes the entry. s.mu is held.
 func (s *modelServer) renew() {
+	if s.left {
+		return
+	}
 	s.beats++
 	entry := s.self()
 	entry["service"], entry["address"], entry["zone"], entry["version"], entry["slots"], entry["state"], entry["sequence"] = modelService, s.addr, s.zone, "1", 16, "ready", s.beats
--- a/review/rig/plain.go
+++ b/review/rig/plain.go
@@ -73,7 +73,7 @@
 
 // addPlain starts a backend server of the plain service.
 func (f *fleet) addPlain(ctx context.Context, id, zone string) (*plainServer, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", loopback+":0")
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
