--- a/review/rig/behind.go
+++ b/review/rig/behind.go
@@ -99,7 +99,7 @@
 			s.mu.Unlock()
 			if member {
 				f.write("%s is cut off from all daemons, with resets", s.id)
-				_ = s.srv.Close() // its connections end, and new ones are refused
+				s.reset()
 				_ = timer.Wait(ctx, behindCut)
 				if err := s.listenAgain(); err != nil {
 					return false, err
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -89,7 +89,10 @@
 }
 
 func (f *fleet) serve(l net.Listener, h http.Handler) *http.Server {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	return f.serveWith(l, &http.Server{Handler: h, ReadHeaderTimeout: time.Minute})
+}
+
+func (f *fleet) serveWith(l net.Listener, srv *http.Server) *http.Server {
 	f.servers = append(f.servers, srv)
 	f.tasks.Go(func() error {
 		_ = srv.Serve(l) // ends when it is closed
--- a/review/rig/model.go
+++ b/review/rig/model.go
@@ -42,6 +42,9 @@
 	left bool
 	// gone is closed when the present membership ends.
 	gone chan struct{}
+
+	connsMu sync.Mutex
+	conns   map[net.Conn]struct{}
 }
 
 type membership struct {
@@ -67,11 +70,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	s := &modelServer{f: f, id: id, addr: l.Addr().String(), zone: zone, born: time.Now().UnixMilli(), stream: stream, staged: []string{}, gone: make(chan struct{})}
+	s := &modelServer{f: f, id: id, addr: l.Addr().String(), zone: zone, born: time.Now().UnixMilli(), stream: stream, conns: map[net.Conn]struct{}{}, staged: []string{}, gone: make(chan struct{})}
 	f.modelsMu.Lock()
 	f.models[id] = s
 	f.modelsMu.Unlock()
-	s.srv = f.serve(l, s)
+	s.serve(l)
 	s.mu.Lock()
 	s.renew()
 	s.mu.Unlock()
@@ -83,13 +86,39 @@
 	return s, nil
 }
 
+func (s *modelServer) serve(l net.Listener) {
+	s.srv = s.f.serveWith(l, &http.Server{Handler: s, ReadHeaderTimeout: time.Minute, ConnState: func(c net.Conn, state http.ConnState) {
+		s.connsMu.Lock()
+		defer s.connsMu.Unlock()
+		if state == http.StateClosed || state == http.StateHijacked {
+			delete(s.conns, c)
+		} else {
+			s.conns[c] = struct{}{}
+		}
+	}})
+}
+
+// reset has all connections end with a reset, and new ones refused.
+func (s *modelServer) reset() {
+	s.connsMu.Lock()
+	n := len(s.conns)
+	for c := range s.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0) // closing it sends a reset
+		}
+	}
+	s.connsMu.Unlock()
+	_ = s.srv.Close()
+	s.f.write("%s: %d connections are reset", s.id, n)
+}
+
 // listenAgain ends a cut.
 func (s *modelServer) listenAgain() error {
 	l, err := net.Listen("tcp4", s.addr)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	s.srv = s.f.serve(l, s)
+	s.serve(l)
 	return nil
 }
 
