Show case 15 with planned work only

The daemon that takes the lease was stopped and started in turn, and the member left while it was down; before, the holder was killed.

The ports of daemons lie below those of outgoing connections: one trial could not run, as such a connection had taken a port.

--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -139,14 +140,17 @@
 
 func (e *PortError) Error() string { return "no port is free for TCP and UDP" }
 
-// port returns a port that is free for TCP and UDP.
+// firstPort and lastPort bound the ports of daemons. Those of outgoing connections lie above.
+const firstPort, lastPort = 12000, 32000
+
+// port returns an address with a port that is free for TCP and UDP.
 func port() (string, error) {
 	for range 100 {
-		l, err := net.Listen("tcp4", loopback+":0")
+		addr := net.JoinHostPort(loopback, strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		l, err := net.Listen("tcp4", addr)
 		if err != nil {
-			return "", fmt.Errorf("find a port: %w", err)
+			continue
 		}
-		addr := l.Addr().String()
 		u, err := net.ListenPacket("udp4", addr)
 		_ = l.Close()
 		if err == nil {
--- a/review/rig/leaving.go
+++ b/review/rig/leaving.go
@@ -9,7 +9,8 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
+	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -19,86 +20,161 @@
 
 const (
 	leavingServers = 8
-	leavingClients = 32
-	leavingEvents  = 40
-	leavingTime    = 15 * time.Second
+	leavingClients = 64
+	// leavingEvents and leavingPause make streams of 7 s. The pause is shorter than the targetGapMs of the route.
+	leavingEvents = 28
+	leavingPause  = 250 * time.Millisecond
+	leavingTime   = 20 * time.Second
+	// leavingStart is how long after the clients the first daemon is stopped. Each client's second stream begins shortly before the member leaves.
+	leavingStart = 4900 * time.Millisecond
 	// leavingSilence is how long a member that has left listens on: the drain time and a little longer.
 	leavingSilence = 2300 * time.Millisecond
+	// restartTime is how long a daemon that was stopped stays down, restartGap the time from its return to the next stop.
+	restartTime = time.Second
+	restartGap  = 1300 * time.Millisecond
 )
 
+// outcomes counts the streams at one daemon.
+type outcomes struct{ sent, served, closed, others int }
+
 // leaving has a member, which is not the head of its group, leave without a report: its entry is removed. It stops listening after the drain time, but
-// works for its head until the streams there have ended. The daemon that holds the lease is killed in between, and starts again. The streams of the
-// head, at the other daemons, must go on.
+// works for its head until the streams there have ended. Two daemons are stopped and started again in turn: the first is down when the entry is
+// removed, the second holds the lease. The streams at the daemon that is not stopped must go on.
 func leaving(ctx context.Context, f *fleet, trouble bool) (bool, error) {
-	if err := f.configure(modelConfig(1, 2, false)); err != nil {
+	servers, err := f.startLeaving(ctx)
+	if err != nil {
 		return false, err
 	}
-	var servers []*modelServer
+	var mu sync.Mutex
+	counts := map[string]*outcomes{}
+	var clients errgroup.Group
+	end := time.Now().Add(leavingTime)
+	for i := range leavingClients {
+		d := f.daemons[1+i%2]
+		counts[d.name] = &outcomes{}
+		clients.Go(func() error {
+			wait := time.Duration(0)
+			for n := 0; timer.Wait(ctx, wait) == nil && time.Now().Before(end); n++ {
+				wait = 0
+				if !f.streamAfterWrite(d, fmt.Sprintf("t%d-%d", i, n), fmt.Sprintf("%x", 0x1000*(i+1)+n), &mu, counts[d.name]) {
+					wait = 300 * time.Millisecond // the daemon is being stopped
+				}
+			}
+			return nil
+		})
+	}
+	_ = timer.Wait(ctx, leavingStart)
+	first := f.daemons[0]
+	if trouble {
+		f.stopDaemon(first)
+	}
+	removeMember(f, servers)
+	stopped := ""
+	if trouble {
+		_ = timer.Wait(ctx, restartTime)
+		if err := f.startAgain(ctx, first); err != nil {
+			return false, err
+		}
+		_ = timer.Wait(ctx, restartGap)
+		holder, err := f.holder()
+		if err != nil {
+			return false, err
+		}
+		f.write("%s holds the lease", holder.name)
+		stopped = holder.name
+		f.stopDaemon(holder)
+		_ = timer.Wait(ctx, restartTime)
+		if err := f.startAgain(ctx, holder); err != nil {
+			return false, err
+		}
+	}
+	_ = clients.Wait() // its tasks return no error
+	f.writeGroups(servers)
+	closed, lost := 0, 0
+	for _, d := range f.daemons[1:] {
+		n := counts[d.name]
+		f.write("%s: %d streams: %d served whole, %d closed on a kept connection without their answer, %d others", d.name, n.sent, n.served, n.closed, n.others)
+		if d.name != stopped {
+			closed += n.closed
+			lost += n.sent - n.served
+		}
+	}
+	if !trouble && lost > 0 {
+		return false, &NotServedError{lost}
+	}
+	return closed > 3, nil
+}
+
+// startLeaving starts the servers and the daemons, and waits for the groups.
+func (f *fleet) startLeaving(ctx context.Context) (servers []*modelServer, err error) {
+	if err := f.configure(modelConfig(1, 2, false)); err != nil {
+		return nil, err
+	}
 	for i := range leavingServers {
 		s, err := f.addModel(ctx, fmt.Sprintf("i-%d", i+1), "zone-a", func(s *modelServer, w http.ResponseWriter, r *http.Request) {
-			s.events(w, r, leavingEvents, 1, 100*time.Millisecond)
+			s.events(w, r, leavingEvents, 1, leavingPause)
 		})
 		if err != nil {
-			return false, err
+			return nil, err
 		}
 		servers = append(servers, s)
 	}
 	for i := range 2 {
 		if _, err := f.addPlain(ctx, fmt.Sprintf("s-%d", i+1), "zone-a"); err != nil {
-			return false, err
+			return nil, err
 		}
 	}
 	for range 3 {
 		if _, err := f.addDaemon("zone-a", 284); err != nil {
-			return false, err
+			return nil, err
 		}
 	}
 	for _, d := range f.daemons {
 		if err := f.awaitReady(ctx, d); err != nil {
-			return false, err
+			return nil, err
 		}
 	}
 	if err := awaitGroups(ctx, servers, leavingServers/2); err != nil {
-		return false, err
+		return nil, err
 	}
 	_ = timer.Wait(ctx, 2*time.Second) // the entries are read meanwhile
 	f.writeGroups(servers)
-	holder, daemons, err := f.holder()
+	return servers, nil
+}
+
+// streamAfterWrite sends a request to the plain service and then, on the same connection, one for a stream. It reports whether the daemon took
+// both; one that is being stopped does not.
+func (f *fleet) streamAfterWrite(d *daemon, id, session string, mu *sync.Mutex, n *outcomes) bool {
+	c, err := net.DialTimeout("tcp4", d.caller, time.Second)
 	if err != nil {
-		return false, err
+		return false
 	}
-	var sent, served, closed, others atomic.Int64
-	var clients errgroup.Group
-	end := time.Now().Add(leavingTime)
-	for i := range leavingClients {
-		clients.Go(func() error {
-			d := daemons[i%len(daemons)]
-			for n := 0; time.Now().Before(end); n++ {
-				id := fmt.Sprintf("t%d-%d", i, n)
-				c, err := net.DialTimeout("tcp4", d.caller, time.Second)
-				if err != nil {
-					return err
-				}
-				from := bufio.NewReader(c)
-				first := talkOn(c, from, "/write/a", "w"+id, "", 3*time.Second)
-				r := talkOn(c, from, "/talk/a", id, modelFields(fmt.Sprintf("%x", 0x1000*(i+1)+n)), 8*time.Second)
-				_ = c.Close()
-				sent.Add(1)
-				switch events := strings.Count(r.body, "\n\n"); {
-				case r.status == http.StatusOK && r.complete && events == leavingEvents:
-					served.Add(1)
-				case r.err != nil && first.status == http.StatusOK:
-					closed.Add(1)
-					f.write("%s at %s: status %d, %d of %d events, then the connection ended: %v", id, d.name, r.status, events, leavingEvents, r.err)
-				default:
-					others.Add(1)
-					f.write("%s at %s: status %d, error %v", id, d.name, r.status, r.err)
-				}
-			}
-			return nil
-		})
+	defer func() { _ = c.Close() }()
+	from := bufio.NewReader(c)
+	first := talkOn(c, from, "/write/a", "w"+id, "", 3*time.Second)
+	if first.status != http.StatusOK || first.err != nil {
+		return false
 	}
-	_ = timer.Wait(ctx, 5*time.Second)
+	r := talkOn(c, from, "/talk/a", id, modelFields(session), 8*time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	n.sent++
+	switch events := strings.Count(r.body, "\n\n"); {
+	case r.status == http.StatusOK && r.complete && events == leavingEvents:
+		n.served++
+	case r.status == http.StatusOK && r.err != nil:
+		n.closed++
+		f.write("%s at %s: status %d, %d of %d events, then the connection ended: %v", id, d.name, r.status, events, leavingEvents, r.err)
+	default:
+		n.others++
+		f.write("%s at %s: status %d, error %v", id, d.name, r.status, r.err)
+		return false
+	}
+	return true
+}
+
+// removeMember has one server leave that is a member of a group, and not its head.
+func removeMember(f *fleet, servers []*modelServer) {
 	for _, s := range servers {
 		s.mu.Lock()
 		member := s.group != nil && s.group.Rank == 1
@@ -109,31 +185,28 @@
 		}
 		f.store.Remove("servers", s.id)
 		f.write("%s leaves: its entry is removed", s.id)
-		stop := timer.AfterFunc(leavingSilence, func() {
+		timer.AfterFunc(leavingSilence, func() {
 			f.write("%s stops listening, and works on for its head", s.id)
 			_ = s.srv.Close() // only daemons ask it for something
 		})
-		defer stop()
-		break
-	}
-	if trouble {
-		_ = timer.Wait(ctx, 500*time.Millisecond)
-		f.write("%s, which holds the lease, is killed", holder.name)
-		_ = holder.cmd.Process.Kill() // it may have ended, which shows in the record
-		<-holder.done
-		if err := f.start(holder); err != nil {
-			return false, err
-		}
-	}
-	if err := clients.Wait(); err != nil {
-		return false, err
+		return
 	}
-	f.writeGroups(servers)
-	f.write("%d streams: %d served whole, %d closed on a kept connection without their answer, %d others", sent.Load(), served.Load(), closed.Load(), others.Load())
-	if !trouble && served.Load() < sent.Load() {
-		return false, &NotServedError{int(sent.Load() - served.Load())}
+}
+
+// stopDaemon stops a daemon as operators do, and waits until it has ended.
+func (f *fleet) stopDaemon(d *daemon) {
+	f.write("%s gets SIGTERM", d.name)
+	_ = d.cmd.Process.Signal(syscall.SIGTERM) // it may have ended, which shows in the record
+	<-d.done
+	f.write("%s has ended", d.name)
+}
+
+// startAgain starts a daemon that has ended, and waits until it is ready.
+func (f *fleet) startAgain(ctx context.Context, d *daemon) error {
+	if err := f.start(d); err != nil {
+		return err
 	}
-	return closed.Load() > 3, nil
+	return f.awaitReady(ctx, d)
 }
 
 // NoHolderError reports that no daemon has taken the lease.
@@ -141,21 +214,25 @@
 
 func (e *NoHolderError) Error() string { return "no daemon holds the lease" }
 
-// holder returns the daemon that holds the lease, by its log, and the others.
-func (f *fleet) holder() (holder *daemon, others []*daemon, err error) {
+// holder returns the daemon that took the lease last, by the logs.
+func (f *fleet) holder() (holder *daemon, err error) {
+	latest := ""
 	for _, d := range f.daemons {
 		text, err := os.ReadFile(filepath.Join(f.dir, d.name+".log"))
 		if err != nil {
-			return nil, nil, fmt.Errorf("read the log: %w", err)
+			return nil, fmt.Errorf("read the log: %w", err)
 		}
-		if strings.Contains(string(text), "lease taken") {
-			holder = d
-		} else {
-			others = append(others, d)
+		for line := range strings.Lines(string(text)) {
+			if !strings.Contains(line, `"lease taken"`) {
+				continue
+			}
+			if _, at, _ := strings.Cut(line, `"@timestamp":"`); at > latest {
+				holder, latest = d, at
+			}
 		}
 	}
 	if holder == nil {
-		return nil, nil, &NoHolderError{}
+		return nil, &NoHolderError{}
 	}
-	return holder, others, nil
+	return holder, nil
 }
--- a/review/rig/model.go
+++ b/review/rig/model.go
@@ -212,6 +212,7 @@
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				s.running--
+				s.finishClose()
 			}()
 			s.stream(s, w, r.WithContext(ctx))
 			if ctx.Err() != nil {
@@ -228,6 +229,14 @@
 	s.gone = make(chan struct{})
 }
 
+// finishClose returns a head that closes to ready once its work is done. s.mu is held.
+func (s *modelServer) finishClose() {
+	if s.group != nil && s.group.State == "closing" && s.running == 0 {
+		s.group.State = "ready"
+		s.renew()
+	}
+}
+
 // openGroup returns the group of a backend server if its head is open in it, or else nil.
 func (f *fleet) openGroup(s *modelServer) *membership {
 	s.mu.Lock()
@@ -307,7 +316,8 @@
 		if !begin() {
 			return http.StatusConflict
 		}
-		s.group.State = "ready"
+		s.group.State = "closing"
+		s.finishClose()
 	case "leave":
 		if !mine {
 			return http.StatusOK
