Create the counters of case 15 before its clients

A run of a trial ended with 'concurrent map read and map write' in the program of the cases. Built with the race detector, one run of each case shows no race now.

--- a/review/rig/leaving.go
+++ b/review/rig/leaving.go
@@ -47,11 +47,13 @@
 	}
 	var mu sync.Mutex
 	counts := map[string]*outcomes{}
+	for _, d := range f.daemons {
+		counts[d.name] = &outcomes{}
+	}
 	var clients errgroup.Group
 	end := time.Now().Add(leavingTime)
 	for i := range leavingClients {
 		d := f.daemons[1+i%2]
-		counts[d.name] = &outcomes{}
 		clients.Go(func() error {
 			wait := time.Duration(0)
 			for n := 0; timer.Wait(ctx, wait) == nil && time.Now().Before(end); n++ {
