--- a/review/rig/model.go
+++ b/review/rig/model.go
@@ -137,15 +137,20 @@
 	return out
 }
 
+// entry is the entry in the store. s.mu is held.
+func (s *modelServer) entry() map[string]any {
+	out := s.self()
+	out["service"], out["address"], out["zone"], out["version"], out["slots"], out["state"], out["sequence"] = modelService, s.addr, s.zone, "1", 16, "ready", s.beats
+	return out
+}
+
 // renew writes the entry. s.mu is held.
 func (s *modelServer) renew() {
 	if s.left {
 		return
 	}
 	s.beats++
-	entry := s.self()
-	entry["service"], entry["address"], entry["zone"], entry["version"], entry["slots"], entry["state"], entry["sequence"] = modelService, s.addr, s.zone, "1", 16, "ready", s.beats
-	text, _ := json.Marshal(entry)
+	text, _ := json.Marshal(s.entry()) // never fails
 	s.f.store.Put("servers", s.id, text)
 }
 
--- a/review/rig/odd.go
+++ b/review/rig/odd.go
@@ -24,8 +24,8 @@
 	oddTime    = 14 * time.Second
 )
 
-// odd has another writer leave an entry that repeats parts of that of a group's member and lacks other fields. It names no backend server, so no
-// member may be told to join another group while the head of its group is open.
+// odd has another writer leave an entry of the head of a group that lacks a field. It names no backend server, and the others hold, so no member may be
+// told to join another group while the head of its group is open.
 func odd(ctx context.Context, f *fleet, trouble bool) (bool, error) {
 	if err := f.configure(modelConfig(1, 2, false)); err != nil {
 		return false, err
@@ -107,19 +107,19 @@
 	return f.doubled.Load() > 0, nil
 }
 
-// writeOdd writes an entry that has only some fields of that of a member.
+// writeOdd writes the entry of a head again, without one of its fields. The head writes its own again with its next heartbeat.
 func (f *fleet) writeOdd(servers []*modelServer) {
 	for _, s := range servers {
 		s.mu.Lock()
-		self, member := s.self(), s.group != nil && s.group.Rank == 1 && s.group.State != "joining"
+		entry, head := s.entry(), s.group != nil && s.group.Rank == 0 && s.group.State == "open"
 		s.mu.Unlock()
-		if !member {
+		if !head {
 			continue
 		}
-		entry := map[string]any{"service": modelService, "address": s.addr, "state": "ready", "group": self["group"]}
+		delete(entry, "born")
 		text, _ := json.Marshal(entry) // never fails
-		f.store.Put("servers", s.id+"-note", text)
-		f.write("another writer leaves the row servers/%s-note: %s", s.id, text)
+		f.store.Put("servers", s.id, text)
+		f.write("another writer leaves the row servers/%s: %s", s.id, text)
 		return
 	}
 }
