Write the odd entry of case 11 right after a heartbeat

The next heartbeat replaces it 1.2 s later, so that the time that it stands does not depend on the machine.

--- a/review/rig/odd.go
+++ b/review/rig/odd.go
@@ -93,7 +93,7 @@
 	}
 	_ = timer.Wait(ctx, 5*time.Second)
 	if trouble {
-		f.writeOdd(servers)
+		f.writeOdd(ctx, servers)
 	}
 	if err := clients.Wait(); err != nil {
 		return false, err
@@ -107,15 +107,21 @@
 	return f.doubled.Load() > 0, nil
 }
 
-// writeOdd writes the entry of a head again, without one of its fields. The head writes its own again with its next heartbeat.
-func (f *fleet) writeOdd(servers []*modelServer) {
+// writeOdd writes the entry of a head again after a heartbeat, without one of its fields. The head replaces it with the next heartbeat.
+func (f *fleet) writeOdd(ctx context.Context, servers []*modelServer) {
 	for _, s := range servers {
 		s.mu.Lock()
-		entry, head := s.entry(), s.group != nil && s.group.Rank == 0 && s.group.State == "open"
+		beats, head := s.beats, s.group != nil && s.group.Rank == 0 && s.group.State == "open"
 		s.mu.Unlock()
 		if !head {
 			continue
 		}
+		var entry map[string]any
+		for renewed := false; !renewed && timer.Wait(ctx, 10*time.Millisecond) == nil; {
+			s.mu.Lock()
+			entry, renewed = s.entry(), s.beats != beats
+			s.mu.Unlock()
+		}
 		delete(entry, "born")
 		text, _ := json.Marshal(entry) // never fails
 		f.store.Put("servers", s.id, text)
