--- a/review/rig/midevent.go
+++ b/review/rig/midevent.go
@@ -20,6 +20,8 @@
 	midStreams = 4000
 	midClients = 32
 	midShare   = 50
+	// midTime is how long it does so.
+	midTime = 5 * time.Second
 	// midModels and midPlain are the parts of the route that go to the model service and to the plain one, and midServers the servers of the former.
 	midModels, midPlain = 90, 10
 	midServers          = 4
@@ -75,7 +77,7 @@
 		}
 		servers = append(servers, s)
 	}
-	var plain, brokenOff atomic.Int64
+	var plain, brokenOff, began atomic.Int64
 	for i := range 2 {
 		s, err := f.addPlain(ctx, fmt.Sprintf("s-%d", i+1), "zone-a")
 		if err != nil {
@@ -84,7 +86,8 @@
 		var answers atomic.Int64
 		s.handle = func(w http.ResponseWriter, r *http.Request) {
 			plain.Add(1)
-			breakOff := trouble && i == 0 && answers.Add(1)%midShare == 0
+			began.CompareAndSwap(0, time.Now().UnixNano())
+			breakOff := trouble && i == 0 && answers.Add(1)%midShare == 0 && time.Since(time.Unix(0, began.Load())) < midTime
 			if breakOff {
 				brokenOff.Add(1)
 			}
