Serve streams of plain services event by event

Cause: the code that serves a request was chosen by its service. One without models got servePlain, which reads bodies ahead and does not know events, although its route is for streams.

forwardedStream serves all streaming routes now. placeSource and occupancy hold what differs between model groups and plain services, so plain streams are resumed, get standbys and are handed over like others. Responses that are no streams keep their way. Package sse tells where events end; it also checks event streams on other routes and in the own interface. A broken stream without a length resets the connection of an HTTP/1.0 caller, on routes to models too.

parseEvents has a parameter for ids that need only increase; the checks of TestStreamOutOfOrder are unchanged, with more beside them.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -149,6 +149,9 @@
 	a.pool.discard(a.conn)
 }
 
+// Distrust has Close close the connection, as the server is faulty.
+func (a *Response) Distrust() { a.reusable = false }
+
 // HeaderSizeError reports a response whose status line and headers exceed the limit.
 type HeaderSizeError struct{ Limit int }
 
--- a/internal/caller/broken_test.go
+++ b/internal/caller/broken_test.go
@@ -36,16 +36,20 @@
 		// begun is set if the answer is broken only after its head, which may have been forwarded.
 		begun bool
 	}{
-		"reset after 1ms":       {reset(time.Millisecond, 1), true},
-		"reset after 20ms":      {reset(20*time.Millisecond, 90_000), true},
-		"reset after 200ms":     {reset(200*time.Millisecond, 5000), true},
-		"blank in a trailer":    {send("200", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Odd: 1\r\n\r\n"), true},
-		"status 000":            {send("000", "Content-Length: 4\r\n\r\nbody"), false},
-		"status 099, no length": {send("099", "\r\nbody"), false},
-		"blank in a name":       {send("200", "X Odd: 1\r\nContent-Length: 4\r\n\r\nbody"), false},
-		"blank, length":         {send("200", "Content-Length : 4\r\n\r\nbody"), false},
-		"blank, encoding":       {send("200", "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"), false},
-		"control byte":          {send("200", "X-\x01Odd: 1\r\nContent-Length: 4\r\n\r\nbody"), false},
+		"reset after 1ms":    {reset(time.Millisecond, 1), true},
+		"reset after 20ms":   {reset(20*time.Millisecond, 90_000), true},
+		"reset after 200ms":  {reset(200*time.Millisecond, 5000), true},
+		"blank in a trailer": {send("200", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Odd: 1\r\n\r\n"), true},
+		"inside an event": {func(c *net.TCPConn, r *http.Request) {
+			rawserver.ShutDown(ownHead("200", r)+"Content-Type: text/event-stream\r\n\r\ndata: a\n\ndata", 20*time.Millisecond)(c, r)
+		}, true},
+		"inside an event, chunks": {send("200", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n7\r\ndata: a\r\n0\r\n\r\n"), true},
+		"status 000":              {send("000", "Content-Length: 4\r\n\r\nbody"), false},
+		"status 099, no length":   {send("099", "\r\nbody"), false},
+		"blank in a name":         {send("200", "X Odd: 1\r\nContent-Length: 4\r\n\r\nbody"), false},
+		"blank, length":           {send("200", "Content-Length : 4\r\n\r\nbody"), false},
+		"blank, encoding":         {send("200", "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"), false},
+		"control byte":            {send("200", "X-\x01Odd: 1\r\nContent-Length: 4\r\n\r\nbody"), false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			size := 1
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -26,6 +26,7 @@
 	"flamingorudder.example/internal/http1"
 	"flamingorudder.example/internal/note"
 	"flamingorudder.example/internal/retry"
+	"flamingorudder.example/internal/sse"
 	"flamingorudder.example/internal/timeline"
 	"flamingorudder.example/internal/timer"
 )
@@ -403,12 +404,16 @@
 	f.headed = true
 	f.w.WriteHeader(resp.StatusCode)
 
+	body := io.Reader(resp.Body)
+	if sse.IsStream(resp.Header) {
+		body = sse.NewReader(body)
+	}
 	rc := http.NewResponseController(f.w)
 	var kept []byte
 	var gone error
 	buf := make([]byte, 32<<10)
 	for {
-		n, err := resp.Body.Read(buf)
+		n, err := body.Read(buf)
 		if f.held != nil && len(kept) <= claim.MaxResponseBody {
 			kept = append(kept, buf[:n]...)
 		}
--- a/internal/entry/broken_test.go
+++ b/internal/entry/broken_test.go
@@ -98,6 +98,11 @@
 		"blank, chunks":   send("200", fmt.Sprintf("Transfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(event(1)), event(1))),
 		"control byte":    send("200", fmt.Sprintf("X-\x01Odd: 1\r\nContent-Length: %d\r\n\r\n%s", len(event(1)), event(1))),
 	}
+	cut := event(1) + "id: 2\ndata: e"
+	out["inside an event"] = func(c *net.TCPConn, r *http.Request) {
+		rawserver.ShutDown(head("200", r)+typeEvents+"\r\n"+cut, 20*time.Millisecond)(c, r)
+	}
+	out["inside an event, chunks"] = send("200", typeEvents+framedChunks+"\r\n"+chunk(cut)+"0\r\n\r\n")
 	for wait, size := range map[time.Duration]int{time.Millisecond: 0, 20 * time.Millisecond: 5000, 200 * time.Millisecond: longBody} {
 		out[fmt.Sprintf("reset after %v and %d bytes", wait, size)] = func(c *net.TCPConn, r *http.Request) {
 			body := event(1) + event(2)
@@ -185,7 +190,7 @@
 // path to the backend servers has handed the request over.
 func TestBrokenAnswersHandedOver(t *testing.T) {
 	for name, answer := range brokenAnswers() {
-		if !strings.HasPrefix(name, "reset") && name != "status 000" && name != "blank, length" {
+		if !strings.HasPrefix(name, "reset") && !strings.HasPrefix(name, "inside") && name != "status 000" && name != "blank, length" {
 			continue
 		}
 		t.Run(name, func(t *testing.T) {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -250,6 +250,7 @@
 		srv.MaxHeaderBytes, srv.ReadHeaderTimeout = maxHeadBytes, callerIdleTimeout
 		switch l.addr {
 		case s.Caller:
+			srv.ConnContext = withConn
 			srv.ConnState = func(c net.Conn, state http.ConnState) {
 				d.active.track(c, state)
 				g.track(c, state)
@@ -498,6 +499,8 @@
 	active  *activeConns
 	guard   *guard
 	closing atomic.Bool
+	// resetOnClose is set if Close has to reset the connection, as its end would complete an answer that was broken off.
+	resetOnClose atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -526,6 +529,10 @@
 	if c.closing.Swap(true) {
 		return net.ErrClosed
 	}
+	if c.resetOnClose.Load() {
+		_ = c.SetLinger(0) // fails only on a closed connection
+		return c.closeNow()
+	}
 	if c.active.ended || c.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(closeTimeout)) != nil {
 		return c.closeNow()
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -58,7 +59,7 @@
 	// unreachable holds the groups to whose heads this daemon could not connect, by their keys.
 	unreachable map[string]unreachableGroup
 	// running holds the requests in progress at each group, by their tracks in stalls.
-	running map[string]map[*balance.Track]*reservation
+	running map[string]map[*balance.Track]*groupPlace
 	// peerWatches holds the requests that other daemons serve and that may go on elsewhere when those are lost.
 	peerWatches map[*peerWatch]struct{}
 }
@@ -98,19 +99,73 @@
 	err         error
 }
 
-// reservation is the place of one request in a group, held until the attempt there ends.
+// reservation is the place of one attempt at a stream, held until the attempt ends: in a group, at a backend server of a service without
+// models, or at another daemon.
 type reservation struct {
-	d     *dispatcher
-	model schedule.Model
-	key   string
-	head  *roster.Server
-	ids   suspectIDs
+	occupancy
+	// key is the group; it is empty at other places.
+	key  string
+	head *roster.Server
+	// peer is the daemon to which the request is handed over; it is empty at other places.
+	peer string
 	// ctx is cancelled when the request or a part of its prompt is put in quarantine. Its cause is the error of the attempt.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	// silent is set while the group, or this request alone, makes no progress. onSilence is called then, with the mutex of
-	// the dispatcher held.
-	silent    atomic.Bool
+	// silent is set while the place, or this request alone, makes no progress.
+	silent atomic.Bool
+	// limit is how long the place may make no progress.
+	limit time.Duration
+}
+
+// name returns what the place is called in the log and in the list of places that later attempts leave out.
+func (s *reservation) name() string { return cmp.Or(s.key, s.head.ID) }
+
+// release gives the place back.
+func (s *reservation) release() {
+	s.cancel(nil)
+	s.occupancy.release()
+}
+
+// occupancy follows an attempt at the place where it runs. It is safe for concurrent use.
+type occupancy interface {
+	// watch has f called whenever the place, or this request alone, is found to make no progress. f must not block.
+	watch(f func())
+	// expect records that the daemon begins to wait for an event of the response, progress that one arrived.
+	expect()
+	progress()
+	// recordConnection records whether this daemon could connect to the server, recordRejection that the server rejected the request and
+	// for how long it wants no others.
+	recordConnection(connected bool)
+	recordRejection(pause time.Duration)
+	// reportLimit reports what the answer says about the limit of its server.
+	reportLimit(n balance.LimitNotice, sent time.Time)
+	// recordOutcome records that the server has answered the request or crashed, reportFailure that it failed the request.
+	recordOutcome(crashed bool)
+	reportFailure(err error)
+	// release ends the occupancy. It may be called more than once.
+	release()
+}
+
+// peerPlace is the occupancy of a request that another daemon serves, which follows the attempts itself.
+type peerPlace struct{}
+
+func (peerPlace) watch(func())                               {}
+func (peerPlace) expect()                                    {}
+func (peerPlace) progress()                                  {}
+func (peerPlace) recordConnection(bool)                      {}
+func (peerPlace) recordRejection(time.Duration)              {}
+func (peerPlace) reportLimit(balance.LimitNotice, time.Time) {}
+func (peerPlace) recordOutcome(bool)                         {}
+func (peerPlace) reportFailure(error)                        {}
+func (peerPlace) release()                                   {}
+
+// groupPlace is the occupancy of a place in a group. The mutex of the dispatcher guards it.
+type groupPlace struct {
+	d     *dispatcher
+	held  *reservation
+	model schedule.Model
+	ids   suspectIDs
+	// onSilence is called, with the mutex of the dispatcher held, when the place falls silent.
 	onSilence func()
 	// load is the load of the request when it is placed.
 	load  balance.Load
@@ -118,11 +173,7 @@
 	// place is the decision of the scheduler.
 	place schedule.Placement
 	track *balance.Track
-	// limit is how long the group may make no progress.
-	limit time.Duration
 	ended bool
-	// peer is the daemon to which the request is handed over; empty for a place in a group, which the dispatcher counts.
-	peer string
 }
 
 // RejectedError reports that a request was not assigned to any backend server. The request has not run.
@@ -138,7 +189,7 @@
 	return &dispatcher{
 		d: d, server: schedule.NewServer(), crashDetector: quarantine.NewDetector(), plainDetectors: map[string]*quarantine.Detector{}, clients: map[schedule.Model]*schedule.Client{}, reporters: map[string]reporter{},
 		targets: map[schedule.Model]*candidates{}, waiters: map[uint64]*waiter{}, localLoad: map[schedule.Model]map[string]balance.Load{},
-		stalls: balance.NewStallDetector(), suspects: map[string]suspicion{}, unreachable: map[string]unreachableGroup{}, running: map[string]map[*balance.Track]*reservation{}, peerWatches: map[*peerWatch]struct{}{},
+		stalls: balance.NewStallDetector(), suspects: map[string]suspicion{}, unreachable: map[string]unreachableGroup{}, running: map[string]map[*balance.Track]*groupPlace{}, peerWatches: map[*peerWatch]struct{}{},
 	}
 }
 
@@ -328,38 +379,40 @@
 }
 
 // handOver returns a reservation for an attempt that has another daemon serve the request.
-func (p *dispatcher) handOver(m schedule.Model, ids suspectIDs, target *gossip.Peer) *reservation {
-	s := &reservation{d: p, model: m, key: "", head: peerServer(target), ids: ids, began: time.Now(), peer: target.Name}
+func handOver(target *gossip.Peer) *reservation {
+	s := &reservation{occupancy: peerPlace{}, head: peerServer(target), peer: target.Name}
 	s.ctx, s.cancel = context.WithCancelCause(context.Background())
 	return s
 }
 
 // reserve takes the place in a group that the scheduler has assigned to a request, and starts tracking its progress.
 func (p *dispatcher) reserve(now time.Time, w *waiter, place *schedule.Placement, head *roster.Server) *reservation {
-	s := &reservation{
-		d: p, model: w.model, key: place.Group, head: head, ids: w.ids, load: balance.RequestLoad(w.ask.Prompt, w.ask.Tokens), began: now, place: *place,
-		track: p.stalls.Begin(now, place.Group, w.limit), limit: w.limit,
+	r := &reservation{key: place.Group, head: head, limit: w.limit}
+	r.ctx, r.cancel = context.WithCancelCause(context.Background())
+	s := &groupPlace{
+		d: p, held: r, model: w.model, ids: w.ids, load: balance.RequestLoad(w.ask.Prompt, w.ask.Tokens), began: now, place: *place,
+		track: p.stalls.Begin(now, place.Group, w.limit),
 	}
+	r.occupancy = s
 	p.addLoad(s, s.load)
-	s.ctx, s.cancel = context.WithCancelCause(context.Background())
-	if p.running[s.key] == nil {
-		p.running[s.key] = map[*balance.Track]*reservation{}
+	if p.running[r.key] == nil {
+		p.running[r.key] = map[*balance.Track]*groupPlace{}
 	}
-	p.running[s.key][s.track] = s
-	return s
+	p.running[r.key][s.track] = s
+	return r
 }
 
 // addLoad adds delta to the load that this daemon puts on a group.
-func (p *dispatcher) addLoad(s *reservation, delta balance.Load) {
+func (p *dispatcher) addLoad(s *groupPlace, delta balance.Load) {
 	loads := p.localLoad[s.model]
 	if loads == nil {
 		loads = map[string]balance.Load{}
 		p.localLoad[s.model] = loads
 	}
-	if l := loads[s.key].Add(delta); l.Requests > 0 {
-		loads[s.key] = l
+	if l := loads[s.held.key].Add(delta); l.Requests > 0 {
+		loads[s.held.key] = l
 	} else {
-		delete(loads, s.key)
+		delete(loads, s.held.key)
 	}
 	p.client(s.model).Changed()
 }
@@ -519,65 +572,56 @@
 	return pressure, urgent
 }
 
-// watch has f called whenever the group, or this request alone, is found to make no progress. f must not block.
-func (s *reservation) watch(f func()) {
-	if s.peer != "" {
-		return // that daemon watches the group
-	}
+func (s *groupPlace) watch(f func()) {
 	s.d.mu.Lock()
 	defer s.d.mu.Unlock()
 	s.onSilence = f
 }
 
-func (s *reservation) fallSilent() {
-	s.silent.Store(true)
+func (s *groupPlace) fallSilent() {
+	s.held.silent.Store(true)
 	if s.onSilence != nil {
 		s.onSilence()
 	}
 }
 
-// progress records that an event of the response arrived.
-func (s *reservation) progress() {
-	if s.peer != "" {
-		return
-	}
+// expect does nothing: a group makes progress by the events of all its requests.
+func (s *groupPlace) expect() {}
+
+func (s *groupPlace) progress() {
 	now := time.Now()
 	p := s.d
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s.silent.Store(false)
+	s.held.silent.Store(false)
 	if s.ended {
 		return
 	}
 	if p.stalls.Progress(now, s.track) {
 		p.addLoad(s, balance.Load{QueuedTokens: -s.load.QueuedTokens})
-		p.client(s.model).RecordFirstEvent(schedule.FirstEvent{Group: s.key, Passes: s.place.Passes, QueuedPrefill: s.place.QueuedPrefill, Full: s.place.Full, Took: now.Sub(s.began)})
+		p.client(s.model).RecordFirstEvent(schedule.FirstEvent{Group: s.held.key, Passes: s.place.Passes, QueuedPrefill: s.place.QueuedPrefill, Full: s.place.Full, Took: now.Sub(s.began)})
 	}
 }
 
-// reportLimit reports to the scheduler what the answer says about the limit of its server.
-func (s *reservation) reportLimit(n balance.LimitNotice, sent time.Time) {
+func (s *groupPlace) recordConnection(connected bool) { s.d.recordConnection(s.held.key, connected) }
+
+func (s *groupPlace) recordRejection(pause time.Duration) { s.d.excludeRejecting(s.held.key, pause) }
+
+// reportLimit reports the limit to the scheduler.
+func (s *groupPlace) reportLimit(n balance.LimitNotice, sent time.Time) {
 	s.d.mu.Lock()
 	defer s.d.mu.Unlock()
 	s.d.client(s.model).RecordLimit(n, sent)
 }
 
 // reportFailure reports to the scheduler that the group failed the request.
-func (s *reservation) reportFailure() {
-	if s.peer != "" {
-		return
-	}
+func (s *groupPlace) reportFailure(error) {
 	s.d.mu.Lock()
 	defer s.d.mu.Unlock()
-	s.d.client(s.model).RecordFailure(s.key)
+	s.d.client(s.model).RecordFailure(s.held.key)
 }
 
-// release gives the place in the group back.
-func (s *reservation) release() {
-	if s.peer != "" {
-		s.cancel(nil)
-		return
-	}
+func (s *groupPlace) release() {
 	p := s.d
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -585,15 +629,14 @@
 		return
 	}
 	s.ended = true
-	s.cancel(nil)
 	p.stalls.End(s.track)
 	load := s.load
 	if s.track.Started() {
 		load.QueuedTokens = 0
 	}
 	p.addLoad(s, load.Negative())
-	delete(p.running[s.key], s.track)
-	if len(p.running[s.key]) == 0 {
-		delete(p.running, s.key)
+	delete(p.running[s.held.key], s.track)
+	if len(p.running[s.held.key]) == 0 {
+		delete(p.running, s.held.key)
 	}
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -356,13 +356,21 @@
 
 // TestStreamOutOfOrder checks that events are rejected that do not continue where the previous attempt ended.
 func TestStreamOutOfOrder(t *testing.T) {
-	if _, _, _, err := parseEvents([]byte(event(2)+event(4)), "1", false); err == nil {
+	if _, _, _, err := parseEvents([]byte(event(2)+event(4)), "1", false, false); err == nil {
 		t.Error("a gap in the event ids was accepted")
 	}
-	if _, _, _, err := parseEvents([]byte(event(2)), "2", false); err == nil {
+	if _, _, _, err := parseEvents([]byte(event(2)), "2", false, false); err == nil {
 		t.Error("a duplicate event id was accepted")
 	}
-	whole, count, id, err := parseEvents([]byte(event(2)+event(3)+"id: 4"), "1", false)
+	for _, last := range []string{"2", "3"} {
+		if _, _, _, err := parseEvents([]byte(event(2)), last, false, true); err == nil {
+			t.Errorf("event 2 was accepted after event %s", last)
+		}
+	}
+	if whole, count, id, err := parseEvents([]byte(event(5)+event(10)), "1", true, true); err != nil || id != "10" || whole != len(event(5)+event(10)) || count != 2 {
+		t.Errorf("ids that only increase: whole %d, count %d, id %q, error %v", whole, count, id, err)
+	}
+	whole, count, id, err := parseEvents([]byte(event(2)+event(3)+"id: 4"), "1", false, false)
 	if err != nil || id != "3" || whole != len(event(2)+event(3)) || count != 2 {
 		t.Errorf("whole %d, count %d, id %q, error %v", whole, count, id, err)
 	}
--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -463,7 +463,7 @@
 				if s.model.Service != service || !p.stalls.Silent(now, key) {
 					break // all requests of a group have the same service
 				}
-				if !s.silent.Load() {
+				if !s.held.silent.Load() {
 					s.fallSilent()
 				}
 			}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -21,6 +21,7 @@
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
 	"flamingorudder.example/internal/schedule"
+	"flamingorudder.example/internal/sse"
 	"flamingorudder.example/internal/timer"
 )
 
@@ -124,10 +125,25 @@
 
 // end records the end of an attempt. lost is set if there was no complete response, failed if the response was an error.
 func (s *healthTable) end(id string, lost, failed bool, now time.Time) {
+	s.release(id)
+	s.record(id, lost, failed, now)
+}
+
+// release ends an attempt whose result is recorded by itself.
+func (s *healthTable) release(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers[id].inFlight--
+}
+
+// record records the result of an attempt.
+func (s *healthTable) record(id string, lost, failed bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.servers[id]
-	st.inFlight--
+	if st == nil {
+		return // the server has been forgotten since the end of the attempt
+	}
 	st.failures *= 1 - failureWeight
 	if lost || failed {
 		st.failures += failureWeight
@@ -163,18 +179,71 @@
 
 func (e *NoServerError) Error() string { return "no usable backend server for service " + e.Service }
 
+// serverChoice chooses backend servers of a plain service for the attempts at one request.
+type serverChoice struct {
+	x *exchange
+	// svc is nil if the configuration lacks the service.
+	svc *route.Service
+	ids suspectIDs
+	// tried holds the servers of all attempts, by id.
+	tried map[string]bool
+}
+
+func newServerChoice(x *exchange, svc *route.Service) serverChoice {
+	return serverChoice{x: x, svc: svc, ids: newSuspectIDs(x.hash, nil), tried: map[string]bool{}}
+}
+
+// rejection returns why the request must not be sent to any server now, or nil.
+func (p *serverChoice) rejection(now time.Time) error {
+	if err := p.x.d.quarantineRejection(now, p.ids); err != nil {
+		return err
+	}
+	if err := p.x.evacuationRejection(schedule.Model{Service: p.x.service}); err != nil {
+		return err
+	}
+	return p.x.homeRejection(schedule.Model{Service: p.x.service})
+}
+
+// candidates returns the backend servers of the service that may be used, and the share of a limit that this daemon may use, as callers spread
+// over all daemons.
+func (p *serverChoice) candidates() (servers []*roster.Server, now time.Time, share float64) {
+	now = time.Now()
+	return p.x.d.serversInHomes(p.x.d.outsideEvacuation(p.x.d.view.Load().Services[p.x.service]), p.x.homes), now, 1 / float64(p.x.d.sharingDaemons(now, p.x.service))
+}
+
+// choose returns the backend server to use now, one that has not been tried if fresh is set, or nil if there is none.
+func (p *serverChoice) choose(servers []*roster.Server, now time.Time, share float64, fresh bool) *roster.Server {
+	usable := func(s *roster.Server) bool {
+		return (!fresh || !p.tried[s.ID]) && p.x.d.usableFrom(now, p.svc, s, share).IsZero()
+	}
+	var cold func(*roster.Server) bool
+	if p.x.d.anyCold(now, p.svc) {
+		cold = func(s *roster.Server) bool { return !p.x.d.cold.Until(now, s, p.svc).IsZero() }
+	}
+	return p.x.d.plainServers.choose(servers, usable, cold, p.tried, p.x.d.settings().DataCentre, now)
+}
+
+// begin begins an attempt at a server. It reports false if another request has taken the slot of a cold server, or is already probing
+// whether the pause of the server is over.
+func (p *serverChoice) begin(now time.Time, server *roster.Server) bool {
+	d := p.x.d
+	if !d.takeColdSlot(now, p.svc, server) || !d.pauses.Admit(now, server.ID) {
+		return false
+	}
+	d.limits.Take(server.ID)
+	d.plainServers.begin(server.ID)
+	p.tried[server.ID] = true
+	return true
+}
+
 // maxPlainAttempts bounds the attempts of one request that are under way at the same time.
 const maxPlainAttempts = 3
 
 // plainRequest is the state of a request to a plain service. A safe request is also sent to another backend server if one is
 // silent, which may be sound and go on: the first usable response is forwarded.
 type plainRequest struct {
-	x *exchange
-	// svc is nil if the configuration lacks the service.
-	svc   *route.Service
-	ids   suspectIDs
+	serverChoice
 	limit int
-	tried map[string]bool
 	// handedTo are the daemons to which the request was handed over.
 	handedTo []string
 	// underWay holds the attempts that have not been settled. ended receives each of them once and never blocks.
@@ -210,7 +279,7 @@
 
 // servePlain serves a request to a plain service, one that runs no models.
 func (x *exchange) servePlain(ctx context.Context, svc *route.Service) {
-	p := &plainRequest{x: x, svc: svc, ids: newSuspectIDs(x.hash, nil), limit: x.d.connectionLimit(svc), tried: map[string]bool{}, ended: make(chan *plainAttempt, maxPlainAttempts)}
+	p := &plainRequest{serverChoice: newServerChoice(x, svc), limit: x.d.connectionLimit(svc), ended: make(chan *plainAttempt, maxPlainAttempts)}
 	for done := false; !done && (len(p.underWay) > 0 || ctx.Err() == nil); {
 		if len(p.underWay) == 0 && !p.start(ctx) {
 			break
@@ -240,15 +309,7 @@
 	p.x.awaitBefore(waiting, p.last)
 	for waiting.Err() == nil {
 		servers, now, share := p.candidates()
-		if err := p.x.d.quarantineRejection(now, p.ids); err != nil {
-			p.last = err
-			return false
-		}
-		if err := p.x.evacuationRejection(schedule.Model{Service: p.x.service}); err != nil {
-			p.last = err
-			return false
-		}
-		if err := p.x.homeRejection(schedule.Model{Service: p.x.service}); err != nil {
+		if err := p.rejection(now); err != nil {
 			p.last = err
 			return false
 		}
@@ -286,39 +347,17 @@
 	return false
 }
 
-// candidates returns the backend servers of the service that may be used, and the share of a limit that this daemon may use, as callers spread
-// over all daemons.
-func (p *plainRequest) candidates() (servers []*roster.Server, now time.Time, share float64) {
-	now = time.Now()
-	return p.x.d.serversInHomes(p.x.d.outsideEvacuation(p.x.d.view.Load().Services[p.x.service]), p.x.homes), now, 1 / float64(p.x.d.sharingDaemons(now, p.x.service))
-}
-
-// choose returns the backend server to use now, one that has not been tried if fresh is set, or nil if there is none.
-func (p *plainRequest) choose(servers []*roster.Server, now time.Time, share float64, fresh bool) *roster.Server {
-	usable := func(s *roster.Server) bool {
-		return (!fresh || !p.tried[s.ID]) && p.x.d.usableFrom(now, p.svc, s, share).IsZero()
-	}
-	var cold func(*roster.Server) bool
-	if p.x.d.anyCold(now, p.svc) {
-		cold = func(s *roster.Server) bool { return !p.x.d.cold.Until(now, s, p.svc).IsZero() }
-	}
-	return p.x.d.plainServers.choose(servers, usable, cold, p.tried, p.x.d.settings().DataCentre, now)
-}
-
 // send starts an attempt. It reports false if another request has taken the slot of a cold server, or is already probing
 // whether the pause of the server is over.
 func (p *plainRequest) send(ctx context.Context, now time.Time, server *roster.Server) bool {
 	x := p.x
-	if !x.d.takeColdSlot(now, p.svc, server) || !x.d.pauses.Admit(now, server.ID) {
+	if !p.begin(now, server) {
 		return false
 	}
 	x.paid = false
-	x.d.limits.Take(server.ID)
-	p.tried[server.ID] = true
 	a := &plainAttempt{server: server, sent: now, patience: x.patience()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	p.underWay = append(p.underWay, a)
-	x.d.plainServers.begin(server.ID)
 	p.tasks.Go(func() error {
 		x.tryPlain(a, p.limit)
 		p.ended <- a
@@ -527,10 +566,15 @@
 	done func(lost bool)
 }
 
-// readAhead reads the response, completely if it is small and there is memory for it.
+// readAhead reads the response, completely if it is small and there is memory for it. An event stream that ends inside an event fails.
 func (o *bufferedResponse) readAhead(x *exchange) (err error) {
+	if sse.IsStream(o.a.Header) {
+		o.a.Body = sse.NewReader(o.a.Body)
+	}
 	n := x.readAhead(o.a.Length)
-	o.body, err = io.ReadAll(io.LimitReader(o.a.Body, n+1))
+	if o.body, err = io.ReadAll(io.LimitReader(o.a.Body, n+1)); err != nil {
+		o.a.Distrust()
+	}
 	o.tail = int64(len(o.body)) > n
 	return err
 }
@@ -648,7 +692,12 @@
 
 // forwardRest forwards the part of the body that was not read ahead. A body of unknown length is limited, as it may never
 // end.
-func (o *bufferedResponse) forwardRest(w io.Writer) error {
+func (o *bufferedResponse) forwardRest(w io.Writer) (err error) {
+	defer func() {
+		if err != nil {
+			o.a.Distrust()
+		}
+	}()
 	if o.a.Length >= 0 {
 		_, err := io.Copy(w, o.a.Body)
 		return err
@@ -680,8 +729,7 @@
 	}
 	if err != nil {
 		x.countSlowCaller(err)
-		x.finish(o.a.Status, "broken off")
-		panic(http.ErrAbortHandler)
+		x.breakOff(o.a.Status)
 	}
 	reason := outcomeServed
 	if o.a.Status >= http.StatusInternalServerError {
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -197,7 +197,7 @@
 	for _, reservations := range p.running {
 		for track, s := range reservations {
 			if i := slices.IndexFunc(s.ids.all, affected); i >= 0 && !track.Started() {
-				s.cancel(s.ids.quarantinedError(s.ids.all[i]))
+				s.held.cancel(s.ids.quarantinedError(s.ids.all[i]))
 			}
 		}
 	}
@@ -284,13 +284,13 @@
 }
 
 // recordOutcome reports to the scheduler that the group has answered the request or crashed.
-func (s *reservation) recordOutcome(crashed bool) {
-	if len(s.ids.all) == 0 || s.peer != "" {
+func (s *groupPlace) recordOutcome(crashed bool) {
+	if len(s.ids.all) == 0 {
 		return
 	}
 	s.d.mu.Lock()
 	defer s.d.mu.Unlock()
-	s.d.client(s.model).RecordOutcome(quarantine.Outcome{Request: s.ids.request, Parts: s.ids.parts, Group: s.key, Crashed: crashed}, s.began)
+	s.d.client(s.model).RecordOutcome(quarantine.Outcome{Request: s.ids.request, Parts: s.ids.parts, Group: s.held.key, Crashed: crashed}, s.began)
 	if crashed {
 		s.d.sendReport(time.Now(), s.model) // other servers may crash before the next report is due
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -122,9 +122,11 @@
 	}
 	switch {
 	case x.config.Model(x.service, x.call.Model) != nil:
-		x.serveStream(ctx, svc)
+		x.serveStream(ctx, svc, newGroupSource)
 	case svc != nil && svc.Engine != nil && len(svc.Engine.Models) > 0 && x.call.Model != "":
 		x.reject(http.StatusServiceUnavailable, x.retryDelay(), "unknown model")
+	case x.route.Kind == route.Streaming && x.r.Method != http.MethodHead:
+		x.serveStream(ctx, svc, newPlainSource)
 	default:
 		x.servePlain(ctx, svc)
 	}
@@ -346,6 +348,16 @@
 	}
 }
 
+// breakOff ends the connection of the caller in the middle of an answer. It does not return.
+func (x *exchange) breakOff(status int) {
+	x.finish(status, "broken off")
+	// An answer over HTTP/1.0 without a length ends with its connection, so that only a reset shows that it is not complete.
+	if c, ok := x.r.Context().Value(connKey{}).(*callerConn); ok && !x.r.ProtoAtLeast(1, 1) {
+		c.resetOnClose.Store(true)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // rejectDropped returns the rejection of a request whose model the configuration in force no longer has. Its caller comes back at once
 // where the answer is another one now, as the route or the key is gone or the route leads to another service; else after the usual
 // time, as the model may return.
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -4,11 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -16,10 +15,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"flamingorudder.example/internal/backend"
-	"flamingorudder.example/internal/balance"
 	"flamingorudder.example/internal/roster"
 	"flamingorudder.example/internal/route"
-	"flamingorudder.example/internal/schedule"
+	"flamingorudder.example/internal/sse"
 	"flamingorudder.example/internal/timer"
 )
 
@@ -31,8 +29,6 @@
 	maxEvent = 256 << 10
 	// extraEvents is how many events a response may have in addition to one for each token that the caller accepts.
 	extraEvents = 16
-	// priorityLevels is the number of priorities that a model runner distinguishes.
-	priorityLevels = 10
 )
 
 // OrderError reports an event whose id does not follow that of the previous event.
@@ -58,11 +54,12 @@
 
 func (e *NotRunError) Error() string { return "request was not executed by backend server " + e.Server }
 
-// serveStream serves a request to a model. The events of several attempts are joined into one response.
-func (x *exchange) serveStream(ctx context.Context, svc *route.Service) {
-	s := &forwardedStream{x: x, svc: svc, ids: newSuspectIDs(x.hash, x.call.SharedParts), lastEvent: x.call.LastEvent}
+// serveStream serves a request whose response is a stream. The events of several attempts are joined into one response.
+func (x *exchange) serveStream(ctx context.Context, svc *route.Service, newSource func(*forwardedStream) placeSource) {
+	s := &forwardedStream{x: x, svc: svc, lastEvent: x.call.LastEvent}
+	s.places = newSource(s)
 	var last error
-	for s.unsent < maxUnsent {
+	for s.places.mayTry(s.unsent) {
 		if err := ctx.Err(); err != nil {
 			last = err
 			break
@@ -94,19 +91,20 @@
 			}
 			last, a = err, next
 		}
-		if x.mayHaveRun && !x.route.Repeatable() || isFinal(last) {
+		var other *OtherAnswerError
+		if x.mayHaveRun && !x.route.Repeatable() || s.partial || isFinal(last) || errors.As(last, &other) {
 			break
 		}
 	}
-	switch {
-	case s.failure != nil && !s.headerSent && x.r.Context().Err() == nil:
+	if s.failure != nil && !s.headerSent && x.r.Context().Err() == nil {
 		s.failure.forward(x)
-	case s.headerSent:
-		x.finish(s.status, "broken off")
-		panic(http.ErrAbortHandler)
-	default:
-		x.respondFailure(ctx, last)
+		return
 	}
+	s.failure.discard()
+	if s.headerSent {
+		x.breakOff(s.status)
+	}
+	x.respondFailure(ctx, last)
 }
 
 // Causes of failed attempts, for the log and the metrics.
@@ -220,9 +218,9 @@
 // The goroutine of the request owns the state and the bookkeeping of the exchange, except while it waits for a silent group:
 // then the goroutine of the standby attempt does.
 type forwardedStream struct {
-	x   *exchange
-	svc *route.Service
-	ids suspectIDs
+	x      *exchange
+	svc    *route.Service
+	places placeSource
 	// headerSent is set once the status and headers have been sent to the caller.
 	headerSent bool
 	status     int
@@ -234,9 +232,11 @@
 	lastForward time.Time
 	// events counts the complete events that were forwarded.
 	events int
+	// partial is set once a part of an event has been forwarded, so that the stream cannot go on at another place.
+	partial bool
 	// failure is an error response, which is forwarded if no later attempt succeeds.
 	failure *bufferedResponse
-	// exclude holds the groups of all attempts, unsent counts the attempts that did not reach their backend server.
+	// exclude holds the names of the places of all attempts, unsent counts the attempts that did not reach their backend server.
 	exclude []string
 	unsent  int
 	// handedTo are the daemons to which the request was handed over.
@@ -303,7 +303,7 @@
 	if !x.payRetry(underWay) && !x.d.paths.lost(x.service) {
 		return nil, &NoRetryError{x.service}
 	}
-	reserved, err := s.acquire(ctx, underWay > 0 || x.mayHaveRun || x.call.LastEvent != "", avoid)
+	reserved, err := s.acquire(ctx, underWay, avoid)
 	if err != nil || reserved.peer != "" {
 		return reserved, err // if this daemon could not pay, the other one does
 	}
@@ -312,55 +312,34 @@
 		return nil, &NoRetryError{x.service}
 	}
 	x.paid = false
-	s.exclude = append(s.exclude, reserved.key)
+	s.exclude = append(s.exclude, reserved.name())
 	return reserved, nil
 }
 
-// acquire waits for a place in a group that has not been tried and is not to be avoided. Without a path to the groups it has another
-// daemon serve the request. goOn is set if a group may have worked on the request.
-func (s *forwardedStream) acquire(ctx context.Context, goOn bool, avoid []string) (*reservation, error) {
+// acquire waits for a place that has not been tried and is not to be avoided, beside the given number of attempts. Without a path to the
+// backend servers it has another daemon serve the request.
+func (s *forwardedStream) acquire(ctx context.Context, underWay int, avoid []string) (*reservation, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	x, model := s.x, schedule.Model{Service: s.svc.Name, Name: s.x.call.Model}
-	if err := x.evacuationRejection(model); err != nil {
-		return nil, err
-	}
-	if err := x.homeRejection(model); err != nil {
-		return nil, err
-	}
-	tokens, err := x.expectedTokens(s.svc.Engine)
-	if err != nil {
+	x := s.x
+	if err := s.places.rejection(time.Now()); err != nil {
 		return nil, err
 	}
 	if x.d.paths.lost(x.service) {
-		if err := x.d.quarantineRejection(time.Now(), s.ids); err != nil {
-			return nil, err
-		}
-		if err := x.d.dispatch.dropped(model); err != nil {
-			return nil, x.rejectDropped(err)
-		}
 		target := x.handOverTarget(s.handedTo)
 		if target == nil {
 			return nil, x.noPath()
 		}
 		s.handedTo = append(s.handedTo, target.Name)
-		return x.d.dispatch.handOver(model, s.ids, target), nil
-	}
-	reserved, err := x.d.dispatch.acquire(ctx, s.svc, x.call.Model, x.org, balance.Request{
-		Rank: x.rank, Prompt: x.call.PromptTokens, Tokens: tokens, Objective: x.route.Objective, Gap: x.route.Gap, CallerTimeout: x.call.Timeout, Fingerprint: s.ids.request,
-		Arrived: x.start, Until: x.deadline, Resumed: goOn,
-	}, x.homes, s.ids, slices.Concat(s.exclude, avoid))
-	var dropped *DroppedError
-	if errors.As(err, &dropped) {
-		return nil, x.rejectDropped(err)
+		return handOver(target), nil
 	}
-	return reserved, err
+	return s.places.take(ctx, underWay, avoid)
 }
 
-// seek reserves a place for a standby at a group that is known to work, or at any if there is none soon.
+// seek reserves a place for a standby where the service is known to work, or at any if there is none soon.
 func (s *forwardedStream) seek(preparation context.Context, limit time.Duration) (*reservation, error) {
-	avoid := s.x.d.dispatch.withoutEvidence(schedule.Model{Service: s.svc.Name, Name: s.x.call.Model}, limit, s.x.homes, s.exclude)
+	avoid := s.places.withoutEvidence(limit)
 	if len(avoid) > 0 {
 		soon, cancel := context.WithTimeout(preparation, maxStandbyRetry)
 		defer cancel()
@@ -435,7 +414,7 @@
 	s.mu.Unlock()
 	if other != nil {
 		if err == nil {
-			other.cancel(&SupersededError{a.reserved.key})
+			other.cancel(&SupersededError{a.reserved.name()})
 		} else {
 			other.stopSeeking()
 			a.detach()
@@ -444,7 +423,7 @@
 		_ = s.tasks.Wait() // its task returns no error
 		other.cancel(nil)
 		if other.attempt != nil && err == nil {
-			err = &StalledError{a.reserved.key} // both have answered; the silent attempt has been cancelled
+			err = &StalledError{a.reserved.name()} // both have answered; the silent attempt has been cancelled
 		}
 		return other.attempt, err
 	}
@@ -454,7 +433,7 @@
 // startStandby prepares another attempt while a waits for its group, unless the request must not run at two of them. s.mu is
 // held.
 func (s *forwardedStream) startStandby(ctx context.Context, a *streamAttempt) {
-	if s.awaited != a || s.standby != nil || !s.x.route.Repeatable() {
+	if s.awaited != a || s.standby != nil || !s.x.route.Repeatable() || s.partial {
 		return
 	}
 	// The attempt outlives this context, which ends only the preparation.
@@ -479,7 +458,7 @@
 // for an attempt, it looks again until whileSilent ends, which is when the silent attempt does.
 func (s *forwardedStream) prepare(ctx, preparation, whileSilent context.Context, silent *streamAttempt) *streamAttempt {
 	x := s.x
-	for s.unsent < maxUnsent && preparation.Err() == nil && x.attemptLeft(1) {
+	for s.places.mayTry(s.unsent) && preparation.Err() == nil && x.attemptLeft(1) {
 		// Without a path, an attempt at another group would be as silent. A response that came in the last part of the silence
 		// shows that there is one.
 		x.d.paths.verify(whileSilent, x.service, silent.reserved.limit/3)
@@ -508,7 +487,7 @@
 		a := s.newAttempt(ctx, reserved, 1)
 		if x.attempts+2 < x.route.MaxAttempts {
 			// A standby at a group that is silent too makes room for one at a third group.
-			reserved.watch(func() { a.cancel(&StalledError{reserved.key}) })
+			reserved.watch(func() { a.cancel(&StalledError{reserved.name()}) })
 		}
 		stop := context.AfterFunc(preparation, func() { a.cancel(context.Cause(preparation)) })
 		err = a.cause(a.open())
@@ -518,7 +497,7 @@
 		}
 		if err == nil {
 			s.watch(ctx, a)
-			silent.cancel(&StalledError{silent.reserved.key})
+			silent.cancel(&StalledError{silent.reserved.name()})
 			return a
 		}
 		s.settle(preparation, a, err)
@@ -532,17 +511,26 @@
 // settle ends an attempt and records its result.
 func (s *forwardedStream) settle(ctx context.Context, a *streamAttempt, err error) {
 	x, before := s.x, s.x.attempts
-	if a.response != nil {
-		a.response.Close()
+	end := func(bool) {
+		if a.response != nil {
+			a.response.Close()
+		}
+		a.cancel(nil)
 	}
 	a.detach()
-	a.cancel(nil)
 	a.reserved.release()
+	if a.failure != nil && a.failure.tail {
+		a.failure.done = end // once the rest has been forwarded
+	} else {
+		end(false)
+	}
 	x.recordAttempt(a.reserved.head, a.reserved.key, a.sendErr, a.response, a.notices)
 	if a.failure != nil {
+		s.failure.discard()
 		s.failure = a.failure
 	}
-	if err == nil {
+	var other *OtherAnswerError
+	if err == nil || errors.As(err, &other) {
 		return
 	}
 	if !errors.Is(err, a.sendErr) {
@@ -564,7 +552,7 @@
 			s.unsent++
 		}
 	} else if countsAgainstGroup(err) {
-		a.reserved.reportFailure()
+		a.reserved.reportFailure(err)
 	}
 }
 
@@ -597,7 +585,7 @@
 	if a.reserved.peer != "" {
 		r, err = x.d.peerPool.Do(a.ctx, head, x.buildHandOver(a.resume, a.underWay), 0)
 	} else {
-		r, err = x.d.pool.Do(a.ctx, head, x.buildRequest(head, priority(x.rank), a.resume), x.d.connectionLimit(a.s.svc))
+		r, err = x.d.pool.Do(a.ctx, head, x.buildRequest(head, a.s.places.priority(), a.resume), x.d.connectionLimit(a.s.svc))
 	}
 	if err != nil {
 		a.sendErr = err
@@ -605,7 +593,7 @@
 			x.d.paths.doubt(x.service)
 			var notSent *backend.NotSentError
 			if errors.As(err, &notSent) {
-				x.d.dispatch.recordConnection(a.reserved.key, false)
+				a.reserved.recordConnection(false)
 			}
 		}
 		return err
@@ -614,13 +602,13 @@
 	if a.reserved.peer != "" {
 		return a.openPeer(r)
 	}
-	x.d.dispatch.recordConnection(a.reserved.key, true)
+	a.reserved.recordConnection(true)
 	a.notices = x.d.handleNotices(head, r)
 	if n, relevant := x.d.observeLimit(head, r, sent); relevant {
 		a.reserved.reportLimit(n, sent)
 	}
 	if r.NotExecuted {
-		x.d.dispatch.excludeRejecting(a.reserved.key, r.Pause)
+		a.reserved.recordRejection(r.Pause)
 	}
 	if r.NotExecuted || !forwardable(r) {
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxReadAhead)) // allows the connection to be reused
@@ -643,25 +631,40 @@
 
 // readResponse reads the first events of a response of a backend server.
 func (a *streamAttempt) readResponse(r *backend.Response) error {
-	head := a.reserved.head
-	if r.Status != http.StatusOK {
-		n := a.s.x.readAhead(r.Length)
-		body, err := io.ReadAll(io.LimitReader(r.Body, n+1))
-		if err != nil {
-			return &backend.NoResponseError{Server: head.ID, Err: err}
-		}
-		if int64(len(body)) <= n {
-			a.failure = &bufferedResponse{a: r, body: body, done: func(bool) {}}
-		}
-		return &UnusableError{head.ID, r.Status}
+	if r.Status != http.StatusOK || !a.s.places.isStream(r) {
+		return a.readOther(r)
 	}
 	if a.s.headerSent && r.Header.Get("Content-Type") != a.s.contentType {
-		return &UnusableError{head.ID, r.Status}
+		return &UnusableError{a.reserved.head.ID, r.Status}
 	}
-	a.events.response = r
+	a.events.response, a.events.bounds = r, a.s.places.bounds(r)
 	return a.next()
 }
 
+// OtherAnswerError reports a response that is no stream and that no other backend server need be asked for.
+type OtherAnswerError struct {
+	Server string
+	Status int
+}
+
+func (e *OtherAnswerError) Error() string {
+	return "backend server " + e.Server + " answers without a stream: " + strconv.Itoa(e.Status)
+}
+
+// readOther reads a response that is no stream.
+func (a *streamAttempt) readOther(r *backend.Response) error {
+	id, out := a.reserved.head.ID, &bufferedResponse{a: r}
+	if err := out.readAhead(a.s.x); err != nil {
+		return &backend.NoResponseError{Server: id, Err: err}
+	}
+	a.failure = out
+	if a.s.places.isAnswer(r.Status) {
+		a.reserved.recordOutcome(false)
+		return &OtherAnswerError{id, r.Status}
+	}
+	return &UnusableError{id, r.Status}
+}
+
 // next reads the next events of the response.
 func (a *streamAttempt) next() error {
 	err := a.events.read()
@@ -669,9 +672,6 @@
 	return err
 }
 
-// priority converts a rank to the priority that is sent to a model runner.
-func priority(rank int) int { return min(max(rank, 0), priorityLevels-1) }
-
 // write forwards the events that were read last to the caller.
 func (s *forwardedStream) write(a *streamAttempt) error {
 	x, r := s.x, &a.events
@@ -688,7 +688,7 @@
 		x.maxGap = max(x.maxGap, now.Sub(s.lastForward))
 	}
 	s.lastForward = now
-	s.events = r.base + r.count
+	s.events, s.partial = r.base+r.count, s.partial || r.partial
 	if _, err := x.w.Write(r.buf[:r.whole]); err != nil {
 		x.countSlowCaller(err)
 		return err
@@ -707,14 +707,19 @@
 type eventReader struct {
 	x        *exchange
 	reserved *reservation
+	bounds   eventBounds
 	response *backend.Response
 	// buf holds what was read; its first whole bytes are complete events, and the first searched bytes hold no other end
 	// of an event.
 	buf             []byte
 	whole, searched int
+	// partial is set once an event was larger than the buffer. All that is read from then on is forwarded at once, and pos tells whether it
+	// ends inside an event.
+	partial bool
+	pos     sse.Position
 	// last is the id of the last event, sinceID the number of bytes read since the last id.
 	last    string
-	sinceID int
+	sinceID int64
 	// resuming is set until the first event, whose id shows that the stream goes on where it was broken off.
 	resuming bool
 	// base counts the events of earlier attempts, count those of this one.
@@ -726,7 +731,19 @@
 	err error
 }
 
-// read reads until there is at least one complete event, or the response ends.
+// eventBounds bounds what a faulty backend server may send.
+type eventBounds struct {
+	// events is the number of events, zero if it is not bounded.
+	events int
+	// sinceID is the number of bytes without an event id.
+	sinceID int64
+	// partial is set if an event that is larger than the buffer may be forwarded in parts.
+	partial bool
+	// gaps is set if the ids of events need only increase.
+	gaps bool
+}
+
+// read reads until there is something to forward, usually complete events, or the response ends.
 func (r *eventReader) read() error {
 	if r.err != nil {
 		return r.err
@@ -736,48 +753,61 @@
 	}
 	r.buf = append(r.buf[:0], r.buf[r.whole:]...)
 	r.whole = 0
+	r.reserved.expect()
 	for {
 		if len(r.buf) == cap(r.buf) {
-			if cap(r.buf) >= maxEvent {
+			switch {
+			case cap(r.buf) < maxEvent:
+				r.buf = append(r.buf, make([]byte, cap(r.buf))...)[:len(r.buf)]
+			case !r.bounds.partial || r.resuming:
 				return &EndlessError{"an event is too large"}
+			default:
+				r.partial, r.whole = true, len(r.buf)
+				r.pos.Advance(r.buf)
+				return nil
 			}
-			r.buf = append(r.buf, make([]byte, cap(r.buf))...)[:len(r.buf)]
 		}
 		n, err := r.response.Body.Read(r.buf[len(r.buf):cap(r.buf)])
 		r.buf = r.buf[:len(r.buf)+n]
 		whole, count, id := 0, 0, ""
-		if eventLength(r.buf[r.searched:]) >= 0 {
+		if r.partial {
+			whole = len(r.buf)
+			r.pos.Advance(r.buf)
+		} else if sse.EventLength(r.buf[r.searched:]) >= 0 {
 			var orderErr error
-			if whole, count, id, orderErr = parseEvents(r.buf, r.last, r.resuming); orderErr != nil {
+			if whole, count, id, orderErr = parseEvents(r.buf, r.last, r.resuming, r.bounds.gaps); orderErr != nil {
 				return orderErr
 			}
 		}
-		r.searched = max(len(r.buf)-whole-maxEventEnd+1, 0)
+		r.searched = max(len(r.buf)-whole-sse.MaxEnd+1, 0)
 		r.count += count
-		r.sinceID += n
+		r.sinceID += int64(n)
 		if id != "" {
 			r.last, r.sinceID, r.resuming = id, 0, false
 		}
-		switch maxTokens, events := r.x.call.MaxTokens, r.base+r.count; {
-		case maxTokens > 0 && events > maxTokens+extraEvents:
-			return &EndlessError{strconv.Itoa(events) + " events for " + strconv.Itoa(maxTokens) + " tokens"}
-		case r.sinceID > maxEvent:
+		switch events := r.base + r.count; {
+		case r.bounds.events > 0 && events > r.bounds.events:
+			return &EndlessError{fmt.Sprintf("%d events, at most %d are expected", events, r.bounds.events)}
+		case r.sinceID > r.bounds.sinceID:
 			return &EndlessError{"events without ids"}
 		}
 		r.eof = errors.Is(err, io.EOF)
 		switch {
 		case !r.eof:
+		case r.partial && r.pos.InEvent():
+			r.eof, err = false, io.ErrUnexpectedEOF
 		case !r.x.isEventStream(r.response), whole < len(r.buf) && len(bytes.TrimSpace(r.buf[whole:])) == 0:
 			whole = len(r.buf)
-		case whole < len(r.buf), r.base+r.count == 0 && r.response.EndsWithConnection:
+		case whole < len(r.buf), r.base+r.count == 0 && !r.partial && r.response.EndsWithConnection:
 			// The response ends inside an event, or with its connection before the first one.
 			r.eof, err = false, io.ErrUnexpectedEOF
 		}
-		if !r.answered && (r.count > maxEventsBeforeCrash || r.eof && r.count > 0) {
+		if !r.answered && (r.count > maxEventsBeforeCrash || r.partial || r.eof && r.count > 0) {
 			r.answered = true
 			r.reserved.recordOutcome(false)
 		}
 		if err != nil && !r.eof {
+			r.response.Distrust()
 			r.err = &backend.NoResponseError{Server: r.reserved.head.ID, Err: err}
 		}
 		if whole > 0 || r.eof {
@@ -795,50 +825,26 @@
 
 // isEventStream reports whether a response consists of events. Routes of other kinds may get any body.
 func (x *exchange) isEventStream(a *backend.Response) bool {
-	return x.route.Kind == route.Streaming || strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
-}
-
-// Ends of events: a line end and an empty line.
-var (
-	eventEnd   = []byte("\n\n")
-	eventEndCR = []byte("\n\r\n")
-)
-
-// maxEventEnd is the length of the longest end of an event.
-const maxEventEnd = 3
-
-// eventLength returns the length of the first complete event in b with its end, or -1 if there is none.
-func eventLength(b []byte) int {
-	i := bytes.Index(b, eventEnd)
-	if i >= 0 {
-		b = b[:i+1]
-	}
-	if j := bytes.Index(b, eventEndCR); j >= 0 {
-		return j + len(eventEndCR)
-	}
-	if i < 0 {
-		return -1
-	}
-	return i + len(eventEnd)
+	return x.route.Kind == route.Streaming || sse.IsStream(a.Header)
 }
 
 // parseEvents returns the total length of the complete events in b, their number and the id of the last one. Numeric ids
-// must be consecutive, also with the id last of the previous event; otherwise the response does not continue where the
-// previous attempt ended. If resuming is set, the first event must have an id: text without one may be an error message.
-func parseEvents(b []byte, last string, resuming bool) (whole, count int, id string, err error) {
+// must be consecutive, or increase if gaps is set, also with the id last of the previous event; otherwise the response does not continue
+// where the previous attempt ended. If resuming is set, the first event must have an id: text without one may be an error message.
+func parseEvents(b []byte, last string, resuming, gaps bool) (whole, count int, id string, err error) {
 	prev, known := -1, false
 	if n, e := strconv.Atoi(last); e == nil {
 		prev, known = n, true
 	}
 	for {
-		n := eventLength(b[whole:])
+		n := sse.EventLength(b[whole:])
 		if n < 0 {
 			return whole, count, id, nil
 		}
 		event := b[whole : whole+n]
 		whole += n
 		count++
-		for line := range bytes.SplitSeq(event, []byte("\n")) {
+		for line := range bytes.FieldsFuncSeq(event, func(c rune) bool { return c == '\n' || c == '\r' }) {
 			v, ok := bytes.CutPrefix(line, []byte("id:"))
 			if !ok {
 				continue
@@ -848,7 +854,7 @@
 			if e != nil {
 				continue
 			}
-			if known && n != prev+1 {
+			if known && (n <= prev || n != prev+1 && !gaps) {
 				return 0, 0, "", &OrderError{strconv.Itoa(prev), id}
 			}
 			prev, known = n, true
