Ask plain services for streams in the soak

Seeds from 7000 on have routes to them, for streams that may be resumed and not, and servers that end such a stream inside an event. Earlier seeds give what they gave.

--- a/internal/fakeplatform/broken.go
+++ b/internal/fakeplatform/broken.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"flamingorudder.example/internal/timer"
@@ -19,6 +20,8 @@
 	statusZero
 	blankInName
 	blankInLength
+	// insideEvent is a stream without a length that ends with its connection, in order, inside an event.
+	insideEvent
 	brokenForms
 )
 
@@ -34,7 +37,11 @@
 	s.mu.Lock()
 	s.tell(Event{Kind: Spoiled, ID: id})
 	s.mu.Unlock()
-	form := int(Sum([]byte(id+s.o.ID))) % brokenForms
+	forms := brokenForms
+	if !s.streams(r) || len(s.o.Models) > 0 { // as in the runs of earlier seeds
+		forms = insideEvent
+	}
+	form := int(Sum([]byte(id+s.o.ID))) % forms
 	if form != cutOff {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return // the daemon has left
@@ -48,7 +55,7 @@
 	body := beginning(id)
 	header := http.Header{}
 	platform.SetResponseHeader(header, id, s.o.ID+"."+id, false)
-	if len(s.o.Models) > 0 {
+	if s.streams(r) {
 		header.Set("Content-Type", "text/event-stream")
 		body = EventText(id, after+1)
 	}
@@ -58,6 +65,9 @@
 	switch form {
 	case cutOff:
 		length = ""
+	case insideEvent:
+		length = ""
+		body += "id: " + strconv.Itoa(after+2)
 	case statusZero:
 		status = "000"
 	case blankInName:
--- a/internal/fakeplatform/server.go
+++ b/internal/fakeplatform/server.go
@@ -664,10 +664,10 @@
 	}()
 	platform.SetResponseHeader(w.Header(), id, s.o.ID+"."+id, false)
 	done := false
-	if len(s.o.Models) == 0 {
-		done = s.answer(w, r, id, body)
-	} else {
+	if s.streams(r) {
 		done = s.stream(w, r, id, after, gone)
+	} else {
+		done = s.answer(w, r, id, body)
 	}
 	end := Event{Kind: Done, ID: id}
 	if !done {
@@ -696,6 +696,14 @@
 	return 0
 }
 
+// FeedPrefix begins the paths at which plain services answer with streams.
+const FeedPrefix = "/feed"
+
+// streams tells whether the answer to a request is a stream.
+func (s *Server) streams(r *http.Request) bool {
+	return len(s.o.Models) > 0 || strings.HasPrefix(r.URL.Path, FeedPrefix)
+}
+
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, id string, body []byte) bool {
 	work := s.o.Work
 	if strings.HasPrefix(id, SlowPrefix) {
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -26,14 +26,19 @@
 	Probe
 	// Once is a stream that may not be resumed.
 	Once
+	// Feed and FeedOnce are streams of a plain service, which may and may not be resumed.
+	Feed
+	FeedOnce
 )
 
-func (k Kind) String() string { return [...]string{"read", "write", "talk", "probe", "once"}[k] }
+func (k Kind) String() string {
+	return [...]string{"read", "write", "talk", "probe", "once", "feed", "feed-once"}[k]
+}
 
-func (k Kind) stream() bool { return k == Talk || k == Once }
+func (k Kind) stream() bool { return k == Talk || k == Once || k == Feed || k == FeedOnce }
 
 // once tells whether requests of a kind may run once only.
-func (k Kind) once() bool { return k == Write || k == Once }
+func (k Kind) once() bool { return k == Write || k == Once || k == FeedOnce }
 
 // sent is one attempt of a caller.
 type sent struct {
@@ -187,7 +192,7 @@
 }
 
 func service(k Kind) string {
-	if k.stream() {
+	if k == Talk || k == Once {
 		return modelService
 	}
 	return plainService
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -224,7 +224,8 @@
 		}
 	}
 	once := to(Once.String(), route.Streaming, modelService, 6*time.Second, 3)
-	once.Resumable = false
+	feedOnce := to(FeedOnce.String(), route.Streaming, plainService, 6*time.Second, 3)
+	once.Resumable, feedOnce.Resumable = false, false
 	engine := &route.Engine{
 		Slots: 16, Stride: 1, Step: 20 * time.Millisecond, PerRequest: 100 * time.Microsecond, PrefillRate: 46000, Chunk: 2048,
 		Form: 100 * time.Millisecond, LoadRate: 20, UsualAnswer: 12, Models: models,
@@ -234,7 +235,7 @@
 		Routes: []route.Route{
 			to("read", route.Safe, plainService, plainLimit, 2), to("write", route.Unsafe, plainService, plainLimit, 1),
 			to("talk", route.Streaming, modelService, 6*time.Second, 3), to(versionRoute(version), route.Safe, plainService, probeLimit, 2),
-			once,
+			once, to(Feed.String(), route.Streaming, plainService, 6*time.Second, 3), feedOnce,
 		},
 		Services:      []route.Service{{Name: plainService, MaxConnections: 200}, {Name: modelService, MaxConnections: 200, Engine: engine}},
 		Organisations: []route.Organisation{{Name: "north", Keys: []string{"key-north"}, Rank: -1}, {Name: "south", Keys: []string{"key-south"}, Rank: -1}},
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -106,6 +106,9 @@
 // firstOfUnannounced is the first seed in which backend servers leave without telling that they drain.
 const firstOfUnannounced = 6000
 
+// firstOfFeeds is the first seed with streams of plain services.
+const firstOfFeeds = 7000
+
 // hidesHeartbeats tells whether the store of a seed shows no entry of which only the heartbeat has changed.
 func hidesHeartbeats(seed uint64) bool { return seed >= firstOfSilences && seed/plannedOnly%2 == 1 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -60,6 +60,7 @@
 // answerLimits is how long a request may take to get its answer, a little less than the time limit of its route at most.
 var answerLimits = map[Kind]time.Duration{
 	Read: plainLimit * 9 / 10, Write: plainLimit * 9 / 10, Talk: plainLimit * 9 / 10, Once: plainLimit * 9 / 10, Probe: probeLimit * 9 / 10,
+	Feed: plainLimit * 9 / 10, FeedOnce: plainLimit * 9 / 10,
 }
 
 // run is a run under way.
@@ -280,6 +281,8 @@
 	case Talk, Once:
 		ask.Method, ask.Body = http.MethodPost, []byte("prompt of "+id)
 		ask.Model = models[int(fakeplatform.Sum([]byte(id)))%len(models)].Name
+	case Feed, FeedOnce:
+		ask.Method, ask.Body = http.MethodPost, []byte("topic of "+id)
 	case Probe:
 		ask.Path = "/" + versionRoute(version) + "/"
 	case Read:
@@ -314,6 +317,9 @@
 	if r.o.Seed >= firstOfSilences {
 		kinds = append(kinds, Once)
 	}
+	if r.o.Seed >= firstOfFeeds {
+		kinds = append(kinds, Feed, FeedOnce)
+	}
 	stays := place/2%2 == 1 || r.o.Seed >= firstOfSilences
 	var kept netip.AddrPort // the daemon that the caller stays with
 	for n := 0; ; n++ {
