Count only the wait for a plain server as its silence

Only the time in which the daemon reads counts now (TestPlainStreamOfSlowCaller, red before).

Last-Event-Id of a caller counts only on routes with streamResume. Lines are split by bytes again, not by runes, which is not measured.

--- a/internal/entry/plain_stream.go
+++ b/internal/entry/plain_stream.go
@@ -97,9 +97,10 @@
 
 	mu        sync.Mutex
 	onSilence func()
-	// since is when the daemon began to wait for what the server sends next, begun is set once it has sent an event.
-	since time.Time
-	begun bool
+	// waiting is set while the daemon waits for the server, not for the caller, since is when it began to do so. begun is set once the server
+	// has sent an event.
+	waiting, begun bool
+	since          time.Time
 	// stop stops the timer that looks for silence; it is nil once the place has been released.
 	stop func()
 }
@@ -107,7 +108,7 @@
 func newPlainPlace(x *exchange, server *roster.Server, now time.Time) *reservation {
 	r := &reservation{head: server, limit: x.patience()}
 	r.ctx, r.cancel = context.WithCancelCause(context.Background())
-	p := &plainPlace{x: x, held: r, server: server, sent: now, since: now}
+	p := &plainPlace{x: x, held: r, server: server, sent: now, waiting: true, since: now}
 	r.occupancy = p
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -130,7 +131,10 @@
 	if p.stop == nil {
 		return
 	}
-	left := p.patience() - time.Since(p.since)
+	left := p.patience()
+	if p.waiting {
+		left -= time.Since(p.since)
+	}
 	if left <= 0 {
 		left = p.patience()
 		p.x.d.paths.doubt(p.x.service)
@@ -158,8 +162,8 @@
 func (p *plainPlace) expect() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.begun { // until then, the wait began when the request was sent
-		p.since = time.Now()
+	if !p.waiting { // the first wait began when the request was sent
+		p.waiting, p.since = true, time.Now()
 		p.held.silent.Store(false)
 	}
 }
@@ -167,7 +171,7 @@
 func (p *plainPlace) progress() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.begun, p.since = true, time.Now()
+	p.waiting, p.begun = false, true
 	p.held.silent.Store(false)
 }
 
--- a/internal/entry/plain_stream_test.go
+++ b/internal/entry/plain_stream_test.go
@@ -122,7 +122,12 @@
 			u.waitReady()
 			for _, path := range []string{"/events/", "/split/", "/resumed/"} {
 				arrived.Store(0)
-				r := u.do(http.MethodPost, path, "k1", "x")
+				// The header means nothing where a stream may not be resumed.
+				headers := []string{"Last-Event-Id", "7"}
+				if path == "/resumed/" {
+					headers = nil
+				}
+				r := u.do(http.MethodPost, path, "k1", "x", headers...)
 				if path == "/resumed/" && !test.forwarded {
 					if r.err != nil || r.status != http.StatusOK || r.body != test.resumed() {
 						t.Errorf("%s: status %d, error %v, %d bytes, want %d", path, r.status, r.err, len(r.body), len(test.resumed()))
@@ -247,6 +252,48 @@
 	}
 }
 
+// TestPlainStreamOfSlowCaller guards against a backend server counting as silent because its caller reads slowly.
+func TestPlainStreamOfSlowCaller(t *testing.T) {
+	t.Parallel()
+	store := fakeplatform.NewStore()
+	store.Put("op", "config", []byte(plainStreamConfig))
+	u := startDaemon(t, store, "a")
+	const events = 40
+	var arrived atomic.Int32
+	for _, id := range []string{"i-1", "i-2"} {
+		u.putServer(id, "plain", backendServer(t, func(c net.Conn, r *http.Request) {
+			arrived.Add(1)
+			_, _ = io.WriteString(c, streamHead(r, typeEvents))
+			for n := 1; n <= events; n++ {
+				_, _ = fmt.Fprintf(c, "id: %d\ndata: %s\n\n", n, strings.Repeat("x", maxEvent))
+			}
+			_ = c.Close()
+		}), "null")
+	}
+	u.waitReady()
+	c, err := net.Dial("tcp", u.s.Caller.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "GET /resumed/ HTTP/1.1\r\nHost: a.example\r\nX-Api-Key: k1\r\nX-Flamingorudder-Request-Id: id-1\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = timer.Wait(t.Context(), 3*probeTimeout)
+	for _, id := range []string{"i-1", "i-2"} {
+		if u.d.plainServers.avoided(id, time.Now()) {
+			t.Errorf("%s counts as silent", id)
+		}
+	}
+	n, err := io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	if err != nil || n < events*maxEvent || arrived.Load() != 1 {
+		t.Errorf("%d bytes, error %v, %d requests arrived", n, err, arrived.Load())
+	}
+}
+
 // TestOtherAnswersOnStreamingRoutes guards against answers that are no streams, such as errors, not reaching the caller unchanged from a
 // plain service. Only failures of the backend server are tried again.
 func TestOtherAnswersOnStreamingRoutes(t *testing.T) {
--- a/internal/entry/source.go
+++ b/internal/entry/source.go
@@ -11,22 +11,33 @@
 	"flamingorudder.example/internal/schedule"
 )
 
-// placeSource finds the places for the attempts at a stream, and tells what responses from there may look like. The goroutine that owns the
-// state of the stream uses it.
+// placeSource is what differs between streams of model groups and of plain services. The goroutine that owns the state of the stream uses it.
 type placeSource interface {
+	placeFinder
+	answerRules
+}
+
+// placeFinder finds the places for the attempts at a stream.
+type placeFinder interface {
 	// rejection returns why no place may be sought now, or nil.
 	rejection(now time.Time) error
 	// take waits for a place that has not been tried and is not among those to avoid, beside the given number of attempts.
 	take(ctx context.Context, underWay int, avoid []string) (*reservation, error)
 	// withoutEvidence returns the places that have sent no event within limit, if another one has.
 	withoutEvidence(limit time.Duration) []string
-	// mayTry reports whether another attempt may be made after unsent ones have not reached their backend server.
+	// mayTry reports whether another attempt may be made after a number of them have not reached their backend server.
 	mayTry(unsent int) bool
-	// priority is sent to the backend server with the request; none if it is negative.
+}
+
+// answerRules tells what is sent to a backend server and what it may answer.
+type answerRules interface {
+	// priority is sent with the request, unless it is negative.
 	priority() int
-	// isStream reports whether a response with status 200 consists of events, isAnswer whether one that does not answers the request.
+	// isStream reports whether a response with status 200 consists of events.
 	isStream(r *backend.Response) bool
+	// isAnswer reports whether a response that is no stream answers the request, so that no other server is asked.
 	isAnswer(status int) bool
+	// bounds returns the bounds of the events of a response.
 	bounds(r *backend.Response) eventBounds
 }
 
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"iter"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -56,7 +58,10 @@
 
 // serveStream serves a request whose response is a stream. The events of several attempts are joined into one response.
 func (x *exchange) serveStream(ctx context.Context, svc *route.Service, newSource func(*forwardedStream) placeSource) {
-	s := &forwardedStream{x: x, svc: svc, lastEvent: x.call.LastEvent}
+	s := &forwardedStream{x: x, svc: svc}
+	if x.route.Resumable {
+		s.lastEvent = x.call.LastEvent // where a stream may not be resumed, the header means nothing
+	}
 	s.places = newSource(s)
 	var last error
 	for s.places.mayTry(s.unsent) {
@@ -211,15 +216,16 @@
 //
 // # Load pattern
 //
-// A group that falls silent may have lost a member, and its head answers only seconds later, or it may be sound and go on.
-// Nothing tells which before it does. So a silent attempt is not given up: a standby attempt at another group is prepared
-// beside it, and the first of the two to send an event goes on.
+// A group that falls silent may have lost a member, and its head answers only seconds later, or it may be sound and go on; a plain backend
+// server may have ended. Nothing tells which before it does. So a silent attempt is not given up: a standby attempt at another place is
+// prepared beside it, and the first of the two to send an event goes on.
 //
 // The goroutine of the request owns the state and the bookkeeping of the exchange, except while it waits for a silent group:
 // then the goroutine of the standby attempt does.
 type forwardedStream struct {
-	x      *exchange
-	svc    *route.Service
+	x   *exchange
+	svc *route.Service
+	// places finds the places of the attempts.
 	places placeSource
 	// headerSent is set once the status and headers have been sent to the caller.
 	headerSent bool
@@ -520,7 +526,7 @@
 	a.detach()
 	a.reserved.release()
 	if a.failure != nil && a.failure.tail {
-		a.failure.done = end // once the rest has been forwarded
+		a.failure.done = end // the rest of the response may still be forwarded
 	} else {
 		end(false)
 	}
@@ -689,9 +695,12 @@
 	}
 	s.lastForward = now
 	s.events, s.partial = r.base+r.count, s.partial || r.partial
-	if _, err := x.w.Write(r.buf[:r.whole]); err != nil {
-		x.countSlowCaller(err)
-		return err
+	// A write that is larger than the buffer of the socket may wait for delayed acknowledgements several times.
+	for part := range slices.Chunk(r.buf[:r.whole], socketBuffer) {
+		if _, err := x.w.Write(part); err != nil {
+			x.countSlowCaller(err)
+			return err
+		}
 	}
 	if !r.eof {
 		if err := http.NewResponseController(x.w).Flush(); err != nil {
@@ -844,7 +853,7 @@
 		event := b[whole : whole+n]
 		whole += n
 		count++
-		for line := range bytes.FieldsFuncSeq(event, func(c rune) bool { return c == '\n' || c == '\r' }) {
+		for line := range lines(event) {
 			v, ok := bytes.CutPrefix(line, []byte("id:"))
 			if !ok {
 				continue
@@ -865,9 +874,22 @@
 	}
 }
 
+// lines returns the lines of an event, which may end with LF, CR LF or CR. There are empty ones between CR and LF.
+func lines(event []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for text := range bytes.SplitSeq(event, []byte("\n")) {
+			for line := range bytes.SplitSeq(text, []byte("\r")) {
+				if !yield(line) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // isComment reports whether an event has only comments, which servers send to keep a connection alive.
 func isComment(event []byte) bool {
-	for line := range bytes.Lines(event) {
+	for line := range lines(event) {
 		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
 			return false
 		}
