Forward event streams without their length on other routes

On routes that are not for streams, and in the own interface, a response of the type text/event-stream with a length that ended inside an event, and did not fit the part that is read ahead, reached its caller with that length and all of its bytes, so it still looked complete. It is forwarded in chunks now and broken off at its end.

Found by reading; TestBrokenAnswers in entry and in caller, and TestBrokenAnswersHandedOver, have the case and failed before.

--- a/internal/caller/broken_test.go
+++ b/internal/caller/broken_test.go
@@ -44,6 +44,7 @@
 			rawserver.ShutDown(ownHead("200", r)+"Content-Type: text/event-stream\r\n\r\ndata: a\n\ndata", 20*time.Millisecond)(c, r)
 		}, true},
 		"inside an event, chunks": {send("200", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n7\r\ndata: a\r\n0\r\n\r\n"), true},
+		"inside an event, length": {send("200", "Content-Type: text/event-stream\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("d", 100_000)), true},
 		"status 000":              {send("000", "Content-Length: 4\r\n\r\nbody"), false},
 		"status 099, no length":   {send("099", "\r\nbody"), false},
 		"blank in a name":         {send("200", "X Odd: 1\r\nContent-Length: 4\r\n\r\nbody"), false},
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -397,17 +397,19 @@
 	for k := range resp.Trailer {
 		h.Add("Trailer", k)
 	}
-	if resp.ContentLength >= 0 && h.Get("Content-Length") == "" && f.r.Method != http.MethodHead && len(resp.Trailer) == 0 {
-		h.Set("Content-Length", fmt.Sprint(resp.ContentLength))
+	body, length := io.Reader(resp.Body), resp.ContentLength
+	if sse.IsStream(resp.Header) && f.r.Method != http.MethodHead {
+		// With its length, a stream that ends inside an event would be complete for the caller.
+		body, length = sse.NewReader(body), -1
+		h.Del("Content-Length")
+	}
+	if length >= 0 && h.Get("Content-Length") == "" && f.r.Method != http.MethodHead && len(resp.Trailer) == 0 {
+		h.Set("Content-Length", fmt.Sprint(length))
 	}
 	h.Set(HeaderOutcome, string(Run))
 	f.headed = true
 	f.w.WriteHeader(resp.StatusCode)
 
-	body := io.Reader(resp.Body)
-	if sse.IsStream(resp.Header) {
-		body = sse.NewReader(body)
-	}
 	rc := http.NewResponseController(f.w)
 	var kept []byte
 	var gone error
@@ -423,7 +425,7 @@
 				_, gone = f.w.Write(buf[:n])
 			}
 			// An answer of known length is written as a whole by the server; others are passed on as they come.
-			if gone == nil && resp.ContentLength < 0 {
+			if gone == nil && length < 0 {
 				if err := rc.Flush(); !errors.Is(err, http.ErrNotSupported) {
 					gone = err
 				}
--- a/internal/entry/broken_test.go
+++ b/internal/entry/broken_test.go
@@ -103,6 +103,13 @@
 		rawserver.ShutDown(head("200", r)+typeEvents+"\r\n"+cut, 20*time.Millisecond)(c, r)
 	}
 	out["inside an event, chunks"] = send("200", typeEvents+framedChunks+"\r\n"+chunk(cut)+"0\r\n\r\n")
+	out[fmt.Sprint("inside an event, a length, ", longBody, " bytes")] = func(c *net.TCPConn, r *http.Request) {
+		body := cut
+		if r.URL.Path != "/stream/" {
+			body += strings.Repeat("e", longBody)
+		}
+		rawserver.Text(head("200", r)+typeEvents+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))(c, r)
+	}
 	for wait, size := range map[time.Duration]int{time.Millisecond: 0, 20 * time.Millisecond: 5000, 200 * time.Millisecond: longBody} {
 		out[fmt.Sprintf("reset after %v and %d bytes", wait, size)] = func(c *net.TCPConn, r *http.Request) {
 			body := event(1) + event(2)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -712,8 +712,13 @@
 // forward forwards the response to the caller.
 func (o *bufferedResponse) forward(x *exchange) {
 	x.firstAt = time.Now()
-	if !o.tail {
+	switch {
+	case !o.tail:
 		o.a.Length = int64(len(o.body))
+	case sse.IsStream(o.a.Header):
+		// With its length, a stream that ends inside an event would be complete for the caller.
+		o.a.Length = -1
+		o.a.Header.Del("Content-Length")
 	}
 	x.writeHeader(o.a)
 	if x.r.Method == http.MethodHead {
