--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -185,8 +185,8 @@
 	// head is the backend server that reported rank 0, headBorn its lifetime.
 	head     string
 	headBorn int64
-	// ranks holds the lifetimes that reported each rank to this planner, by rank.
-	ranks map[int]lifetime
+	// ranks holds the backend server that last reported each rank to this planner.
+	ranks map[int]string
 	// stalledSince is when the group was first found broken with a head that does not respond.
 	stalledSince time.Time
 	// lastSeen is when the group was formed or a member last reported it.
@@ -195,12 +195,6 @@
 	preempted bool
 }
 
-// lifetime identifies one run of a backend server.
-type lifetime struct {
-	id   string
-	born int64
-}
-
 const (
 	// historyTTL is how long a group that no member reports is remembered. It is longer than the time for which an
 	// outage of the store hides members.
@@ -414,14 +408,14 @@
 				p.histories[key] = h
 			}
 			if h.ranks == nil {
-				h.ranks = map[int]lifetime{}
+				h.ranks = map[int]string{}
 			}
 			h.lastSeen = now
 			g = &group{name: m.Group, epoch: m.Epoch, members: map[int]*ServerStatus{}, history: h}
 			out[key] = g
 		}
 		g.members[m.Rank] = m
-		g.ranks[m.Rank] = lifetime{m.ID, m.Born}
+		g.ranks[m.Rank] = m.ID
 		if m.Rank == 0 {
 			g.head, g.headBorn = m.ID, m.Born
 		}
@@ -539,20 +533,15 @@
 			return false
 		}
 	}
-	for rank, member := range g.ranks {
-		if g.members[rank] == nil && member.hasLeft(servers) {
+	for rank, id := range g.ranks {
+		// A member that is still known but reports the group no more has joined another one, has left, or has been started again.
+		if g.members[rank] == nil && slices.ContainsFunc(servers, func(m *ServerStatus) bool { return m.ID == id }) {
 			return false
 		}
 	}
 	return true
 }
 
-// hasLeft reports whether a backend server that reports a group no more is known to have left it: it reports another membership, or has
-// been started again.
-func (l lifetime) hasLeft(servers []*ServerStatus) bool {
-	return slices.ContainsFunc(servers, func(m *ServerStatus) bool { return m.ID == l.id })
-}
-
 func (g *group) size() int {
 	if g.model != nil {
 		return g.model.Size
